--- a/cmake/Subsystem.cmake
+++ b/cmake/Subsystem.cmake
@@ -31,6 +31,9 @@
 # A doctest program `NAME_test`, registered with CTest. RapidCheck runs with a fixed seed, so that
 # the verdict is the same on every run.
 function(ochrespring_test name)
+  if(OCHRESPRING_GATEWAY_ONLY)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
   add_executable(${name}_test ${ARG_SOURCES})
   target_compile_options(${name}_test PRIVATE ${OCHRESPRING_WARNINGS})
--- a/src/authority/authority.h
+++ b/src/authority/authority.h
@@ -38,7 +38,7 @@
   RandomSource& random;
   peer::Transport& transport;
   membership::MemberView& members;
-  platform::KeyValueStore& store;
+  external::KeyValueStore& store;
   logging::Logger& logger;
   const statechart::Chart& lease_chart;
 };
--- a/src/authority/electorate_keeper.cc
+++ b/src/authority/electorate_keeper.cc
@@ -27,7 +27,7 @@
 
 ElectorateKeeper::ElectorateKeeper(ZoneName zone, VoterIdentity self,
                                    const AuthoritySettings& settings,
-                                   platform::KeyValueStore& store, Callbacks callbacks)
+                                   external::KeyValueStore& store, Callbacks callbacks)
     : zone_(std::move(zone)),
       self_(std::move(self)),
       settings_(settings),
@@ -166,13 +166,13 @@
 }
 
 void ElectorateKeeper::on_record(
-    Result<std::optional<platform::KeyValueEntry>, platform::PlatformError> result) {
+    Result<std::optional<external::KeyValueEntry>, external::ExternalError> result) {
   if (result.has_error()) {
     give_up();
     return;
   }
   record_.reset();
-  record_version_ = platform::KeyVersion();
+  record_version_ = external::KeyVersion();
   if (result.value()) {
     record_version_ = result.value()->version;
     const auto decoded = wire::decode<Electorate>(result.value()->value);
@@ -291,7 +291,7 @@
                           });
 }
 
-void ElectorateKeeper::on_swap(Result<platform::SwapOutcome, platform::PlatformError> result) {
+void ElectorateKeeper::on_swap(Result<external::SwapOutcome, external::ExternalError> result) {
   if (result.has_error()) {
     // Whether it took effect is unknown; pending_ stays, and the next change begins by reading.
     ++statistics_.swaps_unknown;
--- a/src/authority/electorate_keeper.h
+++ b/src/authority/electorate_keeper.h
@@ -12,7 +12,7 @@
 #include "authority/messages.h"
 #include "authority/types.h"
 #include "membership/member_view.h"
-#include "platform/key_value_store.h"
+#include "external/key_value_store.h"
 
 namespace ochrespring::authority {
 
@@ -39,7 +39,7 @@
   };
 
   ElectorateKeeper(ZoneName zone, VoterIdentity self, const AuthoritySettings& settings,
-                   platform::KeyValueStore& store, Callbacks callbacks);
+                   external::KeyValueStore& store, Callbacks callbacks);
 
   void on_tick(MonotonicTime now, const std::vector<membership::Member>& members);
   void on_info(const ElectorateInfo& info, MonotonicTime now);
@@ -68,14 +68,14 @@
   bool voter_usable(const VoterIdentity& voter) const;
   std::size_t usable_voters() const;
   void start_change(MonotonicTime now);
-  void on_record(Result<std::optional<platform::KeyValueEntry>, platform::PlatformError> result);
+  void on_record(Result<std::optional<external::KeyValueEntry>, external::ExternalError> result);
   void begin_seal();
   bool sealed_majority() const;
   /// Whether the seals tell every lease that may still be running.
   bool leases_known() const;
   void begin_swap();
   std::vector<VoterIdentity> choose_voters() const;
-  void on_swap(Result<platform::SwapOutcome, platform::PlatformError> result);
+  void on_swap(Result<external::SwapOutcome, external::ExternalError> result);
   /// `electorate` must not be part of this object: it changes here.
   void install(const Electorate& electorate);
   void give_up();
@@ -84,7 +84,7 @@
   ZoneName zone_;
   VoterIdentity self_;
   AuthoritySettings settings_;
-  platform::KeyValueStore& store_;
+  external::KeyValueStore& store_;
   Callbacks callbacks_;
   std::optional<Electorate> known_;
   Generation mentioned_;
@@ -100,7 +100,7 @@
   Duration retry_delay_{};
   Phase phase_ = Phase::kWatching;
   MonotonicTime phase_started_{};
-  platform::KeyVersion record_version_;
+  external::KeyVersion record_version_;
   std::optional<Electorate> record_;
   std::optional<Electorate> pending_;
   std::map<NodeId, SealReply> seals_;
--- a/src/authority/tests/cluster.cc
+++ b/src/authority/tests/cluster.cc
@@ -7,9 +7,9 @@
 
 namespace {
 
-using platform::KeyValueEntry;
-using platform::KeyVersion;
-using platform::PlatformErrc;
+using external::KeyValueEntry;
+using external::KeyVersion;
+using external::ExternalErrc;
 
 constexpr Duration kStoreDelay = std::chrono::milliseconds(3);
 constexpr Duration kNetworkDelay = std::chrono::milliseconds(1);
@@ -32,11 +32,11 @@
 }  // namespace
 
 void TestStore::get(const std::string& key,
-                    platform::PlatformCallback<std::optional<KeyValueEntry>> done) {
+                    external::ExternalCallback<std::optional<KeyValueEntry>> done) {
   ++calls;
   time_.schedule_after(kStoreDelay, [this, key, done = std::move(done)] {
     if (down) {
-      done(fail(PlatformErrc::kUnknownEffect, "down"));
+      done(fail(ExternalErrc::kUnknownEffect, "down"));
       return;
     }
     const auto found = entries_.find(key);
@@ -46,27 +46,27 @@
 
 void TestStore::compare_and_swap(const std::string& key, KeyVersion expected,
                                  const std::string& value,
-                                 std::optional<platform::LeaseId> /*lease*/,
-                                 platform::PlatformCallback<platform::SwapOutcome> done) {
+                                 std::optional<external::LeaseId> /*lease*/,
+                                 external::ExternalCallback<external::SwapOutcome> done) {
   ++calls;
   time_.schedule_after(kStoreDelay, [this, key, expected, value, done = std::move(done)] {
     if (down) {
-      done(fail(PlatformErrc::kUnknownEffect, "down"));
+      done(fail(ExternalErrc::kUnknownEffect, "down"));
       return;
     }
     KeyValueEntry& entry = entries_[key];
     entry.key = key;
     if (entry.version != expected) {
-      done(platform::SwapOutcome{false, entry.version, entry});
+      done(external::SwapOutcome{false, entry.version, entry});
       return;
     }
     entry.value = value;
     entry.version = entry.version.next();
     if (random_.chance(lose_answer)) {
-      done(fail(PlatformErrc::kUnknownEffect, "answer lost"));
+      done(fail(ExternalErrc::kUnknownEffect, "answer lost"));
       return;
     }
-    done(platform::SwapOutcome{true, entry.version, std::nullopt});
+    done(external::SwapOutcome{true, entry.version, std::nullopt});
   });
 }
 
--- a/src/authority/tests/cluster.h
+++ b/src/authority/tests/cluster.h
@@ -15,7 +15,7 @@
 namespace ochrespring::authority::testing {
 
 /// The key-value service in memory.
-class TestStore final : public platform::KeyValueStore {
+class TestStore final : public external::KeyValueStore {
  public:
   TestStore(simulation::VirtualTime& time, RandomSource& random) : time_(time), random_(random) {}
 
@@ -24,27 +24,27 @@
   std::uint64_t calls = 0;
 
   void get(const std::string& key,
-           platform::PlatformCallback<std::optional<platform::KeyValueEntry>> done) override;
-  void compare_and_swap(const std::string& key, platform::KeyVersion expected,
-                        const std::string& value, std::optional<platform::LeaseId> lease,
-                        platform::PlatformCallback<platform::SwapOutcome> done) override;
+           external::ExternalCallback<std::optional<external::KeyValueEntry>> done) override;
+  void compare_and_swap(const std::string& key, external::KeyVersion expected,
+                        const std::string& value, std::optional<external::LeaseId> lease,
+                        external::ExternalCallback<external::SwapOutcome> done) override;
   void list(const std::string& /*prefix*/,
-            platform::PlatformCallback<std::vector<platform::KeyValueEntry>> /*done*/) override {}
-  void compare_and_delete(const std::string& /*key*/, platform::KeyVersion /*expected*/,
-                          platform::PlatformCallback<platform::SwapOutcome> /*done*/) override {}
+            external::ExternalCallback<std::vector<external::KeyValueEntry>> /*done*/) override {}
+  void compare_and_delete(const std::string& /*key*/, external::KeyVersion /*expected*/,
+                          external::ExternalCallback<external::SwapOutcome> /*done*/) override {}
   void grant_lease(Duration /*time_to_live*/,
-                   platform::PlatformCallback<platform::LeaseId> /*done*/) override {}
-  void renew_lease(platform::LeaseId /*lease*/,
-                   platform::PlatformCallback<platform::LeaseId> /*done*/) override {}
-  std::unique_ptr<platform::Watch> watch(const std::string& /*prefix*/,
-                                         platform::WatchObserver& /*observer*/) override {
+                   external::ExternalCallback<external::LeaseId> /*done*/) override {}
+  void renew_lease(external::LeaseId /*lease*/,
+                   external::ExternalCallback<external::LeaseId> /*done*/) override {}
+  std::unique_ptr<external::Watch> watch(const std::string& /*prefix*/,
+                                         external::WatchObserver& /*observer*/) override {
     return nullptr;
   }
 
  private:
   simulation::VirtualTime& time_;
   RandomSource& random_;
-  std::map<std::string, platform::KeyValueEntry> entries_;
+  std::map<std::string, external::KeyValueEntry> entries_;
 };
 
 class Cluster;
--- a/src/authority/zone_authority.cc
+++ b/src/authority/zone_authority.cc
@@ -16,7 +16,7 @@
 }  // namespace
 
 ZoneAuthority::ZoneAuthority(ZoneName zone, VoterIdentity self, const AuthoritySettings& settings,
-                             const statechart::Chart& chart, platform::KeyValueStore& store,
+                             const statechart::Chart& chart, external::KeyValueStore& store,
                              RandomSource& random, Callbacks callbacks)
     : zone_(std::move(zone)),
       self_(std::move(self)),
--- a/src/authority/zone_authority.h
+++ b/src/authority/zone_authority.h
@@ -33,7 +33,7 @@
   };
 
   ZoneAuthority(ZoneName zone, VoterIdentity self, const AuthoritySettings& settings,
-                const statechart::Chart& chart, platform::KeyValueStore& store,
+                const statechart::Chart& chart, external::KeyValueStore& store,
                 RandomSource& random, Callbacks callbacks);
 
   /// The layout operators want; a later one heard from voters wins.
--- a/src/capacity/capacity_run.cc
+++ b/src/capacity/capacity_run.cc
@@ -261,7 +261,7 @@
 
   std::optional<double> let_server_leave() {
     const std::string server = fleet_.document().engines.front().server.value();
-    fleet_.machines().machines[server].state = platform::MachineState::kLeaving;
+    fleet_.machines().machines[server].state = external::MachineState::kLeaving;
     return wait_for([&] {
       return for_all([&](const HollowNode& node) { return node.digest().leaving(server); });
     });
--- a/src/capacity/hollow_engines.cc
+++ b/src/capacity/hollow_engines.cc
@@ -4,15 +4,15 @@
 #include <utility>
 
 #include "capacity/node_meter.h"
-#include "platform/http/json.h"
+#include "external/http/json.h"
 
 namespace ochrespring::capacity {
 
 namespace {
 
-using platform::PlatformCallback;
-using platform::PlatformErrc;
-using platform::PlatformError;
+using external::ExternalCallback;
+using external::ExternalErrc;
+using external::ExternalError;
 
 constexpr std::uint64_t kKvTokens = 600000;
 constexpr std::uint32_t kMostRunning = 64;
@@ -83,15 +83,15 @@
   return found == engines_.end() ? engine::EngineStatus{} : found->second.status;
 }
 
-Result<engine::EngineStatus, PlatformError> HollowEngines::order(const Endpoint& endpoint,
+Result<engine::EngineStatus, ExternalError> HollowEngines::order(const Endpoint& endpoint,
                                                                  const engine::EngineOrder& order) {
   const auto found = engines_.find(endpoint);
   if (found == engines_.end()) {
-    return fail(PlatformErrc::kNotSent, "no such engine");
+    return fail(ExternalErrc::kNotSent, "no such engine");
   }
   engine::EngineStatus& status = found->second.status;
   if (order.fence <= status.highest_fence) {
-    return fail(PlatformErrc::kStaleFence, "a higher fence was seen");
+    return fail(ExternalErrc::kStaleFence, "a higher fence was seen");
   }
   status.highest_fence = order.fence;
   status.last_completed = order.fence;
@@ -102,7 +102,7 @@
 }
 
 template <class T>
-void HollowEngineControl::answer(PlatformCallback<T> done, Result<T, PlatformError> result) {
+void HollowEngineControl::answer(ExternalCallback<T> done, Result<T, ExternalError> result) {
   ++calls_;
   bytes_received_ += kAnswerBytes;
   time_.schedule_after(kCallDelay, [this, done = std::move(done), result = std::move(result),
@@ -114,24 +114,24 @@
 }
 
 void HollowEngineControl::status(const Endpoint& engine,
-                                 PlatformCallback<engine::EngineStatus> done) {
+                                 ExternalCallback<engine::EngineStatus> done) {
   answer<engine::EngineStatus>(std::move(done), engines_.status(engine));
 }
 
 void HollowEngineControl::order(const Endpoint& engine, const engine::EngineOrder& order,
-                                PlatformCallback<engine::EngineStatus> done) {
+                                ExternalCallback<engine::EngineStatus> done) {
   answer<engine::EngineStatus>(std::move(done), engines_.order(engine, order));
 }
 
 void HollowEngineControl::load(const Endpoint& engine,
-                               PlatformCallback<std::vector<engine::LoadReport>> done) {
+                               ExternalCallback<std::vector<engine::LoadReport>> done) {
   ++calls_;
   std::string text;
   {
     const UnmeteredScope unmetered;
-    platform::Json json = platform::Json::array();
+    external::Json json = external::Json::array();
     for (const engine::LoadReport& report : engines_.load(engine)) {
-      json.push_back(platform::json_of(report));
+      json.push_back(external::json_of(report));
     }
     text = json.dump();
   }
@@ -143,8 +143,8 @@
     }
     runner_([&] {
       std::vector<engine::LoadReport> reports;
-      for (const platform::Json& report : platform::Json::parse(text)) {
-        reports.push_back(platform::load_report_of(report));
+      for (const external::Json& report : external::Json::parse(text)) {
+        reports.push_back(external::load_report_of(report));
       }
       done(std::move(reports));
     });
@@ -152,8 +152,8 @@
 }
 
 void HollowEngineControl::cache_events(const Endpoint& /*engine*/, std::uint64_t /*after*/,
-                                       PlatformCallback<platform::CacheEventBatch> done) {
-  answer<platform::CacheEventBatch>(std::move(done), platform::CacheEventBatch{});
+                                       ExternalCallback<external::CacheEventBatch> done) {
+  answer<external::CacheEventBatch>(std::move(done), external::CacheEventBatch{});
 }
 
 }  // namespace ochrespring::capacity
--- a/src/capacity/hollow_engines.h
+++ b/src/capacity/hollow_engines.h
@@ -10,7 +10,7 @@
 
 #include "base/random.h"
 #include "fleet/types.h"
-#include "platform/engine_control.h"
+#include "external/engine_control.h"
 #include "simulation/virtual_time.h"
 
 namespace ochrespring::capacity {
@@ -24,7 +24,7 @@
   std::vector<engine::LoadReport> load(const Endpoint& endpoint);
   engine::EngineStatus status(const Endpoint& endpoint);
   /// Accepts an order above the highest fence seen.
-  Result<engine::EngineStatus, platform::PlatformError> order(const Endpoint& endpoint,
+  Result<engine::EngineStatus, external::ExternalError> order(const Endpoint& endpoint,
                                                               const engine::EngineOrder& order);
 
  private:
@@ -41,7 +41,7 @@
 
 /// One node's control calls to the engines. Load reports pass through their JSON form, so that the
 /// node pays for reading it.
-class HollowEngineControl final : public platform::EngineControl {
+class HollowEngineControl final : public external::EngineControl {
  public:
   /// Runs a callback in the node's context.
   using Runner = std::function<void(std::function<void()> callback)>;
@@ -50,13 +50,13 @@
       : time_(time), engines_(engines), runner_(std::move(runner)) {}
 
   void status(const Endpoint& engine,
-              platform::PlatformCallback<engine::EngineStatus> done) override;
+              external::ExternalCallback<engine::EngineStatus> done) override;
   void order(const Endpoint& engine, const engine::EngineOrder& order,
-             platform::PlatformCallback<engine::EngineStatus> done) override;
+             external::ExternalCallback<engine::EngineStatus> done) override;
   void load(const Endpoint& engine,
-            platform::PlatformCallback<std::vector<engine::LoadReport>> done) override;
+            external::ExternalCallback<std::vector<engine::LoadReport>> done) override;
   void cache_events(const Endpoint& engine, std::uint64_t after,
-                    platform::PlatformCallback<platform::CacheEventBatch> done) override;
+                    external::ExternalCallback<external::CacheEventBatch> done) override;
 
   std::uint64_t calls() const { return calls_; }
   /// Bytes of calls and answers as JSON over HTTP, headers of all layers included.
@@ -65,7 +65,7 @@
 
  private:
   template <class T>
-  void answer(platform::PlatformCallback<T> done, Result<T, platform::PlatformError> result);
+  void answer(external::ExternalCallback<T> done, Result<T, external::ExternalError> result);
 
   /// Request line, headers, TCP and IP of one call over a kept connection.
   static constexpr std::uint64_t kCallBytes = 250;
--- a/src/capacity/hollow_fleet.cc
+++ b/src/capacity/hollow_fleet.cc
@@ -21,7 +21,7 @@
   network_.set_link_policy(
       [this](const Endpoint& from, const Endpoint& to) { return link(from, to); });
   for (const fleet::Engine& engine : document_.engines) {
-    platform::Machine machine;
+    external::Machine machine;
     machine.name = engine.server.value();
     machine.zone = engine.zone;
     machine.region = engine.region;
@@ -76,7 +76,7 @@
   membership::Member self = node_member(shape_, index);
   self.incarnation = Incarnation(++starts_);
   places_[self.peer] = {self.zone, self.region};
-  platform::Machine machine;
+  external::Machine machine;
   machine.name = self.node.value();
   machine.zone = self.zone;
   machine.region = self.region;
--- a/src/capacity/hollow_node.cc
+++ b/src/capacity/hollow_node.cc
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "control_plane/fleet_view_builder.h"
-#include "platform/http/json.h"
+#include "external/http/json.h"
 
 namespace ochrespring::capacity {
 
@@ -54,14 +54,14 @@
   transport_.send(to, channel, std::move(copy));
 }
 
-void HollowMachineList::list(platform::PlatformCallback<std::vector<platform::Machine>> done) {
+void HollowMachineList::list(external::ExternalCallback<std::vector<external::Machine>> done) {
   ++machines_.reads;
   std::string text;
   {
     const UnmeteredScope unmetered;
-    platform::Json json = platform::Json::array();
+    external::Json json = external::Json::array();
     for (const auto& [name, machine] : machines_.machines) {
-      json.push_back(platform::json_of(machine));
+      json.push_back(external::json_of(machine));
     }
     text = json.dump();
   }
@@ -72,9 +72,9 @@
       return;
     }
     const MeterScope scope(meter_);
-    std::vector<platform::Machine> machines;
-    for (const platform::Json& machine : platform::Json::parse(text)) {
-      machines.push_back(platform::machine_of(machine));
+    std::vector<external::Machine> machines;
+    for (const external::Json& machine : external::Json::parse(text)) {
+      machines.push_back(external::machine_of(machine));
     }
     done(std::move(machines));
   });
--- a/src/capacity/hollow_node.h
+++ b/src/capacity/hollow_node.h
@@ -56,16 +56,16 @@
 /// The platform's machine list: all nodes and servers.
 class HollowMachines {
  public:
-  std::map<std::string, platform::Machine> machines;
+  std::map<std::string, external::Machine> machines;
   std::uint64_t reads = 0;
 };
 
 /// One node's reads of it, through the JSON form.
-class HollowMachineList final : public platform::MachineList {
+class HollowMachineList final : public external::MachineList {
  public:
   HollowMachineList(simulation::VirtualTime& time, HollowMachines& machines, NodeMeter& meter)
       : time_(time), machines_(machines), meter_(meter) {}
-  void list(platform::PlatformCallback<std::vector<platform::Machine>> done) override;
+  void list(external::ExternalCallback<std::vector<external::Machine>> done) override;
   std::uint64_t bytes_received() const { return bytes_received_; }
 
  private:
--- a/src/config/checkpoint_storage.cc
+++ b/src/config/checkpoint_storage.cc
@@ -10,17 +10,17 @@
 
 namespace {
 
-using platform::KeyVersion;
-using platform::PlatformErrc;
+using external::KeyVersion;
+using external::ExternalErrc;
 
 }  // namespace
 
-ConfigError from_platform(const platform::PlatformError& error) {
+ConfigError from_platform(const external::ExternalError& error) {
   switch (error.code) {
-    case PlatformErrc::kRateLimited:
+    case ExternalErrc::kRateLimited:
       return {ConfigErrc::kRateLimited, error.message};
-    case PlatformErrc::kUnknownEffect:
-    case PlatformErrc::kMalformed:
+    case ExternalErrc::kUnknownEffect:
+    case ExternalErrc::kMalformed:
       return {ConfigErrc::kUnknownEffect, error.message};
     default:
       return {ConfigErrc::kUnavailable, error.message};
--- a/src/config/checkpoint_storage.h
+++ b/src/config/checkpoint_storage.h
@@ -8,12 +8,12 @@
 
 #include "config/settings.h"
 #include "config/stored_head.h"
-#include "platform/key_value_store.h"
+#include "external/key_value_store.h"
 
 namespace ochrespring::config {
 
 /// Error of the platform as this layer reports it.
-ConfigError from_platform(const platform::PlatformError& error);
+ConfigError from_platform(const external::ExternalError& error);
 
 /// Used on the control loop only; callbacks run there, never inside the call.
 class CheckpointStorage {
@@ -22,7 +22,7 @@
   using Callback = std::function<void(Result<T, ConfigError>)>;
 
   /// `writer` is a random number that tells this process from every other.
-  CheckpointStorage(platform::KeyValueStore& store, const ConfigSettings& settings,
+  CheckpointStorage(external::KeyValueStore& store, const ConfigSettings& settings,
                     std::uint64_t writer)
       : store_(store), settings_(settings), writer_(writer) {}
 
@@ -41,7 +41,7 @@
   void write_next(const std::shared_ptr<Writing>& writing);
   void read_next(const std::shared_ptr<Reading>& reading);
 
-  platform::KeyValueStore& store_;
+  external::KeyValueStore& store_;
   const ConfigSettings& settings_;
   std::uint64_t writer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  ///< Guards late callbacks.
--- a/src/config/config_service.h
+++ b/src/config/config_service.h
@@ -15,7 +15,7 @@
   TimerService& timers;
   RandomSource& random;
   peer::Transport& transport;
-  platform::KeyValueStore& store;
+  external::KeyValueStore& store;
   const membership::MemberView& members;
   logging::Logger& logger;
 };
--- a/src/config/head_storage.cc
+++ b/src/config/head_storage.cc
@@ -5,8 +5,8 @@
 
 namespace ochrespring::config {
 
-Result<VersionedHead, ConfigError> open_head(const std::optional<platform::KeyValueEntry>& entry) {
-  if (!entry || entry->version == platform::KeyVersion()) {
+Result<VersionedHead, ConfigError> open_head(const std::optional<external::KeyValueEntry>& entry) {
+  if (!entry || entry->version == external::KeyVersion()) {
     return VersionedHead{};
   }
   BOOST_OUTCOME_TRY(head, decode_head(entry->value));
@@ -26,7 +26,7 @@
   });
 }
 
-void HeadStorage::swap(platform::KeyVersion expected, const StoredHead& head, Callback<void> done) {
+void HeadStorage::swap(external::KeyVersion expected, const StoredHead& head, Callback<void> done) {
   store_.compare_and_swap(
       kHeadKey, expected, encode_head(head), std::nullopt,
       [done = std::move(done), guard = std::weak_ptr<bool>(alive_)](auto result) {
--- a/src/config/head_storage.h
+++ b/src/config/head_storage.h
@@ -13,7 +13,7 @@
 
 /// A head and the version of its key; version zero and an empty head if there is none.
 struct VersionedHead {
-  platform::KeyVersion version;
+  external::KeyVersion version;
   StoredHead head;
 };
 
@@ -23,7 +23,7 @@
   template <class T>
   using Callback = std::function<void(Result<T, ConfigError>)>;
 
-  HeadStorage(platform::KeyValueStore& store, CheckpointStorage& checkpoints,
+  HeadStorage(external::KeyValueStore& store, CheckpointStorage& checkpoints,
               DocumentStore& documents)
       : store_(store), checkpoints_(checkpoints), documents_(documents) {}
 
@@ -31,7 +31,7 @@
   void read(Callback<VersionedHead> done);
   /// Replaces the head. Errors: kConflict if another version is in place, kUnknownEffect, those of
   /// the platform.
-  void swap(platform::KeyVersion expected, const StoredHead& head, Callback<void> done);
+  void swap(external::KeyVersion expected, const StoredHead& head, Callback<void> done);
   /// Puts the head's document in force here if it is newer than what is; reads the checkpoint only
   /// if the deltas do not connect.
   void follow(const StoredHead& head, Callback<void> done);
@@ -45,13 +45,13 @@
  private:
   Result<void, ConfigError> adopt_deltas(const StoredHead& head);
 
-  platform::KeyValueStore& store_;
+  external::KeyValueStore& store_;
   CheckpointStorage& checkpoints_;
   DocumentStore& documents_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  ///< Guards late callbacks.
 };
 
 /// Versioned head from an entry of the service. Errors: kMalformed, kUnsupportedFormat.
-Result<VersionedHead, ConfigError> open_head(const std::optional<platform::KeyValueEntry>& entry);
+Result<VersionedHead, ConfigError> open_head(const std::optional<external::KeyValueEntry>& entry);
 
 }  // namespace ochrespring::config
--- a/src/config/service_reader.cc
+++ b/src/config/service_reader.cc
@@ -54,8 +54,8 @@
   heads_.read([this](auto result) { on_head(result); });
 }
 
-void ServiceReader::on_change(const platform::KeyValueEntry& entry) {
-  if (entry.key != kHeadKey || entry.version == platform::KeyVersion()) {
+void ServiceReader::on_change(const external::KeyValueEntry& entry) {
+  if (entry.key != kHeadKey || entry.version == external::KeyVersion()) {
     return;
   }
   ++statistics_.watch_events;
@@ -78,7 +78,7 @@
     on_older(head);
     return;
   }
-  older_version_ = platform::KeyVersion();
+  older_version_ = external::KeyVersion();
   heads_.follow(head.head, [this](const auto& followed) {
     statistics_.failures += followed.has_error() ? 1 : 0;
   });
@@ -87,8 +87,8 @@
 void ServiceReader::on_older(const VersionedHead& head) {
   // One older answer may have been overtaken by a commit on its way; the same version at two polls
   // in a row was not.
-  const bool confirmed = head.version == older_version_ && older_version_ != platform::KeyVersion();
-  const bool vanished = head.version == platform::KeyVersion();
+  const bool confirmed = head.version == older_version_ && older_version_ != external::KeyVersion();
+  const bool vanished = head.version == external::KeyVersion();
   older_version_ = head.version;
   if ((!confirmed && !vanished) || writing_back_) {
     next_poll_ = std::min(next_poll_, clock_.now() + kRoleCheckInterval);
--- a/src/config/service_reader.h
+++ b/src/config/service_reader.h
@@ -25,9 +25,9 @@
 };
 
 /// Used on the control loop only.
-class ServiceReader final : public platform::WatchObserver {
+class ServiceReader final : public external::WatchObserver {
  public:
-  ServiceReader(platform::KeyValueStore& store, HeadStorage& heads, DocumentStore& documents,
+  ServiceReader(external::KeyValueStore& store, HeadStorage& heads, DocumentStore& documents,
                 const membership::MemberView& members, const ConfigSettings& settings,
                 const Clock& clock, TimerService& timers, RandomSource& random,
                 logging::Logger& logger)
@@ -42,7 +42,7 @@
         timer_(timers) {}
 
   void start();
-  void on_change(const platform::KeyValueEntry& entry) override;
+  void on_change(const external::KeyValueEntry& entry) override;
 
   /// Whether this node is one of its region's readers.
   bool reading() const { return watch_ != nullptr; }
@@ -57,7 +57,7 @@
   void on_head(const Result<VersionedHead, ConfigError>& result);
   void on_older(const VersionedHead& head);
 
-  platform::KeyValueStore& store_;
+  external::KeyValueStore& store_;
   HeadStorage& heads_;
   DocumentStore& documents_;
   const membership::MemberView& members_;
@@ -66,12 +66,12 @@
   RandomSource& random_;
   logging::Logger& logger_;
   Timer timer_;
-  std::unique_ptr<platform::Watch> watch_;
+  std::unique_ptr<external::Watch> watch_;
   MonotonicTime started_;
   MonotonicTime next_poll_;
   bool reachable_ = true;
   bool writing_back_ = false;
-  platform::KeyVersion older_version_;  ///< Of the older head seen at the last poll.
+  external::KeyVersion older_version_;  ///< Of the older head seen at the last poll.
   ReadStatistics statistics_;
 };
 
--- a/src/config/stored_head.h
+++ b/src/config/stored_head.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "config/delta.h"
-#include "platform/key_value_store.h"
+#include "external/key_value_store.h"
 
 namespace ochrespring::config {
 
@@ -18,7 +18,7 @@
 struct CheckpointReference {
   Revision revision;                           ///< Zero: the empty document, without parts.
   std::string name;                            ///< Part i is at `config/checkpoint/NAME/i`.
-  std::vector<platform::KeyVersion> versions;  ///< Of the parts, for their deletion.
+  std::vector<external::KeyVersion> versions;  ///< Of the parts, for their deletion.
 
   bool operator==(const CheckpointReference&) const = default;
   template <class Archive>
--- a/src/control_plane/control_plane.h
+++ b/src/control_plane/control_plane.h
@@ -31,9 +31,9 @@
 #include "membership/settings.h"
 #include "operator_api/fleet_admin.h"
 #include "peer/transport.h"
-#include "platform/engine_control.h"
-#include "platform/key_value_store.h"
-#include "platform/machine_list.h"
+#include "external/engine_control.h"
+#include "external/key_value_store.h"
+#include "external/machine_list.h"
 #include "router/fleet_view.h"
 
 namespace ochrespring::control_plane {
@@ -45,9 +45,9 @@
   TimerService& timers;
   RandomSource& random;
   peer::Transport& transport;
-  platform::KeyValueStore& key_value_store;
-  platform::MachineList& machine_list;
-  platform::EngineControl& engine_control;
+  external::KeyValueStore& key_value_store;
+  external::MachineList& machine_list;
+  external::EngineControl& engine_control;
   logging::Logger& logger;
 };
 
--- a/src/control_plane/engine_poller.cc
+++ b/src/control_plane/engine_poller.cc
@@ -5,7 +5,7 @@
 namespace ochrespring::control_plane {
 
 EnginePoller::EnginePoller(const Clock& clock, TimerService& timers,
-                           platform::EngineControl& control, Duration interval)
+                           external::EngineControl& control, Duration interval)
     : clock_(clock), control_(control), interval_(interval), timer_(timers) {}
 
 void EnginePoller::configure(const fleet::FleetDocument& document) {
--- a/src/control_plane/engine_poller.h
+++ b/src/control_plane/engine_poller.h
@@ -10,7 +10,7 @@
 #include "base/timer.h"
 #include "engine/types.h"
 #include "fleet/types.h"
-#include "platform/engine_control.h"
+#include "external/engine_control.h"
 
 namespace ochrespring::control_plane {
 
@@ -29,7 +29,7 @@
 /// Polls every model engine of the document. Used on the control loop only.
 class EnginePoller {
  public:
-  EnginePoller(const Clock& clock, TimerService& timers, platform::EngineControl& control,
+  EnginePoller(const Clock& clock, TimerService& timers, external::EngineControl& control,
                Duration interval);
 
   /// Polls the engines of this document from now on.
@@ -49,7 +49,7 @@
   void poll_status(const EngineId& id, Polled& polled);
 
   const Clock& clock_;
-  platform::EngineControl& control_;
+  external::EngineControl& control_;
   Duration interval_;
   std::map<EngineId, Polled> engines_;
   EnginePollerStatistics statistics_;
--- a/src/control_plane/tests/control_plane_test.cc
+++ b/src/control_plane/tests/control_plane_test.cc
@@ -14,21 +14,21 @@
 using namespace std::chrono_literals;
 
 /// Engines that all answer with the status a test set.
-class FixedEngines final : public platform::EngineControl {
+class FixedEngines final : public external::EngineControl {
  public:
   explicit FixedEngines(TimerService& timers) : timers_(timers) {}
   void status(const Endpoint& engine,
-              platform::PlatformCallback<engine::EngineStatus> done) override {
+              external::ExternalCallback<engine::EngineStatus> done) override {
     timers_.schedule_after(1ms, [this, engine, done] { done(statuses[engine]); });
   }
   void order(const Endpoint& /*engine*/, const engine::EngineOrder& /*order*/,
-             platform::PlatformCallback<engine::EngineStatus> /*done*/) override {}
+             external::ExternalCallback<engine::EngineStatus> /*done*/) override {}
   void load(const Endpoint& /*engine*/,
-            platform::PlatformCallback<std::vector<engine::LoadReport>> done) override {
+            external::ExternalCallback<std::vector<engine::LoadReport>> done) override {
     timers_.schedule_after(1ms, [done] { done(std::vector<engine::LoadReport>{}); });
   }
   void cache_events(const Endpoint& /*engine*/, std::uint64_t /*after*/,
-                    platform::PlatformCallback<platform::CacheEventBatch> /*done*/) override {}
+                    external::ExternalCallback<external::CacheEventBatch> /*done*/) override {}
 
   std::map<Endpoint, engine::EngineStatus> statuses;
 
@@ -36,11 +36,11 @@
   TimerService& timers_;
 };
 
-class EmptyMachineList final : public platform::MachineList {
+class EmptyMachineList final : public external::MachineList {
  public:
   explicit EmptyMachineList(TimerService& timers) : timers_(timers) {}
-  void list(platform::PlatformCallback<std::vector<platform::Machine>> done) override {
-    timers_.schedule_after(1ms, [done] { done(std::vector<platform::Machine>{}); });
+  void list(external::ExternalCallback<std::vector<external::Machine>> done) override {
+    timers_.schedule_after(1ms, [done] { done(std::vector<external::Machine>{}); });
   }
 
  private:
--- a/src/controller/shard_controller.cc
+++ b/src/controller/shard_controller.cc
@@ -13,18 +13,18 @@
 constexpr Duration kFirstRetry = std::chrono::seconds(2);
 constexpr Duration kLongestRetry = std::chrono::minutes(2);
 
-OrderResult result_of(platform::PlatformErrc code) {
+OrderResult result_of(external::ExternalErrc code) {
   switch (code) {
-    case platform::PlatformErrc::kStaleFence:
+    case external::ExternalErrc::kStaleFence:
       return OrderResult::kStale;
-    case platform::PlatformErrc::kUnknownEffect:
-    case platform::PlatformErrc::kMalformed:
+    case external::ExternalErrc::kUnknownEffect:
+    case external::ExternalErrc::kMalformed:
       return OrderResult::kUnknown;
-    case platform::PlatformErrc::kNotSent:
-    case platform::PlatformErrc::kRateLimited:
-    case platform::PlatformErrc::kBusy:
-    case platform::PlatformErrc::kNotFound:
-    case platform::PlatformErrc::kRefused:
+    case external::ExternalErrc::kNotSent:
+    case external::ExternalErrc::kRateLimited:
+    case external::ExternalErrc::kBusy:
+    case external::ExternalErrc::kNotFound:
+    case external::ExternalErrc::kRefused:
       return OrderResult::kRefused;
   }
   return OrderResult::kUnknown;
--- a/src/controller/shard_controller.h
+++ b/src/controller/shard_controller.h
@@ -13,7 +13,7 @@
 #include "fleet/types.h"
 #include "grants/grants.h"
 #include "planner/planner.h"
-#include "platform/engine_control.h"
+#include "external/engine_control.h"
 
 namespace ochrespring::controller {
 
@@ -49,7 +49,7 @@
   const Clock& clock;
   authority::LeaseView& leases;
   grants::Grants& grants;
-  platform::EngineControl& engines;
+  external::EngineControl& engines;
   const statechart::ChartLibrary& charts;
   FleetObservations& observations;
   PlannerFactory planner_factory;
--- a/src/controller/tests/controller_test.cc
+++ b/src/controller/tests/controller_test.cc
@@ -66,19 +66,19 @@
 };
 
 /// Engines that carry out each order in two seconds.
-class TestEngines final : public platform::EngineControl {
+class TestEngines final : public external::EngineControl {
  public:
   explicit TestEngines(simulation::VirtualTime& time) : time_(time) {}
   std::map<Endpoint, engine::EngineStatus> engines;
   std::vector<engine::EngineOrder> orders;
 
   void status(const Endpoint& endpoint,
-              platform::PlatformCallback<engine::EngineStatus> done) override {
+              external::ExternalCallback<engine::EngineStatus> done) override {
     time_.schedule_after(std::chrono::milliseconds(2),
                          [this, endpoint, done = std::move(done)] { done(engines.at(endpoint)); });
   }
   void order(const Endpoint& endpoint, const engine::EngineOrder& order,
-             platform::PlatformCallback<engine::EngineStatus> done) override {
+             external::ExternalCallback<engine::EngineStatus> done) override {
     orders.push_back(order);
     engine::EngineStatus& engine = engines.at(endpoint);
     engine.highest_fence = order.fence;
@@ -95,9 +95,9 @@
                          [copy = engine, done = std::move(done)] { done(copy); });
   }
   void load(const Endpoint& /*engine*/,
-            platform::PlatformCallback<std::vector<engine::LoadReport>> /*done*/) override {}
+            external::ExternalCallback<std::vector<engine::LoadReport>> /*done*/) override {}
   void cache_events(const Endpoint& /*engine*/, std::uint64_t /*after*/,
-                    platform::PlatformCallback<platform::CacheEventBatch> /*done*/) override {}
+                    external::ExternalCallback<external::CacheEventBatch> /*done*/) override {}
 
  private:
   simulation::VirtualTime& time_;
--- a/src/digest/cache_poller.cc
+++ b/src/digest/cache_poller.cc
@@ -64,7 +64,7 @@
   }
 }
 
-void CachePoller::on_events(Engine& engine, const platform::CacheEventBatch& batch) {
+void CachePoller::on_events(Engine& engine, const external::CacheEventBatch& batch) {
   if (batch.incarnation != engine.incarnation) {
     engine.incarnation = batch.incarnation;
     engine.after = 0;
--- a/src/digest/cache_poller.h
+++ b/src/digest/cache_poller.h
@@ -13,7 +13,7 @@
 #include "digest/messages.h"
 #include "digest/poll_assignment.h"
 #include "digest/settings.h"
-#include "platform/engine_control.h"
+#include "external/engine_control.h"
 
 namespace ochrespring::digest {
 
@@ -22,7 +22,7 @@
  public:
   using Sink = std::function<void(const CacheRecord& record)>;
 
-  CachePoller(platform::EngineControl& engines, const DigestSettings& settings, Sink sink)
+  CachePoller(external::EngineControl& engines, const DigestSettings& settings, Sink sink)
       : engines_(engines), settings_(settings), sink_(std::move(sink)) {}
 
   /// Replaces the engines, and the size of the group the events are spread in.
@@ -40,9 +40,9 @@
     MonotonicTime next;
     bool outstanding = false;
   };
-  void on_events(Engine& engine, const platform::CacheEventBatch& batch);
+  void on_events(Engine& engine, const external::CacheEventBatch& batch);
 
-  platform::EngineControl& engines_;
+  external::EngineControl& engines_;
   const DigestSettings& settings_;
   Sink sink_;
   std::map<EngineId, std::shared_ptr<Engine>> polled_;
--- a/src/digest/digest_service.h
+++ b/src/digest/digest_service.h
@@ -18,7 +18,7 @@
 #include "digest/server_poller.h"
 #include "digest/topology.h"
 #include "peer/transport.h"
-#include "platform/machine_list.h"
+#include "external/machine_list.h"
 
 namespace ochrespring::digest {
 
@@ -28,9 +28,9 @@
   TimerService& timers;
   RandomSource& random;
   peer::Transport& transport;
-  platform::EngineControl& engine_control;
+  external::EngineControl& engine_control;
   const membership::MemberView& members;
-  platform::MachineList* machine_list = nullptr;
+  external::MachineList* machine_list = nullptr;
 };
 
 /// Told on the control loop.
@@ -116,7 +116,7 @@
   RandomSource& random_;
   peer::Transport& transport_;
   const membership::MemberView& members_;
-  platform::MachineList* machine_list_;
+  external::MachineList* machine_list_;
   DigestObserver* observer_ = nullptr;
   Timer slot_timer_;
 
--- a/src/digest/leaving_machines.cc
+++ b/src/digest/leaving_machines.cc
@@ -4,11 +4,11 @@
 
 namespace ochrespring::digest {
 
-std::vector<LeavingNotice> LeavingMachines::take(const std::vector<platform::Machine>& machines,
+std::vector<LeavingNotice> LeavingMachines::take(const std::vector<external::Machine>& machines,
                                                  MonotonicTime now) {
   std::vector<LeavingNotice> news;
-  for (const platform::Machine& machine : machines) {
-    const LeavingNotice notice{machine.name, machine.state == platform::MachineState::kLeaving, 0};
+  for (const external::Machine& machine : machines) {
+    const LeavingNotice notice{machine.name, machine.state == external::MachineState::kLeaving, 0};
     if (take(notice, now)) {
       news.push_back(notice);
     }
--- a/src/digest/leaving_machines.h
+++ b/src/digest/leaving_machines.h
@@ -10,7 +10,7 @@
 #include "base/time.h"
 #include "digest/messages.h"
 #include "digest/settings.h"
-#include "platform/machine_list.h"
+#include "external/machine_list.h"
 
 namespace ochrespring::digest {
 
@@ -20,7 +20,7 @@
   explicit LeavingMachines(const DigestSettings& settings) : settings_(settings) {}
 
   /// Takes a reading of the list; returns what is news, to be passed on.
-  std::vector<LeavingNotice> take(const std::vector<platform::Machine>& machines,
+  std::vector<LeavingNotice> take(const std::vector<external::Machine>& machines,
                                   MonotonicTime now);
   /// Takes another node's news; returns whether it was news here.
   bool take(const LeavingNotice& notice, MonotonicTime now);
--- a/src/digest/server_poller.cc
+++ b/src/digest/server_poller.cc
@@ -32,7 +32,7 @@
 
 }  // namespace
 
-ServerPoller::ServerPoller(platform::EngineControl& engines, NodeId self, Sink sink)
+ServerPoller::ServerPoller(external::EngineControl& engines, NodeId self, Sink sink)
     : engines_(engines),
       poller_(static_cast<std::uint8_t>(stable_hash(self.value()))),
       sink_(std::move(sink)) {}
--- a/src/digest/server_poller.h
+++ b/src/digest/server_poller.h
@@ -10,7 +10,7 @@
 #include "base/time.h"
 #include "digest/load_record.h"
 #include "digest/poll_assignment.h"
-#include "platform/engine_control.h"
+#include "external/engine_control.h"
 
 namespace ochrespring::digest {
 
@@ -20,7 +20,7 @@
   /// Called with each record made.
   using Sink = std::function<void(const LoadRecord& record)>;
 
-  ServerPoller(platform::EngineControl& engines, NodeId self, Sink sink);
+  ServerPoller(external::EngineControl& engines, NodeId self, Sink sink);
 
   /// Replaces the servers to poll; what is known of those that stay is kept.
   void set_servers(std::vector<ServerLayout> servers);
@@ -49,7 +49,7 @@
                   DetailLevel level);
   bool send_slow(EngineState& state, const SlowFigures& slow, std::size_t turn) const;
 
-  platform::EngineControl& engines_;
+  external::EngineControl& engines_;
   std::uint8_t poller_;
   Sink sink_;
   std::map<std::uint32_t, std::shared_ptr<Server>> servers_;
--- a/src/digest/tests/digest_service_test.cc
+++ b/src/digest/tests/digest_service_test.cc
@@ -32,16 +32,16 @@
 };
 
 /// Engines whose queue length is their number; engine endpoints are their names.
-class FixedEngines final : public platform::EngineControl {
+class FixedEngines final : public external::EngineControl {
  public:
   FixedEngines(simulation::VirtualTime& time, const fleet::FleetDocument& document)
       : time_(time), document_(document) {}
   void status(const Endpoint& /*engine*/,
-              platform::PlatformCallback<engine::EngineStatus> /*done*/) override {}
+              external::ExternalCallback<engine::EngineStatus> /*done*/) override {}
   void order(const Endpoint& /*engine*/, const engine::EngineOrder& /*order*/,
-             platform::PlatformCallback<engine::EngineStatus> /*done*/) override {}
+             external::ExternalCallback<engine::EngineStatus> /*done*/) override {}
   void load(const Endpoint& endpoint,
-            platform::PlatformCallback<std::vector<engine::LoadReport>> done) override {
+            external::ExternalCallback<std::vector<engine::LoadReport>> done) override {
     ServerId server;
     for (const fleet::Engine& engine : document_.engines) {
       server = engine.endpoint == endpoint ? engine.server : server;
@@ -60,8 +60,8 @@
     time_.schedule_after(2ms, [done, reports] { done(reports); });
   }
   void cache_events(const Endpoint& endpoint, std::uint64_t after,
-                    platform::PlatformCallback<platform::CacheEventBatch> done) override {
-    platform::CacheEventBatch batch{Incarnation(9), {}};
+                    external::ExternalCallback<external::CacheEventBatch> done) override {
+    external::CacheEventBatch batch{Incarnation(9), {}};
     batch.events.push_back({after + 1, engine::CacheChange::kStored, {endpoint.value().size()}});
     time_.schedule_after(2ms, [done, batch] { done(batch); });
   }
@@ -84,13 +84,13 @@
   std::map<EngineId, std::size_t> cached;
 };
 
-class ListedMachines final : public platform::MachineList {
+class ListedMachines final : public external::MachineList {
  public:
   explicit ListedMachines(simulation::VirtualTime& time) : time_(time) {}
-  void list(platform::PlatformCallback<std::vector<platform::Machine>> done) override {
+  void list(external::ExternalCallback<std::vector<external::Machine>> done) override {
     time_.schedule_after(5ms, [this, done] { done(machines); });
   }
-  std::vector<platform::Machine> machines;
+  std::vector<external::Machine> machines;
 
  private:
   simulation::VirtualTime& time_;
@@ -249,9 +249,9 @@
 TEST_CASE("a machine seen leaving by one node is known to all") {
   Fleet fleet(40, 200, 0.01);
   fleet.run(10s);
-  platform::Machine machine;
+  external::Machine machine;
   machine.name = "server-3";
-  machine.state = platform::MachineState::kLeaving;
+  machine.state = external::MachineState::kLeaving;
   fleet.machines.machines.push_back(machine);
   fleet.run(15s);
   for (std::size_t node = 0; node < 40; ++node) {
--- /dev/null
+++ b/src/discovery/node_registration.cc
@@ -0,0 +1,93 @@
+#include "discovery/node_registration.h"
+
+#include <utility>
+
+#include "wire/codec.h"
+
+namespace ochrespring::discovery {
+
+using shared_store::StoreErrc;
+
+NodeRegistration::NodeRegistration(TimerService& timers, shared_store::SharedStore& store,
+                                   logging::Logger& logger, NodeRegistrationSettings settings,
+                                   const NodeRecord& record)
+    : store_(store),
+      logger_(logger),
+      settings_(std::move(settings)),
+      value_(wire::encode(record)),
+      timer_(timers) {}
+
+void NodeRegistration::start() {
+  grant();
+}
+
+void NodeRegistration::grant() {
+  published_ = false;
+  store_.grant_lease(settings_.time_to_live, [this](auto result) {
+    if (!result) {
+      again(settings_.retry);
+      return;
+    }
+    lease_ = result.value();
+    if (left_) {
+      leave();
+      return;
+    }
+    publish();
+  });
+}
+
+void NodeRegistration::publish() {
+  store_.put(settings_.key, value_, lease_, [this](auto result) {
+    if (!result) {
+      if (result.error().code == StoreErrc::kNotFound) {
+        lease_.reset();
+      }
+      again(settings_.retry);
+      return;
+    }
+    published_ = true;
+    logger_.write({logging::Level::kInfo,
+                   "discovery",
+                   "node registered",
+                   {{"lease", lease_ ? lease_->value() : 0}, {"revision", result.value().value()}}});
+    again(settings_.period);
+  });
+}
+
+void NodeRegistration::renew() {
+  store_.renew_lease(*lease_, [this](auto result) {
+    if (!result && result.error().code == StoreErrc::kNotFound) {
+      lease_.reset();
+      grant();
+      return;
+    }
+    again(result ? settings_.period : settings_.retry);
+  });
+}
+
+void NodeRegistration::again(Duration pause) {
+  if (left_) {
+    return;
+  }
+  timer_.arm(pause, [this] {
+    if (!lease_) {
+      grant();
+    } else if (!published_) {
+      publish();
+    } else {
+      renew();
+    }
+  });
+}
+
+void NodeRegistration::leave() {
+  left_ = true;
+  timer_.disarm();
+  if (!lease_) {
+    return;
+  }
+  store_.end_lease(*std::exchange(lease_, std::nullopt), [](auto) {});
+}
+
+}  // namespace ochrespring::discovery
--- /dev/null
+++ b/src/discovery/node_registration.h
@@ -0,0 +1,48 @@
+// Keeps this node registered in the store for as long as it takes requests.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "base/time.h"
+#include "base/timer.h"
+#include "discovery/node_record.h"
+#include "logging/logger.h"
+#include "shared_store/store.h"
+
+namespace ochrespring::discovery {
+
+struct NodeRegistrationSettings {
+  std::string key;
+  Duration time_to_live{std::chrono::milliseconds(3000)};
+  Duration period{std::chrono::milliseconds(1000)};
+  Duration retry{std::chrono::milliseconds(400)};
+};
+
+/// A lease with the node's record under it, renewed until leave(). A lapsed lease is replaced.
+class NodeRegistration {
+ public:
+  NodeRegistration(TimerService& timers, shared_store::SharedStore& store, logging::Logger& logger,
+                   NodeRegistrationSettings settings, const NodeRecord& record);
+
+  void start();
+  /// Ends the lease, so that the others stop naming this node at once.
+  void leave();
+
+ private:
+  void grant();
+  void publish();
+  void renew();
+  void again(Duration pause);
+
+  shared_store::SharedStore& store_;
+  logging::Logger& logger_;
+  NodeRegistrationSettings settings_;
+  std::string value_;
+  Timer timer_;
+  std::optional<shared_store::LeaseId> lease_;
+  bool published_ = false;
+  bool left_ = false;
+};
+
+}  // namespace ochrespring::discovery
--- a/src/platform/engine_control.h
+++ b/src/external/engine_control.h
@@ -5,9 +5,9 @@
 #include <vector>
 
 #include "engine/types.h"
-#include "platform/errc.h"
+#include "external/errc.h"
 
-namespace ochrespring::platform {
+namespace ochrespring::external {
 
 /// Cache events after a sequence number.
 struct CacheEventBatch {
@@ -20,16 +20,16 @@
  public:
   virtual ~EngineControl() = default;
   /// The engine's own account of itself.
-  virtual void status(const Endpoint& engine, PlatformCallback<engine::EngineStatus> done) = 0;
+  virtual void status(const Endpoint& engine, ExternalCallback<engine::EngineStatus> done) = 0;
   /// Hands over a fenced order; succeeds when the engine has accepted it, not when it is done.
   virtual void order(const Endpoint& engine, const engine::EngineOrder& order,
-                     PlatformCallback<engine::EngineStatus> done) = 0;
+                     ExternalCallback<engine::EngineStatus> done) = 0;
   /// Load reports of all engines at this endpoint's server.
   virtual void load(const Endpoint& engine,
-                    PlatformCallback<std::vector<engine::LoadReport>> done) = 0;
+                    ExternalCallback<std::vector<engine::LoadReport>> done) = 0;
   /// Cache events with sequence above `after`.
   virtual void cache_events(const Endpoint& engine, std::uint64_t after,
-                            PlatformCallback<CacheEventBatch> done) = 0;
+                            ExternalCallback<CacheEventBatch> done) = 0;
 };
 
-}  // namespace ochrespring::platform
+}  // namespace ochrespring::external
--- a/src/platform/errc.h
+++ b/src/external/errc.h
@@ -5,9 +5,9 @@
 
 #include "base/result.h"
 
-namespace ochrespring::platform {
+namespace ochrespring::external {
 
-enum class PlatformErrc {
+enum class ExternalErrc {
   kNotSent,        ///< Nothing left this process: the call had no effect.
   kUnknownEffect,  ///< The call left and no answer came: it may have taken effect.
   kRateLimited,    ///< The service refused for its rate limit: no effect.
@@ -18,10 +18,10 @@
   kMalformed,  ///< The answer could not be understood; the effect is unknown.
 };
 
-using PlatformError = LayerError<PlatformErrc>;
+using ExternalError = LayerError<ExternalErrc>;
 
 /// Completion of a platform call; runs once, on the caller's event loop, never inside the call.
 template <class T>
-using PlatformCallback = std::function<void(Result<T, PlatformError>)>;
+using ExternalCallback = std::function<void(Result<T, ExternalError>)>;
 
-}  // namespace ochrespring::platform
+}  // namespace ochrespring::external
--- a/src/platform/http/encoding.cc
+++ b/src/external/http/encoding.cc
@@ -1,10 +1,10 @@
-#include "platform/http/encoding.h"
+#include "external/http/encoding.h"
 
 #include <openssl/evp.h>
 
 #include <charconv>
 
-namespace ochrespring::platform {
+namespace ochrespring::external {
 
 namespace {
 
@@ -108,4 +108,4 @@
   return number;
 }
 
-}  // namespace ochrespring::platform
+}  // namespace ochrespring::external
--- a/src/platform/http/encoding.h
+++ b/src/external/http/encoding.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace ochrespring::platform {
+namespace ochrespring::external {
 
 std::string base64_encode(std::string_view bytes);
 /// Bytes of padded base64, or nothing if the text is not that.
@@ -22,4 +22,4 @@
 /// Value of a non-negative decimal parameter; nothing if absent or not a number.
 std::optional<std::uint64_t> query_number(std::string_view query, std::string_view name);
 
-}  // namespace ochrespring::platform
+}  // namespace ochrespring::external
--- a/src/platform/http/engine_control.cc
+++ b/src/external/http/engine_control.cc
@@ -1,11 +1,11 @@
-#include "platform/http/engine_control.h"
+#include "external/http/engine_control.h"
 
 #include <utility>
 
-#include "platform/http/errors.h"
-#include "platform/http/json.h"
+#include "external/http/errors.h"
+#include "external/http/json.h"
 
-namespace ochrespring::platform {
+namespace ochrespring::external {
 
 namespace {
 
@@ -39,14 +39,14 @@
 }
 
 void HttpEngineControl::status(const Endpoint& engine,
-                               PlatformCallback<engine::EngineStatus> done) {
+                               ExternalCallback<engine::EngineStatus> done) {
   client_.fetch(request(engine, "/status"), [done = std::move(done)](const Fetched& fetched) {
     done(read_answer<engine::EngineStatus>(fetched, status_of));
   });
 }
 
 void HttpEngineControl::order(const Endpoint& engine, const engine::EngineOrder& order,
-                              PlatformCallback<engine::EngineStatus> done) {
+                              ExternalCallback<engine::EngineStatus> done) {
   http::ClientRequest call = request(engine, "/order");
   call.method = "POST";
   call.body = json_of(order).dump();
@@ -56,18 +56,18 @@
 }
 
 void HttpEngineControl::load(const Endpoint& engine,
-                             PlatformCallback<std::vector<engine::LoadReport>> done) {
+                             ExternalCallback<std::vector<engine::LoadReport>> done) {
   client_.fetch(request(engine, "/load"), [done = std::move(done)](const Fetched& fetched) {
     done(read_answer<std::vector<engine::LoadReport>>(fetched, load_reports_of));
   });
 }
 
 void HttpEngineControl::cache_events(const Endpoint& engine, std::uint64_t after,
-                                     PlatformCallback<CacheEventBatch> done) {
+                                     ExternalCallback<CacheEventBatch> done) {
   client_.fetch(request(engine, "/cache-events?after=" + std::to_string(after)),
                 [done = std::move(done)](const Fetched& fetched) {
                   done(read_answer<CacheEventBatch>(fetched, cache_events_of));
                 });
 }
 
-}  // namespace ochrespring::platform
+}  // namespace ochrespring::external
--- a/src/platform/http/engine_control.h
+++ b/src/external/http/engine_control.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "http/client.h"
-#include "platform/engine_control.h"
+#include "external/engine_control.h"
 
-namespace ochrespring::platform {
+namespace ochrespring::external {
 
 /// Used on the loop of `client` only.
 class HttpEngineControl final : public EngineControl {
@@ -13,13 +13,13 @@
   explicit HttpEngineControl(http::Client& client, Duration timeout = std::chrono::seconds(2))
       : client_(client), timeout_(timeout) {}
 
-  void status(const Endpoint& engine, PlatformCallback<engine::EngineStatus> done) override;
+  void status(const Endpoint& engine, ExternalCallback<engine::EngineStatus> done) override;
   void order(const Endpoint& engine, const engine::EngineOrder& order,
-             PlatformCallback<engine::EngineStatus> done) override;
+             ExternalCallback<engine::EngineStatus> done) override;
   void load(const Endpoint& engine,
-            PlatformCallback<std::vector<engine::LoadReport>> done) override;
+            ExternalCallback<std::vector<engine::LoadReport>> done) override;
   void cache_events(const Endpoint& engine, std::uint64_t after,
-                    PlatformCallback<CacheEventBatch> done) override;
+                    ExternalCallback<CacheEventBatch> done) override;
 
  private:
   http::ClientRequest request(const Endpoint& engine, std::string path) const;
@@ -28,4 +28,4 @@
   Duration timeout_;
 };
 
-}  // namespace ochrespring::platform
+}  // namespace ochrespring::external
--- a/src/platform/http/errors.cc
+++ b/src/external/http/errors.cc
@@ -1,6 +1,6 @@
-#include "platform/http/errors.h"
+#include "external/http/errors.h"
 
-namespace ochrespring::platform {
+namespace ochrespring::external {
 
 namespace {
 
@@ -21,30 +21,30 @@
   return code != parsed.end() && code->is_string() ? code->get<std::string>() : std::string();
 }
 
-PlatformErrc code_of_conflict(const std::string& code) {
+ExternalErrc code_of_conflict(const std::string& code) {
   if (code == "stale_fence") {
-    return PlatformErrc::kStaleFence;
+    return ExternalErrc::kStaleFence;
   }
-  return code == "busy" ? PlatformErrc::kBusy : PlatformErrc::kRefused;
+  return code == "busy" ? ExternalErrc::kBusy : ExternalErrc::kRefused;
 }
 
-PlatformErrc code_of_answer(const http::Response& response) {
+ExternalErrc code_of_answer(const http::Response& response) {
   const std::uint16_t status = response.head.status;
   if (status == kTooManyRequestsStatus) {
-    return PlatformErrc::kRateLimited;
+    return ExternalErrc::kRateLimited;
   }
   if (status == kNotFoundStatus) {
-    return PlatformErrc::kNotFound;
+    return ExternalErrc::kNotFound;
   }
   if (status == kConflictStatus) {
     return code_of_conflict(error_code(response.body));
   }
   if (status < kFirstServerError) {
-    return PlatformErrc::kRefused;
+    return ExternalErrc::kRefused;
   }
   // A server error says nothing of the effect, unless the service states that there was none.
   const bool not_run = http::find_header(response.head.headers, "x-not-run") == "1";
-  return not_run ? PlatformErrc::kRefused : PlatformErrc::kUnknownEffect;
+  return not_run ? ExternalErrc::kRefused : ExternalErrc::kUnknownEffect;
 }
 
 }  // namespace
@@ -53,17 +53,17 @@
   return status >= kFirstSuccess && status < kFirstRedirect;
 }
 
-PlatformError error_of_failure(const http::FetchFailure& failure) {
+ExternalError error_of_failure(const http::FetchFailure& failure) {
   if (!failure.sent) {
-    return {PlatformErrc::kNotSent, failure.error.message};
+    return {ExternalErrc::kNotSent, failure.error.message};
   }
-  return {PlatformErrc::kUnknownEffect, failure.error.message};
+  return {ExternalErrc::kUnknownEffect, failure.error.message};
 }
 
-PlatformError error_of_answer(const http::Response& response) {
+ExternalError error_of_answer(const http::Response& response) {
   constexpr std::size_t kLongestExcerpt = 200;
   return {code_of_answer(response), "status " + std::to_string(response.head.status) + ": " +
                                         response.body.substr(0, kLongestExcerpt)};
 }
 
-}  // namespace ochrespring::platform
+}  // namespace ochrespring::external
--- a/src/platform/http/errors.h
+++ b/src/external/http/errors.h
@@ -6,16 +6,16 @@
 #include <utility>
 
 #include "http/client.h"
-#include "platform/errc.h"
+#include "external/errc.h"
 
-namespace ochrespring::platform {
+namespace ochrespring::external {
 
 /// Error of an exchange that brought no whole answer: kNotSent only if no byte left.
-PlatformError error_of_failure(const http::FetchFailure& failure);
+ExternalError error_of_failure(const http::FetchFailure& failure);
 
 /// Error that an answer with a status outside 200 to 299 stands for. The body's `error` field tells
 /// apart what shares a status.
-PlatformError error_of_answer(const http::Response& response);
+ExternalError error_of_answer(const http::Response& response);
 
 /// Whether a status stands for success.
 bool is_success(std::uint16_t status);
@@ -23,7 +23,7 @@
 /// Turns the end of a fetch into a typed result. `read` makes a T from the answer's JSON and may
 /// throw nlohmann::json::exception, which becomes kMalformed.
 template <class T, class Reader>
-Result<T, PlatformError> read_answer(const Result<http::Response, http::FetchFailure>& fetched,
+Result<T, ExternalError> read_answer(const Result<http::Response, http::FetchFailure>& fetched,
                                      Reader read) {
   if (fetched.has_error()) {
     return outcome::failure(error_of_failure(fetched.error()));
@@ -35,8 +35,8 @@
   try {
     return T(read(nlohmann::json::parse(response.body)));
   } catch (const nlohmann::json::exception& error) {
-    return fail(PlatformErrc::kMalformed, error.what());
+    return fail(ExternalErrc::kMalformed, error.what());
   }
 }
 
-}  // namespace ochrespring::platform
+}  // namespace ochrespring::external
--- a/src/platform/http/json.cc
+++ b/src/external/http/json.cc
@@ -1,12 +1,12 @@
-#include "platform/http/json.h"
+#include "external/http/json.h"
 
 #include <array>
 #include <string>
 #include <utility>
 
-#include "platform/http/encoding.h"
+#include "external/http/encoding.h"
 
-namespace ochrespring::platform {
+namespace ochrespring::external {
 
 namespace {
 
@@ -295,4 +295,4 @@
   return event;
 }
 
-}  // namespace ochrespring::platform
+}  // namespace ochrespring::external
--- a/src/platform/http/json.h
+++ b/src/external/http/json.h
@@ -8,11 +8,11 @@
 #include <vector>
 
 #include "engine/types.h"
-#include "platform/key_value_store.h"
-#include "platform/machine_list.h"
-#include "platform/weight_store.h"
+#include "external/key_value_store.h"
+#include "external/machine_list.h"
+#include "external/weight_store.h"
 
-namespace ochrespring::platform {
+namespace ochrespring::external {
 
 using Json = nlohmann::json;
 
@@ -41,4 +41,4 @@
 std::string_view name_of(fleet::EngineRole role);
 fleet::EngineRole role_of(std::string_view name);
 
-}  // namespace ochrespring::platform
+}  // namespace ochrespring::external
--- a/src/platform/http/key_value_store.cc
+++ b/src/external/http/key_value_store.cc
@@ -1,13 +1,13 @@
-#include "platform/http/key_value_store.h"
+#include "external/http/key_value_store.h"
 
 #include <utility>
 
-#include "platform/http/encoding.h"
-#include "platform/http/errors.h"
-#include "platform/http/json.h"
-#include "platform/http/key_value_watch.h"
+#include "external/http/encoding.h"
+#include "external/http/errors.h"
+#include "external/http/json.h"
+#include "external/http/key_value_watch.h"
 
-namespace ochrespring::platform {
+namespace ochrespring::external {
 
 namespace {
 
@@ -47,13 +47,13 @@
 }
 
 void HttpKeyValueStore::get(const std::string& key,
-                            PlatformCallback<std::optional<KeyValueEntry>> done) {
+                            ExternalCallback<std::optional<KeyValueEntry>> done) {
   client_.fetch(request("GET", key_path(key)), [done = std::move(done)](const Fetched& fetched) {
-    Result<KeyValueEntry, PlatformError> entry =
+    Result<KeyValueEntry, ExternalError> entry =
         read_answer<KeyValueEntry>(fetched, key_value_entry_of);
     if (entry.has_value()) {
       done(std::optional<KeyValueEntry>(std::move(entry).value()));
-    } else if (entry.error().code == PlatformErrc::kNotFound) {
+    } else if (entry.error().code == ExternalErrc::kNotFound) {
       done(std::optional<KeyValueEntry>());
     } else {
       done(outcome::failure(entry.error()));
@@ -62,7 +62,7 @@
 }
 
 void HttpKeyValueStore::list(const std::string& prefix,
-                             PlatformCallback<std::vector<KeyValueEntry>> done) {
+                             ExternalCallback<std::vector<KeyValueEntry>> done) {
   client_.fetch(request("GET", "/v1/kv?prefix=" + percent_encode(prefix)),
                 [done = std::move(done)](const Fetched& fetched) {
                   done(read_answer<std::vector<KeyValueEntry>>(fetched, entries_of));
@@ -71,7 +71,7 @@
 
 void HttpKeyValueStore::compare_and_swap(const std::string& key, KeyVersion expected,
                                          const std::string& value, std::optional<LeaseId> lease,
-                                         PlatformCallback<SwapOutcome> done) {
+                                         ExternalCallback<SwapOutcome> done) {
   Json body{{"value", base64_encode(value)}, {"expected", expected.value()}};
   if (lease) {
     body["lease"] = lease->value();
@@ -83,14 +83,14 @@
 }
 
 void HttpKeyValueStore::compare_and_delete(const std::string& key, KeyVersion expected,
-                                           PlatformCallback<SwapOutcome> done) {
+                                           ExternalCallback<SwapOutcome> done) {
   const std::string path = key_path(key) + "?expected=" + std::to_string(expected.value());
   client_.fetch(request("DELETE", path), [done = std::move(done)](const Fetched& fetched) {
     done(read_answer<SwapOutcome>(fetched, swap_outcome_of));
   });
 }
 
-void HttpKeyValueStore::grant_lease(Duration time_to_live, PlatformCallback<LeaseId> done) {
+void HttpKeyValueStore::grant_lease(Duration time_to_live, ExternalCallback<LeaseId> done) {
   const auto milliseconds =
       std::chrono::duration_cast<std::chrono::milliseconds>(time_to_live).count();
   client_.fetch(request("POST", "/v1/leases", Json{{"ttl_ms", milliseconds}}.dump()),
@@ -99,7 +99,7 @@
                 });
 }
 
-void HttpKeyValueStore::renew_lease(LeaseId lease, PlatformCallback<LeaseId> done) {
+void HttpKeyValueStore::renew_lease(LeaseId lease, ExternalCallback<LeaseId> done) {
   client_.fetch(request("POST", "/v1/leases/" + std::to_string(lease.value()) + "/renew"),
                 [done = std::move(done)](const Fetched& fetched) {
                   done(read_answer<LeaseId>(fetched, lease_of));
@@ -111,4 +111,4 @@
   return std::make_unique<KeyValueWatch>(client_, timers_, random_, settings_, prefix, observer);
 }
 
-}  // namespace ochrespring::platform
+}  // namespace ochrespring::external
--- a/src/platform/http/key_value_store.h
+++ b/src/external/http/key_value_store.h
@@ -7,9 +7,9 @@
 #include "base/random.h"
 #include "base/timer.h"
 #include "http/client.h"
-#include "platform/key_value_store.h"
+#include "external/key_value_store.h"
 
-namespace ochrespring::platform {
+namespace ochrespring::external {
 
 struct HttpKeyValueSettings {
   Endpoint endpoint;
@@ -26,14 +26,14 @@
   HttpKeyValueStore(http::Client& client, TimerService& timers, RandomSource& random,
                     HttpKeyValueSettings settings);
 
-  void get(const std::string& key, PlatformCallback<std::optional<KeyValueEntry>> done) override;
-  void list(const std::string& prefix, PlatformCallback<std::vector<KeyValueEntry>> done) override;
+  void get(const std::string& key, ExternalCallback<std::optional<KeyValueEntry>> done) override;
+  void list(const std::string& prefix, ExternalCallback<std::vector<KeyValueEntry>> done) override;
   void compare_and_swap(const std::string& key, KeyVersion expected, const std::string& value,
-                        std::optional<LeaseId> lease, PlatformCallback<SwapOutcome> done) override;
+                        std::optional<LeaseId> lease, ExternalCallback<SwapOutcome> done) override;
   void compare_and_delete(const std::string& key, KeyVersion expected,
-                          PlatformCallback<SwapOutcome> done) override;
-  void grant_lease(Duration time_to_live, PlatformCallback<LeaseId> done) override;
-  void renew_lease(LeaseId lease, PlatformCallback<LeaseId> done) override;
+                          ExternalCallback<SwapOutcome> done) override;
+  void grant_lease(Duration time_to_live, ExternalCallback<LeaseId> done) override;
+  void renew_lease(LeaseId lease, ExternalCallback<LeaseId> done) override;
   std::unique_ptr<Watch> watch(const std::string& prefix, WatchObserver& observer) override;
 
  private:
@@ -45,4 +45,4 @@
   HttpKeyValueSettings settings_;
 };
 
-}  // namespace ochrespring::platform
+}  // namespace ochrespring::external
--- a/src/platform/http/key_value_watch.cc
+++ b/src/external/http/key_value_watch.cc
@@ -1,14 +1,14 @@
-#include "platform/http/key_value_watch.h"
+#include "external/http/key_value_watch.h"
 
 #include <algorithm>
 #include <utility>
 #include <vector>
 
-#include "platform/http/encoding.h"
-#include "platform/http/errors.h"
-#include "platform/http/json.h"
+#include "external/http/encoding.h"
+#include "external/http/errors.h"
+#include "external/http/json.h"
 
-namespace ochrespring::platform {
+namespace ochrespring::external {
 
 namespace {
 
@@ -124,4 +124,4 @@
   backoff_ = std::min(backoff_ * kBackoffGrowth, settings_.longest_retry);
 }
 
-}  // namespace ochrespring::platform
+}  // namespace ochrespring::external
--- a/src/platform/http/key_value_watch.h
+++ b/src/external/http/key_value_watch.h
@@ -9,9 +9,9 @@
 #include "base/random.h"
 #include "base/timer.h"
 #include "http/client.h"
-#include "platform/http/key_value_store.h"
+#include "external/http/key_value_store.h"
 
-namespace ochrespring::platform {
+namespace ochrespring::external {
 
 /// Polls from construction to destruction. Failed calls are repeated with exponential backoff and
 /// jitter; when the service no longer keeps the position, the whole prefix is reported again.
@@ -43,4 +43,4 @@
   std::shared_ptr<KeyValueWatch*> self_;
 };
 
-}  // namespace ochrespring::platform
+}  // namespace ochrespring::external
--- a/src/platform/http/machine_list.cc
+++ b/src/external/http/machine_list.cc
@@ -1,11 +1,11 @@
-#include "platform/http/machine_list.h"
+#include "external/http/machine_list.h"
 
 #include <utility>
 
-#include "platform/http/errors.h"
-#include "platform/http/json.h"
+#include "external/http/errors.h"
+#include "external/http/json.h"
 
-namespace ochrespring::platform {
+namespace ochrespring::external {
 
 namespace {
 
@@ -19,7 +19,7 @@
 
 }  // namespace
 
-void HttpMachineList::list(PlatformCallback<std::vector<Machine>> done) {
+void HttpMachineList::list(ExternalCallback<std::vector<Machine>> done) {
   http::ClientRequest request;
   request.endpoint = endpoint_;
   request.path = "/v1/machines";
@@ -29,4 +29,4 @@
   });
 }
 
-}  // namespace ochrespring::platform
+}  // namespace ochrespring::external
--- a/src/platform/http/machine_list.h
+++ b/src/external/http/machine_list.h
@@ -4,9 +4,9 @@
 #include <utility>
 
 #include "http/client.h"
-#include "platform/machine_list.h"
+#include "external/machine_list.h"
 
-namespace ochrespring::platform {
+namespace ochrespring::external {
 
 /// Used on the loop of `client` only.
 class HttpMachineList final : public MachineList {
@@ -14,11 +14,11 @@
   HttpMachineList(http::Client& client, Endpoint endpoint)
       : client_(client), endpoint_(std::move(endpoint)) {}
 
-  void list(PlatformCallback<std::vector<Machine>> done) override;
+  void list(ExternalCallback<std::vector<Machine>> done) override;
 
  private:
   http::Client& client_;
   Endpoint endpoint_;
 };
 
-}  // namespace ochrespring::platform
+}  // namespace ochrespring::external
--- a/src/platform/http/weight_store.cc
+++ b/src/external/http/weight_store.cc
@@ -1,14 +1,14 @@
-#include "platform/http/weight_store.h"
+#include "external/http/weight_store.h"
 
 #include <utility>
 
-#include "platform/http/errors.h"
-#include "platform/http/json.h"
+#include "external/http/errors.h"
+#include "external/http/json.h"
 
-namespace ochrespring::platform {
+namespace ochrespring::external {
 
 void HttpWeightStore::fetch(const std::string& name, std::uint64_t bytes,
-                            PlatformCallback<FetchGrant> done) {
+                            ExternalCallback<FetchGrant> done) {
   http::ClientRequest request;
   request.endpoint = endpoint_;
   request.method = "POST";
@@ -20,4 +20,4 @@
   });
 }
 
-}  // namespace ochrespring::platform
+}  // namespace ochrespring::external
--- a/src/platform/http/weight_store.h
+++ b/src/external/http/weight_store.h
@@ -4,9 +4,9 @@
 #include <utility>
 
 #include "http/client.h"
-#include "platform/weight_store.h"
+#include "external/weight_store.h"
 
-namespace ochrespring::platform {
+namespace ochrespring::external {
 
 /// Used on the loop of `client` only.
 class HttpWeightStore final : public WeightStore {
@@ -15,11 +15,11 @@
       : client_(client), endpoint_(std::move(endpoint)) {}
 
   void fetch(const std::string& name, std::uint64_t bytes,
-             PlatformCallback<FetchGrant> done) override;
+             ExternalCallback<FetchGrant> done) override;
 
  private:
   http::Client& client_;
   Endpoint endpoint_;
 };
 
-}  // namespace ochrespring::platform
+}  // namespace ochrespring::external
--- a/src/platform/key_value_store.h
+++ b/src/external/key_value_store.h
@@ -9,9 +9,9 @@
 
 #include "base/strong_type.h"
 #include "base/time.h"
-#include "platform/errc.h"
+#include "external/errc.h"
 
-namespace ochrespring::platform {
+namespace ochrespring::external {
 
 /// Version of one key; zero means the key does not exist.
 using KeyVersion = StrongNumber<struct KeyVersionTag>;
@@ -46,28 +46,28 @@
 };
 
 /// Asynchronous client of the service; one per event loop, used on that loop only. Failures come as
-/// PlatformError; kUnknownEffect must be resolved by reading.
+/// ExternalError; kUnknownEffect must be resolved by reading.
 class KeyValueStore {
  public:
   virtual ~KeyValueStore() = default;
   /// Entry of a key, or none.
-  virtual void get(const std::string& key, PlatformCallback<std::optional<KeyValueEntry>> done) = 0;
+  virtual void get(const std::string& key, ExternalCallback<std::optional<KeyValueEntry>> done) = 0;
   /// Entries whose keys begin with `prefix`.
   virtual void list(const std::string& prefix,
-                    PlatformCallback<std::vector<KeyValueEntry>> done) = 0;
+                    ExternalCallback<std::vector<KeyValueEntry>> done) = 0;
   /// Writes `value` if the key's version is `expected`. With a lease the key vanishes with it.
   virtual void compare_and_swap(const std::string& key, KeyVersion expected,
                                 const std::string& value, std::optional<LeaseId> lease,
-                                PlatformCallback<SwapOutcome> done) = 0;
+                                ExternalCallback<SwapOutcome> done) = 0;
   /// Deletes the key if its version is `expected`.
   virtual void compare_and_delete(const std::string& key, KeyVersion expected,
-                                  PlatformCallback<SwapOutcome> done) = 0;
+                                  ExternalCallback<SwapOutcome> done) = 0;
   /// Creates a lease that lapses `time_to_live` after its last renewal.
-  virtual void grant_lease(Duration time_to_live, PlatformCallback<LeaseId> done) = 0;
+  virtual void grant_lease(Duration time_to_live, ExternalCallback<LeaseId> done) = 0;
   /// Renews a lease; kNotFound if it has lapsed.
-  virtual void renew_lease(LeaseId lease, PlatformCallback<LeaseId> done) = 0;
+  virtual void renew_lease(LeaseId lease, ExternalCallback<LeaseId> done) = 0;
   /// Watches a prefix until the returned object is destroyed.
   virtual std::unique_ptr<Watch> watch(const std::string& prefix, WatchObserver& observer) = 0;
 };
 
-}  // namespace ochrespring::platform
+}  // namespace ochrespring::external
--- a/src/platform/machine_list.h
+++ b/src/external/machine_list.h
@@ -5,9 +5,9 @@
 #include <vector>
 
 #include "base/ids.h"
-#include "platform/errc.h"
+#include "external/errc.h"
 
-namespace ochrespring::platform {
+namespace ochrespring::external {
 
 enum class MachineState : std::uint8_t { kLive, kLeaving };
 
@@ -24,7 +24,7 @@
  public:
   virtual ~MachineList() = default;
   /// All machines the platform knows of.
-  virtual void list(PlatformCallback<std::vector<Machine>> done) = 0;
+  virtual void list(ExternalCallback<std::vector<Machine>> done) = 0;
 };
 
-}  // namespace ochrespring::platform
+}  // namespace ochrespring::external
--- a/src/platform/tests/json_test.cc
+++ b/src/external/tests/json_test.cc
@@ -1,14 +1,14 @@
-#include "platform/http/json.h"
+#include "external/http/json.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
 #include <string>
 
-#include "platform/http/encoding.h"
+#include "external/http/encoding.h"
 
 using namespace ochrespring;
-using namespace ochrespring::platform;
+using namespace ochrespring::external;
 
 TEST_CASE("any bytes survive both encodings") {
   CHECK(rc::check([](const std::string& bytes) {
--- a/src/platform/weight_store.h
+++ b/src/external/weight_store.h
@@ -5,9 +5,9 @@
 #include <string>
 
 #include "base/time.h"
-#include "platform/errc.h"
+#include "external/errc.h"
 
-namespace ochrespring::platform {
+namespace ochrespring::external {
 
 /// Leave to fetch one set of weights.
 struct FetchGrant {
@@ -22,7 +22,7 @@
   /// Asks to fetch `bytes` of the weights called `name`. kRateLimited: too many fetches are
   /// running; nothing was started, ask again later.
   virtual void fetch(const std::string& name, std::uint64_t bytes,
-                     PlatformCallback<FetchGrant> done) = 0;
+                     ExternalCallback<FetchGrant> done) = 0;
 };
 
-}  // namespace ochrespring::platform
+}  // namespace ochrespring::external
--- a/src/fuzzing/targets/http_bodies.cc
+++ b/src/fuzzing/targets/http_bodies.cc
@@ -3,7 +3,7 @@
 
 #include "fuzzing/fuzz_target.h"
 #include "load/answer_checker.h"
-#include "platform/http/json.h"
+#include "external/http/json.h"
 #include "standin/completion_request.h"
 
 namespace {
@@ -33,11 +33,11 @@
 }
 
 void check_control(std::string_view body) {
-  const auto json = platform::Json::parse(body, nullptr, false);
+  const auto json = external::Json::parse(body, nullptr, false);
   try {
-    const engine::EngineOrder order = platform::order_of(json);
-    fuzzing::require(platform::order_of(platform::json_of(order)) == order);
-  } catch (const platform::Json::exception&) {
+    const engine::EngineOrder order = external::order_of(json);
+    fuzzing::require(external::order_of(external::json_of(order)) == order);
+  } catch (const external::Json::exception&) {
     return;
   }
 }
--- /dev/null
+++ b/src/gateway/backend_transport.h
@@ -0,0 +1,31 @@
+// How the gateway reaches back ends; replaced in tests and simulation.
+#pragma once
+
+#include <memory>
+
+#include "http/client.h"
+
+namespace ochrespring::gateway {
+
+class BackendTransport {
+ public:
+  virtual ~BackendTransport() = default;
+  /// Starts an exchange; nothing is reported inside the call. `observer` outlives the result.
+  virtual std::unique_ptr<http::Exchange> start(http::ClientRequest request,
+                                                http::ResponseObserver& observer) = 0;
+};
+
+/// Over the loop's HTTP client.
+class HttpBackendTransport final : public BackendTransport {
+ public:
+  explicit HttpBackendTransport(http::Client& client) : client_(client) {}
+  std::unique_ptr<http::Exchange> start(http::ClientRequest request,
+                                        http::ResponseObserver& observer) override {
+    return client_.start(std::move(request), observer);
+  }
+
+ private:
+  http::Client& client_;
+};
+
+}  // namespace ochrespring::gateway
--- /dev/null
+++ b/src/gateway/environment.h
@@ -0,0 +1,39 @@
+// What the requests of one gateway share.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "base/timer.h"
+#include "gateway/backend_transport.h"
+#include "gateway/fleet_state.h"
+#include "gateway/header_names.h"
+#include "gateway/load_table.h"
+#include "gateway/placement.h"
+#include "gateway/retry_budget.h"
+#include "gateway/share_picker.h"
+#include "gateway/statistics.h"
+#include "logging/logger.h"
+
+namespace ochrespring::gateway {
+
+/// References outlive the gateway; one loop.
+struct Environment {
+  const Clock& clock;
+  TimerService& timers;
+  BackendTransport& transport;
+  const FleetState& fleet;
+  LoadTable& loads;
+  const Placement& placement;
+  RetryBudget& budget;
+  SharePicker& shares;
+  const HeaderNames& names;
+  GatewayStatistics& statistics;
+  logging::Logger& logger;
+  /// Nodes believed to take part, this one included; at least 1.
+  std::function<std::uint32_t()> node_count;
+};
+
+}  // namespace ochrespring::gateway
--- /dev/null
+++ b/src/gateway/fleet_state.cc
@@ -0,0 +1,54 @@
+#include "gateway/fleet_state.h"
+
+#include <utility>
+
+namespace ochrespring::gateway {
+
+bool FleetState::apply(Configuration configuration) {
+  if (routes_ && configuration.version <= routes_->configuration().version) {
+    return false;
+  }
+  routes_ = std::make_shared<const RouteTable>(std::move(configuration));
+  return true;
+}
+
+bool FleetState::put(Backend backend) {
+  Backend& known = backends_[backend.id];
+  if (known == backend) {
+    return false;
+  }
+  known = std::move(backend);
+  return true;
+}
+
+bool FleetState::remove(const BackendId& id) {
+  auto node = backends_.extract(id);
+  if (node.empty()) {
+    return false;
+  }
+  if (removed_) {
+    removed_(node.mapped());
+  }
+  return true;
+}
+
+void FleetState::replace(std::vector<Backend> listed) {
+  std::map<BackendId, Backend> fresh;
+  for (Backend& backend : listed) {
+    BackendId id = backend.id;
+    fresh.emplace(std::move(id), std::move(backend));
+  }
+  backends_.swap(fresh);
+  for (const auto& [id, backend] : fresh) {
+    if (!backends_.contains(id) && removed_) {
+      removed_(backend);
+    }
+  }
+}
+
+const Backend* FleetState::find(const BackendId& id) const {
+  const auto found = backends_.find(id);
+  return found == backends_.end() ? nullptr : &found->second;
+}
+
+}  // namespace ochrespring::gateway
--- /dev/null
+++ b/src/gateway/fleet_state.h
@@ -0,0 +1,49 @@
+// What this node believes about the fleet: the configuration in force and the registered back ends.
+// Written by whoever watches the shared store, read by requests; one loop.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "base/time.h"
+#include "gateway/route_table.h"
+#include "gateway/types.h"
+
+namespace ochrespring::gateway {
+
+class FleetState {
+ public:
+  /// Takes a configuration if it is newer than the one in force; returns whether it was.
+  bool apply(Configuration configuration);
+  /// Adds or replaces a back end; returns whether anything changed.
+  bool put(Backend backend);
+  /// Forgets a back end; returns whether it was known.
+  bool remove(const BackendId& id);
+  /// Keeps only the back ends that `listed` holds, with what it says of them.
+  void replace(std::vector<Backend> listed);
+
+  /// Null until the first configuration.
+  const std::shared_ptr<const RouteTable>& routes() const { return routes_; }
+  const std::map<BackendId, Backend>& backends() const { return backends_; }
+  const Backend* find(const BackendId& id) const;
+
+  /// When the store last answered with the newest state.
+  void note_current(MonotonicTime at) { current_at_ = at; }
+  std::optional<MonotonicTime> current_at() const { return current_at_; }
+
+  /// Called after a back end has gone.
+  void on_removed(std::function<void(const Backend&)> callback) {
+    removed_ = std::move(callback);
+  }
+
+ private:
+  std::shared_ptr<const RouteTable> routes_;
+  std::map<BackendId, Backend> backends_;
+  std::optional<MonotonicTime> current_at_;
+  std::function<void(const Backend&)> removed_;
+};
+
+}  // namespace ochrespring::gateway
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,38 @@
+// The gateway of one node: takes callers' requests and sees each to its end.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <unordered_set>
+
+#include "gateway/environment.h"
+#include "gateway/request_session.h"
+#include "http/server.h"
+
+namespace ochrespring::gateway {
+
+/// Brings the fleet state up to date, then calls back with whether it is the newest.
+using Refresh = std::function<void(std::function<void(bool current)> done)>;
+
+/// Used on one loop; outlives its requests only if destroyed after the loop has stopped.
+class Gateway {
+ public:
+  Gateway(Environment environment, Refresh refresh);
+
+  void handle(http::Request request, std::shared_ptr<http::ResponseWriter> writer);
+  std::size_t running() const { return sessions_.size(); }
+  /// Called whenever the last running request has ended.
+  void on_idle(std::function<void()> callback) { idle_ = std::move(callback); }
+
+ private:
+  bool try_route(const http::Request& request, const std::shared_ptr<http::ResponseWriter>& writer);
+  void refuse(const http::Request& request, http::ResponseWriter& writer, std::uint16_t status,
+              std::string_view reason);
+
+  Environment environment_;
+  Refresh refresh_;
+  std::unordered_set<std::shared_ptr<RequestSession>> sessions_;
+  std::function<void()> idle_;
+};
+
+}  // namespace ochrespring::gateway
--- /dev/null
+++ b/src/gateway/header_names.h
@@ -0,0 +1,27 @@
+// Names of the headers by which callers, the gateway and back ends tell each other what HTTP itself
+// does not. A site with names of its own passes them in; all names are lower case.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace ochrespring::gateway {
+
+struct HeaderNames {
+  std::string request_id = "x-request-id";
+  std::string deadline = "x-deadline-ms";  ///< Milliseconds the caller will wait.
+  std::string not_run = "x-ochrespring-not-run";
+  std::string signature = "x-ochrespring-signature";  ///< On every answer that a back end ran for.
+  std::string expected_instance = "x-ochrespring-expected-instance";
+  std::string load = "x-ochrespring-load";  ///< Running, waiting and slots, joined by commas.
+  std::string prompt_parts = "x-ochrespring-prompt-parts";  ///< ID:TOKENS, joined by commas.
+  std::string token_counts = "x-ochrespring-token-counts";  ///< Prompt and most output.
+  std::string priority = "x-ochrespring-priority";          ///< 0 to 9, 0 first.
+  std::string phase = "x-ochrespring-phase";                ///< `prefill`: read, do not run.
+  std::string cache_source = "x-ochrespring-cache-source";  ///< IP:PORT/HANDLE.
+  std::string last_event = "last-event-id";
+  /// Headers that only the gateway may set; a caller's are dropped.
+  std::vector<std::string> reserved;
+};
+
+}  // namespace ochrespring::gateway
--- /dev/null
+++ b/src/gateway/load_table.cc
@@ -0,0 +1,129 @@
+#include "gateway/load_table.h"
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <cmath>
+
+namespace ochrespring::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Time in which a report of load loses half of its weight.
+constexpr Duration kReportHalfLife = milliseconds(300);
+/// Time in which the memory of failures halves.
+constexpr Duration kFailureHalfLife = seconds(3);
+/// Attempts believed good before anything is known, so that one failure condemns nobody.
+constexpr double kPriorAttempts = 2;
+constexpr Duration kFirstEjection = milliseconds(1000);
+constexpr std::uint32_t kMostDoublings = 2;
+/// How long a prompt part is believed to stay cached after its last use.
+constexpr Duration kCacheBelief = seconds(60);
+
+double halved(Duration age, Duration half_life) {
+  return std::exp2(-to_seconds(age) / to_seconds(half_life));
+}
+
+bool read_count(std::string_view& text, std::uint32_t& count) {
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), count);
+  if (error != std::errc()) {
+    return false;
+  }
+  text.remove_prefix(static_cast<std::size_t>(end - text.data()));
+  text.remove_prefix(std::min(text.find_first_not_of(", "), text.size()));
+  return true;
+}
+
+}  // namespace
+
+std::optional<ReportedLoad> parse_load(std::string_view text) {
+  ReportedLoad load;
+  const bool read = read_count(text, load.running) && read_count(text, load.waiting) &&
+                    read_count(text, load.slots);
+  return read ? std::optional(load) : std::nullopt;
+}
+
+void BackendLoad::begin(std::uint64_t unread_tokens) {
+  ++in_flight_;
+  unread_tokens_ += unread_tokens;
+}
+
+void BackendLoad::note_read(std::uint64_t unread_tokens) {
+  unread_tokens_ -= std::min(unread_tokens, unread_tokens_);
+}
+
+void BackendLoad::end(AttemptVerdict verdict, MonotonicTime now) {
+  in_flight_ -= std::min<std::uint32_t>(in_flight_, 1);
+  fade(now);
+  switch (verdict) {
+    case AttemptVerdict::kGood:
+      attempts_ += 1;
+      unreachable_in_row_ = 0;
+      break;
+    case AttemptVerdict::kFailed:
+      attempts_ += 1;
+      failures_ += 1;
+      break;
+    case AttemptVerdict::kUnreachable:
+      attempts_ += 1;
+      failures_ += 1;
+      ejected_until_ = now + kFirstEjection * (1U << std::min(unreachable_in_row_, kMostDoublings));
+      ++unreachable_in_row_;
+      break;
+    case AttemptVerdict::kRefused:
+    case AttemptVerdict::kAbandoned:
+      break;
+  }
+}
+
+void BackendLoad::note_report(const ReportedLoad& load, MonotonicTime now) {
+  reported_ = load;
+  own_at_report_ = in_flight_;
+  reported_at_ = now;
+}
+
+double BackendLoad::estimated_requests(MonotonicTime now) const {
+  if (!reported_at_) {
+    return in_flight_;
+  }
+  const double all = reported_.running + reported_.waiting;
+  const double others = std::max(0.0, all - own_at_report_);
+  return in_flight_ + others * halved(now - *reported_at_, kReportHalfLife);
+}
+
+double BackendLoad::estimated_waiting(MonotonicTime now) const {
+  return reported_at_ ? reported_.waiting * halved(now - *reported_at_, kReportHalfLife) : 0.0;
+}
+
+double BackendLoad::failure_share(MonotonicTime now) const {
+  const double weight = halved(now - faded_at_, kFailureHalfLife);
+  return failures_ * weight / (attempts_ * weight + kPriorAttempts);
+}
+
+void BackendLoad::fade(MonotonicTime now) {
+  const double weight = halved(now - faded_at_, kFailureHalfLife);
+  failures_ *= weight;
+  attempts_ *= weight;
+  faded_at_ = now;
+}
+
+void BackendLoad::note_cached(std::string_view key, MonotonicTime now) {
+  if (!key.empty()) {
+    cached_[std::string(key)] = now;
+  }
+}
+
+bool BackendLoad::holds(std::string_view key, MonotonicTime now) const {
+  const auto found = cached_.find(std::string(key));
+  return found != cached_.end() && now - found->second < kCacheBelief;
+}
+
+const BackendLoad* LoadTable::find(const BackendId& id) const {
+  const auto found = loads_.find(id);
+  return found == loads_.end() ? nullptr : &found->second;
+}
+
+}  // namespace ochrespring::gateway
--- /dev/null
+++ b/src/gateway/load_table.h
@@ -0,0 +1,85 @@
+// What this node knows of each back end's load and health: its own requests, what answers told, and
+// how they ended. Pure; one loop.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "base/time.h"
+#include "gateway/types.h"
+
+namespace ochrespring::gateway {
+
+/// Load as a back end told it on an answer.
+struct ReportedLoad {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 1;
+};
+
+/// Reads `RUNNING,WAITING,SLOTS`.
+std::optional<ReportedLoad> parse_load(std::string_view text);
+
+/// How an attempt ended, as far as the back end's health goes.
+enum class AttemptVerdict : std::uint8_t {
+  kGood,
+  kRefused,      ///< Said itself that it did not run the request.
+  kFailed,       ///< Broke off, answered garbage or with a failure, or was silent for too long.
+  kUnreachable,  ///< No connection.
+  kAbandoned,    ///< Ended by us or the caller; tells nothing.
+};
+
+/// One back end as this node sees it.
+class BackendLoad {
+ public:
+  void begin(std::uint64_t unread_tokens);
+  /// The prompt has been read: the first event came, or the attempt has ended.
+  void note_read(std::uint64_t unread_tokens);
+  void end(AttemptVerdict verdict, MonotonicTime now);
+  void note_report(const ReportedLoad& load, MonotonicTime now);
+
+  std::uint32_t in_flight() const { return in_flight_; }
+  std::uint64_t unread_tokens() const { return unread_tokens_; }
+  /// Requests at the back end now, of all nodes: reports fade, own requests do not.
+  double estimated_requests(MonotonicTime now) const;
+  double estimated_waiting(MonotonicTime now) const;
+  /// Share of recent attempts that failed, fading with time, 0 to 1.
+  double failure_share(MonotonicTime now) const;
+  /// Whether the back end is left alone for now.
+  bool ejected(MonotonicTime now) const { return now < ejected_until_; }
+
+  /// Remembers that a prompt part is in the back end's cache.
+  void note_cached(std::string_view key, MonotonicTime now);
+  bool holds(std::string_view key, MonotonicTime now) const;
+
+ private:
+  void fade(MonotonicTime now);
+
+  std::uint32_t in_flight_ = 0;
+  std::uint64_t unread_tokens_ = 0;
+  ReportedLoad reported_;
+  std::uint32_t own_at_report_ = 0;
+  std::optional<MonotonicTime> reported_at_;
+  double failures_ = 0;  ///< Fading counts.
+  double attempts_ = 0;
+  MonotonicTime faded_at_{};
+  std::uint32_t unreachable_in_row_ = 0;
+  MonotonicTime ejected_until_{};
+  std::unordered_map<std::string, MonotonicTime> cached_;
+};
+
+/// All back ends of one node.
+class LoadTable {
+ public:
+  BackendLoad& of(const BackendId& id) { return loads_[id]; }
+  const BackendLoad* find(const BackendId& id) const;
+  void forget(const BackendId& id) { loads_.erase(id); }
+
+ private:
+  std::map<BackendId, BackendLoad> loads_;
+};
+
+}  // namespace ochrespring::gateway
--- /dev/null
+++ b/src/gateway/prompt.cc
@@ -0,0 +1,60 @@
+#include "gateway/prompt.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace ochrespring::gateway {
+
+namespace {
+
+std::uint64_t read_number(std::string_view text) {
+  text.remove_prefix(std::min(text.find_first_not_of(' '), text.size()));
+  std::uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+/// Takes the text up to `separator` off the front.
+std::string_view take_until(std::string_view& text, char separator) {
+  const std::size_t at = std::min(text.find(separator), text.size());
+  const std::string_view taken = text.substr(0, at);
+  text.remove_prefix(std::min(at + 1, text.size()));
+  return taken;
+}
+
+}  // namespace
+
+std::string_view Prompt::shared_key() const {
+  return parts.size() < 2 ? std::string_view() : std::string_view(parts[parts.size() - 2].id);
+}
+
+std::uint64_t Prompt::shared_tokens() const {
+  std::uint64_t sum = 0;
+  for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+    sum += parts[i].tokens;
+  }
+  return std::min(sum, tokens);
+}
+
+Prompt parse_prompt(std::string_view parts, std::string_view counts) {
+  Prompt prompt;
+  std::uint64_t sum = 0;
+  while (!parts.empty()) {
+    std::string_view part = take_until(parts, ',');
+    std::string_view id = take_until(part, ':');
+    id.remove_prefix(std::min(id.find_first_not_of(' '), id.size()));
+    if (id.empty()) {
+      continue;
+    }
+    prompt.parts.push_back({std::string(id), read_number(part)});
+    sum += prompt.parts.back().tokens;
+  }
+  prompt.tokens = read_number(take_until(counts, ','));
+  prompt.output_tokens = read_number(counts);
+  if (prompt.tokens == 0) {
+    prompt.tokens = sum;
+  }
+  return prompt;
+}
+
+}  // namespace ochrespring::gateway
--- /dev/null
+++ b/src/gateway/request_session.cc
@@ -0,0 +1,483 @@
+#include "gateway/request_session.h"
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <cmath>
+#include <string>
+#include <utility>
+
+#include "gateway/header_rules.h"
+
+namespace ochrespring::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::string_view kComponent = "gateway";
+/// Less time than this is not worth an attempt.
+constexpr Duration kLeastTime = milliseconds(3);
+/// A back end in our own network that takes longer to accept is as good as gone.
+constexpr Duration kConnectTimeout = milliseconds(400);
+constexpr std::uint32_t kMostUnreachable = 4;
+/// An idempotent request is tried elsewhere when no answer has come within this many objectives.
+constexpr int kObjectivesToWait = 3;
+constexpr Duration kLeastWait = milliseconds(300);
+/// The same for the first event of a stream that may be resumed, in halves of an objective.
+constexpr int kHalfObjectivesToFirstEvent = 5;
+constexpr Duration kLeastWaitForFirstEvent = milliseconds(1200);
+/// The same for the pause between its events.
+constexpr int kGapsToWait = 3;
+/// When a request that did not run may come back, in parts of its objective.
+constexpr double kRetryAfterObjectives = 0.15;
+/// Bytes a caller has not taken beyond which reading from the back end stops.
+constexpr std::size_t kCallerBufferBytes = 64U << 10U;
+constexpr std::uint16_t kMisdirected = 421;
+
+std::uint64_t read_number(std::string_view text, std::uint64_t otherwise) {
+  std::uint64_t number = otherwise;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+  return error == std::errc() ? number : otherwise;
+}
+
+std::int64_t to_milliseconds(Duration span) {
+  return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
+void set_header(std::vector<http::Header>& headers, const std::string& name, std::string value) {
+  const auto found = std::find_if(headers.begin(), headers.end(),
+                                  [&](const http::Header& header) { return header.name == name; });
+  if (found != headers.end()) {
+    found->value = std::move(value);
+  } else {
+    headers.push_back({name, std::move(value)});
+  }
+}
+
+std::string_view describe(FailureReason reason) {
+  switch (reason) {
+    case FailureReason::kNoBackend:
+      return "no-backend";
+    case FailureReason::kUnreachable:
+      return "unreachable";
+    case FailureReason::kRefused:
+      return "refused";
+    case FailureReason::kBroken:
+      return "broken";
+    case FailureReason::kTimeout:
+      return "timeout";
+  }
+  return "";
+}
+
+bool is_success(std::uint16_t status) {
+  return status >= 200 && status < 300;
+}
+
+}  // namespace
+
+RequestSession::RequestSession(Environment& environment, std::shared_ptr<const RouteTable> routes,
+                               const Route& route, http::Request request,
+                               std::shared_ptr<http::ResponseWriter> writer)
+    : environment_(environment),
+      routes_(std::move(routes)),
+      route_(route),
+      request_(std::move(request)),
+      writer_(std::move(writer)),
+      deadline_timer_(environment.timers),
+      progress_timer_(environment.timers) {}
+
+void RequestSession::begin(std::function<void()> on_end) {
+  on_end_ = std::move(on_end);
+  const HeaderNames& names = environment_.names;
+  arrived_ = environment_.clock.now();
+  id_ = http::find_header(request_.headers, names.request_id);
+  const std::string_view waits = http::find_header(request_.headers, names.deadline);
+  const Duration caller_waits =
+      waits.empty() ? route_.timeout
+                    : Duration(milliseconds(read_number(waits, to_milliseconds(route_.timeout))));
+  deadline_ = arrived_ + std::min(route_.timeout, caller_waits);
+  service_ = environment_.shares.pick(route_);
+  const Service* service = routes_->configuration().find_service(service_);
+  if (service != nullptr && service->engine) {
+    prompt_ = parse_prompt(http::find_header(request_.headers, names.prompt_parts),
+                           http::find_header(request_.headers, names.token_counts));
+  }
+  const std::string_view last = http::find_header(request_.headers, names.last_event);
+  if (!last.empty()) {
+    last_event_ = read_number(last, 0);
+  }
+  environment_.budget.note_request(service_, arrived_);
+  writer_->on_closed([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->caller_gone();
+    }
+  });
+  writer_->on_drained([weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && self->attempt_ && self->attempt_->exchange) {
+      self->attempt_->exchange->set_reading(true);
+    }
+  });
+  deadline_timer_.arm(deadline_ - arrived_, [this] { on_deadline(); });
+  dispatch();
+}
+
+void RequestSession::dispatch() {
+  const MonotonicTime now = environment_.clock.now();
+  if (time_left() < kLeastTime) {
+    give_up(FailureReason::kTimeout);
+    return;
+  }
+  PlacementRequest wanted;
+  wanted.service = service_;
+  wanted.prompt = prompt_ ? &*prompt_ : nullptr;
+  wanted.avoid = tried_;
+  const PlacementChoice choice = environment_.placement.choose(wanted, now);
+  if (choice.backend == nullptr) {
+    give_up(FailureReason::kNoBackend);
+    return;
+  }
+  const Backend& backend = *choice.backend;
+  tried_.insert(backend.id);
+  attempt_.emplace();
+  attempt_->backend = backend.id;
+  attempt_->unread_tokens = choice.unread_tokens;
+  attempt_->started = now;
+  BackendLoad& load = environment_.loads.of(backend.id);
+  load.begin(choice.unread_tokens);
+  if (prompt_) {
+    load.note_cached(prompt_->shared_key(), now);
+  }
+  ++environment_.statistics.attempts;
+  log_attempt("attempt started", backend.address.value());
+  attempt_->exchange =
+      environment_.transport.start(make_backend_request(backend, time_left()), *this);
+  watch_progress();
+}
+
+http::ClientRequest RequestSession::make_backend_request(const Backend& backend,
+                                                         Duration left) const {
+  const HeaderNames& names = environment_.names;
+  http::ClientRequest request;
+  request.endpoint = backend.address;
+  request.method = request_.method;
+  request.path = request_.query.empty() ? request_.path : request_.path + "?" + request_.query;
+  request.headers = headers_for_backend(request_.headers, names);
+  set_header(request.headers, names.deadline, std::to_string(to_milliseconds(left)));
+  set_header(request.headers, names.expected_instance, backend.id.value());
+  if (prompt_) {
+    set_header(request.headers, names.priority, std::to_string(std::min(route_.priority, 9U)));
+  }
+  if (answer_open_ && last_event_) {
+    set_header(request.headers, names.last_event, std::to_string(*last_event_));
+  }
+  request.body = request_.body;
+  request.timeout = left;
+  request.connect_timeout = std::min(kConnectTimeout, left);
+  request.close_ends_answer = true;
+  request.echo = http::Header{names.request_id, id_};
+  return request;
+}
+
+void RequestSession::on_head(const http::ResponseHead& head) {
+  attempt_->head = head;
+  const auto load = parse_load(http::find_header(head.headers, environment_.names.load));
+  if (load) {
+    environment_.loads.of(attempt_->backend).note_report(*load, environment_.clock.now());
+  }
+  attempt_->streams = is_stream() && is_success(head.status) &&
+                      !http::find_header(head.headers, environment_.names.signature).empty();
+}
+
+void RequestSession::on_body(std::string_view bytes) {
+  const std::shared_ptr<RequestSession> keep = shared_from_this();
+  if (!attempt_->streams) {
+    attempt_->body.append(bytes);
+    return;
+  }
+  attempt_->events.append(bytes);
+  relay_events();
+}
+
+void RequestSession::on_complete() {
+  const std::shared_ptr<RequestSession> keep = shared_from_this();
+  ++sends_;
+  judge_complete();
+}
+
+void RequestSession::judge_complete() {
+  const HeaderNames& names = environment_.names;
+  const http::ResponseHead& head = *attempt_->head;
+  const bool signed_answer = !http::find_header(head.headers, names.signature).empty();
+  const bool not_run =
+      !http::find_header(head.headers, names.not_run).empty() || head.status == kMisdirected;
+  if (not_run) {
+    log_attempt("attempt refused", std::to_string(head.status));
+    end_attempt(AttemptVerdict::kRefused);
+    retry_or_give_up(FailureReason::kRefused);
+    return;
+  }
+  may_have_run_ = true;
+  if (!signed_answer) {
+    log_attempt("attempt without signature", std::to_string(head.status));
+    end_attempt(AttemptVerdict::kFailed);
+    retry_or_give_up(FailureReason::kBroken);
+    return;
+  }
+  if (attempt_->streams) {
+    relay_whole();
+    return;
+  }
+  if (!is_success(head.status) && !answer_open_ && route_.repeatable() && may_send_again()) {
+    log_attempt("attempt failed at the back end", std::to_string(head.status));
+    end_attempt(AttemptVerdict::kFailed);
+    dispatch();
+    return;
+  }
+  relay_whole();
+}
+
+void RequestSession::relay_whole() {
+  const std::string_view rest = attempt_->events.rest();
+  if (attempt_->streams) {
+    open_answer(*attempt_->head, true);
+    writer_->send_body(rest);
+    writer_->finish();
+  } else if (answer_open_) {
+    // A resumed stream was answered with something else.
+    end_attempt(AttemptVerdict::kFailed);
+    retry_or_give_up(FailureReason::kBroken);
+    return;
+  } else {
+    answer_open_ = true;
+    environment_.statistics.first_byte.note(environment_.clock.now() - arrived_);
+    writer_->respond(attempt_->head->status, headers_for_caller(attempt_->head->headers),
+                     attempt_->body);
+  }
+  ++environment_.statistics.answered;
+  end_attempt(is_success(attempt_->head->status) ? AttemptVerdict::kGood : AttemptVerdict::kFailed);
+  finish("answered");
+}
+
+void RequestSession::relay_events() {
+  bool passed = false;
+  while (const auto event = attempt_->events.next()) {
+    if (!attempt_->prompt_read) {
+      attempt_->prompt_read = true;
+      environment_.loads.of(attempt_->backend).note_read(attempt_->unread_tokens);
+    }
+    passed = pass_event(*event) || passed;
+  }
+  if (passed) {
+    watch_progress();
+  }
+}
+
+/// Sends one event on, unless the caller has it already.
+bool RequestSession::pass_event(const StreamEvent& event) {
+  if (event.id && last_event_ && *event.id <= *last_event_) {
+    return false;
+  }
+  open_answer(*attempt_->head, true);
+  if (event.id) {
+    last_event_ = event.id;
+  }
+  writer_->send_body(event.bytes);
+  if (writer_->buffered_bytes() > kCallerBufferBytes) {
+    attempt_->exchange->set_reading(false);
+  }
+  return true;
+}
+
+/// Gives the caller the head of the first back end that answers with events.
+void RequestSession::open_answer(const http::ResponseHead& head, bool streamed) {
+  if (answer_open_) {
+    return;
+  }
+  answer_open_ = streamed;
+  environment_.statistics.first_byte.note(environment_.clock.now() - arrived_);
+  writer_->send_head({head.status, headers_for_caller(head.headers)});
+}
+
+void RequestSession::on_failure(const http::HttpError& error, bool sent) {
+  const std::shared_ptr<RequestSession> keep = shared_from_this();
+  log_attempt(sent ? "attempt broke off" : "no connection", error.message);
+  if (!sent) {
+    ++unreachable_;
+    end_attempt(AttemptVerdict::kUnreachable);
+    if (unreachable_ < kMostUnreachable) {
+      dispatch();
+    } else {
+      give_up(FailureReason::kUnreachable);
+    }
+    return;
+  }
+  ++sends_;
+  may_have_run_ = true;
+  // A kept connection that had died says nothing of the back end.
+  const bool stale = error.code == http::HttpErrc::kStaleConnection;
+  if (stale) {
+    tried_.erase(attempt_->backend);
+  }
+  end_attempt(stale ? AttemptVerdict::kAbandoned : AttemptVerdict::kFailed);
+  retry_or_give_up(FailureReason::kBroken);
+}
+
+void RequestSession::retry_or_give_up(FailureReason reason) {
+  const bool allowed = reason == FailureReason::kRefused ? !may_have_run_ || route_.repeatable()
+                                                         : route_.repeatable();
+  if (allowed && may_send_again()) {
+    if (answer_open_) {
+      ++environment_.statistics.resumed;
+    }
+    dispatch();
+    return;
+  }
+  give_up(reason);
+}
+
+/// Takes one more send out of the route's attempts and the budget.
+bool RequestSession::may_send_again() {
+  if (sends_ >= route_.most_attempts || time_left() < kLeastTime) {
+    return false;
+  }
+  const bool granted = environment_.budget.spend(service_, environment_.node_count(),
+                                                 environment_.clock.now());
+  ++(granted ? environment_.statistics.repeats : environment_.statistics.budget_denied);
+  return granted;
+}
+
+/// Closes the attempt's connection, if it still runs, and accounts for it.
+void RequestSession::end_attempt(AttemptVerdict verdict) {
+  progress_timer_.disarm();
+  if (!attempt_ || attempt_->backend.empty()) {
+    return;
+  }
+  BackendLoad& load = environment_.loads.of(attempt_->backend);
+  if (!std::exchange(attempt_->prompt_read, true)) {
+    load.note_read(attempt_->unread_tokens);
+  }
+  load.end(verdict, environment_.clock.now());
+  attempt_->exchange.reset();
+  attempt_->backend = BackendId();
+}
+
+/// A silent back end is left for another one if the request may be repeated.
+void RequestSession::watch_progress() {
+  if (!route_.repeatable()) {
+    return;
+  }
+  Duration patience{};
+  if (!is_stream()) {
+    patience = std::max<Duration>(kObjectivesToWait * route_.target_latency, kLeastWait);
+  } else if (answer_open_) {
+    patience = std::max<Duration>(kGapsToWait * route_.target_gap, kLeastWait);
+  } else {
+    patience = std::max<Duration>(kHalfObjectivesToFirstEvent * route_.target_latency / 2,
+                                  kLeastWaitForFirstEvent);
+  }
+  progress_timer_.arm(patience, [this] { on_no_progress(); });
+}
+
+void RequestSession::on_no_progress() {
+  if (sends_ + 1 >= route_.most_attempts || !attempt_ || attempt_->backend.empty()) {
+    return;
+  }
+  const std::shared_ptr<RequestSession> keep = shared_from_this();
+  ++sends_;
+  if (!may_send_again()) {
+    --sends_;
+    return;
+  }
+  may_have_run_ = true;
+  log_attempt("attempt made no progress", "");
+  if (answer_open_) {
+    ++environment_.statistics.resumed;
+  }
+  end_attempt(AttemptVerdict::kFailed);
+  dispatch();
+}
+
+void RequestSession::give_up(FailureReason reason) {
+  end_attempt(AttemptVerdict::kAbandoned);
+  if (answer_open_) {
+    ++environment_.statistics.broken;
+    writer_->abort();
+    finish("broken");
+    return;
+  }
+  std::vector<http::Header> headers{{"content-type", "application/json"}};
+  if (!id_.empty()) {
+    headers.push_back({environment_.names.request_id, id_});
+  }
+  std::uint16_t status = reason == FailureReason::kTimeout ? 504 : 502;
+  if (!may_have_run_) {
+    status = 503;
+    const double seconds = kRetryAfterObjectives * to_seconds(route_.target_latency);
+    headers.push_back({"retry-after", std::to_string(std::max(0.02, seconds))});
+    ++environment_.statistics.refused;
+  } else {
+    ++environment_.statistics.unknown;
+  }
+  writer_->respond(status, std::move(headers),
+                   "{\"error\":\"" + std::string(describe(reason)) + "\"}\n");
+  finish(describe(reason));
+}
+
+void RequestSession::caller_gone() {
+  if (ended_) {
+    return;
+  }
+  const std::shared_ptr<RequestSession> keep = shared_from_this();
+  ++environment_.statistics.caller_gone;
+  end_attempt(AttemptVerdict::kAbandoned);
+  finish("caller-gone");
+}
+
+void RequestSession::on_deadline() {
+  const std::shared_ptr<RequestSession> keep = shared_from_this();
+  may_have_run_ = may_have_run_ || (attempt_ && !attempt_->backend.empty());
+  log_attempt("deadline", "");
+  give_up(FailureReason::kTimeout);
+}
+
+void RequestSession::finish(std::string_view outcome) {
+  if (std::exchange(ended_, true)) {
+    return;
+  }
+  deadline_timer_.disarm();
+  progress_timer_.disarm();
+  writer_->on_closed(nullptr);
+  writer_->on_drained(nullptr);
+  environment_.logger.write(
+      {logging::Level::kInfo,
+       kComponent,
+       "request ended",
+       {{"request_id", id_},
+        {"route", route_.name.value()},
+        {"service", service_.value()},
+        {"outcome", std::string(outcome)},
+        {"attempts", static_cast<std::uint64_t>(sends_ + unreachable_)},
+        {"configuration", routes_->configuration().version.value()},
+        {"milliseconds", to_milliseconds(environment_.clock.now() - arrived_)}}});
+  if (const auto on_end = std::exchange(on_end_, nullptr)) {
+    on_end();
+  }
+}
+
+void RequestSession::log_attempt(std::string_view message, std::string_view detail) {
+  const std::string backend = attempt_ ? attempt_->backend.value() : std::string();
+  environment_.logger.write(
+      {logging::Level::kInfo,
+       kComponent,
+       std::string(message),
+       {{"request_id", id_},
+        {"backend", backend},
+        {"detail", std::string(detail)},
+        {"unread_tokens", attempt_ ? attempt_->unread_tokens : 0},
+        {"age_milliseconds", to_milliseconds(environment_.clock.now() - arrived_)}}});
+}
+
+}  // namespace ochrespring::gateway
--- /dev/null
+++ b/src/gateway/request_session.h
@@ -0,0 +1,111 @@
+// One caller's request from its arrival to its end: attempts at back ends, their judgement, and the
+// answer.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "base/timer.h"
+#include "gateway/environment.h"
+#include "gateway/event_splitter.h"
+#include "gateway/prompt.h"
+#include "gateway/route_table.h"
+#include "http/client.h"
+#include "http/server.h"
+
+namespace ochrespring::gateway {
+
+/// Why a request ends without a back end's answer.
+enum class FailureReason : std::uint8_t {
+  kNoBackend,    ///< No back end may take it.
+  kUnreachable,  ///< No connection to any.
+  kRefused,      ///< Back ends said that they did not run it.
+  kBroken,       ///< An attempt broke off; it may have run.
+  kTimeout,
+};
+
+/// Shares its life with the exchange it waits for; used on its loop.
+///
+/// Two facts decide what may follow an attempt: whether any byte of the request left, and whether
+/// the back end said that it did not run it. Only a request of which every attempt is certain not
+/// to have run is answered as such (503); after anything else a request that may not be repeated
+/// ends as unknown (502 or 504) at once.
+class RequestSession final : public http::ResponseObserver,
+                             public std::enable_shared_from_this<RequestSession> {
+ public:
+  RequestSession(Environment& environment, std::shared_ptr<const RouteTable> routes,
+                 const Route& route, http::Request request,
+                 std::shared_ptr<http::ResponseWriter> writer);
+
+  /// `on_end` is called once, when nothing is left to do.
+  void begin(std::function<void()> on_end);
+
+  void on_head(const http::ResponseHead& head) override;
+  void on_body(std::string_view bytes) override;
+  void on_complete() override;
+  void on_failure(const http::HttpError& error, bool sent) override;
+
+ private:
+  /// One attempt at one back end.
+  struct Attempt {
+    BackendId backend;
+    std::uint64_t unread_tokens = 0;
+    bool prompt_read = false;
+    std::unique_ptr<http::Exchange> exchange;
+    std::optional<http::ResponseHead> head;
+    std::string body;  ///< Of an answer that is held back until it is whole.
+    EventSplitter events;
+    bool streams = false;  ///< Events are passed on as they come.
+    MonotonicTime started{};
+  };
+
+  void dispatch();
+  http::ClientRequest make_backend_request(const Backend& backend, Duration left) const;
+  bool may_send_again();
+  void retry_or_give_up(FailureReason reason);
+  void end_attempt(AttemptVerdict verdict);
+  void watch_progress();
+  void on_no_progress();
+
+  void judge_complete();
+  void relay_whole();
+  void relay_events();
+  bool pass_event(const StreamEvent& event);
+  void open_answer(const http::ResponseHead& head, bool streamed);
+
+  void give_up(FailureReason reason);
+  void caller_gone();
+  void on_deadline();
+  void finish(std::string_view outcome);
+  void log_attempt(std::string_view message, std::string_view detail);
+
+  bool is_stream() const { return route_.kind == RequestKind::kStreaming; }
+  Duration time_left() const { return deadline_ - environment_.clock.now(); }
+
+  Environment& environment_;
+  std::shared_ptr<const RouteTable> routes_;
+  const Route& route_;
+  http::Request request_;
+  std::shared_ptr<http::ResponseWriter> writer_;
+  std::function<void()> on_end_;
+  std::string id_;
+  ServiceName service_;
+  std::optional<Prompt> prompt_;
+  MonotonicTime arrived_{};
+  MonotonicTime deadline_{};
+  Timer deadline_timer_;
+  Timer progress_timer_;
+  std::optional<Attempt> attempt_;
+  std::set<BackendId> tried_;
+  std::uint32_t sends_ = 0;         ///< Attempts of which a byte may have left.
+  std::uint32_t unreachable_ = 0;   ///< Attempts without a connection.
+  bool may_have_run_ = false;
+  bool answer_open_ = false;        ///< The caller has the head.
+  std::optional<std::uint64_t> last_event_;
+  bool ended_ = false;
+};
+
+}  // namespace ochrespring::gateway
--- /dev/null
+++ b/src/gateway/route_table.cc
@@ -0,0 +1,42 @@
+#include "gateway/route_table.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace ochrespring::gateway {
+
+namespace {
+
+std::string normalise_host(std::string_view host) {
+  std::string name(host.substr(0, host.find(':')));
+  std::transform(name.begin(), name.end(), name.begin(),
+                 [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+  return name;
+}
+
+}  // namespace
+
+RouteTable::RouteTable(Configuration configuration) : configuration_(std::move(configuration)) {
+  for (const Route& route : configuration_.routes) {
+    by_host_[normalise_host(route.host)].push_back(&route);
+  }
+  for (auto& [host, routes] : by_host_) {
+    std::stable_sort(routes.begin(), routes.end(), [](const Route* left, const Route* right) {
+      return left->path_prefix.size() > right->path_prefix.size();
+    });
+  }
+}
+
+const Route* RouteTable::find(std::string_view host, std::string_view path) const {
+  const auto routes = by_host_.find(normalise_host(host));
+  if (routes == by_host_.end()) {
+    return nullptr;
+  }
+  const auto found =
+      std::find_if(routes->second.begin(), routes->second.end(),
+                   [&](const Route* route) { return path.starts_with(route->path_prefix); });
+  return found == routes->second.end() ? nullptr : *found;
+}
+
+}  // namespace ochrespring::gateway
--- /dev/null
+++ b/src/gateway/statistics.h
@@ -0,0 +1,52 @@
+// Counters of one gateway.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include "base/time.h"
+
+namespace ochrespring::gateway {
+
+/// Counts of latencies up to bounds in seconds, Prometheus style.
+class LatencyHistogram {
+ public:
+  static constexpr std::array<double, 10> kBounds{0.01, 0.025, 0.05, 0.1, 0.25,
+                                                  0.5,  1.0,   2.5,  5.0, 10.0};
+  void note(Duration latency) {
+    const double seconds = to_seconds(latency);
+    sum_ += seconds;
+    ++count_;
+    for (std::size_t i = 0; i != kBounds.size(); ++i) {
+      if (seconds <= kBounds[i]) {
+        ++counts_[i];
+      }
+    }
+  }
+  const std::array<std::uint64_t, 10>& counts() const { return counts_; }
+  std::uint64_t count() const { return count_; }
+  double sum() const { return sum_; }
+
+ private:
+  std::array<std::uint64_t, 10> counts_{};
+  std::uint64_t count_ = 0;
+  double sum_ = 0;
+};
+
+struct GatewayStatistics {
+  std::uint64_t requests = 0;
+  std::uint64_t answered = 0;       ///< A back end's whole answer, whatever its status.
+  std::uint64_t refused = 0;        ///< Ended as not run.
+  std::uint64_t unknown = 0;        ///< Ended without knowing whether it ran.
+  std::uint64_t broken = 0;         ///< Streams cut after their head.
+  std::uint64_t caller_gone = 0;
+  std::uint64_t no_route = 0;
+  std::uint64_t attempts = 0;
+  std::uint64_t repeats = 0;        ///< Attempts beyond the first, from the retry budget.
+  std::uint64_t budget_denied = 0;
+  std::uint64_t resumed = 0;        ///< Streams taken up at another back end.
+  LatencyHistogram first_byte;      ///< From arrival to the first byte of the answer.
+};
+
+}  // namespace ochrespring::gateway
--- /dev/null
+++ b/src/gateway/types.h
@@ -0,0 +1,97 @@
+// What operators configure for the gateway, and the back ends it knows.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace ochrespring::gateway {
+
+using BackendId = StrongString<struct BackendIdTag>;  ///< One life of one back end.
+using RouteName = StrongString<struct RouteNameTag>;
+/// Version of the configuration; only ever grows.
+using ConfigurationVersion = StrongNumber<struct ConfigurationVersionTag>;
+
+/// What may be done again with a request.
+enum class RequestKind : std::uint8_t {
+  kIdempotent,     ///< May run more than once.
+  kNonIdempotent,  ///< Runs at most once.
+  kStreaming,      ///< Answered with events; runs at most once unless resumable.
+};
+
+/// One part of a route's traffic.
+struct TrafficShare {
+  ServiceName service;
+  std::uint32_t weight = 1;
+};
+
+/// Where requests of one host and path go, and how they are treated.
+struct Route {
+  RouteName name;
+  std::string host;
+  std::string path_prefix;
+  RequestKind kind = RequestKind::kNonIdempotent;
+  Duration timeout{std::chrono::seconds(5)};
+  Duration target_latency{std::chrono::seconds(1)};  ///< Streams: to the first event.
+  Duration target_gap{std::chrono::seconds(1)};      ///< Longest pause between events in time.
+  std::uint32_t priority = 0;                        ///< 0 is the most urgent.
+  std::uint32_t most_attempts = 1;                   ///< Servers one request may be sent to.
+  bool resumable = false;
+  std::vector<TrafficShare> shares;
+
+  /// Whether a request may run more than once.
+  bool repeatable() const {
+    return kind == RequestKind::kIdempotent || (kind == RequestKind::kStreaming && resumable);
+  }
+};
+
+/// What the engines of a service can hold.
+struct EngineShape {
+  std::uint32_t slots = 1;
+  std::uint64_t cache_tokens = 0;
+  std::uint64_t bytes_per_token = 0;
+  Duration role_change{std::chrono::seconds(2)};
+};
+
+struct Service {
+  ServiceName name;
+  std::uint32_t most_connections = 100;  ///< Of all callers together, to one back end.
+  std::optional<EngineShape> engine;     ///< None: an ordinary service.
+};
+
+/// What callers may send and how long their connections may rest.
+struct CallerLimits {
+  std::uint64_t largest_body_bytes = 4U << 20U;
+  Duration idle_timeout{std::chrono::seconds(15)};
+};
+
+struct Configuration {
+  ConfigurationVersion version;
+  std::vector<Route> routes;
+  std::vector<Service> services;
+  CallerLimits limits;
+
+  const Service* find_service(const ServiceName& name) const;
+};
+
+/// What a model engine does.
+enum class EngineRole : std::uint8_t { kNone, kPrefill, kDecode };
+
+/// One back end as it registered itself.
+struct Backend {
+  BackendId id;
+  ServiceName service;
+  Endpoint address;
+  ZoneName zone;
+  std::uint32_t slots = 1;
+  bool draining = false;
+  EngineRole role = EngineRole::kNone;
+
+  bool operator==(const Backend&) const = default;
+};
+
+}  // namespace ochrespring::gateway
--- /dev/null
+++ b/src/gateway_node/gateway_node.cc
@@ -0,0 +1,165 @@
+#include "gateway_node/gateway_node.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ochrespring::gateway_node {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::string_view kComponent = "node";
+/// How long callers may go on using an answer of the directory that still names this node.
+constexpr Duration kCallersNotice = milliseconds(3500);
+/// Kept back from the grace, so that the process ends by itself.
+constexpr Duration kGraceMargin = milliseconds(500);
+/// The server closes later than callers do, so that a request seldom crosses the close.
+constexpr Duration kIdleMargin = std::chrono::seconds(2);
+
+http::ServerSettings server_at(const Endpoint& endpoint) {
+  http::ServerSettings settings;
+  settings.listen = endpoint;
+  return settings;
+}
+
+}  // namespace
+
+GatewayNode::GatewayNode(http::EventLoop& loop, http::Client& client, const Clock& clock,
+                         RandomSource& random, logging::Logger& logger, Settings settings,
+                         Adapter adapter)
+    : loop_(loop),
+      clock_(clock),
+      logger_(logger),
+      settings_(std::move(settings)),
+      adapter_(std::move(adapter)),
+      client_(client),
+      placement_(fleet_, loads_, random, settings_.zone),
+      budget_(settings_.retry_budget),
+      shares_(random),
+      transport_(client),
+      nodes_({settings_.node, settings_.listen, settings_.zone}),
+      watcher_({clock, loop, random, adapter_.store, adapter_.codec, logger}, {}, fleet_, nodes_),
+      registration_(loop, adapter_.store, logger,
+                    {adapter_.codec.layout().node_prefix + settings_.node.value(),
+                     settings_.node_lease},
+                    {settings_.node, settings_.listen, settings_.zone}),
+      gateway_({clock, loop, transport_, fleet_, loads_, placement_, budget_, shares_,
+                adapter_.names, statistics_, logger, [this] { return nodes_.count(); }},
+               [this](auto done) { watcher_.refresh(std::move(done)); }),
+      callers_(loop, server_at(settings_.listen)),
+      ready_(loop, server_at(settings_.ready_listen)),
+      directory_(loop, server_at(settings_.directory_listen)),
+      stop_timer_(loop),
+      quiet_timer_(loop) {}
+
+Result<void, http::HttpError> GatewayNode::start() {
+  callers_.route("/", [this](http::Request request, auto response) {
+    gateway_.handle(std::move(request), std::move(response));
+  });
+  adapter_.add_ready_page(ready_, [this] { return !stopping_ && fleet_.routes() != nullptr; });
+  adapter_.add_directory_page(directory_, nodes_);
+  BOOST_OUTCOME_TRY(callers_.listen());
+  BOOST_OUTCOME_TRY(ready_.listen());
+  BOOST_OUTCOME_TRY(directory_.listen());
+  if (!settings_.metrics_listen.empty()) {
+    metrics_.add([this](metrics::SampleSink& sink) { add_metrics(sink); });
+    metrics_server_ = std::make_unique<http::Server>(loop_, server_at(settings_.metrics_listen));
+    metrics_server_->route("/metrics", [this](const http::Request&, const auto& response) {
+      response->respond(200, {{"content-type", std::string(metrics::kContentType)}},
+                        metrics_.render());
+    });
+    BOOST_OUTCOME_TRY(metrics_server_->listen());
+  }
+  fleet_.on_removed([this](const gateway::Backend& backend) {
+    loads_.forget(backend.id);
+    client_.forget(backend.address);
+  });
+  watcher_.on_current([this] { apply_limits(); });
+  gateway_.on_idle([this] { stop_if_idle(); });
+  watcher_.start();
+  registration_.start();
+  logger_.write({logging::Level::kInfo,
+                 kComponent,
+                 "started",
+                 {{"node", settings_.node.value()}, {"listen", settings_.listen.value()}}});
+  return outcome::success();
+}
+
+void GatewayNode::stop() {
+  if (std::exchange(stopping_, true)) {
+    return;
+  }
+  logger_.write({logging::Level::kInfo,
+                 kComponent,
+                 "stop requested",
+                 {{"running", static_cast<std::uint64_t>(gateway_.running())}}});
+  nodes_.leave();
+  registration_.leave();
+  callers_.announce_close();
+  quiet_timer_.arm(kCallersNotice, [this] {
+    callers_left_ = true;
+    callers_.stop_accepting();
+    stop_if_idle();
+  });
+  stop_timer_.arm(std::max<Duration>(settings_.stop_grace - kGraceMargin, kGraceMargin),
+                  [this] { loop_.stop(); });
+}
+
+void GatewayNode::stop_if_idle() {
+  if (!callers_left_ || gateway_.running() != 0) {
+    return;
+  }
+  logger_.write({logging::Level::kInfo, kComponent, "stopped", {}});
+  // Bytes of the last answer may still be on their way out.
+  quiet_timer_.arm(milliseconds(50), [this] { loop_.stop(); });
+}
+
+void GatewayNode::reload(const Settings& settings) {
+  settings_.retry_budget = settings.retry_budget;
+  settings_.stop_grace = settings.stop_grace;
+  budget_.set(settings.retry_budget);
+  logger_.write({logging::Level::kInfo, kComponent, "settings reloaded", {}});
+}
+
+void GatewayNode::apply_limits() {
+  const auto& limits = fleet_.routes() ? fleet_.routes()->configuration().limits
+                                       : gateway::CallerLimits();
+  callers_.set_idle_timeout(limits.idle_timeout + kIdleMargin);
+}
+
+void GatewayNode::add_metrics(metrics::SampleSink& sink) const {
+  const gateway::GatewayStatistics& counts = statistics_;
+  const auto counter = [&](const char* name, const char* help, std::uint64_t value) {
+    sink.counter({name, help}, static_cast<double>(value));
+  };
+  counter("requests", "Requests taken", counts.requests);
+  counter("requests_answered", "Ended with a back end's whole answer", counts.answered);
+  counter("requests_refused", "Ended as not run", counts.refused);
+  counter("requests_unknown", "Ended without knowing whether they ran", counts.unknown);
+  counter("streams_broken", "Streams cut after their head", counts.broken);
+  counter("callers_gone", "Requests whose caller went away", counts.caller_gone);
+  counter("requests_without_route", "Requests without a route", counts.no_route);
+  counter("attempts", "Attempts at back ends", counts.attempts);
+  counter("repeats", "Attempts from the retry budget", counts.repeats);
+  counter("repeats_denied", "Attempts that the retry budget did not allow", counts.budget_denied);
+  counter("streams_resumed", "Streams taken up at another back end", counts.resumed);
+  counter("store_looks", "Looks at the store", watcher_.statistics().looks);
+  counter("store_looks_failed", "Looks that failed", watcher_.statistics().failed_looks);
+  counter("store_values_rejected", "Values not understood", watcher_.statistics().rejected_values);
+  counter("backend_connections", "Connections opened", client_.statistics().connections_opened);
+  sink.gauge({"requests_running", "Requests running"}, static_cast<double>(gateway_.running()));
+  sink.gauge({"backends", "Back ends known"}, static_cast<double>(fleet_.backends().size()));
+  sink.gauge({"nodes", "Nodes known"}, static_cast<double>(nodes_.count()));
+  const gateway::LatencyHistogram& latency = counts.first_byte;
+  for (std::size_t i = 0; i != gateway::LatencyHistogram::kBounds.size(); ++i) {
+    sink.counter({"first_byte_seconds_bucket", "Time to the first byte of an answer"},
+                 static_cast<double>(latency.counts()[i]),
+                 {{"le", std::to_string(gateway::LatencyHistogram::kBounds[i])}});
+  }
+  sink.counter({"first_byte_seconds_count", "Answers counted"},
+               static_cast<double>(latency.count()));
+  sink.counter({"first_byte_seconds_sum", "Seconds to the first byte, added up"}, latency.sum());
+}
+
+}  // namespace ochrespring::gateway_node
--- /dev/null
+++ b/src/gateway_node/gateway_node.h
@@ -0,0 +1,69 @@
+// One node: its listeners, its view of the fleet, its gateway, and its planned stop.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "base/random.h"
+#include "base/timer.h"
+#include "discovery/fleet_watcher.h"
+#include "discovery/node_registration.h"
+#include "gateway/gateway.h"
+#include "gateway_node/adapter.h"
+#include "gateway_node/settings.h"
+#include "http/client.h"
+#include "http/event_loop.h"
+#include "http/server.h"
+#include "logging/logger.h"
+#include "metrics/metrics.h"
+
+namespace ochrespring::gateway_node {
+
+/// Everything runs on one loop; only the signal handlers' post() comes from another thread.
+class GatewayNode {
+ public:
+  GatewayNode(http::EventLoop& loop, http::Client& client, const Clock& clock,
+              RandomSource& random, logging::Logger& logger, Settings settings, Adapter adapter);
+
+  /// Binds all addresses and starts to watch the store.
+  Result<void, http::HttpError> start();
+  /// Stop signal: leaves the directory, announces the close of connections, and ends the loop when
+  /// callers have had time to notice and the last request has ended, or when the grace is over.
+  void stop();
+  /// Reload signal, or the settings file has changed.
+  void reload(const Settings& settings);
+
+ private:
+  void add_metrics(metrics::SampleSink& sink) const;
+  void apply_limits();
+  void stop_if_idle();
+
+  http::EventLoop& loop_;
+  const Clock& clock_;
+  logging::Logger& logger_;
+  Settings settings_;
+  Adapter adapter_;
+  http::Client& client_;
+  gateway::FleetState fleet_;
+  gateway::LoadTable loads_;
+  gateway::Placement placement_;
+  gateway::RetryBudget budget_;
+  gateway::SharePicker shares_;
+  gateway::GatewayStatistics statistics_;
+  gateway::HttpBackendTransport transport_;
+  discovery::NodeDirectory nodes_;
+  discovery::FleetWatcher watcher_;
+  discovery::NodeRegistration registration_;
+  gateway::Gateway gateway_;
+  http::Server callers_;
+  http::Server ready_;
+  http::Server directory_;
+  std::unique_ptr<http::Server> metrics_server_;
+  metrics::MetricsRegistry metrics_;
+  Timer stop_timer_;
+  Timer quiet_timer_;
+  bool stopping_ = false;
+  bool callers_left_ = false;  ///< Callers have had time to notice the stop.
+};
+
+}  // namespace ochrespring::gateway_node
--- /dev/null
+++ b/src/gateway_node/settings.cc
@@ -0,0 +1,194 @@
+#include "gateway_node/settings.h"
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <utility>
+
+#include "settings/setting_checks.h"
+
+namespace ochrespring::gateway_node {
+
+namespace {
+
+using settings::Command;
+using settings::NumberRange;
+using settings::SettingsErrc;
+using settings::SettingsError;
+using Errors = std::vector<SettingsError>;
+
+constexpr const char* kVersion = "0.2.0";
+constexpr NumberRange kMillisecondRange{1, 600'000};
+constexpr const char* kMillisecondRule = "whole milliseconds from 1 to 600000";
+constexpr const char* kRatioRule = "a number from 0 to 10";
+constexpr const char* kSlackRule = "a number from 0 to 1000000";
+constexpr const char* kSecondsRule = "seconds from 0.1 to 3600";
+
+struct Specification {
+  std::string key;
+  std::string help;
+  std::string allowed;
+  std::string default_value;
+  bool required = false;
+  std::function<bool(const std::string&, Settings&)> store;
+};
+
+template <class Text>
+auto store_name(Text Settings::*member) {
+  return [member](const std::string& text, Settings& settings) {
+    std::string name;
+    const bool allowed = settings::read_name(text, name);
+    settings.*member = Text(name);
+    return allowed;
+  };
+}
+
+auto store_listen(Endpoint Settings::*member) {
+  return [member](const std::string& text, Settings& settings) {
+    return settings::read_listen_endpoint(text, settings.*member);
+  };
+}
+
+auto store_milliseconds(Duration Settings::*member) {
+  return [member](const std::string& text, Settings& settings) {
+    std::uint64_t number = 0;
+    const bool allowed = settings::read_number(text, kMillisecondRange, number);
+    settings.*member = std::chrono::milliseconds(number);
+    return allowed;
+  };
+}
+
+bool read_real(const std::string& text, double least, double most, double& value) {
+  char* end = nullptr;
+  value = std::strtod(text.c_str(), &end);
+  return end != text.c_str() && *end == '\0' && value >= least && value <= most;
+}
+
+bool store_seconds(const std::string& text, Duration& span) {
+  double seconds = 0;
+  const bool allowed = read_real(text, 0.1, 3600, seconds);
+  span = from_seconds(seconds);
+  return allowed;
+}
+
+std::vector<Specification> make_table() {
+  return {
+      {"node", "Name of this node", settings::kNameRule, "", true, store_name(&Settings::node)},
+      {"zone", "Zone of this node", settings::kNameRule, "", true, store_name(&Settings::zone)},
+      {"listen", "Address for callers' requests", settings::kEndpointRule, "", true,
+       store_listen(&Settings::listen)},
+      {"ready-listen", "Address for readiness checks", settings::kEndpointRule, "", true,
+       store_listen(&Settings::ready_listen)},
+      {"directory-listen", "Address for look-ups of nodes", settings::kEndpointRule, "", true,
+       store_listen(&Settings::directory_listen)},
+      {"metrics-listen", "Address for /metrics; none if absent", settings::kEndpointRule, "", false,
+       store_listen(&Settings::metrics_listen)},
+      {"store", "Address of the store that all nodes share", settings::kPeerEndpointRule, "", true,
+       [](const std::string& text, Settings& target) {
+         return settings::read_remote_endpoint(text, target.store);
+       }},
+      {"retry-ratio", "Repeats allowed per request, over all nodes", kRatioRule, "0.1", false,
+       [](const std::string& text, Settings& target) {
+         return read_real(text, 0, 10, target.retry_budget.ratio);
+       }},
+      {"retry-slack", "Repeats allowed in any window besides, over all nodes", kSlackRule, "10",
+       false,
+       [](const std::string& text, Settings& target) {
+         return read_real(text, 0, 1e6, target.retry_budget.slack);
+       }},
+      {"retry-window-s", "Window of the retry budget", kSecondsRule, "10", false,
+       [](const std::string& text, Settings& target) {
+         return store_seconds(text, target.retry_budget.window);
+       }},
+      {"stop-grace-s", "Time from the stop signal to the end", kSecondsRule, "8", false,
+       [](const std::string& text, Settings& target) {
+         return store_seconds(text, target.stop_grace);
+       }},
+      {"node-lease-ms", "Life of this node's registration without renewal", kMillisecondRule,
+       "3000", false, store_milliseconds(&Settings::node_lease)},
+      {"log-level", "Least level of log lines", settings::kLevelRule, "info", false,
+       [](const std::string& text, Settings& target) {
+         return settings::read_level(text, target.log_level);
+       }},
+  };
+}
+
+/// All taken as text, so that every mistake can be reported.
+class CommandLineParser {
+ public:
+  CommandLineParser() : table_(make_table()) {
+    app_.set_version_flag("--version", kVersion);
+    app_.add_flag("--check", check_, "Validate the settings and exit");
+    app_.set_config("--config", "",
+                    "File with `key = value` lines; the keys are these flags' names");
+    app_.allow_config_extras(CLI::config_extras_mode::ignore);
+    for (const Specification& specification : table_) {
+      const std::string help = specification.help + " (" + specification.allowed + ")";
+      app_.add_option("--" + specification.key, given_[specification.key], help)
+          ->multi_option_policy(CLI::MultiOptionPolicy::TakeLast);
+    }
+  }
+
+  Result<ParsedCommandLine, Errors> parse(std::vector<std::string> arguments) {
+    std::reverse(arguments.begin(), arguments.end());
+    ParsedCommandLine parsed;
+    try {
+      app_.parse(std::move(arguments));
+    } catch (const CLI::CallForHelp&) {
+      return ParsedCommandLine{Command::kHelp, {}, app_.help()};
+    } catch (const CLI::CallForVersion&) {
+      return ParsedCommandLine{Command::kHelp, {}, std::string(kVersion) + "\n"};
+    } catch (const CLI::FileError& error) {
+      return outcome::failure(
+          Errors{{SettingsErrc::kFile, std::string("config: ") + error.what()}});
+    } catch (const CLI::ParseError& error) {
+      return outcome::failure(Errors{{SettingsErrc::kSyntax, error.what()}});
+    }
+    Errors errors;
+    for (const Specification& specification : table_) {
+      check(specification, parsed.settings, errors);
+    }
+    if (!errors.empty()) {
+      return outcome::failure(std::move(errors));
+    }
+    parsed.settings.file = app_.get_config_ptr()->as<std::string>();
+    parsed.command = check_ ? Command::kCheck : Command::kRun;
+    return parsed;
+  }
+
+ private:
+  void check(const Specification& specification, Settings& target, Errors& errors) const {
+    std::string text = given_.at(specification.key);
+    if (text.empty()) {
+      text = specification.default_value;
+    }
+    if (text.empty()) {
+      if (specification.required) {
+        errors.push_back({SettingsErrc::kMissing,
+                          specification.key + ": not given; allowed: " + specification.allowed});
+      }
+      return;
+    }
+    if (!specification.store(text, target)) {
+      errors.push_back({SettingsErrc::kInvalidValue, specification.key + ": '" + text +
+                                                         "' is not allowed; allowed: " +
+                                                         specification.allowed});
+    }
+  }
+
+  std::vector<Specification> table_;
+  std::map<std::string, std::string> given_;
+  bool check_ = false;
+  CLI::App app_{"ochrespring-gateway: one node that takes callers' requests",
+                "ochrespring-gateway"};
+};
+
+}  // namespace
+
+Result<ParsedCommandLine, std::vector<SettingsError>> parse_command_line(
+    const std::vector<std::string>& arguments) {
+  return CommandLineParser().parse(arguments);
+}
+
+}  // namespace ochrespring::gateway_node
--- /dev/null
+++ b/src/gateway_node/settings.h
@@ -0,0 +1,42 @@
+// Settings of one gateway node: flags, or keys of the settings file of the same names.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "gateway/retry_budget.h"
+#include "logging/logger.h"
+#include "settings/node_settings.h"
+
+namespace ochrespring::gateway_node {
+
+struct Settings {
+  NodeId node;
+  ZoneName zone;
+  Endpoint listen;            ///< Callers' requests.
+  Endpoint ready_listen;      ///< The platform's readiness checks.
+  Endpoint directory_listen;  ///< Callers' look-ups of nodes.
+  Endpoint metrics_listen;    ///< Empty: no metrics.
+  Endpoint store;             ///< The store all nodes share.
+  gateway::RetryBudgetSettings retry_budget;
+  Duration stop_grace{std::chrono::seconds(8)};  ///< From the stop signal to the end by force.
+  Duration node_lease{std::chrono::seconds(3)};
+  logging::Level log_level = logging::Level::kInfo;
+  std::string file;  ///< The settings file, empty if none was given.
+};
+
+struct ParsedCommandLine {
+  settings::Command command = settings::Command::kRun;
+  Settings settings;
+  std::string text;
+};
+
+/// Reads flags and the file named by --config; flags win. Keys of the file that are not known are
+/// ignored: the file may gain fields. Every mistake is reported by its key.
+Result<ParsedCommandLine, std::vector<settings::SettingsError>> parse_command_line(
+    const std::vector<std::string>& arguments);
+
+}  // namespace ochrespring::gateway_node
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -1,9 +1,10 @@
-// HTTP/1.1 client over h2o's, with pooled connections.
+// HTTP/1.1 client on h2o's loop and parser, with pooled connections.
 #pragma once
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,8 +24,14 @@
   std::string path = "/";  ///< With the query, if any.
   std::vector<Header> headers;
   std::string body;
-  Duration timeout{std::chrono::seconds(5)};  ///< For the whole exchange.
-  bool fresh_connection = false;              ///< Do not reuse a pooled connection.
+  Duration timeout{std::chrono::seconds(5)};          ///< For the whole exchange.
+  Duration connect_timeout{std::chrono::seconds(5)};  ///< For a new connection; within `timeout`.
+  bool fresh_connection = false;                      ///< Do not reuse a pooled connection.
+  /// A header that the answer repeats, with the value it must have. An answer that names another
+  /// value belongs to another request: it is read over, and the connection not used again.
+  std::optional<Header> echo;
+  /// Take an orderly close for the end of an answer that tells no length.
+  bool close_ends_answer = false;
   /// Checked when the connection is there: at or after this, no byte leaves (kExpired).
   MonotonicTime send_before = MonotonicTime::max();
 };
@@ -36,7 +43,7 @@
   virtual ~ResponseObserver() = default;
   virtual void on_head(const ResponseHead& head) = 0;
   virtual void on_body(std::string_view bytes) = 0;
-  /// The answer's end is proven: its length, its last chunk.
+  /// The answer's end is proven: its length, its last chunk, or the close that was asked for.
   virtual void on_complete() = 0;
   /// `sent` tells whether any byte of the request may have left this process.
   virtual void on_failure(const HttpError& error, bool sent) = 0;
@@ -56,6 +63,12 @@
   bool sent = false;
 };
 
+/// What a client has done since it was made.
+struct ClientStatistics {
+  std::uint64_t connections_opened = 0;
+  std::uint64_t connections_reused = 0;
+};
+
 /// Client on one loop.
 class Client {
  public:
@@ -69,6 +82,9 @@
   /// Fetches a whole answer of at most `largest_body_bytes`.
   void fetch(ClientRequest request, std::function<void(Result<Response, FetchFailure>)> done,
              std::uint64_t largest_body_bytes = 8U << 20U);
+  /// Closes the idle connections to an endpoint.
+  void forget(const Endpoint& endpoint);
+  const ClientStatistics& statistics() const;
 
  private:
   struct State;
--- /dev/null
+++ b/src/http/client_connection.cc
@@ -0,0 +1,127 @@
+#include "http/client_connection.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <system_error>
+
+namespace ochrespring::http {
+
+namespace {
+
+void set_option(int descriptor, int option, int value) {
+  ::setsockopt(descriptor, IPPROTO_TCP, option, &value, sizeof(value));
+}
+
+bool is_retry(int error) {
+  return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
+}
+
+}  // namespace
+
+Result<std::unique_ptr<ClientConnection>, HttpError> ClientConnection::open(
+    EventLoop& loop, const SocketAddress& address, Duration silence) {
+  const int descriptor =
+      ::socket(address.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0) {
+    return fail(HttpErrc::kConnect, "open a socket: " + std::generic_category().message(errno));
+  }
+  set_option(descriptor, TCP_NODELAY, 1);
+  set_option(descriptor, TCP_USER_TIMEOUT,
+             static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(silence).count()));
+  if (::connect(descriptor, address.get(), address.length) != 0 && errno != EINPROGRESS) {
+    const int error = errno;
+    ::close(descriptor);
+    return fail(HttpErrc::kConnect, std::generic_category().message(error));
+  }
+  h2o_socket_t* socket =
+      h2o_evloop_socket_create(loop.native(), descriptor, H2O_SOCKET_FLAG_DONT_READ);
+  std::unique_ptr<ClientConnection> connection(new ClientConnection(socket));
+  socket->data = connection.get();
+  h2o_socket_notify_write(socket, on_connect_event);
+  return connection;
+}
+
+ClientConnection::~ClientConnection() {
+  socket_->data = nullptr;
+  h2o_socket_close(socket_);
+}
+
+IoResult ClientConnection::read(char* buffer, std::size_t size) {
+  const ssize_t count = ::recv(h2o_socket_get_fd(socket_), buffer, size, 0);
+  if (count > 0) {
+    return {IoStatus::kDone, static_cast<std::size_t>(count)};
+  }
+  if (count == 0) {
+    return {IoStatus::kClosed, 0};
+  }
+  return {is_retry(errno) ? IoStatus::kAgain : IoStatus::kFailed, 0};
+}
+
+IoResult ClientConnection::write(std::string_view head, std::string_view body) {
+  iovec parts[2] = {{const_cast<char*>(head.data()), head.size()},
+                    {const_cast<char*>(body.data()), body.size()}};
+  msghdr message{};
+  message.msg_iov = parts;
+  message.msg_iovlen = 2;
+  const ssize_t count = ::sendmsg(h2o_socket_get_fd(socket_), &message, MSG_NOSIGNAL);
+  if (count >= 0) {
+    return {IoStatus::kDone, static_cast<std::size_t>(count)};
+  }
+  return {is_retry(errno) ? IoStatus::kAgain : IoStatus::kFailed, 0};
+}
+
+void ClientConnection::set_reading(bool reading) {
+  const bool active = h2o_socket_is_reading(socket_) != 0;
+  if (reading && !active) {
+    h2o_socket_read_start(socket_, on_read_event);
+  } else if (!reading && active) {
+    h2o_socket_read_stop(socket_);
+  }
+}
+
+void ClientConnection::await_writable() {
+  h2o_socket_notify_write(socket_, on_write_event);
+}
+
+bool ClientConnection::has_news() const {
+  char byte = 0;
+  const ssize_t count =
+      ::recv(h2o_socket_get_fd(socket_), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  return count >= 0 || !is_retry(errno);
+}
+
+void ClientConnection::on_connect_event(h2o_socket_t* socket, const char* /*error*/) {
+  auto* connection = static_cast<ClientConnection*>(socket->data);
+  if (connection == nullptr || connection->listener_ == nullptr) {
+    return;
+  }
+  int error = 0;
+  socklen_t length = sizeof(error);
+  const int outcome =
+      ::getsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_ERROR, &error, &length);
+  connection->listener_->on_connected(outcome == 0 && error == 0);
+}
+
+void ClientConnection::on_read_event(h2o_socket_t* socket, const char* /*error*/) {
+  auto* connection = static_cast<ClientConnection*>(socket->data);
+  if (connection != nullptr && connection->listener_ != nullptr) {
+    connection->listener_->on_readable();
+  }
+}
+
+void ClientConnection::on_write_event(h2o_socket_t* socket, const char* /*error*/) {
+  auto* connection = static_cast<ClientConnection*>(socket->data);
+  if (connection != nullptr && connection->listener_ != nullptr) {
+    connection->listener_->on_writable();
+  }
+}
+
+}  // namespace ochrespring::http
--- /dev/null
+++ b/src/http/client_exchange.cc
@@ -0,0 +1,361 @@
+#include "http/client_exchange.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+#include <chrono>
+#include <utility>
+
+#include "http/socket_address.h"
+
+namespace ochrespring::http {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// How long an idle connection is kept if the peer does not say. Shorter than servers keep theirs.
+constexpr Duration kDefaultKeep = seconds(4);
+/// Taken off what the peer says, so that we close first.
+constexpr Duration kKeepMargin = milliseconds(700);
+/// Longest silence of a peer while sent bytes are unacknowledged.
+constexpr Duration kSilence = seconds(10);
+constexpr std::size_t kReadBytes = 32U << 10U;
+constexpr std::size_t kLargestHead = 64U << 10U;
+
+std::string make_head(const ClientRequest& request) {
+  std::string head;
+  head.reserve(512);
+  head.append(request.method).append(" ").append(request.path).append(" HTTP/1.1\r\n");
+  if (find_header(request.headers, "host").empty()) {
+    head.append("host: ").append(request.endpoint.value()).append("\r\n");
+  }
+  for (const Header& header : request.headers) {
+    head.append(header.name).append(": ").append(header.value).append("\r\n");
+  }
+  if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
+    head.append("content-length: ").append(std::to_string(request.body.size())).append("\r\n");
+  }
+  return head.append("\r\n");
+}
+
+bool contains_token(std::string_view list, std::string_view token) {
+  const auto same = [](unsigned char left, unsigned char right) {
+    return std::tolower(left) == std::tolower(right);
+  };
+  return std::search(list.begin(), list.end(), token.begin(), token.end(), same) != list.end();
+}
+
+/// Seconds of `Keep-Alive: timeout=N`, or the default.
+Duration keep_alive(std::string_view text) {
+  constexpr std::string_view kName = "timeout=";
+  const std::size_t at = text.find(kName);
+  if (at == std::string_view::npos) {
+    return kDefaultKeep;
+  }
+  const std::string_view digits = text.substr(at + kName.size());
+  int value = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), value);
+  return std::max<Duration>(seconds(value) - kKeepMargin, Duration::zero());
+}
+
+bool has_no_body(std::uint16_t status, const std::string& method) {
+  return status == 204 || status == 304 || method == "HEAD";
+}
+
+}  // namespace
+
+ClientExchange::ClientExchange(EventLoop& loop, ConnectionPool& pool, ClientStatistics& statistics,
+                               ClientRequest request, ResponseObserver& observer)
+    : loop_(loop),
+      pool_(pool),
+      statistics_(statistics),
+      request_(std::move(request)),
+      head_(make_head(request_)),
+      observer_(&observer),
+      timeout_(loop),
+      connect_timeout_(loop) {}
+
+void ClientExchange::start() {
+  self_ = shared_from_this();
+  const auto address = http::parse_endpoint(request_.endpoint);
+  if (!address) {
+    fail_later(address.error().code, address.error().message);
+    return;
+  }
+  timeout_.arm(request_.timeout, [this] {
+    end_with_failure(sent_ ? HttpErrc::kTimeout : HttpErrc::kConnect,
+                     sent_ ? "no whole answer in time" : "no connection in time");
+  });
+  if (!request_.fresh_connection) {
+    connection_ = pool_.take(request_.endpoint.value());
+  }
+  if (connection_) {
+    reused_ = true;
+    ++statistics_.connections_reused;
+    connection_->set_listener(this);
+    loop_.post([self = self_] { self->begin(); });
+    return;
+  }
+  auto opened = ClientConnection::open(loop_, address.value(), kSilence);
+  if (!opened) {
+    fail_later(opened.error().code, opened.error().message);
+    return;
+  }
+  ++statistics_.connections_opened;
+  connection_ = std::move(opened.value());
+  connection_->set_listener(this);
+  connect_timeout_.arm(request_.connect_timeout, [this] {
+    end_with_failure(HttpErrc::kConnect, "no connection in time");
+  });
+}
+
+void ClientExchange::fail_later(HttpErrc code, std::string message) {
+  loop_.post([self = self_, code, text = std::move(message)]() mutable {
+    self->end_with_failure(code, std::move(text));
+  });
+}
+
+void ClientExchange::cancel() {
+  observer_ = nullptr;
+  timeout_.disarm();
+  connect_timeout_.disarm();
+  connection_.reset();
+  self_.reset();
+}
+
+void ClientExchange::set_reading(bool reading) {
+  reading_ = reading;
+  if (connection_ && head_taken_) {
+    connection_->set_reading(reading);
+  }
+}
+
+void ClientExchange::on_connected(bool success) {
+  connect_timeout_.disarm();
+  if (!success) {
+    end_with_failure(HttpErrc::kConnect, "connect to " + request_.endpoint.value() + " failed");
+    return;
+  }
+  begin();
+}
+
+void ClientExchange::begin() {
+  if (observer_ == nullptr || !connection_) {
+    return;
+  }
+  if (SystemClock().now() >= request_.send_before) {
+    end_with_failure(HttpErrc::kExpired, "the time to send by has passed");
+    return;
+  }
+  connection_->set_reading(true);
+  write_more();
+}
+
+void ClientExchange::write_more() {
+  while (!all_written()) {
+    const std::string_view head = std::string_view(head_).substr(std::min(written_, head_.size()));
+    const std::size_t body_at = written_ - std::min(written_, head_.size());
+    const IoResult result =
+        connection_->write(head, std::string_view(request_.body).substr(body_at));
+    if (result.status == IoStatus::kAgain) {
+      connection_->await_writable();
+      return;
+    }
+    if (result.status != IoStatus::kDone) {
+      // An answer that came before may still be read; reading reports the end.
+      return;
+    }
+    sent_ = true;
+    written_ += result.bytes;
+  }
+}
+
+void ClientExchange::on_writable() {
+  write_more();
+}
+
+void ClientExchange::on_readable() {
+  std::array<char, kReadBytes> buffer;
+  const IoResult result = connection_->read(buffer.data(), buffer.size());
+  if (result.status == IoStatus::kAgain) {
+    return;
+  }
+  const std::shared_ptr<ClientExchange> keep = shared_from_this();
+  if (result.status != IoStatus::kDone) {
+    peer_closed(result.status);
+    return;
+  }
+  input_.append(buffer.data(), result.bytes);
+  take_input();
+}
+
+void ClientExchange::take_input() {
+  if (!head_taken_ && !take_head()) {
+    return;
+  }
+  if (body_end_ == BodyEnd::kChunked) {
+    take_chunks();
+  } else {
+    take_body();
+  }
+}
+
+/// Returns whether the head was taken and the exchange still runs.
+bool ClientExchange::take_head() {
+  while (!head_taken_) {
+    const ParseOutcome outcome = parse_head(input_, parsed_);
+    if (outcome == ParseOutcome::kIncomplete && input_.size() <= kLargestHead) {
+      return false;
+    }
+    if (outcome != ParseOutcome::kComplete) {
+      end_with_failure(HttpErrc::kReset, "the answer's head cannot be read");
+      return false;
+    }
+    input_.erase(0, parsed_.length);
+    head_taken_ = parsed_.head.status >= 200;
+  }
+  read_head_fields();
+  foreign_ = belongs_to_another();
+  if (!foreign_) {
+    observer_->on_head(parsed_.head);
+    if (observer_ == nullptr) {
+      return false;
+    }
+    connection_->set_reading(reading_);
+  }
+  if (body_end_ == BodyEnd::kNone) {
+    end_answer(std::exchange(input_, {}));
+    return false;
+  }
+  return true;
+}
+
+bool ClientExchange::belongs_to_another() const {
+  if (!request_.echo) {
+    return false;
+  }
+  const std::string_view value = find_header(parsed_.head.headers, request_.echo->name);
+  return !value.empty() && value != request_.echo->value;
+}
+
+/// The answer being read is whole; `surplus` came behind it.
+void ClientExchange::end_answer(std::string surplus) {
+  if (!foreign_) {
+    end_whole(!surplus.empty());
+    return;
+  }
+  after_foreign_ = true;
+  foreign_ = false;
+  head_taken_ = false;
+  chunks_ = ChunkDecoder();
+  body_end_ = BodyEnd::kClose;
+  input_ = std::move(surplus);
+  if (!input_.empty()) {
+    take_input();
+  }
+}
+
+void ClientExchange::read_head_fields() {
+  const std::vector<Header>& headers = parsed_.head.headers;
+  const std::string_view length = find_header(headers, "content-length");
+  if (has_no_body(parsed_.head.status, request_.method)) {
+    body_end_ = BodyEnd::kNone;
+  } else if (contains_token(find_header(headers, "transfer-encoding"), "chunked")) {
+    body_end_ = BodyEnd::kChunked;
+  } else if (!length.empty()) {
+    const auto [end, error] =
+        std::from_chars(length.data(), length.data() + length.size(), body_left_);
+    const bool read = error == std::errc() && end == length.data() + length.size();
+    body_end_ = read ? BodyEnd::kLength : BodyEnd::kClose;
+  }
+  const bool closes = contains_token(find_header(headers, "connection"), "close") ||
+                      parsed_.minor_version == 0 || body_end_ == BodyEnd::kClose;
+  keep_ = closes || request_.fresh_connection ? Duration::zero()
+                                              : keep_alive(find_header(headers, "keep-alive"));
+}
+
+void ClientExchange::take_body() {
+  std::string bytes;
+  bytes.swap(input_);
+  if (body_end_ == BodyEnd::kClose) {
+    deliver(bytes);
+    return;
+  }
+  const std::size_t due = std::min(bytes.size(), body_left_);
+  body_left_ -= due;
+  deliver(std::string_view(bytes).substr(0, due));
+  if (observer_ != nullptr && body_left_ == 0) {
+    end_answer(bytes.substr(due));
+  }
+}
+
+void ClientExchange::take_chunks() {
+  std::string bytes;
+  bytes.swap(input_);
+  const ChunkStep step = chunks_.decode(bytes.data(), bytes.size());
+  if (step.outcome == ParseOutcome::kMalformed) {
+    end_with_failure(HttpErrc::kTruncated, "the chunks of the answer cannot be read");
+    return;
+  }
+  deliver(std::string_view(bytes).substr(0, step.decoded));
+  if (observer_ != nullptr && step.outcome == ParseOutcome::kComplete) {
+    end_answer(bytes.substr(step.decoded, step.surplus));
+  }
+}
+
+void ClientExchange::deliver(std::string_view bytes) {
+  if (!bytes.empty() && observer_ != nullptr && !foreign_) {
+    observer_->on_body(bytes);
+  }
+}
+
+void ClientExchange::peer_closed(IoStatus status) {
+  if (!head_taken_ || foreign_) {
+    end_with_failure(reused_ ? HttpErrc::kStaleConnection : HttpErrc::kReset,
+                     "the connection ended before an answer");
+    return;
+  }
+  const bool whole = body_end_ == BodyEnd::kClose && status == IoStatus::kClosed &&
+                     request_.close_ends_answer &&
+                     find_header(parsed_.head.headers, "content-length").empty();
+  if (whole) {
+    end_whole(false);
+    return;
+  }
+  end_with_failure(HttpErrc::kTruncated,
+                   "the connection ended before the answer's end was proven");
+}
+
+void ClientExchange::end_whole(bool surplus) {
+  const std::shared_ptr<ClientExchange> keep = std::move(self_);
+  timeout_.disarm();
+  keep_connection(surplus);
+  if (ResponseObserver* observer = std::exchange(observer_, nullptr)) {
+    observer->on_complete();
+  }
+}
+
+/// Bytes behind the answer belong to no request, and a request that was not sent whole would be
+/// continued by the next one: such connections are closed.
+void ClientExchange::keep_connection(bool surplus) {
+  std::unique_ptr<ClientConnection> connection = std::move(connection_);
+  if (!connection || surplus || after_foreign_ || !all_written() || keep_ == Duration::zero()) {
+    return;
+  }
+  pool_.put(request_.endpoint.value(), std::move(connection), keep_);
+}
+
+void ClientExchange::end_with_failure(HttpErrc code, std::string message) {
+  const std::shared_ptr<ClientExchange> keep = std::move(self_);
+  timeout_.disarm();
+  connect_timeout_.disarm();
+  connection_.reset();
+  if (ResponseObserver* observer = std::exchange(observer_, nullptr)) {
+    observer->on_failure({code, std::move(message)}, sent_);
+  }
+}
+
+}  // namespace ochrespring::http
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -24,13 +24,15 @@
 constexpr int kAcceptsPerTurn = 64;
 /// Pause of accepting when the process has no descriptor left.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
-/// How long an idle connection is kept, in milliseconds. Longer than the client's pool keeps its
-/// end, so that the client closes first and rarely meets a stale connection.
-constexpr std::uint64_t kIdleMilliseconds = 60'000;
 constexpr std::size_t kHttp2RequestsPerConnection = 256;
 /// Turns of the loop given to connections that are being closed when the server goes.
 constexpr int kClosingTurns = 16;
 
+std::uint64_t to_milliseconds(Duration span) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
+
 struct Route {
   std::string prefix;
   Handler handler;
@@ -94,8 +96,8 @@
     h2o_config_init(&config);
     config.server_name = to_iovec("ochrespring");
     config.max_request_entity_size = settings.largest_body_bytes;
-    config.http1.req_timeout = kIdleMilliseconds;
-    config.http2.idle_timeout = kIdleMilliseconds;
+    config.http1.req_timeout = to_milliseconds(settings.idle_timeout);
+    config.http2.idle_timeout = to_milliseconds(settings.idle_timeout);
     config.http2.max_concurrent_requests_per_connection = kHttp2RequestsPerConnection;
     h2o_hostconf_t* host = h2o_config_register_host(&config, to_iovec("default"), 65535);
     h2o_pathconf_t* path = h2o_config_register_path(host, "/", 0);
@@ -229,6 +231,14 @@
   return state_->bound;
 }
 
+void Server::announce_close() {
+  h2o_context_request_shutdown(&state_->context);
+}
+
+void Server::set_idle_timeout(Duration timeout) {
+  state_->context.http1.req_timeout.timeout = to_milliseconds(timeout);
+}
+
 void Server::stop_accepting() {
   state_->stop_accepting();
   h2o_context_request_shutdown(&state_->context);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -28,6 +28,8 @@
   std::optional<TlsFiles> tls;
   std::uint64_t largest_body_bytes = 8U << 20U;
   bool reuse_port = false;  ///< Several loops listen on one address.
+  /// How long a caller's connection may rest. Longer than clients keep their end.
+  Duration idle_timeout{std::chrono::seconds(60)};
 };
 
 /// The answer to one request. Shared between the handler and the server; used on the loop only.
@@ -68,6 +70,10 @@
   Result<void, HttpError> listen();
   /// The address bound, with its real port.
   Endpoint bound() const;
+  /// From now on every answer says that its connection closes; new connections are still taken.
+  void announce_close();
+  /// How long connections may rest from now on.
+  void set_idle_timeout(Duration timeout);
   /// Stops accepting; connections that are busy go on.
   void stop_accepting();
   /// Reads the TLS files again; keeps the old identity on failure.
--- a/src/ledger/ledger_node.cc
+++ b/src/ledger/ledger_node.cc
@@ -26,8 +26,8 @@
 }  // namespace
 
 LedgerNode::LedgerNode(LedgerSettings settings, const membership::MemberView& members,
-                       peer::Transport& transport, platform::KeyValueStore& store,
-                       platform::MachineList& machines, const Clock& clock, TimerService& timers,
+                       peer::Transport& transport, external::KeyValueStore& store,
+                       external::MachineList& machines, const Clock& clock, TimerService& timers,
                        RandomSource& random)
     : settings_(settings),
       self_(random.next()),
--- a/src/ledger/ledger_node.h
+++ b/src/ledger/ledger_node.h
@@ -15,8 +15,8 @@
 #include "ledger/settings.h"
 #include "membership/member_view.h"
 #include "peer/transport.h"
-#include "platform/key_value_store.h"
-#include "platform/machine_list.h"
+#include "external/key_value_store.h"
+#include "external/machine_list.h"
 
 namespace ochrespring::ledger {
 
@@ -36,8 +36,8 @@
 class LedgerNode final : public AttemptLedger, public peer::Receiver, private LedgerSender {
  public:
   LedgerNode(LedgerSettings settings, const membership::MemberView& members,
-             peer::Transport& transport, platform::KeyValueStore& store,
-             platform::MachineList& machines, const Clock& clock, TimerService& timers,
+             peer::Transport& transport, external::KeyValueStore& store,
+             external::MachineList& machines, const Clock& clock, TimerService& timers,
              RandomSource& random);
 
   /// Begins to keep, fill and spread.
--- a/src/ledger/roster_keeper.cc
+++ b/src/ledger/roster_keeper.cc
@@ -35,8 +35,8 @@
 }  // namespace
 
 RosterKeeper::RosterKeeper(const LedgerSettings& settings, BootId self,
-                           const membership::MemberView& members, platform::KeyValueStore& store,
-                           platform::MachineList& machines, const Clock& clock,
+                           const membership::MemberView& members, external::KeyValueStore& store,
+                           external::MachineList& machines, const Clock& clock,
                            TimerService& timers, RandomSource& random, LedgerSender& sender,
                            std::function<void(Roster)> adopt)
     : settings_(settings),
@@ -115,9 +115,9 @@
   });
 }
 
-void RosterKeeper::on_roster_read(const std::optional<platform::KeyValueEntry>& entry) {
+void RosterKeeper::on_roster_read(const std::optional<external::KeyValueEntry>& entry) {
   if (!entry) {
-    stored_version_ = platform::KeyVersion(0);
+    stored_version_ = external::KeyVersion(0);
     stored_revision_ = RosterRevision(0);
   } else {
     auto roster = wire::decode<Roster>(entry->value);
@@ -142,7 +142,7 @@
       return;
     }
     std::set<NodeId> listed;
-    for (const platform::Machine& machine : result.value()) {
+    for (const external::Machine& machine : result.value()) {
       listed.insert(NodeId(machine.name));
     }
     unlisted_.clear();
@@ -206,7 +206,7 @@
   // A node that knows a roster would have pushed it; only when most answer that they know none, and
   // the service has none either, is this the first start.
   const bool most_answered = input.statuses.size() >= majority_of(input.eligible.size());
-  const bool none_stored = stored_version_ == platform::KeyVersion(0);
+  const bool none_stored = stored_version_ == external::KeyVersion(0);
   if (!most_answered || !none_stored || call_outstanding_) {
     return;
   }
--- a/src/ledger/roster_keeper.h
+++ b/src/ledger/roster_keeper.h
@@ -14,8 +14,8 @@
 #include "ledger/roster_plan.h"
 #include "ledger/settings.h"
 #include "membership/member_view.h"
-#include "platform/key_value_store.h"
-#include "platform/machine_list.h"
+#include "external/key_value_store.h"
+#include "external/machine_list.h"
 
 namespace ochrespring::ledger {
 
@@ -34,7 +34,7 @@
  public:
   /// `adopt` is called with every roster read or accepted; older ones are the callee's to ignore.
   RosterKeeper(const LedgerSettings& settings, BootId self, const membership::MemberView& members,
-               platform::KeyValueStore& store, platform::MachineList& machines, const Clock& clock,
+               external::KeyValueStore& store, external::MachineList& machines, const Clock& clock,
                TimerService& timers, RandomSource& random, LedgerSender& sender,
                std::function<void(Roster)> adopt);
 
@@ -57,7 +57,7 @@
   bool is_keeper() const;
   void read_roster();
   void read_machines();
-  void on_roster_read(const std::optional<platform::KeyValueEntry>& entry);
+  void on_roster_read(const std::optional<external::KeyValueEntry>& entry);
   void consider_change();
   void consider_first_roster(const RosterPlanInput& input);
   void ask(const std::set<NodeId>& nodes);
@@ -67,8 +67,8 @@
   const LedgerSettings& settings_;
   BootId self_;
   const membership::MemberView& members_;
-  platform::KeyValueStore& store_;
-  platform::MachineList& machines_;
+  external::KeyValueStore& store_;
+  external::MachineList& machines_;
   const Clock& clock_;
   RandomSource& random_;
   LedgerSender& sender_;
@@ -77,7 +77,7 @@
   Roster roster_;
   std::map<NodeId, HeardStatus> statuses_;
   std::set<NodeId> unlisted_;
-  std::optional<platform::KeyVersion> stored_version_;
+  std::optional<external::KeyVersion> stored_version_;
   RosterRevision stored_revision_;
   bool call_outstanding_ = false;
   MonotonicTime last_read_;
--- a/src/ledger/simulated_cluster.h
+++ b/src/ledger/simulated_cluster.h
@@ -20,51 +20,51 @@
 /// What the key-value service of a cluster holds.
 struct OneKeyState {
   bool down = false;
-  std::optional<platform::KeyValueEntry> entry;
+  std::optional<external::KeyValueEntry> entry;
 };
 
 /// One process's client of the service: one key under compare-and-swap.
-class OneKeyStore final : public platform::KeyValueStore {
+class OneKeyStore final : public external::KeyValueStore {
  public:
   OneKeyStore(TimerService& timers, RandomSource& random, OneKeyState& state)
       : timers_(timers), random_(random), state_(state) {}
 
   void get(const std::string& key,
-           platform::PlatformCallback<std::optional<platform::KeyValueEntry>> done) override {
+           external::ExternalCallback<std::optional<external::KeyValueEntry>> done) override {
     later([this, key, done = std::move(done)] {
       if (state_.down) {
-        done(fail(platform::PlatformErrc::kNotSent, "down"));
+        done(fail(external::ExternalErrc::kNotSent, "down"));
       } else {
         done(state_.entry);
       }
     });
   }
-  void compare_and_swap(const std::string& key, platform::KeyVersion expected,
-                        const std::string& value, std::optional<platform::LeaseId> /*lease*/,
-                        platform::PlatformCallback<platform::SwapOutcome> done) override {
+  void compare_and_swap(const std::string& key, external::KeyVersion expected,
+                        const std::string& value, std::optional<external::LeaseId> /*lease*/,
+                        external::ExternalCallback<external::SwapOutcome> done) override {
     later([this, key, expected, value, done = std::move(done)] {
       const bool refused = state_.down;
-      const platform::KeyVersion current =
-          state_.entry ? state_.entry->version : platform::KeyVersion(0);
+      const external::KeyVersion current =
+          state_.entry ? state_.entry->version : external::KeyVersion(0);
       const bool swapped = !refused && current == expected;
       if (swapped) {
-        state_.entry = platform::KeyValueEntry{key, value, current.next()};
+        state_.entry = external::KeyValueEntry{key, value, current.next()};
       }
       const bool answer_lost = refused || random_.chance(kAnswerLoss);
       if (answer_lost) {
-        done(fail(platform::PlatformErrc::kUnknownEffect, "no answer"));
+        done(fail(external::ExternalErrc::kUnknownEffect, "no answer"));
       } else {
-        done(platform::SwapOutcome{swapped, swapped ? current.next() : current, state_.entry});
+        done(external::SwapOutcome{swapped, swapped ? current.next() : current, state_.entry});
       }
     });
   }
   void list(const std::string&,
-            platform::PlatformCallback<std::vector<platform::KeyValueEntry>>) override {}
-  void compare_and_delete(const std::string&, platform::KeyVersion,
-                          platform::PlatformCallback<platform::SwapOutcome>) override {}
-  void grant_lease(Duration, platform::PlatformCallback<platform::LeaseId>) override {}
-  void renew_lease(platform::LeaseId, platform::PlatformCallback<platform::LeaseId>) override {}
-  std::unique_ptr<platform::Watch> watch(const std::string&, platform::WatchObserver&) override {
+            external::ExternalCallback<std::vector<external::KeyValueEntry>>) override {}
+  void compare_and_delete(const std::string&, external::KeyVersion,
+                          external::ExternalCallback<external::SwapOutcome>) override {}
+  void grant_lease(Duration, external::ExternalCallback<external::LeaseId>) override {}
+  void renew_lease(external::LeaseId, external::ExternalCallback<external::LeaseId>) override {}
+  std::unique_ptr<external::Watch> watch(const std::string&, external::WatchObserver&) override {
     return nullptr;
   }
 
@@ -148,10 +148,10 @@
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   };
 
-  class EveryMachine final : public platform::MachineList {
+  class EveryMachine final : public external::MachineList {
    public:
-    void list(platform::PlatformCallback<std::vector<platform::Machine>> done) override {
-      done(fail(platform::PlatformErrc::kNotSent, "no list in this test"));
+    void list(external::ExternalCallback<std::vector<external::Machine>> done) override {
+      done(fail(external::ExternalErrc::kNotSent, "no list in this test"));
     }
   };
 
--- a/src/membership/membership_service.cc
+++ b/src/membership/membership_service.cc
@@ -272,14 +272,14 @@
   });
 }
 
-void MembershipService::on_machines(const std::vector<platform::Machine>& machines) {
+void MembershipService::on_machines(const std::vector<external::Machine>& machines) {
   std::set<Endpoint> known;
   for (const Member& member : table_.living()) {
     known.insert(member.peer);
   }
   std::vector<Endpoint> strangers;
   bool others = false;
-  for (const platform::Machine& machine : machines) {
+  for (const external::Machine& machine : machines) {
     const bool is_node = !machine.peer_endpoint.empty() && machine.peer_endpoint != self_.peer;
     others = others || is_node;
     if (is_node && !known.contains(machine.peer_endpoint)) {
--- a/src/membership/membership_service.h
+++ b/src/membership/membership_service.h
@@ -21,7 +21,7 @@
 #include "membership/suspicions.h"
 #include "membership/update_queue.h"
 #include "peer/transport.h"
-#include "platform/machine_list.h"
+#include "external/machine_list.h"
 
 namespace ochrespring::membership {
 
@@ -32,7 +32,7 @@
   RandomSource& random;
   peer::Transport& transport;
   logging::Logger& logger;
-  platform::MachineList* machine_list = nullptr;
+  external::MachineList* machine_list = nullptr;
 };
 
 /// Counters since the start.
@@ -100,7 +100,7 @@
   void run_reconciliation(MonotonicTime now);
   void run_join();
   void run_machine_list(MonotonicTime now);
-  void on_machines(const std::vector<platform::Machine>& machines);
+  void on_machines(const std::vector<external::Machine>& machines);
 
   void on(const Endpoint& from, const Ping& message);
   void on(const Endpoint& from, const Ack& message);
@@ -132,7 +132,7 @@
   RandomSource& random_;
   peer::Transport& transport_;
   logging::Logger& logger_;
-  platform::MachineList* machine_list_;
+  external::MachineList* machine_list_;
   Timer tick_;
 
   MemberTable table_;
--- a/src/membership/tests/membership_service_test.cc
+++ b/src/membership/tests/membership_service_test.cc
@@ -17,14 +17,14 @@
 using simulation::LinkQuality;
 
 /// The platform's list of every node ever started.
-class ListedMachines final : public platform::MachineList {
+class ListedMachines final : public external::MachineList {
  public:
   explicit ListedMachines(simulation::VirtualTime& time) : time_(time) {}
-  void list(platform::PlatformCallback<std::vector<platform::Machine>> done) override {
+  void list(external::ExternalCallback<std::vector<external::Machine>> done) override {
     ++reads;
     time_.schedule_after(5ms, [this, done] { done(machines); });
   }
-  std::vector<platform::Machine> machines;
+  std::vector<external::Machine> machines;
   int reads = 0;
 
  private:
@@ -195,7 +195,7 @@
 TEST_CASE("a fleet replaced one by one keeps its membership without seeds") {
   Fleet fleet(8);
   const auto list = [&](int index) {
-    platform::Machine machine;
+    external::Machine machine;
     machine.name = Fleet::name(index).value();
     machine.peer_endpoint = Fleet::endpoint(index);
     fleet.machines.machines.push_back(machine);
@@ -219,7 +219,7 @@
 TEST_CASE("all nodes restarted at once come back, with few reads of the machine list") {
   Fleet fleet(9);
   for (int i = 0; i < 12; ++i) {
-    platform::Machine machine;
+    external::Machine machine;
     machine.name = Fleet::name(i).value();
     machine.peer_endpoint = Fleet::endpoint(i);
     fleet.machines.machines.push_back(machine);
--- a/src/node/control_loop.cc
+++ b/src/node/control_loop.cc
@@ -11,12 +11,12 @@
 namespace {
 
 /// Machine list of a site that has none: it never names a machine.
-class NoMachineList final : public platform::MachineList {
+class NoMachineList final : public external::MachineList {
  public:
   explicit NoMachineList(TimerService& timers) : timers_(timers) {}
-  void list(platform::PlatformCallback<std::vector<platform::Machine>> done) override {
+  void list(external::ExternalCallback<std::vector<external::Machine>> done) override {
     timers_.schedule_after(Duration::zero(), [done = std::move(done)] {
-      done(fail(platform::PlatformErrc::kNotSent, "no machine list is configured"));
+      done(fail(external::ExternalErrc::kNotSent, "no machine list is configured"));
     });
   }
 
@@ -31,19 +31,19 @@
   return Incarnation(static_cast<std::uint64_t>(microseconds.count()));
 }
 
-platform::HttpKeyValueSettings key_value_settings(const settings::NodeSettings& settings) {
-  platform::HttpKeyValueSettings result;
+external::HttpKeyValueSettings key_value_settings(const settings::NodeSettings& settings) {
+  external::HttpKeyValueSettings result;
   result.endpoint = settings.key_value_store;
   return result;
 }
 
-std::unique_ptr<platform::MachineList> make_machine_list(const settings::NodeSettings& settings,
+std::unique_ptr<external::MachineList> make_machine_list(const settings::NodeSettings& settings,
                                                          http::Client& client,
                                                          TimerService& timers) {
   if (settings.machine_list.empty()) {
     return std::make_unique<NoMachineList>(timers);
   }
-  return std::make_unique<platform::HttpMachineList>(client, settings.machine_list);
+  return std::make_unique<external::HttpMachineList>(client, settings.machine_list);
 }
 
 /// Logs a failed reload; the identity in use stays.
--- a/src/node/control_loop.h
+++ b/src/node/control_loop.h
@@ -18,9 +18,9 @@
 #include "node/identities.h"
 #include "operator_api/server.h"
 #include "peer/tcp_transport.h"
-#include "platform/http/engine_control.h"
-#include "platform/http/key_value_store.h"
-#include "platform/http/machine_list.h"
+#include "external/http/engine_control.h"
+#include "external/http/key_value_store.h"
+#include "external/http/machine_list.h"
 #include "settings/node_settings.h"
 
 namespace ochrespring::node {
@@ -63,9 +63,9 @@
   http::EventLoop loop_;
   SeededRandom random_;
   http::Client client_;
-  platform::HttpKeyValueStore key_value_store_;
-  std::unique_ptr<platform::MachineList> machine_list_;
-  platform::HttpEngineControl engine_control_;
+  external::HttpKeyValueStore key_value_store_;
+  std::unique_ptr<external::MachineList> machine_list_;
+  external::HttpEngineControl engine_control_;
   Identities identities_;
   metrics::MetricsRegistry metrics_;
   std::function<ReadinessReport()> report_;
--- a/src/node/main.cc
+++ b/src/node/main.cc
@@ -7,7 +7,7 @@
 #include "base/time.h"
 #include "logging/glog_logger.h"
 #include "node/node.h"
-#include "node/signals.h"
+#include "process/signals.h"
 #include "settings/node_settings.h"
 
 namespace {
@@ -35,8 +35,8 @@
     std::fprintf(stderr, "ochrespringd: %s\n", bound.error().message.c_str());
     return kCannotStart;
   }
-  const ochrespring::node::SignalWatcher signals(
-      [&node](ochrespring::node::ProcessSignal signal) { node.on_signal(signal); });
+  const ochrespring::process::SignalWatcher signals(
+      [&node](ochrespring::process::ProcessSignal signal) { node.on_signal(signal); });
   node.run();
   // Calls to the platform may still be open, and watches always are; the system closes their
   // connections. Nothing in this process needs to outlive it.
@@ -47,7 +47,7 @@
 
 int main(int argc, char** argv) {
   using ochrespring::settings::Command;
-  ochrespring::node::block_signals();
+  ochrespring::process::block_signals();
   const std::vector<std::string> arguments(argv + 1, argv + argc);
   const auto parsed = ochrespring::settings::parse_command_line(arguments);
   if (!parsed) {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -56,9 +56,9 @@
   control_.loop().run();
 }
 
-void Node::on_signal(ProcessSignal signal) {
+void Node::on_signal(process::ProcessSignal signal) {
   control_.loop().post([this, signal] {
-    if (signal == ProcessSignal::kReload) {
+    if (signal == process::ProcessSignal::kReload) {
       reload();
     } else {
       begin_stop();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -10,7 +10,7 @@
 #include "node/control_loop.h"
 #include "node/errc.h"
 #include "node/proxy_worker.h"
-#include "node/signals.h"
+#include "process/signals.h"
 #include "node/stop_sequence.h"
 #include "settings/node_settings.h"
 
@@ -29,7 +29,7 @@
   /// Serves until a planned stop is over. After bind().
   void run();
   /// Reacts to a signal; callable on any thread.
-  void on_signal(ProcessSignal signal);
+  void on_signal(process::ProcessSignal signal);
 
  private:
   void on_fleet_view(router::FleetViewPointer view) override;
--- a/src/node/signals.cc
+++ b/src/process/signals.cc
@@ -1,9 +1,9 @@
-#include "node/signals.h"
+#include "process/signals.h"
 
 #include <csignal>
 #include <utility>
 
-namespace ochrespring::node {
+namespace ochrespring::process {
 
 namespace {
 
@@ -41,4 +41,4 @@
   thread_.join();
 }
 
-}  // namespace ochrespring::node
+}  // namespace ochrespring::process
--- a/src/node/signals.h
+++ b/src/process/signals.h
@@ -4,7 +4,7 @@
 #include <functional>
 #include <thread>
 
-namespace ochrespring::node {
+namespace ochrespring::process {
 
 /// What an operator or the platform asks by a signal.
 enum class ProcessSignal {
@@ -30,4 +30,4 @@
   std::thread thread_;
 };
 
-}  // namespace ochrespring::node
+}  // namespace ochrespring::process
--- /dev/null
+++ b/src/shared_store/store.h
@@ -0,0 +1,54 @@
+// The store that all nodes share: the only thing that outlasts a process. One revision counts every
+// change; keys bound to a lease go with it.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/strong_type.h"
+#include "base/time.h"
+#include "shared_store/errc.h"
+
+namespace ochrespring::shared_store {
+
+/// Counts the changes of the whole store; zero is before the first.
+using StoreRevision = StrongNumber<struct StoreRevisionTag>;
+using LeaseId = StrongNumber<struct StoreLeaseIdTag>;
+
+/// A key as it was written, or, without a value, its end.
+struct Change {
+  std::string key;
+  std::optional<std::string> value;
+  StoreRevision revision;
+};
+
+struct Listing {
+  std::vector<Change> items;  ///< All with a value.
+  StoreRevision revision;     ///< The store's when the listing began.
+};
+
+struct Changes {
+  std::vector<Change> changes;  ///< In the order of their revisions.
+};
+
+/// Asynchronous; one per loop. Each call is bounded in time by the implementation.
+class SharedStore {
+ public:
+  virtual ~SharedStore() = default;
+  /// All keys that begin with `prefix`, as they are now.
+  virtual void list(const std::string& prefix, StoreCallback<Listing> done) = 0;
+  /// Changes after `after`, as soon as there are any, or none after `wait`.
+  virtual void changes(const std::string& prefix, StoreRevision after, Duration wait,
+                       StoreCallback<Changes> done) = 0;
+  /// Writes a key, bound to a lease if one is given.
+  virtual void put(const std::string& key, const std::string& value, std::optional<LeaseId> lease,
+                   StoreCallback<StoreRevision> done) = 0;
+  virtual void grant_lease(Duration time_to_live, StoreCallback<LeaseId> done) = 0;
+  /// kNotFound if the lease is over.
+  virtual void renew_lease(LeaseId lease, StoreCallback<LeaseId> done) = 0;
+  virtual void end_lease(LeaseId lease, StoreCallback<LeaseId> done) = 0;
+};
+
+}  // namespace ochrespring::shared_store
--- a/src/simulation/engine.cc
+++ b/src/simulation/engine.cc
@@ -9,7 +9,7 @@
 
 using engine::EngineOrder;
 using oracle::CutCause;
-using platform::PlatformErrc;
+using external::ExternalErrc;
 
 namespace {
 
@@ -63,11 +63,11 @@
   force_acceptable(order);
   switch (orders_.accept(order)) {
     case standin::OrderVerdict::kStaleFence:
-      return fail(PlatformErrc::kStaleFence, "a higher fence has been seen");
+      return fail(ExternalErrc::kStaleFence, "a higher fence has been seen");
     case standin::OrderVerdict::kBusy:
-      return fail(PlatformErrc::kBusy, "another order is being carried out");
+      return fail(ExternalErrc::kBusy, "another order is being carried out");
     case standin::OrderVerdict::kWrongEngine:
-      return fail(PlatformErrc::kRefused, "meant for another engine");
+      return fail(ExternalErrc::kRefused, "meant for another engine");
     case standin::OrderVerdict::kAccepted:
       break;
   }
--- a/src/simulation/engine.h
+++ b/src/simulation/engine.h
@@ -10,7 +10,7 @@
 
 #include "base/timer.h"
 #include "engine/types.h"
-#include "platform/engine_control.h"
+#include "external/engine_control.h"
 #include "simulation/answer_faults.h"
 #include "simulation/exchange.h"
 #include "simulation/surroundings.h"
@@ -43,7 +43,7 @@
 
 class SimulatedEngine final : public BackendHost {
  public:
-  using StatusResult = Result<engine::EngineStatus, platform::PlatformError>;
+  using StatusResult = Result<engine::EngineStatus, external::ExternalError>;
 
   SimulatedEngine(EngineSite site, Surroundings surroundings);
   ~SimulatedEngine() override { end_runs(oracle::CutCause::kFault); }
--- a/src/simulation/engine_control_client.cc
+++ b/src/simulation/engine_control_client.cc
@@ -6,20 +6,20 @@
 
 using engine::EngineStatus;
 using engine::LoadReport;
-using platform::CacheEventBatch;
-using platform::PlatformCallback;
-using platform::PlatformErrc;
-using platform::PlatformError;
+using external::CacheEventBatch;
+using external::ExternalCallback;
+using external::ExternalErrc;
+using external::ExternalError;
 
 template <class T>
 void EngineControlClient::call(const Endpoint& endpoint,
-                               std::function<Result<T, PlatformError>(SimulatedEngine&)> effect,
-                               PlatformCallback<T> done) {
+                               std::function<Result<T, ExternalError>(SimulatedEngine&)> effect,
+                               ExternalCallback<T> done) {
   const auto found = engines_.find(endpoint);
   SimulatedEngine* const engine = found == engines_.end() ? nullptr : found->second;
   if (engine == nullptr || !engine->listening()) {
     process_.post([done = std::move(done)] {
-      done(fail(PlatformErrc::kNotSent, "engine refused the connection"));
+      done(fail(ExternalErrc::kNotSent, "engine refused the connection"));
     });
     return;
   }
@@ -31,7 +31,7 @@
   remote_call<T>(
       surroundings_.network, process_, route,
       [engine, connected = engine->incarnation(),
-       effect = std::move(effect)]() -> std::optional<Result<T, PlatformError>> {
+       effect = std::move(effect)]() -> std::optional<Result<T, ExternalError>> {
         if (!engine->listening() || engine->incarnation() != connected) {
           return std::nullopt;
         }
@@ -40,7 +40,7 @@
       std::move(done));
 }
 
-void EngineControlClient::status(const Endpoint& engine, PlatformCallback<EngineStatus> done) {
+void EngineControlClient::status(const Endpoint& engine, ExternalCallback<EngineStatus> done) {
   call<EngineStatus>(
       engine,
       [hidden = testing_faults_.hides_in_flight](SimulatedEngine& target) {
@@ -52,7 +52,7 @@
 }
 
 void EngineControlClient::order(const Endpoint& engine, const engine::EngineOrder& order,
-                                PlatformCallback<EngineStatus> done) {
+                                ExternalCallback<EngineStatus> done) {
   if (testing_faults_.sends_orders_twice) {
     engine::EngineOrder again = order;
     ++again.fence.sequence;
@@ -72,13 +72,13 @@
 }
 
 void EngineControlClient::load(const Endpoint& engine,
-                               PlatformCallback<std::vector<LoadReport>> done) {
+                               ExternalCallback<std::vector<LoadReport>> done) {
   call<std::vector<LoadReport>>(
       engine, [](SimulatedEngine& target) { return target.load(); }, std::move(done));
 }
 
 void EngineControlClient::cache_events(const Endpoint& engine, std::uint64_t /*after*/,
-                                       PlatformCallback<CacheEventBatch> done) {
+                                       ExternalCallback<CacheEventBatch> done) {
   call<CacheEventBatch>(
       engine,
       [](SimulatedEngine& target) {
--- a/src/simulation/engine_control_client.h
+++ b/src/simulation/engine_control_client.h
@@ -5,7 +5,7 @@
 #include <utility>
 #include <vector>
 
-#include "platform/engine_control.h"
+#include "external/engine_control.h"
 #include "simulation/engine.h"
 #include "simulation/process_runtime.h"
 
@@ -21,7 +21,7 @@
 };
 
 /// Each call takes a connection of its own; a connection does not outlive the engine's process.
-class EngineControlClient final : public platform::EngineControl {
+class EngineControlClient final : public external::EngineControl {
  public:
   EngineControlClient(Surroundings surroundings, const EngineDirectory& engines,
                       ProcessRuntime& process, NodeId node, HostName self,
@@ -35,19 +35,19 @@
         testing_faults_(testing_faults) {}
 
   void status(const Endpoint& engine,
-              platform::PlatformCallback<engine::EngineStatus> done) override;
+              external::ExternalCallback<engine::EngineStatus> done) override;
   void order(const Endpoint& engine, const engine::EngineOrder& order,
-             platform::PlatformCallback<engine::EngineStatus> done) override;
+             external::ExternalCallback<engine::EngineStatus> done) override;
   void load(const Endpoint& engine,
-            platform::PlatformCallback<std::vector<engine::LoadReport>> done) override;
+            external::ExternalCallback<std::vector<engine::LoadReport>> done) override;
   void cache_events(const Endpoint& engine, std::uint64_t after,
-                    platform::PlatformCallback<platform::CacheEventBatch> done) override;
+                    external::ExternalCallback<external::CacheEventBatch> done) override;
 
  private:
   template <class T>
   void call(const Endpoint& endpoint,
-            std::function<Result<T, platform::PlatformError>(SimulatedEngine&)> effect,
-            platform::PlatformCallback<T> done);
+            std::function<Result<T, external::ExternalError>(SimulatedEngine&)> effect,
+            external::ExternalCallback<T> done);
 
   Surroundings surroundings_;
   const EngineDirectory& engines_;
