--- a/src/simulation/key_value_client.cc
+++ b/src/simulation/key_value_client.cc
@@ -4,13 +4,13 @@
 
 namespace ochrespring::simulation {
 
-using platform::KeyValueEntry;
-using platform::KeyVersion;
-using platform::LeaseId;
-using platform::PlatformCallback;
-using platform::PlatformErrc;
-using platform::PlatformError;
-using platform::SwapOutcome;
+using external::KeyValueEntry;
+using external::KeyVersion;
+using external::LeaseId;
+using external::ExternalCallback;
+using external::ExternalErrc;
+using external::ExternalError;
+using external::SwapOutcome;
 using standin::KeyValueTable;
 
 namespace {
@@ -22,10 +22,10 @@
 constexpr double kLongestSlowCallSeconds = 1.5;
 
 /// The watch of one process; events cross the network and may be lost.
-class SimulatedWatch final : public platform::Watch {
+class SimulatedWatch final : public external::Watch {
  public:
   SimulatedWatch(Network& network, KeyValueService& service, ProcessRuntime& process,
-                 const HostName& self, const std::string& prefix, platform::WatchObserver& observer)
+                 const HostName& self, const std::string& prefix, external::WatchObserver& observer)
       : service_(service), active_(std::make_shared<bool>(true)) {
     id_ = service_.add_watch(
         prefix, [&network, &service, self, active = active_, target = process.weak_from_this(),
@@ -66,13 +66,13 @@
 }  // namespace
 
 template <class T>
-void KeyValueClient::call(std::function<Result<T, PlatformError>(KeyValueTable&)> effect,
-                          PlatformCallback<T> done) {
+void KeyValueClient::call(std::function<Result<T, ExternalError>(KeyValueTable&)> effect,
+                          ExternalCallback<T> done) {
   const MonotonicTime now = network_.time().now();
   if (service_.health.down.active(now) && network_.random().chance(kRefusedWhileDown)) {
     // The connection is refused at once: nothing left this process.
     process_.post([done = std::move(done)] {
-      done(fail(PlatformErrc::kNotSent, "key-value service refused the connection"));
+      done(fail(ExternalErrc::kNotSent, "key-value service refused the connection"));
     });
     return;
   }
@@ -87,13 +87,13 @@
   remote_call<T>(
       network_, process_, route,
       [service = &service_, time = &network_.time(),
-       effect = std::move(effect)]() -> std::optional<Result<T, PlatformError>> {
+       effect = std::move(effect)]() -> std::optional<Result<T, ExternalError>> {
         if (service->health.down.active(time->now())) {
           return std::nullopt;
         }
-        return service->apply([&](KeyValueTable& table) -> Result<T, PlatformError> {
+        return service->apply([&](KeyValueTable& table) -> Result<T, ExternalError> {
           if (!table.admit()) {
-            return fail(PlatformErrc::kRateLimited, "too many calls");
+            return fail(ExternalErrc::kRateLimited, "too many calls");
           }
           return effect(table);
         });
@@ -102,34 +102,34 @@
 }
 
 void KeyValueClient::get(const std::string& key,
-                         PlatformCallback<std::optional<KeyValueEntry>> done) {
+                         ExternalCallback<std::optional<KeyValueEntry>> done) {
   call<std::optional<KeyValueEntry>>([key](KeyValueTable& table) { return table.get(key); },
                                      std::move(done));
 }
 
 void KeyValueClient::list(const std::string& prefix,
-                          PlatformCallback<std::vector<KeyValueEntry>> done) {
+                          ExternalCallback<std::vector<KeyValueEntry>> done) {
   call<std::vector<KeyValueEntry>>([prefix](KeyValueTable& table) { return table.list(prefix); },
                                    std::move(done));
 }
 
 void KeyValueClient::compare_and_swap(const std::string& key, KeyVersion expected,
                                       const std::string& value, std::optional<LeaseId> lease,
-                                      PlatformCallback<SwapOutcome> done) {
+                                      ExternalCallback<SwapOutcome> done) {
   if (testing_faults_.takes_lost_swaps_as_done) {
-    done = [expected, done = std::move(done)](Result<SwapOutcome, PlatformError> result) {
-      const bool lost = !result && result.error().code == PlatformErrc::kUnknownEffect;
+    done = [expected, done = std::move(done)](Result<SwapOutcome, ExternalError> result) {
+      const bool lost = !result && result.error().code == ExternalErrc::kUnknownEffect;
       done(lost ? SwapOutcome{true, expected.next(), std::nullopt} : std::move(result));
     };
   }
   call<SwapOutcome>(
       [key, expected, value, lease, blind = testing_faults_.swaps_without_compare](
-          KeyValueTable& table) -> Result<SwapOutcome, PlatformError> {
+          KeyValueTable& table) -> Result<SwapOutcome, ExternalError> {
         const auto current = blind ? table.get(key) : std::nullopt;
         const KeyVersion version = current ? current->version : expected;
         auto outcome = table.compare_and_swap(key, version, value, lease);
         if (!outcome) {
-          return fail(PlatformErrc::kRefused, outcome.error().message);
+          return fail(ExternalErrc::kRefused, outcome.error().message);
         }
         return std::move(outcome).value();
       },
@@ -137,30 +137,30 @@
 }
 
 void KeyValueClient::compare_and_delete(const std::string& key, KeyVersion expected,
-                                        PlatformCallback<SwapOutcome> done) {
+                                        ExternalCallback<SwapOutcome> done) {
   call<SwapOutcome>(
       [key, expected](KeyValueTable& table) { return table.compare_and_delete(key, expected); },
       std::move(done));
 }
 
-void KeyValueClient::grant_lease(Duration time_to_live, PlatformCallback<LeaseId> done) {
+void KeyValueClient::grant_lease(Duration time_to_live, ExternalCallback<LeaseId> done) {
   call<LeaseId>([time_to_live](KeyValueTable& table) { return table.grant_lease(time_to_live); },
                 std::move(done));
 }
 
-void KeyValueClient::renew_lease(LeaseId lease, PlatformCallback<LeaseId> done) {
+void KeyValueClient::renew_lease(LeaseId lease, ExternalCallback<LeaseId> done) {
   call<LeaseId>(
-      [lease](KeyValueTable& table) -> Result<LeaseId, PlatformError> {
+      [lease](KeyValueTable& table) -> Result<LeaseId, ExternalError> {
         if (!table.renew_lease(lease)) {
-          return fail(PlatformErrc::kNotFound, "lease has lapsed");
+          return fail(ExternalErrc::kNotFound, "lease has lapsed");
         }
         return lease;
       },
       std::move(done));
 }
 
-std::unique_ptr<platform::Watch> KeyValueClient::watch(const std::string& prefix,
-                                                       platform::WatchObserver& observer) {
+std::unique_ptr<external::Watch> KeyValueClient::watch(const std::string& prefix,
+                                                       external::WatchObserver& observer) {
   return std::make_unique<SimulatedWatch>(network_, service_, process_, self_, prefix, observer);
 }
 
--- a/src/simulation/key_value_client.h
+++ b/src/simulation/key_value_client.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <utility>
 
-#include "platform/key_value_store.h"
+#include "external/key_value_store.h"
 #include "simulation/key_value_service.h"
 #include "simulation/process_runtime.h"
 
@@ -19,7 +19,7 @@
 };
 
 /// Calls cross the network twice and time out; a lost answer leaves the effect unknown.
-class KeyValueClient final : public platform::KeyValueStore {
+class KeyValueClient final : public external::KeyValueStore {
  public:
   KeyValueClient(Network& network, KeyValueService& service, ProcessRuntime& process, HostName self,
                  KeyValueTestingFaults testing_faults = {})
@@ -30,25 +30,25 @@
         testing_faults_(testing_faults) {}
 
   void get(const std::string& key,
-           platform::PlatformCallback<std::optional<platform::KeyValueEntry>> done) override;
+           external::ExternalCallback<std::optional<external::KeyValueEntry>> done) override;
   void list(const std::string& prefix,
-            platform::PlatformCallback<std::vector<platform::KeyValueEntry>> done) override;
-  void compare_and_swap(const std::string& key, platform::KeyVersion expected,
-                        const std::string& value, std::optional<platform::LeaseId> lease,
-                        platform::PlatformCallback<platform::SwapOutcome> done) override;
-  void compare_and_delete(const std::string& key, platform::KeyVersion expected,
-                          platform::PlatformCallback<platform::SwapOutcome> done) override;
+            external::ExternalCallback<std::vector<external::KeyValueEntry>> done) override;
+  void compare_and_swap(const std::string& key, external::KeyVersion expected,
+                        const std::string& value, std::optional<external::LeaseId> lease,
+                        external::ExternalCallback<external::SwapOutcome> done) override;
+  void compare_and_delete(const std::string& key, external::KeyVersion expected,
+                          external::ExternalCallback<external::SwapOutcome> done) override;
   void grant_lease(Duration time_to_live,
-                   platform::PlatformCallback<platform::LeaseId> done) override;
-  void renew_lease(platform::LeaseId lease,
-                   platform::PlatformCallback<platform::LeaseId> done) override;
-  std::unique_ptr<platform::Watch> watch(const std::string& prefix,
-                                         platform::WatchObserver& observer) override;
+                   external::ExternalCallback<external::LeaseId> done) override;
+  void renew_lease(external::LeaseId lease,
+                   external::ExternalCallback<external::LeaseId> done) override;
+  std::unique_ptr<external::Watch> watch(const std::string& prefix,
+                                         external::WatchObserver& observer) override;
 
  private:
   template <class T>
-  void call(std::function<Result<T, platform::PlatformError>(standin::KeyValueTable&)> effect,
-            platform::PlatformCallback<T> done);
+  void call(std::function<Result<T, external::ExternalError>(standin::KeyValueTable&)> effect,
+            external::ExternalCallback<T> done);
 
   Network& network_;
   KeyValueService& service_;
--- a/src/simulation/key_value_service.cc
+++ b/src/simulation/key_value_service.cc
@@ -14,7 +14,7 @@
 void KeyValueService::after_change() {
   const standin::ChangeBatch batch = table_.changes_after("", notified_position_);
   notified_position_ = batch.position;
-  for (const platform::KeyValueEntry& entry : batch.changes) {
+  for (const external::KeyValueEntry& entry : batch.changes) {
     for (const auto& [id, watch] : watches_) {
       if (entry.key.starts_with(watch.prefix)) {
         watch.callback(entry);
--- a/src/simulation/key_value_service.h
+++ b/src/simulation/key_value_service.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "base/timer.h"
-#include "platform/key_value_store.h"
+#include "external/key_value_store.h"
 #include "simulation/fault_window.h"
 #include "simulation/network.h"
 #include "standin/model/key_value_table.h"
@@ -28,7 +28,7 @@
 /// State of the service and its watchers; clients reach it over the network.
 class KeyValueService {
  public:
-  using WatchCallback = std::function<void(const platform::KeyValueEntry&)>;
+  using WatchCallback = std::function<void(const external::KeyValueEntry&)>;
   using WatchId = std::uint64_t;
 
   KeyValueService(VirtualTime& time, const standin::KeyValueSettings& settings)
--- a/src/simulation/leaving_backends.cc
+++ b/src/simulation/leaving_backends.cc
@@ -23,14 +23,14 @@
 
 void LeavingBackends::refresh() {
   std::set<std::string> leaving;
-  for (const platform::Machine& machine : machines_.list()) {
-    if (machine.state == platform::MachineState::kLeaving) {
+  for (const external::Machine& machine : machines_.list()) {
+    if (machine.state == external::MachineState::kLeaving) {
       leaving.insert(machine.name);
     }
   }
   std::set<std::string> returning;
-  for (const platform::Machine& machine : machines_.truth()) {
-    if (machine.state == platform::MachineState::kLive) {
+  for (const external::Machine& machine : machines_.truth()) {
+    if (machine.state == external::MachineState::kLive) {
       returning.insert(machine.name);
     }
   }
--- a/src/simulation/local_key_value_store.cc
+++ b/src/simulation/local_key_value_store.cc
@@ -4,25 +4,25 @@
 
 namespace ochrespring::simulation {
 
-using platform::KeyValueEntry;
-using platform::KeyVersion;
-using platform::LeaseId;
-using platform::PlatformCallback;
-using platform::PlatformErrc;
-using platform::PlatformError;
-using platform::SwapOutcome;
+using external::KeyValueEntry;
+using external::KeyVersion;
+using external::LeaseId;
+using external::ExternalCallback;
+using external::ExternalErrc;
+using external::ExternalError;
+using external::SwapOutcome;
 using standin::KeyValueTable;
 
 namespace {
 
-PlatformError from_table(const KeyValueTable::Error& error) {
+ExternalError from_table(const KeyValueTable::Error& error) {
   const bool unknown_lease = error.code == KeyValueTable::Errc::kUnknownLease;
-  return {unknown_lease ? PlatformErrc::kNotFound : PlatformErrc::kRefused, error.message};
+  return {unknown_lease ? ExternalErrc::kNotFound : ExternalErrc::kRefused, error.message};
 }
 
 }  // namespace
 
-class LocalWatch final : public platform::Watch {
+class LocalWatch final : public external::Watch {
  public:
   LocalWatch(LocalKeyValueService& service, std::uint64_t listener)
       : service_(service), listener_(listener) {}
@@ -46,7 +46,7 @@
       if (found == listeners_.end()) {
         return;
       }
-      platform::WatchObserver* observer = found->second.observer;
+      external::WatchObserver* observer = found->second.observer;
       found->second.run([observer, entry] { observer->on_change(entry); });
     });
   }
@@ -60,8 +60,8 @@
 }
 
 template <class T>
-void LocalKeyValueStore::answer(Duration delay, PlatformCallback<T> done,
-                                Result<T, PlatformError> result) {
+void LocalKeyValueStore::answer(Duration delay, ExternalCallback<T> done,
+                                Result<T, ExternalError> result) {
   service_.time_.schedule_after(delay, [this, done = std::move(done), result = std::move(result),
                                         guard = std::weak_ptr<bool>(alive_)] {
     if (!guard.expired()) {
@@ -71,21 +71,21 @@
 }
 
 template <class T>
-void LocalKeyValueStore::call(std::function<Result<T, PlatformError>(KeyValueTable&)> effect,
-                              PlatformCallback<T> done) {
+void LocalKeyValueStore::call(std::function<Result<T, ExternalError>(KeyValueTable&)> effect,
+                              ExternalCallback<T> done) {
   ++calls_;
   ++service_.calls;
-  const PlatformError timed_out{PlatformErrc::kUnknownEffect, "no answer from the service"};
+  const ExternalError timed_out{ExternalErrc::kUnknownEffect, "no answer from the service"};
   if (service_.down) {
     answer<T>(service_.time_out, std::move(done), outcome::failure(timed_out));
     return;
   }
   if (!service_.table_.admit()) {
-    const PlatformError limited{PlatformErrc::kRateLimited, "too many calls"};
+    const ExternalError limited{ExternalErrc::kRateLimited, "too many calls"};
     answer<T>(service_.delay, std::move(done), outcome::failure(limited));
     return;
   }
-  Result<T, PlatformError> result = effect(service_.table_);
+  Result<T, ExternalError> result = effect(service_.table_);
   if (service_.random_.chance(service_.lost_answer)) {
     answer<T>(service_.time_out, std::move(done), outcome::failure(timed_out));
     return;
@@ -94,23 +94,23 @@
 }
 
 void LocalKeyValueStore::get(const std::string& key,
-                             PlatformCallback<std::optional<KeyValueEntry>> done) {
+                             ExternalCallback<std::optional<KeyValueEntry>> done) {
   call<std::optional<KeyValueEntry>>([key](KeyValueTable& table) { return table.get(key); },
                                      std::move(done));
 }
 
 void LocalKeyValueStore::list(const std::string& prefix,
-                              PlatformCallback<std::vector<KeyValueEntry>> done) {
+                              ExternalCallback<std::vector<KeyValueEntry>> done) {
   call<std::vector<KeyValueEntry>>([prefix](KeyValueTable& table) { return table.list(prefix); },
                                    std::move(done));
 }
 
 void LocalKeyValueStore::compare_and_swap(const std::string& key, KeyVersion expected,
                                           const std::string& value, std::optional<LeaseId> lease,
-                                          PlatformCallback<SwapOutcome> done) {
+                                          ExternalCallback<SwapOutcome> done) {
   call<SwapOutcome>(
       [this, key, expected, value,
-       lease](KeyValueTable& table) -> Result<SwapOutcome, PlatformError> {
+       lease](KeyValueTable& table) -> Result<SwapOutcome, ExternalError> {
         auto swapped = table.compare_and_swap(key, expected, value, lease);
         if (swapped.has_error()) {
           return outcome::failure(from_table(swapped.error()));
@@ -124,9 +124,9 @@
 }
 
 void LocalKeyValueStore::compare_and_delete(const std::string& key, KeyVersion expected,
-                                            PlatformCallback<SwapOutcome> done) {
+                                            ExternalCallback<SwapOutcome> done) {
   call<SwapOutcome>(
-      [this, key, expected](KeyValueTable& table) -> Result<SwapOutcome, PlatformError> {
+      [this, key, expected](KeyValueTable& table) -> Result<SwapOutcome, ExternalError> {
         SwapOutcome swapped = table.compare_and_delete(key, expected);
         if (swapped.swapped) {
           service_.notify({key, "", KeyVersion()});
@@ -136,14 +136,14 @@
       std::move(done));
 }
 
-void LocalKeyValueStore::grant_lease(Duration time_to_live, PlatformCallback<LeaseId> done) {
+void LocalKeyValueStore::grant_lease(Duration time_to_live, ExternalCallback<LeaseId> done) {
   call<LeaseId>([time_to_live](KeyValueTable& table) { return table.grant_lease(time_to_live); },
                 std::move(done));
 }
 
-void LocalKeyValueStore::renew_lease(LeaseId lease, PlatformCallback<LeaseId> done) {
+void LocalKeyValueStore::renew_lease(LeaseId lease, ExternalCallback<LeaseId> done) {
   call<LeaseId>(
-      [lease](KeyValueTable& table) -> Result<LeaseId, PlatformError> {
+      [lease](KeyValueTable& table) -> Result<LeaseId, ExternalError> {
         auto renewed = table.renew_lease(lease);
         if (renewed.has_error()) {
           return outcome::failure(from_table(renewed.error()));
@@ -153,8 +153,8 @@
       std::move(done));
 }
 
-std::unique_ptr<platform::Watch> LocalKeyValueStore::watch(const std::string& prefix,
-                                                           platform::WatchObserver& observer) {
+std::unique_ptr<external::Watch> LocalKeyValueStore::watch(const std::string& prefix,
+                                                           external::WatchObserver& observer) {
   const std::uint64_t id = service_.next_listener_++;
   service_.listeners_.emplace(id, LocalKeyValueService::Listener{prefix, &observer, runner_});
   return std::make_unique<LocalWatch>(service_, id);
--- a/src/simulation/local_key_value_store.h
+++ b/src/simulation/local_key_value_store.h
@@ -9,7 +9,7 @@
 #include <string>
 
 #include "base/random.h"
-#include "platform/key_value_store.h"
+#include "external/key_value_store.h"
 #include "simulation/virtual_time.h"
 #include "standin/model/key_value_table.h"
 
@@ -25,7 +25,7 @@
   /// Reads and writes behind the clients' back.
   standin::KeyValueTable& table() { return table_; }
   /// Tells the watches of an entry written behind the clients' back.
-  void notify(const platform::KeyValueEntry& entry);
+  void notify(const external::KeyValueEntry& entry);
 
   bool down = false;            ///< Calls time out without effect.
   double lost_answer = 0;       ///< Chance that a call takes effect and times out.
@@ -39,7 +39,7 @@
   friend class LocalWatch;
   struct Listener {
     std::string prefix;
-    platform::WatchObserver* observer;
+    external::WatchObserver* observer;
     std::function<void(std::function<void()>)> run;
   };
 
@@ -51,7 +51,7 @@
 };
 
 /// One node's client. Answers are dropped after its destruction.
-class LocalKeyValueStore final : public platform::KeyValueStore {
+class LocalKeyValueStore final : public external::KeyValueStore {
  public:
   /// Runs a callback in the node's context, for example to measure its processor time.
   using Runner = std::function<void(std::function<void()> callback)>;
@@ -59,31 +59,31 @@
   explicit LocalKeyValueStore(LocalKeyValueService& service, Runner runner = {});
 
   void get(const std::string& key,
-           platform::PlatformCallback<std::optional<platform::KeyValueEntry>> done) override;
+           external::ExternalCallback<std::optional<external::KeyValueEntry>> done) override;
   void list(const std::string& prefix,
-            platform::PlatformCallback<std::vector<platform::KeyValueEntry>> done) override;
-  void compare_and_swap(const std::string& key, platform::KeyVersion expected,
-                        const std::string& value, std::optional<platform::LeaseId> lease,
-                        platform::PlatformCallback<platform::SwapOutcome> done) override;
-  void compare_and_delete(const std::string& key, platform::KeyVersion expected,
-                          platform::PlatformCallback<platform::SwapOutcome> done) override;
+            external::ExternalCallback<std::vector<external::KeyValueEntry>> done) override;
+  void compare_and_swap(const std::string& key, external::KeyVersion expected,
+                        const std::string& value, std::optional<external::LeaseId> lease,
+                        external::ExternalCallback<external::SwapOutcome> done) override;
+  void compare_and_delete(const std::string& key, external::KeyVersion expected,
+                          external::ExternalCallback<external::SwapOutcome> done) override;
   void grant_lease(Duration time_to_live,
-                   platform::PlatformCallback<platform::LeaseId> done) override;
-  void renew_lease(platform::LeaseId lease,
-                   platform::PlatformCallback<platform::LeaseId> done) override;
-  std::unique_ptr<platform::Watch> watch(const std::string& prefix,
-                                         platform::WatchObserver& observer) override;
+                   external::ExternalCallback<external::LeaseId> done) override;
+  void renew_lease(external::LeaseId lease,
+                   external::ExternalCallback<external::LeaseId> done) override;
+  std::unique_ptr<external::Watch> watch(const std::string& prefix,
+                                         external::WatchObserver& observer) override;
 
   /// Calls made by this client.
   std::uint64_t calls() const { return calls_; }
 
  private:
   template <class T>
-  void call(std::function<Result<T, platform::PlatformError>(standin::KeyValueTable&)> effect,
-            platform::PlatformCallback<T> done);
+  void call(std::function<Result<T, external::ExternalError>(standin::KeyValueTable&)> effect,
+            external::ExternalCallback<T> done);
   template <class T>
-  void answer(Duration delay, platform::PlatformCallback<T> done,
-              Result<T, platform::PlatformError> result);
+  void answer(Duration delay, external::ExternalCallback<T> done,
+              Result<T, external::ExternalError> result);
 
   LocalKeyValueService& service_;
   Runner runner_;
--- a/src/simulation/machine_list_client.h
+++ b/src/simulation/machine_list_client.h
@@ -5,7 +5,7 @@
 #include <utility>
 #include <vector>
 
-#include "platform/machine_list.h"
+#include "external/machine_list.h"
 #include "simulation/remote_call.h"
 #include "standin/model/machine_table.h"
 
@@ -14,21 +14,21 @@
 /// Name of the list on the network.
 inline const HostName kMachineListHost = "machine-list:80";
 
-class MachineListClient final : public platform::MachineList {
+class MachineListClient final : public external::MachineList {
  public:
   MachineListClient(Network& network, standin::MachineTable& table, ProcessRuntime& process,
                     HostName self)
       : network_(network), table_(table), process_(process), self_(std::move(self)) {}
 
-  void list(platform::PlatformCallback<std::vector<platform::Machine>> done) override {
-    using Machines = std::vector<platform::Machine>;
+  void list(external::ExternalCallback<std::vector<external::Machine>> done) override {
+    using Machines = std::vector<external::Machine>;
     CallRoute route;
     route.from = self_;
     route.to = kMachineListHost;
     remote_call<Machines>(
         network_, process_, route,
         [table = &table_] {
-          return std::optional<Result<Machines, platform::PlatformError>>(table->list());
+          return std::optional<Result<Machines, external::ExternalError>>(table->list());
         },
         std::move(done));
   }
--- a/src/simulation/remote_call.h
+++ b/src/simulation/remote_call.h
@@ -6,7 +6,7 @@
 #include <memory>
 #include <utility>
 
-#include "platform/errc.h"
+#include "external/errc.h"
 #include "simulation/network.h"
 #include "simulation/process_runtime.h"
 
@@ -27,16 +27,16 @@
 /// kUnknownEffect when no answer came in time.
 template <class T>
 void remote_call(Network& network, ProcessRuntime& caller, const CallRoute& route,
-                 std::function<std::optional<Result<T, platform::PlatformError>>()> effect,
-                 platform::PlatformCallback<T> done) {
+                 std::function<std::optional<Result<T, external::ExternalError>>()> effect,
+                 external::ExternalCallback<T> done) {
   struct Call {
     bool finished = false;
     TimerId limit = 0;
-    platform::PlatformCallback<T> done;
+    external::ExternalCallback<T> done;
   };
   const auto call = std::make_shared<Call>();
   call->done = std::move(done);
-  const auto finish = [call, &caller](Result<T, platform::PlatformError> result) {
+  const auto finish = [call, &caller](Result<T, external::ExternalError> result) {
     if (call->finished) {
       return;
     }
@@ -45,7 +45,7 @@
     call->done(std::move(result));
   };
   call->limit = caller.schedule_after(route.time_limit, [finish] {
-    finish(fail(platform::PlatformErrc::kUnknownEffect, "no answer in time"));
+    finish(fail(external::ExternalErrc::kUnknownEffect, "no answer in time"));
   });
   const auto outbound = std::make_shared<StreamDirection>(network, route.from, route.to);
   const auto inbound = std::make_shared<StreamDirection>(network, route.to, route.from);
--- a/src/simulation/tests/platform_test.cc
+++ b/src/simulation/tests/platform_test.cc
@@ -12,8 +12,8 @@
 namespace ochrespring::simulation {
 namespace {
 
-using platform::KeyVersion;
-using platform::PlatformErrc;
+using external::KeyVersion;
+using external::ExternalErrc;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -24,7 +24,7 @@
   Network network{time, random, faults};
   KeyValueService service{time, {}};
 
-  std::optional<platform::KeyValueEntry> read(const std::string& key) {
+  std::optional<external::KeyValueEntry> read(const std::string& key) {
     return service.apply([&](standin::KeyValueTable& table) { return table.get(key); });
   }
 
@@ -92,7 +92,7 @@
   for (int i = 0; i < 20; ++i) {
     const std::string key = "k" + std::to_string(i);
     client.compare_and_swap(key, KeyVersion(0), "v", std::nullopt, [&](auto result) {
-      lost += !result && result.error().code == PlatformErrc::kUnknownEffect ? 1 : 0;
+      lost += !result && result.error().code == ExternalErrc::kUnknownEffect ? 1 : 0;
     });
     run_for(seconds(3));
     CHECK(read(key).has_value());
@@ -102,9 +102,9 @@
 }
 
 TEST_CASE_FIXTURE(Fixture, "watchers hear of keys that vanish with their lease") {
-  struct Observer : platform::WatchObserver {
+  struct Observer : external::WatchObserver {
     std::vector<KeyVersion> versions;
-    void on_change(const platform::KeyValueEntry& entry) override {
+    void on_change(const external::KeyValueEntry& entry) override {
       versions.push_back(entry.version);
     }
   } observer;
--- a/src/simulation/world.cc
+++ b/src/simulation/world.cc
@@ -60,7 +60,7 @@
     relays_.push_back(std::move(relay));
   }
   for (std::uint32_t i = 0; i < size.engines + size.relays; ++i) {
-    platform::Machine machine;
+    external::Machine machine;
     machine.name = server_name(i).value();
     machine.zone = zone_name(i % size.zones);
     machines_.put(machine);
@@ -77,7 +77,7 @@
                     lost_engine_answers_, {sites[0].peer, sites[1].peer},
                     settings.plant};
     nodes_.push_back(std::make_unique<NodeSlot>(site, std::move(world)));
-    platform::Machine machine;
+    external::Machine machine;
     machine.name = site.node.value();
     machine.zone = site.zone;
     machine.region = site.region;
@@ -143,7 +143,7 @@
   const ServerId server = server_name(index % (settings_.size.engines + settings_.size.relays));
   machines_.mark_leaving(server.value());
   time_.schedule_after(span, [this, server, zone = zone_name(index % settings_.size.zones)] {
-    platform::Machine machine;
+    external::Machine machine;
     machine.name = server.value();
     machine.zone = zone;
     machines_.put(machine);
--- a/src/standin/engine_command.cc
+++ b/src/standin/engine_command.cc
@@ -5,8 +5,8 @@
 #include <memory>
 #include <vector>
 
-#include "platform/http/json.h"
-#include "platform/http/weight_store.h"
+#include "external/http/json.h"
+#include "external/http/weight_store.h"
 #include "standin/commands.h"
 #include "standin/common_options.h"
 #include "standin/engine_front.h"
@@ -55,7 +55,7 @@
   EngineProcessSettings& process = settings.process;
   process.initial.engine = EngineId(id);
   process.initial.incarnation = incarnation;
-  process.initial.role = platform::role_of(nth(options.roles, index));
+  process.initial.role = external::role_of(nth(options.roles, index));
   process.initial.model = ModelName(options.model);
   process.initial.version = VersionName(options.version);
   for (const std::string& adapter : options.adapters) {
@@ -80,9 +80,9 @@
   http::EventLoop loop;
   http::Client client(loop);
   const SystemClock clock;
-  std::unique_ptr<platform::HttpWeightStore> weights;
+  std::unique_ptr<external::HttpWeightStore> weights;
   if (!options.weights.empty()) {
-    weights = std::make_unique<platform::HttpWeightStore>(client, Endpoint(options.weights));
+    weights = std::make_unique<external::HttpWeightStore>(client, Endpoint(options.weights));
   }
   std::vector<std::unique_ptr<EngineFront>> engines;
   std::vector<ServedStandin> served;
--- a/src/standin/engine_front.cc
+++ b/src/standin/engine_front.cc
@@ -4,15 +4,15 @@
 #include <utility>
 
 #include "engine/prompt.h"
-#include "platform/http/encoding.h"
-#include "platform/http/json.h"
+#include "external/http/encoding.h"
+#include "external/http/json.h"
 #include "standin/engine_run.h"
 
 namespace ochrespring::standin {
 
 using engine_model::Distance;
 using engine_model::SubmitResult;
-using platform::Json;
+using external::Json;
 
 namespace {
 
@@ -65,7 +65,7 @@
 }  // namespace
 
 EngineFront::EngineFront(http::EventLoop& loop, const Clock& clock, http::Client& client,
-                         platform::WeightStore* weights, const EngineFrontSettings& settings)
+                         external::WeightStore* weights, const EngineFrontSettings& settings)
     : loop_(loop),
       client_(client),
       settings_(settings),
@@ -87,7 +87,7 @@
     handle_load(response);
   });
   front_.route("/status", [this](const http::Request&, const WriterPointer& response) {
-    answer_json(response, kOk, platform::json_of(process_.status()));
+    answer_json(response, kOk, external::json_of(process_.status()));
   });
   front_.add_action("crash", [this] { process_.crash(); });
   front_.add_action("forget-fence", [this] { process_.forget_fence(); });
@@ -233,9 +233,9 @@
   if (!json) {
     return;
   }
-  switch (process_.accept(platform::order_of(*json))) {
+  switch (process_.accept(external::order_of(*json))) {
     case OrderVerdict::kAccepted:
-      answer_json(response, kAccepted, platform::json_of(process_.status()));
+      answer_json(response, kAccepted, external::json_of(process_.status()));
       break;
     case OrderVerdict::kStaleFence:
       answer_error(response, kConflict, "stale_fence", "a higher fence has been seen");
@@ -252,17 +252,17 @@
 void EngineFront::handle_load(const WriterPointer& response) {
   Json reports = Json::array();
   if (const auto report = process_.load_report()) {
-    reports.push_back(platform::json_of(*report));
+    reports.push_back(external::json_of(*report));
   }
   answer_json(response, kOk, {{"reports", reports}});
 }
 
 void EngineFront::handle_cache_events(const http::Request& request, const WriterPointer& response) {
-  const std::uint64_t after = platform::query_number(request.query, "after").value_or(0);
-  const platform::CacheEventBatch batch = process_.cache_events(after);
+  const std::uint64_t after = external::query_number(request.query, "after").value_or(0);
+  const external::CacheEventBatch batch = process_.cache_events(after);
   Json events = Json::array();
   for (const engine::CacheEvent& event : batch.events) {
-    events.push_back(platform::json_of(event));
+    events.push_back(external::json_of(event));
   }
   answer_json(response, kOk, {{"incarnation", batch.incarnation.value()}, {"events", events}});
 }
--- a/src/standin/engine_front.h
+++ b/src/standin/engine_front.h
@@ -37,7 +37,7 @@
  public:
   /// `client` fetches KV caches from other engines; `weights` may be null.
   EngineFront(http::EventLoop& loop, const Clock& clock, http::Client& client,
-              platform::WeightStore* weights, const EngineFrontSettings& settings);
+              external::WeightStore* weights, const EngineFrontSettings& settings);
   ~EngineFront();
   EngineFront(const EngineFront&) = delete;
   EngineFront& operator=(const EngineFront&) = delete;
--- a/src/standin/engine_process.cc
+++ b/src/standin/engine_process.cc
@@ -37,7 +37,7 @@
 }  // namespace
 
 EngineProcess::EngineProcess(const Clock& clock, TimerService& timers, FaultInjector& faults,
-                             platform::WeightStore* weights, EngineProcessSettings settings)
+                             external::WeightStore* weights, EngineProcessSettings settings)
     : clock_(clock),
       faults_(faults),
       weights_(weights),
@@ -187,7 +187,7 @@
   const Incarnation incarnation = orders_.status().incarnation;
   weights_->fetch(weight_name(order), bytes,
                   [this, order, incarnation](
-                      const Result<platform::FetchGrant, platform::PlatformError>& granted) {
+                      const Result<external::FetchGrant, external::ExternalError>& granted) {
                     if (orders_.status().incarnation != incarnation) {
                       return;  // The process that asked has crashed.
                     }
@@ -258,9 +258,9 @@
   return report;
 }
 
-platform::CacheEventBatch EngineProcess::cache_events(std::uint64_t after) {
+external::CacheEventBatch EngineProcess::cache_events(std::uint64_t after) {
   const MonotonicTime visible = clock_.now() - settings_.cache_event_lag - faults_.settings().lag;
-  platform::CacheEventBatch batch;
+  external::CacheEventBatch batch;
   batch.incarnation = orders_.status().incarnation;
   for (const TimedCacheEvent& event : cache_events_) {
     if (event.event.sequence > after && event.taken <= visible) {
--- a/src/standin/engine_process.h
+++ b/src/standin/engine_process.h
@@ -11,8 +11,8 @@
 
 #include "base/timer.h"
 #include "engine_model/engine_model.h"
-#include "platform/engine_control.h"
-#include "platform/weight_store.h"
+#include "external/engine_control.h"
+#include "external/weight_store.h"
 #include "standin/faults.h"
 #include "standin/model/engine_orders.h"
 
@@ -49,7 +49,7 @@
   using SequenceId = engine_model::SequenceId;
 
   EngineProcess(const Clock& clock, TimerService& timers, FaultInjector& faults,
-                platform::WeightStore* weights, EngineProcessSettings settings);
+                external::WeightStore* weights, EngineProcessSettings settings);
   EngineProcess(const EngineProcess&) = delete;
   EngineProcess& operator=(const EngineProcess&) = delete;
 
@@ -76,7 +76,7 @@
   const engine::EngineStatus& order_status() const { return orders_.status(); }
   /// The newest load report that is old enough; none before the first.
   std::optional<engine::LoadReport> load_report();
-  platform::CacheEventBatch cache_events(std::uint64_t after);
+  external::CacheEventBatch cache_events(std::uint64_t after);
   const EngineProcessSettings& settings() const { return settings_; }
   const engine_model::EngineModel& model() const { return model_; }
 
@@ -104,7 +104,7 @@
 
   const Clock& clock_;
   FaultInjector& faults_;
-  platform::WeightStore* weights_;
+  external::WeightStore* weights_;
   EngineProcessSettings settings_;
   MonotonicTime started_;
   engine_model::EngineModel model_;
--- a/src/standin/key_value_front.cc
+++ b/src/standin/key_value_front.cc
@@ -4,14 +4,14 @@
 #include <charconv>
 #include <utility>
 
-#include "platform/http/encoding.h"
-#include "platform/http/json.h"
+#include "external/http/encoding.h"
+#include "external/http/json.h"
 
 namespace ochrespring::standin {
 
-using platform::Json;
-using platform::KeyVersion;
-using platform::LeaseId;
+using external::Json;
+using external::KeyVersion;
+using external::LeaseId;
 
 namespace {
 
@@ -26,10 +26,10 @@
 constexpr std::string_view kLeasePath = "/v1/leases/";
 constexpr std::string_view kRenew = "/renew";
 
-Json entries_json(const std::vector<platform::KeyValueEntry>& entries) {
+Json entries_json(const std::vector<external::KeyValueEntry>& entries) {
   Json list = Json::array();
   for (const auto& entry : entries) {
-    list.push_back(platform::json_of(entry));
+    list.push_back(external::json_of(entry));
   }
   return list;
 }
@@ -38,7 +38,7 @@
   if (!request.path.starts_with(kKeyPath)) {
     return std::string();
   }
-  return platform::percent_decode(std::string_view(request.path).substr(kKeyPath.size()));
+  return external::percent_decode(std::string_view(request.path).substr(kKeyPath.size()));
 }
 
 struct PutBody {
@@ -49,7 +49,7 @@
 
 std::optional<PutBody> put_body_of(const Json& json) {
   try {
-    auto value = platform::base64_decode(json.at("value").get<std::string>());
+    auto value = external::base64_decode(json.at("value").get<std::string>());
     if (!value) {
       return std::nullopt;
     }
@@ -132,7 +132,7 @@
 void KeyValueFront::handle_get(const http::Request& request, const std::string& key,
                                const WriterPointer& response) {
   if (key.empty()) {
-    const std::string prefix = platform::query_parameter(request.query, "prefix").value_or("");
+    const std::string prefix = external::query_parameter(request.query, "prefix").value_or("");
     answer_json(response, kOk, {{"entries", entries_json(table_.list(prefix))}});
     return;
   }
@@ -141,7 +141,7 @@
     answer_error(response, kNotFound, "not_found", "no such key");
     return;
   }
-  answer_json(response, kOk, platform::json_of(*entry));
+  answer_json(response, kOk, external::json_of(*entry));
 }
 
 void KeyValueFront::handle_put(const http::Request& request, const std::string& key,
@@ -158,7 +158,7 @@
   }
   const auto swapped = table_.compare_and_swap(key, body->expected, body->value, body->lease);
   if (swapped.has_value()) {
-    answer_json(response, kOk, platform::json_of(swapped.value()));
+    answer_json(response, kOk, external::json_of(swapped.value()));
     return;
   }
   const bool lapsed = swapped.error().code == KeyValueTable::Errc::kUnknownLease;
@@ -168,13 +168,13 @@
 
 void KeyValueFront::handle_delete(const http::Request& request, const std::string& key,
                                   const WriterPointer& response) {
-  const auto expected = platform::query_number(request.query, "expected");
+  const auto expected = external::query_number(request.query, "expected");
   if (!expected) {
     answer_error(response, kBadRequest, "malformed", "needs expected (a version)");
     return;
   }
   const auto swapped = table_.compare_and_delete(key, KeyVersion(*expected));
-  answer_json(response, kOk, platform::json_of(swapped));
+  answer_json(response, kOk, external::json_of(swapped));
 }
 
 void KeyValueFront::handle_lease(const http::Request& request, const WriterPointer& response) {
@@ -221,10 +221,10 @@
 void KeyValueFront::handle_watch(const http::Request& request, const WriterPointer& response) {
   Waiting waiting;
   waiting.number = next_waiting_++;
-  waiting.prefix = platform::query_parameter(request.query, "prefix").value_or("");
-  waiting.position = platform::query_number(request.query, "position").value_or(table_.position());
+  waiting.prefix = external::query_parameter(request.query, "prefix").value_or("");
+  waiting.position = external::query_number(request.query, "position").value_or(table_.position());
   waiting.response = response;
-  const std::uint64_t wait = std::min(platform::query_number(request.query, "wait_ms").value_or(0),
+  const std::uint64_t wait = std::min(external::query_number(request.query, "wait_ms").value_or(0),
                                       kLongestWatchMilliseconds);
   if (answer_watch(waiting, wait == 0)) {
     return;
@@ -250,7 +250,7 @@
 
 bool KeyValueFront::answer_watch(Waiting& waiting, bool ended) {
   ChangeBatch batch = table_.changes_after(waiting.prefix, waiting.position);
-  std::erase_if(batch.changes, [this](const platform::KeyValueEntry&) {
+  std::erase_if(batch.changes, [this](const external::KeyValueEntry&) {
     return front_.faults().draw_lost_watch_event();
   });
   waiting.position = batch.compacted ? waiting.position : batch.position;
--- a/src/standin/machines_front.cc
+++ b/src/standin/machines_front.cc
@@ -2,12 +2,12 @@
 
 #include <utility>
 
-#include "platform/http/encoding.h"
-#include "platform/http/json.h"
+#include "external/http/encoding.h"
+#include "external/http/json.h"
 
 namespace ochrespring::standin {
 
-using platform::Json;
+using external::Json;
 
 namespace {
 
@@ -17,10 +17,10 @@
 constexpr std::string_view kPath = "/v1/machines";
 constexpr std::string_view kLeave = "/leave";
 
-void answer_list(const WriterPointer& response, const std::vector<platform::Machine>& machines) {
+void answer_list(const WriterPointer& response, const std::vector<external::Machine>& machines) {
   Json list = Json::array();
-  for (const platform::Machine& machine : machines) {
-    list.push_back(platform::json_of(machine));
+  for (const external::Machine& machine : machines) {
+    list.push_back(external::json_of(machine));
   }
   answer_json(response, kOk, {{"machines", list}});
 }
@@ -40,7 +40,7 @@
     : table_(clock, Duration::zero()),
       lag_(settings.lag),
       front_(loop, settings.listen, settings.fault_seed) {
-  for (const platform::Machine& machine : settings.machines) {
+  for (const external::Machine& machine : settings.machines) {
     table_.put(machine);
   }
   front_.route(std::string(kPath),
@@ -57,7 +57,7 @@
   if (leave) {
     name.remove_suffix(kLeave.size());
   }
-  const auto decoded = platform::percent_decode(name);
+  const auto decoded = external::percent_decode(name);
   if (!decoded) {
     answer_error(response, kBadRequest, "malformed", "the name's escapes are broken");
   } else if (request.method == "GET") {
@@ -80,7 +80,7 @@
     return;
   }
   (*json)["name"] = name;
-  table_.put(platform::machine_of(*json));
+  table_.put(external::machine_of(*json));
   answer_json(response, kOk, {{"done", true}});
 }
 
--- a/src/standin/machines_front.h
+++ b/src/standin/machines_front.h
@@ -14,7 +14,7 @@
   Endpoint listen{"127.0.0.1:0"};
   std::uint64_t fault_seed = 1;
   Duration lag{std::chrono::seconds(1)};
-  std::vector<platform::Machine> machines;  ///< Live from the start.
+  std::vector<external::Machine> machines;  ///< Live from the start.
 };
 
 /// Serves a MachineTable; docs/PLATFORM.md gives the calls. Used on the loop only.
--- a/src/standin/model/key_value_table.cc
+++ b/src/standin/model/key_value_table.cc
@@ -5,10 +5,10 @@
 
 namespace ochrespring::standin {
 
-using platform::KeyValueEntry;
-using platform::KeyVersion;
-using platform::LeaseId;
-using platform::SwapOutcome;
+using external::KeyValueEntry;
+using external::KeyVersion;
+using external::LeaseId;
+using external::SwapOutcome;
 
 KeyValueTable::KeyValueTable(const Clock& clock, KeyValueSettings settings)
     : clock_(clock),
--- a/src/standin/model/key_value_table.h
+++ b/src/standin/model/key_value_table.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "platform/key_value_store.h"
+#include "external/key_value_store.h"
 #include "standin/model/token_bucket.h"
 
 namespace ochrespring::standin {
@@ -28,12 +28,12 @@
 struct ChangeBatch {
   std::uint64_t position = 0;  ///< To ask from next time.
   bool compacted = false;      ///< Changes before the oldest kept one are missing: list again.
-  std::vector<platform::KeyValueEntry> changes;  ///< Oldest first; version zero: vanished.
+  std::vector<external::KeyValueEntry> changes;  ///< Oldest first; version zero: vanished.
 };
 
 /// A full copy of the service's state, to model a restore from an old backup.
 struct KeyValueBackup {
-  std::map<std::string, platform::KeyValueEntry> entries;
+  std::map<std::string, external::KeyValueEntry> entries;
 };
 
 /// Single-threaded. Every operation first drops what has lapsed.
@@ -49,20 +49,20 @@
   /// Time until a refused call may be admitted.
   Duration retry_after();
 
-  std::optional<platform::KeyValueEntry> get(const std::string& key);
-  std::vector<platform::KeyValueEntry> list(const std::string& prefix);
+  std::optional<external::KeyValueEntry> get(const std::string& key);
+  std::vector<external::KeyValueEntry> list(const std::string& prefix);
   /// Versions are drawn from one counter, so that a key never has the same version twice.
-  Result<platform::SwapOutcome, Error> compare_and_swap(const std::string& key,
-                                                        platform::KeyVersion expected,
+  Result<external::SwapOutcome, Error> compare_and_swap(const std::string& key,
+                                                        external::KeyVersion expected,
                                                         const std::string& value,
-                                                        std::optional<platform::LeaseId> lease);
-  platform::SwapOutcome compare_and_delete(const std::string& key, platform::KeyVersion expected);
+                                                        std::optional<external::LeaseId> lease);
+  external::SwapOutcome compare_and_delete(const std::string& key, external::KeyVersion expected);
 
-  platform::LeaseId grant_lease(Duration time_to_live);
+  external::LeaseId grant_lease(Duration time_to_live);
   /// Counts the time to live again from now; kUnknownLease if it has lapsed.
-  Result<platform::LeaseId, Error> renew_lease(platform::LeaseId lease);
+  Result<external::LeaseId, Error> renew_lease(external::LeaseId lease);
   /// Ends a lease and its keys; false if there is none.
-  bool revoke_lease(platform::LeaseId lease);
+  bool revoke_lease(external::LeaseId lease);
   /// Drops lapsed leases and their keys; the time until the next one lapses, if there is any.
   std::optional<Duration> expire();
 
@@ -85,24 +85,24 @@
   };
   struct Change {
     std::uint64_t position = 0;
-    platform::KeyValueEntry entry;
+    external::KeyValueEntry entry;
   };
 
   void erase(const std::string& key);
-  void record(platform::KeyValueEntry entry);
-  void bind(const std::string& key, std::optional<platform::LeaseId> lease);
+  void record(external::KeyValueEntry entry);
+  void bind(const std::string& key, std::optional<external::LeaseId> lease);
   std::optional<Error> check(const std::string& key, const std::string& value,
-                             std::optional<platform::LeaseId> lease) const;
+                             std::optional<external::LeaseId> lease) const;
 
   const Clock& clock_;
   KeyValueSettings settings_;
   TokenBucket limit_;
-  std::map<std::string, platform::KeyValueEntry> entries_;
-  std::map<std::string, platform::LeaseId> lease_of_key_;
-  std::map<platform::LeaseId, Lease> leases_;
+  std::map<std::string, external::KeyValueEntry> entries_;
+  std::map<std::string, external::LeaseId> lease_of_key_;
+  std::map<external::LeaseId, Lease> leases_;
   std::deque<Change> changes_;
-  platform::KeyVersion last_version_;
-  platform::LeaseId last_lease_;
+  external::KeyVersion last_version_;
+  external::LeaseId last_lease_;
   std::uint64_t next_position_ = 1;
   std::uint64_t admitted_calls_ = 0;
   std::uint64_t refused_calls_ = 0;
--- a/src/standin/model/machine_table.cc
+++ b/src/standin/model/machine_table.cc
@@ -2,8 +2,8 @@
 
 namespace ochrespring::standin {
 
-using platform::Machine;
-using platform::MachineState;
+using external::Machine;
+using external::MachineState;
 
 namespace {
 
--- a/src/standin/model/machine_table.h
+++ b/src/standin/model/machine_table.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "platform/machine_list.h"
+#include "external/machine_list.h"
 
 namespace ochrespring::standin {
 
@@ -17,7 +17,7 @@
   MachineTable(const Clock& clock, Duration lag) : clock_(clock), lag_(lag) {}
 
   /// Adds a machine or replaces what is known of it.
-  void put(const platform::Machine& machine);
+  void put(const external::Machine& machine);
   /// Marks a machine as leaving; false if there is none of that name.
   bool mark_leaving(const std::string& name);
   /// Removes a machine; false if there is none of that name.
@@ -25,12 +25,12 @@
   void set_lag(Duration lag) { lag_ = lag; }
 
   /// The table as it was `lag` ago, ordered by name.
-  std::vector<platform::Machine> list();
+  std::vector<external::Machine> list();
   /// The table as it is, ordered by name.
-  std::vector<platform::Machine> truth() const;
+  std::vector<external::Machine> truth() const;
 
  private:
-  using Machines = std::map<std::string, platform::Machine>;
+  using Machines = std::map<std::string, external::Machine>;
   struct Snapshot {
     MonotonicTime taken;
     Machines machines;
--- a/src/standin/platform_commands.cc
+++ b/src/standin/platform_commands.cc
@@ -36,14 +36,14 @@
 };
 
 /// `name,zone,region[,peer endpoint]`
-platform::Machine machine_in(const std::string& text) {
+external::Machine machine_in(const std::string& text) {
   const std::vector<std::string> parts = CLI::detail::split(text, ',');
   constexpr std::size_t kFewestParts = 3;
   constexpr std::size_t kMostParts = 4;
   if (parts.size() < kFewestParts || parts.size() > kMostParts) {
     throw CLI::ValidationError("--machine", "must be name,zone,region[,endpoint]: " + text);
   }
-  platform::Machine machine;
+  external::Machine machine;
   machine.name = parts[0];
   machine.zone = ZoneName(parts[1]);
   machine.region = RegionName(parts[2]);
--- a/src/standin/relay_front.cc
+++ b/src/standin/relay_front.cc
@@ -2,11 +2,11 @@
 
 #include <utility>
 
-#include "platform/http/json.h"
+#include "external/http/json.h"
 
 namespace ochrespring::standin {
 
-using platform::Json;
+using external::Json;
 
 namespace {
 
@@ -35,10 +35,10 @@
     handle_log(response);
   });
   front_.route("/status", [this](const http::Request&, const WriterPointer& response) {
-    answer_json(response, kOk, platform::json_of(status()));
+    answer_json(response, kOk, external::json_of(status()));
   });
   front_.route("/load", [this](const http::Request&, const WriterPointer& response) {
-    answer_json(response, kOk, {{"reports", Json::array({platform::json_of(load())})}});
+    answer_json(response, kOk, {{"reports", Json::array({external::json_of(load())})}});
   });
 }
 
--- a/src/standin/tests/key_value_table_test.cc
+++ b/src/standin/tests/key_value_table_test.cc
@@ -10,8 +10,8 @@
 
 using namespace std::chrono_literals;
 using ochrespring::MonotonicTime;
-using ochrespring::platform::KeyVersion;
-using ochrespring::platform::LeaseId;
+using ochrespring::external::KeyVersion;
+using ochrespring::external::LeaseId;
 using ochrespring::simulation::VirtualTime;
 using ochrespring::standin::KeyValueSettings;
 using ochrespring::standin::KeyValueTable;
--- a/src/standin/tests/live_standins.h
+++ b/src/standin/tests/live_standins.h
@@ -10,7 +10,7 @@
 
 #include "base/random.h"
 #include "http/client.h"
-#include "platform/http/key_value_store.h"
+#include "external/http/key_value_store.h"
 
 namespace ochrespring::standin::testing {
 
@@ -30,10 +30,10 @@
 
   /// Runs an asynchronous platform call to its end.
   template <class T>
-  Result<T, platform::PlatformError> wait(
-      const std::function<void(platform::PlatformCallback<T>)>& call) {
-    std::optional<Result<T, platform::PlatformError>> result;
-    call([this, &result](Result<T, platform::PlatformError> done) {
+  Result<T, external::ExternalError> wait(
+      const std::function<void(external::ExternalCallback<T>)>& call) {
+    std::optional<Result<T, external::ExternalError>> result;
+    call([this, &result](Result<T, external::ExternalError> done) {
       result.emplace(std::move(done));
       loop.stop();
     });
--- a/src/standin/tests/models_test.cc
+++ b/src/standin/tests/models_test.cc
@@ -73,16 +73,16 @@
 TEST_CASE("the machine list shows the past") {
   VirtualTime time;
   MachineTable table(time, 5s);
-  platform::Machine machine;
+  external::Machine machine;
   machine.name = "node-1";
   table.put(machine);
   CHECK(table.list().empty());
   time.run_until(MonotonicTime(5s));
   REQUIRE(table.list().size() == 1);
   REQUIRE(table.mark_leaving("node-1"));
-  CHECK(table.list().front().state == platform::MachineState::kLive);
+  CHECK(table.list().front().state == external::MachineState::kLive);
   time.run_until(MonotonicTime(10s));
-  CHECK(table.list().front().state == platform::MachineState::kLeaving);
+  CHECK(table.list().front().state == external::MachineState::kLeaving);
   CHECK(table.remove("node-1"));
   CHECK(table.truth().empty());
   CHECK_FALSE(table.mark_leaving("node-2"));
--- a/src/standin/tests/platform_adapters_test.cc
+++ b/src/standin/tests/platform_adapters_test.cc
@@ -1,9 +1,9 @@
 // The HTTP adapters against the stand-ins over real sockets.
 #include <doctest/doctest.h>
 
-#include "platform/http/engine_control.h"
-#include "platform/http/machine_list.h"
-#include "platform/http/weight_store.h"
+#include "external/http/engine_control.h"
+#include "external/http/machine_list.h"
+#include "external/http/weight_store.h"
 #include "standin/engine_front.h"
 #include "standin/key_value_front.h"
 #include "standin/machines_front.h"
@@ -11,7 +11,7 @@
 #include "standin/weights_front.h"
 
 using namespace ochrespring;
-using namespace ochrespring::platform;
+using namespace ochrespring::external;
 using namespace ochrespring::standin;
 using namespace std::chrono_literals;
 using ochrespring::standin::testing::LiveLoop;
@@ -27,13 +27,13 @@
     store = std::make_unique<HttpKeyValueStore>(client, loop, random, client_settings);
   }
 
-  Result<SwapOutcome, PlatformError> swap(const std::string& key, KeyVersion expected,
+  Result<SwapOutcome, ExternalError> swap(const std::string& key, KeyVersion expected,
                                           const std::string& value,
                                           std::optional<LeaseId> lease = {}) {
     return wait<SwapOutcome>(
         [&](auto done) { store->compare_and_swap(key, expected, value, lease, std::move(done)); });
   }
-  Result<std::optional<KeyValueEntry>, PlatformError> get(const std::string& key) {
+  Result<std::optional<KeyValueEntry>, ExternalError> get(const std::string& key) {
     return wait<std::optional<KeyValueEntry>>([&](auto done) { store->get(key, std::move(done)); });
   }
   void set_faults(const FaultSettings& faults) { front.front().faults().set(faults); }
@@ -83,8 +83,8 @@
   const LeaseId unknown(lease.value().value() + 1);
   CHECK(
       live.wait<LeaseId>([&](auto done) { live.store->renew_lease(unknown, done); }).error().code ==
-      PlatformErrc::kNotFound);
-  CHECK(live.swap("b", KeyVersion(), "1", unknown).error().code == PlatformErrc::kNotFound);
+      ExternalErrc::kNotFound);
+  CHECK(live.swap("b", KeyVersion(), "1", unknown).error().code == ExternalErrc::kNotFound);
 }
 
 TEST_CASE("each way a call fails says what is known of its effect") {
@@ -97,32 +97,32 @@
     HttpKeyValueSettings nowhere;
     nowhere.endpoint = Endpoint("127.0.0.1:1");
     live.store = std::make_unique<HttpKeyValueStore>(live.client, live.loop, live.random, nowhere);
-    CHECK(live.get("a").error().code == PlatformErrc::kNotSent);
+    CHECK(live.get("a").error().code == ExternalErrc::kNotSent);
   }
   SUBCASE("down") {
     faults.down = true;
     live.set_faults(faults);
-    CHECK(live.swap("a", KeyVersion(), "1").error().code == PlatformErrc::kUnknownEffect);
+    CHECK(live.swap("a", KeyVersion(), "1").error().code == ExternalErrc::kUnknownEffect);
     live.set_faults({});
     CHECK_FALSE(live.get("a").value().has_value());
   }
   SUBCASE("the answer is lost, the effect is not") {
     faults.lost_answer = 1;
     live.set_faults(faults);
-    CHECK(live.swap("a", KeyVersion(), "1").error().code == PlatformErrc::kUnknownEffect);
+    CHECK(live.swap("a", KeyVersion(), "1").error().code == ExternalErrc::kUnknownEffect);
     live.set_faults({});
     CHECK(live.get("a").value()->value == "1");
   }
   SUBCASE("the answer is truncated") {
     faults.truncated_answer = 1;
     live.set_faults(faults);
-    CHECK(live.swap("a", KeyVersion(), "1").error().code == PlatformErrc::kMalformed);
+    CHECK(live.swap("a", KeyVersion(), "1").error().code == ExternalErrc::kMalformed);
   }
   SUBCASE("over the rate limit") {
     for (int call = 0; call < 3; ++call) {
       REQUIRE(live.get("a").has_value());
     }
-    CHECK(live.get("a").error().code == PlatformErrc::kRateLimited);
+    CHECK(live.get("a").error().code == ExternalErrc::kRateLimited);
   }
 }
 
@@ -168,7 +168,7 @@
   HttpWeightStore store(live.client, weights.front().bound());
   const auto fetch = [&](auto done) { store.fetch("m@v1", 1000, std::move(done)); };
   CHECK(live.wait<FetchGrant>(fetch).value().transfer == 10s);
-  CHECK(live.wait<FetchGrant>(fetch).error().code == PlatformErrc::kRateLimited);
+  CHECK(live.wait<FetchGrant>(fetch).error().code == ExternalErrc::kRateLimited);
 }
 
 TEST_CASE("an engine takes one order at a time and refuses stale fences") {
@@ -190,8 +190,8 @@
         [&](auto done) { control.order(endpoint, order, std::move(done)); });
   };
   REQUIRE(give(5).value().phase == engine::EnginePhase::kChanging);
-  CHECK(give(5).error().code == PlatformErrc::kStaleFence);
-  CHECK(give(6).error().code == PlatformErrc::kBusy);
+  CHECK(give(5).error().code == ExternalErrc::kStaleFence);
+  CHECK(give(6).error().code == ExternalErrc::kBusy);
   SUBCASE("a crash in the middle leaves no effect, and another incarnation") {
     engine.process().crash();
     const auto status = live.wait<engine::EngineStatus>(
@@ -203,6 +203,6 @@
   }
   SUBCASE("a fence can be forgotten") {
     engine.process().forget_fence();
-    CHECK(give(1).error().code == PlatformErrc::kBusy);
+    CHECK(give(1).error().code == ExternalErrc::kBusy);
   }
 }
--- a/src/standin/weights_front.cc
+++ b/src/standin/weights_front.cc
@@ -1,10 +1,10 @@
 #include "standin/weights_front.h"
 
-#include "platform/http/json.h"
+#include "external/http/json.h"
 
 namespace ochrespring::standin {
 
-using platform::Json;
+using external::Json;
 
 namespace {
 constexpr std::uint16_t kOk = 200;
@@ -33,7 +33,7 @@
     return;
   }
   const std::string token = name + "#" + std::to_string(store_.fetches());
-  answer_json(response, kOk, platform::json_of(platform::FetchGrant{token, *span}));
+  answer_json(response, kOk, external::json_of(external::FetchGrant{token, *span}));
 }
 
 }  // namespace ochrespring::standin
