http: cut an answer behind its last whole chunk

Ruled out: our own framing. Change: the connection is shut before h2o writes its mark; bytes accepted before the cut still go out. Test: broken_answer_test, which failed before with a chunk '1'.

--- a/src/http/response_stream.cc
+++ b/src/http/response_stream.cc
@@ -136,8 +136,8 @@
     return;
   }
   end_ = End::kAborted;
-  queued_.clear();
   if (writing_) {
+    queued_.clear();
     cut_connection();
   }
   schedule_pump();
@@ -158,6 +158,12 @@
   if (request_ == nullptr || writing_ || final_sent_) {
     return;
   }
+  if (end_ == End::kAborted && head_sent_ && !queued_.empty()) {
+    // What was accepted before the cut still reaches the caller.
+    in_flight_.swap(queued_);
+    send(H2O_SEND_STATE_IN_PROGRESS);
+    return;
+  }
   if (end_ == End::kAborted) {
     if (!head_sent_) {
       head_sent_ = true;
@@ -168,6 +174,7 @@
     if (request_->version < kHttp11Version) {
       reset_on_close();
     }
+    end_connection();
     send(H2O_SEND_STATE_ERROR);
     return;
   }
@@ -275,6 +282,15 @@
   ::setsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
 }
 
+/// Closes an HTTP/1 connection before h2o marks the answer as broken: its mark is a chunk that no
+/// parser can read, and the caller shall find whole chunks and then the end.
+void ResponseStream::end_connection() {
+  h2o_socket_t* socket = http1_socket();
+  if (socket != nullptr) {
+    ::shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+  }
+}
+
 /// Ends an HTTP/1 connection whose caller does not take the bytes being written.
 void ResponseStream::cut_connection() {
   h2o_socket_t* socket = http1_socket();
--- a/src/http/response_stream.h
+++ b/src/http/response_stream.h
@@ -59,6 +59,7 @@
   void check_caller();
   void stop_watching();
   void reset_on_close();
+  void end_connection();
   void cut_connection();
 
   EventLoop& loop_;
--- /dev/null
+++ b/src/http/tests/broken_answer_test.cc
@@ -0,0 +1,57 @@
+// What a caller finds on the wire when an answer is cut, read byte by byte on a plain socket.
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <string>
+#include <thread>
+
+#include "http/server.h"
+#include "http/socket_address.h"
+
+using namespace ochrespring;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Sends `request` and reads until the connection ends.
+std::string read_raw(const Endpoint& endpoint, const std::string& request) {
+  auto address = http::parse_endpoint(endpoint).value();
+  const int caller = ::socket(AF_INET, SOCK_STREAM, 0);
+  REQUIRE(::connect(caller, address.get(), address.length) == 0);
+  REQUIRE(::send(caller, request.data(), request.size(), 0) > 0);
+  std::string received;
+  std::array<char, 4096> buffer{};
+  ssize_t count = 0;
+  while ((count = ::recv(caller, buffer.data(), buffer.size(), 0)) > 0) {
+    received.append(buffer.data(), static_cast<std::size_t>(count));
+  }
+  ::close(caller);
+  return received;
+}
+
+}  // namespace
+
+TEST_CASE("a stream that is cut ends behind its last whole chunk, without bytes of another kind") {
+  http::EventLoop loop;
+  http::ServerSettings settings;
+  settings.listen = Endpoint("127.0.0.1:0");
+  http::Server server(loop, settings);
+  server.route("/", [&loop](const http::Request&, std::shared_ptr<http::ResponseWriter> response) {
+    response->send_head({200, {{"content-type", "text/event-stream"}}});
+    response->send_body("id: 1\n\n");
+    loop.schedule_after(20ms, [response] { response->abort(); });
+  });
+  REQUIRE(server.listen());
+  std::string received;
+  std::thread caller([&] {
+    received = read_raw(server.bound(), "GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+    loop.stop();
+  });
+  loop.run();
+  caller.join();
+  const std::size_t body = received.find("\r\n\r\n");
+  REQUIRE(body != std::string::npos);
+  CHECK(received.substr(body + 4) == "7\r\nid: 1\n\n\r\n");
+}
