--- a/src/authority/electorate_keeper.h
+++ b/src/authority/electorate_keeper.h
@@ -11,8 +11,8 @@
 
 #include "authority/messages.h"
 #include "authority/types.h"
-#include "membership/member_view.h"
 #include "external/key_value_store.h"
+#include "membership/member_view.h"
 
 namespace ochrespring::authority {
 
--- a/src/authority/tests/cluster.cc
+++ b/src/authority/tests/cluster.cc
@@ -7,9 +7,9 @@
 
 namespace {
 
+using external::ExternalErrc;
 using external::KeyValueEntry;
 using external::KeyVersion;
-using external::ExternalErrc;
 
 constexpr Duration kStoreDelay = std::chrono::milliseconds(3);
 constexpr Duration kNetworkDelay = std::chrono::milliseconds(1);
--- a/src/capacity/hollow_engines.h
+++ b/src/capacity/hollow_engines.h
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include "base/random.h"
-#include "fleet/types.h"
 #include "external/engine_control.h"
+#include "fleet/types.h"
 #include "simulation/virtual_time.h"
 
 namespace ochrespring::capacity {
--- a/src/config/checkpoint_storage.cc
+++ b/src/config/checkpoint_storage.cc
@@ -10,8 +10,8 @@
 
 namespace {
 
-using external::KeyVersion;
 using external::ExternalErrc;
+using external::KeyVersion;
 
 }  // namespace
 
--- a/src/control_plane/control_plane.h
+++ b/src/control_plane/control_plane.h
@@ -21,6 +21,9 @@
 #include "controller/controller.h"
 #include "digest/digest_service.h"
 #include "digest/settings.h"
+#include "external/engine_control.h"
+#include "external/key_value_store.h"
+#include "external/machine_list.h"
 #include "grants/grants.h"
 #include "ledger/attempt_ledger.h"
 #include "ledger/ledger_node.h"
@@ -31,9 +34,6 @@
 #include "membership/settings.h"
 #include "operator_api/fleet_admin.h"
 #include "peer/transport.h"
-#include "external/engine_control.h"
-#include "external/key_value_store.h"
-#include "external/machine_list.h"
 #include "router/fleet_view.h"
 
 namespace ochrespring::control_plane {
--- a/src/control_plane/engine_poller.h
+++ b/src/control_plane/engine_poller.h
@@ -9,8 +9,8 @@
 #include "base/ids.h"
 #include "base/timer.h"
 #include "engine/types.h"
-#include "fleet/types.h"
 #include "external/engine_control.h"
+#include "fleet/types.h"
 
 namespace ochrespring::control_plane {
 
--- a/src/controller/shard_controller.h
+++ b/src/controller/shard_controller.h
@@ -10,10 +10,10 @@
 #include "authority/lease_view.h"
 #include "controller/change_budget.h"
 #include "controller/engine_driver.h"
+#include "external/engine_control.h"
 #include "fleet/types.h"
 #include "grants/grants.h"
 #include "planner/planner.h"
-#include "external/engine_control.h"
 
 namespace ochrespring::controller {
 
--- a/src/digest/digest_service.h
+++ b/src/digest/digest_service.h
@@ -17,8 +17,8 @@
 #include "digest/outbox.h"
 #include "digest/server_poller.h"
 #include "digest/topology.h"
-#include "peer/transport.h"
 #include "external/machine_list.h"
+#include "peer/transport.h"
 
 namespace ochrespring::digest {
 
--- a/src/discovery/fleet_watcher.cc
+++ b/src/discovery/fleet_watcher.cc
@@ -139,12 +139,11 @@
       const bool draining = backend->draining;
       const std::string id = backend->id.value();
       if (fleet_.put(std::move(*backend))) {
-        world_.logger.write({logging::Level::kInfo,
-                             kComponent,
-                             "back end changed",
-                             {{"backend", id},
-                              {"draining", draining},
-                              {"revision", change.revision.value()}}});
+        world_.logger.write(
+            {logging::Level::kInfo,
+             kComponent,
+             "back end changed",
+             {{"backend", id}, {"draining", draining}, {"revision", change.revision.value()}}});
       }
     }
   } else if (change.key.starts_with(layout.node_prefix)) {
--- a/src/discovery/fleet_watcher.h
+++ b/src/discovery/fleet_watcher.h
@@ -18,9 +18,9 @@
 namespace ochrespring::discovery {
 
 struct FleetWatcherSettings {
-  Duration period{std::chrono::milliseconds(900)};       ///< Between two looks.
-  Duration retry{std::chrono::milliseconds(300)};        ///< After a look that failed.
-  Duration fresh_enough{std::chrono::milliseconds(150)}; ///< Age at which refresh() asks again.
+  Duration period{std::chrono::milliseconds(900)};        ///< Between two looks.
+  Duration retry{std::chrono::milliseconds(300)};         ///< After a look that failed.
+  Duration fresh_enough{std::chrono::milliseconds(150)};  ///< Age at which refresh() asks again.
 };
 
 struct FleetWatcherStatistics {
--- a/src/discovery/node_registration.cc
+++ b/src/discovery/node_registration.cc
@@ -47,10 +47,11 @@
       return;
     }
     published_ = true;
-    logger_.write({logging::Level::kInfo,
-                   "discovery",
-                   "node registered",
-                   {{"lease", lease_ ? lease_->value() : 0}, {"revision", result.value().value()}}});
+    logger_.write(
+        {logging::Level::kInfo,
+         "discovery",
+         "node registered",
+         {{"lease", lease_ ? lease_->value() : 0}, {"revision", result.value().value()}}});
     again(settings_.period);
   });
 }
--- /dev/null
+++ b/src/discovery/tests/discovery_test.cc
@@ -0,0 +1,234 @@
+// What a node believes of the fleet while the store is late, forgetful or out.
+#include <doctest/doctest.h>
+
+#include <chrono>
+
+#include "discovery/fleet_watcher.h"
+#include "discovery/node_registration.h"
+#include "simulation/virtual_time.h"
+#include "tests/played_store.h"
+#include "wire/codec.h"
+
+using namespace ochrespring;
+using namespace ochrespring::discovery;
+using namespace std::chrono_literals;
+using ochrespring::discovery::testing::PlayedStore;
+using ochrespring::discovery::testing::take;
+using shared_store::Change;
+using shared_store::Changes;
+using shared_store::LeaseId;
+using shared_store::Listing;
+using shared_store::StoreErrc;
+using shared_store::StoreRevision;
+
+namespace {
+
+/// Values are a number (configuration) or `ready`/`draining` (back ends).
+class PlainCodec final : public FleetCodec {
+ public:
+  const StoreLayout& layout() const override { return layout_; }
+  Result<gateway::Configuration, CodecError> read_configuration(
+      std::string_view value) const override {
+    if (value == "broken") {
+      return fail(CodecErrc::kMalformed, "broken");
+    }
+    gateway::Configuration configuration;
+    configuration.version = gateway::ConfigurationVersion(std::stoul(std::string(value)));
+    return configuration;
+  }
+  Result<gateway::Backend, CodecError> read_backend(std::string_view id,
+                                                    std::string_view value) const override {
+    gateway::Backend backend;
+    backend.id = gateway::BackendId(std::string(id));
+    backend.draining = value == "draining";
+    return backend;
+  }
+
+ private:
+  StoreLayout layout_{"config", "backends/", "nodes/"};
+};
+
+struct WatcherFixture {
+  simulation::VirtualTime time;
+  SeededRandom random{5};
+  PlayedStore store;
+  PlainCodec codec;
+  logging::NullLogger logger;
+  gateway::FleetState fleet;
+  NodeDirectory nodes{{NodeId("me"), Endpoint("1.1.1.1:1"), ZoneName("a")}};
+  FleetWatcher watcher{{time, time, random, store, codec, logger}, {}, fleet, nodes};
+
+  void advance(Duration span) { time.run_until(time.now() + span); }
+  void list(std::uint64_t revision, std::vector<Change> items) {
+    take(store.lists)(Listing{std::move(items), StoreRevision(revision)});
+  }
+  void answer(std::vector<Change> changes) {
+    take(store.changes_calls).done(Changes{std::move(changes)});
+  }
+  std::uint64_t version() const { return fleet.routes()->configuration().version.value(); }
+};
+
+Change make_change(std::string key, std::optional<std::string> value, std::uint64_t revision) {
+  return {std::move(key), std::move(value), StoreRevision(revision)};
+}
+
+auto gone() {
+  return fail(StoreErrc::kHistoryGone, "gone");
+}
+
+}  // namespace
+
+TEST_CASE("a listing and then changes keep the view up to date") {
+  WatcherFixture world;
+  world.watcher.start();
+  world.list(10, {make_change("config", "3", 4), make_change("backends/b", "ready", 9)});
+  CHECK(world.version() == 3);
+  world.advance(2s);
+  REQUIRE(world.store.changes_calls.size() == 1);
+  CHECK(world.store.changes_calls[0].after == StoreRevision(10));
+  world.answer({make_change("backends/b", "draining", 11), make_change("config", "5", 12)});
+  CHECK(world.fleet.find(gateway::BackendId("b"))->draining);
+  CHECK(world.version() == 5);
+  world.advance(2s);
+  CHECK(world.store.changes_calls[0].after == StoreRevision(12));
+  world.answer({make_change("backends/b", std::nullopt, 13)});
+  CHECK(world.fleet.find(gateway::BackendId("b")) == nullptr);
+}
+
+TEST_CASE("an answer without changes does not move the point to go on from") {
+  WatcherFixture world;
+  world.watcher.start();
+  world.list(10, {});
+  world.advance(2s);
+  world.answer({});
+  world.advance(2s);
+  CHECK(world.store.changes_calls[0].after == StoreRevision(10));
+}
+
+TEST_CASE("a history that is gone is listed anew at once, and what left meanwhile is forgotten") {
+  WatcherFixture world;
+  world.watcher.start();
+  world.list(10, {make_change("backends/b", "ready", 9), make_change("config", "3", 4)});
+  world.advance(2s);
+  take(world.store.changes_calls).done(gone());
+  REQUIRE(world.store.lists.size() == 1);
+  world.list(50, {make_change("backends/c", "ready", 40), make_change("config", "4", 45)});
+  CHECK(world.fleet.find(gateway::BackendId("b")) == nullptr);
+  CHECK(world.fleet.find(gateway::BackendId("c")) != nullptr);
+  CHECK(world.version() == 4);
+}
+
+TEST_CASE("while the store is out the last view stays, and the store is asked again soon") {
+  WatcherFixture world;
+  world.watcher.start();
+  world.list(10, {make_change("config", "3", 4)});
+  world.advance(2s);
+  take(world.store.changes_calls).done(fail(StoreErrc::kUnknownEffect, "silent"));
+  CHECK(world.version() == 3);
+  world.advance(400ms);
+  CHECK(world.store.changes_calls.size() == 1);
+}
+
+TEST_CASE("a configuration that cannot be understood keeps the last good one, and is counted") {
+  WatcherFixture world;
+  world.watcher.start();
+  world.list(10, {make_change("config", "3", 4)});
+  world.advance(2s);
+  world.answer({make_change("config", "broken", 11)});
+  CHECK(world.version() == 3);
+  CHECK(world.watcher.statistics().rejected_values == 1);
+}
+
+TEST_CASE("a refresh asks the store at once, and tells when it does not answer") {
+  WatcherFixture world;
+  world.watcher.start();
+  world.list(10, {make_change("config", "3", 4)});
+  world.advance(500ms);
+  std::optional<bool> current;
+  world.watcher.refresh([&](bool outcome) { current = outcome; });
+  REQUIRE(world.store.changes_calls.size() == 1);
+  CHECK_FALSE(current);
+  world.answer({});
+  CHECK(current == true);
+  current.reset();
+  world.watcher.refresh([&](bool outcome) { current = outcome; });
+  CHECK(current == true);
+  world.advance(500ms);
+  world.watcher.refresh([&](bool outcome) { current = outcome; });
+  take(world.store.changes_calls).done(fail(StoreErrc::kNotDone, "down"));
+  CHECK(current == false);
+}
+
+TEST_CASE("nodes come and go with their registration; this one is named until it leaves") {
+  WatcherFixture world;
+  world.watcher.start();
+  const NodeRecord other{NodeId("other"), Endpoint("2.2.2.2:2"), ZoneName("b")};
+  world.list(10, {make_change("nodes/other", wire::encode(other), 9)});
+  CHECK(world.nodes.count() == 2);
+  CHECK(world.nodes.list().size() == 2);
+  world.advance(2s);
+  world.answer({make_change("nodes/other", std::nullopt, 11)});
+  CHECK(world.nodes.list().size() == 1);
+  world.nodes.leave();
+  CHECK(world.nodes.list().empty());
+}
+
+namespace {
+
+struct RegistrationFixture {
+  simulation::VirtualTime time;
+  PlayedStore store;
+  logging::NullLogger logger;
+  NodeRegistration registration{
+      time, store, logger, {"nodes/me"}, {NodeId("me"), Endpoint("1.1.1.1:1"), ZoneName("a")}};
+
+  void advance(Duration span) { time.run_until(time.now() + span); }
+  void register_node() {
+    registration.start();
+    take(store.grants)(LeaseId(7));
+    take(store.puts).done(StoreRevision(3));
+  }
+};
+
+}  // namespace
+
+TEST_CASE("a node registers under a lease, renews it, and ends it when it leaves") {
+  RegistrationFixture world;
+  world.register_node();
+  world.advance(1100ms);
+  REQUIRE(world.store.renewals.size() == 1);
+  take(world.store.renewals)(LeaseId(7));
+  world.registration.leave();
+  CHECK(world.store.ended.front() == LeaseId(7));
+  world.advance(10s);
+  CHECK(world.store.renewals.empty());
+}
+
+TEST_CASE("a lease that is over is replaced, and the record written again") {
+  RegistrationFixture world;
+  world.register_node();
+  world.advance(1100ms);
+  take(world.store.renewals)(fail(StoreErrc::kNotFound, "over"));
+  REQUIRE(world.store.grants.size() == 1);
+  take(world.store.grants)(LeaseId(8));
+  CHECK(world.store.puts.size() == 1);
+}
+
+TEST_CASE("a renewal without an answer is tried again under the same lease") {
+  RegistrationFixture world;
+  world.register_node();
+  world.advance(1100ms);
+  take(world.store.renewals)(fail(StoreErrc::kUnknownEffect, "lost"));
+  world.advance(500ms);
+  CHECK(world.store.renewals.size() == 1);
+  CHECK(world.store.grants.empty());
+}
+
+TEST_CASE("a node that leaves while its lease is being granted gives it back") {
+  RegistrationFixture world;
+  world.registration.start();
+  world.registration.leave();
+  take(world.store.grants)(LeaseId(9));
+  CHECK(world.store.ended.front() == LeaseId(9));
+  CHECK(world.store.puts.empty());
+}
--- /dev/null
+++ b/src/discovery/tests/played_store.h
@@ -0,0 +1,64 @@
+// A store that the test plays: it keeps each call until the test answers it.
+#pragma once
+
+#include <deque>
+#include <string>
+#include <utility>
+
+#include "shared_store/store.h"
+
+namespace ochrespring::discovery::testing {
+
+class PlayedStore final : public shared_store::SharedStore {
+ public:
+  template <class T>
+  using Callback = shared_store::StoreCallback<T>;
+  struct ChangesCall {
+    shared_store::StoreRevision after;
+    Callback<shared_store::Changes> done;
+  };
+  struct PutCall {
+    std::string key;
+    std::string value;
+    Callback<shared_store::StoreRevision> done;
+  };
+
+  void list(const std::string& /*prefix*/, Callback<shared_store::Listing> done) override {
+    lists.push_back(std::move(done));
+  }
+  void changes(const std::string& /*prefix*/, shared_store::StoreRevision after, Duration /*wait*/,
+               Callback<shared_store::Changes> done) override {
+    changes_calls.push_back({after, std::move(done)});
+  }
+  void put(const std::string& key, const std::string& value,
+           std::optional<shared_store::LeaseId> /*lease*/,
+           Callback<shared_store::StoreRevision> done) override {
+    puts.push_back({key, value, std::move(done)});
+  }
+  void grant_lease(Duration /*time_to_live*/, Callback<shared_store::LeaseId> done) override {
+    grants.push_back(std::move(done));
+  }
+  void renew_lease(shared_store::LeaseId /*lease*/, Callback<shared_store::LeaseId> done) override {
+    renewals.push_back(std::move(done));
+  }
+  void end_lease(shared_store::LeaseId lease, Callback<shared_store::LeaseId> /*done*/) override {
+    ended.push_back(lease);
+  }
+
+  std::deque<Callback<shared_store::Listing>> lists;
+  std::deque<ChangesCall> changes_calls;
+  std::deque<PutCall> puts;
+  std::deque<Callback<shared_store::LeaseId>> grants;
+  std::deque<Callback<shared_store::LeaseId>> renewals;
+  std::deque<shared_store::LeaseId> ended;
+};
+
+/// Takes the oldest of the kept calls.
+template <class Call>
+Call take(std::deque<Call>& calls) {
+  Call call = std::move(calls.front());
+  calls.pop_front();
+  return call;
+}
+
+}  // namespace ochrespring::discovery::testing
--- a/src/external/http/engine_control.h
+++ b/src/external/http/engine_control.h
@@ -1,8 +1,8 @@
 // Engines' control interface over HTTP and JSON, as docs/PLATFORM.md describes it.
 #pragma once
 
-#include "http/client.h"
 #include "external/engine_control.h"
+#include "http/client.h"
 
 namespace ochrespring::external {
 
--- a/src/external/http/errors.h
+++ b/src/external/http/errors.h
@@ -5,8 +5,8 @@
 #include <string>
 #include <utility>
 
-#include "http/client.h"
 #include "external/errc.h"
+#include "http/client.h"
 
 namespace ochrespring::external {
 
--- a/src/external/http/key_value_store.h
+++ b/src/external/http/key_value_store.h
@@ -6,8 +6,8 @@
 
 #include "base/random.h"
 #include "base/timer.h"
-#include "http/client.h"
 #include "external/key_value_store.h"
+#include "http/client.h"
 
 namespace ochrespring::external {
 
--- a/src/external/http/key_value_watch.h
+++ b/src/external/http/key_value_watch.h
@@ -8,8 +8,8 @@
 
 #include "base/random.h"
 #include "base/timer.h"
-#include "http/client.h"
 #include "external/http/key_value_store.h"
+#include "http/client.h"
 
 namespace ochrespring::external {
 
--- a/src/external/http/machine_list.h
+++ b/src/external/http/machine_list.h
@@ -3,8 +3,8 @@
 
 #include <utility>
 
-#include "http/client.h"
 #include "external/machine_list.h"
+#include "http/client.h"
 
 namespace ochrespring::external {
 
--- a/src/external/http/weight_store.h
+++ b/src/external/http/weight_store.h
@@ -3,8 +3,8 @@
 
 #include <utility>
 
-#include "http/client.h"
 #include "external/weight_store.h"
+#include "http/client.h"
 
 namespace ochrespring::external {
 
--- a/src/fuzzing/targets/http_bodies.cc
+++ b/src/fuzzing/targets/http_bodies.cc
@@ -1,9 +1,9 @@
 // Bodies of completion calls and of their streamed answers. The first byte picks the reader.
 #include <string>
 
+#include "external/http/json.h"
 #include "fuzzing/fuzz_target.h"
 #include "load/answer_checker.h"
-#include "external/http/json.h"
 #include "standin/completion_request.h"
 
 namespace {
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -35,9 +35,7 @@
   std::optional<MonotonicTime> current_at() const { return current_at_; }
 
   /// Called after a back end has gone.
-  void on_removed(std::function<void(const Backend&)> callback) {
-    removed_ = std::move(callback);
-  }
+  void on_removed(std::function<void(const Backend&)> callback) { removed_ = std::move(callback); }
 
  private:
   std::shared_ptr<const RouteTable> routes_;
--- a/src/gateway/header_rules.cc
+++ b/src/gateway/header_rules.cc
@@ -10,9 +10,16 @@
 namespace {
 
 /// Headers of one connection (RFC 9110, section 7.6.1) and of HTTP/1.1 framing.
-constexpr std::array<std::string_view, 10> kConnectionHeaders{
-    "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization",
-    "te",         "trailer",    "transfer-encoding", "upgrade",           "content-length"};
+constexpr std::array<std::string_view, 10> kConnectionHeaders{"connection",
+                                                              "keep-alive",
+                                                              "proxy-connection",
+                                                              "proxy-authenticate",
+                                                              "proxy-authorization",
+                                                              "te",
+                                                              "trailer",
+                                                              "transfer-encoding",
+                                                              "upgrade",
+                                                              "content-length"};
 
 bool is_connection_header(std::string_view name) {
   return std::find(kConnectionHeaders.begin(), kConnectionHeaders.end(), name) !=
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -35,11 +35,10 @@
   if (key.empty() || backends.empty()) {
     return nullptr;
   }
-  return *std::max_element(backends.begin(), backends.end(),
-                           [&](const Backend* left, const Backend* right) {
-                             return rendezvous_weight(key, left->id.value()) <
-                                    rendezvous_weight(key, right->id.value());
-                           });
+  return *std::max_element(
+      backends.begin(), backends.end(), [&](const Backend* left, const Backend* right) {
+        return rendezvous_weight(key, left->id.value()) < rendezvous_weight(key, right->id.value());
+      });
 }
 
 }  // namespace
@@ -49,14 +48,12 @@
     return choose_engines(request, now);
   }
   PlacementPlan plan;
-  plan.runner = cheapest(candidates(request, false, now), [&](const Backend& backend) {
-    return estimate_ordinary(backend, now);
-  });
+  plan.runner = cheapest(candidates(request, false, now),
+                         [&](const Backend& backend) { return estimate_ordinary(backend, now); });
   return plan;
 }
 
-PlacementPlan Placement::choose_engines(const PlacementRequest& request,
-                                        MonotonicTime now) const {
+PlacementPlan Placement::choose_engines(const PlacementRequest& request, MonotonicTime now) const {
   const Prompt& prompt = *request.prompt;
   const Backends runners = candidates(request, false, now);
   const Backend* runner_home = find_home(runners, prompt.shared_key());
@@ -76,8 +73,8 @@
   apart.runner = cheapest(runners, [&](const Backend& backend) {
     return estimate_runner(backend, prompt, &backend == runner_home, true, now);
   });
-  const bool quicker = apart.reader.backend != nullptr &&
-                       apart.reader.cost + apart.runner.cost < direct.runner.cost;
+  const bool quicker =
+      apart.reader.backend != nullptr && apart.reader.cost + apart.runner.cost < direct.runner.cost;
   return quicker ? apart : direct;
 }
 
@@ -120,8 +117,7 @@
     choice.cost = kHandOverTokens + kTransferCost * static_cast<double>(unread);
   } else {
     choice.unread_tokens = unread;
-    choice.cost =
-        kRunnerReadingCost * static_cast<double>(unread + load.unread_tokens());
+    choice.cost = kRunnerReadingCost * static_cast<double>(unread + load.unread_tokens());
   }
   choice.cost += kTokensPerRunning * load.estimated_requests(now) +
                  kTokensPerWaiting * load.estimated_waiting(now) +
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -1,5 +1,5 @@
-// Which back end takes a request. Pure: decides from the fleet, the node's own view of load, and the
-// prompt; keeps no state.
+// Which back end takes a request. Pure: decides from the fleet, the node's own view of load, and
+// the prompt; keeps no state.
 #pragma once
 
 #include <cstdint>
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -186,8 +186,7 @@
     set_header(request.headers, names.phase, names.phase_prefill);
   }
   if (attempt_->uses_cache) {
-    set_header(request.headers, names.cache_source,
-               cache_->address.value() + "/" + cache_->handle);
+    set_header(request.headers, names.cache_source, cache_->address.value() + "/" + cache_->handle);
   }
   if (answer_open_ && last_event_) {
     set_header(request.headers, names.last_event, std::to_string(*last_event_));
@@ -400,8 +399,8 @@
 }
 
 bool RequestSession::spend_repeat() {
-  const bool granted = environment_.budget.spend(service_, environment_.node_count(),
-                                                 environment_.clock.now());
+  const bool granted =
+      environment_.budget.spend(service_, environment_.node_count(), environment_.clock.now());
   ++(granted ? environment_.statistics.repeats : environment_.statistics.budget_denied);
   return granted;
 }
@@ -417,8 +416,10 @@
     load.note_read(attempt_->unread_tokens);
   }
   load.end(verdict, environment_.clock.now());
-  if (attempt_->uses_cache) {
-    // Taken, or lost: a handle serves once.
+  if (attempt_->uses_cache && verdict == AttemptVerdict::kRefused) {
+    release_cache();
+  } else if (attempt_->uses_cache && verdict != AttemptVerdict::kUnreachable) {
+    // Taken: a handle serves once.
     cache_.reset();
   }
   attempt_->exchange.reset();
@@ -500,8 +501,7 @@
 
 void RequestSession::on_deadline() {
   const std::shared_ptr<RequestSession> keep = shared_from_this();
-  may_have_run_ =
-      may_have_run_ || (attempt_ && !attempt_->backend.empty() && !attempt_->prefill);
+  may_have_run_ = may_have_run_ || (attempt_ && !attempt_->backend.empty() && !attempt_->prefill);
   log_attempt("deadline", "");
   give_up(FailureReason::kTimeout);
 }
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -58,8 +58,8 @@
     std::optional<http::ResponseHead> head;
     std::string body;  ///< Of an answer that is held back until it is whole.
     EventSplitter events;
-    bool streams = false;   ///< Events are passed on as they come.
-    bool prefill = false;   ///< Only reads the prompt; cannot run the request.
+    bool streams = false;     ///< Events are passed on as they come.
+    bool prefill = false;     ///< Only reads the prompt; cannot run the request.
     bool uses_cache = false;  ///< Takes the cache handle.
   };
 
@@ -112,11 +112,11 @@
   std::optional<Attempt> attempt_;
   std::optional<CacheHandle> cache_;
   std::set<BackendId> tried_;
-  std::uint32_t sends_ = 0;         ///< Attempts of which a byte may have left.
-  std::uint32_t unreachable_ = 0;   ///< Attempts without a connection.
-  bool read_apart_ = false;         ///< A prefill engine was asked; once is enough.
+  std::uint32_t sends_ = 0;        ///< Attempts of which a byte may have left.
+  std::uint32_t unreachable_ = 0;  ///< Attempts without a connection.
+  bool read_apart_ = false;        ///< A prefill engine was asked; once is enough.
   bool may_have_run_ = false;
-  bool answer_open_ = false;        ///< The caller has the head.
+  bool answer_open_ = false;  ///< The caller has the head.
   std::optional<std::uint64_t> last_event_;
   bool ended_ = false;
 };
--- a/src/gateway/statistics.h
+++ b/src/gateway/statistics.h
@@ -36,17 +36,17 @@
 
 struct GatewayStatistics {
   std::uint64_t requests = 0;
-  std::uint64_t answered = 0;       ///< A back end's whole answer, whatever its status.
-  std::uint64_t refused = 0;        ///< Ended as not run.
-  std::uint64_t unknown = 0;        ///< Ended without knowing whether it ran.
-  std::uint64_t broken = 0;         ///< Streams cut after their head.
+  std::uint64_t answered = 0;  ///< A back end's whole answer, whatever its status.
+  std::uint64_t refused = 0;   ///< Ended as not run.
+  std::uint64_t unknown = 0;   ///< Ended without knowing whether it ran.
+  std::uint64_t broken = 0;    ///< Streams cut after their head.
   std::uint64_t caller_gone = 0;
   std::uint64_t no_route = 0;
   std::uint64_t attempts = 0;
-  std::uint64_t repeats = 0;        ///< Attempts beyond the first, from the retry budget.
+  std::uint64_t repeats = 0;  ///< Attempts beyond the first, from the retry budget.
   std::uint64_t budget_denied = 0;
-  std::uint64_t resumed = 0;        ///< Streams taken up at another back end.
-  LatencyHistogram first_byte;      ///< From arrival to the first byte of the answer.
+  std::uint64_t resumed = 0;    ///< Streams taken up at another back end.
+  LatencyHistogram first_byte;  ///< From arrival to the first byte of the answer.
 };
 
 }  // namespace ochrespring::gateway
--- /dev/null
+++ b/src/gateway/tests/gateway_fixture.h
@@ -0,0 +1,197 @@
+// A gateway under virtual time with back ends and callers that the test plays.
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/random.h"
+#include "gateway/gateway.h"
+#include "simulation/virtual_time.h"
+
+namespace ochrespring::gateway::testing {
+
+/// One exchange that the gateway has started. The test answers through `observer` while `open`.
+struct PlayedExchange {
+  http::ClientRequest request;
+  http::ResponseObserver* observer = nullptr;
+  bool open = true;
+
+  std::string header(std::string_view name) const {
+    return std::string(http::find_header(request.headers, name));
+  }
+  void answer(std::uint16_t status, std::vector<http::Header> headers, std::string_view body) {
+    observer->on_head({status, std::move(headers)});
+    if (open && !body.empty()) {
+      observer->on_body(body);
+    }
+    if (open) {
+      observer->on_complete();
+    }
+  }
+  void fail(http::HttpErrc code, bool sent) { observer->on_failure({code, "played"}, sent); }
+};
+
+class PlayedTransport final : public BackendTransport {
+ public:
+  std::unique_ptr<http::Exchange> start(http::ClientRequest request,
+                                        http::ResponseObserver& observer) override {
+    started.push_back(std::make_shared<PlayedExchange>());
+    started.back()->request = std::move(request);
+    started.back()->observer = &observer;
+    return std::make_unique<Handle>(started.back());
+  }
+  void send_and_forget(http::ClientRequest request) override {
+    forgotten.push_back(std::move(request));
+  }
+
+  std::deque<std::shared_ptr<PlayedExchange>> started;
+  std::vector<http::ClientRequest> forgotten;
+
+ private:
+  class Handle final : public http::Exchange {
+   public:
+    explicit Handle(std::shared_ptr<PlayedExchange> exchange) : exchange_(std::move(exchange)) {}
+    ~Handle() override { exchange_->open = false; }
+    void set_reading(bool /*reading*/) override {}
+
+   private:
+    std::shared_ptr<PlayedExchange> exchange_;
+  };
+};
+
+/// What a caller has received.
+class PlayedCaller final : public http::ResponseWriter {
+ public:
+  void send_head(const http::ResponseHead& received) override { head = received; }
+  void send_body(std::string_view bytes) override { body.append(bytes); }
+  void finish() override { finished = true; }
+  void abort() override { aborted = true; }
+  std::size_t buffered_bytes() const override { return 0; }
+  bool closed() const override { return gone; }
+  void on_closed(std::function<void()> callback) override { closed_ = std::move(callback); }
+  void on_drained(std::function<void()> /*callback*/) override {}
+
+  void leave() {
+    gone = true;
+    if (const auto callback = std::exchange(closed_, nullptr)) {
+      callback();
+    }
+  }
+  bool ended() const { return finished || aborted; }
+  std::string header(std::string_view name) const {
+    return std::string(http::find_header(head.headers, name));
+  }
+
+  http::ResponseHead head;
+  std::string body;
+  bool finished = false;
+  bool aborted = false;
+  bool gone = false;
+
+ private:
+  std::function<void()> closed_;
+};
+
+/// Engines' calls in a form of the test's own.
+class PlayedEngineCalls final : public EngineCalls {
+ public:
+  std::optional<std::string> read_cache_handle(std::string_view body) const override {
+    return body.starts_with("handle=") ? std::optional(std::string(body.substr(7))) : std::nullopt;
+  }
+  http::ClientRequest release_cache(const std::string& handle) const override {
+    http::ClientRequest request;
+    request.method = "DELETE";
+    request.path = "/cache/" + handle;
+    return request;
+  }
+};
+
+/// One gateway with routes `/idempotent/`, `/once/`, `/stream/` and `/resumable/` of host `h`, and
+/// an engine service `llm` beside the ordinary service `relay`.
+struct GatewayFixture {
+  simulation::VirtualTime time;
+  SeededRandom random{7};
+  PlayedTransport transport;
+  FleetState fleet;
+  LoadTable loads;
+  Placement placement{fleet, loads, random, ZoneName("a")};
+  RetryBudget budget{{1.0, 1000, std::chrono::seconds(10)}};
+  SharePicker shares{random};
+  HeaderNames names;
+  PlayedEngineCalls engines;
+  GatewayStatistics statistics;
+  logging::NullLogger logger;
+  bool store_answers = true;
+  Gateway gateway{{time, time, transport, fleet, loads, placement, budget, shares, names, engines,
+                   statistics, logger, [] { return 1U; }},
+                  [this](auto done) { done(store_answers); }};
+
+  GatewayFixture() { fleet.apply(make_configuration(1)); }
+
+  static Route make_route(std::string prefix, RequestKind kind, std::string service,
+                          std::uint32_t attempts, bool resumable) {
+    Route route;
+    route.name = RouteName(prefix);
+    route.host = "h";
+    route.path_prefix = std::move(prefix);
+    route.kind = kind;
+    route.timeout = std::chrono::milliseconds(2000);
+    route.target_latency = std::chrono::milliseconds(100);
+    route.target_gap = std::chrono::milliseconds(300);
+    route.most_attempts = attempts;
+    route.resumable = resumable;
+    route.shares = {{ServiceName(std::move(service)), 1}};
+    return route;
+  }
+
+  static Configuration make_configuration(std::uint64_t version) {
+    Configuration configuration;
+    configuration.version = ConfigurationVersion(version);
+    configuration.routes = {
+        make_route("/idempotent/", RequestKind::kIdempotent, "relay", 2, false),
+        make_route("/once/", RequestKind::kNonIdempotent, "relay", 1, false),
+        make_route("/once-twice/", RequestKind::kNonIdempotent, "relay", 2, false),
+        make_route("/stream/", RequestKind::kStreaming, "llm", 1, false),
+        make_route("/resumable/", RequestKind::kStreaming, "llm", 2, true),
+    };
+    Service relay{ServiceName("relay"), 100, std::nullopt};
+    Service engines{ServiceName("llm"), 100, EngineShape{}};
+    configuration.services = {relay, engines};
+    return configuration;
+  }
+
+  void add_backend(const std::string& id, const std::string& service,
+                   EngineRole role = EngineRole::kNone, bool draining = false) {
+    Backend backend;
+    backend.id = BackendId(id);
+    backend.service = ServiceName(service);
+    backend.address = Endpoint(id + ":1");
+    backend.zone = ZoneName("a");
+    backend.slots = 8;
+    backend.draining = draining;
+    backend.role = role;
+    fleet.put(backend);
+  }
+
+  std::shared_ptr<PlayedCaller> send(const std::string& path,
+                                     std::vector<http::Header> headers = {}) {
+    headers.push_back({"host", "h"});
+    headers.push_back({"x-request-id", "r1"});
+    auto caller = std::make_shared<PlayedCaller>();
+    gateway.handle({"POST", path, "", std::move(headers), "body"}, caller);
+    return caller;
+  }
+
+  /// The newest exchange.
+  PlayedExchange& last() { return *transport.started.back(); }
+  std::size_t sends() const { return transport.started.size(); }
+  http::Header signature() const { return {names.signature, "sig"}; }
+  void advance(Duration span) { time.run_until(time.now() + span); }
+};
+
+}  // namespace ochrespring::gateway::testing
--- /dev/null
+++ b/src/gateway/tests/policies_test.cc
@@ -0,0 +1,220 @@
+// The gateway's pure parts.
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <chrono>
+#include <cmath>
+
+#include "gateway/event_splitter.h"
+#include "gateway/fleet_state.h"
+#include "gateway/load_table.h"
+#include "gateway/placement.h"
+#include "gateway/prompt.h"
+#include "gateway/retry_budget.h"
+#include "gateway/route_table.h"
+#include "gateway/share_picker.h"
+
+using namespace ochrespring;
+using namespace ochrespring::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+Route make_route(std::string name, std::string host, std::string prefix) {
+  Route route;
+  route.name = RouteName(std::move(name));
+  route.host = std::move(host);
+  route.path_prefix = std::move(prefix);
+  return route;
+}
+
+Backend make_engine(const std::string& id, EngineRole role) {
+  Backend backend;
+  backend.id = BackendId(id);
+  backend.service = ServiceName("llm");
+  backend.role = role;
+  backend.slots = 8;
+  return backend;
+}
+
+}  // namespace
+
+TEST_CASE("the longest prefix of the host wins; a port and letter case do not matter") {
+  Configuration configuration;
+  configuration.routes = {make_route("short", "a.example", "/x/"),
+                          make_route("long", "a.example", "/x/y/"),
+                          make_route("other", "b.example", "/")};
+  const RouteTable table(configuration);
+  REQUIRE(table.find("A.example:80", "/x/y/z") != nullptr);
+  CHECK(table.find("A.example:80", "/x/y/z")->name.value() == "long");
+  CHECK(table.find("a.example", "/x/z")->name.value() == "short");
+  CHECK(table.find("a.example", "/y") == nullptr);
+  CHECK(table.find("c.example", "/x/") == nullptr);
+}
+
+TEST_CASE("a configuration never goes back") {
+  FleetState fleet;
+  Configuration newer;
+  newer.version = ConfigurationVersion(7);
+  Configuration older;
+  older.version = ConfigurationVersion(6);
+  CHECK(fleet.apply(newer));
+  CHECK_FALSE(fleet.apply(older));
+  CHECK_FALSE(fleet.apply(newer));
+  CHECK(fleet.routes()->configuration().version == ConfigurationVersion(7));
+}
+
+TEST_CASE("a listing forgets the back ends that it lacks and says which") {
+  FleetState fleet;
+  std::vector<std::string> removed;
+  fleet.on_removed([&](const Backend& backend) { removed.push_back(backend.id.value()); });
+  fleet.put(make_engine("a", EngineRole::kDecode));
+  fleet.put(make_engine("b", EngineRole::kDecode));
+  fleet.replace({make_engine("b", EngineRole::kDecode)});
+  CHECK(removed == std::vector<std::string>{"a"});
+  CHECK(fleet.find(BackendId("b")) != nullptr);
+}
+
+TEST_CASE("events come out the same however the stream is cut into pieces") {
+  rc::check([](const std::vector<std::uint8_t>& sizes) {
+    const std::string stream = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n: note\n\nid: 30\n\nrest";
+    EventSplitter whole;
+    whole.append(stream);
+    EventSplitter pieces;
+    std::vector<std::string> events;
+    std::size_t at = 0;
+    const auto drain = [&] {
+      while (const auto event = pieces.next()) {
+        events.push_back(event->bytes);
+      }
+    };
+    for (const std::uint8_t size : sizes) {
+      pieces.append(std::string_view(stream).substr(at, size % 9));
+      at = std::min(stream.size(), at + size % 9);
+      drain();
+    }
+    pieces.append(std::string_view(stream).substr(at));
+    drain();
+    std::size_t index = 0;
+    while (const auto event = whole.next()) {
+      RC_ASSERT(index < events.size());
+      RC_ASSERT(events[index++] == event->bytes);
+    }
+    RC_ASSERT(index == events.size());
+    RC_ASSERT(pieces.rest() == "rest");
+  });
+}
+
+TEST_CASE("event ids are read in any spelling, and their absence is seen") {
+  EventSplitter splitter;
+  splitter.append("id: 12\ndata: x\n\nid:7\n\ndata: y\n\nid: z\n\n");
+  CHECK(splitter.next()->id == 12);
+  CHECK(splitter.next()->id == 7);
+  CHECK_FALSE(splitter.next()->id);
+  CHECK_FALSE(splitter.next()->id);
+}
+
+TEST_CASE("a prompt's parts, its shared key and its own tokens") {
+  const Prompt prompt = parse_prompt("5c1e:800, 91bd:410,e440:250", "1460,80");
+  CHECK(prompt.parts.size() == 3);
+  CHECK(prompt.shared_key() == "91bd");
+  CHECK(prompt.shared_tokens() == 1210);
+  CHECK(prompt.own_tokens() == 250);
+  CHECK(prompt.output_tokens == 80);
+  CHECK(parse_prompt("", "").shared_key().empty());
+  CHECK(parse_prompt("a:5", "").tokens == 5);
+}
+
+TEST_CASE("all nodes together stay inside the retry budget in every window") {
+  rc::check([](std::vector<std::pair<std::uint8_t, std::uint8_t>> steps) {
+    constexpr std::uint32_t kNodes = 3;
+    const RetryBudgetSettings settings{0.2, 9, 10s};
+    std::vector<RetryBudget> nodes(kNodes, RetryBudget(settings));
+    const ServiceName service("s");
+    std::vector<MonotonicTime> requests;
+    std::vector<MonotonicTime> repeats;
+    MonotonicTime now{};
+    for (const auto& [wait, choice] : steps) {
+      now += std::chrono::milliseconds(wait * 10);
+      RetryBudget& node = nodes[choice % kNodes];
+      node.note_request(service, now);
+      requests.push_back(now);
+      for (int i = 0; i != 4; ++i) {
+        if (node.spend(service, kNodes, now)) {
+          repeats.push_back(now);
+        }
+      }
+      const auto inside = [&](MonotonicTime at) { return at >= now - settings.window; };
+      const auto recent = std::count_if(requests.begin(), requests.end(), inside);
+      const auto again = std::count_if(repeats.begin(), repeats.end(), inside);
+      RC_ASSERT(static_cast<double>(again) <=
+                settings.ratio * static_cast<double>(recent) + settings.slack);
+    }
+  });
+}
+
+TEST_CASE("shares follow the weights within one request in each run of requests") {
+  SeededRandom random(3);
+  SharePicker picker(random);
+  Route route = make_route("r", "h", "/");
+  route.shares = {{ServiceName("a"), 90}, {ServiceName("b"), 10}};
+  int to_b = 0;
+  for (int i = 0; i != 300; ++i) {
+    to_b += picker.pick(route) == ServiceName("b") ? 1 : 0;
+  }
+  CHECK(std::abs(to_b - 30) <= 2);
+}
+
+TEST_CASE("load reports are read and fade, own requests do not") {
+  CHECK_FALSE(parse_load("3,x,8"));
+  CHECK_FALSE(parse_load(""));
+  const auto report = parse_load("10, 4, 8");
+  REQUIRE(report);
+  BackendLoad load;
+  load.begin(100);
+  const MonotonicTime start{};
+  load.note_report(*report, start);
+  CHECK(load.estimated_requests(start) == doctest::Approx(14));
+  CHECK(load.estimated_requests(start + 10s) == doctest::Approx(1).epsilon(0.01));
+  load.note_read(100);
+  load.end(AttemptVerdict::kGood, start);
+  CHECK(load.in_flight() == 0);
+  CHECK(load.unread_tokens() == 0);
+}
+
+TEST_CASE("an unreachable back end is left alone for longer each time, and comes back") {
+  BackendLoad load;
+  MonotonicTime now{};
+  load.begin(0);
+  load.end(AttemptVerdict::kUnreachable, now);
+  CHECK(load.ejected(now + 900ms));
+  CHECK_FALSE(load.ejected(now + 1100ms));
+  now += 2s;
+  load.begin(0);
+  load.end(AttemptVerdict::kUnreachable, now);
+  CHECK(load.ejected(now + 1900ms));
+}
+
+TEST_CASE("all nodes agree on the home of a shared part, and leave it when it is far behind") {
+  FleetState fleet;
+  for (const char* id : {"a", "b", "c", "d"}) {
+    fleet.put(make_engine(id, EngineRole::kDecode));
+  }
+  const Prompt prompt = parse_prompt("k1:9000,own:500", "9500,10");
+  PlacementRequest request;
+  request.service = ServiceName("llm");
+  request.prompt = &prompt;
+  std::set<std::string> homes;
+  for (std::uint64_t seed = 0; seed != 20; ++seed) {
+    SeededRandom random(seed);
+    const LoadTable loads;
+    const Placement placement(fleet, loads, random, ZoneName("z" + std::to_string(seed)));
+    homes.insert(placement.choose(request, {}).runner.backend->id.value());
+  }
+  REQUIRE(homes.size() == 1);
+  SeededRandom random(1);
+  LoadTable loads;
+  loads.of(BackendId(*homes.begin())).begin(100'000);
+  const Placement placement(fleet, loads, random, ZoneName("z"));
+  CHECK(placement.choose(request, {}).runner.backend->id.value() != *homes.begin());
+}
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -40,13 +40,14 @@
       transport_(client),
       nodes_({settings_.node, settings_.listen, settings_.zone}),
       watcher_({clock, loop, random, adapter_.store, adapter_.codec, logger}, {}, fleet_, nodes_),
-      registration_(loop, adapter_.store, logger,
-                    {adapter_.codec.layout().node_prefix + settings_.node.value(),
-                     settings_.node_lease},
-                    {settings_.node, settings_.listen, settings_.zone}),
-      gateway_({clock, loop, transport_, fleet_, loads_, placement_, budget_, shares_,
-                adapter_.names, adapter_.engines, statistics_, logger, [this] { return nodes_.count(); }},
-               [this](auto done) { watcher_.refresh(std::move(done)); }),
+      registration_(
+          loop, adapter_.store, logger,
+          {adapter_.codec.layout().node_prefix + settings_.node.value(), settings_.node_lease},
+          {settings_.node, settings_.listen, settings_.zone}),
+      gateway_(
+          {clock, loop, transport_, fleet_, loads_, placement_, budget_, shares_, adapter_.names,
+           adapter_.engines, statistics_, logger, [this] { return nodes_.count(); }},
+          [this](auto done) { watcher_.refresh(std::move(done)); }),
       callers_(loop, server_at(settings_.listen)),
       ready_(loop, server_at(settings_.ready_listen)),
       directory_(loop, server_at(settings_.directory_listen)),
@@ -123,8 +124,8 @@
 }
 
 void GatewayNode::apply_limits() {
-  const auto& limits = fleet_.routes() ? fleet_.routes()->configuration().limits
-                                       : gateway::CallerLimits();
+  const auto& limits =
+      fleet_.routes() ? fleet_.routes()->configuration().limits : gateway::CallerLimits();
   callers_.set_idle_timeout(limits.idle_timeout + kIdleMargin);
 }
 
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -22,8 +22,8 @@
 /// Everything runs on one loop; only the signal handlers' post() comes from another thread.
 class GatewayNode {
  public:
-  GatewayNode(http::EventLoop& loop, http::Client& client, const Clock& clock,
-              RandomSource& random, logging::Logger& logger, Settings settings, Adapter adapter);
+  GatewayNode(http::EventLoop& loop, http::Client& client, const Clock& clock, RandomSource& random,
+              logging::Logger& logger, Settings settings, Adapter adapter);
 
   /// Binds all addresses and starts to watch the store.
   Result<void, http::HttpError> start();
--- a/src/gateway_node/settings.cc
+++ b/src/gateway_node/settings.cc
@@ -171,9 +171,9 @@
       return;
     }
     if (!specification.store(text, target)) {
-      errors.push_back({SettingsErrc::kInvalidValue, specification.key + ": '" + text +
-                                                         "' is not allowed; allowed: " +
-                                                         specification.allowed});
+      errors.push_back(
+          {SettingsErrc::kInvalidValue, specification.key + ": '" + text +
+                                            "' is not allowed; allowed: " + specification.allowed});
     }
   }
 
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -43,8 +43,9 @@
   set_option(descriptor, TCP_KEEPIDLE, kProbeSeconds);
   set_option(descriptor, TCP_KEEPINTVL, kProbeSeconds);
   set_option(descriptor, TCP_KEEPCNT, kProbes);
-  set_option(descriptor, TCP_USER_TIMEOUT,
-             static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(silence).count()));
+  set_option(
+      descriptor, TCP_USER_TIMEOUT,
+      static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(silence).count()));
   if (::connect(descriptor, address.get(), address.length) != 0 && errno != EINPROGRESS) {
     const int error = errno;
     ::close(descriptor);
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -1,6 +1,6 @@
-// One outgoing TCP connection on a loop. Reads and writes itself, because h2o's socket does not tell
-// a reset from an orderly close, and an answer without a length is whole only after the latter.
-// Private to src/http.
+// One outgoing TCP connection on a loop. Reads and writes itself, because h2o's socket does not
+// tell a reset from an orderly close, and an answer without a length is whole only after the
+// latter. Private to src/http.
 #pragma once
 
 #include <cstddef>
--- a/src/http/client_exchange.cc
+++ b/src/http/client_exchange.cc
@@ -107,9 +107,8 @@
   ++statistics_.connections_opened;
   connection_ = std::move(opened.value());
   connection_->set_listener(this);
-  connect_timeout_.arm(request_.connect_timeout, [this] {
-    end_with_failure(HttpErrc::kConnect, "no connection in time");
-  });
+  connect_timeout_.arm(request_.connect_timeout,
+                       [this] { end_with_failure(HttpErrc::kConnect, "no connection in time"); });
 }
 
 void ClientExchange::fail_later(HttpErrc code, std::string message) {
@@ -325,8 +324,7 @@
     end_whole(false);
     return;
   }
-  end_with_failure(HttpErrc::kTruncated,
-                   "the connection ended before the answer's end was proven");
+  end_with_failure(HttpErrc::kTruncated, "the connection ended before the answer's end was proven");
 }
 
 void ClientExchange::end_whole(bool surplus) {
--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -57,8 +57,8 @@
   parsed.head.headers.reserve(count);
   for (std::size_t i = 0; i != count; ++i) {
     const ochrespring_phr_header& header = headers.at(i);
-    parsed.head.headers.push_back({lower_case({header.name, header.name_len}),
-                                   std::string(header.value, header.value_len)});
+    parsed.head.headers.push_back(
+        {lower_case({header.name, header.name_len}), std::string(header.value, header.value_len)});
   }
   return ParseOutcome::kComplete;
 }
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -16,8 +16,8 @@
 /// A parsed head of an answer.
 struct ParsedHead {
   ResponseHead head;
-  int minor_version = 1;      ///< Of HTTP/1.
-  std::size_t length = 0;     ///< Bytes of the head.
+  int minor_version = 1;   ///< Of HTTP/1.
+  std::size_t length = 0;  ///< Bytes of the head.
 };
 
 enum class ParseOutcome : std::uint8_t { kComplete, kIncomplete, kMalformed };
--- a/src/ledger/ledger_node.h
+++ b/src/ledger/ledger_node.h
@@ -9,14 +9,14 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "base/timer.h"
+#include "external/key_value_store.h"
+#include "external/machine_list.h"
 #include "ledger/coordinator.h"
 #include "ledger/replica_set.h"
 #include "ledger/roster_keeper.h"
 #include "ledger/settings.h"
 #include "membership/member_view.h"
 #include "peer/transport.h"
-#include "external/key_value_store.h"
-#include "external/machine_list.h"
 
 namespace ochrespring::ledger {
 
--- a/src/ledger/roster_keeper.h
+++ b/src/ledger/roster_keeper.h
@@ -9,13 +9,13 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "base/timer.h"
+#include "external/key_value_store.h"
+#include "external/machine_list.h"
 #include "ledger/replica_set.h"
 #include "ledger/roster.h"
 #include "ledger/roster_plan.h"
 #include "ledger/settings.h"
 #include "membership/member_view.h"
-#include "external/key_value_store.h"
-#include "external/machine_list.h"
 
 namespace ochrespring::ledger {
 
--- a/src/membership/membership_service.h
+++ b/src/membership/membership_service.h
@@ -12,6 +12,7 @@
 
 #include "base/random.h"
 #include "base/timer.h"
+#include "external/machine_list.h"
 #include "logging/logger.h"
 #include "membership/member_table.h"
 #include "membership/member_view.h"
@@ -21,7 +22,6 @@
 #include "membership/suspicions.h"
 #include "membership/update_queue.h"
 #include "peer/transport.h"
-#include "external/machine_list.h"
 
 namespace ochrespring::membership {
 
--- a/src/node/control_loop.h
+++ b/src/node/control_loop.h
@@ -8,6 +8,9 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "control_plane/control_plane.h"
+#include "external/http/engine_control.h"
+#include "external/http/key_value_store.h"
+#include "external/http/machine_list.h"
 #include "http/client.h"
 #include "http/event_loop.h"
 #include "http/server.h"
@@ -18,9 +21,6 @@
 #include "node/identities.h"
 #include "operator_api/server.h"
 #include "peer/tcp_transport.h"
-#include "external/http/engine_control.h"
-#include "external/http/key_value_store.h"
-#include "external/http/machine_list.h"
 #include "settings/node_settings.h"
 
 namespace ochrespring::node {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -10,8 +10,8 @@
 #include "node/control_loop.h"
 #include "node/errc.h"
 #include "node/proxy_worker.h"
-#include "process/signals.h"
 #include "node/stop_sequence.h"
+#include "process/signals.h"
 #include "settings/node_settings.h"
 
 namespace ochrespring::node {
--- a/src/simulation/engine.cc
+++ b/src/simulation/engine.cc
@@ -8,8 +8,8 @@
 namespace ochrespring::simulation {
 
 using engine::EngineOrder;
-using oracle::CutCause;
 using external::ExternalErrc;
+using oracle::CutCause;
 
 namespace {
 
--- a/src/simulation/key_value_client.cc
+++ b/src/simulation/key_value_client.cc
@@ -4,12 +4,12 @@
 
 namespace ochrespring::simulation {
 
-using external::KeyValueEntry;
-using external::KeyVersion;
-using external::LeaseId;
 using external::ExternalCallback;
 using external::ExternalErrc;
 using external::ExternalError;
+using external::KeyValueEntry;
+using external::KeyVersion;
+using external::LeaseId;
 using external::SwapOutcome;
 using standin::KeyValueTable;
 
--- a/src/simulation/tests/platform_test.cc
+++ b/src/simulation/tests/platform_test.cc
@@ -12,8 +12,8 @@
 namespace ochrespring::simulation {
 namespace {
 
-using external::KeyVersion;
 using external::ExternalErrc;
+using external::KeyVersion;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
--- a/src/standin/tests/live_standins.h
+++ b/src/standin/tests/live_standins.h
@@ -9,8 +9,8 @@
 #include <utility>
 
 #include "base/random.h"
-#include "http/client.h"
 #include "external/http/key_value_store.h"
+#include "http/client.h"
 
 namespace ochrespring::standin::testing {
 
