--- a/src/discovery/node_directory.h
+++ b/src/discovery/node_directory.h
@@ -25,6 +25,7 @@
 
   /// This node, unless it leaves, and the others.
   std::vector<NodeRecord> list() const;
+  const std::map<NodeId, NodeRecord>& others() const { return others_; }
   std::uint32_t count() const { return static_cast<std::uint32_t>(others_.size()) + 1; }
 
  private:
--- a/src/discovery/node_record.h
+++ b/src/discovery/node_record.h
@@ -13,6 +13,7 @@
   NodeId node;
   Endpoint address;  ///< Where callers reach it.
   ZoneName zone;
+  Endpoint peer_address;  ///< Where other nodes reach it.
 
   bool operator==(const NodeRecord&) const = default;
 
@@ -21,6 +22,7 @@
     archive& node;
     archive& address;
     archive& zone;
+    archive& peer_address;
   }
 };
 
--- a/src/gateway/load_table.cc
+++ b/src/gateway/load_table.cc
@@ -85,16 +85,15 @@
   reported_at_ = now;
 }
 
-double BackendLoad::estimated_requests(MonotonicTime now) const {
+double BackendLoad::reported_others(MonotonicTime now) const {
   if (!reported_at_) {
-    return in_flight_;
+    return 0;
   }
   const double all = reported_.running + reported_.waiting;
-  const double others = std::max(0.0, all - own_at_report_);
-  return in_flight_ + others * halved(now - *reported_at_, kReportHalfLife);
+  return std::max(0.0, all - own_at_report_) * halved(now - *reported_at_, kReportHalfLife);
 }
 
-double BackendLoad::estimated_waiting(MonotonicTime now) const {
+double BackendLoad::reported_waiting(MonotonicTime now) const {
   return reported_at_ ? reported_.waiting * halved(now - *reported_at_, kReportHalfLife) : 0.0;
 }
 
@@ -121,6 +120,33 @@
   return found != cached_.end() && now - found->second < kCacheBelief;
 }
 
+void LoadTable::begin(const BackendId& id, std::uint64_t unread_tokens) {
+  of(id).begin(unread_tokens);
+  changed(id);
+}
+
+void LoadTable::note_read(const BackendId& id, std::uint64_t unread_tokens) {
+  of(id).note_read(unread_tokens);
+  if (unread_tokens != 0) {
+    changed(id);
+  }
+}
+
+void LoadTable::end(const BackendId& id, AttemptVerdict verdict, MonotonicTime now) {
+  of(id).end(verdict, now);
+  changed(id);
+}
+
+OthersWork LoadTable::others(const BackendId& id, MonotonicTime now) const {
+  return peers_ == nullptr ? OthersWork() : peers_->work_at(id, now);
+}
+
+void LoadTable::changed(const BackendId& id) const {
+  if (changed_) {
+    changed_(id);
+  }
+}
+
 const BackendLoad* LoadTable::find(const BackendId& id) const {
   const auto found = loads_.find(id);
   return found == loads_.end() ? nullptr : &found->second;
--- a/src/gateway/load_table.h
+++ b/src/gateway/load_table.h
@@ -3,12 +3,15 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 #include "base/time.h"
+#include "gateway/peer_view.h"
 #include "gateway/types.h"
 
 namespace ochrespring::gateway {
@@ -41,11 +44,11 @@
   void end(AttemptVerdict verdict, MonotonicTime now);
   void note_report(const ReportedLoad& load, MonotonicTime now);
 
+  /// Requests of others at the last report, fading with its age.
+  double reported_others(MonotonicTime now) const;
   std::uint32_t in_flight() const { return in_flight_; }
   std::uint64_t unread_tokens() const { return unread_tokens_; }
-  /// Requests at the back end now, of all nodes: reports fade, own requests do not.
-  double estimated_requests(MonotonicTime now) const;
-  double estimated_waiting(MonotonicTime now) const;
+  double reported_waiting(MonotonicTime now) const;
   /// Share of recent attempts that failed, fading with time, 0 to 1.
   double failure_share(MonotonicTime now) const;
   /// Whether the back end is left alone for now.
@@ -78,8 +81,26 @@
   const BackendLoad* find(const BackendId& id) const;
   void forget(const BackendId& id) { loads_.erase(id); }
 
+  /// The same as of the back end's load, and told to whoever listens to changes.
+  void begin(const BackendId& id, std::uint64_t unread_tokens);
+  void note_read(const BackendId& id, std::uint64_t unread_tokens);
+  void end(const BackendId& id, AttemptVerdict verdict, MonotonicTime now);
+
+  /// Called after this node's work at a back end has changed.
+  void on_change(std::function<void(const BackendId&)> callback) {
+    changed_ = std::move(callback);
+  }
+  /// Where to ask for the work of other nodes; null: nowhere.
+  void set_peers(const PeerView* peers) { peers_ = peers; }
+  /// Work of the other nodes at a back end, as they told it.
+  OthersWork others(const BackendId& id, MonotonicTime now) const;
+
  private:
+  void changed(const BackendId& id) const;
+
   std::map<BackendId, BackendLoad> loads_;
+  std::function<void(const BackendId&)> changed_;
+  const PeerView* peers_ = nullptr;
 };
 
 }  // namespace ochrespring::gateway
--- /dev/null
+++ b/src/gateway/peer_view.h
@@ -0,0 +1,22 @@
+// What other nodes are known to do at a back end.
+#pragma once
+
+#include <cstdint>
+
+#include "base/time.h"
+#include "gateway/types.h"
+
+namespace ochrespring::gateway {
+
+struct OthersWork {
+  std::uint32_t requests = 0;
+  std::uint64_t unread_tokens = 0;
+};
+
+class PeerView {
+ public:
+  virtual ~PeerView() = default;
+  virtual OthersWork work_at(const BackendId& backend, MonotonicTime now) const = 0;
+};
+
+}  // namespace ochrespring::gateway
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -8,8 +8,11 @@
 
 namespace {
 
-/// An engine that also decodes reads prompts at half the pace, between the tokens of others.
+/// An engine that also decodes reads prompts at half the pace.
 constexpr double kRunnerReadingCost = 2;
+/// Share of the reading cost that each stream of others at the engine adds: between its tokens they
+/// all wait for a piece of the prompt to be read.
+constexpr double kHarmPerStream = 0.25;
 /// Cost in tokens of one request that already runs at an engine: it slows every step a little.
 constexpr double kTokensPerRunning = 60;
 /// Cost in tokens of one prompt of others that a prefill engine is reading.
@@ -111,16 +114,18 @@
 PlacementChoice Placement::estimate_runner(const Backend& backend, const Prompt& prompt, bool home,
                                            bool handed_over, MonotonicTime now) const {
   const BackendLoad& load = load_of(backend);
+  const Work work = work_at(backend, now);
   PlacementChoice choice;
   const std::uint64_t unread = unread_at(load, prompt, home, now);
   if (handed_over) {
     choice.cost = kHandOverTokens + kTransferCost * static_cast<double>(unread);
   } else {
     choice.unread_tokens = unread;
-    choice.cost = kRunnerReadingCost * static_cast<double>(unread + load.unread_tokens());
+    choice.cost = kRunnerReadingCost * (static_cast<double>(unread) + work.unread_tokens) *
+                  (1 + kHarmPerStream * work.requests);
   }
-  choice.cost += kTokensPerRunning * load.estimated_requests(now) +
-                 kTokensPerWaiting * load.estimated_waiting(now) +
+  choice.cost += kTokensPerRunning * work.requests +
+                 kTokensPerWaiting * load.reported_waiting(now) +
                  kTokensPerFailure * load.failure_share(now);
   return choice;
 }
@@ -130,9 +135,8 @@
   const BackendLoad& load = load_of(backend);
   PlacementChoice choice;
   choice.unread_tokens = unread_at(load, prompt, home, now);
-  const double others = std::max(0.0, load.estimated_requests(now) - load.in_flight());
-  choice.cost = static_cast<double>(choice.unread_tokens + load.unread_tokens()) +
-                kTokensPerReading * others + kTokensPerFailure * load.failure_share(now);
+  choice.cost = static_cast<double>(choice.unread_tokens) + work_at(backend, now).unread_tokens +
+                kTokensPerFailure * load.failure_share(now);
   return choice;
 }
 
@@ -150,12 +154,28 @@
 PlacementChoice Placement::estimate_ordinary(const Backend& backend, MonotonicTime now) const {
   const BackendLoad& load = load_of(backend);
   PlacementChoice choice;
-  choice.cost = (1 + load.estimated_requests(now)) / std::max<double>(backend.slots, 1) +
+  choice.cost = (1 + work_at(backend, now).requests) / std::max<double>(backend.slots, 1) +
                 (backend.zone == zone_ ? 0 : kOtherZoneCost) +
                 kOrdinaryFailureCost * load.failure_share(now);
   return choice;
 }
 
+/// What other nodes tell of their work is exact; a back end's own report stands in where it shows
+/// more, as it does when a node cannot be heard.
+Placement::Work Placement::work_at(const Backend& backend, MonotonicTime now) const {
+  const BackendLoad& load = load_of(backend);
+  const OthersWork told = loads_.others(backend.id, now);
+  const double reported = load.reported_others(now);
+  const double unheard = std::max(0.0, reported - told.requests);
+  Work work;
+  work.requests = load.in_flight() + told.requests + unheard;
+  work.unread_tokens = static_cast<double>(load.unread_tokens() + told.unread_tokens);
+  if (backend.role == EngineRole::kPrefill) {
+    work.unread_tokens += kTokensPerReading * unheard;
+  }
+  return work;
+}
+
 const BackendLoad& Placement::load_of(const Backend& backend) const {
   static const BackendLoad kIdle;
   const BackendLoad* known = loads_.find(backend.id);
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -60,6 +60,12 @@
   std::uint64_t unread_at(const BackendLoad& load, const Prompt& prompt, bool home,
                           MonotonicTime now) const;
   const BackendLoad& load_of(const Backend& backend) const;
+  /// Requests and unread tokens at a back end, of all nodes.
+  struct Work {
+    double requests = 0;
+    double unread_tokens = 0;
+  };
+  Work work_at(const Backend& backend, MonotonicTime now) const;
 
   template <class Estimate>
   PlacementChoice cheapest(const Backends& backends, const Estimate& estimate) const;
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -157,10 +157,9 @@
   if (!prefill) {
     tried_.insert(backend.id);
   }
-  BackendLoad& load = environment_.loads.of(backend.id);
-  load.begin(attempt_->unread_tokens);
+  environment_.loads.begin(backend.id, attempt_->unread_tokens);
   if (prompt_) {
-    load.note_cached(prompt_->shared_key(), now);
+    environment_.loads.of(backend.id).note_cached(prompt_->shared_key(), now);
   }
   ++environment_.statistics.attempts;
   log_attempt(prefill ? "prefill started" : "attempt started", backend.address.value());
@@ -317,7 +316,8 @@
   while (const auto event = attempt_->events.next()) {
     if (!attempt_->prompt_read) {
       attempt_->prompt_read = true;
-      environment_.loads.of(attempt_->backend).note_read(attempt_->unread_tokens);
+      log_attempt("first event", "");
+      environment_.loads.note_read(attempt_->backend, attempt_->unread_tokens);
     }
     passed = pass_event(*event) || passed;
   }
@@ -411,11 +411,10 @@
   if (!attempt_ || attempt_->backend.empty()) {
     return;
   }
-  BackendLoad& load = environment_.loads.of(attempt_->backend);
   if (!std::exchange(attempt_->prompt_read, true)) {
-    load.note_read(attempt_->unread_tokens);
+    environment_.loads.note_read(attempt_->backend, attempt_->unread_tokens);
   }
-  load.end(verdict, environment_.clock.now());
+  environment_.loads.end(attempt_->backend, verdict, environment_.clock.now());
   if (attempt_->uses_cache && verdict == AttemptVerdict::kRefused) {
     release_cache();
   } else if (attempt_->uses_cache && verdict != AttemptVerdict::kUnreachable) {
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "wire/codec.h"
+
 namespace ochrespring::gateway_node {
 
 namespace {
@@ -38,12 +40,15 @@
       budget_(settings_.retry_budget),
       shares_(random),
       transport_(client),
-      nodes_({settings_.node, settings_.listen, settings_.zone}),
+      self_{settings_.node, settings_.listen, settings_.zone, settings_.peer_listen},
+      nodes_(self_),
       watcher_({clock, loop, random, adapter_.store, adapter_.codec, logger}, {}, fleet_, nodes_),
       registration_(
           loop, adapter_.store, logger,
           {adapter_.codec.layout().node_prefix + settings_.node.value(), settings_.node_lease},
-          {settings_.node, settings_.listen, settings_.zone}),
+          self_),
+      announcer_(loop, loads_, settings_.node, random.next(),
+                 [this](const peer_load::WorkReport& report) { send_to_peers(report); }),
       gateway_(
           {clock, loop, transport_, fleet_, loads_, placement_, budget_, shares_, adapter_.names,
            adapter_.engines, statistics_, logger, [this] { return nodes_.count(); }},
@@ -72,6 +77,7 @@
     });
     BOOST_OUTCOME_TRY(metrics_server_->listen());
   }
+  BOOST_OUTCOME_TRY(listen_to_peers());
   fleet_.on_removed([this](const gateway::Backend& backend) {
     loads_.forget(backend.id);
     client_.forget(backend.address);
@@ -87,6 +93,32 @@
   return outcome::success();
 }
 
+Result<void, http::HttpError> GatewayNode::listen_to_peers() {
+  BOOST_OUTCOME_TRY(peers, peer_load::DatagramSocket::bind(
+                               loop_, settings_.peer_listen, [this](std::string_view bytes) {
+                                 const auto report = wire::decode<peer_load::WorkReport>(bytes);
+                                 if (report) {
+                                   peer_work_.apply(report.value(), clock_.now());
+                                 }
+                               }));
+  peers_ = std::move(peers);
+  loads_.set_peers(&peer_work_);
+  loads_.on_change([this](const gateway::BackendId& id) {
+    const gateway::Backend* backend = fleet_.find(id);
+    if (backend != nullptr && backend->role != gateway::EngineRole::kNone) {
+      announcer_.note_change(id);
+    }
+  });
+  return outcome::success();
+}
+
+void GatewayNode::send_to_peers(const peer_load::WorkReport& report) {
+  const std::string bytes = wire::encode(report);
+  for (const auto& [node, record] : nodes_.others()) {
+    peers_->send(record.peer_address, bytes);
+  }
+}
+
 void GatewayNode::stop() {
   if (std::exchange(stopping_, true)) {
     return;
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -16,6 +16,9 @@
 #include "http/server.h"
 #include "logging/logger.h"
 #include "metrics/metrics.h"
+#include "peer_load/datagram_socket.h"
+#include "peer_load/peer_work.h"
+#include "peer_load/work_announcer.h"
 
 namespace ochrespring::gateway_node {
 
@@ -34,6 +37,8 @@
   void reload(const Settings& settings);
 
  private:
+  Result<void, http::HttpError> listen_to_peers();
+  void send_to_peers(const peer_load::WorkReport& report);
   void add_metrics(metrics::SampleSink& sink) const;
   void apply_limits();
   void stop_if_idle();
@@ -51,9 +56,13 @@
   gateway::SharePicker shares_;
   gateway::GatewayStatistics statistics_;
   gateway::HttpBackendTransport transport_;
+  discovery::NodeRecord self_;
   discovery::NodeDirectory nodes_;
   discovery::FleetWatcher watcher_;
   discovery::NodeRegistration registration_;
+  peer_load::PeerWork peer_work_;
+  peer_load::WorkAnnouncer announcer_;
+  std::unique_ptr<peer_load::DatagramSocket> peers_;
   gateway::Gateway gateway_;
   http::Server callers_;
   http::Server ready_;
--- a/src/gateway_node/settings.cc
+++ b/src/gateway_node/settings.cc
@@ -82,6 +82,8 @@
        store_listen(&Settings::ready_listen)},
       {"directory-listen", "Address for look-ups of nodes", settings::kEndpointRule, "", true,
        store_listen(&Settings::directory_listen)},
+      {"peer-listen", "Address for other nodes' datagrams", settings::kEndpointRule, "", true,
+       store_listen(&Settings::peer_listen)},
       {"metrics-listen", "Address for /metrics; none if absent", settings::kEndpointRule, "", false,
        store_listen(&Settings::metrics_listen)},
       {"store", "Address of the store that all nodes share", settings::kPeerEndpointRule, "", true,
--- a/src/gateway_node/settings.h
+++ b/src/gateway_node/settings.h
@@ -20,6 +20,7 @@
   Endpoint ready_listen;      ///< The platform's readiness checks.
   Endpoint directory_listen;  ///< Callers' look-ups of nodes.
   Endpoint metrics_listen;    ///< Empty: no metrics.
+  Endpoint peer_listen;       ///< Other nodes' datagrams.
   Endpoint store;             ///< The store all nodes share.
   gateway::RetryBudgetSettings retry_budget;
   Duration stop_grace{std::chrono::seconds(8)};  ///< From the stop signal to the end by force.
--- /dev/null
+++ b/src/peer_load/types.h
@@ -0,0 +1,43 @@
+// What nodes tell each other of their work at engines.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "gateway/types.h"
+
+namespace ochrespring::peer_load {
+
+/// One node's work at one engine now; absolute, so that a lost message is mended by the next.
+struct EngineWork {
+  gateway::BackendId engine;
+  std::uint32_t requests = 0;
+  std::uint64_t unread_tokens = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& engine;
+    archive& requests;
+    archive& unread_tokens;
+  }
+};
+
+/// One datagram.
+struct WorkReport {
+  NodeId node;
+  std::uint64_t life = 0;      ///< Drawn at the sender's start.
+  std::uint64_t sequence = 0;  ///< Rises within one life.
+  std::vector<EngineWork> engines;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& node;
+    archive& life;
+    archive& sequence;
+    archive& engines;
+  }
+};
+
+}  // namespace ochrespring::peer_load
--- /dev/null
+++ b/src/peer_load/work_announcer.h
@@ -0,0 +1,41 @@
+// Tells the other nodes of this node's work at engines.
+#pragma once
+
+#include <functional>
+#include <set>
+
+#include "base/timer.h"
+#include "gateway/load_table.h"
+#include "peer_load/types.h"
+
+namespace ochrespring::peer_load {
+
+/// Sends a report when work changes, with all changes of a short while in one, and repeats what is
+/// not over, so that it stays believed. One loop.
+class WorkAnnouncer {
+ public:
+  using Send = std::function<void(const WorkReport&)>;
+
+  WorkAnnouncer(TimerService& timers, const gateway::LoadTable& loads, NodeId node,
+                std::uint64_t life, Send send);
+
+  /// The work at an engine has changed.
+  void note_change(const gateway::BackendId& engine);
+
+ private:
+  static constexpr Duration kGather{std::chrono::milliseconds(1)};
+  static constexpr Duration kRepeat{std::chrono::milliseconds(1000)};
+
+  void announce();
+  void repeat();
+
+  const gateway::LoadTable& loads_;
+  Send send_;
+  WorkReport report_;  ///< Engines are filled in for each datagram.
+  std::set<gateway::BackendId> changed_;
+  std::set<gateway::BackendId> busy_;
+  Timer gather_;
+  Timer repeat_;
+};
+
+}  // namespace ochrespring::peer_load
