Nodes tell each other which prompt parts engines read; the home of an unseen part is doubted more

Cause: each node knew only the parts it had sent itself; the home was taken to hold nine tenths of any part, also while all caches were cold, and queued cold prompts behind each other.

--- a/src/gateway/load_table.cc
+++ b/src/gateway/load_table.cc
@@ -21,7 +21,7 @@
 constexpr Duration kFirstEjection = milliseconds(1000);
 constexpr std::uint32_t kMostDoublings = 2;
 /// How long a prompt part is believed to stay cached after its last use.
-constexpr Duration kCacheBelief = seconds(60);
+constexpr Duration kCacheBelief = seconds(20);
 
 double halved(Duration age, Duration half_life) {
   return std::exp2(-to_seconds(age) / to_seconds(half_life));
@@ -109,17 +109,27 @@
   faded_at_ = now;
 }
 
-void BackendLoad::note_cached(std::string_view key, MonotonicTime now) {
-  if (!key.empty()) {
-    cached_[std::string(key)] = now;
-  }
+void BackendLoad::note_cached(std::uint64_t part_key, MonotonicTime now) {
+  cached_[part_key] = now;
 }
 
-bool BackendLoad::holds(std::string_view key, MonotonicTime now) const {
-  const auto found = cached_.find(std::string(key));
+bool BackendLoad::holds(std::uint64_t part_key, MonotonicTime now) const {
+  const auto found = cached_.find(part_key);
   return found != cached_.end() && now - found->second < kCacheBelief;
 }
 
+/// The last part is the request's own: nobody else will ask for it.
+void LoadTable::note_prompt(const BackendId& id, const Prompt& prompt, MonotonicTime now) {
+  std::vector<std::uint64_t> keys;
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+    keys.push_back(prompt.parts[i].key);
+    of(id).note_cached(keys.back(), now);
+  }
+  if (prompt_read_ && !keys.empty()) {
+    prompt_read_(id, keys);
+  }
+}
+
 void LoadTable::begin(const BackendId& id, std::uint64_t unread_tokens) {
   of(id).begin(unread_tokens);
   changed(id);
--- a/src/gateway/load_table.h
+++ b/src/gateway/load_table.h
@@ -9,9 +9,11 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "base/time.h"
 #include "gateway/peer_view.h"
+#include "gateway/prompt.h"
 #include "gateway/types.h"
 
 namespace ochrespring::gateway {
@@ -55,8 +57,8 @@
   bool ejected(MonotonicTime now) const { return now < ejected_until_; }
 
   /// Remembers that a prompt part is in the back end's cache.
-  void note_cached(std::string_view key, MonotonicTime now);
-  bool holds(std::string_view key, MonotonicTime now) const;
+  void note_cached(std::uint64_t part_key, MonotonicTime now);
+  bool holds(std::uint64_t part_key, MonotonicTime now) const;
 
  private:
   void fade(MonotonicTime now);
@@ -71,7 +73,7 @@
   MonotonicTime faded_at_{};
   std::uint32_t unreachable_in_row_ = 0;
   MonotonicTime ejected_until_{};
-  std::unordered_map<std::string, MonotonicTime> cached_;
+  std::unordered_map<std::uint64_t, MonotonicTime> cached_;  ///< By part key.
 };
 
 /// All back ends of one node.
@@ -86,6 +88,13 @@
   void note_read(const BackendId& id, std::uint64_t unread_tokens);
   void end(const BackendId& id, AttemptVerdict verdict, MonotonicTime now);
 
+  /// Remembers the parts of a prompt that a back end reads now.
+  void note_prompt(const BackendId& id, const Prompt& prompt, MonotonicTime now);
+  /// Called with the shared parts of each prompt that a back end reads.
+  void on_prompt(std::function<void(const BackendId&, const std::vector<std::uint64_t>&)> callback) {
+    prompt_read_ = std::move(callback);
+  }
+
   /// Called after this node's work at a back end has changed.
   void on_change(std::function<void(const BackendId&)> callback) {
     changed_ = std::move(callback);
@@ -100,6 +109,7 @@
 
   std::map<BackendId, BackendLoad> loads_;
   std::function<void(const BackendId&)> changed_;
+  std::function<void(const BackendId&, const std::vector<std::uint64_t>&)> prompt_read_;
   const PeerView* peers_ = nullptr;
 };
 
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -26,7 +26,7 @@
 /// Cost in tokens of transferring one token's cache.
 constexpr double kTransferCost = 0.04;
 /// Part of a shared prompt that is believed missing at its home before this node has seen it there.
-constexpr double kHomeDoubt = 0.1;
+constexpr double kHomeDoubt = 0.4;
 /// Cost of leaving the zone for an ordinary service, in requests per slot.
 constexpr double kOtherZoneCost = 0.25;
 /// Cost of certain failure for an ordinary service, in requests per slot.
@@ -142,10 +142,17 @@
 
 std::uint64_t Placement::unread_at(const BackendLoad& load, const Prompt& prompt, bool home,
                                    MonotonicTime now) const {
-  double missing = static_cast<double>(prompt.shared_tokens());
-  if (load.holds(prompt.shared_key(), now)) {
-    missing = 0;
-  } else if (home) {
+  std::uint64_t held = 0;
+  for (const PromptPart& part : prompt.parts) {
+    // A part is of use only behind all parts before it.
+    if (!load.holds(part.key, now)) {
+      break;
+    }
+    held += part.tokens;
+  }
+  const std::uint64_t shared = prompt.shared_tokens();
+  double missing = static_cast<double>(shared - std::min(held, shared));
+  if (home) {
     missing *= kHomeDoubt;
   }
   return static_cast<std::uint64_t>(missing) + prompt.own_tokens();
--- a/src/gateway/prompt.cc
+++ b/src/gateway/prompt.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "base/hash.h"
+
 namespace ochrespring::gateway {
 
 namespace {
@@ -46,7 +48,7 @@
     if (id.empty()) {
       continue;
     }
-    prompt.parts.push_back({std::string(id), read_number(part)});
+    prompt.parts.push_back({std::string(id), read_number(part), stable_hash(id)});
     sum += prompt.parts.back().tokens;
   }
   prompt.tokens = read_number(take_until(counts, ','));
--- a/src/gateway/prompt.h
+++ b/src/gateway/prompt.h
@@ -11,6 +11,7 @@
 struct PromptPart {
   std::string id;
   std::uint64_t tokens = 0;
+  std::uint64_t key = 0;  ///< Stable hash of the id, the same on every node.
 };
 
 /// Parts in order; the last is the request's own or its session's.
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -159,7 +159,7 @@
   }
   environment_.loads.begin(backend.id, attempt_->unread_tokens);
   if (prompt_) {
-    environment_.loads.of(backend.id).note_cached(prompt_->shared_key(), now);
+    environment_.loads.note_prompt(backend.id, *prompt_, now);
   }
   ++environment_.statistics.attempts;
   log_attempt(prefill ? "prefill started" : "attempt started", backend.address.value());
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -98,7 +98,7 @@
                                loop_, settings_.peer_listen, [this](std::string_view bytes) {
                                  const auto report = wire::decode<peer_load::WorkReport>(bytes);
                                  if (report) {
-                                   peer_work_.apply(report.value(), clock_.now());
+                                   take_report(report.value());
                                  }
                                }));
   peers_ = std::move(peers);
@@ -109,9 +109,22 @@
       announcer_.note_change(id);
     }
   });
+  loads_.on_prompt([this](const gateway::BackendId& id, const std::vector<std::uint64_t>& keys) {
+    announcer_.note_parts(id, keys);
+  });
   return outcome::success();
 }
 
+void GatewayNode::take_report(const peer_load::WorkReport& report) {
+  const MonotonicTime now = clock_.now();
+  peer_work_.apply(report, now);
+  for (const peer_load::EngineWork& work : report.engines) {
+    for (const std::uint64_t key : work.parts_read) {
+      loads_.of(work.engine).note_cached(key, now);
+    }
+  }
+}
+
 void GatewayNode::send_to_peers(const peer_load::WorkReport& report) {
   const std::string bytes = wire::encode(report);
   for (const auto& [node, record] : nodes_.others()) {
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -38,6 +38,7 @@
 
  private:
   Result<void, http::HttpError> listen_to_peers();
+  void take_report(const peer_load::WorkReport& report);
   void send_to_peers(const peer_load::WorkReport& report);
   void add_metrics(metrics::SampleSink& sink) const;
   void apply_limits();
--- a/src/peer_load/tests/peer_load_test.cc
+++ b/src/peer_load/tests/peer_load_test.cc
@@ -17,7 +17,7 @@
 
 WorkReport make_report(std::string node, std::uint64_t sequence, std::uint32_t requests,
                        std::uint64_t tokens) {
-  return {NodeId(std::move(node)), 1, sequence, {{BackendId("e"), requests, tokens}}};
+  return {NodeId(std::move(node)), 1, sequence, {{BackendId("e"), requests, tokens, {}}}};
 }
 
 }  // namespace
--- a/src/peer_load/work_announcer.cc
+++ b/src/peer_load/work_announcer.cc
@@ -18,11 +18,20 @@
   }
 }
 
+void WorkAnnouncer::note_parts(const gateway::BackendId& engine,
+                               const std::vector<std::uint64_t>& keys) {
+  auto& parts = parts_[engine];
+  parts.insert(parts.end(), keys.begin(), keys.end());
+}
+
 void WorkAnnouncer::announce() {
   report_.engines.clear();
   for (const gateway::BackendId& engine : std::exchange(changed_, {})) {
     const gateway::BackendLoad* load = loads_.find(engine);
-    EngineWork work{engine, 0, 0};
+    EngineWork work{engine, 0, 0, {}};
+    if (const auto parts = parts_.extract(engine)) {
+      work.parts_read = std::move(parts.mapped());
+    }
     if (load != nullptr) {
       work.requests = load->in_flight();
       work.unread_tokens = load->unread_tokens();
--- a/src/peer_load/work_announcer.h
+++ b/src/peer_load/work_announcer.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <set>
+#include <vector>
 
 #include "base/timer.h"
 #include "gateway/load_table.h"
@@ -21,6 +23,8 @@
 
   /// The work at an engine has changed.
   void note_change(const gateway::BackendId& engine);
+  /// An engine reads shared prompt parts; told with the next report on it.
+  void note_parts(const gateway::BackendId& engine, const std::vector<std::uint64_t>& keys);
 
  private:
   static constexpr Duration kGather{std::chrono::milliseconds(1)};
@@ -34,6 +38,7 @@
   WorkReport report_;  ///< Engines are filled in for each datagram.
   std::set<gateway::BackendId> changed_;
   std::set<gateway::BackendId> busy_;
+  std::map<gateway::BackendId, std::vector<std::uint64_t>> parts_;
   Timer gather_;
   Timer repeat_;
 };
