--- a/src/discovery/fleet_watcher.cc
+++ b/src/discovery/fleet_watcher.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::string_view kComponent = "discovery";
-constexpr double kPeriodJitter = 0.15;
+constexpr double kPeriodJitter = 0.05;
 /// Every key of the store: one call tells of configuration, back ends and nodes.
 const std::string kEverything;
 
--- a/src/discovery/fleet_watcher.h
+++ b/src/discovery/fleet_watcher.h
@@ -18,7 +18,7 @@
 namespace ochrespring::discovery {
 
 struct FleetWatcherSettings {
-  Duration period{std::chrono::milliseconds(900)};        ///< Between two looks.
+  Duration period{std::chrono::milliseconds(1350)};       ///< Between two looks.
   Duration retry{std::chrono::milliseconds(300)};         ///< After a look that failed.
   Duration fresh_enough{std::chrono::milliseconds(150)};  ///< Age at which refresh() asks again.
 };
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -25,6 +25,9 @@
 constexpr double kHandOverTokens = 500;
 /// Cost in tokens of transferring one token's cache.
 constexpr double kTransferCost = 0.04;
+/// What reading a shared part anew costs besides its time, in parts of its tokens: the engine's
+/// pace and memory are gone for others.
+constexpr double kExtraColdCost = 1.5;
 /// Part of a shared prompt that is believed missing at its home before this node has seen it there.
 constexpr double kHomeDoubt = 0.4;
 /// Cost of leaving the zone for an ordinary service, in requests per slot.
@@ -135,8 +138,9 @@
   const BackendLoad& load = load_of(backend);
   PlacementChoice choice;
   choice.unread_tokens = unread_at(load, prompt, home, now);
-  choice.cost = static_cast<double>(choice.unread_tokens) + work_at(backend, now).unread_tokens +
-                kTokensPerFailure * load.failure_share(now);
+  const double missing = static_cast<double>(choice.unread_tokens - prompt.own_tokens());
+  choice.cost = static_cast<double>(choice.unread_tokens) + kExtraColdCost * missing +
+                work_at(backend, now).unread_tokens + kTokensPerFailure * load.failure_share(now);
   return choice;
 }
 
