A node that starts asks engines what they keep

Ruled out: the start itself (listening and configured within 0.3 s of the restart). Change: CacheSurvey, one call to each engine at a node's start.

--- /dev/null
+++ b/src/gateway/cache_survey.h
@@ -0,0 +1,37 @@
+// Asks engines what they keep in their caches when a node starts: it has seen nothing yet, but the
+// engines may have been serving for long.
+#pragma once
+
+#include <functional>
+
+#include "base/time.h"
+#include "gateway/engine_calls.h"
+#include "gateway/fleet_state.h"
+#include "gateway/load_table.h"
+#include "http/client.h"
+
+namespace ochrespring::gateway {
+
+/// One loop. Each engine is asked once; one that does not answer is left out.
+class CacheSurvey {
+ public:
+  using Fetch = std::function<void(http::ClientRequest, std::function<void(std::string body)>)>;
+
+  CacheSurvey(const Clock& clock, const EngineCalls& engines, const FleetState& fleet,
+              LoadTable& loads, Fetch fetch);
+
+  /// Asks the engines that are known now; further calls do nothing.
+  void begin();
+
+ private:
+  void ask(const Backend& engine);
+
+  const Clock& clock_;
+  const EngineCalls& engines_;
+  const FleetState& fleet_;
+  LoadTable& loads_;
+  Fetch fetch_;
+  bool begun_ = false;
+};
+
+}  // namespace ochrespring::gateway
--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -109,6 +109,14 @@
     request.path = "/cache/" + handle;
     return request;
   }
+  http::ClientRequest list_cached_parts() const override {
+    http::ClientRequest request;
+    request.path = "/cached";
+    return request;
+  }
+  std::vector<std::string> read_cached_parts(std::string_view body) const override {
+    return body.empty() ? std::vector<std::string>() : std::vector{std::string(body)};
+  }
 };
 
 /// One gateway with routes `/idempotent/`, `/once/`, `/stream/` and `/resumable/` of host `h`, and
--- a/src/gateway/tests/policies_test.cc
+++ b/src/gateway/tests/policies_test.cc
@@ -5,6 +5,8 @@
 #include <chrono>
 #include <cmath>
 
+#include "base/hash.h"
+#include "gateway/cache_survey.h"
 #include "gateway/event_splitter.h"
 #include "gateway/fleet_state.h"
 #include "gateway/load_table.h"
@@ -13,6 +15,7 @@
 #include "gateway/retry_budget.h"
 #include "gateway/route_table.h"
 #include "gateway/share_picker.h"
+#include "tests/gateway_fixture.h"
 
 using namespace ochrespring;
 using namespace ochrespring::gateway;
@@ -219,3 +222,32 @@
   const Placement placement(fleet, loads, random, ZoneName("z"));
   CHECK(placement.choose(request, {}).runner.backend->id.value() != *homes.begin());
 }
+
+TEST_CASE(
+    "a node that starts asks each engine once what it keeps, and places prompts accordingly") {
+  simulation::VirtualTime time;
+  FleetState fleet;
+  LoadTable loads;
+  gateway::testing::PlayedEngineCalls engines;
+  std::vector<http::ClientRequest> asked;
+  CacheSurvey survey(time, engines, fleet, loads,
+                     [&](http::ClientRequest request, const auto& done) {
+                       const bool second = request.endpoint.value() == "b:1";
+                       asked.push_back(std::move(request));
+                       done(second ? "k1" : "");
+                     });
+  survey.begin();
+  CHECK(asked.empty());
+  for (const char* id : {"a", "b", "c"}) {
+    Backend engine = make_engine(id, EngineRole::kDecode);
+    engine.address = Endpoint(std::string(id) + ":1");
+    fleet.put(engine);
+  }
+  Backend ordinary = make_engine("o", EngineRole::kNone);
+  fleet.put(ordinary);
+  survey.begin();
+  survey.begin();
+  CHECK(asked.size() == 3);
+  CHECK(loads.of(BackendId("b")).holds(stable_hash("k1"), time.now()));
+  CHECK_FALSE(loads.of(BackendId("a")).holds(stable_hash("k1"), time.now()));
+}
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -47,6 +47,10 @@
           self_),
       announcer_(loop, loads_, settings_.node, random.next(),
                  [this](const peer_load::WorkReport& report) { send_to_peers(report); }),
+      survey_(clock, adapter_.engines, fleet_, loads_,
+              [this](http::ClientRequest request, auto done) {
+                fetch_body(std::move(request), std::move(done));
+              }),
       gateway_(
           {clock, loop, transport_, fleet_, loads_, placement_, budget_, shares_, adapter_.names,
            adapter_.engines, statistics_, logger, [this] { return nodes_.count(); }},
@@ -80,7 +84,10 @@
     loads_.forget(backend.id);
     client_.forget(backend.address);
   });
-  watcher_.on_current([this] { apply_limits(); });
+  watcher_.on_current([this] {
+    apply_limits();
+    survey_.begin();
+  });
   gateway_.on_idle([this] { stop_.on_idle(); });
   watcher_.start();
   registration_.start();
@@ -161,6 +168,16 @@
   logger_.write({logging::Level::kInfo, kComponent, "settings reloaded", {}});
 }
 
+/// Hands over the body of a good answer; anything else is left out.
+void GatewayNode::fetch_body(http::ClientRequest request,
+                             std::function<void(std::string body)> done) {
+  client_.fetch(std::move(request), [done = std::move(done)](auto result) {
+    if (result && result.value().head.status == 200) {
+      done(std::move(result.value().body));
+    }
+  });
+}
+
 void GatewayNode::apply_limits() {
   const auto& limits =
       fleet_.routes() ? fleet_.routes()->configuration().limits : gateway::CallerLimits();
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -8,6 +8,7 @@
 #include "base/timer.h"
 #include "discovery/fleet_watcher.h"
 #include "discovery/node_registration.h"
+#include "gateway/cache_survey.h"
 #include "gateway/gateway.h"
 #include "gateway_node/adapter.h"
 #include "gateway_node/settings.h"
@@ -42,6 +43,7 @@
   void take_report(const peer_load::WorkReport& report);
   void send_to_peers(const peer_load::WorkReport& report);
   void add_metrics(metrics::SampleSink& sink) const;
+  void fetch_body(http::ClientRequest request, std::function<void(std::string body)> done);
   void apply_limits();
   void leave();
   void finish();
@@ -66,6 +68,7 @@
   peer_load::PeerWork peer_work_;
   peer_load::WorkAnnouncer announcer_;
   std::unique_ptr<peer_load::DatagramSocket> peers_;
+  gateway::CacheSurvey survey_;
   gateway::Gateway gateway_;
   http::Server callers_;
   http::Server ready_;
