Fault soak of the gateway with real processes

platform/soak: stand-ins of store and servers, a proxy that delays, resets, silences or cuts one way, signals, planned work, and an oracle that judges from what callers and servers saw.

--- a/Makefile
+++ b/Makefile
@@ -55,3 +55,9 @@
 	$(BUILD)/bin/ochrespring-bench fuzz --all-plants --steps $(FUZZ_STEPS) --threads $(JOBS)
 	$(BUILD)/bin/ochrespring-bench fuzz --scenario all --seed 1 --seeds $(FUZZ_SEEDS) --steps $(FUZZ_STEPS) \
 	  --threads $(JOBS) --output failing-history.json
+
+# Fault soak of the gateway: real processes, faults from outside, a fresh seed each time unless given.
+SOAK_SECONDS ?= 120
+.PHONY: soak
+soak: build
+	python3 platform/soak/soak.py --program $(BUILD)/bin/ochrespring-gateway --seconds $(SOAK_SECONDS) $(if $(SEED),--seed $(SEED))
--- a/scripts/install-dependencies.sh
+++ b/scripts/install-dependencies.sh
@@ -12,7 +12,7 @@
   libcli11-dev libgoogle-glog-dev nlohmann-json3-dev libyaml-cpp-dev
   prometheus-cpp-dev libxxhash-dev
   doctest-dev librapidcheck-dev libbenchmark-dev
-  gnuplot-nox
+  gnuplot-nox python3
   curl jq bsdextrautils
 )
 
--- a/src/discovery/fleet_watcher.h
+++ b/src/discovery/fleet_watcher.h
@@ -75,7 +75,7 @@
   Timer timer_;
   std::optional<shared_store::StoreRevision> seen_;  ///< None: list everything.
   bool looking_ = false;
-  bool connected_ = false;
+  std::optional<bool> connected_;  ///< How the last look ended; none before the first.
   std::vector<std::function<void(bool)>> waiting_;
   std::function<void()> current_;
   FleetWatcherStatistics statistics_;
