--- /dev/null
+++ b/src/gateway_node/tests/settings_test.cc
@@ -0,0 +1,65 @@
+// The gateway's settings: every mistake is named, and a file may gain fields.
+#include "gateway_node/settings.h"
+
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+
+using namespace ochrespring;
+using namespace ochrespring::gateway_node;
+
+namespace {
+
+const std::vector<std::string> kWhole = {"--node=n",
+                                         "--zone=z",
+                                         "--listen=127.0.0.1:1",
+                                         "--ready-listen=127.0.0.1:2",
+                                         "--directory-listen=127.0.0.1:3",
+                                         "--peer-listen=127.0.0.1:4",
+                                         "--store=127.0.0.1:5"};
+
+bool names(const std::vector<settings::SettingsError>& errors, const std::string& key) {
+  return std::any_of(errors.begin(), errors.end(), [&](const settings::SettingsError& error) {
+    return error.message.starts_with(key + ":");
+  });
+}
+
+}  // namespace
+
+TEST_CASE("whole settings are taken, with defaults for the rest") {
+  const auto parsed = parse_command_line(kWhole);
+  REQUIRE(parsed);
+  CHECK(parsed.value().settings.node.value() == "n");
+  CHECK(parsed.value().settings.store.value() == "127.0.0.1:5");
+  CHECK(parsed.value().settings.stop_grace == std::chrono::seconds(8));
+}
+
+TEST_CASE("every mistake is reported by its key") {
+  std::vector<std::string> arguments = kWhole;
+  arguments[2] = "--listen=nowhere";
+  arguments.emplace_back("--retry-ratio=many");
+  arguments.emplace_back("--stop-grace-s=-1");
+  arguments.erase(arguments.begin());
+  const auto parsed = parse_command_line(arguments);
+  REQUIRE_FALSE(parsed);
+  for (const char* key : {"node", "listen", "retry-ratio", "stop-grace-s"}) {
+    CHECK(names(parsed.error(), key));
+  }
+  CHECK(parsed.error().size() == 4);
+}
+
+TEST_CASE("keys of the file that are not known are ignored, flags win") {
+  const std::string path = "/tmp/ochrespring-settings-" + std::to_string(::getpid());
+  std::ofstream(path) << "node = \"from-file\"\nof-tomorrow = 7\nretry-slack = 54\n";
+  std::vector<std::string> arguments = kWhole;
+  arguments.push_back("--config=" + path);
+  const auto parsed = parse_command_line(arguments);
+  REQUIRE(parsed);
+  CHECK(parsed.value().settings.node.value() == "n");
+  CHECK(parsed.value().settings.retry_budget.slack == 54);
+  CHECK(parsed.value().settings.file == path);
+  std::remove(path.c_str());
+}
--- a/src/logging/glog_logger.cc
+++ b/src/logging/glog_logger.cc
@@ -1,6 +1,9 @@
 #include "logging/glog_logger.h"
 
+#include <fcntl.h>
 #include <glog/logging.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include <array>
 #include <ctime>
@@ -64,8 +67,37 @@
   return false;
 }
 
-GlogLogger::GlogLogger(const std::string& program, Level least, const Clock& clock)
-    : least_(least), clock_(clock) {
+/// Writes each line with one call that never waits.
+class GlogLogger::Sink final : public google::LogSink {
+ public:
+  explicit Sink(int descriptor) : descriptor_(descriptor) {
+    struct stat status {};
+    const bool waits = ::fstat(descriptor_, &status) == 0 &&
+                       (S_ISFIFO(status.st_mode) || S_ISSOCK(status.st_mode));
+    if (waits) {
+      ::fcntl(descriptor_, F_SETFL, ::fcntl(descriptor_, F_GETFL) | O_NONBLOCK);
+    }
+  }
+
+  void send(google::LogSeverity /*severity*/, const char* /*path*/, const char* /*file*/,
+            int /*line*/, const google::LogMessageTime& /*time*/, const char* message,
+            std::size_t size) override {
+    std::string text(message, size);
+    text += '\n';
+    // A line that is not taken is lost: logging must not hold up requests.
+    static_cast<void>(!::write(descriptor_, text.data(), text.size()));
+  }
+
+ private:
+  int descriptor_;
+};
+
+GlogLogger::GlogLogger(const std::string& program, Level least, const Clock& clock,
+                       LogOutput output)
+    : least_(least),
+      clock_(clock),
+      sink_(std::make_unique<Sink>(output == LogOutput::kStandardOutput ? STDOUT_FILENO
+                                                                        : STDERR_FILENO)) {
   FLAGS_logtostderr = true;
   // The record carries time and level itself.
   FLAGS_log_prefix = false;
@@ -81,7 +113,8 @@
     return;
   }
   const std::string line = render_json(record, clock_.wall_now());
-  google::LogMessage(__FILE__, __LINE__, severity(record.level)).stream() << line;
+  google::LogMessage(__FILE__, __LINE__, severity(record.level), sink_.get(), false).stream()
+      << line;
 }
 
 }  // namespace ochrespring::logging
--- a/src/logging/glog_logger.h
+++ b/src/logging/glog_logger.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 
 #include "base/time.h"
@@ -16,11 +17,15 @@
 /// Level from its name (`debug`, `info`, `warning`, `error`); returns false for any other name.
 bool parse_level(std::string_view name, Level& level);
 
+/// Where lines go; machines keep no disk.
+enum class LogOutput : std::uint8_t { kStandardError, kStandardOutput };
+
 /// Logger over glog, which the process's single instance initialises. Records below `least` are
-/// dropped. Lines go to standard error: machines keep no disk.
+/// dropped. A line that a pipe does not take at once is lost rather than waited for.
 class GlogLogger final : public Logger {
  public:
-  GlogLogger(const std::string& program, Level least, const Clock& clock);
+  GlogLogger(const std::string& program, Level least, const Clock& clock,
+             LogOutput output = LogOutput::kStandardError);
   ~GlogLogger() override;
   GlogLogger(const GlogLogger&) = delete;
   GlogLogger& operator=(const GlogLogger&) = delete;
@@ -28,8 +33,11 @@
   void write(const Record& record) override;
 
  private:
+  class Sink;
+
   Level least_;
   const Clock& clock_;
+  std::unique_ptr<Sink> sink_;
 };
 
 }  // namespace ochrespring::logging
