A server that has fallen silent is told after 0.8 s and left alone; handing a cache over costs 1,500 tokens

Cause: a kept connection to a dark server held its request for 1.5 s and the next ones went there again; a hand-over (second call, set-up, transfer) takes about 14 ms, not the 500 tokens' time assumed.

--- a/src/gateway/load_table.cc
+++ b/src/gateway/load_table.cc
@@ -70,8 +70,7 @@
     case AttemptVerdict::kUnreachable:
       attempts_ += 1;
       failures_ += 1;
-      ejected_until_ = now + kFirstEjection * (1U << std::min(unreachable_in_row_, kMostDoublings));
-      ++unreachable_in_row_;
+      note_silence(now);
       break;
     case AttemptVerdict::kRefused:
     case AttemptVerdict::kAbandoned:
@@ -79,6 +78,11 @@
   }
 }
 
+void BackendLoad::note_silence(MonotonicTime now) {
+  ejected_until_ = now + kFirstEjection * (1U << std::min(unreachable_in_row_, kMostDoublings));
+  ++unreachable_in_row_;
+}
+
 void BackendLoad::note_report(const ReportedLoad& load, MonotonicTime now) {
   reported_ = load;
   own_at_report_ = in_flight_;
--- a/src/gateway/load_table.h
+++ b/src/gateway/load_table.h
@@ -44,6 +44,8 @@
   /// The prompt has been read: the first event came, or the attempt has ended.
   void note_read(std::uint64_t unread_tokens);
   void end(AttemptVerdict verdict, MonotonicTime now);
+  /// The back end has stopped to acknowledge what is sent to it: it is left alone for a while.
+  void note_silence(MonotonicTime now);
   void note_report(const ReportedLoad& load, MonotonicTime now);
 
   /// Requests of others at the last report, fading with its age.
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -22,7 +22,7 @@
 /// Cost in tokens of certain failure.
 constexpr double kTokensPerFailure = 60'000;
 /// Cost in tokens of handing a prompt's cache over: a second call and the set-up of the transfer.
-constexpr double kHandOverTokens = 500;
+constexpr double kHandOverTokens = 1'500;
 /// Cost in tokens of transferring one token's cache.
 constexpr double kTransferCost = 0.04;
 /// What reading a shared part anew costs besides its time, in parts of its tokens: the engine's
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -379,6 +379,9 @@
     }
     return;
   }
+  if (error.code == http::HttpErrc::kTimeout) {
+    environment_.loads.of(attempt_->backend).note_silence(environment_.clock.now());
+  }
   if (attempt_->prefill) {
     end_prefill(true);
     return;
--- a/src/gateway/tests/request_session_test.cc
+++ b/src/gateway/tests/request_session_test.cc
@@ -305,3 +305,16 @@
   world.last().fail(http::HttpErrc::kConnect, false);
   CHECK(world.last().header(world.names.cache_source) == "p1:1/h7");
 }
+
+TEST_CASE("a back end that fell silent is left alone while there is another") {
+  GatewayFixture world;
+  world.add_backend("b1", "relay");
+  world.add_backend("b2", "relay");
+  world.send("/once/x");
+  const std::string silent = world.last().request.endpoint.value();
+  world.last().fail(http::HttpErrc::kTimeout, true);
+  for (int i = 0; i != 6; ++i) {
+    world.send("/once/x");
+    CHECK(world.last().request.endpoint.value() != silent);
+  }
+}
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -72,6 +72,9 @@
   if (count == 0) {
     return {IoStatus::kClosed, 0};
   }
+  if (errno == ETIMEDOUT) {
+    return {IoStatus::kSilent, 0};
+  }
   return {is_retry(errno) ? IoStatus::kAgain : IoStatus::kFailed, 0};
 }
 
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -21,7 +21,8 @@
   kDone,    ///< Bytes were moved.
   kAgain,   ///< Nothing now; wait for the next event.
   kClosed,  ///< The peer has closed its side in order.
-  kFailed,  ///< Reset, timed out or unreachable.
+  kFailed,  ///< Reset or unreachable.
+  kSilent,  ///< The peer has not acknowledged bytes or probes for too long.
 };
 
 struct IoResult {
--- a/src/http/client_exchange.cc
+++ b/src/http/client_exchange.cc
@@ -21,7 +21,7 @@
 /// Taken off what the peer says, so that we close first.
 constexpr Duration kKeepMargin = milliseconds(700);
 /// Longest silence of a peer while sent bytes are unacknowledged.
-constexpr Duration kSilence = milliseconds(1500);
+constexpr Duration kSilence = milliseconds(800);
 constexpr std::size_t kReadBytes = 32U << 10U;
 constexpr std::size_t kLargestHead = 64U << 10U;
 
@@ -312,6 +312,10 @@
 }
 
 void ClientExchange::peer_closed(IoStatus status) {
+  if (status == IoStatus::kSilent) {
+    end_with_failure(HttpErrc::kTimeout, "the peer has fallen silent");
+    return;
+  }
   if (!head_taken_ || foreign_) {
     end_with_failure(reused_ ? HttpErrc::kStaleConnection : HttpErrc::kReset,
                      "the connection ended before an answer");
