gateway: split the request session by job; connections by share, cold servers spared, bodies by the limits

A deadline beyond all measure is the route's time (its conversion overflowed; the test fails on the old code). Idle connections to a server are kept within this node's part of what the server takes from all.

--- a/scripts/format.sh
+++ b/scripts/format.sh
@@ -6,5 +6,5 @@
 if [ "${1:-}" = "--check" ]; then
   mode=(--dry-run -Werror)
 fi
-git ls-files -co --exclude-standard 'src/*.h' 'src/*.cc' | grep -v '^src/generated/' |
+git ls-files -co --exclude-standard 'src/*.h' 'src/*.cc' 'platform/*.h' 'platform/*.cc' | grep -v '^src/generated/' |
   xargs -P "$(nproc)" -n 8 clang-format "${mode[@]}"
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")/.."
 build=${1:-build/release}
 ./scripts/format.sh --check
-git ls-files 'src/*.cc' | grep -v '^src/generated/' |
+git ls-files 'src/*.cc' 'platform/*.cc' | grep -v '^src/generated/' |
   xargs -P "$(nproc)" -n 1 clang-tidy -p "$build" --quiet --extra-arg=-Wno-unknown-warning-option
 echo "lint: clean"
--- /dev/null
+++ b/src/gateway/backend_request.cc
@@ -0,0 +1,76 @@
+#include "gateway/backend_request.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <utility>
+
+#include "gateway/header_rules.h"
+
+namespace ochrespring::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A back end in our own network that takes longer to accept is as good as gone.
+constexpr Duration kConnectTimeout = milliseconds(400);
+/// Engines know ten priorities: three ranks of routes, each with prompts up to these sizes.
+constexpr std::uint32_t kMostRanks = 3;
+constexpr std::array<std::uint64_t, 2> kPromptSizeBounds{3'000, 10'000};
+
+void set_header(std::vector<http::Header>& headers, const std::string& name, std::string value) {
+  const auto found = std::find_if(headers.begin(), headers.end(),
+                                  [&](const http::Header& header) { return header.name == name; });
+  if (found != headers.end()) {
+    found->value = std::move(value);
+  } else {
+    headers.push_back({name, std::move(value)});
+  }
+}
+
+}  // namespace
+
+std::uint32_t engine_priority(std::uint32_t route_priority, std::uint64_t unread_tokens) {
+  std::uint32_t size = 0;
+  for (const std::uint64_t bound : kPromptSizeBounds) {
+    size += unread_tokens > bound ? 1 : 0;
+  }
+  const std::uint32_t rank = std::min(route_priority, kMostRanks - 1);
+  return rank * static_cast<std::uint32_t>(kPromptSizeBounds.size() + 1) + size;
+}
+
+http::ClientRequest make_backend_request(const http::Request& request, const HeaderNames& names,
+                                         const BackendCall& call) {
+  http::ClientRequest sent;
+  sent.endpoint = call.backend->address;
+  sent.method = request.method;
+  sent.path = request.query.empty() ? request.path : request.path + "?" + request.query;
+  sent.headers = headers_for_backend(request.headers, names);
+  const auto left = std::chrono::duration_cast<milliseconds>(call.left).count();
+  set_header(sent.headers, names.deadline, std::to_string(left));
+  set_header(sent.headers, names.expected_instance, call.backend->id.value());
+  if (call.priority) {
+    set_header(sent.headers, names.priority, std::to_string(*call.priority));
+  }
+  if (call.prefill) {
+    set_header(sent.headers, names.phase, names.phase_prefill);
+  }
+  if (call.cache) {
+    set_header(sent.headers, names.cache_source,
+               call.cache->address.value() + "/" + call.cache->handle);
+  }
+  if (call.resumes_after) {
+    set_header(sent.headers, names.last_event, std::to_string(*call.resumes_after));
+  }
+  sent.body = request.body;
+  sent.timeout = call.left;
+  sent.connect_timeout = std::min(kConnectTimeout, call.left);
+  sent.most_idle = call.most_idle;
+  sent.close_ends_answer = true;
+  sent.echo = http::Header{names.request_id,
+                           std::string(http::find_header(request.headers, names.request_id))};
+  return sent;
+}
+
+}  // namespace ochrespring::gateway
--- /dev/null
+++ b/src/gateway/failure_answer.cc
@@ -0,0 +1,57 @@
+#include "gateway/failure_answer.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace ochrespring::gateway {
+
+namespace {
+
+/// Sooner than this nothing has changed.
+constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(20);
+
+std::uint16_t status_of(FailureReason reason, bool may_have_run) {
+  if (reason == FailureReason::kNoRoute) {
+    return 404;
+  }
+  if (!may_have_run) {
+    return 503;
+  }
+  return reason == FailureReason::kTimeout ? 504 : 502;
+}
+
+}  // namespace
+
+std::string_view describe(FailureReason reason) {
+  switch (reason) {
+    case FailureReason::kNoConfiguration:
+      return "no-configuration";
+    case FailureReason::kNoRoute:
+      return "no-route";
+    case FailureReason::kNoBackend:
+      return "no-backend";
+    case FailureReason::kUnreachable:
+      return "unreachable";
+    case FailureReason::kRefused:
+      return "refused";
+    case FailureReason::kBroken:
+      return "broken";
+    case FailureReason::kTimeout:
+      return "timeout";
+  }
+  return "";
+}
+
+FailureAnswer make_failure_answer(FailureReason reason, bool may_have_run, Duration retry_after) {
+  FailureAnswer answer;
+  answer.status = status_of(reason, may_have_run);
+  answer.headers.push_back({"content-type", "application/json"});
+  if (answer.status == 503) {
+    const double seconds = to_seconds(std::max(retry_after, kLeastRetryAfter));
+    answer.headers.push_back({"retry-after", std::to_string(seconds)});
+  }
+  answer.body = "{\"error\":\"" + std::string(describe(reason)) + "\"}\n";
+  return answer;
+}
+
+}  // namespace ochrespring::gateway
--- /dev/null
+++ b/src/gateway/failure_answer.h
@@ -0,0 +1,39 @@
+// The gateway's own answers to requests that end without a back end's.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/time.h"
+#include "http/message.h"
+
+namespace ochrespring::gateway {
+
+/// Why a request ends without a back end's answer.
+enum class FailureReason : std::uint8_t {
+  kNoConfiguration,  ///< This node knows none yet.
+  kNoRoute,          ///< The newest configuration surely has none.
+  kNoBackend,        ///< No back end may take it.
+  kUnreachable,      ///< No connection to any.
+  kRefused,          ///< Back ends said that they did not run it.
+  kBroken,           ///< An attempt broke off; it may have run.
+  kTimeout,
+};
+
+/// Name of a reason in logs and answers.
+std::string_view describe(FailureReason reason);
+
+/// A whole answer. Its status tells what is known: 404 no route; 503, with when to come back,
+/// surely not run and never will; 502 or 504 may have run.
+struct FailureAnswer {
+  std::uint16_t status = 0;
+  std::vector<http::Header> headers;
+  std::string body;
+};
+
+/// `retry_after` counts for answers that promise not to have run.
+FailureAnswer make_failure_answer(FailureReason reason, bool may_have_run, Duration retry_after);
+
+}  // namespace ochrespring::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,5 +1,6 @@
 #include "gateway/gateway.h"
 
+#include <chrono>
 #include <string>
 #include <utility>
 
@@ -7,8 +8,8 @@
 
 namespace {
 
-/// When to come back to a node that has no configuration yet, in seconds.
-constexpr std::string_view kRetryAfterStart = "0.3";
+/// When to come back to a node that has no configuration yet.
+constexpr Duration kRetryAfterStart = std::chrono::milliseconds(300);
 
 }  // namespace
 
@@ -27,7 +28,7 @@
     }
     ++environment_.statistics.no_route;
     const bool known = current && environment_.fleet.routes() != nullptr;
-    refuse(request, *writer, known ? 404 : 503, known ? "no-route" : "no-configuration");
+    refuse(request, *writer, known ? FailureReason::kNoRoute : FailureReason::kNoConfiguration);
   });
 }
 
@@ -54,23 +55,20 @@
 }
 
 void Gateway::refuse(const http::Request& request, http::ResponseWriter& writer,
-                     std::uint16_t status, std::string_view reason) {
-  std::vector<http::Header> headers{{"content-type", "application/json"}};
+                     FailureReason reason) {
+  FailureAnswer answer = make_failure_answer(reason, false, kRetryAfterStart);
   const std::string id(http::find_header(request.headers, environment_.names.request_id));
   if (!id.empty()) {
-    headers.push_back({environment_.names.request_id, id});
-  }
-  if (status == 503) {
-    headers.push_back({"retry-after", std::string(kRetryAfterStart)});
+    answer.headers.push_back({environment_.names.request_id, id});
   }
   environment_.logger.write({logging::Level::kInfo,
                              "gateway",
                              "request ended",
                              {{"request_id", id},
                               {"path", request.path},
-                              {"outcome", std::string(reason)},
-                              {"status", static_cast<std::uint64_t>(status)}}});
-  writer.respond(status, std::move(headers), "{\"error\":\"" + std::string(reason) + "\"}\n");
+                              {"outcome", std::string(describe(reason))},
+                              {"status", static_cast<std::uint64_t>(answer.status)}}});
+  writer.respond(answer.status, std::move(answer.headers), answer.body);
 }
 
 }  // namespace ochrespring::gateway
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -26,8 +26,7 @@
 
  private:
   bool try_route(const http::Request& request, const std::shared_ptr<http::ResponseWriter>& writer);
-  void refuse(const http::Request& request, http::ResponseWriter& writer, std::uint16_t status,
-              std::string_view reason);
+  void refuse(const http::Request& request, http::ResponseWriter& writer, FailureReason reason);
 
   Environment environment_;
   Refresh refresh_;
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -32,6 +32,8 @@
 constexpr double kHomeDoubt = 0.4;
 /// Cost of leaving the zone for an ordinary service, in requests per slot.
 constexpr double kOtherZoneCost = 0.25;
+/// What a back end that has just started costs, in parts of a warm one.
+constexpr double kColdBackendCost = 1.6;
 /// Cost of certain failure for an ordinary service, in requests per slot.
 constexpr double kOrdinaryFailureCost = 6;
 constexpr double kTieBreak = 0.02;
@@ -90,7 +92,7 @@
   for (const Backend* backend : backends) {
     PlacementChoice choice = estimate(*backend);
     choice.backend = backend;
-    choice.cost *= 1 + kTieBreak * random_.unit();
+    choice.cost *= (backend->cold ? kColdBackendCost : 1) + kTieBreak * random_.unit();
     if (best.backend == nullptr || choice.cost < best.cost) {
       best = choice;
     }
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -1,14 +1,13 @@
 #include "gateway/request_session.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <chrono>
-#include <cmath>
 #include <string>
 #include <utility>
 
 #include "gateway/header_rules.h"
+#include "gateway/patience.h"
 
 namespace ochrespring::gateway {
 
@@ -19,25 +18,13 @@
 constexpr std::string_view kComponent = "gateway";
 /// Less time than this is not worth an attempt.
 constexpr Duration kLeastTime = milliseconds(3);
-/// A back end in our own network that takes longer to accept is as good as gone.
-constexpr Duration kConnectTimeout = milliseconds(400);
 constexpr Duration kReleaseTimeout = milliseconds(1000);
 constexpr std::uint32_t kMostUnreachable = 4;
-/// An idempotent request is tried elsewhere when no answer has come within this many objectives.
-constexpr int kObjectivesToWait = 3;
-constexpr Duration kLeastWait = milliseconds(300);
-/// The same for the first event of a stream that may be resumed, in halves of an objective.
-constexpr int kHalfObjectivesToFirstEvent = 5;
-/// The same for the pause between its events.
-constexpr int kGapsToWait = 3;
 /// When a request that did not run may come back, in parts of its objective.
 constexpr double kRetryAfterObjectives = 0.15;
 /// Bytes a caller has not taken beyond which reading from the back end stops.
 constexpr std::size_t kCallerBufferBytes = 64U << 10U;
 constexpr std::uint16_t kMisdirected = 421;
-/// Engines know ten priorities: three ranks of routes, each with prompts up to these sizes.
-constexpr std::uint32_t kMostRanks = 3;
-constexpr std::array<std::uint64_t, 2> kPromptSizeBounds{3'000, 10'000};
 
 std::uint64_t read_number(std::string_view text, std::uint64_t otherwise) {
   std::uint64_t number = otherwise;
@@ -49,32 +36,6 @@
   return std::chrono::duration_cast<milliseconds>(span).count();
 }
 
-void set_header(std::vector<http::Header>& headers, const std::string& name, std::string value) {
-  const auto found = std::find_if(headers.begin(), headers.end(),
-                                  [&](const http::Header& header) { return header.name == name; });
-  if (found != headers.end()) {
-    found->value = std::move(value);
-  } else {
-    headers.push_back({name, std::move(value)});
-  }
-}
-
-std::string_view describe(FailureReason reason) {
-  switch (reason) {
-    case FailureReason::kNoBackend:
-      return "no-backend";
-    case FailureReason::kUnreachable:
-      return "unreachable";
-    case FailureReason::kRefused:
-      return "refused";
-    case FailureReason::kBroken:
-      return "broken";
-    case FailureReason::kTimeout:
-      return "timeout";
-  }
-  return "";
-}
-
 bool is_success(std::uint16_t status) {
   return status >= 200 && status < 300;
 }
@@ -97,11 +58,9 @@
   const HeaderNames& names = environment_.names;
   arrived_ = environment_.clock.now();
   id_ = http::find_header(request_.headers, names.request_id);
+  const auto most = static_cast<std::uint64_t>(to_milliseconds(route_.timeout));
   const std::string_view waits = http::find_header(request_.headers, names.deadline);
-  const Duration caller_waits =
-      waits.empty() ? route_.timeout
-                    : Duration(milliseconds(read_number(waits, to_milliseconds(route_.timeout))));
-  deadline_ = arrived_ + std::min(route_.timeout, caller_waits);
+  deadline_ = arrived_ + milliseconds(std::min(most, read_number(waits, most)));
   service_ = environment_.shares.pick(route_);
   const Service* service = routes_->configuration().find_service(service_);
   if (service != nullptr && service->engine) {
@@ -167,49 +126,34 @@
   }
   ++environment_.statistics.attempts;
   log_attempt(prefill ? "prefill started" : "attempt started", backend.address.value());
-  attempt_->exchange =
-      environment_.transport.start(make_backend_request(backend, time_left()), *this);
+  attempt_->exchange = environment_.transport.start(
+      make_backend_request(request_, environment_.names, make_call(backend)), *this);
   watch_progress();
 }
 
-http::ClientRequest RequestSession::make_backend_request(const Backend& backend,
-                                                         Duration left) const {
-  const HeaderNames& names = environment_.names;
-  http::ClientRequest request;
-  request.endpoint = backend.address;
-  request.method = request_.method;
-  request.path = request_.query.empty() ? request_.path : request_.path + "?" + request_.query;
-  request.headers = headers_for_backend(request_.headers, names);
-  set_header(request.headers, names.deadline, std::to_string(to_milliseconds(left)));
-  set_header(request.headers, names.expected_instance, backend.id.value());
+BackendCall RequestSession::make_call(const Backend& backend) const {
+  BackendCall call;
+  call.backend = &backend;
+  call.left = time_left();
+  call.prefill = attempt_->prefill;
   if (prompt_) {
-    set_header(request.headers, names.priority, std::to_string(engine_priority()));
-  }
-  if (attempt_->prefill) {
-    set_header(request.headers, names.phase, names.phase_prefill);
+    call.priority = engine_priority(route_.priority, attempt_->unread_tokens);
   }
   if (attempt_->uses_cache) {
-    set_header(request.headers, names.cache_source, cache_->address.value() + "/" + cache_->handle);
+    call.cache = cache_;
   }
-  if (answer_open_ && last_event_) {
-    set_header(request.headers, names.last_event, std::to_string(*last_event_));
+  if (answer_open_) {
+    call.resumes_after = last_event_;
   }
-  request.body = request_.body;
-  request.timeout = left;
-  request.connect_timeout = std::min(kConnectTimeout, left);
-  request.close_ends_answer = true;
-  request.echo = http::Header{names.request_id, id_};
-  return request;
+  call.most_idle = connection_share();
+  return call;
 }
 
-/// The route's rank, and within it short prompts first: a long one delays many, a short one few.
-std::uint32_t RequestSession::engine_priority() const {
-  std::uint32_t size = 0;
-  for (const std::uint64_t bound : kPromptSizeBounds) {
-    size += attempt_->unread_tokens > bound ? 1 : 0;
-  }
-  const std::uint32_t rank = std::min(route_.priority, kMostRanks - 1);
-  return rank * static_cast<std::uint32_t>(kPromptSizeBounds.size() + 1) + size;
+/// This node's part of the connections that a back end takes from all callers.
+std::size_t RequestSession::connection_share() const {
+  const Service* service = routes_->configuration().find_service(service_);
+  const std::uint32_t all = service == nullptr ? 0 : service->most_connections;
+  return std::max<std::size_t>(1, all / std::max(1U, environment_.node_count()));
 }
 
 void RequestSession::on_head(const http::ResponseHead& head) {
@@ -447,16 +391,8 @@
   if (!route_.repeatable()) {
     return;
   }
-  Duration patience{};
-  if (!is_stream()) {
-    patience = std::max<Duration>(kObjectivesToWait * route_.target_latency, kLeastWait);
-  } else if (answer_open_) {
-    patience = std::max<Duration>(kGapsToWait * route_.target_gap, kLeastWait);
-  } else {
-    patience = std::max<Duration>(kHalfObjectivesToFirstEvent * route_.target_latency / 2,
-                                  time_left() / 2);
-  }
-  progress_timer_.arm(patience, [this] { on_no_progress(); });
+  progress_timer_.arm(patience_with(route_, answer_open_, time_left()),
+                      [this] { on_no_progress(); });
 }
 
 void RequestSession::on_no_progress() {
@@ -487,21 +423,14 @@
     finish("broken");
     return;
   }
-  std::vector<http::Header> headers{{"content-type", "application/json"}};
+  ++(may_have_run_ ? environment_.statistics.unknown : environment_.statistics.refused);
+  FailureAnswer answer =
+      make_failure_answer(reason, may_have_run_,
+                          from_seconds(kRetryAfterObjectives * to_seconds(route_.target_latency)));
   if (!id_.empty()) {
-    headers.push_back({environment_.names.request_id, id_});
-  }
-  std::uint16_t status = reason == FailureReason::kTimeout ? 504 : 502;
-  if (!may_have_run_) {
-    status = 503;
-    const double seconds = kRetryAfterObjectives * to_seconds(route_.target_latency);
-    headers.push_back({"retry-after", std::to_string(std::max(0.02, seconds))});
-    ++environment_.statistics.refused;
-  } else {
-    ++environment_.statistics.unknown;
+    answer.headers.push_back({environment_.names.request_id, id_});
   }
-  writer_->respond(status, std::move(headers),
-                   "{\"error\":\"" + std::string(describe(reason)) + "\"}\n");
+  writer_->respond(answer.status, std::move(answer.headers), answer.body);
   finish(describe(reason));
 }
 
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -9,8 +9,10 @@
 #include <string>
 
 #include "base/timer.h"
+#include "gateway/backend_request.h"
 #include "gateway/environment.h"
 #include "gateway/event_splitter.h"
+#include "gateway/failure_answer.h"
 #include "gateway/prompt.h"
 #include "gateway/route_table.h"
 #include "http/client.h"
@@ -18,15 +20,6 @@
 
 namespace ochrespring::gateway {
 
-/// Why a request ends without a back end's answer.
-enum class FailureReason : std::uint8_t {
-  kNoBackend,    ///< No back end may take it.
-  kUnreachable,  ///< No connection to any.
-  kRefused,      ///< Back ends said that they did not run it.
-  kBroken,       ///< An attempt broke off; it may have run.
-  kTimeout,
-};
-
 /// Shares its life with the exchange it waits for; used on its loop.
 ///
 /// Two facts decide what may follow an attempt: whether any byte of the request left, and whether
@@ -63,16 +56,10 @@
     bool uses_cache = false;  ///< Takes the cache handle.
   };
 
-  /// A prompt's cache that a prefill engine keeps for this request.
-  struct CacheHandle {
-    Endpoint address;
-    std::string handle;
-  };
-
   void dispatch();
   void start_attempt(const PlacementChoice& choice, bool prefill);
-  http::ClientRequest make_backend_request(const Backend& backend, Duration left) const;
-  std::uint32_t engine_priority() const;
+  BackendCall make_call(const Backend& backend) const;
+  std::size_t connection_share() const;
   void end_prefill(bool refused);
   void release_cache();
   bool may_send_again();
--- a/src/gateway/tests/policies_test.cc
+++ b/src/gateway/tests/policies_test.cc
@@ -251,3 +251,18 @@
   CHECK(loads.of(BackendId("b")).holds(stable_hash("k1"), time.now()));
   CHECK_FALSE(loads.of(BackendId("a")).holds(stable_hash("k1"), time.now()));
 }
+
+TEST_CASE("a cold back end is spared while warm ones are as idle") {
+  FleetState fleet;
+  for (const char* id : {"a", "b"}) {
+    Backend backend = make_engine(id, EngineRole::kNone);
+    backend.cold = id == std::string("a");
+    fleet.put(backend);
+  }
+  SeededRandom random(1);
+  LoadTable loads;
+  const Placement placement(fleet, loads, random, ZoneName("z"));
+  PlacementRequest request;
+  request.service = ServiceName("llm");
+  CHECK(placement.choose(request, {}).runner.backend->id.value() == "b");
+}
--- a/src/gateway/tests/request_session_test.cc
+++ b/src/gateway/tests/request_session_test.cc
@@ -318,3 +318,12 @@
     CHECK(world.last().request.endpoint.value() != silent);
   }
 }
+
+TEST_CASE("a deadline beyond all measure is the route's time, and one that is no number too") {
+  GatewayFixture world;
+  world.add_backend("b1", "relay");
+  for (const char* deadline : {"18446744073709551615", "999999999999999999", "soon", ""}) {
+    world.send("/once/x", {{"x-deadline-ms", deadline}});
+    CHECK(world.last().header("x-deadline-ms") == "2000");
+  }
+}
--- a/src/gateway/types.h
+++ b/src/gateway/types.h
@@ -89,6 +89,7 @@
   ZoneName zone;
   std::uint32_t slots = 1;
   bool draining = false;
+  bool cold = false;  ///< Slow for a while after its start.
   EngineRole role = EngineRole::kNone;
 
   bool operator==(const Backend&) const = default;
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -181,6 +181,7 @@
 void GatewayNode::apply_limits() {
   const auto& limits =
       fleet_.routes() ? fleet_.routes()->configuration().limits : gateway::CallerLimits();
+  callers_.set_largest_body(limits.largest_body_bytes);
   callers_.set_idle_timeout(limits.idle_timeout + kIdleMargin);
 }
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -26,7 +26,8 @@
   std::string body;
   Duration timeout{std::chrono::seconds(5)};          ///< For the whole exchange.
   Duration connect_timeout{std::chrono::seconds(5)};  ///< For a new connection; within `timeout`.
-  bool fresh_connection = false;                      ///< Do not reuse a pooled connection.
+  std::size_t most_idle = 64;     ///< Connections to this endpoint kept while idle.
+  bool fresh_connection = false;  ///< Do not reuse a pooled connection.
   /// A header that the answer repeats, with the value it must have. An answer that names another
   /// value belongs to another request: it is read over, and the connection not used again.
   std::optional<Header> echo;
--- a/src/http/client_exchange.cc
+++ b/src/http/client_exchange.cc
@@ -347,7 +347,7 @@
   if (!connection || surplus || after_foreign_ || !all_written() || keep_ == Duration::zero()) {
     return;
   }
-  pool_.put(request_.endpoint.value(), std::move(connection), keep_);
+  pool_.put(request_.endpoint.value(), std::move(connection), keep_, request_.most_idle);
 }
 
 void ClientExchange::end_with_failure(HttpErrc code, std::string message) {
--- a/src/http/connection_pool.cc
+++ b/src/http/connection_pool.cc
@@ -39,8 +39,11 @@
 }
 
 void ConnectionPool::put(const std::string& endpoint, std::unique_ptr<ClientConnection> connection,
-                         Duration keep) {
-  idle_[endpoint].push_back(std::make_unique<Idle>(*this, endpoint, std::move(connection), keep));
+                         Duration keep, std::size_t most) {
+  auto& kept = idle_[endpoint];
+  if (kept.size() < most) {
+    kept.push_back(std::make_unique<Idle>(*this, endpoint, std::move(connection), keep));
+  }
 }
 
 void ConnectionPool::drop(const std::string& endpoint, const Idle* idle) {
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -19,8 +19,9 @@
 
   /// The connection used last, or null.
   std::unique_ptr<ClientConnection> take(const std::string& endpoint);
-  void put(const std::string& endpoint, std::unique_ptr<ClientConnection> connection,
-           Duration keep);
+  /// Keeps a connection for `keep`, or closes it if `most` are kept already.
+  void put(const std::string& endpoint, std::unique_ptr<ClientConnection> connection, Duration keep,
+           std::size_t most);
   void forget(const std::string& endpoint) { idle_.erase(endpoint); }
 
  private:
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -235,6 +235,10 @@
   h2o_context_request_shutdown(&state_->context);
 }
 
+void Server::set_largest_body(std::uint64_t bytes) {
+  state_->config.max_request_entity_size = bytes;
+}
+
 void Server::set_idle_timeout(Duration timeout) {
   state_->context.http1.req_timeout.timeout = to_milliseconds(timeout);
 }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -72,6 +72,8 @@
   Endpoint bound() const;
   /// From now on every answer says that its connection closes; new connections are still taken.
   void announce_close();
+  /// Largest body of a request from now on.
+  void set_largest_body(std::uint64_t bytes);
   /// How long connections may rest from now on.
   void set_idle_timeout(Duration timeout);
   /// Stops accepting; connections that are busy go on.
--- a/src/http/tests/client_failure_test.cc
+++ b/src/http/tests/client_failure_test.cc
@@ -218,3 +218,47 @@
   ::close(listener);
   CHECK_FALSE(done);
 }
+
+TEST_CASE("an answer of another request is read over, and the connection is not used again") {
+  http::EventLoop loop;
+  http::Client client(loop);
+  const std::string stray = "HTTP/1.1 200 OK\r\nx-id: other\r\ncontent-length: 5\r\n\r\nstray";
+  const std::string own = "HTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 2\r\n\r\nok";
+  ScriptedPeer peer({{stray + own}, {own}});
+  auto request = get(peer.endpoint());
+  request.echo = http::Header{"x-id", "mine"};
+  CHECK(fetch(loop, client, request).body == "ok");
+  CHECK(fetch(loop, client, request).body == "ok");
+  CHECK(client.statistics().connections_opened == 2);
+}
+
+TEST_CASE("an orderly close ends an answer without a length only if that was asked for") {
+  http::EventLoop loop;
+  http::Client client(loop);
+  const std::string unframed = "HTTP/1.1 200 OK\r\n\r\nwhole";
+  ScriptedPeer peer({{unframed}, {unframed}});
+  auto request = get(peer.endpoint());
+  CHECK(fetch(loop, client, request).failure);
+  request.close_ends_answer = true;
+  CHECK(fetch(loop, client, request).body == "whole");
+}
+
+TEST_CASE("bytes behind a whole answer end the connection, not the answer") {
+  http::EventLoop loop;
+  http::Client client(loop);
+  ScriptedPeer peer({{kWhole + "surplus"}, {kWhole}});
+  CHECK(fetch(loop, client, get(peer.endpoint())).body == "ok");
+  CHECK(fetch(loop, client, get(peer.endpoint())).body == "ok");
+  CHECK(client.statistics().connections_opened == 2);
+}
+
+TEST_CASE("no more idle connections are kept than asked for") {
+  http::EventLoop loop;
+  http::Client client(loop);
+  ScriptedPeer peer({{kWhole}, {kWhole}});
+  auto request = get(peer.endpoint());
+  request.most_idle = 0;
+  CHECK(fetch(loop, client, request).body == "ok");
+  CHECK(fetch(loop, client, request).body == "ok");
+  CHECK(client.statistics().connections_reused == 0);
+}
