The retry budget's share errs low while registrations lapse; one place runs CLI11 parsers

A node that saw all registrations lapse with the store, or that had just started, believed itself alone and would have spent the whole fleet's slack. Found while reading; the test fails with the plain count.

--- a/src/discovery/node_directory.cc
+++ b/src/discovery/node_directory.cc
@@ -1,24 +1,40 @@
 #include "discovery/node_directory.h"
 
+#include <algorithm>
+
 namespace ochrespring::discovery {
 
 void NodeDirectory::put(const NodeRecord& record) {
   if (record.node != self_.node) {
     others_[record.node] = record;
+    gone_.erase(record.node);
   }
 }
 
 void NodeDirectory::remove(const NodeId& node) {
-  others_.erase(node);
+  if (others_.erase(node) != 0) {
+    gone_[node] = clock_.now();
+  }
 }
 
 void NodeDirectory::replace(const std::vector<NodeRecord>& records) {
-  others_.clear();
+  for (const auto& [node, record] : std::exchange(others_, {})) {
+    gone_[node] = clock_.now();
+  }
   for (const NodeRecord& record : records) {
     put(record);
   }
 }
 
+std::uint32_t NodeDirectory::cautious_count() const {
+  const MonotonicTime now = clock_.now();
+  std::uint32_t nodes = count();
+  for (const auto& [node, at] : gone_) {
+    nodes += now - at < kMayGoOn ? 1 : 0;
+  }
+  return now - started_ < kStart ? std::max(nodes, kAssumedAtStart) : nodes;
+}
+
 std::vector<NodeRecord> NodeDirectory::list() const {
   std::vector<NodeRecord> nodes;
   if (!leaving_) {
--- a/src/discovery/node_directory.h
+++ b/src/discovery/node_directory.h
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/time.h"
 #include "discovery/node_record.h"
 
 namespace ochrespring::discovery {
@@ -14,7 +15,8 @@
 /// stops.
 class NodeDirectory {
  public:
-  explicit NodeDirectory(NodeRecord self) : self_(std::move(self)) {}
+  NodeDirectory(const Clock& clock, NodeRecord self)
+      : clock_(clock), self_(std::move(self)), started_(clock.now()) {}
 
   void put(const NodeRecord& record);
   /// Takes a node out that has said goodbye or whose lease has lapsed.
@@ -27,10 +29,22 @@
   std::vector<NodeRecord> list() const;
   const std::map<NodeId, NodeRecord>& others() const { return others_; }
   std::uint32_t count() const { return static_cast<std::uint32_t>(others_.size()) + 1; }
+  /// How many nodes may be drawing on what all share: errs high. A node whose registration lapsed
+  /// with the store may well go on, and a node that has just started does not know the others yet.
+  std::uint32_t cautious_count() const;
 
  private:
+  /// How long a node counts after its registration has gone.
+  static constexpr Duration kMayGoOn{std::chrono::seconds(15)};
+  /// For this long after the start at least so many nodes are assumed.
+  static constexpr Duration kStart{std::chrono::seconds(10)};
+  static constexpr std::uint32_t kAssumedAtStart = 8;
+
+  const Clock& clock_;
   NodeRecord self_;
+  MonotonicTime started_;
   std::map<NodeId, NodeRecord> others_;
+  std::map<NodeId, MonotonicTime> gone_;  ///< When a registration went.
   bool leaving_ = false;
 };
 
--- a/src/discovery/tests/discovery_test.cc
+++ b/src/discovery/tests/discovery_test.cc
@@ -56,7 +56,7 @@
   logging::NullLogger logger;
   gateway::FleetState fleet;
   NodeDirectory nodes{
-      {NodeId("me"), Endpoint("1.1.1.1:1"), ZoneName("a"), Endpoint("127.0.0.1:9")}};
+      time, {NodeId("me"), Endpoint("1.1.1.1:1"), ZoneName("a"), Endpoint("127.0.0.1:9")}};
   FleetWatcher watcher{{time, time, random, store, codec, logger}, {}, fleet, nodes};
 
   void advance(Duration span) { time.run_until(time.now() + span); }
@@ -175,6 +175,29 @@
   CHECK(world.nodes.list().empty());
 }
 
+TEST_CASE("shares of what all nodes draw on err low while registrations come and go") {
+  simulation::VirtualTime time;
+  NodeDirectory nodes(time, {NodeId("me"), Endpoint("1.1.1.1:1"), ZoneName("a"), Endpoint()});
+  CHECK(nodes.cautious_count() == 8);
+  time.run_until(time.now() + 11s);
+  CHECK(nodes.cautious_count() == 1);
+  std::vector<NodeRecord> records;
+  for (int i = 0; i != 6; ++i) {
+    records.push_back(
+        {NodeId("n" + std::to_string(i)), Endpoint("1.1.1.1:2"), ZoneName("a"), Endpoint()});
+  }
+  nodes.replace(records);
+  CHECK(nodes.cautious_count() == 7);
+  nodes.replace({});
+  nodes.remove(NodeId("n0"));
+  CHECK(nodes.count() == 1);
+  CHECK(nodes.cautious_count() == 7);
+  nodes.put(records[0]);
+  CHECK(nodes.cautious_count() == 7);
+  time.run_until(time.now() + 16s);
+  CHECK(nodes.cautious_count() == 2);
+}
+
 namespace {
 
 struct RegistrationFixture {
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -39,7 +39,7 @@
       shares_(random),
       transport_(client),
       self_{settings_.node, settings_.listen, settings_.zone, settings_.peer_listen},
-      nodes_(self_),
+      nodes_(clock, self_),
       watcher_({clock, loop, random, adapter_.store, adapter_.codec, logger}, {}, fleet_, nodes_),
       registration_(
           loop, adapter_.store, logger,
@@ -53,7 +53,7 @@
               }),
       gateway_(
           {clock, loop, transport_, fleet_, loads_, placement_, budget_, shares_, adapter_.names,
-           adapter_.engines, statistics_, logger, [this] { return nodes_.count(); }},
+           adapter_.engines, statistics_, logger, [this] { return nodes_.cautious_count(); }},
           [this](auto done) { watcher_.refresh(std::move(done)); }),
       callers_(loop, server_at(settings_.listen)),
       ready_(loop, server_at(settings_.ready_listen)),
--- a/src/settings/node_settings.cc
+++ b/src/settings/node_settings.cc
@@ -5,6 +5,7 @@
 #include <map>
 #include <utility>
 
+#include "settings/app_runner.h"
 #include "settings/setting_table.h"
 
 namespace ochrespring::settings {
@@ -94,20 +95,11 @@
   }
 
   Result<ParsedCommandLine, Errors> parse(std::vector<std::string> arguments) {
-    std::reverse(arguments.begin(), arguments.end());
-    ParsedCommandLine parsed;
-    try {
-      app_.parse(std::move(arguments));
-    } catch (const CLI::CallForHelp&) {
-      return ParsedCommandLine{Command::kHelp, {}, app_.help()};
-    } catch (const CLI::CallForVersion&) {
-      return ParsedCommandLine{Command::kHelp, {}, std::string(kVersion) + "\n"};
-    } catch (const CLI::FileError& error) {
-      return outcome::failure(
-          Errors{{SettingsErrc::kFile, std::string("config: ") + error.what()}});
-    } catch (const CLI::ParseError& error) {
-      return outcome::failure(Errors{{SettingsErrc::kSyntax, error.what()}});
+    BOOST_OUTCOME_TRY(text, run_app(app_, std::move(arguments), kVersion));
+    if (text) {
+      return ParsedCommandLine{Command::kHelp, {}, std::move(*text)};
     }
+    ParsedCommandLine parsed;
     Errors errors = check(parsed.settings);
     if (!errors.empty()) {
       return outcome::failure(std::move(errors));
