Nodes tell each other of servers that have fallen silent

Change: a report carries the silence; it is believed unless the server has answered this node within 0.5 s.

--- a/src/gateway/load_table.cc
+++ b/src/gateway/load_table.cc
@@ -20,6 +20,8 @@
 constexpr double kPriorAttempts = 2;
 constexpr Duration kFirstEjection = milliseconds(1000);
 constexpr std::uint32_t kMostDoublings = 2;
+/// An answer this recent speaks against what another node tells.
+constexpr Duration kRecentAnswer = milliseconds(500);
 /// How long a prompt part is believed to stay cached after its last use.
 constexpr Duration kCacheBelief = seconds(11);
 
@@ -61,6 +63,7 @@
   switch (verdict) {
     case AttemptVerdict::kGood:
       attempts_ += 1;
+      answered_at_ = now;
       unreachable_in_row_ = 0;
       break;
     case AttemptVerdict::kFailed:
@@ -83,7 +86,14 @@
   ++unreachable_in_row_;
 }
 
+void BackendLoad::note_told_silence(MonotonicTime now) {
+  if (!answered_at_ || now - *answered_at_ > kRecentAnswer) {
+    ejected_until_ = std::max(ejected_until_, now + kFirstEjection);
+  }
+}
+
 void BackendLoad::note_report(const ReportedLoad& load, MonotonicTime now) {
+  answered_at_ = now;
   reported_ = load;
   own_at_report_ = in_flight_;
   reported_at_ = now;
@@ -149,6 +159,16 @@
 void LoadTable::end(const BackendId& id, AttemptVerdict verdict, MonotonicTime now) {
   of(id).end(verdict, now);
   changed(id);
+  if (verdict == AttemptVerdict::kUnreachable && silent_) {
+    silent_(id);
+  }
+}
+
+void LoadTable::note_silence(const BackendId& id, MonotonicTime now) {
+  of(id).note_silence(now);
+  if (silent_) {
+    silent_(id);
+  }
 }
 
 OthersWork LoadTable::others(const BackendId& id, MonotonicTime now) const {
--- a/src/gateway/load_table.h
+++ b/src/gateway/load_table.h
@@ -55,6 +55,9 @@
   double reported_waiting(MonotonicTime now) const;
   /// Share of recent attempts that failed, fading with time, 0 to 1.
   double failure_share(MonotonicTime now) const;
+  /// Another node says that the back end is silent. Believed unless it has just answered this one:
+  /// it may be the other's own link.
+  void note_told_silence(MonotonicTime now);
   /// Whether the back end is left alone for now.
   bool ejected(MonotonicTime now) const { return now < ejected_until_; }
 
@@ -75,6 +78,7 @@
   MonotonicTime faded_at_{};
   std::uint32_t unreachable_in_row_ = 0;
   MonotonicTime ejected_until_{};
+  std::optional<MonotonicTime> answered_at_;
   std::unordered_map<std::uint64_t, MonotonicTime> cached_;  ///< By part key.
 };
 
@@ -90,6 +94,10 @@
   void note_read(const BackendId& id, std::uint64_t unread_tokens);
   void end(const BackendId& id, AttemptVerdict verdict, MonotonicTime now);
 
+  void note_silence(const BackendId& id, MonotonicTime now);
+  /// Called when a back end has fallen silent or could not be reached.
+  void on_silence(std::function<void(const BackendId&)> callback) { silent_ = std::move(callback); }
+
   /// Remembers the parts of a prompt that a back end reads now.
   void note_prompt(const BackendId& id, const Prompt& prompt, MonotonicTime now);
   /// Called with the shared parts of each prompt that a back end reads.
@@ -110,6 +118,7 @@
 
   std::map<BackendId, BackendLoad> loads_;
   std::function<void(const BackendId&)> changed_;
+  std::function<void(const BackendId&)> silent_;
   std::function<void(const BackendId&, const std::vector<std::uint64_t>&)> prompt_read_;
   const PeerView* peers_ = nullptr;
 };
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -324,7 +324,7 @@
     return;
   }
   if (error.code == http::HttpErrc::kTimeout) {
-    environment_.loads.of(attempt_->backend).note_silence(environment_.clock.now());
+    environment_.loads.note_silence(attempt_->backend, environment_.clock.now());
   }
   if (attempt_->prefill) {
     end_prefill(true);
--- a/src/gateway/tests/policies_test.cc
+++ b/src/gateway/tests/policies_test.cc
@@ -266,3 +266,16 @@
   request.service = ServiceName("llm");
   CHECK(placement.choose(request, {}).runner.backend->id.value() == "b");
 }
+
+TEST_CASE("what another node tells of a silent back end counts unless it has just answered here") {
+  const MonotonicTime now = MonotonicTime() + 10s;
+  BackendLoad unknown;
+  unknown.note_told_silence(now);
+  CHECK(unknown.ejected(now + 900ms));
+  CHECK_FALSE(unknown.ejected(now + 1100ms));
+  BackendLoad answering;
+  answering.begin(0);
+  answering.end(AttemptVerdict::kGood, now - 100ms);
+  answering.note_told_silence(now);
+  CHECK_FALSE(answering.ejected(now + 100ms));
+}
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -114,6 +114,7 @@
       announcer_.note_change(id);
     }
   });
+  loads_.on_silence([this](const gateway::BackendId& id) { announcer_.note_silence(id); });
   loads_.on_prompt([this](const gateway::BackendId& id, const std::vector<std::uint64_t>& keys) {
     announcer_.note_parts(id, keys);
   });
@@ -124,6 +125,9 @@
   const MonotonicTime now = clock_.now();
   peer_work_.apply(report, now);
   for (const peer_load::EngineWork& work : report.engines) {
+    if (work.silent && fleet_.find(work.engine) != nullptr) {
+      loads_.of(work.engine).note_told_silence(now);
+    }
     for (const std::uint64_t key : work.parts_read) {
       loads_.of(work.engine).note_cached(key, now);
     }
--- a/src/peer_load/tests/peer_load_test.cc
+++ b/src/peer_load/tests/peer_load_test.cc
@@ -17,7 +17,7 @@
 
 WorkReport make_report(std::string node, std::uint64_t sequence, std::uint32_t requests,
                        std::uint64_t tokens) {
-  return {NodeId(std::move(node)), 1, sequence, {{BackendId("e"), requests, tokens, {}}}};
+  return {NodeId(std::move(node)), 1, sequence, {{BackendId("e"), requests, tokens, false, {}}}};
 }
 
 }  // namespace
@@ -68,6 +68,24 @@
   CHECK(sent.size() == 3);
 }
 
+TEST_CASE("a silent back end is told once, with its work") {
+  simulation::VirtualTime time;
+  gateway::LoadTable loads;
+  std::vector<WorkReport> sent;
+  WorkAnnouncer announcer(time, loads, NodeId("a"), 7,
+                          [&](const WorkReport& report) { sent.push_back(report); });
+  loads.on_change([&](const BackendId& id) { announcer.note_change(id); });
+  loads.on_silence([&](const BackendId& id) { announcer.note_silence(id); });
+  loads.begin(BackendId("e"), 0);
+  loads.note_silence(BackendId("e"), time.now());
+  time.run_until(time.now() + 10ms);
+  loads.end(BackendId("e"), gateway::AttemptVerdict::kFailed, time.now());
+  time.run_until(time.now() + 10ms);
+  REQUIRE(sent.size() == 2);
+  CHECK(sent[0].engines[0].silent);
+  CHECK_FALSE(sent[1].engines[0].silent);
+}
+
 TEST_CASE("reports survive their encoding, and arbitrary bytes are refused") {
   const WorkReport report = make_report("a", 3, 2, 100);
   const auto read = wire::decode<WorkReport>(wire::encode(report));
--- a/src/peer_load/types.h
+++ b/src/peer_load/types.h
@@ -15,6 +15,7 @@
   gateway::BackendId engine;
   std::uint32_t requests = 0;
   std::uint64_t unread_tokens = 0;
+  bool silent = false;  ///< It has not answered this node at all, just now.
   std::vector<std::uint64_t>
       parts_read;  ///< Keys of shared prompt parts read since the last report.
 
@@ -23,6 +24,7 @@
     archive& engine;
     archive& requests;
     archive& unread_tokens;
+    archive& silent;
     archive& parts_read;
   }
 };
--- a/src/peer_load/work_announcer.cc
+++ b/src/peer_load/work_announcer.cc
@@ -18,6 +18,11 @@
   }
 }
 
+void WorkAnnouncer::note_silence(const gateway::BackendId& backend) {
+  silent_.insert(backend);
+  note_change(backend);
+}
+
 void WorkAnnouncer::note_parts(const gateway::BackendId& engine,
                                const std::vector<std::uint64_t>& keys) {
   auto& parts = parts_[engine];
@@ -28,7 +33,7 @@
   report_.engines.clear();
   for (const gateway::BackendId& engine : std::exchange(changed_, {})) {
     const gateway::BackendLoad* load = loads_.find(engine);
-    EngineWork work{engine, 0, 0, {}};
+    EngineWork work{engine, 0, 0, silent_.erase(engine) != 0, {}};
     if (const auto parts = parts_.extract(engine)) {
       work.parts_read = std::move(parts.mapped());
     }
--- a/src/peer_load/work_announcer.h
+++ b/src/peer_load/work_announcer.h
@@ -23,6 +23,8 @@
 
   /// The work at an engine has changed.
   void note_change(const gateway::BackendId& engine);
+  /// A back end has fallen silent, or could not be reached.
+  void note_silence(const gateway::BackendId& backend);
   /// An engine reads shared prompt parts; told with the next report on it.
   void note_parts(const gateway::BackendId& engine, const std::vector<std::uint64_t>& keys);
 
@@ -38,6 +40,7 @@
   WorkReport report_;  ///< Engines are filled in for each datagram.
   std::set<gateway::BackendId> changed_;
   std::set<gateway::BackendId> busy_;
+  std::set<gateway::BackendId> silent_;
   std::map<gateway::BackendId, std::vector<std::uint64_t>> parts_;
   Timer gather_;
   Timer repeat_;
