--- /dev/null
+++ b/src/gateway/attempt.h
@@ -0,0 +1,30 @@
+// One attempt of a request at one back end.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "gateway/event_splitter.h"
+#include "gateway/types.h"
+#include "http/client.h"
+#include "http/message.h"
+
+namespace ochrespring::gateway {
+
+/// Owned by its session; without a back end once it has been accounted for.
+struct Attempt {
+  BackendId backend;
+  std::uint64_t unread_tokens = 0;
+  bool prompt_read = false;
+  std::unique_ptr<http::Exchange> exchange;
+  std::optional<http::ResponseHead> head;
+  std::string body;  ///< Of an answer that is held back until it is whole.
+  EventSplitter events;
+  bool streams = false;     ///< Events are passed on as they come.
+  bool prefill = false;     ///< Only reads the prompt; cannot run the request.
+  bool uses_cache = false;  ///< Takes the cache handle.
+};
+
+}  // namespace ochrespring::gateway
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -190,9 +190,9 @@
 }
 
 const BackendLoad& Placement::load_of(const Backend& backend) const {
-  static const BackendLoad kIdle;
+  static const BackendLoad idle;
   const BackendLoad* known = loads_.find(backend.id);
-  return known == nullptr ? kIdle : *known;
+  return known == nullptr ? idle : *known;
 }
 
 }  // namespace ochrespring::gateway
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -9,9 +9,9 @@
 #include <string>
 
 #include "base/timer.h"
+#include "gateway/attempt.h"
 #include "gateway/backend_request.h"
 #include "gateway/environment.h"
-#include "gateway/event_splitter.h"
 #include "gateway/failure_answer.h"
 #include "gateway/prompt.h"
 #include "gateway/route_table.h"
@@ -42,20 +42,6 @@
   void on_failure(const http::HttpError& error, bool sent) override;
 
  private:
-  /// One attempt at one back end.
-  struct Attempt {
-    BackendId backend;
-    std::uint64_t unread_tokens = 0;
-    bool prompt_read = false;
-    std::unique_ptr<http::Exchange> exchange;
-    std::optional<http::ResponseHead> head;
-    std::string body;  ///< Of an answer that is held back until it is whole.
-    EventSplitter events;
-    bool streams = false;     ///< Events are passed on as they come.
-    bool prefill = false;     ///< Only reads the prompt; cannot run the request.
-    bool uses_cache = false;  ///< Takes the cache handle.
-  };
-
   void dispatch();
   void start_attempt(const PlacementChoice& choice, bool prefill);
   BackendCall make_call(const Backend& backend) const;
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -48,7 +48,7 @@
       announcer_(loop, loads_, settings_.node, random.next(),
                  [this](const peer_load::WorkReport& report) { send_to_peers(report); }),
       survey_(clock, adapter_.engines, fleet_, loads_,
-              [this](http::ClientRequest request, auto done) {
+              [this](http::ClientRequest request, std::function<void(std::string)> done) {
                 fetch_body(std::move(request), std::move(done));
               }),
       gateway_(
@@ -62,9 +62,10 @@
                    [this] { return gateway_.running(); }}) {}
 
 Result<void, http::HttpError> GatewayNode::start() {
-  callers_.route("/", [this](http::Request request, auto response) {
-    gateway_.handle(std::move(request), std::move(response));
-  });
+  callers_.route("/",
+                 [this](http::Request request, std::shared_ptr<http::ResponseWriter> response) {
+                   gateway_.handle(std::move(request), std::move(response));
+                 });
   adapter_.add_ready_page(ready_, [this] { return !stop_.begun() && fleet_.routes() != nullptr; });
   adapter_.add_directory_page(directory_, nodes_);
   BOOST_OUTCOME_TRY(callers_.listen());
--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -8,16 +8,15 @@
 
 extern "C" {
 /// Layout of picohttpparser's struct phr_header.
-struct ochrespring_phr_header {
+struct PhrHeader {
   const char* name;
   std::size_t name_len;
   const char* value;
   std::size_t value_len;
 };
 int phr_parse_response(const char* bytes, std::size_t size, int* minor_version, int* status,
-                       const char** message, std::size_t* message_size,
-                       ochrespring_phr_header* headers, std::size_t* header_count,
-                       std::size_t last_size);
+                       const char** message, std::size_t* message_size, PhrHeader* headers,
+                       std::size_t* header_count, std::size_t last_size);
 ssize_t phr_decode_chunked(void* decoder, char* bytes, std::size_t* size);
 }
 
@@ -38,7 +37,7 @@
 }  // namespace
 
 ParseOutcome parse_head(std::string_view bytes, ParsedHead& parsed) {
-  std::array<ochrespring_phr_header, kMostHeaders> headers{};
+  std::array<PhrHeader, kMostHeaders> headers{};
   std::size_t count = headers.size();
   int status = 0;
   const char* message = nullptr;
@@ -56,7 +55,7 @@
   parsed.head.headers.clear();
   parsed.head.headers.reserve(count);
   for (std::size_t i = 0; i != count; ++i) {
-    const ochrespring_phr_header& header = headers.at(i);
+    const PhrHeader& header = headers.at(i);
     parsed.head.headers.push_back(
         {lower_case({header.name, header.name_len}), std::string(header.value, header.value_len)});
   }
