--- a/src/http/tests/broken_answer_test.cc
+++ b/src/http/tests/broken_answer_test.cc
@@ -3,7 +3,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <cctype>
 #include <string>
 #include <thread>
 
@@ -55,3 +57,30 @@
   REQUIRE(body != std::string::npos);
   CHECK(received.substr(body + 4) == "7\r\nid: 1\n\n\r\n");
 }
+
+TEST_CASE(
+    "once the close is announced, answers end their connections, and new ones are still taken") {
+  http::EventLoop loop;
+  http::ServerSettings settings;
+  settings.listen = Endpoint("127.0.0.1:0");
+  http::Server server(loop, settings);
+  server.route("/",
+               [](const http::Request&, const std::shared_ptr<http::ResponseWriter>& response) {
+                 response->respond(200, {}, "whole");
+               });
+  REQUIRE(server.listen());
+  server.announce_close();
+  std::string received;
+  std::thread caller([&] {
+    // Reads to the end of the connection: it would not return if the server kept it.
+    received = read_raw(server.bound(), "GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+    loop.stop();
+  });
+  loop.run();
+  caller.join();
+  CHECK(received.ends_with("\r\n\r\nwhole"));
+  std::string head = received.substr(0, received.find("\r\n\r\n"));
+  std::transform(head.begin(), head.end(), head.begin(),
+                 [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+  CHECK(head.find("connection: close") != std::string::npos);
+}
