gateway: a test answered an exchange that had ended

Found with the address sanitizer: in the second round of 'a prefill that was refused or lost' the prompt went to the runner directly, so the test failed the run itself and then answered a session that was gone; it passed by luck in release builds. The case has a world for each round now, demands that the prefill engine was asked and that the run follows, and the fixture refuses to answer an exchange that is not open: stricter than before.

--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -1,6 +1,8 @@
 // A gateway under virtual time with back ends and callers that the test plays.
 #pragma once
 
+#include <doctest/doctest.h>
+
 #include <algorithm>
 #include <deque>
 #include <functional>
@@ -25,6 +27,7 @@
     return std::string(http::find_header(request.headers, name));
   }
   void answer(std::uint16_t status, std::vector<http::Header> headers, std::string_view body) {
+    REQUIRE(open);
     observer->on_head({status, std::move(headers)});
     if (open && !body.empty()) {
       observer->on_body(body);
@@ -33,7 +36,10 @@
       observer->on_complete();
     }
   }
-  void fail(http::HttpErrc code, bool sent) { observer->on_failure({code, "played"}, sent); }
+  void fail(http::HttpErrc code, bool sent) {
+    REQUIRE(open);
+    observer->on_failure({code, "played"}, sent);
+  }
 };
 
 class PlayedTransport final : public BackendTransport {
--- a/src/gateway/tests/request_session_test.cc
+++ b/src/gateway/tests/request_session_test.cc
@@ -265,16 +265,18 @@
 }
 
 TEST_CASE("a prefill that was refused or lost leaves the request free to run") {
-  GatewayFixture world;
-  world.add_backend("p1", "llm", EngineRole::kPrefill);
-  world.add_backend("d1", "llm", EngineRole::kDecode);
   for (const bool refused : {true, false}) {
+    GatewayFixture world;
+    world.add_backend("p1", "llm", EngineRole::kPrefill);
+    world.add_backend("d1", "llm", EngineRole::kDecode);
     const auto caller = world.send("/stream/x", kLongPrompt);
+    REQUIRE(world.last().request.endpoint.value() == "p1:1");
     if (refused) {
       world.last().answer(503, {{world.names.not_run, "1"}}, "");
     } else {
       world.last().fail(http::HttpErrc::kReset, true);
     }
+    REQUIRE(world.sends() == 2);
     CHECK(world.last().request.endpoint.value() == "d1:1");
     CHECK(world.last().header(world.names.cache_source).empty());
     world.last().answer(200, {world.signature()}, "id: 1\n\n");
