gateway: a request is moved to its session, not copied; own answers name the request in one place

Found on reading the change once more: each request was copied whole, body included, on its way from the server to its session; two places added the request's id to an own answer; a parameter that was always true; a counter raised and taken back.

--- a/src/gateway/failure_answer.cc
+++ b/src/gateway/failure_answer.cc
@@ -42,7 +42,8 @@
   return "";
 }
 
-FailureAnswer make_failure_answer(FailureReason reason, bool may_have_run, Duration retry_after) {
+FailureAnswer make_failure_answer(FailureReason reason, bool may_have_run, Duration retry_after,
+                                  const http::Header& id) {
   FailureAnswer answer;
   answer.status = status_of(reason, may_have_run);
   answer.headers.push_back({"content-type", "application/json"});
@@ -50,6 +51,9 @@
     const double seconds = to_seconds(std::max(retry_after, kLeastRetryAfter));
     answer.headers.push_back({"retry-after", std::to_string(seconds)});
   }
+  if (!id.value.empty()) {
+    answer.headers.push_back(id);
+  }
   answer.body = "{\"error\":\"" + std::string(describe(reason)) + "\"}\n";
   return answer;
 }
--- a/src/gateway/failure_answer.h
+++ b/src/gateway/failure_answer.h
@@ -33,7 +33,9 @@
   std::string body;
 };
 
-/// `retry_after` counts for answers that promise not to have run.
-FailureAnswer make_failure_answer(FailureReason reason, bool may_have_run, Duration retry_after);
+/// `retry_after` counts for answers that promise not to have run; `id` is the header that names the
+/// request, without a value if the caller gave none.
+FailureAnswer make_failure_answer(FailureReason reason, bool may_have_run, Duration retry_after,
+                                  const http::Header& id);
 
 }  // namespace ochrespring::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -18,12 +18,17 @@
 
 void Gateway::handle(http::Request request, std::shared_ptr<http::ResponseWriter> writer) {
   ++environment_.statistics.requests;
-  if (try_route(request, writer)) {
+  if (const Route* route = find_route(request)) {
+    start(*route, std::move(request), std::move(writer));
     return;
   }
   // Only the newest configuration can tell that there is no route.
   refresh_([this, request = std::move(request), writer = std::move(writer)](bool current) mutable {
-    if (writer->closed() || try_route(request, writer)) {
+    if (writer->closed()) {
+      return;
+    }
+    if (const Route* route = find_route(request)) {
+      start(*route, std::move(request), std::move(writer));
       return;
     }
     ++environment_.statistics.no_route;
@@ -32,18 +37,20 @@
   });
 }
 
-/// Starts the request if the configuration in force has a route for it.
-bool Gateway::try_route(const http::Request& request,
-                        const std::shared_ptr<http::ResponseWriter>& writer) {
+/// The route in the configuration in force, or null.
+const Route* Gateway::find_route(const http::Request& request) const {
   const std::shared_ptr<const RouteTable>& routes = environment_.fleet.routes();
   if (!routes) {
-    return false;
+    return nullptr;
   }
   const Route* route = routes->find(http::find_header(request.headers, "host"), request.path);
-  if (route == nullptr || route->shares.empty()) {
-    return false;
-  }
-  auto session = std::make_shared<RequestSession>(environment_, routes, *route, request, writer);
+  return route == nullptr || route->shares.empty() ? nullptr : route;
+}
+
+void Gateway::start(const Route& route, http::Request request,
+                    std::shared_ptr<http::ResponseWriter> writer) {
+  auto session = std::make_shared<RequestSession>(environment_, environment_.fleet.routes(), route,
+                                                  std::move(request), std::move(writer));
   sessions_.insert(session);
   session->begin([this, raw = session.get()] {
     sessions_.erase(raw->shared_from_this());
@@ -51,16 +58,13 @@
       idle_();
     }
   });
-  return true;
 }
 
 void Gateway::refuse(const http::Request& request, http::ResponseWriter& writer,
                      FailureReason reason) {
-  FailureAnswer answer = make_failure_answer(reason, false, kRetryAfterStart);
   const std::string id(http::find_header(request.headers, environment_.names.request_id));
-  if (!id.empty()) {
-    answer.headers.push_back({environment_.names.request_id, id});
-  }
+  FailureAnswer answer =
+      make_failure_answer(reason, false, kRetryAfterStart, {environment_.names.request_id, id});
   environment_.logger.write({logging::Level::kInfo,
                              "gateway",
                              "request ended",
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -25,7 +25,9 @@
   void on_idle(std::function<void()> callback) { idle_ = std::move(callback); }
 
  private:
-  bool try_route(const http::Request& request, const std::shared_ptr<http::ResponseWriter>& writer);
+  const Route* find_route(const http::Request& request) const;
+  void start(const Route& route, http::Request request,
+             std::shared_ptr<http::ResponseWriter> writer);
   void refuse(const http::Request& request, http::ResponseWriter& writer, FailureReason reason);
 
   Environment environment_;
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -250,7 +250,7 @@
 void RequestSession::relay_whole() {
   const std::string_view rest = attempt_->events.rest();
   if (attempt_->streams) {
-    open_answer(*attempt_->head, true);
+    open_answer(*attempt_->head);
     writer_->send_body(rest);
     writer_->finish();
   } else if (answer_open_) {
@@ -289,7 +289,7 @@
   if (event.id && last_event_ && *event.id <= *last_event_) {
     return false;
   }
-  open_answer(*attempt_->head, true);
+  open_answer(*attempt_->head);
   if (event.id) {
     last_event_ = event.id;
   }
@@ -301,11 +301,11 @@
 }
 
 /// Gives the caller the head of the first back end that answers with events.
-void RequestSession::open_answer(const http::ResponseHead& head, bool streamed) {
+void RequestSession::open_answer(const http::ResponseHead& head) {
   if (answer_open_) {
     return;
   }
-  answer_open_ = streamed;
+  answer_open_ = true;
   environment_.statistics.first_byte.note(environment_.clock.now() - arrived_);
   writer_->send_head({head.status, headers_for_caller(head.headers)});
 }
@@ -401,11 +401,10 @@
     return;
   }
   const std::shared_ptr<RequestSession> keep = shared_from_this();
-  ++sends_;
-  if (!may_send_again()) {
-    --sends_;
+  if (time_left() < kLeastTime || !spend_repeat()) {
     return;
   }
+  ++sends_;
   may_have_run_ = true;
   log_attempt("attempt made no progress", "");
   if (answer_open_) {
@@ -426,10 +425,8 @@
   ++(may_have_run_ ? environment_.statistics.unknown : environment_.statistics.refused);
   FailureAnswer answer =
       make_failure_answer(reason, may_have_run_,
-                          from_seconds(kRetryAfterObjectives * to_seconds(route_.target_latency)));
-  if (!id_.empty()) {
-    answer.headers.push_back({environment_.names.request_id, id_});
-  }
+                          from_seconds(kRetryAfterObjectives * to_seconds(route_.target_latency)),
+                          {environment_.names.request_id, id_});
   writer_->respond(answer.status, std::move(answer.headers), answer.body);
   finish(describe(reason));
 }
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -59,7 +59,7 @@
   void relay_whole();
   void relay_events();
   bool pass_event(const StreamEvent& event);
-  void open_answer(const http::ResponseHead& head, bool streamed);
+  void open_answer(const http::ResponseHead& head);
 
   void give_up(FailureReason reason);
   void caller_gone();
