gateway: what is believed of servers that have gone, and of parts no longer cached, is dropped

One change of behaviour besides: reports on a server that this node does not know yet are left out until its own look at the store, at most 1.35 s later. Tests: two new cases; they were not run on the old code, which lacks the calls they use.

--- a/src/gateway/load_table.cc
+++ b/src/gateway/load_table.cc
@@ -125,6 +125,10 @@
 
 void BackendLoad::note_cached(std::uint64_t part_key, MonotonicTime now) {
   cached_[part_key] = now;
+  if (cached_.size() >= prune_cached_at_) {
+    std::erase_if(cached_, [&](const auto& entry) { return now - entry.second >= kCacheBelief; });
+    prune_cached_at_ = std::max(kLeastPrune, 2 * cached_.size());
+  }
 }
 
 bool BackendLoad::holds(std::uint64_t part_key, MonotonicTime now) const {
@@ -150,22 +154,37 @@
 }
 
 void LoadTable::note_read(const BackendId& id, std::uint64_t unread_tokens) {
-  of(id).note_read(unread_tokens);
-  if (unread_tokens != 0) {
+  BackendLoad* load = known(id);
+  if (load != nullptr && unread_tokens != 0) {
+    load->note_read(unread_tokens);
     changed(id);
   }
 }
 
 void LoadTable::end(const BackendId& id, AttemptVerdict verdict, MonotonicTime now) {
-  of(id).end(verdict, now);
+  BackendLoad* load = known(id);
+  if (load == nullptr) {
+    return;
+  }
+  load->end(verdict, now);
   changed(id);
   if (verdict == AttemptVerdict::kUnreachable && silent_) {
     silent_(id);
   }
 }
 
+void LoadTable::note_report(const BackendId& id, const ReportedLoad& load, MonotonicTime now) {
+  if (BackendLoad* reported = known(id)) {
+    reported->note_report(load, now);
+  }
+}
+
 void LoadTable::note_silence(const BackendId& id, MonotonicTime now) {
-  of(id).note_silence(now);
+  BackendLoad* load = known(id);
+  if (load == nullptr) {
+    return;
+  }
+  load->note_silence(now);
   if (silent_) {
     silent_(id);
   }
@@ -181,6 +200,11 @@
   }
 }
 
+BackendLoad* LoadTable::known(const BackendId& id) {
+  const auto found = loads_.find(id);
+  return found == loads_.end() ? nullptr : &found->second;
+}
+
 const BackendLoad* LoadTable::find(const BackendId& id) const {
   const auto found = loads_.find(id);
   return found == loads_.end() ? nullptr : &found->second;
--- a/src/gateway/load_table.h
+++ b/src/gateway/load_table.h
@@ -65,7 +65,11 @@
   void note_cached(std::uint64_t part_key, MonotonicTime now);
   bool holds(std::uint64_t part_key, MonotonicTime now) const;
 
+  std::size_t cached_parts() const { return cached_.size(); }
+
  private:
+  static constexpr std::size_t kLeastPrune = 1024;
+
   void fade(MonotonicTime now);
 
   std::uint32_t in_flight_ = 0;
@@ -79,7 +83,8 @@
   std::uint32_t unreachable_in_row_ = 0;
   MonotonicTime ejected_until_{};
   std::optional<MonotonicTime> answered_at_;
-  std::unordered_map<std::uint64_t, MonotonicTime> cached_;  ///< By part key.
+  std::unordered_map<std::uint64_t, MonotonicTime> cached_;  ///< By part key; old ones are dropped.
+  std::size_t prune_cached_at_ = kLeastPrune;                ///< Size at which that is done.
 };
 
 /// All back ends of one node.
@@ -89,10 +94,12 @@
   const BackendLoad* find(const BackendId& id) const;
   void forget(const BackendId& id) { loads_.erase(id); }
 
-  /// The same as of the back end's load, and told to whoever listens to changes.
+  /// The same as of the back end's load, and told to whoever listens to changes. A back end that
+  /// was forgotten while a request ran there stays forgotten.
   void begin(const BackendId& id, std::uint64_t unread_tokens);
   void note_read(const BackendId& id, std::uint64_t unread_tokens);
   void end(const BackendId& id, AttemptVerdict verdict, MonotonicTime now);
+  void note_report(const BackendId& id, const ReportedLoad& load, MonotonicTime now);
 
   void note_silence(const BackendId& id, MonotonicTime now);
   /// Called when a back end has fallen silent or could not be reached.
@@ -115,6 +122,7 @@
 
  private:
   void changed(const BackendId& id) const;
+  BackendLoad* known(const BackendId& id);
 
   std::map<BackendId, BackendLoad> loads_;
   std::function<void(const BackendId&)> changed_;
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -160,7 +160,7 @@
   attempt_->head = head;
   const auto load = parse_load(http::find_header(head.headers, environment_.names.load));
   if (load) {
-    environment_.loads.of(attempt_->backend).note_report(*load, environment_.clock.now());
+    environment_.loads.note_report(attempt_->backend, *load, environment_.clock.now());
   }
   attempt_->streams = is_stream() && !attempt_->prefill && is_success(head.status) &&
                       !http::find_header(head.headers, environment_.names.signature).empty();
--- a/src/gateway/tests/policies_test.cc
+++ b/src/gateway/tests/policies_test.cc
@@ -279,3 +279,26 @@
   answering.note_told_silence(now);
   CHECK_FALSE(answering.ejected(now + 100ms));
 }
+
+TEST_CASE("a back end that has gone is not remembered by what still ends there") {
+  LoadTable loads;
+  const BackendId id("e");
+  loads.begin(id, 10);
+  loads.forget(id);
+  loads.note_report(id, {1, 1, 1}, {});
+  loads.note_read(id, 10);
+  loads.note_silence(id, {});
+  loads.end(id, AttemptVerdict::kGood, {});
+  CHECK(loads.find(id) == nullptr);
+}
+
+TEST_CASE("prompt parts that are no longer believed cached do not pile up") {
+  BackendLoad load;
+  MonotonicTime now{};
+  for (std::uint64_t key = 0; key != 100'000; ++key) {
+    now += 10ms;
+    load.note_cached(key, now);
+  }
+  CHECK(load.holds(99'999, now));
+  CHECK(load.cached_parts() < 5'000);
+}
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -83,6 +83,7 @@
   BOOST_OUTCOME_TRY(listen_to_peers());
   fleet_.on_removed([this](const gateway::Backend& backend) {
     loads_.forget(backend.id);
+    peer_work_.forget(backend.id);
     client_.forget(backend.address);
   });
   watcher_.on_current([this] {
@@ -126,7 +127,12 @@
   const MonotonicTime now = clock_.now();
   peer_work_.apply(report, now);
   for (const peer_load::EngineWork& work : report.engines) {
-    if (work.silent && fleet_.find(work.engine) != nullptr) {
+    if (fleet_.find(work.engine) == nullptr) {
+      // Gone already, or not seen yet: nothing would ever forget it again.
+      peer_work_.forget(work.engine);
+      continue;
+    }
+    if (work.silent) {
       loads_.of(work.engine).note_told_silence(now);
     }
     for (const std::uint64_t key : work.parts_read) {
--- a/src/peer_load/peer_work.h
+++ b/src/peer_load/peer_work.h
@@ -16,6 +16,8 @@
   static constexpr Duration kBelief{std::chrono::milliseconds(2500)};
 
   void apply(const WorkReport& report, MonotonicTime now);
+  /// The engine has gone; its id is not used again.
+  void forget(const gateway::BackendId& engine) { told_.erase(engine); }
   gateway::OthersWork work_at(const gateway::BackendId& engine, MonotonicTime now) const override;
 
  private:
