gateway: shared prompt parts are fetched from an engine that keeps them, instead of read again

The shared parts (8.3 M tokens) nearly fill the prefill engines (13 M), so a subject asked for each 5 s on average is evicted there before it comes again; the decode engines keep the same parts longer. Ruled out: lost announcements between nodes (again falls without any change to them). Change: CacheSources finds the engine that surely keeps the most of a prompt; placement weighs fetching it against reading it, and the attempt names it. A source counts from 1.5 s after the part was first sent there to 8 s after its last use; a fetch costs 600 tokens and 0.4 a token, so homes still decide.

--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -17,6 +17,7 @@
 struct Attempt {
   BackendId backend;
   std::uint64_t unread_tokens = 0;
+  std::optional<Endpoint> cache_source;  ///< Engine that shared parts are fetched from.
   bool prompt_read = false;
   std::unique_ptr<http::Exchange> exchange;
   std::optional<http::ResponseHead> head;
--- a/src/gateway/backend_request.cc
+++ b/src/gateway/backend_request.cc
@@ -60,6 +60,9 @@
     set_header(sent.headers, names.cache_source,
                call.cache->address.value() + "/" + call.cache->handle);
   }
+  if (call.cache_source) {
+    set_header(sent.headers, names.cache_fetch, call.cache_source->value());
+  }
   if (call.resumes_after) {
     set_header(sent.headers, names.last_event, std::to_string(*call.resumes_after));
   }
--- a/src/gateway/backend_request.h
+++ b/src/gateway/backend_request.h
@@ -25,6 +25,7 @@
   bool prefill = false;                        ///< Read the prompt only.
   std::optional<std::uint32_t> priority;       ///< 0 to 9, for engines.
   std::optional<CacheHandle> cache;            ///< Taken by the runner.
+  std::optional<Endpoint> cache_source;        ///< Engine to fetch shared parts from.
   std::optional<std::uint64_t> resumes_after;  ///< The last event that the caller has.
   std::size_t most_idle = 1;                   ///< Connections to keep while idle.
 };
--- /dev/null
+++ b/src/gateway/cache_sources.cc
@@ -0,0 +1,69 @@
+#include "gateway/cache_sources.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace ochrespring::gateway {
+
+namespace {
+
+struct KeptPrefix {
+  std::uint64_t tokens = 0;
+  MonotonicTime used_at{};
+};
+
+/// What the engine is believed to have ready for others; a part is of use only behind all before
+/// it.
+KeptPrefix kept_prefix(const BackendLoad& load, const Prompt& prompt, MonotonicTime now) {
+  KeptPrefix kept;
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+    const std::optional<MonotonicTime> used_at = load.ready_part(prompt.parts[i].key, now);
+    if (!used_at) {
+      break;
+    }
+    kept.tokens += prompt.parts[i].tokens;
+    kept.used_at = *used_at;
+  }
+  return kept;
+}
+
+}  // namespace
+
+CacheSources::CacheSources(const FleetState& fleet, const LoadTable& loads,
+                           const ServiceName& service, const Prompt& prompt, MonotonicTime now) {
+  for (const auto& [id, backend] : fleet.backends()) {
+    const BackendLoad* load = loads.find(id);
+    if (load == nullptr || backend.service != service || backend.role == EngineRole::kNone ||
+        load->ejected(now)) {
+      continue;
+    }
+    const KeptPrefix kept = kept_prefix(*load, prompt, now);
+    if (kept.tokens == 0 || kept.tokens < tokens_) {
+      continue;
+    }
+    if (kept.tokens > tokens_) {
+      sources_.clear();
+      tokens_ = kept.tokens;
+    }
+    sources_.push_back({&backend, kept.used_at});
+  }
+}
+
+std::uint64_t CacheSources::tokens_for(const Backend& engine) const {
+  return best_for(engine) == nullptr ? 0 : tokens_;
+}
+
+const Backend* CacheSources::best_for(const Backend& engine) const {
+  const Source* best = nullptr;
+  const auto rank = [&](const Source& source) {
+    return std::pair(source.engine->zone == engine.zone, source.used_at);
+  };
+  for (const Source& source : sources_) {
+    if (source.engine->id != engine.id && (best == nullptr || rank(source) > rank(*best))) {
+      best = &source;
+    }
+  }
+  return best == nullptr ? nullptr : best->engine;
+}
+
+}  // namespace ochrespring::gateway
--- a/src/gateway/header_names.h
+++ b/src/gateway/header_names.h
@@ -20,6 +20,8 @@
   std::string phase = "x-ochrespring-phase";
   std::string phase_prefill = "prefill";  ///< Value of `phase`: read the prompt, do not run.
   std::string cache_source = "x-ochrespring-cache-source";  ///< IP:PORT/HANDLE.
+  /// IP:PORT of an engine to take cached parts from before reading.
+  std::string cache_fetch = "x-ochrespring-cache-fetch";
   std::string last_event = "last-event-id";
   /// Headers that only the gateway may set; a caller's are dropped.
   std::vector<std::string> reserved;
--- a/src/gateway/load_table.cc
+++ b/src/gateway/load_table.cc
@@ -24,6 +24,10 @@
 constexpr Duration kRecentAnswer = milliseconds(500);
 /// How long a prompt part is believed to stay cached after its last use.
 constexpr Duration kCacheBelief = seconds(11);
+/// How long it is believed to be there for others to fetch: a fetch in vain costs little.
+constexpr Duration kFetchBelief = seconds(8);
+/// Within this time after a part was first sent, the back end may still be reading it.
+constexpr Duration kReadingTime = milliseconds(1500);
 
 double halved(Duration age, Duration half_life) {
   return std::exp2(-to_seconds(age) / to_seconds(half_life));
@@ -124,16 +128,31 @@
 }
 
 void BackendLoad::note_cached(std::uint64_t part_key, MonotonicTime now) {
-  cached_[part_key] = now;
+  CachedPart& part = cached_.try_emplace(part_key, CachedPart{now, now}).first->second;
+  if (now - part.last_used >= kFetchBelief) {
+    part.first_used = now;
+  }
+  part.last_used = now;
   if (cached_.size() >= prune_cached_at_) {
-    std::erase_if(cached_, [&](const auto& entry) { return now - entry.second >= kCacheBelief; });
+    std::erase_if(cached_,
+                  [&](const auto& entry) { return now - entry.second.last_used >= kFetchBelief; });
     prune_cached_at_ = std::max(kLeastPrune, 2 * cached_.size());
   }
 }
 
 bool BackendLoad::holds(std::uint64_t part_key, MonotonicTime now) const {
   const auto found = cached_.find(part_key);
-  return found != cached_.end() && now - found->second < kCacheBelief;
+  return found != cached_.end() && now - found->second.last_used < kCacheBelief;
+}
+
+std::optional<MonotonicTime> BackendLoad::ready_part(std::uint64_t part_key,
+                                                     MonotonicTime now) const {
+  const auto found = cached_.find(part_key);
+  if (found == cached_.end() || now - found->second.last_used >= kFetchBelief ||
+      now - found->second.first_used < kReadingTime) {
+    return std::nullopt;
+  }
+  return found->second.last_used;
 }
 
 /// The last part is the request's own: nobody else will ask for it.
--- a/src/gateway/load_table.h
+++ b/src/gateway/load_table.h
@@ -64,12 +64,20 @@
   /// Remembers that a prompt part is in the back end's cache.
   void note_cached(std::uint64_t part_key, MonotonicTime now);
   bool holds(std::uint64_t part_key, MonotonicTime now) const;
+  /// When the part was last used, if the back end has surely read it by now and is believed to keep
+  /// it still: others may fetch it there.
+  std::optional<MonotonicTime> ready_part(std::uint64_t part_key, MonotonicTime now) const;
 
   std::size_t cached_parts() const { return cached_.size(); }
 
  private:
   static constexpr std::size_t kLeastPrune = 1024;
 
+  struct CachedPart {
+    MonotonicTime first_used{};
+    MonotonicTime last_used{};
+  };
+
   void fade(MonotonicTime now);
 
   std::uint32_t in_flight_ = 0;
@@ -83,8 +91,8 @@
   std::uint32_t unreachable_in_row_ = 0;
   MonotonicTime ejected_until_{};
   std::optional<MonotonicTime> answered_at_;
-  std::unordered_map<std::uint64_t, MonotonicTime> cached_;  ///< By part key; old ones are dropped.
-  std::size_t prune_cached_at_ = kLeastPrune;                ///< Size at which that is done.
+  std::unordered_map<std::uint64_t, CachedPart> cached_;  ///< By part key; old ones are dropped.
+  std::size_t prune_cached_at_ = kLeastPrune;             ///< Size at which that is done.
 };
 
 /// All back ends of one node.
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -25,6 +25,11 @@
 constexpr double kHandOverTokens = 1'500;
 /// Cost in tokens of transferring one token's cache.
 constexpr double kTransferCost = 0.04;
+/// Fewer tokens are read sooner than they are fetched from another engine.
+constexpr std::uint64_t kLeastFetchTokens = 800;
+/// Cost in tokens of a fetch, and of one token fetched.
+constexpr double kFetchTokens = 600;
+constexpr double kFetchTokenCost = 0.4;
 /// What reading a shared part anew costs besides its time, in parts of its tokens: the engine's
 /// pace and memory are gone for others.
 constexpr double kExtraColdCost = 1.5;
@@ -49,6 +54,10 @@
       });
 }
 
+double fetch_cost(std::uint64_t tokens) {
+  return tokens == 0 ? 0 : kFetchTokens + kFetchTokenCost * static_cast<double>(tokens);
+}
+
 }  // namespace
 
 PlacementPlan Placement::choose(const PlacementRequest& request, MonotonicTime now) const {
@@ -63,23 +72,23 @@
 
 PlacementPlan Placement::choose_engines(const PlacementRequest& request, MonotonicTime now) const {
   const Prompt& prompt = *request.prompt;
+  const CacheSources sources(fleet_, loads_, request.service, prompt, now);
   const Backends runners = candidates(request, false, now);
-  const Backend* runner_home = find_home(runners, prompt.shared_key());
+  const PromptView at_runners{prompt, sources, find_home(runners, prompt.shared_key())};
   PlacementPlan direct;
   direct.runner = cheapest(runners, [&](const Backend& backend) {
-    return estimate_runner(backend, prompt, &backend == runner_home, false, now);
+    return estimate_runner(backend, at_runners, false, now);
   });
   if (!request.may_read_apart || direct.runner.backend == nullptr) {
     return direct;
   }
   const Backends readers = candidates(request, true, now);
-  const Backend* reader_home = find_home(readers, prompt.shared_key());
+  const PromptView at_readers{prompt, sources, find_home(readers, prompt.shared_key())};
   PlacementPlan apart;
-  apart.reader = cheapest(readers, [&](const Backend& backend) {
-    return estimate_reader(backend, prompt, &backend == reader_home, now);
-  });
+  apart.reader = cheapest(
+      readers, [&](const Backend& backend) { return estimate_reader(backend, at_readers, now); });
   apart.runner = cheapest(runners, [&](const Backend& backend) {
-    return estimate_runner(backend, prompt, &backend == runner_home, true, now);
+    return estimate_runner(backend, at_runners, true, now);
   });
   const bool quicker =
       apart.reader.backend != nullptr && apart.reader.cost + apart.runner.cost < direct.runner.cost;
@@ -116,18 +125,22 @@
   return healthy.empty() ? ejected : healthy;
 }
 
-PlacementChoice Placement::estimate_runner(const Backend& backend, const Prompt& prompt, bool home,
+PlacementChoice Placement::estimate_runner(const Backend& backend, const PromptView& view,
                                            bool handed_over, MonotonicTime now) const {
   const BackendLoad& load = load_of(backend);
   const Work work = work_at(backend, now);
+  const Reading reading = reading_at(backend, view, now);
   PlacementChoice choice;
-  const std::uint64_t unread = unread_at(load, prompt, home, now);
   if (handed_over) {
-    choice.cost = kHandOverTokens + kTransferCost * static_cast<double>(unread);
+    const auto transferred = static_cast<double>(reading.unread_tokens + reading.fetched_tokens);
+    choice.cost = kHandOverTokens + kTransferCost * transferred;
   } else {
-    choice.unread_tokens = unread;
-    choice.cost = kRunnerReadingCost * (static_cast<double>(unread) + work.unread_tokens) *
-                  (1 + kHarmPerStream * work.requests);
+    choice.unread_tokens = reading.unread_tokens;
+    choice.cache_source = reading.cache_source;
+    choice.cost = fetch_cost(reading.fetched_tokens) +
+                  kRunnerReadingCost *
+                      (static_cast<double>(reading.unread_tokens) + work.unread_tokens) *
+                      (1 + kHarmPerStream * work.requests);
   }
   choice.cost += kTokensPerRunning * work.requests +
                  kTokensPerWaiting * load.reported_waiting(now) +
@@ -135,33 +148,46 @@
   return choice;
 }
 
-PlacementChoice Placement::estimate_reader(const Backend& backend, const Prompt& prompt, bool home,
+PlacementChoice Placement::estimate_reader(const Backend& backend, const PromptView& view,
                                            MonotonicTime now) const {
   const BackendLoad& load = load_of(backend);
+  const Reading reading = reading_at(backend, view, now);
   PlacementChoice choice;
-  choice.unread_tokens = unread_at(load, prompt, home, now);
-  const double missing = static_cast<double>(choice.unread_tokens - prompt.own_tokens());
-  choice.cost = static_cast<double>(choice.unread_tokens) + kExtraColdCost * missing +
-                work_at(backend, now).unread_tokens + kTokensPerFailure * load.failure_share(now);
+  choice.unread_tokens = reading.unread_tokens;
+  choice.cache_source = reading.cache_source;
+  const double missing = static_cast<double>(choice.unread_tokens - view.prompt.own_tokens());
+  choice.cost = fetch_cost(reading.fetched_tokens) + static_cast<double>(choice.unread_tokens) +
+                kExtraColdCost * missing + work_at(backend, now).unread_tokens +
+                kTokensPerFailure * load.failure_share(now);
   return choice;
 }
 
-std::uint64_t Placement::unread_at(const BackendLoad& load, const Prompt& prompt, bool home,
-                                   MonotonicTime now) const {
+Placement::Reading Placement::reading_at(const Backend& backend, const PromptView& view,
+                                         MonotonicTime now) const {
+  const BackendLoad& load = load_of(backend);
+  const std::uint64_t shared = view.prompt.shared_tokens();
   std::uint64_t held = 0;
-  for (const PromptPart& part : prompt.parts) {
+  for (const PromptPart& part : view.prompt.parts) {
     // A part is of use only behind all parts before it.
     if (!load.holds(part.key, now)) {
       break;
     }
     held += part.tokens;
   }
-  const std::uint64_t shared = prompt.shared_tokens();
-  double missing = static_cast<double>(shared - std::min(held, shared));
-  if (home) {
+  held = std::min(held, shared);
+  Reading reading;
+  const std::uint64_t kept = std::min(view.sources.tokens_for(backend), shared);
+  if (kept >= held + kLeastFetchTokens) {
+    reading.cache_source = view.sources.best_for(backend);
+    reading.fetched_tokens = kept - held;
+    held = kept;
+  }
+  double missing = static_cast<double>(shared - held);
+  if (&backend == view.home) {
     missing *= kHomeDoubt;
   }
-  return static_cast<std::uint64_t>(missing) + prompt.own_tokens();
+  reading.unread_tokens = static_cast<std::uint64_t>(missing) + view.prompt.own_tokens();
+  return reading;
 }
 
 PlacementChoice Placement::estimate_ordinary(const Backend& backend, MonotonicTime now) const {
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -9,6 +9,7 @@
 
 #include "base/random.h"
 #include "base/time.h"
+#include "gateway/cache_sources.h"
 #include "gateway/fleet_state.h"
 #include "gateway/load_table.h"
 #include "gateway/prompt.h"
@@ -26,9 +27,10 @@
 
 /// One back end and what spoke for it, for the log.
 struct PlacementChoice {
-  const Backend* backend = nullptr;  ///< Null: no back end may take the request.
-  std::uint64_t unread_tokens = 0;   ///< Of the prompt, believed not to be cached there.
-  double cost = 0;                   ///< In tokens to read, or in requests per slot.
+  const Backend* backend = nullptr;       ///< Null: no back end may take the request.
+  std::uint64_t unread_tokens = 0;        ///< Of the prompt, to be read there.
+  const Backend* cache_source = nullptr;  ///< Keeps shared parts that are worth fetching first.
+  double cost = 0;                        ///< In tokens to read, or in requests per slot.
 };
 
 /// Who runs a request and, if that is quicker, who reads its prompt before.
@@ -51,14 +53,25 @@
 
   PlacementPlan choose_engines(const PlacementRequest& request, MonotonicTime now) const;
   Backends candidates(const PlacementRequest& request, bool readers, MonotonicTime now) const;
+  /// What a prompt is, who is its home, and who keeps its shared parts.
+  struct PromptView {
+    const Prompt& prompt;
+    const CacheSources& sources;
+    const Backend* home = nullptr;
+  };
   /// Cost of reading the prompt where it then runs, or, with `handed_over`, of running it only.
-  PlacementChoice estimate_runner(const Backend& backend, const Prompt& prompt, bool home,
-                                  bool handed_over, MonotonicTime now) const;
-  PlacementChoice estimate_reader(const Backend& backend, const Prompt& prompt, bool home,
+  PlacementChoice estimate_runner(const Backend& backend, const PromptView& view, bool handed_over,
+                                  MonotonicTime now) const;
+  PlacementChoice estimate_reader(const Backend& backend, const PromptView& view,
                                   MonotonicTime now) const;
   PlacementChoice estimate_ordinary(const Backend& backend, MonotonicTime now) const;
-  std::uint64_t unread_at(const BackendLoad& load, const Prompt& prompt, bool home,
-                          MonotonicTime now) const;
+  /// What an engine has to read and to fetch of a prompt.
+  struct Reading {
+    std::uint64_t unread_tokens = 0;
+    std::uint64_t fetched_tokens = 0;
+    const Backend* cache_source = nullptr;  ///< Null: nothing is worth fetching.
+  };
+  Reading reading_at(const Backend& backend, const PromptView& view, MonotonicTime now) const;
   const BackendLoad& load_of(const Backend& backend) const;
   /// Requests and unread tokens at a back end, of all nodes.
   struct Work {
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -117,6 +117,10 @@
   attempt_->prefill = prefill;
   attempt_->uses_cache = !prefill && cache_.has_value();
   attempt_->unread_tokens = attempt_->uses_cache ? 0 : choice.unread_tokens;
+  if (!attempt_->uses_cache && choice.cache_source != nullptr) {
+    attempt_->cache_source = choice.cache_source->address;
+    ++environment_.statistics.cache_fetches;
+  }
   if (!prefill) {
     tried_.insert(backend.id);
   }
@@ -142,6 +146,7 @@
   if (attempt_->uses_cache) {
     call.cache = cache_;
   }
+  call.cache_source = attempt_->cache_source;
   if (answer_open_) {
     call.resumes_after = last_event_;
   }
@@ -483,6 +488,7 @@
         {"backend", backend},
         {"detail", std::string(detail)},
         {"unread_tokens", attempt_ ? attempt_->unread_tokens : 0},
+        {"cache_source", attempt_ && attempt_->cache_source ? attempt_->cache_source->value() : ""},
         {"age_milliseconds", to_milliseconds(environment_.clock.now() - arrived_)}}});
 }
 
--- a/src/gateway/tests/policies_test.cc
+++ b/src/gateway/tests/policies_test.cc
@@ -6,6 +6,7 @@
 #include <cmath>
 
 #include "base/hash.h"
+#include "gateway/cache_sources.h"
 #include "gateway/cache_survey.h"
 #include "gateway/event_splitter.h"
 #include "gateway/fleet_state.h"
@@ -252,6 +253,63 @@
   CHECK_FALSE(loads.of(BackendId("a")).holds(stable_hash("k1"), time.now()));
 }
 
+TEST_CASE("a shared part is fetched from an engine that surely keeps it") {
+  FleetState fleet;
+  for (const char* id : {"near", "far", "reader"}) {
+    Backend engine = make_engine(id, EngineRole::kDecode);
+    engine.zone = ZoneName(id == std::string("far") ? "other" : "own");
+    fleet.put(engine);
+  }
+  const Backend& reader = *fleet.find(BackendId("reader"));
+  const Prompt prompt = parse_prompt("k1:9000,own:500", "9500,10");
+  const ServiceName service("llm");
+  const MonotonicTime start{};
+  LoadTable loads;
+  loads.note_prompt(BackendId("near"), prompt, start);
+  SUBCASE("not while it may still be reading the part") {
+    CHECK(CacheSources(fleet, loads, service, prompt, start + 100ms).best_for(reader) == nullptr);
+  }
+  SUBCASE("the one in the same zone, even if another has used it later") {
+    loads.note_prompt(BackendId("far"), prompt, start + 100ms);
+    const CacheSources sources(fleet, loads, service, prompt, start + 2s);
+    REQUIRE(sources.best_for(reader) != nullptr);
+    CHECK(sources.best_for(reader)->id.value() == "near");
+    CHECK(sources.tokens_for(reader) == 9000);
+  }
+  SUBCASE("never from itself") {
+    const CacheSources sources(fleet, loads, service, prompt, start + 2s);
+    CHECK(sources.best_for(*fleet.find(BackendId("near"))) == nullptr);
+    CHECK(sources.tokens_for(*fleet.find(BackendId("near"))) == 0);
+  }
+  SUBCASE("not from a silent engine, nor long after the last use") {
+    CHECK(CacheSources(fleet, loads, service, prompt, start + 60s).best_for(reader) == nullptr);
+    loads.note_silence(BackendId("near"), start + 2s);
+    CHECK(CacheSources(fleet, loads, service, prompt, start + 2s).best_for(reader) == nullptr);
+  }
+}
+
+TEST_CASE("with its home busy a prompt goes elsewhere and brings its shared part along") {
+  FleetState fleet;
+  for (const char* id : {"a", "b"}) {
+    fleet.put(make_engine(id, EngineRole::kDecode));
+  }
+  const Prompt prompt = parse_prompt("k1:9000,own:500", "9500,10");
+  PlacementRequest request;
+  request.service = ServiceName("llm");
+  request.prompt = &prompt;
+  SeededRandom random(1);
+  LoadTable loads;
+  loads.note_prompt(BackendId("a"), prompt, {});
+  loads.of(BackendId("a")).begin(20'000);
+  const Placement placement(fleet, loads, random, ZoneName("z"));
+  const PlacementPlan plan = placement.choose(request, MonotonicTime() + 2s);
+  REQUIRE(plan.runner.backend != nullptr);
+  CHECK(plan.runner.backend->id.value() == "b");
+  REQUIRE(plan.runner.cache_source != nullptr);
+  CHECK(plan.runner.cache_source->id.value() == "a");
+  CHECK(plan.runner.unread_tokens == 500);
+}
+
 TEST_CASE("a cold back end is spared while warm ones are as idle") {
   FleetState fleet;
   for (const char* id : {"a", "b"}) {
--- a/src/gateway/tests/request_session_test.cc
+++ b/src/gateway/tests/request_session_test.cc
@@ -264,6 +264,20 @@
   CHECK(world.transport.forgotten.empty());
 }
 
+TEST_CASE("the engine is told where to fetch a shared part that another keeps") {
+  GatewayFixture world;
+  world.add_backend("d1", "llm", EngineRole::kDecode);
+  world.add_backend("d2", "llm", EngineRole::kDecode);
+  world.loads.note_prompt(BackendId("d1"), parse_prompt("aa:9000,bb:4000", "13000,50"),
+                          world.time.now());
+  world.advance(std::chrono::seconds(1));
+  world.loads.begin(BackendId("d1"), 50'000);
+  world.send("/stream/x", kLongPrompt);
+  CHECK(world.last().request.endpoint.value() == "d2:1");
+  CHECK(world.last().header(world.names.cache_fetch) == "d1:1");
+  CHECK(world.statistics.cache_fetches == 1);
+}
+
 TEST_CASE("a prefill that was refused or lost leaves the request free to run") {
   for (const bool refused : {true, false}) {
     GatewayFixture world;
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -211,6 +211,7 @@
   counter("attempts", "Attempts at back ends", counts.attempts);
   counter("repeats", "Attempts from the retry budget", counts.repeats);
   counter("repeats_denied", "Attempts that the retry budget did not allow", counts.budget_denied);
+  counter("cache_fetches", "Attempts told to fetch cached parts", counts.cache_fetches);
   counter("streams_resumed", "Streams taken up at another back end", counts.resumed);
   counter("store_looks", "Looks at the store", watcher_.statistics().looks);
   counter("store_looks_failed", "Looks that failed", watcher_.statistics().failed_looks);
