discovery: nodes share their looks at the store

Ruled out: stale reads (seconds old, too late for a drain), one chosen reader (one more thing that can fail, and a bound to wait before its loss is noticed). Change: whoever has looked tells the others by datagram all that changed, heartbeats left out, complete from some revision on; they put their own look off. Each waits a random part longer, so mostly one looks for all, and a node that hears nothing looks itself in time. What changed and changed back between two looks of the other shows in a fingerprint of the back ends, and is listed anew (found by the property test: it fails without). A look's late answer no longer overwrites a newer update. The times follow the platform's bounds (drain, configuration). FleetWatcher is split: ViewWriter (what is believed), ChangeLog (what can be told).

--- /dev/null
+++ b/src/discovery/change_log.h
@@ -0,0 +1,43 @@
+// The latest changes that a node can tell the others of.
+#pragma once
+
+#include <cstddef>
+#include <deque>
+
+#include "base/time.h"
+#include "discovery/view_update.h"
+
+namespace ochrespring::discovery {
+
+/// Complete from some revision on: an update that was lost is made up for by the next. What is too
+/// old, too much, or too large to tell moves that revision up. Pure; one loop.
+class ChangeLog {
+ public:
+  /// Nothing up to `revision` can be told.
+  void restart(shared_store::StoreRevision revision);
+  /// A change too large to tell was made at `revision`; each node has to read it itself.
+  void note_untold(shared_store::StoreRevision revision) { restart(revision); }
+  void note(ViewChange change, MonotonicTime now);
+  /// Everything up to `revision` has been noted.
+  void advance(shared_store::StoreRevision revision) { through_ = std::max(through_, revision); }
+  ViewUpdate make_update(MonotonicTime now, Duration age);
+
+ private:
+  /// Longer than the others' time between two looks, so that two updates in a row may be lost.
+  static constexpr Duration kKeep{std::chrono::seconds(6)};
+  /// An update fits into a datagram.
+  static constexpr std::size_t kMostChanges = 24;
+
+  struct Entry {
+    ViewChange change;
+    MonotonicTime at{};
+  };
+
+  void drop_oldest();
+
+  shared_store::StoreRevision after_;
+  shared_store::StoreRevision through_;
+  std::deque<Entry> entries_;
+};
+
+}  // namespace ochrespring::discovery
--- a/src/discovery/fleet_watcher.cc
+++ b/src/discovery/fleet_watcher.cc
@@ -3,22 +3,34 @@
 #include <algorithm>
 #include <utility>
 
-#include "wire/codec.h"
-
 namespace ochrespring::discovery {
 
 namespace {
 
 constexpr std::string_view kComponent = "discovery";
-constexpr double kPeriodJitter = 0.05;
 /// Every key of the store: one call tells of configuration, back ends and nodes.
 const std::string kEverything;
 
+/// Parts of the bound: when a node looks at the earliest, and how much later at the latest.
+constexpr double kPeriodPart = 0.5;
+constexpr double kSpreadPart = 0.22;
+
 }  // namespace
 
+FleetWatcherSettings settings_within(Duration bound) {
+  FleetWatcherSettings settings;
+  settings.period = from_seconds(kPeriodPart * to_seconds(bound));
+  settings.spread = from_seconds(kSpreadPart * to_seconds(bound));
+  return settings;
+}
+
 FleetWatcher::FleetWatcher(World world, FleetWatcherSettings settings, gateway::FleetState& fleet,
                            NodeDirectory& nodes)
-    : world_(world), settings_(settings), fleet_(fleet), nodes_(nodes), timer_(world.timers) {}
+    : world_(world),
+      settings_(settings),
+      fleet_(fleet),
+      writer_(world.clock, world.codec, world.logger, fleet, nodes),
+      timer_(world.timers) {}
 
 void FleetWatcher::start() {
   look();
@@ -39,8 +51,9 @@
 
 void FleetWatcher::look() {
   looking_ = true;
+  look_began_ = world_.clock.now();
   ++statistics_.looks;
-  if (seen_) {
+  if (writer_.seen()) {
     read_changes();
   } else {
     list_all();
@@ -54,147 +67,96 @@
       look_ended(false, result.error().message);
       return;
     }
-    take_listing(result.value());
+    writer_.take_listing(result.value());
     look_ended(true, "listed");
   });
 }
 
 void FleetWatcher::read_changes() {
-  world_.store.changes(kEverything, *seen_, Duration::zero(), [this](auto result) {
+  world_.store.changes(kEverything, *writer_.seen(), Duration::zero(), [this](auto result) {
     if (!result) {
       if (result.error().code == shared_store::StoreErrc::kHistoryGone) {
-        seen_.reset();
+        writer_.forget_history();
         list_all();
         return;
       }
       look_ended(false, result.error().message);
       return;
     }
-    for (const shared_store::Change& change : result.value().changes) {
-      take_change(change);
-      seen_ = std::max(*seen_, change.revision);
+    if (!writer_.seen()) {
+      // The view was found to lack something meanwhile.
+      list_all();
+      return;
+    }
+    writer_.take_changes(result.value());
+    if (share_) {
+      share_(writer_.make_update(world_.clock.now() - look_began_));
     }
     look_ended(true, "");
   });
 }
 
+void FleetWatcher::take_update(const ViewUpdate& update) {
+  switch (writer_.take_update(update)) {
+    case UpdateOutcome::kPassed:
+      ++statistics_.updates_passed;
+      return;
+    case UpdateOutcome::kDiffers:
+      ++statistics_.updates_differed;
+      list_again();
+      return;
+    case UpdateOutcome::kTaken:
+      ++statistics_.updates_taken;
+      note_current(world_.clock.now() - update.age);
+      return;
+  }
+}
+
+void FleetWatcher::list_again() {
+  world_.logger.write({logging::Level::kWarning, kComponent, "view differs from a peer's", {}});
+  writer_.forget_history();
+  if (!looking_) {
+    timer_.arm(random_part_of(settings_.relist_spread), [this] { look(); });
+  }
+}
+
 void FleetWatcher::look_ended(bool success, std::string_view detail) {
   looking_ = false;
-  if (success) {
-    fleet_.note_current(world_.clock.now());
-  } else {
-    ++statistics_.failed_looks;
-  }
   if (std::exchange(connected_, success) != success) {
     world_.logger.write({logging::Level::kWarning,
                          kComponent,
                          success ? "store regained" : "store lost",
                          {{"detail", std::string(detail)}}});
   }
-  const Duration pause = success ? settings_.period : settings_.retry;
-  timer_.arm(world_.random.jitter(pause, kPeriodJitter), [this] { look(); });
+  if (success) {
+    note_current(look_began_);
+  } else {
+    ++statistics_.failed_looks;
+    timer_.arm(settings_.retry, [this] { look(); });
+  }
   for (const auto& done : std::exchange(waiting_, {})) {
     done(success);
   }
-  if (success && current_) {
-    current_();
-  }
 }
 
-void FleetWatcher::take_listing(const shared_store::Listing& listing) {
-  const StoreLayout& layout = world_.codec.layout();
-  std::vector<gateway::Backend> backends;
-  std::vector<NodeRecord> nodes;
-  for (const shared_store::Change& item : listing.items) {
-    if (item.key == layout.configuration_key) {
-      take_configuration(*item.value);
-    } else if (item.key.starts_with(layout.backend_prefix)) {
-      if (auto backend = read_backend(item)) {
-        backends.push_back(std::move(*backend));
-      }
-    } else if (item.key.starts_with(layout.node_prefix)) {
-      if (auto node = read_node(item)) {
-        nodes.push_back(std::move(*node));
-      }
-    }
-  }
-  fleet_.replace(std::move(backends));
-  nodes_.replace(nodes);
-  seen_ = listing.revision;
+Duration FleetWatcher::random_part_of(Duration whole) {
+  return from_seconds(to_seconds(whole) * world_.random.unit());
 }
 
-void FleetWatcher::take_change(const shared_store::Change& change) {
-  const StoreLayout& layout = world_.codec.layout();
-  if (change.key == layout.configuration_key && change.value) {
-    take_configuration(*change.value);
-  } else if (change.key.starts_with(layout.backend_prefix)) {
-    if (!change.value) {
-      const gateway::BackendId id(change.key.substr(layout.backend_prefix.size()));
-      fleet_.remove(id);
-      world_.logger.write({logging::Level::kInfo,
-                           kComponent,
-                           "back end gone",
-                           {{"backend", id.value()}, {"revision", change.revision.value()}}});
-    } else if (auto backend = read_backend(change)) {
-      const bool draining = backend->draining;
-      const std::string id = backend->id.value();
-      if (fleet_.put(std::move(*backend))) {
-        world_.logger.write(
-            {logging::Level::kInfo,
-             kComponent,
-             "back end changed",
-             {{"backend", id}, {"draining", draining}, {"revision", change.revision.value()}}});
-      }
-    }
-  } else if (change.key.starts_with(layout.node_prefix)) {
-    if (!change.value) {
-      nodes_.remove(NodeId(change.key.substr(layout.node_prefix.size())));
-    } else if (const auto node = read_node(change)) {
-      nodes_.put(*node);
-    }
+void FleetWatcher::note_current(MonotonicTime at) {
+  const auto known = fleet_.current_at();
+  if (!known || at > *known) {
+    fleet_.note_current(at);
   }
-}
-
-void FleetWatcher::take_configuration(const std::string& value) {
-  auto configuration = world_.codec.read_configuration(value);
-  if (!configuration) {
-    reject(world_.codec.layout().configuration_key, configuration.error().message);
-    return;
-  }
-  const std::uint64_t version = configuration.value().version.value();
-  if (fleet_.apply(std::move(configuration.value()))) {
-    world_.logger.write({logging::Level::kInfo,
-                         kComponent,
-                         "configuration in force",
-                         {{"configuration", version}}});
-  }
-}
-
-std::optional<gateway::Backend> FleetWatcher::read_backend(const shared_store::Change& change) {
-  const std::string id = change.key.substr(world_.codec.layout().backend_prefix.size());
-  auto backend = world_.codec.read_backend(id, *change.value);
-  if (!backend) {
-    reject(change.key, backend.error().message);
-    return std::nullopt;
+  if (!looking_) {
+    const auto waited =
+        std::chrono::duration_cast<Duration>(world_.random.unit() * settings_.spread);
+    const MonotonicTime due = *fleet_.current_at() + settings_.period + waited;
+    timer_.arm(std::max(due - world_.clock.now(), Duration::zero()), [this] { look(); });
   }
-  return std::move(backend.value());
-}
-
-std::optional<NodeRecord> FleetWatcher::read_node(const shared_store::Change& change) {
-  auto node = wire::decode<NodeRecord>(*change.value);
-  if (!node) {
-    reject(change.key, node.error().message);
-    return std::nullopt;
+  if (current_) {
+    current_();
   }
-  return std::move(node.value());
-}
-
-void FleetWatcher::reject(const std::string& key, const std::string& reason) {
-  ++statistics_.rejected_values;
-  world_.logger.write({logging::Level::kError,
-                       kComponent,
-                       "value of the store not understood",
-                       {{"key", key}, {"reason", reason}}});
 }
 
 }  // namespace ochrespring::discovery
--- a/src/discovery/fleet_watcher.h
+++ b/src/discovery/fleet_watcher.h
@@ -11,6 +11,8 @@
 #include "base/timer.h"
 #include "discovery/fleet_codec.h"
 #include "discovery/node_directory.h"
+#include "discovery/view_update.h"
+#include "discovery/view_writer.h"
 #include "gateway/fleet_state.h"
 #include "logging/logger.h"
 #include "shared_store/store.h"
@@ -18,23 +20,35 @@
 namespace ochrespring::discovery {
 
 struct FleetWatcherSettings {
-  Duration period{std::chrono::milliseconds(1350)};       ///< Between two looks.
-  Duration retry{std::chrono::milliseconds(300)};         ///< After a look that failed.
-  Duration fresh_enough{std::chrono::milliseconds(150)};  ///< Age at which refresh() asks again.
+  Duration period{std::chrono::milliseconds(1000)};  ///< Between two looks of any node, at least.
+  Duration spread{std::chrono::milliseconds(450)};   ///< A node waits up to this much longer.
+  Duration retry{std::chrono::milliseconds(300)};    ///< After a look that failed.
+  Duration relist_spread{std::chrono::milliseconds(200)};  ///< Before a listing out of turn.
+  Duration fresh_enough{std::chrono::milliseconds(150)};   ///< Age at which refresh() asks again.
 };
 
+/// Settings by which each node's view is never older than `bound`, with time to spare for a slow
+/// answer and a second try.
+FleetWatcherSettings settings_within(Duration bound);
+
 struct FleetWatcherStatistics {
   std::uint64_t looks = 0;
   std::uint64_t failed_looks = 0;
   std::uint64_t listings = 0;
-  std::uint64_t rejected_values = 0;  ///< Could not be understood; the last good one stays.
+  std::uint64_t updates_taken = 0;     ///< Of other nodes, each instead of a look.
+  std::uint64_t updates_passed = 0;    ///< Began after what this node had seen.
+  std::uint64_t updates_differed = 0;  ///< Showed that a listing was needed.
 };
 
-/// Looks at fixed periods for what has changed since the newest change it has seen, instead of
-/// holding a watch open: each change of a back end's heartbeat would end the watch, and each call
-/// has its price. An answer without changes never moves the point from which it goes on, so a store
-/// that keeps changes back for a while is caught up with later; a store that has forgotten them is
-/// listed anew. One loop.
+/// Looks now and then for what has changed since the newest change it has seen, instead of holding
+/// a watch open: each change of a back end's heartbeat would end the watch, and each call has its
+/// price. An answer without changes never moves the point from which it goes on, so a store that
+/// keeps changes back for a while is caught up with later; a store that has forgotten them is
+/// listed anew.
+///
+/// Nodes share their looks: whoever has looked tells the others, who then put off their own. Each
+/// waits a different time, so mostly one node looks for all. No node depends on another: one that
+/// hears nothing looks itself in time. One loop.
 class FleetWatcher {
  public:
   struct World {
@@ -52,32 +66,37 @@
   void start();
   /// Calls back once the view is known to be current, or with false if the store does not answer.
   void refresh(std::function<void(bool current)> done);
-  /// Called after each look that succeeded.
+  /// Another node has looked.
+  void take_update(const ViewUpdate& update);
+  /// Called with what this node's look found, for the others.
+  void on_look(std::function<void(const ViewUpdate&)> callback) { share_ = std::move(callback); }
+  /// Called after each look that succeeded, and each update taken.
   void on_current(std::function<void()> callback) { current_ = std::move(callback); }
   const FleetWatcherStatistics& statistics() const { return statistics_; }
+  std::uint64_t rejected_values() const { return writer_.rejected_values(); }
 
  private:
   void look();
   void list_all();
   void read_changes();
   void look_ended(bool success, std::string_view detail);
-  void take_listing(const shared_store::Listing& listing);
-  void take_change(const shared_store::Change& change);
-  void take_configuration(const std::string& value);
-  std::optional<gateway::Backend> read_backend(const shared_store::Change& change);
-  std::optional<NodeRecord> read_node(const shared_store::Change& change);
-  void reject(const std::string& key, const std::string& reason);
+  /// The view turned out to lack something.
+  void list_again();
+  Duration random_part_of(Duration whole);
+  /// The view is known to be as the store was at `at`.
+  void note_current(MonotonicTime at);
 
   World world_;
   FleetWatcherSettings settings_;
   gateway::FleetState& fleet_;
-  NodeDirectory& nodes_;
+  ViewWriter writer_;
   Timer timer_;
-  std::optional<shared_store::StoreRevision> seen_;  ///< None: list everything.
+  MonotonicTime look_began_{};
   bool looking_ = false;
   std::optional<bool> connected_;  ///< How the last look ended; none before the first.
   std::vector<std::function<void(bool)>> waiting_;
   std::function<void()> current_;
+  std::function<void(const ViewUpdate&)> share_;
   FleetWatcherStatistics statistics_;
 };
 
--- a/src/discovery/tests/discovery_test.cc
+++ b/src/discovery/tests/discovery_test.cc
@@ -6,12 +6,14 @@
 #include "discovery/fleet_watcher.h"
 #include "discovery/node_registration.h"
 #include "simulation/virtual_time.h"
+#include "tests/plain_codec.h"
 #include "tests/played_store.h"
 #include "wire/codec.h"
 
 using namespace ochrespring;
 using namespace ochrespring::discovery;
 using namespace std::chrono_literals;
+using ochrespring::discovery::testing::PlainCodec;
 using ochrespring::discovery::testing::PlayedStore;
 using ochrespring::discovery::testing::take;
 using shared_store::Change;
@@ -23,31 +25,6 @@
 
 namespace {
 
-/// Values are a number (configuration) or `ready`/`draining` (back ends).
-class PlainCodec final : public FleetCodec {
- public:
-  const StoreLayout& layout() const override { return layout_; }
-  Result<gateway::Configuration, CodecError> read_configuration(
-      std::string_view value) const override {
-    if (value == "broken") {
-      return fail(CodecErrc::kMalformed, "broken");
-    }
-    gateway::Configuration configuration;
-    configuration.version = gateway::ConfigurationVersion(std::stoul(std::string(value)));
-    return configuration;
-  }
-  Result<gateway::Backend, CodecError> read_backend(std::string_view id,
-                                                    std::string_view value) const override {
-    gateway::Backend backend;
-    backend.id = gateway::BackendId(std::string(id));
-    backend.draining = value == "draining";
-    return backend;
-  }
-
- private:
-  StoreLayout layout_{"config", "backends/", "nodes/"};
-};
-
 struct WatcherFixture {
   simulation::VirtualTime time;
   SeededRandom random{5};
@@ -137,7 +114,7 @@
   world.advance(2s);
   world.answer({make_change("config", "broken", 11)});
   CHECK(world.version() == 3);
-  CHECK(world.watcher.statistics().rejected_values == 1);
+  CHECK(world.watcher.rejected_values() == 1);
 }
 
 TEST_CASE("a refresh asks the store at once, and tells when it does not answer") {
--- /dev/null
+++ b/src/discovery/tests/shared_looks_test.cc
@@ -0,0 +1,282 @@
+// Nodes that share their looks at the store see what they would have seen themselves.
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/hash.h"
+#include "discovery/change_log.h"
+#include "discovery/fleet_watcher.h"
+#include "discovery/view_writer.h"
+#include "simulation/virtual_time.h"
+#include "tests/plain_codec.h"
+#include "tests/played_store.h"
+#include "wire/codec.h"
+
+using namespace ochrespring;
+using namespace ochrespring::discovery;
+using namespace std::chrono_literals;
+using ochrespring::discovery::testing::PlainCodec;
+using ochrespring::discovery::testing::PlayedStore;
+using ochrespring::discovery::testing::take;
+using shared_store::Change;
+using shared_store::Changes;
+using shared_store::Listing;
+using shared_store::StoreRevision;
+
+namespace {
+
+using View = std::map<std::string, bool>;  ///< Back end to whether it is draining.
+
+/// A store that remembers how it was at each revision.
+class RememberingStore {
+ public:
+  void write(const std::string& backend, std::optional<bool> draining) {
+    ++revision_;
+    if (draining) {
+      now_[backend] = *draining;
+    } else {
+      now_.erase(backend);
+    }
+    written_[backend] = revision_;
+    past_[revision_] = now_;
+  }
+  Listing list() const {
+    Listing listing;
+    listing.revision = StoreRevision(revision_);
+    for (const auto& [backend, draining] : now_) {
+      listing.items.push_back(item(backend, written_.at(backend)));
+    }
+    return listing;
+  }
+  /// Only the last change of each key, as a store tells it.
+  Changes changes_after(StoreRevision after) const {
+    std::map<std::uint64_t, std::string> in_order;
+    for (const auto& [backend, revision] : written_) {
+      if (revision > after.value()) {
+        in_order[revision] = backend;
+      }
+    }
+    Changes changes;
+    for (const auto& [revision, backend] : in_order) {
+      changes.changes.push_back(item(backend, revision));
+    }
+    return changes;
+  }
+  const View& at(StoreRevision revision) const { return past_.at(revision.value()); }
+
+ private:
+  Change item(const std::string& backend, std::uint64_t revision) const {
+    const auto found = now_.find(backend);
+    std::optional<std::string> value;
+    if (found != now_.end()) {
+      value = found->second ? "draining" : "ready";
+    }
+    return {"backends/" + backend, value, StoreRevision(revision)};
+  }
+
+  std::uint64_t revision_ = 0;
+  View now_;
+  std::map<std::string, std::uint64_t> written_;
+  std::map<std::uint64_t, View> past_{{0, {}}};
+};
+
+struct ViewingNode {
+  explicit ViewingNode(const Clock& clock, const FleetCodec& codec, logging::Logger& logger)
+      : nodes(clock, {NodeId("me"), Endpoint(), ZoneName("a"), Endpoint()}),
+        writer(clock, codec, logger, fleet, nodes) {}
+
+  View view() const {
+    View seen;
+    for (const auto& [id, backend] : fleet.backends()) {
+      seen[id.value()] = backend.draining;
+    }
+    return seen;
+  }
+
+  gateway::FleetState fleet;
+  NodeDirectory nodes;
+  ViewWriter writer;
+};
+
+BackendChange make_backend_change(const std::string& id, std::uint64_t revision) {
+  return {StoreRevision(revision), gateway::BackendId(id), gateway::Backend{}};
+}
+
+}  // namespace
+
+TEST_CASE("a view that is kept up by others' looks is the store's, whatever updates are lost") {
+  rc::check([](const std::vector<std::pair<std::uint8_t, std::uint8_t>>& steps) {
+    simulation::VirtualTime time;
+    const PlainCodec codec;
+    logging::NullLogger logger;
+    RememberingStore store;
+    std::vector<std::unique_ptr<ViewingNode>> nodes;
+    for (int i = 0; i != 3; ++i) {
+      nodes.push_back(std::make_unique<ViewingNode>(time, codec, logger));
+      nodes.back()->writer.take_listing(store.list());
+    }
+    for (const auto& [what, choice] : steps) {
+      time.run_until(time.now() + 400ms);
+      const std::string backend(1, static_cast<char>('a' + choice % 3));
+      switch (what % 5) {
+        case 0:
+          store.write(backend, false);
+          break;
+        case 1:
+          store.write(backend, true);
+          break;
+        case 2:
+          store.write(backend, std::nullopt);
+          break;
+        default:
+          ViewingNode& looker = *nodes[choice % 3];
+          looker.writer.take_changes(store.changes_after(*looker.writer.seen()));
+          const ViewUpdate update = looker.writer.make_update(0ms);
+          for (std::size_t other = 0; other != nodes.size(); ++other) {
+            const bool lost = ((choice >> 2U) & (1U << other)) != 0;
+            if (!lost && nodes[other]->writer.take_update(update) == UpdateOutcome::kDiffers) {
+              nodes[other]->writer.take_listing(store.list());
+            }
+          }
+      }
+      for (const auto& node : nodes) {
+        RC_ASSERT(node->view() == store.at(*node->writer.seen()));
+      }
+    }
+  });
+}
+
+TEST_CASE("a log that is too long or too old tells less, and says from where on") {
+  ChangeLog log;
+  const MonotonicTime start{};
+  log.restart(StoreRevision(10));
+  for (std::uint64_t revision = 11; revision != 51; ++revision) {
+    log.note(make_backend_change("b", revision), start);
+  }
+  const ViewUpdate long_update = log.make_update(start, 0ms);
+  CHECK(long_update.after == StoreRevision(26));
+  CHECK(long_update.through == StoreRevision(50));
+  CHECK(long_update.changes.size() == 24);
+  log.note(make_backend_change("c", 60), start + 5s);
+  const ViewUpdate late_update = log.make_update(start + 7s, 0ms);
+  CHECK(late_update.after == StoreRevision(50));
+  CHECK(late_update.changes.size() == 1);
+  log.note_untold(StoreRevision(70));
+  const ViewUpdate untold = log.make_update(start + 7s, 0ms);
+  CHECK(untold.after == StoreRevision(70));
+  CHECK(untold.changes.empty());
+}
+
+TEST_CASE("an update fits into a datagram and comes through it whole") {
+  ChangeLog log;
+  for (std::uint64_t revision = 1; revision != 40; ++revision) {
+    BackendChange change = make_backend_change("i-0123456789abcdef", revision);
+    change.backend->address = Endpoint("255.255.255.255:65535");
+    change.backend->service = ServiceName(std::string(60, 's'));
+    change.backend->zone = ZoneName(std::string(40, 'z'));
+    log.note(change, {});
+  }
+  const std::string bytes = wire::encode(log.make_update({}, 5ms));
+  CHECK(bytes.size() < 8192);
+  const auto update = wire::decode<ViewUpdate>(bytes);
+  REQUIRE(update);
+  CHECK(update.value().changes.size() == 24);
+  CHECK(update.value().age == 5ms);
+}
+
+namespace {
+
+struct SharingFixture {
+  simulation::VirtualTime time;
+  SeededRandom random{5};
+  PlayedStore store;
+  PlainCodec codec;
+  logging::NullLogger logger;
+  gateway::FleetState fleet;
+  NodeDirectory nodes{time, {NodeId("me"), Endpoint(), ZoneName("a"), Endpoint()}};
+  FleetWatcher watcher{{time, time, random, store, codec, logger}, {}, fleet, nodes};
+
+  SharingFixture() {
+    watcher.start();
+    take(store.lists)(Listing{{{"config", "3", StoreRevision(4)}}, StoreRevision(10)});
+  }
+  void advance(Duration span) { time.run_until(time.now() + span); }
+};
+
+ViewUpdate empty_update(std::uint64_t after, std::uint64_t through) {
+  return {
+      .after = StoreRevision(after), .through = StoreRevision(through), .age = 20ms, .changes = {}};
+}
+
+}  // namespace
+
+TEST_CASE("while others look, this node does not; when they fall silent, it does in time") {
+  SharingFixture world;
+  for (int i = 0; i != 20; ++i) {
+    world.advance(900ms);
+    world.watcher.take_update(empty_update(10, 11));
+  }
+  CHECK(world.store.changes_calls.empty());
+  world.advance(1480ms);
+  CHECK(world.store.changes_calls.size() == 1);
+  CHECK(world.watcher.statistics().updates_taken == 20);
+}
+
+TEST_CASE("an update that this node cannot join does not put its own look off") {
+  SharingFixture world;
+  world.advance(900ms);
+  world.watcher.take_update(empty_update(12, 14));
+  world.advance(600ms);
+  REQUIRE(world.store.changes_calls.size() == 1);
+  CHECK(world.store.changes_calls[0].after == StoreRevision(10));
+}
+
+TEST_CASE("an answer that comes after a newer update brings nothing back") {
+  SharingFixture world;
+  world.advance(1500ms);
+  REQUIRE(world.store.changes_calls.size() == 1);
+  gateway::Backend draining;
+  draining.id = gateway::BackendId("b");
+  draining.draining = true;
+  ViewUpdate update = empty_update(10, 20);
+  update.changes.push_back(BackendChange{StoreRevision(18), draining.id, draining});
+  update.fingerprint = stable_hash(wire::encode(draining));
+  world.watcher.take_update(update);
+  take(world.store.changes_calls).done(Changes{{{"backends/b", "ready", StoreRevision(12)}}});
+  CHECK(world.fleet.find(gateway::BackendId("b"))->draining);
+}
+
+TEST_CASE("a view that turns out to differ is listed anew, also when a look is under way") {
+  for (const bool under_way : {false, true}) {
+    SharingFixture world;
+    world.advance(under_way ? 1500ms : 500ms);
+    ViewUpdate update = empty_update(10, 11);
+    update.fingerprint = 77;
+    world.watcher.take_update(update);
+    if (under_way) {
+      take(world.store.changes_calls).done(Changes{});
+    }
+    world.advance(250ms);
+    REQUIRE(world.store.lists.size() == 1);
+    take(world.store.lists)(
+        Listing{{{"backends/b", "ready", StoreRevision(4)}}, StoreRevision(12)});
+    CHECK(world.fleet.find(gateway::BackendId("b")) != nullptr);
+  }
+}
+
+TEST_CASE("a look tells the others what it found") {
+  SharingFixture world;
+  std::vector<ViewUpdate> told;
+  world.watcher.on_look([&](const ViewUpdate& update) { told.push_back(update); });
+  world.advance(1500ms);
+  take(world.store.changes_calls).done(Changes{{{"backends/b", "ready", StoreRevision(12)}}});
+  REQUIRE(told.size() == 1);
+  CHECK(told[0].after == StoreRevision(10));
+  CHECK(told[0].through == StoreRevision(12));
+  CHECK(told[0].changes.size() == 1);
+}
--- /dev/null
+++ b/src/discovery/view_update.h
@@ -0,0 +1,65 @@
+// What nodes tell each other of the fleet after a look at the store.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "base/time.h"
+#include "discovery/node_record.h"
+#include "gateway/types.h"
+#include "shared_store/store.h"
+
+namespace ochrespring::discovery {
+
+/// A back end as the store has it since `revision`; none: it has gone.
+struct BackendChange {
+  shared_store::StoreRevision revision;
+  gateway::BackendId id;
+  std::optional<gateway::Backend> backend;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& revision;
+    archive& id;
+    archive& backend;
+  }
+};
+
+/// A node's registration as the store has it since `revision`; none: it has gone.
+struct NodeChange {
+  shared_store::StoreRevision revision;
+  NodeId id;
+  std::optional<NodeRecord> record;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& revision;
+    archive& id;
+    archive& record;
+  }
+};
+
+using ViewChange = std::variant<BackendChange, NodeChange>;
+
+/// All that changed in the store in (`after`, `through`], heartbeats left out. Whoever has seen the
+/// store up to `after` or beyond has seen it up to `through` with it.
+struct ViewUpdate {
+  shared_store::StoreRevision after;
+  shared_store::StoreRevision through;
+  Duration age{};                 ///< Since the look began, when the update was sent.
+  std::uint64_t fingerprint = 0;  ///< Of all back ends at `through`.
+  std::vector<ViewChange> changes;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& after;
+    archive& through;
+    archive& age;
+    archive& fingerprint;
+    archive& changes;
+  }
+};
+
+}  // namespace ochrespring::discovery
--- a/src/gateway/types.h
+++ b/src/gateway/types.h
@@ -93,6 +93,18 @@
   EngineRole role = EngineRole::kNone;
 
   bool operator==(const Backend&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& id;
+    archive& service;
+    archive& address;
+    archive& zone;
+    archive& slots;
+    archive& draining;
+    archive& cold;
+    archive& role;
+  }
 };
 
 }  // namespace ochrespring::gateway
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -40,7 +40,10 @@
       transport_(client),
       self_{settings_.node, settings_.listen, settings_.zone, settings_.peer_listen},
       nodes_(clock, self_),
-      watcher_({clock, loop, random, adapter_.store, adapter_.codec, logger}, {}, fleet_, nodes_),
+      watcher_({clock, loop, random, adapter_.store, adapter_.codec, logger},
+               discovery::settings_within(
+                   std::min(settings_.drain_bound, settings_.configuration_bound)),
+               fleet_, nodes_),
       registration_(
           loop, adapter_.store, logger,
           {adapter_.codec.layout().node_prefix + settings_.node.value(), settings_.node_lease},
@@ -101,14 +104,16 @@
 }
 
 Result<void, http::HttpError> GatewayNode::listen_to_peers() {
-  BOOST_OUTCOME_TRY(peers, peer_load::DatagramSocket::bind(
-                               loop_, settings_.peer_listen, [this](std::string_view bytes) {
-                                 const auto report = wire::decode<peer_load::WorkReport>(bytes);
-                                 if (report) {
-                                   take_report(report.value());
-                                 }
-                               }));
+  BOOST_OUTCOME_TRY(
+      peers,
+      peer_load::DatagramSocket::bind(loop_, settings_.peer_listen, [this](std::string_view bytes) {
+        const auto message = wire::decode<PeerMessage>(bytes);
+        if (message) {
+          std::visit([this](const auto& told) { take(told); }, message.value());
+        }
+      }));
   peers_ = std::move(peers);
+  watcher_.on_look([this](const discovery::ViewUpdate& update) { send_to_peers(update); });
   loads_.set_peers(&peer_work_);
   loads_.on_change([this](const gateway::BackendId& id) {
     const gateway::Backend* backend = fleet_.find(id);
@@ -123,7 +128,7 @@
   return outcome::success();
 }
 
-void GatewayNode::take_report(const peer_load::WorkReport& report) {
+void GatewayNode::take(const peer_load::WorkReport& report) {
   const MonotonicTime now = clock_.now();
   peer_work_.apply(report, now);
   for (const peer_load::EngineWork& work : report.engines) {
@@ -141,8 +146,8 @@
   }
 }
 
-void GatewayNode::send_to_peers(const peer_load::WorkReport& report) {
-  const std::string bytes = wire::encode(report);
+void GatewayNode::send_to_peers(const PeerMessage& message) {
+  const std::string bytes = wire::encode(message);
   for (const auto& [node, record] : nodes_.others()) {
     peers_->send(record.peer_address, bytes);
   }
@@ -215,7 +220,13 @@
   counter("streams_resumed", "Streams taken up at another back end", counts.resumed);
   counter("store_looks", "Looks at the store", watcher_.statistics().looks);
   counter("store_looks_failed", "Looks that failed", watcher_.statistics().failed_looks);
-  counter("store_values_rejected", "Values not understood", watcher_.statistics().rejected_values);
+  counter("view_updates_taken", "Looks of other nodes taken over",
+          watcher_.statistics().updates_taken);
+  counter("view_updates_passed", "Looks of other nodes that could not be joined",
+          watcher_.statistics().updates_passed);
+  counter("view_updates_differed", "Looks of other nodes that showed a listing to be needed",
+          watcher_.statistics().updates_differed);
+  counter("store_values_rejected", "Values not understood", watcher_.rejected_values());
   counter("backend_connections", "Connections opened", client_.statistics().connections_opened);
   sink.gauge({"requests_running", "Requests running"}, static_cast<double>(gateway_.running()));
   sink.gauge({"backends", "Back ends known"}, static_cast<double>(fleet_.backends().size()));
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -11,6 +11,7 @@
 #include "gateway/cache_survey.h"
 #include "gateway/gateway.h"
 #include "gateway_node/adapter.h"
+#include "gateway_node/peer_message.h"
 #include "gateway_node/settings.h"
 #include "gateway_node/stop_sequence.h"
 #include "http/client.h"
@@ -40,8 +41,9 @@
 
  private:
   Result<void, http::HttpError> listen_to_peers();
-  void take_report(const peer_load::WorkReport& report);
-  void send_to_peers(const peer_load::WorkReport& report);
+  void take(const peer_load::WorkReport& report);
+  void take(const discovery::ViewUpdate& update) { watcher_.take_update(update); }
+  void send_to_peers(const PeerMessage& message);
   void add_metrics(metrics::SampleSink& sink) const;
   void fetch_body(http::ClientRequest request, std::function<void(std::string body)> done);
   void apply_limits();
--- /dev/null
+++ b/src/gateway_node/peer_message.h
@@ -0,0 +1,14 @@
+// Datagrams between gateway nodes.
+#pragma once
+
+#include <variant>
+
+#include "discovery/view_update.h"
+#include "peer_load/types.h"
+
+namespace ochrespring::gateway_node {
+
+/// Each stands for itself: it may be lost, doubled or late.
+using PeerMessage = std::variant<peer_load::WorkReport, discovery::ViewUpdate>;
+
+}  // namespace ochrespring::gateway_node
--- a/src/gateway_node/settings.cc
+++ b/src/gateway_node/settings.cc
@@ -110,6 +110,11 @@
        }},
       {"node-lease-ms", "Life of this node's registration without renewal", kMillisecondRule,
        "3000", false, store_milliseconds(&Settings::node_lease)},
+      {"drain-bound-ms", "Time from the store's word that a back end drains to its last request",
+       kMillisecondRule, "2000", false, store_milliseconds(&Settings::drain_bound)},
+      {"configuration-bound-ms",
+       "Time from the store's word of a configuration to its being in force", kMillisecondRule,
+       "2000", false, store_milliseconds(&Settings::configuration_bound)},
       {"log-level", "Least level of log lines", settings::kLevelRule, "info", false,
        [](const std::string& text, Settings& target) {
          return settings::read_level(text, target.log_level);
--- a/src/gateway_node/settings.h
+++ b/src/gateway_node/settings.h
@@ -24,6 +24,10 @@
   Endpoint store;             ///< The store all nodes share.
   gateway::RetryBudgetSettings retry_budget;
   Duration stop_grace{std::chrono::seconds(8)};  ///< From the stop signal to the end by force.
+  /// A back end that drains gets nothing new after this time.
+  Duration drain_bound{std::chrono::milliseconds(2000)};
+  /// A configuration is in force after this time.
+  Duration configuration_bound{std::chrono::milliseconds(2000)};
   Duration node_lease{std::chrono::seconds(3)};
   logging::Level log_level = logging::Level::kInfo;
   std::string file;  ///< The settings file, empty if none was given.
--- a/src/peer_load/datagram_socket.cc
+++ b/src/peer_load/datagram_socket.cc
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::size_t kLargestDatagram = 2048;
+constexpr std::size_t kLargestDatagram = 8192;
 /// Datagrams taken in one turn of the loop.
 constexpr int kDatagramsPerTurn = 64;
 
