gateway: a back end whose address another one has taken is left alone

Ruled out: wrong role (421 named 'misdirected' at both). Change: 421 sets the back end aside for 6 s and is told to the others like silence; a handle it did not take is offered to the next. Two tests failed before.

--- a/src/gateway/load_table.cc
+++ b/src/gateway/load_table.cc
@@ -20,6 +20,8 @@
 constexpr double kPriorAttempts = 2;
 constexpr Duration kFirstEjection = milliseconds(1000);
 constexpr std::uint32_t kMostDoublings = 2;
+/// The store names a back end that has ended for some heartbeats more.
+constexpr Duration kUntilForgotten = seconds(6);
 /// An answer this recent speaks against what another node tells.
 constexpr Duration kRecentAnswer = milliseconds(500);
 /// How long a prompt part is believed to stay cached after its last use.
@@ -79,6 +81,9 @@
       failures_ += 1;
       note_silence(now);
       break;
+    case AttemptVerdict::kReplaced:
+      ejected_until_ = now + kUntilForgotten;
+      break;
     case AttemptVerdict::kRefused:
     case AttemptVerdict::kAbandoned:
       break;
@@ -187,7 +192,8 @@
   }
   load->end(verdict, now);
   changed(id);
-  if (verdict == AttemptVerdict::kUnreachable && silent_) {
+  const bool gone = verdict == AttemptVerdict::kUnreachable || verdict == AttemptVerdict::kReplaced;
+  if (gone && silent_) {
     silent_(id);
   }
 }
--- a/src/gateway/load_table.h
+++ b/src/gateway/load_table.h
@@ -34,6 +34,7 @@
   kRefused,      ///< Said itself that it did not run the request.
   kFailed,       ///< Broke off, answered garbage or with a failure, or was silent for too long.
   kUnreachable,  ///< No connection.
+  kReplaced,     ///< Another back end answers at its address: it has ended.
   kAbandoned,    ///< Ended by us or the caller; tells nothing.
 };
 
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -200,7 +200,7 @@
     cache_ = CacheHandle{backend->address, *handle};
   }
   log_attempt(handle ? "prefill done" : "prefill refused", handle.value_or(""));
-  end_attempt(handle ? AttemptVerdict::kGood : AttemptVerdict::kFailed);
+  end_attempt(handle ? AttemptVerdict::kGood : verdict_of_failed_prefill());
   if (!handle && !spend_repeat()) {
     give_up(FailureReason::kRefused);
     return;
@@ -208,6 +208,11 @@
   dispatch();
 }
 
+AttemptVerdict RequestSession::verdict_of_failed_prefill() const {
+  const bool replaced = attempt_->head && attempt_->head->status == kMisdirected;
+  return replaced ? AttemptVerdict::kReplaced : AttemptVerdict::kFailed;
+}
+
 /// Frees a cache that nobody will take.
 void RequestSession::release_cache() {
   if (!cache_) {
@@ -228,7 +233,7 @@
       !http::find_header(head.headers, names.not_run).empty() || head.status == kMisdirected;
   if (not_run) {
     log_attempt("attempt refused", std::to_string(head.status));
-    end_attempt(AttemptVerdict::kRefused);
+    end_attempt(head.status == kMisdirected ? AttemptVerdict::kReplaced : AttemptVerdict::kRefused);
     retry_or_give_up(FailureReason::kRefused);
     return;
   }
@@ -383,7 +388,8 @@
   environment_.loads.end(attempt_->backend, verdict, environment_.clock.now());
   if (attempt_->uses_cache && verdict == AttemptVerdict::kRefused) {
     release_cache();
-  } else if (attempt_->uses_cache && verdict != AttemptVerdict::kUnreachable) {
+  } else if (attempt_->uses_cache && verdict != AttemptVerdict::kUnreachable &&
+             verdict != AttemptVerdict::kReplaced) {
     // Taken: a handle serves once.
     cache_.reset();
   }
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -47,6 +47,7 @@
   BackendCall make_call(const Backend& backend) const;
   std::size_t connection_share() const;
   void end_prefill(bool refused);
+  AttemptVerdict verdict_of_failed_prefill() const;
   void release_cache();
   bool may_send_again();
   bool spend_repeat();
--- a/src/gateway/tests/request_session_test.cc
+++ b/src/gateway/tests/request_session_test.cc
@@ -335,6 +335,31 @@
   }
 }
 
+TEST_CASE("a back end whose address another one has taken gets no more requests") {
+  GatewayFixture world;
+  world.add_backend("r1", "relay");
+  world.add_backend("r2", "relay");
+  world.send("/once/x");
+  const std::string replaced = world.last().request.endpoint.value();
+  world.last().answer(421, {}, "");
+  for (int i = 0; i != 6; ++i) {
+    world.advance(std::chrono::milliseconds(500));
+    world.send("/once/x");
+    CHECK(world.last().request.endpoint.value() != replaced);
+    world.last().answer(200, {world.signature()}, "");
+  }
+}
+
+TEST_CASE("an engine that was replaced is left alone after a prefill, too") {
+  GatewayFixture world;
+  world.add_backend("p1", "llm", EngineRole::kPrefill);
+  world.add_backend("d1", "llm", EngineRole::kDecode);
+  world.send("/stream/x", kLongPrompt);
+  REQUIRE(world.last().request.endpoint.value() == "p1:1");
+  world.last().answer(421, {}, "");
+  CHECK(world.loads.of(BackendId("p1")).ejected(world.time.now()));
+}
+
 TEST_CASE("a deadline beyond all measure is the route's time, and one that is no number too") {
   GatewayFixture world;
   world.add_backend("b1", "relay");
