--- a/src/gateway/backend_transport.h
+++ b/src/gateway/backend_transport.h
@@ -14,6 +14,8 @@
   /// Starts an exchange; nothing is reported inside the call. `observer` outlives the result.
   virtual std::unique_ptr<http::Exchange> start(http::ClientRequest request,
                                                 http::ResponseObserver& observer) = 0;
+  /// Whether an exchange with the endpoint would need no new connection.
+  virtual bool has_idle_connection(const Endpoint& endpoint) const = 0;
   /// Starts a call whose outcome nobody waits for.
   virtual void send_and_forget(http::ClientRequest request) = 0;
 };
@@ -26,6 +28,9 @@
                                         http::ResponseObserver& observer) override {
     return client_.start(std::move(request), observer);
   }
+  bool has_idle_connection(const Endpoint& endpoint) const override {
+    return client_.has_idle_connection(endpoint);
+  }
   void send_and_forget(http::ClientRequest request) override {
     client_.fetch(std::move(request), [](const auto&) {});
   }
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -30,6 +30,10 @@
 /// Cost in tokens of a fetch, and of one token fetched.
 constexpr double kFetchTokens = 600;
 constexpr double kFetchTokenCost = 0.4;
+/// Cost in tokens of a new connection.
+constexpr double kNewConnectionTokens = 300;
+/// How much more a transfer between zones costs.
+constexpr double kOtherZoneTransfer = 2;
 /// What reading a shared part anew costs besides its time, in parts of its tokens: the engine's
 /// pace and memory are gone for others.
 constexpr double kExtraColdCost = 1.5;
@@ -58,6 +62,10 @@
   return tokens == 0 ? 0 : kFetchTokens + kFetchTokenCost * static_cast<double>(tokens);
 }
 
+double connection_cost(const Backend& backend, const PlacementRequest& request) {
+  return request.connected && !request.connected(backend) ? kNewConnectionTokens : 0;
+}
+
 }  // namespace
 
 PlacementPlan Placement::choose(const PlacementRequest& request, MonotonicTime now) const {
@@ -74,21 +82,21 @@
   const Prompt& prompt = *request.prompt;
   const CacheSources sources(fleet_, loads_, request.service, prompt, now);
   const Backends runners = candidates(request, false, now);
-  const PromptView at_runners{prompt, sources, find_home(runners, prompt.shared_key())};
+  const PromptView at_runners{prompt, sources, request, find_home(runners, prompt.shared_key())};
   PlacementPlan direct;
   direct.runner = cheapest(runners, [&](const Backend& backend) {
-    return estimate_runner(backend, at_runners, false, now);
+    return estimate_runner(backend, at_runners, nullptr, now);
   });
   if (!request.may_read_apart || direct.runner.backend == nullptr) {
     return direct;
   }
   const Backends readers = candidates(request, true, now);
-  const PromptView at_readers{prompt, sources, find_home(readers, prompt.shared_key())};
+  const PromptView at_readers{prompt, sources, request, find_home(readers, prompt.shared_key())};
   PlacementPlan apart;
   apart.reader = cheapest(
       readers, [&](const Backend& backend) { return estimate_reader(backend, at_readers, now); });
   apart.runner = cheapest(runners, [&](const Backend& backend) {
-    return estimate_runner(backend, at_runners, true, now);
+    return estimate_runner(backend, at_runners, apart.reader.backend, now);
   });
   const bool quicker =
       apart.reader.backend != nullptr && apart.reader.cost + apart.runner.cost < direct.runner.cost;
@@ -126,14 +134,15 @@
 }
 
 PlacementChoice Placement::estimate_runner(const Backend& backend, const PromptView& view,
-                                           bool handed_over, MonotonicTime now) const {
+                                           const Backend* reader, MonotonicTime now) const {
   const BackendLoad& load = load_of(backend);
   const Work work = work_at(backend, now);
   const Reading reading = reading_at(backend, view, now);
   PlacementChoice choice;
-  if (handed_over) {
-    const auto transferred = static_cast<double>(reading.unread_tokens + reading.fetched_tokens);
-    choice.cost = kHandOverTokens + kTransferCost * transferred;
+  if (reader != nullptr) {
+    const double distance = reader->zone == backend.zone ? 1 : kOtherZoneTransfer;
+    choice.cost =
+        kHandOverTokens + distance * kTransferCost * static_cast<double>(view.prompt.tokens);
   } else {
     choice.unread_tokens = reading.unread_tokens;
     choice.cache_source = reading.cache_source;
@@ -142,7 +151,7 @@
                       (static_cast<double>(reading.unread_tokens) + work.unread_tokens) *
                       (1 + kHarmPerStream * work.requests);
   }
-  choice.cost += kTokensPerRunning * work.requests +
+  choice.cost += connection_cost(backend, view.request) + kTokensPerRunning * work.requests +
                  kTokensPerWaiting * load.reported_waiting(now) +
                  kTokensPerFailure * load.failure_share(now);
   return choice;
@@ -156,9 +165,9 @@
   choice.unread_tokens = reading.unread_tokens;
   choice.cache_source = reading.cache_source;
   const double missing = static_cast<double>(choice.unread_tokens - view.prompt.own_tokens());
-  choice.cost = fetch_cost(reading.fetched_tokens) + static_cast<double>(choice.unread_tokens) +
-                kExtraColdCost * missing + work_at(backend, now).unread_tokens +
-                kTokensPerFailure * load.failure_share(now);
+  choice.cost = connection_cost(backend, view.request) + fetch_cost(reading.fetched_tokens) +
+                static_cast<double>(choice.unread_tokens) + kExtraColdCost * missing +
+                work_at(backend, now).unread_tokens + kTokensPerFailure * load.failure_share(now);
   return choice;
 }
 
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -23,6 +24,8 @@
   const Prompt* prompt = nullptr;  ///< Null: an ordinary request.
   bool may_read_apart = true;      ///< Whether a prefill engine may read the prompt first.
   std::set<BackendId> avoid;       ///< Already tried.
+  /// Whether a back end is reached without a new connection; null: all are.
+  std::function<bool(const Backend&)> connected;
 };
 
 /// One back end and what spoke for it, for the log.
@@ -57,11 +60,13 @@
   struct PromptView {
     const Prompt& prompt;
     const CacheSources& sources;
+    const PlacementRequest& request;
     const Backend* home = nullptr;
   };
-  /// Cost of reading the prompt where it then runs, or, with `handed_over`, of running it only.
-  PlacementChoice estimate_runner(const Backend& backend, const PromptView& view, bool handed_over,
-                                  MonotonicTime now) const;
+  /// Cost of reading the prompt where it then runs, or, with a reader, of taking over its cache and
+  /// running it only.
+  PlacementChoice estimate_runner(const Backend& backend, const PromptView& view,
+                                  const Backend* reader, MonotonicTime now) const;
   PlacementChoice estimate_reader(const Backend& backend, const PromptView& view,
                                   MonotonicTime now) const;
   PlacementChoice estimate_ordinary(const Backend& backend, MonotonicTime now) const;
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -98,6 +98,9 @@
   wanted.prompt = prompt_ ? &*prompt_ : nullptr;
   wanted.may_read_apart = !read_apart_;
   wanted.avoid = tried_;
+  wanted.connected = [this](const Backend& backend) {
+    return environment_.transport.has_idle_connection(backend.address);
+  };
   const PlacementPlan plan = environment_.placement.choose(wanted, now);
   if (plan.runner.backend == nullptr) {
     give_up(FailureReason::kNoBackend);
--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -51,12 +52,16 @@
     started.back()->observer = &observer;
     return std::make_unique<Handle>(started.back());
   }
+  bool has_idle_connection(const Endpoint& endpoint) const override {
+    return connected.contains(endpoint.value());
+  }
   void send_and_forget(http::ClientRequest request) override {
     forgotten.push_back(std::move(request));
   }
 
   std::deque<std::shared_ptr<PlayedExchange>> started;
   std::vector<http::ClientRequest> forgotten;
+  std::set<std::string> connected;  ///< Endpoints with an idle connection.
 
  private:
   class Handle final : public http::Exchange {
--- a/src/gateway/tests/policies_test.cc
+++ b/src/gateway/tests/policies_test.cc
@@ -310,6 +310,46 @@
   CHECK(plan.runner.unread_tokens == 500);
 }
 
+TEST_CASE("of engines alike, one that is connected already is taken") {
+  FleetState fleet;
+  for (const char* id : {"a", "b", "c", "d"}) {
+    fleet.put(make_engine(id, EngineRole::kDecode));
+  }
+  const Prompt prompt = parse_prompt("own:1000", "1000,10");
+  PlacementRequest request;
+  request.service = ServiceName("llm");
+  request.prompt = &prompt;
+  request.connected = [](const Backend& backend) { return backend.id.value() == "c"; };
+  SeededRandom random(1);
+  LoadTable loads;
+  const Placement placement(fleet, loads, random, ZoneName("z"));
+  CHECK(placement.choose(request, {}).runner.backend->id.value() == "c");
+  loads.of(BackendId("c")).begin(5'000);
+  CHECK(placement.choose(request, {}).runner.backend->id.value() != "c");
+}
+
+TEST_CASE("a prompt is run in the zone of the engine that read it") {
+  FleetState fleet;
+  for (const char* id : {"p", "d-near", "d-far"}) {
+    Backend engine = make_engine(id, *id == 'p' ? EngineRole::kPrefill : EngineRole::kDecode);
+    engine.zone = ZoneName(id == std::string("d-far") ? "other" : "own");
+    fleet.put(engine);
+  }
+  const Prompt prompt = parse_prompt("k1:9000,own:9000", "18000,10");
+  PlacementRequest request;
+  request.service = ServiceName("llm");
+  request.prompt = &prompt;
+  LoadTable loads;
+  loads.of(BackendId("d-near")).begin(0);
+  for (std::uint64_t seed = 0; seed != 20; ++seed) {
+    SeededRandom random(seed);
+    const Placement placement(fleet, loads, random, ZoneName("other"));
+    const PlacementPlan plan = placement.choose(request, {});
+    REQUIRE(plan.reader.backend != nullptr);
+    CHECK(plan.runner.backend->id.value() == "d-near");
+  }
+}
+
 TEST_CASE("a cold back end is spared while warm ones are as idle") {
   FleetState fleet;
   for (const char* id : {"a", "b"}) {
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -111,6 +111,10 @@
   fetch->own(start(std::move(request), *fetch));
 }
 
+bool Client::has_idle_connection(const Endpoint& endpoint) const {
+  return state_->pool.has(endpoint.value());
+}
+
 void Client::forget(const Endpoint& endpoint) {
   state_->pool.forget(endpoint.value());
 }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -85,6 +85,7 @@
              std::uint64_t largest_body_bytes = 8U << 20U);
   /// Closes the idle connections to an endpoint.
   void forget(const Endpoint& endpoint);
+  bool has_idle_connection(const Endpoint& endpoint) const;
   const ClientStatistics& statistics() const;
 
  private:
--- a/src/http/connection_pool.cc
+++ b/src/http/connection_pool.cc
@@ -38,6 +38,11 @@
   return nullptr;
 }
 
+bool ConnectionPool::has(const std::string& endpoint) const {
+  const auto found = idle_.find(endpoint);
+  return found != idle_.end() && !found->second.empty();
+}
+
 void ConnectionPool::put(const std::string& endpoint, std::unique_ptr<ClientConnection> connection,
                          Duration keep, std::size_t most) {
   auto& kept = idle_[endpoint];
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -22,6 +22,7 @@
   /// Keeps a connection for `keep`, or closes it if `most` are kept already.
   void put(const std::string& endpoint, std::unique_ptr<ClientConnection> connection, Duration keep,
            std::size_t most);
+  bool has(const std::string& endpoint) const;
   void forget(const std::string& endpoint) { idle_.erase(endpoint); }
 
  private:
