discovery: a view that is fresh enough for the bound tells what the configuration lacks

Since looks are shared the view is never older than 0.72 of the bound within which a configuration has to be in force, so a route it lacks is not yet owed. Ruled out as a danger: a store that does not answer (the view ages past 0.75 of the bound, the look fails, the answer is 503).

--- a/src/discovery/fleet_watcher.cc
+++ b/src/discovery/fleet_watcher.cc
@@ -14,12 +14,15 @@
 /// Parts of the bound: when a node looks at the earliest, and how much later at the latest.
 constexpr double kPeriodPart = 0.5;
 constexpr double kSpreadPart = 0.22;
+/// A view this old still tells what a configuration lacks: a newer one need not be in force yet.
+constexpr double kFreshPart = 0.75;
 
 }  // namespace
 
 FleetWatcherSettings settings_within(Duration bound) {
   FleetWatcherSettings settings;
   settings.period = from_seconds(kPeriodPart * to_seconds(bound));
+  settings.fresh_enough = from_seconds(kFreshPart * to_seconds(bound));
   settings.spread = from_seconds(kSpreadPart * to_seconds(bound));
   return settings;
 }
--- a/src/discovery/tests/shared_looks_test.cc
+++ b/src/discovery/tests/shared_looks_test.cc
@@ -269,6 +269,15 @@
   }
 }
 
+TEST_CASE("times within a bound leave room for a slow answer and a second try") {
+  for (const Duration bound : {Duration(2s), Duration(3s), Duration(18s)}) {
+    const FleetWatcherSettings settings = settings_within(bound);
+    CHECK(settings.period + settings.spread + settings.retry < bound * 9 / 10);
+    CHECK(settings.fresh_enough >= settings.period + settings.spread);
+    CHECK(settings.fresh_enough < bound * 8 / 10);
+  }
+}
+
 TEST_CASE("a look tells the others what it found") {
   SharingFixture world;
   std::vector<ViewUpdate> told;
