gateway: nodes that start together share the survey of caches; one that starts alone asks peers

Ruled out: the connect time-outs of clients alone (they stay: p50 747 ms). Change: each engine is asked by the node that rendezvous hashing names, which announces what it keeps; a node that starts also asks three others, who answer with what they believe. Reports are cut to fit a datagram.

--- a/src/gateway/cache_survey.cc
+++ b/src/gateway/cache_survey.cc
@@ -1,5 +1,6 @@
 #include "gateway/cache_survey.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/hash.h"
@@ -10,19 +11,28 @@
 
 constexpr Duration kTimeout = std::chrono::milliseconds(800);
 
+/// The node that all nodes take to ask this engine. `nodes` is not empty.
+const NodeId& falls_to(const BackendId& engine, const std::vector<NodeId>& nodes) {
+  return *std::max_element(nodes.begin(), nodes.end(),
+                           [&](const NodeId& left, const NodeId& right) {
+                             return rendezvous_weight(engine.value(), left.value()) <
+                                    rendezvous_weight(engine.value(), right.value());
+                           });
+}
+
 }  // namespace
 
 CacheSurvey::CacheSurvey(const Clock& clock, const EngineCalls& engines, const FleetState& fleet,
                          LoadTable& loads, Fetch fetch)
     : clock_(clock), engines_(engines), fleet_(fleet), loads_(loads), fetch_(std::move(fetch)) {}
 
-void CacheSurvey::begin() {
+void CacheSurvey::begin(const NodeId& self, const std::vector<NodeId>& nodes) {
   if (begun_ || fleet_.backends().empty()) {
     return;
   }
   begun_ = true;
   for (const auto& [id, backend] : fleet_.backends()) {
-    if (backend.role != EngineRole::kNone && !backend.draining) {
+    if (backend.role != EngineRole::kNone && !backend.draining && falls_to(id, nodes) == self) {
       ask(backend);
     }
   }
@@ -37,10 +47,11 @@
     if (fleet_.find(id) == nullptr) {
       return;
     }
-    const MonotonicTime now = clock_.now();
+    std::vector<std::uint64_t> keys;
     for (const std::string& part : engines_.read_cached_parts(body)) {
-      loads_.of(id).note_cached(stable_hash(part), now);
+      keys.push_back(stable_hash(part));
     }
+    loads_.note_parts(id, keys, clock_.now());
   });
 }
 
--- a/src/gateway/cache_survey.h
+++ b/src/gateway/cache_survey.h
@@ -12,7 +12,9 @@
 
 namespace ochrespring::gateway {
 
-/// One loop. Each engine is asked once; one that does not answer is left out.
+/// One loop. Each engine is asked once; one that does not answer is left out. Nodes that start
+/// together share the work: each asks its part of the engines and announces what they keep, since a
+/// list holds up the engine's work.
 class CacheSurvey {
  public:
   using Fetch = std::function<void(http::ClientRequest, std::function<void(std::string body)>)>;
@@ -20,8 +22,9 @@
   CacheSurvey(const Clock& clock, const EngineCalls& engines, const FleetState& fleet,
               LoadTable& loads, Fetch fetch);
 
-  /// Asks the engines that are known now; further calls do nothing.
-  void begin();
+  /// Asks those of the engines known now that fall to `self` among all `nodes`, this one included;
+  /// further calls do nothing.
+  void begin(const NodeId& self, const std::vector<NodeId>& nodes);
 
  private:
   void ask(const Backend& engine);
--- a/src/gateway/load_table.cc
+++ b/src/gateway/load_table.cc
@@ -150,6 +150,16 @@
   return found != cached_.end() && now - found->second.last_used < kCacheBelief;
 }
 
+std::vector<std::uint64_t> BackendLoad::held_parts(MonotonicTime now) const {
+  std::vector<std::uint64_t> keys;
+  for (const auto& [key, part] : cached_) {
+    if (now - part.last_used < kCacheBelief) {
+      keys.push_back(key);
+    }
+  }
+  return keys;
+}
+
 std::optional<MonotonicTime> BackendLoad::ready_part(std::uint64_t part_key,
                                                      MonotonicTime now) const {
   const auto found = cached_.find(part_key);
@@ -165,7 +175,14 @@
   std::vector<std::uint64_t> keys;
   for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
     keys.push_back(prompt.parts[i].key);
-    of(id).note_cached(keys.back(), now);
+  }
+  note_parts(id, keys, now);
+}
+
+void LoadTable::note_parts(const BackendId& id, const std::vector<std::uint64_t>& keys,
+                           MonotonicTime now) {
+  for (const std::uint64_t key : keys) {
+    of(id).note_cached(key, now);
   }
   if (prompt_read_ && !keys.empty()) {
     prompt_read_(id, keys);
--- a/src/gateway/load_table.h
+++ b/src/gateway/load_table.h
@@ -69,6 +69,8 @@
   /// it still: others may fetch it there.
   std::optional<MonotonicTime> ready_part(std::uint64_t part_key, MonotonicTime now) const;
 
+  /// All that `holds` now.
+  std::vector<std::uint64_t> held_parts(MonotonicTime now) const;
   std::size_t cached_parts() const { return cached_.size(); }
 
  private:
@@ -101,6 +103,7 @@
  public:
   BackendLoad& of(const BackendId& id) { return loads_[id]; }
   const BackendLoad* find(const BackendId& id) const;
+  const std::map<BackendId, BackendLoad>& all() const { return loads_; }
   void forget(const BackendId& id) { loads_.erase(id); }
 
   /// The same as of the back end's load, and told to whoever listens to changes. A back end that
@@ -116,7 +119,9 @@
 
   /// Remembers the parts of a prompt that a back end reads now.
   void note_prompt(const BackendId& id, const Prompt& prompt, MonotonicTime now);
-  /// Called with the shared parts of each prompt that a back end reads.
+  /// Remembers parts by their keys.
+  void note_parts(const BackendId& id, const std::vector<std::uint64_t>& keys, MonotonicTime now);
+  /// Called with the parts that a back end reads or turns out to keep.
   void on_prompt(
       std::function<void(const BackendId&, const std::vector<std::uint64_t>&)> callback) {
     prompt_read_ = std::move(callback);
--- a/src/gateway/tests/policies_test.cc
+++ b/src/gateway/tests/policies_test.cc
@@ -237,7 +237,7 @@
                        asked.push_back(std::move(request));
                        done(second ? "k1" : "");
                      });
-  survey.begin();
+  survey.begin(NodeId("n1"), {NodeId("n1")});
   CHECK(asked.empty());
   for (const char* id : {"a", "b", "c"}) {
     Backend engine = make_engine(id, EngineRole::kDecode);
@@ -246,8 +246,8 @@
   }
   Backend ordinary = make_engine("o", EngineRole::kNone);
   fleet.put(ordinary);
-  survey.begin();
-  survey.begin();
+  survey.begin(NodeId("n1"), {NodeId("n1")});
+  survey.begin(NodeId("n1"), {NodeId("n1")});
   CHECK(asked.size() == 3);
   CHECK(loads.of(BackendId("b")).holds(stable_hash("k1"), time.now()));
   CHECK_FALSE(loads.of(BackendId("a")).holds(stable_hash("k1"), time.now()));
@@ -350,6 +350,35 @@
   }
 }
 
+TEST_CASE("nodes that start together ask each engine once, and announce what it keeps") {
+  simulation::VirtualTime time;
+  FleetState fleet;
+  for (int i = 0; i != 40; ++i) {
+    fleet.put(make_engine("e" + std::to_string(i), EngineRole::kDecode));
+  }
+  gateway::testing::PlayedEngineCalls engines;
+  const std::vector<NodeId> nodes{NodeId("n1"), NodeId("n2"), NodeId("n3")};
+  std::size_t asked = 0;
+  std::size_t announced = 0;
+  for (const NodeId& node : nodes) {
+    LoadTable loads;
+    loads.on_prompt([&](const BackendId&, const std::vector<std::uint64_t>& keys) {
+      announced += keys.size();
+    });
+    std::size_t asked_by_node = 0;
+    CacheSurvey survey(time, engines, fleet, loads,
+                       [&](const http::ClientRequest&, const auto& done) {
+                         ++asked_by_node;
+                         done("k1");
+                       });
+    survey.begin(node, nodes);
+    CHECK(asked_by_node > 0);
+    asked += asked_by_node;
+  }
+  CHECK(asked == 40);
+  CHECK(announced == 40);
+}
+
 TEST_CASE("a cold back end is spared while warm ones are as idle") {
   FleetState fleet;
   for (const char* id : {"a", "b"}) {
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -15,6 +15,8 @@
 /// Kept back from the grace, so that the process ends by itself.
 constexpr Duration kGraceMargin = milliseconds(500);
 /// The server closes later than callers do, so that a request seldom crosses the close.
+/// How many others a node that starts asks what engines keep; any of them may be starting, too.
+constexpr std::size_t kPeersAsked = 3;
 constexpr Duration kIdleMargin = std::chrono::seconds(2);
 
 http::ServerSettings server_at(const Endpoint& endpoint) {
@@ -30,6 +32,7 @@
                          Adapter adapter)
     : loop_(loop),
       clock_(clock),
+      random_(random),
       logger_(logger),
       settings_(std::move(settings)),
       adapter_(std::move(adapter)),
@@ -91,7 +94,7 @@
   });
   watcher_.on_current([this] {
     apply_limits();
-    survey_.begin();
+    learn_cached_parts();
   });
   gateway_.on_idle([this] { stop_.on_idle(); });
   watcher_.start();
@@ -146,6 +149,32 @@
   }
 }
 
+void GatewayNode::take(const peer_load::PartsRequest& request) {
+  announcer_.tell_all(clock_.now(), [&](const peer_load::WorkReport& report) {
+    peers_->send(request.reply_to, wire::encode(PeerMessage(report)));
+  });
+}
+
+void GatewayNode::learn_cached_parts() {
+  std::vector<NodeId> nodes{settings_.node};
+  std::vector<Endpoint> peers;
+  for (const auto& [node, record] : nodes_.others()) {
+    nodes.push_back(node);
+    peers.push_back(record.peer_address);
+  }
+  survey_.begin(settings_.node, nodes);
+  if (std::exchange(asked_peers_, true)) {
+    return;
+  }
+  const std::string request =
+      wire::encode(PeerMessage(peer_load::PartsRequest{settings_.peer_listen}));
+  for (std::size_t asked = 0; asked != kPeersAsked && !peers.empty(); ++asked) {
+    const std::size_t chosen = random_.below(peers.size());
+    peers_->send(peers[chosen], request);
+    peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(chosen));
+  }
+}
+
 void GatewayNode::send_to_peers(const PeerMessage& message) {
   const std::string bytes = wire::encode(message);
   for (const auto& [node, record] : nodes_.others()) {
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -43,7 +43,10 @@
   Result<void, http::HttpError> listen_to_peers();
   void take(const peer_load::WorkReport& report);
   void take(const discovery::ViewUpdate& update) { watcher_.take_update(update); }
+  void take(const peer_load::PartsRequest& request);
   void send_to_peers(const PeerMessage& message);
+  /// Once, when this node first knows the fleet: learns what engines keep.
+  void learn_cached_parts();
   void add_metrics(metrics::SampleSink& sink) const;
   void fetch_body(http::ClientRequest request, std::function<void(std::string body)> done);
   void apply_limits();
@@ -52,6 +55,7 @@
 
   http::EventLoop& loop_;
   const Clock& clock_;
+  RandomSource& random_;
   logging::Logger& logger_;
   Settings settings_;
   Adapter adapter_;
@@ -71,6 +75,7 @@
   peer_load::WorkAnnouncer announcer_;
   std::unique_ptr<peer_load::DatagramSocket> peers_;
   gateway::CacheSurvey survey_;
+  bool asked_peers_ = false;
   gateway::Gateway gateway_;
   http::Server callers_;
   http::Server ready_;
--- a/src/gateway_node/peer_message.h
+++ b/src/gateway_node/peer_message.h
@@ -9,6 +9,7 @@
 namespace ochrespring::gateway_node {
 
 /// Each stands for itself: it may be lost, doubled or late.
-using PeerMessage = std::variant<peer_load::WorkReport, discovery::ViewUpdate>;
+using PeerMessage =
+    std::variant<peer_load::WorkReport, discovery::ViewUpdate, peer_load::PartsRequest>;
 
 }  // namespace ochrespring::gateway_node
--- a/src/peer_load/tests/peer_load_test.cc
+++ b/src/peer_load/tests/peer_load_test.cc
@@ -2,6 +2,9 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <map>
+#include <set>
+
 #include "peer_load/datagram_socket.h"
 #include "peer_load/peer_work.h"
 #include "peer_load/work_announcer.h"
@@ -86,6 +89,38 @@
   CHECK_FALSE(sent[1].engines[0].silent);
 }
 
+TEST_CASE("a node that starts is told all parts, in datagrams that others can take") {
+  simulation::VirtualTime time;
+  gateway::LoadTable loads;
+  WorkAnnouncer announcer(time, loads, NodeId("a"), 7, [](const WorkReport&) {});
+  for (const char* engine : {"e1", "e2", "e3"}) {
+    std::vector<std::uint64_t> keys;
+    for (std::uint64_t key = 0; key != 700; ++key) {
+      keys.push_back(~key);
+    }
+    loads.note_parts(BackendId(engine), keys, time.now());
+  }
+  loads.begin(BackendId("e2"), 40);
+  std::map<BackendId, std::set<std::uint64_t>> told;
+  std::uint64_t sequence = 0;
+  announcer.tell_all(time.now() + 1s, [&](const WorkReport& report) {
+    CHECK(wire::encode(report).size() < 8192);
+    CHECK(report.sequence > sequence);
+    sequence = report.sequence;
+    for (const EngineWork& work : report.engines) {
+      told[work.engine].insert(work.parts_read.begin(), work.parts_read.end());
+      CHECK(work.requests == (work.engine == BackendId("e2") ? 1 : 0));
+    }
+  });
+  REQUIRE(told.size() == 3);
+  for (const auto& [engine, keys] : told) {
+    CHECK(keys.size() == 700);
+  }
+  std::size_t late = 0;
+  announcer.tell_all(time.now() + 60s, [&](const WorkReport&) { ++late; });
+  CHECK(late == 0);
+}
+
 TEST_CASE("reports survive their encoding, and arbitrary bytes are refused") {
   const WorkReport report = make_report("a", 3, 2, 100);
   const auto read = wire::decode<WorkReport>(wire::encode(report));
--- a/src/peer_load/types.h
+++ b/src/peer_load/types.h
@@ -29,6 +29,17 @@
   }
 };
 
+/// A node that has just started asks what the others believe engines to keep. They answer with
+/// reports.
+struct PartsRequest {
+  Endpoint reply_to;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& reply_to;
+  }
+};
+
 /// One datagram.
 struct WorkReport {
   NodeId node;
--- a/src/peer_load/work_announcer.h
+++ b/src/peer_load/work_announcer.h
@@ -27,17 +27,27 @@
   void note_silence(const gateway::BackendId& backend);
   /// An engine reads shared prompt parts; told with the next report on it.
   void note_parts(const gateway::BackendId& engine, const std::vector<std::uint64_t>& keys);
+  /// Everything this node believes engines to keep, for a node that has just started.
+  void tell_all(MonotonicTime now, const Send& send);
 
  private:
   static constexpr Duration kGather{std::chrono::milliseconds(1)};
   static constexpr Duration kRepeat{std::chrono::milliseconds(1000)};
 
+  /// A report with this many parts fits into a datagram.
+  static constexpr std::size_t kMostParts = 500;
+
   void announce();
+  /// Adds to the report; what is too much for one goes out before.
+  void append(EngineWork work, const Send& send);
+  void flush(const Send& send);
+  EngineWork work_at(const gateway::BackendId& engine) const;
   void repeat();
 
   const gateway::LoadTable& loads_;
   Send send_;
   WorkReport report_;  ///< Engines are filled in for each datagram.
+  std::size_t parts_in_report_ = 0;
   std::set<gateway::BackendId> changed_;
   std::set<gateway::BackendId> busy_;
   std::set<gateway::BackendId> silent_;
