discovery: a node that starts while the store is out takes a peer's view

Ruled out: keeping it on the machine (nothing outlasts a process); datagrams (a configuration is up to 1 MB). Change: nodes serve their view (revision, document, back ends, nodes) at an address of their own; a node without a view asks the seeds of its settings in turn, each 250 ms, from 250 ms after its start until the store answers.

--- a/src/discovery/fleet_watcher.cc
+++ b/src/discovery/fleet_watcher.cc
@@ -33,10 +33,12 @@
       settings_(settings),
       fleet_(fleet),
       writer_(world.clock, world.codec, world.logger, fleet, nodes),
-      timer_(world.timers) {}
+      timer_(world.timers),
+      peer_timer_(world.timers) {}
 
 void FleetWatcher::start() {
   look();
+  ask_peer_later();
 }
 
 void FleetWatcher::refresh(std::function<void(bool current)> done) {
@@ -142,6 +144,31 @@
   }
 }
 
+void FleetWatcher::ask_peer_later() {
+  peer_timer_.arm(settings_.peer_patience, [this] { ask_peer(); });
+}
+
+void FleetWatcher::ask_peer() {
+  if (writer_.seen() || !ask_peer_) {
+    return;
+  }
+  ask_peer_([this](const std::optional<ViewSnapshot>& snapshot) {
+    if (!snapshot || !writer_.take_snapshot(*snapshot)) {
+      ask_peer_later();
+      return;
+    }
+    ++statistics_.snapshots_taken;
+    world_.logger.write(
+        {logging::Level::kWarning,
+         kComponent,
+         "view taken from a peer",
+         {{"revision", snapshot->through.value()},
+          {"age_milliseconds",
+           std::chrono::duration_cast<std::chrono::milliseconds>(snapshot->age).count()}}});
+    note_current(world_.clock.now() - snapshot->age);
+  });
+}
+
 Duration FleetWatcher::random_part_of(Duration whole) {
   return from_seconds(to_seconds(whole) * world_.random.unit());
 }
--- a/src/discovery/fleet_watcher.h
+++ b/src/discovery/fleet_watcher.h
@@ -11,6 +11,7 @@
 #include "base/timer.h"
 #include "discovery/fleet_codec.h"
 #include "discovery/node_directory.h"
+#include "discovery/view_snapshot.h"
 #include "discovery/view_update.h"
 #include "discovery/view_writer.h"
 #include "gateway/fleet_state.h"
@@ -23,6 +24,7 @@
   Duration period{std::chrono::milliseconds(1000)};  ///< Between two looks of any node, at least.
   Duration spread{std::chrono::milliseconds(450)};   ///< A node waits up to this much longer.
   Duration retry{std::chrono::milliseconds(300)};    ///< After a look that failed.
+  Duration peer_patience{std::chrono::milliseconds(250)};  ///< Before a peer is asked for a view.
   Duration relist_spread{std::chrono::milliseconds(200)};  ///< Before a listing out of turn.
   Duration fresh_enough{std::chrono::milliseconds(150)};   ///< Age at which refresh() asks again.
 };
@@ -37,6 +39,7 @@
   std::uint64_t listings = 0;
   std::uint64_t updates_taken = 0;     ///< Of other nodes, each instead of a look.
   std::uint64_t updates_passed = 0;    ///< Began after what this node had seen.
+  std::uint64_t snapshots_taken = 0;   ///< Views taken over whole from another node.
   std::uint64_t updates_differed = 0;  ///< Showed that a listing was needed.
 };
 
@@ -68,6 +71,13 @@
   void refresh(std::function<void(bool current)> done);
   /// Another node has looked.
   void take_update(const ViewUpdate& update);
+  using SnapshotCallback = std::function<void(std::optional<ViewSnapshot> snapshot)>;
+  /// Called now and then while this node has no view and the store is slow to give one: asks
+  /// another node for its own.
+  void on_lost_without_view(std::function<void(SnapshotCallback done)> callback) {
+    ask_peer_ = std::move(callback);
+  }
+  std::optional<ViewSnapshot> make_snapshot() const { return writer_.make_snapshot(); }
   /// Called with what this node's look found, for the others.
   void on_look(std::function<void(const ViewUpdate&)> callback) { share_ = std::move(callback); }
   /// Called after each look that succeeded, and each update taken.
@@ -83,6 +93,8 @@
   /// The view turned out to lack something.
   void list_again();
   Duration random_part_of(Duration whole);
+  void ask_peer_later();
+  void ask_peer();
   /// The view is known to be as the store was at `at`.
   void note_current(MonotonicTime at);
 
@@ -91,12 +103,14 @@
   gateway::FleetState& fleet_;
   ViewWriter writer_;
   Timer timer_;
+  Timer peer_timer_;
   MonotonicTime look_began_{};
   bool looking_ = false;
   std::optional<bool> connected_;  ///< How the last look ended; none before the first.
   std::vector<std::function<void(bool)>> waiting_;
   std::function<void()> current_;
   std::function<void(const ViewUpdate&)> share_;
+  std::function<void(SnapshotCallback)> ask_peer_;
   FleetWatcherStatistics statistics_;
 };
 
--- a/src/discovery/tests/shared_looks_test.cc
+++ b/src/discovery/tests/shared_looks_test.cc
@@ -26,6 +26,7 @@
 using shared_store::Change;
 using shared_store::Changes;
 using shared_store::Listing;
+using shared_store::StoreErrc;
 using shared_store::StoreRevision;
 
 namespace {
@@ -278,6 +279,56 @@
   }
 }
 
+TEST_CASE("a node that starts while the store is out serves with a peer's view") {
+  SharingFixture peer;
+  peer.watcher.take_update({.after = StoreRevision(10),
+                            .through = StoreRevision(12),
+                            .fingerprint = stable_hash(wire::encode(gateway::Backend{})),
+                            .changes = {make_backend_change("", 12)}});
+  const auto snapshot = wire::decode<ViewSnapshot>(wire::encode(*peer.watcher.make_snapshot()));
+  REQUIRE(snapshot);
+
+  simulation::VirtualTime time;
+  SeededRandom random{6};
+  PlayedStore store;
+  const PlainCodec codec;
+  logging::NullLogger logger;
+  gateway::FleetState fleet;
+  NodeDirectory nodes{time, {NodeId("new"), Endpoint(), ZoneName("a"), Endpoint()}};
+  FleetWatcher watcher{{time, time, random, store, codec, logger}, {}, fleet, nodes};
+  std::vector<FleetWatcher::SnapshotCallback> asked;
+  watcher.on_lost_without_view([&](auto done) { asked.push_back(std::move(done)); });
+  CHECK_FALSE(watcher.make_snapshot());
+  watcher.start();
+  time.run_until(time.now() + 200ms);
+  CHECK(asked.empty());
+  time.run_until(time.now() + 100ms);
+  REQUIRE(asked.size() == 1);
+  SUBCASE("a peer without a view is no help, another is asked later") {
+    asked[0](std::nullopt);
+    CHECK(fleet.routes() == nullptr);
+    time.run_until(time.now() + 300ms);
+    CHECK(asked.size() == 2);
+  }
+  SUBCASE("the view is taken, the store is looked at again, and changes continue from it") {
+    asked[0](snapshot.value());
+    REQUIRE(fleet.routes() != nullptr);
+    CHECK(fleet.routes()->configuration().version.value() == 3);
+    CHECK(fleet.backends().size() == 1);
+    take(store.lists)(fail(StoreErrc::kNotDone, "down"));
+    time.run_until(time.now() + 1500ms);
+    REQUIRE(store.changes_calls.size() == 1);
+    CHECK(store.changes_calls[0].after == StoreRevision(12));
+    take(store.changes_calls).done(fail(StoreErrc::kNotDone, "down"));
+    CHECK(asked.size() == 1);
+  }
+  SUBCASE("the store was quicker: its view stays") {
+    take(store.lists)(Listing{{{"config", "5", StoreRevision(20)}}, StoreRevision(21)});
+    asked[0](snapshot.value());
+    CHECK(fleet.routes()->configuration().version.value() == 5);
+  }
+}
+
 TEST_CASE("a look tells the others what it found") {
   SharingFixture world;
   std::vector<ViewUpdate> told;
--- a/src/discovery/view_writer.cc
+++ b/src/discovery/view_writer.cc
@@ -129,19 +129,48 @@
   log_.note(std::move(change), clock_.now());
 }
 
-void ViewWriter::take_configuration(const std::string& value) {
+std::optional<ViewSnapshot> ViewWriter::make_snapshot() const {
+  if (!seen_ || configuration_.empty() || !fleet_.current_at()) {
+    return std::nullopt;
+  }
+  ViewSnapshot snapshot;
+  snapshot.through = *seen_;
+  snapshot.age = clock_.now() - *fleet_.current_at();
+  snapshot.configuration = configuration_;
+  for (const auto& [id, backend] : fleet_.backends()) {
+    snapshot.backends.push_back(backend);
+  }
+  snapshot.nodes = nodes_.list();
+  return snapshot;
+}
+
+bool ViewWriter::take_snapshot(const ViewSnapshot& snapshot) {
+  if (seen_ || !take_configuration(snapshot.configuration)) {
+    return false;
+  }
+  fleet_.replace(snapshot.backends);
+  nodes_.replace(snapshot.nodes);
+  seen_ = snapshot.through;
+  log_.restart(snapshot.through);
+  return true;
+}
+
+/// Returns whether the document was understood.
+bool ViewWriter::take_configuration(const std::string& value) {
   auto configuration = codec_.read_configuration(value);
   if (!configuration) {
     reject(codec_.layout().configuration_key, configuration.error().message);
-    return;
+    return false;
   }
   const std::uint64_t version = configuration.value().version.value();
   if (fleet_.apply(std::move(configuration.value()))) {
+    configuration_ = value;
     logger_.write({logging::Level::kInfo,
                    kComponent,
                    "configuration in force",
                    {{"configuration", version}}});
   }
+  return true;
 }
 
 std::optional<gateway::Backend> ViewWriter::read_backend(const shared_store::Change& change) {
--- a/src/discovery/view_writer.h
+++ b/src/discovery/view_writer.h
@@ -9,6 +9,7 @@
 #include "discovery/change_log.h"
 #include "discovery/fleet_codec.h"
 #include "discovery/node_directory.h"
+#include "discovery/view_snapshot.h"
 #include "discovery/view_update.h"
 #include "gateway/fleet_state.h"
 #include "logging/logger.h"
@@ -35,6 +36,10 @@
   void take_listing(const shared_store::Listing& listing);
   void take_changes(const shared_store::Changes& changes);
   UpdateOutcome take_update(const ViewUpdate& update);
+  /// The whole view; none before there is a configuration.
+  std::optional<ViewSnapshot> make_snapshot() const;
+  /// Takes another node's view while this one has none; returns whether it was of use.
+  bool take_snapshot(const ViewSnapshot& snapshot);
   /// The history was lost: the next listing starts anew.
   void forget_history() { seen_.reset(); }
 
@@ -48,7 +53,7 @@
  private:
   std::uint64_t fingerprint() const;
   void take_stored(const shared_store::Change& change);
-  void take_configuration(const std::string& value);
+  bool take_configuration(const std::string& value);
   void take(BackendChange change);
   void take(NodeChange change);
   std::optional<gateway::Backend> read_backend(const shared_store::Change& change);
@@ -62,6 +67,7 @@
   NodeDirectory& nodes_;
   ChangeLog log_;
   std::optional<shared_store::StoreRevision> seen_;
+  std::string configuration_;  ///< The document in force.
   std::uint64_t rejected_values_ = 0;
 };
 
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -53,6 +53,8 @@
           self_),
       announcer_(loop, loads_, settings_.node, random.next(),
                  [this](const peer_load::WorkReport& report) { send_to_peers(report); }),
+      views_(loop, client, {.listen = settings_.view_listen, .seeds = settings_.seeds},
+             [this] { return watcher_.make_snapshot(); }),
       survey_(clock, adapter_.engines, fleet_, loads_,
               [this](http::ClientRequest request, std::function<void(std::string)> done) {
                 fetch_body(std::move(request), std::move(done));
@@ -87,6 +89,8 @@
     BOOST_OUTCOME_TRY(metrics_server_->listen());
   }
   BOOST_OUTCOME_TRY(listen_to_peers());
+  BOOST_OUTCOME_TRY(views_.listen());
+  watcher_.on_lost_without_view([this](auto done) { views_.fetch(std::move(done)); });
   fleet_.on_removed([this](const gateway::Backend& backend) {
     loads_.forget(backend.id);
     peer_work_.forget(backend.id);
@@ -253,6 +257,8 @@
           watcher_.statistics().updates_taken);
   counter("view_updates_passed", "Looks of other nodes that could not be joined",
           watcher_.statistics().updates_passed);
+  counter("view_snapshots_taken", "Views taken over whole from another node",
+          watcher_.statistics().snapshots_taken);
   counter("view_updates_differed", "Looks of other nodes that showed a listing to be needed",
           watcher_.statistics().updates_differed);
   counter("store_values_rejected", "Values not understood", watcher_.rejected_values());
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -14,6 +14,7 @@
 #include "gateway_node/peer_message.h"
 #include "gateway_node/settings.h"
 #include "gateway_node/stop_sequence.h"
+#include "gateway_node/view_exchange.h"
 #include "http/client.h"
 #include "http/event_loop.h"
 #include "http/server.h"
@@ -74,6 +75,7 @@
   peer_load::PeerWork peer_work_;
   peer_load::WorkAnnouncer announcer_;
   std::unique_ptr<peer_load::DatagramSocket> peers_;
+  ViewExchange views_;
   gateway::CacheSurvey survey_;
   bool asked_peers_ = false;
   gateway::Gateway gateway_;
--- a/src/gateway_node/settings.cc
+++ b/src/gateway_node/settings.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <sstream>
 #include <utility>
 
 #include "settings/app_runner.h"
@@ -24,6 +25,7 @@
 constexpr const char* kMillisecondRule = "whole milliseconds from 1 to 600000";
 constexpr const char* kRatioRule = "a number from 0 to 10";
 constexpr const char* kSlackRule = "a number from 0 to 1000000";
+constexpr const char* kSeedsRule = "addresses IP:PORT joined by commas";
 constexpr const char* kSecondsRule = "seconds from 0.1 to 3600";
 
 struct Specification {
@@ -73,6 +75,18 @@
   return allowed;
 }
 
+bool store_seeds(const std::string& text, Settings& settings) {
+  std::istringstream addresses(text);
+  std::string address;
+  settings.seeds.clear();
+  while (std::getline(addresses, address, ',')) {
+    if (!settings::read_remote_endpoint(address, settings.seeds.emplace_back())) {
+      return false;
+    }
+  }
+  return true;
+}
+
 std::vector<Specification> make_table() {
   return {
       {"node", "Name of this node", settings::kNameRule, "", true, store_name(&Settings::node)},
@@ -87,6 +101,10 @@
        store_listen(&Settings::peer_listen)},
       {"metrics-listen", "Address for /metrics; none if absent", settings::kEndpointRule, "", false,
        store_listen(&Settings::metrics_listen)},
+      {"view-listen", "Address at which other nodes ask for this node's view; none if absent",
+       settings::kEndpointRule, "", false, store_listen(&Settings::view_listen)},
+      {"seeds", "Other nodes' view addresses, to ask while the store is out", kSeedsRule, "", false,
+       store_seeds},
       {"store", "Address of the store that all nodes share", settings::kPeerEndpointRule, "", true,
        [](const std::string& text, Settings& target) {
          return settings::read_remote_endpoint(text, target.store);
--- a/src/gateway_node/settings.h
+++ b/src/gateway_node/settings.h
@@ -16,12 +16,14 @@
 struct Settings {
   NodeId node;
   ZoneName zone;
-  Endpoint listen;            ///< Callers' requests.
-  Endpoint ready_listen;      ///< The platform's readiness checks.
-  Endpoint directory_listen;  ///< Callers' look-ups of nodes.
-  Endpoint metrics_listen;    ///< Empty: no metrics.
-  Endpoint peer_listen;       ///< Other nodes' datagrams.
-  Endpoint store;             ///< The store all nodes share.
+  Endpoint listen;              ///< Callers' requests.
+  Endpoint ready_listen;        ///< The platform's readiness checks.
+  Endpoint directory_listen;    ///< Callers' look-ups of nodes.
+  Endpoint metrics_listen;      ///< Empty: no metrics.
+  Endpoint peer_listen;         ///< Other nodes' datagrams.
+  Endpoint view_listen;         ///< Other nodes' requests for this node's view; empty: none.
+  std::vector<Endpoint> seeds;  ///< Nodes to ask for their view while the store is out.
+  Endpoint store;               ///< The store all nodes share.
   gateway::RetryBudgetSettings retry_budget;
   Duration stop_grace{std::chrono::seconds(8)};  ///< From the stop signal to the end by force.
   /// A back end that drains gets nothing new after this time.
--- a/src/gateway_node/tests/settings_test.cc
+++ b/src/gateway_node/tests/settings_test.cc
@@ -51,6 +51,23 @@
   CHECK(parsed.error().size() == 4);
 }
 
+TEST_CASE("seeds are a list of addresses, and may be absent") {
+  CHECK(parse_command_line(kWhole).value().settings.seeds.empty());
+  const std::string path = "/tmp/ochrespring-seeds-" + std::to_string(::getpid());
+  std::ofstream(path) << "seeds = \"127.0.0.1:7,127.0.0.2:8\"\n";
+  std::vector<std::string> arguments = kWhole;
+  arguments.push_back("--config=" + path);
+  const auto parsed = parse_command_line(arguments);
+  std::remove(path.c_str());
+  REQUIRE(parsed);
+  REQUIRE(parsed.value().settings.seeds.size() == 2);
+  CHECK(parsed.value().settings.seeds[1].value() == "127.0.0.2:8");
+  arguments.back() = "--seeds=127.0.0.1:7,nowhere";
+  const auto mistaken = parse_command_line(arguments);
+  REQUIRE_FALSE(mistaken);
+  CHECK(names(mistaken.error(), "seeds"));
+}
+
 TEST_CASE("keys of the file that are not known are ignored, flags win") {
   const std::string path = "/tmp/ochrespring-settings-" + std::to_string(::getpid());
   std::ofstream(path) << "node = \"from-file\"\nof-tomorrow = 7\nretry-slack = 54\n";
--- /dev/null
+++ b/src/gateway_node/view_exchange.cc
@@ -0,0 +1,68 @@
+#include "gateway_node/view_exchange.h"
+
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "wire/codec.h"
+
+namespace ochrespring::gateway_node {
+
+namespace {
+
+constexpr const char* kPath = "/view";
+constexpr const char* kContentType = "application/octet-stream";
+constexpr Duration kTimeout = std::chrono::milliseconds(800);
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
+
+http::ServerSettings server_at(const Endpoint& endpoint) {
+  http::ServerSettings settings;
+  settings.listen = endpoint;
+  return settings;
+}
+
+}  // namespace
+
+ViewExchange::ViewExchange(http::EventLoop& loop, http::Client& client, Options options,
+                           std::function<Snapshot()> own_view)
+    : client_(client),
+      options_(std::move(options)),
+      own_view_(std::move(own_view)),
+      server_(loop, server_at(options_.listen)) {}
+
+Result<void, http::HttpError> ViewExchange::listen() {
+  if (options_.listen.empty()) {
+    return outcome::success();
+  }
+  server_.route(kPath, [this](const http::Request&, const auto& response) {
+    const Snapshot view = own_view_();
+    if (view) {
+      response->respond(200, {{"content-type", kContentType}}, wire::encode(*view));
+    } else {
+      response->respond(503, {}, "");
+    }
+  });
+  return server_.listen();
+}
+
+void ViewExchange::fetch(std::function<void(Snapshot)> done) {
+  if (options_.seeds.empty()) {
+    done(std::nullopt);
+    return;
+  }
+  http::ClientRequest request;
+  request.endpoint = options_.seeds[next_seed_++ % options_.seeds.size()];
+  request.path = kPath;
+  request.timeout = kTimeout;
+  request.connect_timeout = kConnectTimeout;
+  client_.fetch(std::move(request), [done = std::move(done)](auto result) {
+    if (!result || result.value().head.status != 200) {
+      done(std::nullopt);
+      return;
+    }
+    auto view = wire::decode<discovery::ViewSnapshot>(result.value().body);
+    done(view ? Snapshot(std::move(view.value())) : std::nullopt);
+  });
+}
+
+}  // namespace ochrespring::gateway_node
--- /dev/null
+++ b/src/gateway_node/view_exchange.h
@@ -0,0 +1,44 @@
+// Hands this node's view of the fleet to nodes that have none, and fetches theirs.
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <optional>
+#include <vector>
+
+#include "base/ids.h"
+#include "discovery/view_snapshot.h"
+#include "http/client.h"
+#include "http/server.h"
+
+namespace ochrespring::gateway_node {
+
+/// One loop.
+class ViewExchange {
+ public:
+  using Snapshot = std::optional<discovery::ViewSnapshot>;
+
+  struct Options {
+    Endpoint listen;              ///< Empty: nothing is served.
+    std::vector<Endpoint> seeds;  ///< Nodes to ask; this one may be among them, any may be down.
+  };
+
+  /// `own_view` is called for each request of another node.
+  ViewExchange(http::EventLoop& loop, http::Client& client, Options options,
+               std::function<Snapshot()> own_view);
+
+  Result<void, http::HttpError> listen();
+  /// The address bound, with its real port.
+  Endpoint bound() const { return server_.bound(); }
+  /// Asks the next of the seeds; calls back with none if it has no view or does not answer.
+  void fetch(std::function<void(Snapshot)> done);
+
+ private:
+  http::Client& client_;
+  Options options_;
+  std::function<Snapshot()> own_view_;
+  http::Server server_;
+  std::size_t next_seed_ = 0;
+};
+
+}  // namespace ochrespring::gateway_node
