gateway_node: nodes offer their view while the store is out

The three seeds were among the nodes killed; each restarted node asked only them, and the two nodes that had a view were nobody's seeds. Change: while its looks fail, a node with a view tells the nodes it knows, twice a second, where the view can be had; a node without one asks there first.

--- a/src/discovery/fleet_watcher.cc
+++ b/src/discovery/fleet_watcher.cc
@@ -132,6 +132,9 @@
                          kComponent,
                          success ? "store regained" : "store lost",
                          {{"detail", std::string(detail)}}});
+    if (store_state_) {
+      store_state_(success);
+    }
   }
   if (success) {
     note_current(look_began_);
--- a/src/discovery/fleet_watcher.h
+++ b/src/discovery/fleet_watcher.h
@@ -78,6 +78,10 @@
     ask_peer_ = std::move(callback);
   }
   std::optional<ViewSnapshot> make_snapshot() const { return writer_.make_snapshot(); }
+  /// Called when the store is lost or regained by this node's own looks.
+  void on_store_state(std::function<void(bool reachable)> callback) {
+    store_state_ = std::move(callback);
+  }
   /// Called with what this node's look found, for the others.
   void on_look(std::function<void(const ViewUpdate&)> callback) { share_ = std::move(callback); }
   /// Called after each look that succeeded, and each update taken.
@@ -110,6 +114,7 @@
   std::vector<std::function<void(bool)>> waiting_;
   std::function<void()> current_;
   std::function<void(const ViewUpdate&)> share_;
+  std::function<void(bool)> store_state_;
   std::function<void(SnapshotCallback)> ask_peer_;
   FleetWatcherStatistics statistics_;
 };
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -15,6 +15,8 @@
 /// Kept back from the grace, so that the process ends by itself.
 constexpr Duration kGraceMargin = milliseconds(500);
 /// The server closes later than callers do, so that a request seldom crosses the close.
+/// Between two offers of this node's view while the store is out.
+constexpr Duration kOfferPeriod = milliseconds(500);
 /// How many others a node that starts asks what engines keep; any of them may be starting, too.
 constexpr std::size_t kPeersAsked = 3;
 constexpr Duration kIdleMargin = std::chrono::seconds(2);
@@ -55,6 +57,7 @@
                  [this](const peer_load::WorkReport& report) { send_to_peers(report); }),
       views_(loop, client, {.listen = settings_.view_listen, .seeds = settings_.seeds},
              [this] { return watcher_.make_snapshot(); }),
+      offer_timer_(loop),
       survey_(clock, adapter_.engines, fleet_, loads_,
               [this](http::ClientRequest request, std::function<void(std::string)> done) {
                 fetch_body(std::move(request), std::move(done));
@@ -90,6 +93,12 @@
   }
   BOOST_OUTCOME_TRY(listen_to_peers());
   BOOST_OUTCOME_TRY(views_.listen());
+  watcher_.on_store_state([this](bool reachable) {
+    offer_timer_.disarm();
+    if (!reachable && !settings_.view_listen.empty()) {
+      offer_view();
+    }
+  });
   watcher_.on_lost_without_view([this](auto done) { views_.fetch(std::move(done)); });
   fleet_.on_removed([this](const gateway::Backend& backend) {
     loads_.forget(backend.id);
@@ -159,6 +168,13 @@
   });
 }
 
+void GatewayNode::offer_view() {
+  if (fleet_.routes() != nullptr) {
+    send_to_peers(ViewOffer{settings_.view_listen});
+  }
+  offer_timer_.arm(kOfferPeriod, [this] { offer_view(); });
+}
+
 void GatewayNode::learn_cached_parts() {
   std::vector<NodeId> nodes{settings_.node};
   std::vector<Endpoint> peers;
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -45,6 +45,9 @@
   void take(const peer_load::WorkReport& report);
   void take(const discovery::ViewUpdate& update) { watcher_.take_update(update); }
   void take(const peer_load::PartsRequest& request);
+  void take(const ViewOffer& offer) { views_.note_source(offer.view_address); }
+  /// Again and again while the store is out.
+  void offer_view();
   void send_to_peers(const PeerMessage& message);
   /// Once, when this node first knows the fleet: learns what engines keep.
   void learn_cached_parts();
@@ -76,6 +79,7 @@
   peer_load::WorkAnnouncer announcer_;
   std::unique_ptr<peer_load::DatagramSocket> peers_;
   ViewExchange views_;
+  Timer offer_timer_;
   gateway::CacheSurvey survey_;
   bool asked_peers_ = false;
   gateway::Gateway gateway_;
--- a/src/gateway_node/tests/view_exchange_test.cc
+++ b/src/gateway_node/tests/view_exchange_test.cc
@@ -53,6 +53,22 @@
   CHECK(view->backends.size() == 90);
 }
 
+TEST_CASE("a node that has offered its view is asked before the seeds") {
+  http::EventLoop loop;
+  http::Client client(loop);
+  ViewExchange full(loop, client, {.listen = Endpoint("127.0.0.1:0"), .seeds = {}},
+                    [] { return make_view(); });
+  REQUIRE(full.listen());
+  ViewExchange asker(loop, client, {.listen = {}, .seeds = {Endpoint("127.0.0.1:1")}},
+                     [] { return std::nullopt; });
+  CHECK_FALSE(fetch_once(loop, asker));
+  for (int i = 0; i != 20; ++i) {
+    asker.note_source(Endpoint("127.0.0.1:" + std::to_string(2 + i)));
+  }
+  asker.note_source(full.bound());
+  CHECK(fetch_once(loop, asker));
+}
+
 TEST_CASE("without seeds there is no view") {
   http::EventLoop loop;
   http::Client client(loop);
--- a/src/gateway_node/view_exchange.cc
+++ b/src/gateway_node/view_exchange.cc
@@ -45,13 +45,24 @@
   return server_.listen();
 }
 
+void ViewExchange::note_source(const Endpoint& source) {
+  std::erase(sources_, source);
+  sources_.push_front(source);
+  if (sources_.size() > kMostSources) {
+    sources_.pop_back();
+  }
+  next_ = 0;
+}
+
 void ViewExchange::fetch(std::function<void(Snapshot)> done) {
-  if (options_.seeds.empty()) {
+  std::vector<Endpoint> candidates(sources_.begin(), sources_.end());
+  candidates.insert(candidates.end(), options_.seeds.begin(), options_.seeds.end());
+  if (candidates.empty()) {
     done(std::nullopt);
     return;
   }
   http::ClientRequest request;
-  request.endpoint = options_.seeds[next_seed_++ % options_.seeds.size()];
+  request.endpoint = candidates[next_++ % candidates.size()];
   request.path = kPath;
   request.timeout = kTimeout;
   request.connect_timeout = kConnectTimeout;
--- a/src/gateway_node/view_exchange.h
+++ b/src/gateway_node/view_exchange.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <vector>
@@ -30,15 +31,21 @@
   Result<void, http::HttpError> listen();
   /// The address bound, with its real port.
   Endpoint bound() const { return server_.bound(); }
-  /// Asks the next of the seeds; calls back with none if it has no view or does not answer.
+  /// Another node offers its view at `source`.
+  void note_source(const Endpoint& source);
+  /// Asks the next of the seeds and of those that offered their view; calls back with none if it
+  /// has no view or does not answer.
   void fetch(std::function<void(Snapshot)> done);
 
  private:
+  static constexpr std::size_t kMostSources = 8;
+
   http::Client& client_;
   Options options_;
   std::function<Snapshot()> own_view_;
   http::Server server_;
-  std::size_t next_seed_ = 0;
+  std::deque<Endpoint> sources_;  ///< The newest offer first.
+  std::size_t next_ = 0;
 };
 
 }  // namespace ochrespring::gateway_node
