--- a/src/discovery/fleet_watcher.cc
+++ b/src/discovery/fleet_watcher.cc
@@ -1,6 +1,7 @@
 #include "discovery/fleet_watcher.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace ochrespring::discovery {
@@ -19,6 +20,11 @@
 
 }  // namespace
 
+Duration spread_wait(Duration spread, std::uint32_t nodes, double uniform) {
+  const double exponent = std::max(1.0, std::log(static_cast<double>(nodes)));
+  return from_seconds(to_seconds(spread) * std::pow(uniform, 1 / exponent));
+}
+
 FleetWatcherSettings settings_within(Duration bound) {
   FleetWatcherSettings settings;
   settings.period = from_seconds(kPeriodPart * to_seconds(bound));
@@ -32,6 +38,7 @@
     : world_(world),
       settings_(settings),
       fleet_(fleet),
+      nodes_(nodes),
       writer_(world.clock, world.codec, world.logger, fleet, nodes),
       timer_(world.timers),
       peer_timer_(world.timers) {}
@@ -182,8 +189,7 @@
     fleet_.note_current(at);
   }
   if (!looking_) {
-    const auto waited =
-        std::chrono::duration_cast<Duration>(world_.random.unit() * settings_.spread);
+    const Duration waited = spread_wait(settings_.spread, nodes_.count(), world_.random.unit());
     const MonotonicTime due = *fleet_.current_at() + settings_.period + waited;
     timer_.arm(std::max(due - world_.clock.now(), Duration::zero()), [this] { look(); });
   }
--- a/src/discovery/fleet_watcher.h
+++ b/src/discovery/fleet_watcher.h
@@ -33,6 +33,11 @@
 /// answer and a second try.
 FleetWatcherSettings settings_within(Duration bound);
 
+/// How much longer than the period a node waits, from a draw in [0, 1). Late draws are likelier the
+/// more nodes there are, so that seldom two look before the first one's update has reached the
+/// second: about the logarithm of `nodes` do, where even draws would let a share of all.
+Duration spread_wait(Duration spread, std::uint32_t nodes, double uniform);
+
 struct FleetWatcherStatistics {
   std::uint64_t looks = 0;
   std::uint64_t failed_looks = 0;
@@ -105,6 +110,7 @@
   World world_;
   FleetWatcherSettings settings_;
   gateway::FleetState& fleet_;
+  const NodeDirectory& nodes_;
   ViewWriter writer_;
   Timer timer_;
   Timer peer_timer_;
--- a/src/discovery/tests/shared_looks_test.cc
+++ b/src/discovery/tests/shared_looks_test.cc
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -329,6 +330,27 @@
   }
 }
 
+TEST_CASE("however many nodes there are, few look before they can know of each other's look") {
+  SeededRandom random{11};
+  for (const std::uint32_t nodes : {7U, 60U, 340U}) {
+    double looks = 0;
+    constexpr int kRounds = 200;
+    for (int round = 0; round != kRounds; ++round) {
+      std::vector<Duration> waits;
+      for (std::uint32_t node = 0; node != nodes; ++node) {
+        waits.push_back(spread_wait(440ms, nodes, random.unit()));
+        CHECK(waits.back() <= 440ms);
+      }
+      const Duration first = *std::min_element(waits.begin(), waits.end());
+      looks +=
+          static_cast<double>(std::count_if(waits.begin(), waits.end(), [&](const Duration wait) {
+            return wait <= first + Duration(20ms);
+          }));
+    }
+    CHECK(looks / kRounds < 2.5);
+  }
+}
+
 TEST_CASE("a look tells the others what it found") {
   SharingFixture world;
   std::vector<ViewUpdate> told;
--- a/src/discovery/view_writer.cc
+++ b/src/discovery/view_writer.cc
@@ -34,6 +34,7 @@
     }
   }
   fleet_.replace(std::move(backends));
+  fingerprint_.reset();
   nodes_.replace(nodes);
   seen_ = listing.revision;
   log_.restart(listing.revision);
@@ -57,11 +58,15 @@
 }
 
 /// The same on all nodes that see the same back ends, in whatever order they learnt of them.
-std::uint64_t ViewWriter::fingerprint() const {
+std::uint64_t ViewWriter::fingerprint() {
+  if (fingerprint_) {
+    return *fingerprint_;
+  }
   std::uint64_t sum = 0;
   for (const auto& [id, backend] : fleet_.backends()) {
     sum += stable_hash(wire::encode(backend));
   }
+  fingerprint_ = sum;
   return sum;
 }
 
@@ -111,6 +116,7 @@
   if (!changed) {
     return;
   }
+  fingerprint_.reset();
   logger_.write({logging::Level::kInfo,
                  kComponent,
                  change.backend ? "back end changed" : "back end gone",
@@ -149,6 +155,7 @@
     return false;
   }
   fleet_.replace(snapshot.backends);
+  fingerprint_.reset();
   nodes_.replace(snapshot.nodes);
   seen_ = snapshot.through;
   log_.restart(snapshot.through);
--- a/src/discovery/view_writer.h
+++ b/src/discovery/view_writer.h
@@ -51,7 +51,7 @@
   std::uint64_t rejected_values() const { return rejected_values_; }
 
  private:
-  std::uint64_t fingerprint() const;
+  std::uint64_t fingerprint();
   void take_stored(const shared_store::Change& change);
   bool take_configuration(const std::string& value);
   void take(BackendChange change);
@@ -67,7 +67,8 @@
   NodeDirectory& nodes_;
   ChangeLog log_;
   std::optional<shared_store::StoreRevision> seen_;
-  std::string configuration_;  ///< The document in force.
+  std::optional<std::uint64_t> fingerprint_;  ///< None: the back ends have changed since.
+  std::string configuration_;                 ///< The document in force.
   std::uint64_t rejected_values_ = 0;
 };
 
