peer_load: nodes tell each other how attempts at engines ended

Change: a report carries attempts ended and failed since the last; they count like a node's own, at most 12 are remembered, so an engine that recovers is tried again within some seconds.

--- a/src/gateway/load_table.cc
+++ b/src/gateway/load_table.cc
@@ -18,6 +18,8 @@
 constexpr Duration kFailureHalfLife = seconds(3);
 /// Attempts believed good before anything is known, so that one failure condemns nobody.
 constexpr double kPriorAttempts = 2;
+/// Attempts that are remembered at most.
+constexpr double kMostAttempts = 12;
 constexpr Duration kFirstEjection = milliseconds(1000);
 constexpr std::uint32_t kMostDoublings = 2;
 /// The store names a back end that has ended for some heartbeats more.
@@ -68,17 +70,15 @@
   fade(now);
   switch (verdict) {
     case AttemptVerdict::kGood:
-      attempts_ += 1;
+      count_ends(1, 0);
       answered_at_ = now;
       unreachable_in_row_ = 0;
       break;
     case AttemptVerdict::kFailed:
-      attempts_ += 1;
-      failures_ += 1;
+      count_ends(1, 1);
       break;
     case AttemptVerdict::kUnreachable:
-      attempts_ += 1;
-      failures_ += 1;
+      count_ends(1, 1);
       note_silence(now);
       break;
     case AttemptVerdict::kReplaced:
@@ -125,6 +125,21 @@
   return failures_ * weight / (attempts_ * weight + kPriorAttempts);
 }
 
+void BackendLoad::note_told_ends(std::uint32_t ended, std::uint32_t failed, MonotonicTime now) {
+  fade(now);
+  count_ends(ended, std::min(ended, failed));
+}
+
+/// The newest attempts count: a back end that has recovered is found out in some seconds.
+void BackendLoad::count_ends(double ended, double failed) {
+  attempts_ += ended;
+  failures_ += failed;
+  if (attempts_ > kMostAttempts) {
+    failures_ *= kMostAttempts / attempts_;
+    attempts_ = kMostAttempts;
+  }
+}
+
 void BackendLoad::fade(MonotonicTime now) {
   const double weight = halved(now - faded_at_, kFailureHalfLife);
   failures_ *= weight;
@@ -208,6 +223,9 @@
     return;
   }
   load->end(verdict, now);
+  if (ended_ && (verdict == AttemptVerdict::kGood || verdict == AttemptVerdict::kFailed)) {
+    ended_(id, verdict == AttemptVerdict::kFailed);
+  }
   changed(id);
   const bool gone = verdict == AttemptVerdict::kUnreachable || verdict == AttemptVerdict::kReplaced;
   if (gone && silent_) {
--- a/src/gateway/load_table.h
+++ b/src/gateway/load_table.h
@@ -56,6 +56,8 @@
   double reported_waiting(MonotonicTime now) const;
   /// Share of recent attempts that failed, fading with time, 0 to 1.
   double failure_share(MonotonicTime now) const;
+  /// Other nodes' attempts ended, so many of them in failure; counted like this node's own.
+  void note_told_ends(std::uint32_t ended, std::uint32_t failed, MonotonicTime now);
   /// Another node says that the back end is silent. Believed unless it has just answered this one:
   /// it may be the other's own link.
   void note_told_silence(MonotonicTime now);
@@ -82,6 +84,7 @@
   };
 
   void fade(MonotonicTime now);
+  void count_ends(double ended, double failed);
 
   std::uint32_t in_flight_ = 0;
   std::uint64_t unread_tokens_ = 0;
@@ -127,6 +130,10 @@
     prompt_read_ = std::move(callback);
   }
 
+  /// Called when an attempt that tells of the back end's health has ended.
+  void on_end(std::function<void(const BackendId&, bool failed)> callback) {
+    ended_ = std::move(callback);
+  }
   /// Called after this node's work at a back end has changed.
   void on_change(std::function<void(const BackendId&)> callback) { changed_ = std::move(callback); }
   /// Where to ask for the work of other nodes; null: nowhere.
@@ -141,6 +148,7 @@
   std::map<BackendId, BackendLoad> loads_;
   std::function<void(const BackendId&)> changed_;
   std::function<void(const BackendId&)> silent_;
+  std::function<void(const BackendId&, bool)> ended_;
   std::function<void(const BackendId&, const std::vector<std::uint64_t>&)> prompt_read_;
   const PeerView* peers_ = nullptr;
 };
--- a/src/gateway/tests/policies_test.cc
+++ b/src/gateway/tests/policies_test.cc
@@ -379,6 +379,29 @@
   CHECK(announced == 40);
 }
 
+TEST_CASE(
+    "a back end that fails the others is avoided before it fails this node, and tried again") {
+  FleetState fleet;
+  for (const char* id : {"a", "b"}) {
+    fleet.put(make_engine(id, EngineRole::kDecode));
+  }
+  const Prompt prompt = parse_prompt("own:1000", "1000,10");
+  PlacementRequest request;
+  request.service = ServiceName("llm");
+  request.prompt = &prompt;
+  SeededRandom random(1);
+  LoadTable loads;
+  const MonotonicTime now = MonotonicTime() + 10s;
+  for (int i = 0; i != 200; ++i) {
+    loads.of(BackendId("a")).note_told_ends(2, 2, now);
+  }
+  loads.of(BackendId("b")).begin(5'000);
+  const Placement placement(fleet, loads, random, ZoneName("z"));
+  CHECK(placement.choose(request, now).runner.backend->id.value() == "b");
+  CHECK(loads.of(BackendId("a")).failure_share(now) > 0.8);
+  CHECK(loads.of(BackendId("a")).failure_share(now + 15s) < 0.2);
+}
+
 TEST_CASE("a cold back end is spared while warm ones are as idle") {
   FleetState fleet;
   for (const char* id : {"a", "b"}) {
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -137,6 +137,12 @@
       announcer_.note_change(id);
     }
   });
+  loads_.on_end([this](const gateway::BackendId& id, bool failed) {
+    const gateway::Backend* backend = fleet_.find(id);
+    if (backend != nullptr && backend->role != gateway::EngineRole::kNone) {
+      announcer_.note_end(id, failed);
+    }
+  });
   loads_.on_silence([this](const gateway::BackendId& id) { announcer_.note_silence(id); });
   loads_.on_prompt([this](const gateway::BackendId& id, const std::vector<std::uint64_t>& keys) {
     announcer_.note_parts(id, keys);
@@ -153,6 +159,9 @@
       peer_work_.forget(work.engine);
       continue;
     }
+    if (work.ended != 0) {
+      loads_.of(work.engine).note_told_ends(work.ended, work.failed, now);
+    }
     if (work.silent) {
       loads_.of(work.engine).note_told_silence(now);
     }
--- a/src/peer_load/tests/peer_load_test.cc
+++ b/src/peer_load/tests/peer_load_test.cc
@@ -20,7 +20,13 @@
 
 WorkReport make_report(std::string node, std::uint64_t sequence, std::uint32_t requests,
                        std::uint64_t tokens) {
-  return {NodeId(std::move(node)), 1, sequence, {{BackendId("e"), requests, tokens, false, {}}}};
+  return {NodeId(std::move(node)),
+          1,
+          sequence,
+          {{.engine = BackendId("e"),
+            .requests = requests,
+            .unread_tokens = tokens,
+            .parts_read = {}}}};
 }
 
 }  // namespace
@@ -89,6 +95,28 @@
   CHECK_FALSE(sent[1].engines[0].silent);
 }
 
+TEST_CASE("how attempts ended is told once") {
+  simulation::VirtualTime time;
+  gateway::LoadTable loads;
+  std::vector<WorkReport> sent;
+  WorkAnnouncer announcer(time, loads, NodeId("a"), 7,
+                          [&](const WorkReport& report) { sent.push_back(report); });
+  loads.on_change([&](const BackendId& id) { announcer.note_change(id); });
+  loads.on_end([&](const BackendId& id, bool failed) { announcer.note_end(id, failed); });
+  for (const auto verdict : {gateway::AttemptVerdict::kGood, gateway::AttemptVerdict::kFailed,
+                             gateway::AttemptVerdict::kAbandoned}) {
+    loads.begin(BackendId("e"), 0);
+    loads.end(BackendId("e"), verdict, time.now());
+  }
+  time.run_until(time.now() + 10ms);
+  announcer.note_change(BackendId("e"));
+  time.run_until(time.now() + 10ms);
+  REQUIRE(sent.size() == 2);
+  CHECK(sent[0].engines[0].ended == 2);
+  CHECK(sent[0].engines[0].failed == 1);
+  CHECK(sent[1].engines[0].ended == 0);
+}
+
 TEST_CASE("a node that starts is told all parts, in datagrams that others can take") {
   simulation::VirtualTime time;
   gateway::LoadTable loads;
--- a/src/peer_load/work_announcer.cc
+++ b/src/peer_load/work_announcer.cc
@@ -23,6 +23,12 @@
   note_change(backend);
 }
 
+void WorkAnnouncer::note_end(const gateway::BackendId& engine, bool failed) {
+  Ends& ends = ends_[engine];
+  ++ends.ended;
+  ends.failed += failed ? 1 : 0;
+}
+
 void WorkAnnouncer::note_parts(const gateway::BackendId& engine,
                                const std::vector<std::uint64_t>& keys) {
   auto& parts = parts_[engine];
@@ -34,6 +40,10 @@
   for (const gateway::BackendId& engine : std::exchange(changed_, {})) {
     EngineWork work = work_at(engine);
     work.silent = silent_.erase(engine) != 0;
+    if (const auto ends = ends_.extract(engine)) {
+      work.ended = ends.mapped().ended;
+      work.failed = ends.mapped().failed;
+    }
     if (auto parts = parts_.extract(engine)) {
       work.parts_read = std::move(parts.mapped());
     }
@@ -81,6 +91,8 @@
         work.parts_read.begin() + static_cast<std::ptrdiff_t>(piece.parts_read.size()));
     report_.engines.push_back(std::move(piece));
     flush(send);
+    work.ended = 0;
+    work.failed = 0;
   }
   parts_in_report_ += work.parts_read.size();
   report_.engines.push_back(std::move(work));
--- a/src/peer_load/work_announcer.h
+++ b/src/peer_load/work_announcer.h
@@ -25,6 +25,8 @@
   void note_change(const gateway::BackendId& engine);
   /// A back end has fallen silent, or could not be reached.
   void note_silence(const gateway::BackendId& backend);
+  /// An attempt at an engine has ended; told with the next report on it.
+  void note_end(const gateway::BackendId& engine, bool failed);
   /// An engine reads shared prompt parts; told with the next report on it.
   void note_parts(const gateway::BackendId& engine, const std::vector<std::uint64_t>& keys);
   /// Everything this node believes engines to keep, for a node that has just started.
@@ -51,6 +53,11 @@
   std::set<gateway::BackendId> changed_;
   std::set<gateway::BackendId> busy_;
   std::set<gateway::BackendId> silent_;
+  struct Ends {
+    std::uint32_t ended = 0;
+    std::uint32_t failed = 0;
+  };
+  std::map<gateway::BackendId, Ends> ends_;
   std::map<gateway::BackendId, std::vector<std::uint64_t>> parts_;
   Timer gather_;
   Timer repeat_;
