--- a/src/discovery/change_log.cc
+++ b/src/discovery/change_log.cc
@@ -22,13 +22,11 @@
 void ChangeLog::note(ViewChange change, MonotonicTime now) {
   advance(revision_of(change));
   entries_.push_back({std::move(change), now});
+  trim(now);
 }
 
 ViewUpdate ChangeLog::make_update(MonotonicTime now, Duration age) {
-  while (!entries_.empty() &&
-         (entries_.size() > kMostChanges || now - entries_.front().at > kKeep)) {
-    drop_oldest();
-  }
+  trim(now);
   ViewUpdate update{.after = after_, .through = through_, .age = age, .changes = {}};
   for (const Entry& entry : entries_) {
     update.changes.push_back(entry.change);
@@ -36,6 +34,13 @@
   return update;
 }
 
+void ChangeLog::trim(MonotonicTime now) {
+  while (!entries_.empty() &&
+         (entries_.size() > kMostChanges || now - entries_.front().at > kKeep)) {
+    drop_oldest();
+  }
+}
+
 /// A transaction changes several keys at one revision: they go together.
 void ChangeLog::drop_oldest() {
   after_ = revision_of(entries_.front().change);
--- a/src/discovery/change_log.h
+++ b/src/discovery/change_log.h
@@ -33,6 +33,8 @@
     MonotonicTime at{};
   };
 
+  /// Drops what is too old or too much.
+  void trim(MonotonicTime now);
   void drop_oldest();
 
   shared_store::StoreRevision after_;
--- a/src/gateway/cache_survey.h
+++ b/src/gateway/cache_survey.h
@@ -25,6 +25,7 @@
   /// Asks those of the engines known now that fall to `self` among all `nodes`, this one included;
   /// further calls do nothing.
   void begin(const NodeId& self, const std::vector<NodeId>& nodes);
+  bool begun() const { return begun_; }
 
  private:
   void ask(const Backend& engine);
--- a/src/gateway/load_table.cc
+++ b/src/gateway/load_table.cc
@@ -196,10 +196,14 @@
 
 void LoadTable::note_parts(const BackendId& id, const std::vector<std::uint64_t>& keys,
                            MonotonicTime now) {
+  if (keys.empty()) {
+    return;
+  }
+  BackendLoad& load = of(id);
   for (const std::uint64_t key : keys) {
-    of(id).note_cached(key, now);
+    load.note_cached(key, now);
   }
-  if (prompt_read_ && !keys.empty()) {
+  if (prompt_read_) {
     prompt_read_(id, keys);
   }
 }
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -137,13 +137,13 @@
                                            const Backend* reader, MonotonicTime now) const {
   const BackendLoad& load = load_of(backend);
   const Work work = work_at(backend, now);
-  const Reading reading = reading_at(backend, view, now);
   PlacementChoice choice;
   if (reader != nullptr) {
     const double distance = reader->zone == backend.zone ? 1 : kOtherZoneTransfer;
     choice.cost =
         kHandOverTokens + distance * kTransferCost * static_cast<double>(view.prompt.tokens);
   } else {
+    const Reading reading = reading_at(backend, view, now);
     choice.unread_tokens = reading.unread_tokens;
     choice.cache_source = reading.cache_source;
     choice.cost = fetch_cost(reading.fetched_tokens) +
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -132,14 +132,12 @@
   watcher_.on_look([this](const discovery::ViewUpdate& update) { send_to_peers(update); });
   loads_.set_peers(&peer_work_);
   loads_.on_change([this](const gateway::BackendId& id) {
-    const gateway::Backend* backend = fleet_.find(id);
-    if (backend != nullptr && backend->role != gateway::EngineRole::kNone) {
+    if (is_engine(id)) {
       announcer_.note_change(id);
     }
   });
   loads_.on_end([this](const gateway::BackendId& id, bool failed) {
-    const gateway::Backend* backend = fleet_.find(id);
-    if (backend != nullptr && backend->role != gateway::EngineRole::kNone) {
+    if (is_engine(id)) {
       announcer_.note_end(id, failed);
     }
   });
@@ -150,6 +148,11 @@
   return outcome::success();
 }
 
+bool GatewayNode::is_engine(const gateway::BackendId& id) const {
+  const gateway::Backend* backend = fleet_.find(id);
+  return backend != nullptr && backend->role != gateway::EngineRole::kNone;
+}
+
 void GatewayNode::take(const peer_load::WorkReport& report) {
   const MonotonicTime now = clock_.now();
   peer_work_.apply(report, now);
@@ -185,6 +188,9 @@
 }
 
 void GatewayNode::learn_cached_parts() {
+  if (asked_peers_ && survey_.begun()) {
+    return;
+  }
   std::vector<NodeId> nodes{settings_.node};
   std::vector<Endpoint> peers;
   for (const auto& [node, record] : nodes_.others()) {
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -42,6 +42,8 @@
 
  private:
   Result<void, http::HttpError> listen_to_peers();
+  /// Whether a registered back end is a model engine; only of these nodes tell each other.
+  bool is_engine(const gateway::BackendId& id) const;
   void take(const peer_load::WorkReport& report);
   void take(const discovery::ViewUpdate& update) { watcher_.take_update(update); }
   void take(const peer_load::PartsRequest& request);
