gateway: engines are chosen by predicted time and expected loss, and prompts that cannot be in time give way

Change: EngineModel learns paces, hand-overs and pauses from this node's attempts; Placement takes the plan of least expected loss of worth; urgent tokens and long streams are told between nodes; engine_priority puts what is late behind what can be in time; a run whose prompt has been read is placed by where it runs best.

--- a/src/gateway/environment.h
+++ b/src/gateway/environment.h
@@ -27,6 +27,7 @@
   BackendTransport& transport;
   const FleetState& fleet;
   LoadTable& loads;
+  EngineModels& models;
   const Placement& placement;
   RetryBudget& budget;
   SharePicker& shares;
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -66,6 +66,8 @@
   if (service != nullptr && service->engine) {
     prompt_ = parse_prompt(http::find_header(request_.headers, names.prompt_parts),
                            http::find_header(request_.headers, names.token_counts));
+    const std::string_view hint = http::find_header(request_.headers, names.output_hint);
+    prompt_->expected_output_tokens = read_number(hint, prompt_->output_tokens);
   }
   const std::string_view last = http::find_header(request_.headers, names.last_event);
   if (!last.empty()) {
@@ -96,7 +98,15 @@
   PlacementRequest wanted;
   wanted.service = service_;
   wanted.prompt = prompt_ ? &*prompt_ : nullptr;
+  wanted.shape = engine_shape();
+  wanted.objective = {.until_late = route_.target_latency - (now - arrived_),
+                      .until_lost = time_left(),
+                      .target_latency = route_.target_latency,
+                      .target_gap = route_.target_gap};
   wanted.may_read_apart = !read_apart_;
+  if (cache_) {
+    wanted.cache_zone = cache_->zone;
+  }
   wanted.avoid = tried_;
   wanted.connected = [this](const Backend& backend) {
     return environment_.transport.has_idle_connection(backend.address);
@@ -117,17 +127,24 @@
   const Backend& backend = *choice.backend;
   attempt_.emplace();
   attempt_->backend = backend.id;
+  attempt_->started = now;
   attempt_->prefill = prefill;
   attempt_->uses_cache = !prefill && cache_.has_value();
-  attempt_->unread_tokens = attempt_->uses_cache ? 0 : choice.unread_tokens;
+  attempt_->work = {.tokens = attempt_->uses_cache ? 0 : choice.unread_tokens,
+                    .urgent = choice.urgent,
+                    .long_stream = !prefill && choice.long_stream};
+  attempt_->tokens_ahead = choice.tokens_ahead;
+  attempt_->predicted = choice.time;
+  attempt_->same_zone = !attempt_->uses_cache || cache_->zone == backend.zone;
   if (!attempt_->uses_cache && choice.cache_source != nullptr) {
     attempt_->cache_source = choice.cache_source->address;
+    attempt_->fetched_tokens = choice.fetched_tokens;
     ++environment_.statistics.cache_fetches;
   }
   if (!prefill) {
     tried_.insert(backend.id);
   }
-  environment_.loads.begin(backend.id, attempt_->unread_tokens);
+  environment_.loads.begin(backend.id, attempt_->work);
   if (prompt_) {
     environment_.loads.note_prompt(backend.id, *prompt_, now);
   }
@@ -144,7 +161,7 @@
   call.left = time_left();
   call.prefill = attempt_->prefill;
   if (prompt_) {
-    call.priority = engine_priority(route_.priority, attempt_->unread_tokens);
+    call.priority = engine_priority(route_.priority, attempt_->work.urgent, reading_share());
   }
   if (attempt_->uses_cache) {
     call.cache = cache_;
@@ -157,6 +174,44 @@
   return call;
 }
 
+EngineShape RequestSession::engine_shape() const {
+  const Service* service = routes_->configuration().find_service(service_);
+  return service == nullptr || !service->engine ? EngineShape() : *service->engine;
+}
+
+/// Time that the engine takes to read the prompt, in parts of the objective.
+double RequestSession::reading_share() const {
+  const Backend* backend = environment_.fleet.find(attempt_->backend);
+  if (backend == nullptr) {
+    return 0;
+  }
+  const EngineModel* model = environment_.models.find(service_);
+  return model == nullptr
+             ? 0
+             : model->reading_time(backend->role, static_cast<double>(attempt_->work.tokens)) /
+                   Milliseconds(route_.target_latency);
+}
+
+/// Tells the model of the service's engines how long the prompt took, by what is known to have been
+/// read.
+void RequestSession::note_prompt_read() {
+  const MonotonicTime now = environment_.clock.now();
+  const Backend* backend = environment_.fleet.find(attempt_->backend);
+  EngineModel* model = environment_.models.find(service_);
+  if (backend == nullptr || model == nullptr) {
+    return;
+  }
+  const Duration elapsed = now - attempt_->started;
+  if (attempt_->uses_cache) {
+    model->note_hand_over(static_cast<double>(prompt_->tokens), attempt_->same_zone, elapsed);
+    return;
+  }
+  const Milliseconds fetched = model->fetch_time(static_cast<double>(attempt_->fetched_tokens));
+  const Duration reading = elapsed - std::chrono::duration_cast<Duration>(fetched);
+  model->note_reading(*backend, attempt_->tokens_ahead + static_cast<double>(attempt_->work.tokens),
+                      reading, now);
+}
+
 /// This node's part of the connections that a back end takes from all callers.
 std::size_t RequestSession::connection_share() const {
   const Service* service = routes_->configuration().find_service(service_);
@@ -200,7 +255,8 @@
   const auto handle =
       refused ? std::nullopt : environment_.engines.read_cache_handle(attempt_->body);
   if (handle && backend != nullptr) {
-    cache_ = CacheHandle{backend->address, *handle};
+    cache_ = CacheHandle{backend->address, *handle, backend->zone};
+    note_prompt_read();
   }
   log_attempt(handle ? "prefill done" : "prefill refused", handle.value_or(""));
   end_attempt(handle ? AttemptVerdict::kGood : verdict_of_failed_prefill());
@@ -288,7 +344,8 @@
     if (!attempt_->prompt_read) {
       attempt_->prompt_read = true;
       log_attempt("first event", "");
-      environment_.loads.note_read(attempt_->backend, attempt_->unread_tokens);
+      note_prompt_read();
+      environment_.loads.note_read(attempt_->backend, attempt_->work);
     }
     passed = pass_event(*event) || passed;
   }
@@ -306,6 +363,12 @@
   if (event.id) {
     last_event_ = event.id;
   }
+  const MonotonicTime now = environment_.clock.now();
+  EngineModel* model = environment_.models.find(service_);
+  if (model != nullptr && timing_.last_event()) {
+    model->note_event_gap(now - *timing_.last_event(), reads_prompts(attempt_->backend));
+  }
+  timing_.note_event(now);
   writer_->send_body(event.bytes);
   if (writer_->buffered_bytes() > kCallerBufferBytes) {
     attempt_->exchange->set_reading(false);
@@ -313,6 +376,13 @@
   return true;
 }
 
+/// Whether any node has the engine read a prompt now.
+bool RequestSession::reads_prompts(const BackendId& engine) const {
+  const BackendLoad* load = environment_.loads.find(engine);
+  return (load != nullptr && load->unread_tokens() != 0) ||
+         environment_.loads.others(engine, environment_.clock.now()).unread_tokens != 0;
+}
+
 /// Gives the caller the head of the first back end that answers with events.
 void RequestSession::open_answer(const http::ResponseHead& head) {
   if (answer_open_) {
@@ -386,8 +456,9 @@
     return;
   }
   if (!std::exchange(attempt_->prompt_read, true)) {
-    environment_.loads.note_read(attempt_->backend, attempt_->unread_tokens);
+    environment_.loads.note_read(attempt_->backend, attempt_->work);
   }
+  environment_.loads.note_stream_ended(attempt_->backend, attempt_->work);
   environment_.loads.end(attempt_->backend, verdict, environment_.clock.now());
   if (attempt_->uses_cache && verdict == AttemptVerdict::kRefused) {
     release_cache();
@@ -481,6 +552,11 @@
         {"outcome", std::string(outcome)},
         {"attempts", static_cast<std::uint64_t>(sends_ + unreachable_)},
         {"configuration", routes_->configuration().version.value()},
+        {"most_output_tokens", prompt_ ? prompt_->output_tokens : 0},
+        {"events", timing_.events()},
+        {"longest_gap_milliseconds", to_milliseconds(timing_.longest_gap())},
+        {"last_event_milliseconds",
+         to_milliseconds(timing_.last_event().value_or(arrived_) - arrived_)},
         {"milliseconds", to_milliseconds(environment_.clock.now() - arrived_)}}});
   if (const auto on_end = std::exchange(on_end_, nullptr)) {
     on_end();
@@ -496,7 +572,10 @@
        {{"request_id", id_},
         {"backend", backend},
         {"detail", std::string(detail)},
-        {"unread_tokens", attempt_ ? attempt_->unread_tokens : 0},
+        {"unread_tokens", attempt_ ? attempt_->work.tokens : 0},
+        {"urgent", attempt_ && attempt_->work.urgent},
+        {"tokens_ahead", attempt_ ? static_cast<std::uint64_t>(attempt_->tokens_ahead) : 0},
+        {"predicted_milliseconds", attempt_ ? attempt_->predicted.count() : 0.0},
         {"cache_source", attempt_ && attempt_->cache_source ? attempt_->cache_source->value() : ""},
         {"age_milliseconds", to_milliseconds(environment_.clock.now() - arrived_)}}});
 }
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -15,6 +15,7 @@
 #include "gateway/failure_answer.h"
 #include "gateway/prompt.h"
 #include "gateway/route_table.h"
+#include "gateway/stream_timing.h"
 #include "http/client.h"
 #include "http/server.h"
 
@@ -46,6 +47,10 @@
   void start_attempt(const PlacementChoice& choice, bool prefill);
   BackendCall make_call(const Backend& backend) const;
   std::size_t connection_share() const;
+  EngineShape engine_shape() const;
+  double reading_share() const;
+  void note_prompt_read();
+  bool reads_prompts(const BackendId& engine) const;
   void end_prefill(bool refused);
   AttemptVerdict verdict_of_failed_prefill() const;
   void release_cache();
@@ -93,6 +98,7 @@
   bool may_have_run_ = false;
   bool answer_open_ = false;  ///< The caller has the head.
   std::optional<std::uint64_t> last_event_;
+  StreamTiming timing_;
   bool ended_ = false;
 };
 
