--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -86,11 +86,6 @@
   const Backends runners = candidates(request, false, now);
   const PromptView at_runners{prompt, sources, request,
                               model,  now,     find_home(runners, prompt.shared_key())};
-  if (request.cache_zone) {
-    PlacementPlan run;
-    run.runner = choose_runner(runners, at_runners, {.zone = *request.cache_zone});
-    return run;
-  }
   PlacementPlan direct;
   direct.runner = cheapest(
       runners, [&](const Backend& backend) { return estimate_direct(backend, at_runners); });
@@ -122,7 +117,6 @@
   for (const Backend* backend : backends) {
     PlacementChoice choice = estimate(*backend);
     choice.backend = backend;
-    choice.zone = backend->zone;
     choice.cost *= 1 + kTieBreak * random_.unit();
     if (best.backend == nullptr || choice.cost < best.cost) {
       best = choice;
@@ -169,7 +163,7 @@
 
 PlacementChoice Placement::estimate_runner(const Backend& backend, const PromptView& view,
                                            const PlacementChoice& reader) const {
-  const bool same_zone = reader.zone == backend.zone;
+  const bool same_zone = reader.backend->zone == backend.zone;
   PlacementChoice choice;
   double copied = static_cast<double>(view.prompt.shared_tokens() - held_tokens(backend, view));
   copied *= &backend == view.home ? kHomeDoubt : 1;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -4,7 +4,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -27,9 +26,8 @@
   const Prompt* prompt = nullptr;  ///< Null: an ordinary request.
   EngineShape shape;               ///< Of the service's engines.
   ServiceObjective objective;
-  bool may_read_apart = true;          ///< Whether a prefill engine may read the prompt first.
-  std::optional<ZoneName> cache_zone;  ///< Of the engine that has read the prompt already.
-  std::set<BackendId> avoid;           ///< Already tried.
+  bool may_read_apart = true;  ///< Whether a prefill engine may read the prompt first.
+  std::set<BackendId> avoid;   ///< Already tried.
   /// Whether a back end is reached without a new connection; null: all are.
   std::function<bool(const Backend&)> connected;
 };
@@ -43,7 +41,6 @@
   bool urgent = true;                     ///< Can be in time, and is read before all that cannot.
   bool long_stream = false;               ///< Long enough to meet what is read beside it.
   const Backend* cache_source = nullptr;  ///< Keeps shared parts that are worth fetching first.
-  ZoneName zone;                          ///< Of the back end.
   Milliseconds time{};                    ///< Expected until the first event, or until it has read.
   double cost = 0;                        ///< Loss of worth, or requests per slot.
 };
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -104,9 +104,6 @@
                       .target_latency = route_.target_latency,
                       .target_gap = route_.target_gap};
   wanted.may_read_apart = !read_apart_;
-  if (cache_) {
-    wanted.cache_zone = cache_->zone;
-  }
   wanted.avoid = tried_;
   wanted.connected = [this](const Backend& backend) {
     return environment_.transport.has_idle_connection(backend.address);
--- a/src/gateway/tests/engine_model_test.cc
+++ b/src/gateway/tests/engine_model_test.cc
@@ -222,22 +222,6 @@
   }
 }
 
-TEST_CASE(
-    "a prompt that has been read runs where no prompts are read, not where it would be read "
-    "soonest") {
-  PlacementWorld world;
-  world.prompt = parse_prompt("k1:6000,own:3000", "9000,100");
-  world.loads.note_prompt(BackendId("d1"), world.prompt, world.now);
-  for (int i = 0; i != 4; ++i) {
-    world.loads.begin(BackendId("d1"), {.tokens = 9'000});
-    world.loads.begin(BackendId("d2"), {.tokens = 9'000});
-  }
-  world.request.cache_zone = ZoneName("");
-  const PlacementPlan plan = world.choose();
-  CHECK(plan.reader.backend == nullptr);
-  CHECK(plan.runner.backend->id.value() == "d3");
-}
-
 TEST_CASE("prompts are read where no long stream would wait for them") {
   PlacementWorld world;
   world.prompt = parse_prompt("own:3000", "3000,10");
