--- a/src/base/time.h
+++ b/src/base/time.h
@@ -9,9 +9,6 @@
 /// Span of time in nanoseconds.
 using Duration = std::chrono::nanoseconds;
 
-/// Span of time where fractions and products count, as in predictions.
-using Milliseconds = std::chrono::duration<double, std::milli>;
-
 /// Marks time points of the local monotonic clock; never compared between machines.
 struct MonotonicDomain {
   using duration = Duration;
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -6,7 +6,6 @@
 #include <optional>
 #include <string>
 
-#include "gateway/attempt_work.h"
 #include "gateway/event_splitter.h"
 #include "gateway/types.h"
 #include "http/client.h"
@@ -17,12 +16,7 @@
 /// Owned by its session; without a back end once it has been accounted for.
 struct Attempt {
   BackendId backend;
-  MonotonicTime started{};
-  AttemptWork work;
-  std::uint64_t fetched_tokens = 0;  ///< To come from `cache_source`.
-  double tokens_ahead = 0;           ///< Of other prompts, to be read there before.
-  Milliseconds predicted{};          ///< Expected time to the first event, or until it has read.
-  bool same_zone = true;             ///< As the engine whose cache it takes.
+  std::uint64_t unread_tokens = 0;
   std::optional<Endpoint> cache_source;  ///< Engine that shared parts are fetched from.
   bool prompt_read = false;
   std::unique_ptr<http::Exchange> exchange;
--- a/src/gateway/backend_request.cc
+++ b/src/gateway/backend_request.cc
@@ -1,6 +1,7 @@
 #include "gateway/backend_request.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <utility>
 
@@ -14,15 +15,9 @@
 
 /// A back end in our own network that takes longer to accept is as good as gone.
 constexpr Duration kConnectTimeout = milliseconds(400);
-/// Engines know ten priorities. One for what takes next to no time; three ranks of routes, each
-/// with long prompts before others; and three for what is late.
+/// Engines know ten priorities: three ranks of routes, each with prompts up to these sizes.
 constexpr std::uint32_t kMostRanks = 3;
-constexpr std::uint32_t kFirstUrgent = 1;
-constexpr std::uint32_t kFirstLate = kFirstUrgent + 2 * kMostRanks;
-/// Reading time, in parts of the objective, that is next to nothing, and that makes a prompt a long
-/// one.
-constexpr double kTinyShare = 0.03;
-constexpr double kLongShare = 0.25;
+constexpr std::array<std::uint64_t, 2> kPromptSizeBounds{3'000, 10'000};
 
 void set_header(std::vector<http::Header>& headers, const std::string& name, std::string value) {
   const auto found = std::find_if(headers.begin(), headers.end(),
@@ -36,15 +31,13 @@
 
 }  // namespace
 
-std::uint32_t engine_priority(std::uint32_t route_priority, bool urgent, double reading_share) {
-  const std::uint32_t rank = std::min(route_priority, kMostRanks - 1);
-  if (reading_share < kTinyShare) {
-    return 0;
-  }
-  if (!urgent) {
-    return kFirstLate + rank;
+std::uint32_t engine_priority(std::uint32_t route_priority, std::uint64_t unread_tokens) {
+  std::uint32_t size = 0;
+  for (const std::uint64_t bound : kPromptSizeBounds) {
+    size += unread_tokens > bound ? 1 : 0;
   }
-  return kFirstUrgent + 2 * rank + (reading_share > kLongShare ? 1 : 0);
+  const std::uint32_t rank = std::min(route_priority, kMostRanks - 1);
+  return rank * static_cast<std::uint32_t>(kPromptSizeBounds.size() + 1) + size;
 }
 
 http::ClientRequest make_backend_request(const http::Request& request, const HeaderNames& names,
--- a/src/gateway/backend_request.h
+++ b/src/gateway/backend_request.h
@@ -16,7 +16,6 @@
 struct CacheHandle {
   Endpoint address;
   std::string handle;
-  ZoneName zone;
 };
 
 /// What one attempt adds to the caller's request.
@@ -35,10 +34,8 @@
 http::ClientRequest make_backend_request(const http::Request& request, const HeaderNames& names,
                                          const BackendCall& call);
 
-/// As engines order their work: first what takes next to no time, whatever its route's rank; then
-/// what can still be in time, by rank, the longest prompts first, since they have the least time to
-/// wait; last what is late already. `reading_share` is the time to read the prompt, in parts of the
-/// objective.
-std::uint32_t engine_priority(std::uint32_t route_priority, bool urgent, double reading_share);
+/// Rank of the route and size of what is to be read, as engines order their work: within a rank
+/// short prompts first, since a long one delays many and a short one few.
+std::uint32_t engine_priority(std::uint32_t route_priority, std::uint64_t unread_tokens);
 
 }  // namespace ochrespring::gateway
--- a/src/gateway/environment.h
+++ b/src/gateway/environment.h
@@ -27,7 +27,6 @@
   BackendTransport& transport;
   const FleetState& fleet;
   LoadTable& loads;
-  EngineModels& models;
   const Placement& placement;
   RetryBudget& budget;
   SharePicker& shares;
--- a/src/gateway/header_names.h
+++ b/src/gateway/header_names.h
@@ -16,7 +16,6 @@
   std::string load = "x-ochrespring-load";  ///< Running, waiting and slots, joined by commas.
   std::string prompt_parts = "x-ochrespring-prompt-parts";  ///< ID:TOKENS, joined by commas.
   std::string token_counts = "x-ochrespring-token-counts";  ///< Prompt and most output.
-  std::string output_hint = "x-ochrespring-output-hint";    ///< Tokens that the caller expects.
   std::string priority = "x-ochrespring-priority";          ///< 0 to 9, 0 first.
   std::string phase = "x-ochrespring-phase";
   std::string phase_prefill = "prefill";  ///< Value of `phase`: read the prompt, do not run.
--- a/src/gateway/load_table.cc
+++ b/src/gateway/load_table.cc
@@ -56,20 +56,13 @@
   return read ? std::optional(load) : std::nullopt;
 }
 
-void BackendLoad::begin(const AttemptWork& work) {
+void BackendLoad::begin(std::uint64_t unread_tokens) {
   ++in_flight_;
-  unread_tokens_ += work.tokens;
-  urgent_tokens_ += work.urgent ? work.tokens : 0;
-  long_streams_ += work.long_stream ? 1 : 0;
+  unread_tokens_ += unread_tokens;
 }
 
-void BackendLoad::note_read(const AttemptWork& work) {
-  unread_tokens_ -= std::min(work.tokens, unread_tokens_);
-  urgent_tokens_ -= work.urgent ? std::min(work.tokens, urgent_tokens_) : 0;
-}
-
-void BackendLoad::note_stream_ended(const AttemptWork& work) {
-  long_streams_ -= work.long_stream ? std::min<std::uint32_t>(long_streams_, 1) : 0;
+void BackendLoad::note_read(std::uint64_t unread_tokens) {
+  unread_tokens_ -= std::min(unread_tokens, unread_tokens_);
 }
 
 void BackendLoad::end(AttemptVerdict verdict, MonotonicTime now) {
@@ -215,25 +208,19 @@
   }
 }
 
-void LoadTable::begin(const BackendId& id, const AttemptWork& work) {
-  of(id).begin(work);
+void LoadTable::begin(const BackendId& id, std::uint64_t unread_tokens) {
+  of(id).begin(unread_tokens);
   changed(id);
 }
 
-void LoadTable::note_read(const BackendId& id, const AttemptWork& work) {
+void LoadTable::note_read(const BackendId& id, std::uint64_t unread_tokens) {
   BackendLoad* load = known(id);
-  if (load != nullptr && work.tokens != 0) {
-    load->note_read(work);
+  if (load != nullptr && unread_tokens != 0) {
+    load->note_read(unread_tokens);
     changed(id);
   }
 }
 
-void LoadTable::note_stream_ended(const BackendId& id, const AttemptWork& work) {
-  if (BackendLoad* load = known(id)) {
-    load->note_stream_ended(work);
-  }
-}
-
 void LoadTable::end(const BackendId& id, AttemptVerdict verdict, MonotonicTime now) {
   BackendLoad* load = known(id);
   if (load == nullptr) {
--- a/src/gateway/load_table.h
+++ b/src/gateway/load_table.h
@@ -12,7 +12,6 @@
 #include <vector>
 
 #include "base/time.h"
-#include "gateway/attempt_work.h"
 #include "gateway/peer_view.h"
 #include "gateway/prompt.h"
 #include "gateway/types.h"
@@ -42,11 +41,9 @@
 /// One back end as this node sees it.
 class BackendLoad {
  public:
-  void begin(const AttemptWork& work);
+  void begin(std::uint64_t unread_tokens);
   /// The prompt has been read: the first event came, or the attempt has ended.
-  void note_read(const AttemptWork& work);
-  /// The attempt's stream, if it is a long one, has ended.
-  void note_stream_ended(const AttemptWork& work);
+  void note_read(std::uint64_t unread_tokens);
   void end(AttemptVerdict verdict, MonotonicTime now);
   /// The back end has stopped to acknowledge what is sent to it: it is left alone for a while.
   void note_silence(MonotonicTime now);
@@ -56,8 +53,6 @@
   double reported_others(MonotonicTime now) const;
   std::uint32_t in_flight() const { return in_flight_; }
   std::uint64_t unread_tokens() const { return unread_tokens_; }
-  std::uint64_t urgent_tokens() const { return urgent_tokens_; }
-  std::uint32_t long_streams() const { return long_streams_; }
   double reported_waiting(MonotonicTime now) const;
   /// Share of recent attempts that failed, fading with time, 0 to 1.
   double failure_share(MonotonicTime now) const;
@@ -93,8 +88,6 @@
 
   std::uint32_t in_flight_ = 0;
   std::uint64_t unread_tokens_ = 0;
-  std::uint64_t urgent_tokens_ = 0;
-  std::uint32_t long_streams_ = 0;
   ReportedLoad reported_;
   std::uint32_t own_at_report_ = 0;
   std::optional<MonotonicTime> reported_at_;
@@ -118,9 +111,8 @@
 
   /// The same as of the back end's load, and told to whoever listens to changes. A back end that
   /// was forgotten while a request ran there stays forgotten.
-  void begin(const BackendId& id, const AttemptWork& work);
-  void note_read(const BackendId& id, const AttemptWork& work);
-  void note_stream_ended(const BackendId& id, const AttemptWork& work);
+  void begin(const BackendId& id, std::uint64_t unread_tokens);
+  void note_read(const BackendId& id, std::uint64_t unread_tokens);
   void end(const BackendId& id, AttemptVerdict verdict, MonotonicTime now);
   void note_report(const BackendId& id, const ReportedLoad& load, MonotonicTime now);
 
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peer_view.h
@@ -11,8 +11,6 @@
 struct OthersWork {
   std::uint32_t requests = 0;
   std::uint64_t unread_tokens = 0;
-  std::uint64_t urgent_tokens = 0;  ///< Of the unread ones.
-  std::uint32_t long_streams = 0;   ///< Of the requests.
 };
 
 class PeerView {
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -1,8 +1,6 @@
 #include "gateway/placement.h"
 
 #include <algorithm>
-#include <cmath>
-#include <limits>
 
 #include "base/hash.h"
 
@@ -10,39 +8,35 @@
 
 namespace {
 
-/// Loss of worth of certain failure, in a whole request's.
-constexpr double kFailureLoss = 1.5;
-/// Price of an engine's time, in worth for an objective's length: others wait for it.
-constexpr double kEngineTimePrice = 2.0;
-/// Price of a token fetched, in tokens read: a copy pushes other parts out.
-constexpr double kCopyPrice = 0.25;
-/// Loss of worth of a new connection, of a call to an engine in another zone, and of an engine that
-/// has just started.
-constexpr double kNewConnectionLoss = 0.03;
-constexpr double kOtherZoneLoss = 0.002;
-constexpr double kColdEngineLoss = 0.05;
-/// Loss of handing a cache over to another zone, besides the time it takes.
-constexpr double kOtherZoneHandOverLoss = 0.2;
-/// A fetch that saves less than this part of the objective is not worth a transfer.
-constexpr double kLeastFetchGain = 0.01;
-/// Tokens of one prompt of others that only an answer's report of load tells of.
-constexpr double kTokensPerUnheard = 2'000;
-/// How sharply the loss rises as an engine's slots fill.
-constexpr double kCrowdSteepness = 20;
-/// A stream of so many events is long: it has pauses in which prompts may be read.
-constexpr double kExposedEvents = 3;
-/// Part of what a long stream loses where prompts are read all the time that it is taken to lose at
-/// an engine where no other keeps them away.
-constexpr double kUnprotectedShare = 0.3;
-/// Loss for each long stream at an engine that reads for an objective's length.
-constexpr double kHarmPerStream = 0.5;
-/// Loss where all slots are taken by streams that slow each other's steps.
-constexpr double kRunningLoss = 0.6;
-/// A prompt is in time if it is expected within this part of what is left until it is late: the
-/// rest is for what comes between.
-constexpr double kMostQueueShare = 0.65;
-/// At an engine with fewer requests none is given up as late: too little is known.
-constexpr double kFewRequests = 5;
+/// An engine that also decodes reads prompts at half the pace.
+constexpr double kRunnerReadingCost = 2;
+/// Share of the reading cost that each stream of others at the engine adds: between its tokens they
+/// all wait for a piece of the prompt to be read.
+constexpr double kHarmPerStream = 0.25;
+/// Cost in tokens of one request that already runs at an engine: it slows every step a little.
+constexpr double kTokensPerRunning = 60;
+/// Cost in tokens of one prompt of others that a prefill engine is reading.
+constexpr double kTokensPerReading = 2'000;
+/// Cost in tokens of one request of others that waits.
+constexpr double kTokensPerWaiting = 3'000;
+/// Cost in tokens of certain failure.
+constexpr double kTokensPerFailure = 60'000;
+/// Cost in tokens of handing a prompt's cache over: a second call and the set-up of the transfer.
+constexpr double kHandOverTokens = 1'500;
+/// Cost in tokens of transferring one token's cache.
+constexpr double kTransferCost = 0.04;
+/// Fewer tokens are read sooner than they are fetched from another engine.
+constexpr std::uint64_t kLeastFetchTokens = 800;
+/// Cost in tokens of a fetch, and of one token fetched.
+constexpr double kFetchTokens = 600;
+constexpr double kFetchTokenCost = 0.4;
+/// Cost in tokens of a new connection.
+constexpr double kNewConnectionTokens = 300;
+/// How much more a transfer between zones costs.
+constexpr double kOtherZoneTransfer = 2;
+/// What reading a shared part anew costs besides its time, in parts of its tokens: the engine's
+/// pace and memory are gone for others.
+constexpr double kExtraColdCost = 1.5;
 /// Part of a shared prompt that is believed missing at its home before this node has seen it there.
 constexpr double kHomeDoubt = 0.4;
 /// Cost of leaving the zone for an ordinary service, in requests per slot.
@@ -64,6 +58,14 @@
       });
 }
 
+double fetch_cost(std::uint64_t tokens) {
+  return tokens == 0 ? 0 : kFetchTokens + kFetchTokenCost * static_cast<double>(tokens);
+}
+
+double connection_cost(const Backend& backend, const PlacementRequest& request) {
+  return request.connected && !request.connected(backend) ? kNewConnectionTokens : 0;
+}
+
 }  // namespace
 
 PlacementPlan Placement::choose(const PlacementRequest& request, MonotonicTime now) const {
@@ -78,37 +80,27 @@
 
 PlacementPlan Placement::choose_engines(const PlacementRequest& request, MonotonicTime now) const {
   const Prompt& prompt = *request.prompt;
-  const EngineModel& model = models_.of(request.service, request.shape,
-                                        {.tokens = static_cast<double>(prompt.tokens),
-                                         .time = request.objective.target_latency,
-                                         .gap = request.objective.target_gap});
   const CacheSources sources(fleet_, loads_, request.service, prompt, now);
   const Backends runners = candidates(request, false, now);
-  const PromptView at_runners{prompt, sources, request,
-                              model,  now,     find_home(runners, prompt.shared_key())};
+  const PromptView at_runners{prompt, sources, request, find_home(runners, prompt.shared_key())};
   PlacementPlan direct;
-  direct.runner = cheapest(
-      runners, [&](const Backend& backend) { return estimate_direct(backend, at_runners); });
+  direct.runner = cheapest(runners, [&](const Backend& backend) {
+    return estimate_runner(backend, at_runners, nullptr, now);
+  });
   if (!request.may_read_apart || direct.runner.backend == nullptr) {
     return direct;
   }
   const Backends readers = candidates(request, true, now);
-  const PromptView at_readers{prompt, sources, request,
-                              model,  now,     find_home(readers, prompt.shared_key())};
+  const PromptView at_readers{prompt, sources, request, find_home(readers, prompt.shared_key())};
   PlacementPlan apart;
   apart.reader = cheapest(
-      readers, [&](const Backend& backend) { return estimate_reader(backend, at_readers); });
-  if (apart.reader.backend == nullptr) {
-    return direct;
-  }
-  apart.runner = choose_runner(runners, at_runners, apart.reader);
-  return apart.runner.cost < direct.runner.cost ? apart : direct;
-}
-
-PlacementChoice Placement::choose_runner(const Backends& runners, const PromptView& view,
-                                         const PlacementChoice& reader) const {
-  return cheapest(runners,
-                  [&](const Backend& backend) { return estimate_runner(backend, view, reader); });
+      readers, [&](const Backend& backend) { return estimate_reader(backend, at_readers, now); });
+  apart.runner = cheapest(runners, [&](const Backend& backend) {
+    return estimate_runner(backend, at_runners, apart.reader.backend, now);
+  });
+  const bool quicker =
+      apart.reader.backend != nullptr && apart.reader.cost + apart.runner.cost < direct.runner.cost;
+  return quicker ? apart : direct;
 }
 
 template <class Estimate>
@@ -117,7 +109,7 @@
   for (const Backend* backend : backends) {
     PlacementChoice choice = estimate(*backend);
     choice.backend = backend;
-    choice.cost *= 1 + kTieBreak * random_.unit();
+    choice.cost *= (backend->cold ? kColdBackendCost : 1) + kTieBreak * random_.unit();
     if (best.backend == nullptr || choice.cost < best.cost) {
       best = choice;
     }
@@ -141,138 +133,70 @@
   return healthy.empty() ? ejected : healthy;
 }
 
-PlacementChoice Placement::estimate_direct(const Backend& backend, const PromptView& view) const {
-  PlacementChoice choice = estimate_reading(backend, view);
-  choice.long_stream = is_long(view);
-  choice.cost = expected_loss(choice.time, view.request.objective) +
-                engine_price(backend, view, static_cast<double>(choice.unread_tokens),
-                             static_cast<double>(choice.fetched_tokens)) +
-                run_loss(backend, view, static_cast<double>(choice.unread_tokens)) +
-                side_loss(backend, view);
-  return choice;
-}
-
-PlacementChoice Placement::estimate_reader(const Backend& backend, const PromptView& view) const {
-  PlacementChoice choice = estimate_reading(backend, view);
-  choice.cost = expected_loss(choice.time, view.request.objective) +
-                engine_price(backend, view, static_cast<double>(choice.unread_tokens),
-                             static_cast<double>(choice.fetched_tokens)) +
-                side_loss(backend, view);
-  return choice;
-}
-
 PlacementChoice Placement::estimate_runner(const Backend& backend, const PromptView& view,
-                                           const PlacementChoice& reader) const {
-  const bool same_zone = reader.backend->zone == backend.zone;
+                                           const Backend* reader, MonotonicTime now) const {
+  const BackendLoad& load = load_of(backend);
+  const Work work = work_at(backend, now);
   PlacementChoice choice;
-  double copied = static_cast<double>(view.prompt.shared_tokens() - held_tokens(backend, view));
-  copied *= &backend == view.home ? kHomeDoubt : 1;
-  choice.urgent = reader.urgent;
-  choice.long_stream = is_long(view);
-  choice.time =
-      reader.time + view.model.hand_over_time(static_cast<double>(view.prompt.tokens), same_zone);
-  // The reader's cost without its lateness is that of its engine's time and of its side losses.
-  choice.cost = reader.cost - expected_loss(reader.time, view.request.objective) +
-                expected_loss(choice.time, view.request.objective) + run_loss(backend, view, 0) +
-                side_loss(backend, view) + engine_price(backend, view, 0, copied) +
-                (same_zone ? 0 : kOtherZoneHandOverLoss);
+  if (reader != nullptr) {
+    const double distance = reader->zone == backend.zone ? 1 : kOtherZoneTransfer;
+    choice.cost =
+        kHandOverTokens + distance * kTransferCost * static_cast<double>(view.prompt.tokens);
+  } else {
+    const Reading reading = reading_at(backend, view, now);
+    choice.unread_tokens = reading.unread_tokens;
+    choice.cache_source = reading.cache_source;
+    choice.cost = fetch_cost(reading.fetched_tokens) +
+                  kRunnerReadingCost *
+                      (static_cast<double>(reading.unread_tokens) + work.unread_tokens) *
+                      (1 + kHarmPerStream * work.requests);
+  }
+  choice.cost += connection_cost(backend, view.request) + kTokensPerRunning * work.requests +
+                 kTokensPerWaiting * load.reported_waiting(now) +
+                 kTokensPerFailure * load.failure_share(now);
   return choice;
 }
 
-PlacementChoice Placement::estimate_reading(const Backend& backend, const PromptView& view) const {
-  const std::uint64_t shared = view.prompt.shared_tokens();
-  std::uint64_t held = held_tokens(backend, view);
+PlacementChoice Placement::estimate_reader(const Backend& backend, const PromptView& view,
+                                           MonotonicTime now) const {
+  const BackendLoad& load = load_of(backend);
+  const Reading reading = reading_at(backend, view, now);
   PlacementChoice choice;
-  const std::uint64_t kept = std::min(view.sources.tokens_for(backend), shared);
-  if (kept > held) {
-    const auto fetched = static_cast<double>(kept - held);
-    const Milliseconds gain =
-        view.model.reading_time(backend.role, fetched) - view.model.hand_over_time(fetched, true);
-    if (gain > kLeastFetchGain * Milliseconds(view.request.objective.target_latency)) {
-      choice.cache_source = view.sources.best_for(backend);
-      choice.fetched_tokens = kept - held;
-      held = kept;
-    }
-  }
-  double missing = static_cast<double>(shared - held);
-  if (&backend == view.home) {
-    missing *= kHomeDoubt;
-  }
-  choice.unread_tokens = static_cast<std::uint64_t>(missing) + view.prompt.own_tokens();
-  const Work work = work_at(backend, view.now);
-  const auto unread = static_cast<double>(choice.unread_tokens);
-  const auto time_behind = [&](double tokens_ahead) {
-    return view.model.slowness(backend.id, view.now) *
-               (view.model.call_time(backend.role) +
-                view.model.reading_time(backend.role, tokens_ahead + unread)) +
-           view.model.fetch_time(static_cast<double>(choice.fetched_tokens));
-  };
-  const ServiceObjective& objective = view.request.objective;
-  const Milliseconds until_late(objective.until_late);
-  choice.urgent = time_behind(work.urgent_tokens) < kMostQueueShare * until_late ||
-                  work.requests < kFewRequests;
-  choice.tokens_ahead = choice.urgent ? work.urgent_tokens : work.unread_tokens;
-  choice.time = time_behind(choice.tokens_ahead);
+  choice.unread_tokens = reading.unread_tokens;
+  choice.cache_source = reading.cache_source;
+  const double missing = static_cast<double>(choice.unread_tokens - view.prompt.own_tokens());
+  choice.cost = connection_cost(backend, view.request) + fetch_cost(reading.fetched_tokens) +
+                static_cast<double>(choice.unread_tokens) + kExtraColdCost * missing +
+                work_at(backend, now).unread_tokens + kTokensPerFailure * load.failure_share(now);
   return choice;
 }
 
-std::uint64_t Placement::held_tokens(const Backend& backend, const PromptView& view) const {
+Placement::Reading Placement::reading_at(const Backend& backend, const PromptView& view,
+                                         MonotonicTime now) const {
   const BackendLoad& load = load_of(backend);
+  const std::uint64_t shared = view.prompt.shared_tokens();
   std::uint64_t held = 0;
   for (const PromptPart& part : view.prompt.parts) {
     // A part is of use only behind all parts before it.
-    if (!load.holds(part.key, view.now)) {
+    if (!load.holds(part.key, now)) {
       break;
     }
     held += part.tokens;
   }
-  return std::min(held, view.prompt.shared_tokens());
-}
-
-double Placement::engine_price(const Backend& backend, const PromptView& view, double read,
-                               double copied) const {
-  const Milliseconds time = view.model.reading_time(backend.role, read) +
-                            view.model.reading_time(EngineRole::kPrefill, kCopyPrice * copied);
-  return kEngineTimePrice * (time / Milliseconds(view.request.objective.target_latency));
-}
-
-double Placement::side_loss(const Backend& backend, const PromptView& view) const {
-  const bool connected = !view.request.connected || view.request.connected(backend);
-  return kFailureLoss * load_of(backend).failure_share(view.now) +
-         (connected ? 0 : kNewConnectionLoss) + (backend.zone == zone_ ? 0 : kOtherZoneLoss) +
-         (backend.cold ? kColdEngineLoss : 0);
-}
-
-/// A stream waits for a slot where all are taken. Events of a long one wait for the prompts that
-/// are read in between, now or later; so do those of the long streams that run there already. Where
-/// some run already no prompts are read soon, so that long streams gather at few engines and leave
-/// the others to reading.
-double Placement::run_loss(const Backend& backend, const PromptView& view,
-                           double tokens_read_there) const {
-  const ServiceObjective& objective = view.request.objective;
-  const Work work = work_at(backend, view.now);
-  const double slots = std::max(1.0, static_cast<double>(backend.slots));
-  const double crowded = 1 / (1 + std::exp(-kCrowdSteepness * ((work.requests + 1) / slots - 1)));
-  const double slowness = view.model.slowness(backend.id, view.now);
-  const auto gap_loss = [&](double tokens) {
-    return expected_gap_loss(slowness * view.model.event_gap(tokens), objective);
-  };
-  const double loss_after = gap_loss(work.unread_tokens + tokens_read_there);
-  const double worst = gap_loss(std::numeric_limits<double>::max());
-  const double own =
-      is_long(view) ? loss_after + kUnprotectedShare * worst / (1 + work.long_streams) : 0;
-  const double all_tokens = tokens_read_there > 0 ? work.unread_tokens + tokens_read_there : 0;
-  const Milliseconds reading = view.model.reading_time(backend.role, all_tokens);
-  const double harm =
-      kHarmPerStream * work.long_streams * (reading / Milliseconds(objective.target_latency));
-  return crowded + kRunningLoss * work.requests / slots + own + harm;
-}
-
-bool Placement::is_long(const PromptView& view) const {
-  const double tokens_per_event =
-      std::max<double>(1, static_cast<double>(view.request.shape.tokens_per_event));
-  return static_cast<double>(view.prompt.expected_output_tokens) >=
-         kExposedEvents * tokens_per_event;
+  held = std::min(held, shared);
+  Reading reading;
+  const std::uint64_t kept = std::min(view.sources.tokens_for(backend), shared);
+  if (kept >= held + kLeastFetchTokens) {
+    reading.cache_source = view.sources.best_for(backend);
+    reading.fetched_tokens = kept - held;
+    held = kept;
+  }
+  double missing = static_cast<double>(shared - held);
+  if (&backend == view.home) {
+    missing *= kHomeDoubt;
+  }
+  reading.unread_tokens = static_cast<std::uint64_t>(missing) + view.prompt.own_tokens();
+  return reading;
 }
 
 PlacementChoice Placement::estimate_ordinary(const Backend& backend, MonotonicTime now) const {
@@ -281,7 +205,6 @@
   choice.cost = (1 + work_at(backend, now).requests) / std::max<double>(backend.slots, 1) +
                 (backend.zone == zone_ ? 0 : kOtherZoneCost) +
                 kOrdinaryFailureCost * load.failure_share(now);
-  choice.cost *= backend.cold ? kColdBackendCost : 1;
   return choice;
 }
 
@@ -295,11 +218,8 @@
   Work work;
   work.requests = load.in_flight() + told.requests + unheard;
   work.unread_tokens = static_cast<double>(load.unread_tokens() + told.unread_tokens);
-  work.urgent_tokens = static_cast<double>(load.urgent_tokens() + told.urgent_tokens);
-  work.long_streams = static_cast<double>(load.long_streams() + told.long_streams);
   if (backend.role == EngineRole::kPrefill) {
-    work.unread_tokens += kTokensPerUnheard * unheard;
-    work.urgent_tokens += kTokensPerUnheard * unheard;
+    work.unread_tokens += kTokensPerReading * unheard;
   }
   return work;
 }
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -1,5 +1,5 @@
-// Which back end takes a request. Pure: decides from the fleet, the node's own view of load, what
-// it has learned of engines, and the prompt; keeps no state.
+// Which back end takes a request. Pure: decides from the fleet, the node's own view of load, and
+// the prompt; keeps no state.
 #pragma once
 
 #include <cstdint>
@@ -11,8 +11,6 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "gateway/cache_sources.h"
-#include "gateway/completion_loss.h"
-#include "gateway/engine_model.h"
 #include "gateway/fleet_state.h"
 #include "gateway/load_table.h"
 #include "gateway/prompt.h"
@@ -24,10 +22,8 @@
 struct PlacementRequest {
   ServiceName service;
   const Prompt* prompt = nullptr;  ///< Null: an ordinary request.
-  EngineShape shape;               ///< Of the service's engines.
-  ServiceObjective objective;
-  bool may_read_apart = true;  ///< Whether a prefill engine may read the prompt first.
-  std::set<BackendId> avoid;   ///< Already tried.
+  bool may_read_apart = true;      ///< Whether a prefill engine may read the prompt first.
+  std::set<BackendId> avoid;       ///< Already tried.
   /// Whether a back end is reached without a new connection; null: all are.
   std::function<bool(const Backend&)> connected;
 };
@@ -36,29 +32,22 @@
 struct PlacementChoice {
   const Backend* backend = nullptr;       ///< Null: no back end may take the request.
   std::uint64_t unread_tokens = 0;        ///< Of the prompt, to be read there.
-  std::uint64_t fetched_tokens = 0;       ///< Of the prompt, to be fetched from `cache_source`.
-  double tokens_ahead = 0;                ///< Of other prompts, to be read there before.
-  bool urgent = true;                     ///< Can be in time, and is read before all that cannot.
-  bool long_stream = false;               ///< Long enough to meet what is read beside it.
   const Backend* cache_source = nullptr;  ///< Keeps shared parts that are worth fetching first.
-  Milliseconds time{};                    ///< Expected until the first event, or until it has read.
-  double cost = 0;                        ///< Loss of worth, or requests per slot.
+  double cost = 0;                        ///< In tokens to read, or in requests per slot.
 };
 
-/// Who runs a request and, if that is better, who reads its prompt before.
+/// Who runs a request and, if that is quicker, who reads its prompt before.
 struct PlacementPlan {
   PlacementChoice runner;
   PlacementChoice reader;  ///< Without a back end: the runner reads the prompt itself.
 };
 
-/// Chooses the plan of least expected loss of worth. All nodes rank the homes of a shared prompt
-/// part alike by rendezvous hashing, so that without a word between them its requests meet one
-/// cache.
+/// Chooses the back end of least estimated cost. All nodes rank the homes of a shared prompt part
+/// alike by rendezvous hashing, so that without a word between them its requests meet one cache.
 class Placement {
  public:
-  Placement(const FleetState& fleet, const LoadTable& loads, EngineModels& models,
-            RandomSource& random, ZoneName zone)
-      : fleet_(fleet), loads_(loads), models_(models), random_(random), zone_(std::move(zone)) {}
+  Placement(const FleetState& fleet, const LoadTable& loads, RandomSource& random, ZoneName zone)
+      : fleet_(fleet), loads_(loads), random_(random), zone_(std::move(zone)) {}
 
   PlacementPlan choose(const PlacementRequest& request, MonotonicTime now) const;
 
@@ -72,39 +61,27 @@
     const Prompt& prompt;
     const CacheSources& sources;
     const PlacementRequest& request;
-    const EngineModel& model;
-    MonotonicTime now;
     const Backend* home = nullptr;
   };
-  /// Reading the prompt at the engine where it then runs.
-  PlacementChoice estimate_direct(const Backend& backend, const PromptView& view) const;
-  /// Reading the prompt at an engine that hands its cache over.
-  PlacementChoice estimate_reader(const Backend& backend, const PromptView& view) const;
-  /// Running it from the cache that the reader hands over.
+  /// Cost of reading the prompt where it then runs, or, with a reader, of taking over its cache and
+  /// running it only.
   PlacementChoice estimate_runner(const Backend& backend, const PromptView& view,
-                                  const PlacementChoice& reader) const;
-  /// The engine of least cost to run a prompt that has been read.
-  PlacementChoice choose_runner(const Backends& runners, const PromptView& view,
-                                const PlacementChoice& reader) const;
+                                  const Backend* reader, MonotonicTime now) const;
+  PlacementChoice estimate_reader(const Backend& backend, const PromptView& view,
+                                  MonotonicTime now) const;
   PlacementChoice estimate_ordinary(const Backend& backend, MonotonicTime now) const;
-  /// What an engine has to read and to fetch of a prompt, and how long that takes.
-  PlacementChoice estimate_reading(const Backend& backend, const PromptView& view) const;
-  /// Shared tokens of the prompt that an engine keeps from its start on.
-  std::uint64_t held_tokens(const Backend& backend, const PromptView& view) const;
-  /// Price of what comes into an engine's memory, read or copied.
-  double engine_price(const Backend& backend, const PromptView& view, double read,
-                      double copied) const;
-  /// Loss of worth besides lateness: failures, connections, slots.
-  double side_loss(const Backend& backend, const PromptView& view) const;
-  double run_loss(const Backend& backend, const PromptView& view, double tokens_read_there) const;
-  bool is_long(const PromptView& view) const;
+  /// What an engine has to read and to fetch of a prompt.
+  struct Reading {
+    std::uint64_t unread_tokens = 0;
+    std::uint64_t fetched_tokens = 0;
+    const Backend* cache_source = nullptr;  ///< Null: nothing is worth fetching.
+  };
+  Reading reading_at(const Backend& backend, const PromptView& view, MonotonicTime now) const;
   const BackendLoad& load_of(const Backend& backend) const;
   /// Requests and unread tokens at a back end, of all nodes.
   struct Work {
     double requests = 0;
     double unread_tokens = 0;
-    double urgent_tokens = 0;
-    double long_streams = 0;
   };
   Work work_at(const Backend& backend, MonotonicTime now) const;
 
@@ -113,7 +90,6 @@
 
   const FleetState& fleet_;
   const LoadTable& loads_;
-  EngineModels& models_;
   RandomSource& random_;
   ZoneName zone_;
 };
--- a/src/gateway/prompt.cc
+++ b/src/gateway/prompt.cc
@@ -53,7 +53,6 @@
   }
   prompt.tokens = read_number(take_until(counts, ','));
   prompt.output_tokens = read_number(counts);
-  prompt.expected_output_tokens = prompt.output_tokens;
   if (prompt.tokens == 0) {
     prompt.tokens = sum;
   }
--- a/src/gateway/prompt.h
+++ b/src/gateway/prompt.h
@@ -17,9 +17,8 @@
 /// Parts in order; the last is the request's own or its session's.
 struct Prompt {
   std::vector<PromptPart> parts;
-  std::uint64_t tokens = 0;                  ///< All of the prompt.
-  std::uint64_t output_tokens = 0;           ///< At most.
-  std::uint64_t expected_output_tokens = 0;  ///< By the caller's word, or else at most.
+  std::uint64_t tokens = 0;         ///< All of the prompt.
+  std::uint64_t output_tokens = 0;  ///< At most.
 
   /// Key of what the prompt shares with others: the last part before its own, or empty.
   std::string_view shared_key() const;
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -66,8 +66,6 @@
   if (service != nullptr && service->engine) {
     prompt_ = parse_prompt(http::find_header(request_.headers, names.prompt_parts),
                            http::find_header(request_.headers, names.token_counts));
-    const std::string_view hint = http::find_header(request_.headers, names.output_hint);
-    prompt_->expected_output_tokens = read_number(hint, prompt_->output_tokens);
   }
   const std::string_view last = http::find_header(request_.headers, names.last_event);
   if (!last.empty()) {
@@ -98,11 +96,6 @@
   PlacementRequest wanted;
   wanted.service = service_;
   wanted.prompt = prompt_ ? &*prompt_ : nullptr;
-  wanted.shape = engine_shape();
-  wanted.objective = {.until_late = route_.target_latency - (now - arrived_),
-                      .until_lost = time_left(),
-                      .target_latency = route_.target_latency,
-                      .target_gap = route_.target_gap};
   wanted.may_read_apart = !read_apart_;
   wanted.avoid = tried_;
   wanted.connected = [this](const Backend& backend) {
@@ -124,24 +117,17 @@
   const Backend& backend = *choice.backend;
   attempt_.emplace();
   attempt_->backend = backend.id;
-  attempt_->started = now;
   attempt_->prefill = prefill;
   attempt_->uses_cache = !prefill && cache_.has_value();
-  attempt_->work = {.tokens = attempt_->uses_cache ? 0 : choice.unread_tokens,
-                    .urgent = choice.urgent,
-                    .long_stream = !prefill && choice.long_stream};
-  attempt_->tokens_ahead = choice.tokens_ahead;
-  attempt_->predicted = choice.time;
-  attempt_->same_zone = !attempt_->uses_cache || cache_->zone == backend.zone;
+  attempt_->unread_tokens = attempt_->uses_cache ? 0 : choice.unread_tokens;
   if (!attempt_->uses_cache && choice.cache_source != nullptr) {
     attempt_->cache_source = choice.cache_source->address;
-    attempt_->fetched_tokens = choice.fetched_tokens;
     ++environment_.statistics.cache_fetches;
   }
   if (!prefill) {
     tried_.insert(backend.id);
   }
-  environment_.loads.begin(backend.id, attempt_->work);
+  environment_.loads.begin(backend.id, attempt_->unread_tokens);
   if (prompt_) {
     environment_.loads.note_prompt(backend.id, *prompt_, now);
   }
@@ -158,7 +144,7 @@
   call.left = time_left();
   call.prefill = attempt_->prefill;
   if (prompt_) {
-    call.priority = engine_priority(route_.priority, attempt_->work.urgent, reading_share());
+    call.priority = engine_priority(route_.priority, attempt_->unread_tokens);
   }
   if (attempt_->uses_cache) {
     call.cache = cache_;
@@ -171,44 +157,6 @@
   return call;
 }
 
-EngineShape RequestSession::engine_shape() const {
-  const Service* service = routes_->configuration().find_service(service_);
-  return service == nullptr || !service->engine ? EngineShape() : *service->engine;
-}
-
-/// Time that the engine takes to read the prompt, in parts of the objective.
-double RequestSession::reading_share() const {
-  const Backend* backend = environment_.fleet.find(attempt_->backend);
-  if (backend == nullptr) {
-    return 0;
-  }
-  const EngineModel* model = environment_.models.find(service_);
-  return model == nullptr
-             ? 0
-             : model->reading_time(backend->role, static_cast<double>(attempt_->work.tokens)) /
-                   Milliseconds(route_.target_latency);
-}
-
-/// Tells the model of the service's engines how long the prompt took, by what is known to have been
-/// read.
-void RequestSession::note_prompt_read() {
-  const MonotonicTime now = environment_.clock.now();
-  const Backend* backend = environment_.fleet.find(attempt_->backend);
-  EngineModel* model = environment_.models.find(service_);
-  if (backend == nullptr || model == nullptr) {
-    return;
-  }
-  const Duration elapsed = now - attempt_->started;
-  if (attempt_->uses_cache) {
-    model->note_hand_over(static_cast<double>(prompt_->tokens), attempt_->same_zone, elapsed);
-    return;
-  }
-  const Milliseconds fetched = model->fetch_time(static_cast<double>(attempt_->fetched_tokens));
-  const Duration reading = elapsed - std::chrono::duration_cast<Duration>(fetched);
-  model->note_reading(*backend, attempt_->tokens_ahead + static_cast<double>(attempt_->work.tokens),
-                      reading, now);
-}
-
 /// This node's part of the connections that a back end takes from all callers.
 std::size_t RequestSession::connection_share() const {
   const Service* service = routes_->configuration().find_service(service_);
@@ -252,8 +200,7 @@
   const auto handle =
       refused ? std::nullopt : environment_.engines.read_cache_handle(attempt_->body);
   if (handle && backend != nullptr) {
-    cache_ = CacheHandle{backend->address, *handle, backend->zone};
-    note_prompt_read();
+    cache_ = CacheHandle{backend->address, *handle};
   }
   log_attempt(handle ? "prefill done" : "prefill refused", handle.value_or(""));
   end_attempt(handle ? AttemptVerdict::kGood : verdict_of_failed_prefill());
@@ -341,8 +288,7 @@
     if (!attempt_->prompt_read) {
       attempt_->prompt_read = true;
       log_attempt("first event", "");
-      note_prompt_read();
-      environment_.loads.note_read(attempt_->backend, attempt_->work);
+      environment_.loads.note_read(attempt_->backend, attempt_->unread_tokens);
     }
     passed = pass_event(*event) || passed;
   }
@@ -360,12 +306,7 @@
   if (event.id) {
     last_event_ = event.id;
   }
-  const MonotonicTime now = environment_.clock.now();
-  EngineModel* model = environment_.models.find(service_);
-  if (model != nullptr && timing_.last_event()) {
-    model->note_event_gap(now - *timing_.last_event(), reads_prompts(attempt_->backend));
-  }
-  timing_.note_event(now);
+  timing_.note_event(environment_.clock.now());
   writer_->send_body(event.bytes);
   if (writer_->buffered_bytes() > kCallerBufferBytes) {
     attempt_->exchange->set_reading(false);
@@ -373,13 +314,6 @@
   return true;
 }
 
-/// Whether any node has the engine read a prompt now.
-bool RequestSession::reads_prompts(const BackendId& engine) const {
-  const BackendLoad* load = environment_.loads.find(engine);
-  return (load != nullptr && load->unread_tokens() != 0) ||
-         environment_.loads.others(engine, environment_.clock.now()).unread_tokens != 0;
-}
-
 /// Gives the caller the head of the first back end that answers with events.
 void RequestSession::open_answer(const http::ResponseHead& head) {
   if (answer_open_) {
@@ -453,9 +387,8 @@
     return;
   }
   if (!std::exchange(attempt_->prompt_read, true)) {
-    environment_.loads.note_read(attempt_->backend, attempt_->work);
+    environment_.loads.note_read(attempt_->backend, attempt_->unread_tokens);
   }
-  environment_.loads.note_stream_ended(attempt_->backend, attempt_->work);
   environment_.loads.end(attempt_->backend, verdict, environment_.clock.now());
   if (attempt_->uses_cache && verdict == AttemptVerdict::kRefused) {
     release_cache();
@@ -569,10 +502,7 @@
        {{"request_id", id_},
         {"backend", backend},
         {"detail", std::string(detail)},
-        {"unread_tokens", attempt_ ? attempt_->work.tokens : 0},
-        {"urgent", attempt_ && attempt_->work.urgent},
-        {"tokens_ahead", attempt_ ? static_cast<std::uint64_t>(attempt_->tokens_ahead) : 0},
-        {"predicted_milliseconds", attempt_ ? attempt_->predicted.count() : 0.0},
+        {"unread_tokens", attempt_ ? attempt_->unread_tokens : 0},
         {"cache_source", attempt_ && attempt_->cache_source ? attempt_->cache_source->value() : ""},
         {"age_milliseconds", to_milliseconds(environment_.clock.now() - arrived_)}}});
 }
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -47,10 +47,6 @@
   void start_attempt(const PlacementChoice& choice, bool prefill);
   BackendCall make_call(const Backend& backend) const;
   std::size_t connection_share() const;
-  EngineShape engine_shape() const;
-  double reading_share() const;
-  void note_prompt_read();
-  bool reads_prompts(const BackendId& engine) const;
   void end_prefill(bool refused);
   AttemptVerdict verdict_of_failed_prefill() const;
   void release_cache();
--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -138,8 +138,7 @@
   PlayedTransport transport;
   FleetState fleet;
   LoadTable loads;
-  EngineModels models;
-  Placement placement{fleet, loads, models, random, ZoneName("a")};
+  Placement placement{fleet, loads, random, ZoneName("a")};
   RetryBudget budget{{1.0, 1000, std::chrono::seconds(10)}};
   SharePicker shares{random};
   HeaderNames names;
@@ -147,8 +146,8 @@
   GatewayStatistics statistics;
   logging::NullLogger logger;
   bool store_answers = true;
-  Gateway gateway{{time, time, transport, fleet, loads, models, placement, budget, shares, names,
-                   engines, statistics, logger, [] { return 1U; }},
+  Gateway gateway{{time, time, transport, fleet, loads, placement, budget, shares, names, engines,
+                   statistics, logger, [] { return 1U; }},
                   [this](auto done) { done(store_answers); }};
 
   GatewayFixture() { fleet.apply(make_configuration(1)); }
--- a/src/gateway/tests/policies_test.cc
+++ b/src/gateway/tests/policies_test.cc
@@ -16,6 +16,7 @@
 #include "gateway/retry_budget.h"
 #include "gateway/route_table.h"
 #include "gateway/share_picker.h"
+#include "gateway/stream_timing.h"
 #include "tests/gateway_fixture.h"
 
 using namespace ochrespring;
@@ -109,6 +110,20 @@
   });
 }
 
+TEST_CASE("the longest pause of a stream is that between two events, not the wait for the first") {
+  StreamTiming timing;
+  CHECK_FALSE(timing.last_event());
+  const MonotonicTime start{};
+  timing.note_event(start + 900ms);
+  CHECK(timing.longest_gap() == 0ms);
+  timing.note_event(start + 950ms);
+  timing.note_event(start + 1100ms);
+  timing.note_event(start + 1110ms);
+  CHECK(timing.events() == 4);
+  CHECK(timing.longest_gap() == 150ms);
+  CHECK(timing.last_event() == start + 1110ms);
+}
+
 TEST_CASE("event ids are read in any spelling, and their absence is seen") {
   EventSplitter splitter;
   splitter.append("id: 12\ndata: x\n\nid:7\n\ndata: y\n\nid: z\n\n");
@@ -175,13 +190,13 @@
   const auto report = parse_load("10, 4, 8");
   REQUIRE(report);
   BackendLoad load;
-  load.begin({.tokens = 100});
+  load.begin(100);
   const MonotonicTime start{};
   load.note_report(*report, start);
   CHECK(load.reported_others(start) == doctest::Approx(13));
   CHECK(load.reported_others(start + 10s) == doctest::Approx(0).epsilon(0.01));
   CHECK(load.in_flight() == 1);
-  load.note_read({.tokens = 100});
+  load.note_read(100);
   load.end(AttemptVerdict::kGood, start);
   CHECK(load.in_flight() == 0);
   CHECK(load.unread_tokens() == 0);
@@ -190,12 +205,12 @@
 TEST_CASE("an unreachable back end is left alone for longer each time, and comes back") {
   BackendLoad load;
   MonotonicTime now{};
-  load.begin({.tokens = 0});
+  load.begin(0);
   load.end(AttemptVerdict::kUnreachable, now);
   CHECK(load.ejected(now + 900ms));
   CHECK_FALSE(load.ejected(now + 1100ms));
   now += 2s;
-  load.begin({.tokens = 0});
+  load.begin(0);
   load.end(AttemptVerdict::kUnreachable, now);
   CHECK(load.ejected(now + 1900ms));
 }
@@ -213,16 +228,14 @@
   for (std::uint64_t seed = 0; seed != 20; ++seed) {
     SeededRandom random(seed);
     const LoadTable loads;
-    EngineModels models;
-    const Placement placement(fleet, loads, models, random, ZoneName("z" + std::to_string(seed)));
+    const Placement placement(fleet, loads, random, ZoneName("z" + std::to_string(seed)));
     homes.insert(placement.choose(request, {}).runner.backend->id.value());
   }
   REQUIRE(homes.size() == 1);
   SeededRandom random(1);
   LoadTable loads;
-  loads.of(BackendId(*homes.begin())).begin({.tokens = 100'000});
-  EngineModels models;
-  const Placement placement(fleet, loads, models, random, ZoneName("z"));
+  loads.of(BackendId(*homes.begin())).begin(100'000);
+  const Placement placement(fleet, loads, random, ZoneName("z"));
   CHECK(placement.choose(request, {}).runner.backend->id.value() != *homes.begin());
 }
 
@@ -302,9 +315,8 @@
   SeededRandom random(1);
   LoadTable loads;
   loads.note_prompt(BackendId("a"), prompt, {});
-  loads.of(BackendId("a")).begin({.tokens = 20'000});
-  EngineModels models;
-  const Placement placement(fleet, loads, models, random, ZoneName("z"));
+  loads.of(BackendId("a")).begin(20'000);
+  const Placement placement(fleet, loads, random, ZoneName("z"));
   const PlacementPlan plan = placement.choose(request, MonotonicTime() + 2s);
   REQUIRE(plan.runner.backend != nullptr);
   CHECK(plan.runner.backend->id.value() == "b");
@@ -325,12 +337,9 @@
   request.connected = [](const Backend& backend) { return backend.id.value() == "c"; };
   SeededRandom random(1);
   LoadTable loads;
-  // By the model's prior 1,000 tokens are read in 20 ms, of an objective of a second.
-  EngineModels models;
-  models.of(request.service, request.shape, {.tokens = 4'000, .time = 100ms});
-  const Placement placement(fleet, loads, models, random, ZoneName("z"));
+  const Placement placement(fleet, loads, random, ZoneName("z"));
   CHECK(placement.choose(request, {}).runner.backend->id.value() == "c");
-  loads.of(BackendId("c")).begin({.tokens = 5'000});
+  loads.of(BackendId("c")).begin(5'000);
   CHECK(placement.choose(request, {}).runner.backend->id.value() != "c");
 }
 
@@ -346,11 +355,10 @@
   request.service = ServiceName("llm");
   request.prompt = &prompt;
   LoadTable loads;
-  loads.of(BackendId("d-near")).begin({.tokens = 0});
+  loads.of(BackendId("d-near")).begin(0);
   for (std::uint64_t seed = 0; seed != 20; ++seed) {
     SeededRandom random(seed);
-    EngineModels models;
-    const Placement placement(fleet, loads, models, random, ZoneName("other"));
+    const Placement placement(fleet, loads, random, ZoneName("other"));
     const PlacementPlan plan = placement.choose(request, {});
     REQUIRE(plan.reader.backend != nullptr);
     CHECK(plan.runner.backend->id.value() == "d-near");
@@ -402,11 +410,8 @@
   for (int i = 0; i != 200; ++i) {
     loads.of(BackendId("a")).note_told_ends(2, 2, now);
   }
-  loads.of(BackendId("b")).begin({.tokens = 5'000});
-  // The queue is 100 ms long by the model's prior, of an objective of a second.
-  EngineModels models;
-  models.of(request.service, request.shape, {.tokens = 4'000, .time = 100ms});
-  const Placement placement(fleet, loads, models, random, ZoneName("z"));
+  loads.of(BackendId("b")).begin(5'000);
+  const Placement placement(fleet, loads, random, ZoneName("z"));
   CHECK(placement.choose(request, now).runner.backend->id.value() == "b");
   CHECK(loads.of(BackendId("a")).failure_share(now) > 0.8);
   CHECK(loads.of(BackendId("a")).failure_share(now + 15s) < 0.2);
@@ -421,8 +426,7 @@
   }
   SeededRandom random(1);
   LoadTable loads;
-  EngineModels models;
-  const Placement placement(fleet, loads, models, random, ZoneName("z"));
+  const Placement placement(fleet, loads, random, ZoneName("z"));
   PlacementRequest request;
   request.service = ServiceName("llm");
   CHECK(placement.choose(request, {}).runner.backend->id.value() == "b");
@@ -435,7 +439,7 @@
   CHECK(unknown.ejected(now + 900ms));
   CHECK_FALSE(unknown.ejected(now + 1100ms));
   BackendLoad answering;
-  answering.begin({.tokens = 0});
+  answering.begin(0);
   answering.end(AttemptVerdict::kGood, now - 100ms);
   answering.note_told_silence(now);
   CHECK_FALSE(answering.ejected(now + 100ms));
@@ -444,10 +448,10 @@
 TEST_CASE("a back end that has gone is not remembered by what still ends there") {
   LoadTable loads;
   const BackendId id("e");
-  loads.begin(id, {.tokens = 10});
+  loads.begin(id, 10);
   loads.forget(id);
   loads.note_report(id, {1, 1, 1}, {});
-  loads.note_read(id, {.tokens = 10});
+  loads.note_read(id, 10);
   loads.note_silence(id, {});
   loads.end(id, AttemptVerdict::kGood, {});
   CHECK(loads.find(id) == nullptr);
--- a/src/gateway/tests/request_session_test.cc
+++ b/src/gateway/tests/request_session_test.cc
@@ -271,7 +271,7 @@
   world.loads.note_prompt(BackendId("d1"), parse_prompt("aa:9000,bb:9000", "18000,50"),
                           world.time.now());
   world.advance(std::chrono::seconds(2));
-  world.loads.begin(BackendId("d1"), {.tokens = 50'000});
+  world.loads.begin(BackendId("d1"), 50'000);
   world.send("/stream/x", kLongPrompt);
   CHECK(world.last().request.endpoint.value() == "d2:1");
   CHECK(world.last().header(world.names.cache_fetch) == "d1:1");
--- a/src/gateway/types.h
+++ b/src/gateway/types.h
@@ -54,8 +54,6 @@
   std::uint32_t slots = 1;
   std::uint64_t cache_tokens = 0;
   std::uint64_t bytes_per_token = 0;
-  double link_megabits = 0;            ///< A second, between engines; 0: not told.
-  std::uint64_t tokens_per_event = 1;  ///< Of a stream.
   Duration role_change{std::chrono::seconds(2)};
 };
 
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -39,7 +39,7 @@
       settings_(std::move(settings)),
       adapter_(std::move(adapter)),
       client_(client),
-      placement_(fleet_, loads_, models_, random, settings_.zone),
+      placement_(fleet_, loads_, random, settings_.zone),
       budget_(settings_.retry_budget),
       shares_(random),
       transport_(client),
@@ -62,10 +62,10 @@
               [this](http::ClientRequest request, std::function<void(std::string)> done) {
                 fetch_body(std::move(request), std::move(done));
               }),
-      gateway_({clock, loop, transport_, fleet_, loads_, models_, placement_, budget_, shares_,
-                adapter_.names, adapter_.engines, statistics_, logger,
-                [this] { return nodes_.cautious_count(); }},
-               [this](auto done) { watcher_.refresh(std::move(done)); }),
+      gateway_(
+          {clock, loop, transport_, fleet_, loads_, placement_, budget_, shares_, adapter_.names,
+           adapter_.engines, statistics_, logger, [this] { return nodes_.cautious_count(); }},
+          [this](auto done) { watcher_.refresh(std::move(done)); }),
       callers_(loop, server_at(settings_.listen)),
       ready_(loop, server_at(settings_.ready_listen)),
       directory_(loop, server_at(settings_.directory_listen)),
@@ -103,7 +103,6 @@
   fleet_.on_removed([this](const gateway::Backend& backend) {
     loads_.forget(backend.id);
     peer_work_.forget(backend.id);
-    models_.forget(backend);
     client_.forget(backend.address);
   });
   watcher_.on_current([this] {
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -68,7 +68,6 @@
   http::Client& client_;
   gateway::FleetState fleet_;
   gateway::LoadTable loads_;
-  gateway::EngineModels models_;
   gateway::Placement placement_;
   gateway::RetryBudget budget_;
   gateway::SharePicker shares_;
--- a/src/peer_load/peer_work.cc
+++ b/src/peer_load/peer_work.cc
@@ -11,10 +11,7 @@
     if (told.life == report.life && told.sequence > report.sequence) {
       continue;
     }
-    told = {report.life,
-            report.sequence,
-            {work.requests, work.unread_tokens, work.urgent_tokens, work.long_streams},
-            now};
+    told = {report.life, report.sequence, work.requests, work.unread_tokens, now};
   }
 }
 
@@ -26,10 +23,8 @@
   }
   for (const auto& [node, told] : found->second) {
     if (now - told.at <= kBelief) {
-      sum.requests += told.work.requests;
-      sum.unread_tokens += told.work.unread_tokens;
-      sum.urgent_tokens += told.work.urgent_tokens;
-      sum.long_streams += told.work.long_streams;
+      sum.requests += told.requests;
+      sum.unread_tokens += told.unread_tokens;
     }
   }
   return sum;
--- a/src/peer_load/peer_work.h
+++ b/src/peer_load/peer_work.h
@@ -24,7 +24,8 @@
   struct Told {
     std::uint64_t life = 0;
     std::uint64_t sequence = 0;
-    gateway::OthersWork work;
+    std::uint32_t requests = 0;
+    std::uint64_t unread_tokens = 0;
     MonotonicTime at{};
   };
 
--- a/src/peer_load/tests/peer_load_test.cc
+++ b/src/peer_load/tests/peer_load_test.cc
@@ -62,8 +62,8 @@
   WorkAnnouncer announcer(time, loads, NodeId("a"), 7,
                           [&](const WorkReport& report) { sent.push_back(report); });
   loads.on_change([&](const BackendId& id) { announcer.note_change(id); });
-  loads.begin(BackendId("e"), {.tokens = 40});
-  loads.begin(BackendId("e"), {.tokens = 60});
+  loads.begin(BackendId("e"), 40);
+  loads.begin(BackendId("e"), 60);
   time.run_until(time.now() + 10ms);
   REQUIRE(sent.size() == 1);
   CHECK(sent[0].engines[0].requests == 2);
@@ -85,7 +85,7 @@
                           [&](const WorkReport& report) { sent.push_back(report); });
   loads.on_change([&](const BackendId& id) { announcer.note_change(id); });
   loads.on_silence([&](const BackendId& id) { announcer.note_silence(id); });
-  loads.begin(BackendId("e"), {.tokens = 0});
+  loads.begin(BackendId("e"), 0);
   loads.note_silence(BackendId("e"), time.now());
   time.run_until(time.now() + 10ms);
   loads.end(BackendId("e"), gateway::AttemptVerdict::kFailed, time.now());
@@ -105,7 +105,7 @@
   loads.on_end([&](const BackendId& id, bool failed) { announcer.note_end(id, failed); });
   for (const auto verdict : {gateway::AttemptVerdict::kGood, gateway::AttemptVerdict::kFailed,
                              gateway::AttemptVerdict::kAbandoned}) {
-    loads.begin(BackendId("e"), {.tokens = 0});
+    loads.begin(BackendId("e"), 0);
     loads.end(BackendId("e"), verdict, time.now());
   }
   time.run_until(time.now() + 10ms);
@@ -128,7 +128,7 @@
     }
     loads.note_parts(BackendId(engine), keys, time.now());
   }
-  loads.begin(BackendId("e2"), {.tokens = 40});
+  loads.begin(BackendId("e2"), 40);
   std::map<BackendId, std::set<std::uint64_t>> told;
   std::uint64_t sequence = 0;
   announcer.tell_all(time.now() + 1s, [&](const WorkReport& report) {
--- a/src/peer_load/types.h
+++ b/src/peer_load/types.h
@@ -15,11 +15,9 @@
   gateway::BackendId engine;
   std::uint32_t requests = 0;
   std::uint64_t unread_tokens = 0;
-  std::uint64_t urgent_tokens = 0;  ///< Of the unread ones.
-  std::uint32_t long_streams = 0;   ///< Of the requests.
-  std::uint32_t ended = 0;          ///< Attempts since the last report that tell of its health.
-  std::uint32_t failed = 0;         ///< Of these, in failure.
-  bool silent = false;              ///< It has not answered this node at all, just now.
+  std::uint32_t ended = 0;   ///< Attempts since the last report that tell of its health.
+  std::uint32_t failed = 0;  ///< Of these, in failure.
+  bool silent = false;       ///< It has not answered this node at all, just now.
   std::vector<std::uint64_t>
       parts_read;  ///< Keys of shared prompt parts read since the last report.
 
@@ -28,8 +26,6 @@
     archive& engine;
     archive& requests;
     archive& unread_tokens;
-    archive& urgent_tokens;
-    archive& long_streams;
     archive& ended;
     archive& failed;
     archive& silent;
--- a/src/peer_load/work_announcer.cc
+++ b/src/peer_load/work_announcer.cc
@@ -78,8 +78,6 @@
   if (load != nullptr) {
     work.requests = load->in_flight();
     work.unread_tokens = load->unread_tokens();
-    work.urgent_tokens = load->urgent_tokens();
-    work.long_streams = load->long_streams();
   }
   return work;
 }
