--- a/src/gateway/stream_timing.h
+++ b/src/gateway/stream_timing.h
@@ -1,4 +1,4 @@
-// When the events of one stream were passed on, for the log and the histograms.
+// When the events of one stream were passed on, for the log.
 #pragma once
 
 #include <algorithm>
