Relays pass news on in large fleets, and looks with many changes go out in several updates

Change: from 48 nodes on (relay-from-nodes) a node tells two relays in each zone, those with the fastest links and of these the first by rendezvous hashing. A relay adds up the work for 40 ms (relay-gather-ms) and tells its zone; looks go the same way at once; offers of views go up to the relays of a zone and down from them. PeerWork keeps running sums. Changes go out in as many updates as they need, each joining the one before. Datagrams are counted by kind and by zone on the metrics page.

Tests of discovery, peer_load, gateway and gateway_node pass; the other tests were not run for this commit.

--- a/src/discovery/change_log.cc
+++ b/src/discovery/change_log.cc
@@ -25,13 +25,25 @@
   trim(now);
 }
 
-ViewUpdate ChangeLog::make_update(MonotonicTime now, Duration age) {
+ViewUpdate ChangeLog::make_empty_update(shared_store::StoreRevision after, Duration age) const {
+  return {.after = after, .through = through_, .age = age, .fingerprint = {}, .changes = {}};
+}
+
+std::vector<ViewUpdate> ChangeLog::make_updates(MonotonicTime now, Duration age) {
   trim(now);
-  ViewUpdate update{.after = after_, .through = through_, .age = age, .changes = {}};
+  std::vector<ViewUpdate> updates{make_empty_update(after_, age)};
   for (const Entry& entry : entries_) {
-    update.changes.push_back(entry.change);
+    const shared_store::StoreRevision revision = revision_of(entry.change);
+    ViewUpdate& last = updates.back();
+    // What changed in one transaction stands at one revision and stays together.
+    if (last.changes.size() >= kChangesPerUpdate && revision_of(last.changes.back()) != revision) {
+      last.through = revision_of(last.changes.back());
+      const shared_store::StoreRevision after = last.through;
+      updates.push_back(make_empty_update(after, age));
+    }
+    updates.back().changes.push_back(entry.change);
   }
-  return update;
+  return updates;
 }
 
 void ChangeLog::trim(MonotonicTime now) {
--- a/src/discovery/change_log.h
+++ b/src/discovery/change_log.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <vector>
 
 #include "base/time.h"
 #include "discovery/view_update.h"
@@ -20,19 +21,24 @@
   void note(ViewChange change, MonotonicTime now);
   /// Everything up to `revision` has been noted.
   void advance(shared_store::StoreRevision revision) { through_ = std::max(through_, revision); }
-  ViewUpdate make_update(MonotonicTime now, Duration age);
+  /// All that can be told, oldest first; never empty. The last one ends at the newest revision.
+  std::vector<ViewUpdate> make_updates(MonotonicTime now, Duration age);
 
  private:
   /// Longer than the others' time between two looks, so that two updates in a row may be lost.
   static constexpr Duration kKeep{std::chrono::seconds(6)};
-  /// An update fits into a datagram.
-  static constexpr std::size_t kMostChanges = 24;
+  /// With this many an update fits into a datagram.
+  static constexpr std::size_t kChangesPerUpdate = 24;
+  /// In all. While a fleet of some hundred nodes starts, each node and server comes as one change.
+  static constexpr std::size_t kMostChanges = 16 * kChangesPerUpdate;
 
   struct Entry {
     ViewChange change;
     MonotonicTime at{};
   };
 
+  /// From `after` to the newest revision.
+  ViewUpdate make_empty_update(shared_store::StoreRevision after, Duration age) const;
   /// Drops what is too old or too much.
   void trim(MonotonicTime now);
   void drop_oldest();
--- a/src/discovery/fleet_watcher.cc
+++ b/src/discovery/fleet_watcher.cc
@@ -102,7 +102,9 @@
     }
     writer_.take_changes(result.value());
     if (share_) {
-      share_(writer_.make_update(world_.clock.now() - look_began_));
+      for (const ViewUpdate& update : writer_.make_updates(world_.clock.now() - look_began_)) {
+        share_(update);
+      }
     }
     look_ended(true, "");
   });
--- a/src/discovery/node_directory.cc
+++ b/src/discovery/node_directory.cc
@@ -5,19 +5,26 @@
 namespace ochrespring::discovery {
 
 void NodeDirectory::put(const NodeRecord& record) {
-  if (record.node != self_.node) {
-    others_[record.node] = record;
-    gone_.erase(record.node);
+  if (record.node == self_.node) {
+    return;
+  }
+  gone_.erase(record.node);
+  NodeRecord& known = others_[record.node];
+  if (known != record) {
+    known = record;
+    ++version_;
   }
 }
 
 void NodeDirectory::remove(const NodeId& node) {
   if (others_.erase(node) != 0) {
     gone_[node] = clock_.now();
+    ++version_;
   }
 }
 
 void NodeDirectory::replace(const std::vector<NodeRecord>& records) {
+  ++version_;
   for (const auto& [node, record] : std::exchange(others_, {})) {
     gone_[node] = clock_.now();
   }
--- a/src/discovery/node_directory.h
+++ b/src/discovery/node_directory.h
@@ -23,12 +23,18 @@
   void remove(const NodeId& node);
   /// Keeps only the nodes of a fresh listing.
   void replace(const std::vector<NodeRecord>& records);
-  void leave() { leaving_ = true; }
+  void leave() {
+    leaving_ = true;
+    ++version_;
+  }
 
   /// This node, unless it leaves, and the others.
   std::vector<NodeRecord> list() const;
   const std::map<NodeId, NodeRecord>& others() const { return others_; }
   std::uint32_t count() const { return static_cast<std::uint32_t>(others_.size()) + 1; }
+  const NodeRecord& self() const { return self_; }
+  /// Rises with every change of the list.
+  std::uint64_t version() const { return version_; }
   /// How many nodes may be drawing on what all share: errs high. A node whose registration lapsed
   /// with the store may well go on, and a node that has just started does not know the others yet.
   std::uint32_t cautious_count() const;
@@ -46,6 +52,7 @@
   std::map<NodeId, NodeRecord> others_;
   std::map<NodeId, MonotonicTime> gone_;  ///< When a registration went.
   bool leaving_ = false;
+  std::uint64_t version_ = 1;
 };
 
 }  // namespace ochrespring::discovery
--- a/src/discovery/node_record.h
+++ b/src/discovery/node_record.h
@@ -1,6 +1,7 @@
 // What a node tells the others of itself in the store.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -13,7 +14,8 @@
   NodeId node;
   Endpoint address;  ///< Where callers reach it.
   ZoneName zone;
-  Endpoint peer_address;  ///< Where other nodes reach it.
+  Endpoint peer_address;        ///< Where other nodes reach it.
+  std::uint32_t link_mbps = 0;  ///< Of its network link; 0: not known.
 
   bool operator==(const NodeRecord&) const = default;
 
@@ -23,6 +25,7 @@
     archive& address;
     archive& zone;
     archive& peer_address;
+    archive& link_mbps;
   }
 };
 
--- a/src/discovery/view_update.h
+++ b/src/discovery/view_update.h
@@ -44,12 +44,14 @@
 using ViewChange = std::variant<BackendChange, NodeChange>;
 
 /// All that changed in the store in (`after`, `through`], heartbeats left out. Whoever has seen the
-/// store up to `after` or beyond has seen it up to `through` with it.
+/// store up to `after` or beyond has seen it up to `through` with it. What is too much for one
+/// datagram goes out in several updates, each of which goes on where the one before ends.
 struct ViewUpdate {
   shared_store::StoreRevision after;
   shared_store::StoreRevision through;
-  Duration age{};                 ///< Since the look began, when the update was sent.
-  std::uint64_t fingerprint = 0;  ///< Of all back ends at `through`.
+  Duration age{};  ///< Since the look began, when the update was sent.
+  /// Of all back ends at `through`; none where more updates follow.
+  std::optional<std::uint64_t> fingerprint;
   std::vector<ViewChange> changes;
 
   template <class Archive>
--- a/src/discovery/view_writer.cc
+++ b/src/discovery/view_writer.cc
@@ -51,10 +51,10 @@
   log_.advance(*seen_);
 }
 
-ViewUpdate ViewWriter::make_update(Duration age) {
-  ViewUpdate update = log_.make_update(clock_.now(), age);
-  update.fingerprint = fingerprint();
-  return update;
+std::vector<ViewUpdate> ViewWriter::make_updates(Duration age) {
+  std::vector<ViewUpdate> updates = log_.make_updates(clock_.now(), age);
+  updates.back().fingerprint = fingerprint();
+  return updates;
 }
 
 /// The same on all nodes that see the same back ends, in whatever order they learnt of them.
@@ -86,9 +86,9 @@
   }
   seen_ = std::max(known, update.through);
   log_.advance(*seen_);
-  const bool comparable = *seen_ == update.through;
-  return comparable && update.fingerprint != fingerprint() ? UpdateOutcome::kDiffers
-                                                           : UpdateOutcome::kTaken;
+  const bool comparable = update.fingerprint && *seen_ == update.through;
+  return comparable && *update.fingerprint != fingerprint() ? UpdateOutcome::kDiffers
+                                                            : UpdateOutcome::kTaken;
 }
 
 void ViewWriter::take_stored(const shared_store::Change& change) {
--- a/src/discovery/view_writer.h
+++ b/src/discovery/view_writer.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/time.h"
 #include "discovery/change_log.h"
@@ -45,8 +46,8 @@
 
   /// None: a listing is needed.
   std::optional<shared_store::StoreRevision> seen() const { return seen_; }
-  /// What the others are told after a look that began `age` ago.
-  ViewUpdate make_update(Duration age);
+  /// What the others are told after a look that began `age` ago, in the order to send it.
+  std::vector<ViewUpdate> make_updates(Duration age);
   /// Values that could not be understood; the last good one stays.
   std::uint64_t rejected_values() const { return rejected_values_; }
 
--- a/src/gateway/load_table.cc
+++ b/src/gateway/load_table.cc
@@ -254,8 +254,14 @@
   }
 }
 
-OthersWork LoadTable::others(const BackendId& id, MonotonicTime now) const {
-  return peers_ == nullptr ? OthersWork() : peers_->work_at(id, now);
+EngineWorkload LoadTable::own(const BackendId& id) const {
+  const BackendLoad* load = find(id);
+  return load == nullptr ? EngineWorkload()
+                         : EngineWorkload{load->in_flight(), load->unread_tokens()};
+}
+
+EngineWorkload LoadTable::others(const BackendId& id, MonotonicTime now) const {
+  return peers_ == nullptr ? EngineWorkload() : peers_->work_at(id, now);
 }
 
 void LoadTable::changed(const BackendId& id) const {
--- a/src/gateway/load_table.h
+++ b/src/gateway/load_table.h
@@ -138,8 +138,10 @@
   void on_change(std::function<void(const BackendId&)> callback) { changed_ = std::move(callback); }
   /// Where to ask for the work of other nodes; null: nowhere.
   void set_peers(const PeerView* peers) { peers_ = peers; }
+  /// This node's own work at a back end.
+  EngineWorkload own(const BackendId& id) const;
   /// Work of the other nodes at a back end, as they told it.
-  OthersWork others(const BackendId& id, MonotonicTime now) const;
+  EngineWorkload others(const BackendId& id, MonotonicTime now) const;
 
  private:
   void changed(const BackendId& id) const;
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peer_view.h
@@ -8,7 +8,8 @@
 
 namespace ochrespring::gateway {
 
-struct OthersWork {
+/// Requests at an engine, and prompt tokens it has still to read for them.
+struct EngineWorkload {
   std::uint32_t requests = 0;
   std::uint64_t unread_tokens = 0;
 };
@@ -16,7 +17,7 @@
 class PeerView {
  public:
   virtual ~PeerView() = default;
-  virtual OthersWork work_at(const BackendId& backend, MonotonicTime now) const = 0;
+  virtual EngineWorkload work_at(const BackendId& backend, MonotonicTime now) const = 0;
 };
 
 }  // namespace ochrespring::gateway
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -212,7 +212,7 @@
 /// more, as it does when a node cannot be heard.
 Placement::Work Placement::work_at(const Backend& backend, MonotonicTime now) const {
   const BackendLoad& load = load_of(backend);
-  const OthersWork told = loads_.others(backend.id, now);
+  const EngineWorkload told = loads_.others(backend.id, now);
   const double reported = load.reported_others(now);
   const double unheard = std::max(0.0, reported - told.requests);
   Work work;
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "wire/codec.h"
-
 namespace ochrespring::gateway_node {
 
 namespace {
@@ -43,7 +41,8 @@
       budget_(settings_.retry_budget),
       shares_(random),
       transport_(client),
-      self_{settings_.node, settings_.listen, settings_.zone, settings_.peer_listen},
+      self_{settings_.node, settings_.listen, settings_.zone, settings_.peer_listen,
+            settings_.link_mbps},
       nodes_(clock, self_),
       watcher_({clock, loop, random, adapter_.store, adapter_.codec, logger},
                discovery::settings_within(
@@ -53,8 +52,20 @@
           loop, adapter_.store, logger,
           {adapter_.codec.layout().node_prefix + settings_.node.value(), settings_.node_lease},
           self_),
-      announcer_(loop, loads_, settings_.node, random.next(),
-                 [this](const peer_load::WorkReport& report) { send_to_peers(report); }),
+      peer_work_([this](const gateway::BackendId& engine) { return loads_.own(engine); }),
+      peers_(nodes_, {.from_nodes = settings_.relay_from_nodes}, make_peer_handlers()),
+      announcer_(
+          loop, {.node = settings_.node, .life = random.next()},
+          [this](const gateway::BackendId& engine) { return loads_.own(engine); },
+          [this](const peer_load::WorkReport& report) { peers_.tell_work(report); }),
+      relay_(
+          loop,
+          {.node = settings_.node,
+           .life = random.next(),
+           .gather = settings_.relay_gather,
+           .repeat = false},
+          [this](const gateway::BackendId& engine) { return work_of_all(engine); },
+          [this](const peer_load::WorkReport& sums) { peers_.tell_relayed_work(sums); }),
       views_(loop, client, {.listen = settings_.view_listen, .seeds = settings_.seeds},
              [this] { return watcher_.make_snapshot(); }),
       offer_timer_(loop),
@@ -120,16 +131,8 @@
 }
 
 Result<void, http::HttpError> GatewayNode::listen_to_peers() {
-  BOOST_OUTCOME_TRY(
-      peers,
-      peer_load::DatagramSocket::bind(loop_, settings_.peer_listen, [this](std::string_view bytes) {
-        const auto message = wire::decode<PeerMessage>(bytes);
-        if (message) {
-          std::visit([this](const auto& told) { take(told); }, message.value());
-        }
-      }));
-  peers_ = std::move(peers);
-  watcher_.on_look([this](const discovery::ViewUpdate& update) { send_to_peers(update); });
+  BOOST_OUTCOME_TRY(peers_.listen(loop_, settings_.peer_listen));
+  watcher_.on_look([this](const discovery::ViewUpdate& update) { peers_.tell_update(update); });
   loads_.set_peers(&peer_work_);
   loads_.on_change([this](const gateway::BackendId& id) {
     if (is_engine(id)) {
@@ -153,36 +156,65 @@
   return backend != nullptr && backend->role != gateway::EngineRole::kNone;
 }
 
-void GatewayNode::take(const peer_load::WorkReport& report) {
+PeerHandlers GatewayNode::make_peer_handlers() {
+  return {
+      .work = [this](const peer_load::WorkReport& report) { take_work(report); },
+      .relayed_work = [this](const peer_load::WorkReport& sums) { take_relayed_work(sums); },
+      .work_to_relay = [this](const peer_load::WorkReport& report) { relay_.note_report(report); },
+      .update = [this](const discovery::ViewUpdate& update) { watcher_.take_update(update); },
+      .parts_request = [this](const peer_load::PartsRequest& request) { tell_parts(request); },
+      .offer = [this](const ViewOffer& offer) { views_.note_source(offer.view_address); }};
+}
+
+void GatewayNode::take_work(const peer_load::WorkReport& report) {
   const MonotonicTime now = clock_.now();
   peer_work_.apply(report, now);
+  take_observations(report, now);
+}
+
+/// What this node told itself comes back with the sums: its own ends then count twice, one among
+/// those of all nodes.
+void GatewayNode::take_relayed_work(const peer_load::WorkReport& sums) {
+  const MonotonicTime now = clock_.now();
+  peer_work_.apply_relayed(sums, now);
+  take_observations(sums, now);
+}
+
+void GatewayNode::take_observations(const peer_load::WorkReport& report, MonotonicTime now) {
   for (const peer_load::EngineWork& work : report.engines) {
     if (fleet_.find(work.engine) == nullptr) {
       // Gone already, or not seen yet: nothing would ever forget it again.
       peer_work_.forget(work.engine);
       continue;
     }
+    gateway::BackendLoad& load = loads_.of(work.engine);
     if (work.ended != 0) {
-      loads_.of(work.engine).note_told_ends(work.ended, work.failed, now);
+      load.note_told_ends(work.ended, work.failed, now);
     }
     if (work.silent) {
-      loads_.of(work.engine).note_told_silence(now);
+      load.note_told_silence(now);
     }
     for (const std::uint64_t key : work.parts_read) {
-      loads_.of(work.engine).note_cached(key, now);
+      load.note_cached(key, now);
     }
   }
 }
 
-void GatewayNode::take(const peer_load::PartsRequest& request) {
-  announcer_.tell_all(clock_.now(), [&](const peer_load::WorkReport& report) {
-    peers_->send(request.reply_to, wire::encode(PeerMessage(report)));
+gateway::EngineWorkload GatewayNode::work_of_all(const gateway::BackendId& engine) const {
+  const gateway::EngineWorkload own = loads_.own(engine);
+  const gateway::EngineWorkload others = peer_work_.direct_work_at(engine, clock_.now());
+  return {own.requests + others.requests, own.unread_tokens + others.unread_tokens};
+}
+
+void GatewayNode::tell_parts(const peer_load::PartsRequest& request) {
+  announcer_.tell_all(loads_, clock_.now(), [&](const peer_load::WorkReport& report) {
+    peers_.send(request.reply_to, report);
   });
 }
 
 void GatewayNode::offer_view() {
   if (fleet_.routes() != nullptr) {
-    send_to_peers(ViewOffer{settings_.view_listen});
+    peers_.tell_offer({settings_.view_listen});
   }
   offer_timer_.arm(kOfferPeriod, [this] { offer_view(); });
 }
@@ -192,31 +224,21 @@
     return;
   }
   std::vector<NodeId> nodes{settings_.node};
-  std::vector<Endpoint> peers;
   for (const auto& [node, record] : nodes_.others()) {
     nodes.push_back(node);
-    peers.push_back(record.peer_address);
   }
   survey_.begin(settings_.node, nodes);
   if (std::exchange(asked_peers_, true)) {
     return;
   }
-  const std::string request =
-      wire::encode(PeerMessage(peer_load::PartsRequest{settings_.peer_listen}));
+  std::vector<discovery::NodeRecord> peers = peers_.near_nodes();
   for (std::size_t asked = 0; asked != kPeersAsked && !peers.empty(); ++asked) {
     const std::size_t chosen = random_.below(peers.size());
-    peers_->send(peers[chosen], request);
+    peers_.send(peers[chosen].peer_address, peer_load::PartsRequest{settings_.peer_listen});
     peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(chosen));
   }
 }
 
-void GatewayNode::send_to_peers(const PeerMessage& message) {
-  const std::string bytes = wire::encode(message);
-  for (const auto& [node, record] : nodes_.others()) {
-    peers_->send(record.peer_address, bytes);
-  }
-}
-
 void GatewayNode::stop() {
   StopTimes times;
   times.grace = std::max<Duration>(settings_.stop_grace - kGraceMargin, kGraceMargin);
@@ -294,6 +316,8 @@
           watcher_.statistics().updates_differed);
   counter("store_values_rejected", "Values not understood", watcher_.rejected_values());
   counter("backend_connections", "Connections opened", client_.statistics().connections_opened);
+  counter("view_listings", "Listings of the whole store", watcher_.statistics().listings);
+  add_peer_metrics(sink);
   sink.gauge({"requests_running", "Requests running"}, static_cast<double>(gateway_.running()));
   sink.gauge({"backends", "Back ends known"}, static_cast<double>(fleet_.backends().size()));
   sink.gauge({"nodes", "Nodes known"}, static_cast<double>(nodes_.count()));
@@ -308,4 +332,17 @@
   sink.counter({"first_byte_seconds_sum", "Seconds to the first byte, added up"}, latency.sum());
 }
 
+void GatewayNode::add_peer_metrics(metrics::SampleSink& sink) const {
+  for (std::size_t kind = 0; kind != kPeerMessageNames.size(); ++kind) {
+    const PeerTraffic& sent = peers_.traffic(kind);
+    const std::vector<metrics::Label> labels{{"kind", kPeerMessageNames[kind]}};
+    sink.counter({"peer_datagrams_sent", "Datagrams sent to other nodes"},
+                 static_cast<double>(sent.datagrams), labels);
+    sink.counter({"peer_bytes_sent", "Their bytes, without headers"},
+                 static_cast<double>(sent.bytes), labels);
+    sink.counter({"peer_bytes_sent_to_other_zones", "Of these, to other zones"},
+                 static_cast<double>(sent.bytes_to_zones), labels);
+  }
+}
+
 }  // namespace ochrespring::gateway_node
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -11,7 +11,7 @@
 #include "gateway/cache_survey.h"
 #include "gateway/gateway.h"
 #include "gateway_node/adapter.h"
-#include "gateway_node/peer_message.h"
+#include "gateway_node/peer_channel.h"
 #include "gateway_node/settings.h"
 #include "gateway_node/stop_sequence.h"
 #include "gateway_node/view_exchange.h"
@@ -20,7 +20,6 @@
 #include "http/server.h"
 #include "logging/logger.h"
 #include "metrics/metrics.h"
-#include "peer_load/datagram_socket.h"
 #include "peer_load/peer_work.h"
 #include "peer_load/work_announcer.h"
 
@@ -42,18 +41,22 @@
 
  private:
   Result<void, http::HttpError> listen_to_peers();
+  PeerHandlers make_peer_handlers();
   /// Whether a registered back end is a model engine; only of these nodes tell each other.
   bool is_engine(const gateway::BackendId& id) const;
-  void take(const peer_load::WorkReport& report);
-  void take(const discovery::ViewUpdate& update) { watcher_.take_update(update); }
-  void take(const peer_load::PartsRequest& request);
-  void take(const ViewOffer& offer) { views_.note_source(offer.view_address); }
+  void take_work(const peer_load::WorkReport& report);
+  void take_relayed_work(const peer_load::WorkReport& sums);
+  /// What a report tells besides work: how attempts ended, silence, prompt parts.
+  void take_observations(const peer_load::WorkReport& report, MonotonicTime now);
+  void tell_parts(const peer_load::PartsRequest& request);
+  /// Work of all nodes, this one included, that have told this one.
+  gateway::EngineWorkload work_of_all(const gateway::BackendId& engine) const;
   /// Again and again while the store is out.
   void offer_view();
-  void send_to_peers(const PeerMessage& message);
   /// Once, when this node first knows the fleet: learns what engines keep.
   void learn_cached_parts();
   void add_metrics(metrics::SampleSink& sink) const;
+  void add_peer_metrics(metrics::SampleSink& sink) const;
   void fetch_body(http::ClientRequest request, std::function<void(std::string body)> done);
   void apply_limits();
   void leave();
@@ -78,8 +81,9 @@
   discovery::FleetWatcher watcher_;
   discovery::NodeRegistration registration_;
   peer_load::PeerWork peer_work_;
+  PeerChannel peers_;
   peer_load::WorkAnnouncer announcer_;
-  std::unique_ptr<peer_load::DatagramSocket> peers_;
+  peer_load::WorkAnnouncer relay_;  ///< Adds up what this node is told to relay.
   ViewExchange views_;
   Timer offer_timer_;
   gateway::CacheSurvey survey_;
--- /dev/null
+++ b/src/gateway_node/peer_channel.cc
@@ -0,0 +1,151 @@
+#include "gateway_node/peer_channel.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "wire/codec.h"
+
+namespace ochrespring::gateway_node {
+
+namespace {
+
+/// How attempts ended is counted by whoever hears it, and both relays of a zone pass on what they
+/// are told: only one of them is told of the ends, by turns.
+peer_load::WorkReport without_ends(peer_load::WorkReport report) {
+  for (peer_load::EngineWork& work : report.engines) {
+    work.ended = 0;
+    work.failed = 0;
+  }
+  return report;
+}
+
+}  // namespace
+
+Result<void, http::HttpError> PeerChannel::listen(http::EventLoop& loop, const Endpoint& endpoint) {
+  BOOST_OUTCOME_TRY(
+      socket, peer_load::DatagramSocket::bind(loop, endpoint,
+                                              [this](std::string_view bytes) { receive(bytes); }));
+  socket_ = std::move(socket);
+  return outcome::success();
+}
+
+void PeerChannel::receive(std::string_view bytes) {
+  // Anybody may send to the port: what cannot be decoded is no message of a node.
+  const auto message = wire::decode<PeerMessage>(bytes);
+  if (message) {
+    std::visit([this](const auto& told) { take(told); }, message.value());
+  }
+}
+
+void PeerChannel::take(const peer_load::ReportToRelay& told) {
+  handlers_.work(told.report);
+  handlers_.work_to_relay(told.report);
+}
+
+void PeerChannel::take(const UpdateToRelay& told) {
+  handlers_.update(told.update);
+  send_to(relays_.zone_members(), told.update);
+}
+
+void PeerChannel::tell_work(const peer_load::WorkReport& report) {
+  if (!relays_.in_use()) {
+    send_to(all_others(), report);
+    return;
+  }
+  const peer_load::WorkReport plain = without_ends(report);
+  const std::string whole_bytes = wire::encode(PeerMessage(peer_load::ReportToRelay{report}));
+  const std::string plain_bytes = wire::encode(PeerMessage(peer_load::ReportToRelay{plain}));
+  const std::size_t kind = PeerMessage(peer_load::ReportToRelay{}).index();
+  for (const Nodes& ranked : relays_.relays()) {
+    for (std::size_t rank = 0; rank != ranked.size(); ++rank) {
+      const bool whole = report.sequence % ranked.size() == rank;
+      if (is_self(ranked[rank])) {
+        handlers_.work_to_relay(whole ? report : plain);
+      } else {
+        send_bytes(ranked[rank], kind, whole ? whole_bytes : plain_bytes);
+      }
+    }
+  }
+}
+
+void PeerChannel::tell_relayed_work(const peer_load::WorkReport& sums) {
+  send_to(relays_.zone_members(), peer_load::RelayedReport{sums});
+}
+
+void PeerChannel::tell_update(const discovery::ViewUpdate& update) {
+  if (!relays_.in_use()) {
+    send_to(all_others(), update);
+    return;
+  }
+  for (const Nodes& ranked : relays_.relays()) {
+    send_to(ranked, UpdateToRelay{update});
+  }
+  if (relays_here()) {
+    send_to(relays_.zone_members(), update);
+  }
+}
+
+/// In a large fleet each node offers to the relays of its zone, and these to all of the zone: a
+/// relay that has just started learns of a view from any node, and any node from a relay.
+void PeerChannel::tell_offer(const ViewOffer& offer) {
+  if (!relays_.in_use()) {
+    send_to(all_others(), offer);
+    return;
+  }
+  send_to(relays_here() ? relays_.zone_members() : own_relays(), offer);
+}
+
+void PeerChannel::send(const Endpoint& to, const PeerMessage& message) {
+  send_bytes({.node = {}, .address = {}, .zone = nodes_.self().zone, .peer_address = to},
+             message.index(), wire::encode(message));
+}
+
+std::vector<discovery::NodeRecord> PeerChannel::near_nodes() const {
+  const Nodes& members = relays_.zone_members();
+  return members.empty() ? all_others() : members;
+}
+
+PeerChannel::Nodes PeerChannel::all_others() const {
+  Nodes others;
+  for (const auto& [node, record] : nodes_.others()) {
+    others.push_back(record);
+  }
+  return others;
+}
+
+const PeerChannel::Nodes& PeerChannel::own_relays() const {
+  static const Nodes none;
+  for (const Nodes& ranked : relays_.relays()) {
+    if (ranked.front().zone == nodes_.self().zone) {
+      return ranked;
+    }
+  }
+  return none;
+}
+
+bool PeerChannel::relays_here() const {
+  const Nodes& ranked = own_relays();
+  return std::any_of(ranked.begin(), ranked.end(),
+                     [this](const auto& record) { return is_self(record); });
+}
+
+void PeerChannel::send_to(const Nodes& nodes, const PeerMessage& message) {
+  const std::string bytes = wire::encode(message);
+  for (const discovery::NodeRecord& record : nodes) {
+    if (!is_self(record)) {
+      send_bytes(record, message.index(), bytes);
+    }
+  }
+}
+
+void PeerChannel::send_bytes(const discovery::NodeRecord& to, std::size_t kind,
+                             std::string_view bytes) {
+  PeerTraffic& sent = traffic_[kind];
+  ++sent.datagrams;
+  sent.bytes += bytes.size();
+  sent.bytes_to_zones += to.zone == nodes_.self().zone ? 0 : bytes.size();
+  socket_->send(to.peer_address, bytes);
+}
+
+}  // namespace ochrespring::gateway_node
--- /dev/null
+++ b/src/gateway_node/peer_channel.h
@@ -0,0 +1,96 @@
+// Carries datagrams between the nodes, from each to all or by way of relays.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include "discovery/node_directory.h"
+#include "discovery/relay_table.h"
+#include "gateway_node/peer_message.h"
+#include "http/event_loop.h"
+#include "peer_load/datagram_socket.h"
+
+namespace ochrespring::gateway_node {
+
+/// Datagrams sent of one kind.
+struct PeerTraffic {
+  std::uint64_t datagrams = 0;
+  std::uint64_t bytes = 0;           ///< Without the headers of UDP and IP.
+  std::uint64_t bytes_to_zones = 0;  ///< Of these, to other zones.
+};
+
+/// What is done with what comes in; all on the loop.
+struct PeerHandlers {
+  std::function<void(const peer_load::WorkReport&)> work;
+  /// Sums over all nodes, from a relay.
+  std::function<void(const peer_load::WorkReport&)> relayed_work;
+  /// Work that this node, as a relay, has to add up for its zone. Other nodes' work comes to
+  /// `work` as well.
+  std::function<void(const peer_load::WorkReport&)> work_to_relay;
+  std::function<void(const discovery::ViewUpdate&)> update;
+  std::function<void(const peer_load::PartsRequest&)> parts_request;
+  std::function<void(const ViewOffer&)> offer;
+};
+
+/// In a small fleet every node tells all others. In a large one it tells the relays of each zone,
+/// which tell the nodes of their zone: a node then sends a number of datagrams that follows the
+/// zones, not the nodes. Whoever is asked to relay does so, whatever it believes itself: nodes may
+/// know different fleets for a while. One loop.
+class PeerChannel {
+ public:
+  PeerChannel(const discovery::NodeDirectory& nodes, discovery::RelayOptions options,
+              PeerHandlers handlers)
+      : nodes_(nodes), relays_(nodes, options), handlers_(std::move(handlers)) {}
+
+  Result<void, http::HttpError> listen(http::EventLoop& loop, const Endpoint& endpoint);
+
+  /// This node's own work has changed.
+  void tell_work(const peer_load::WorkReport& report);
+  /// As a relay: what the nodes of the zone are to know.
+  void tell_relayed_work(const peer_load::WorkReport& sums);
+  /// This node has looked at the store.
+  void tell_update(const discovery::ViewUpdate& update);
+  void tell_offer(const ViewOffer& offer);
+  /// To one node, which need not be known to this one.
+  void send(const Endpoint& to, const PeerMessage& message);
+
+  /// Whether this node is a relay of its zone, as far as it knows.
+  bool relays_here() const;
+  Endpoint bound() const { return socket_->bound(); }
+  /// Nodes to ask first: of this node's zone, or all where the zone has no other.
+  std::vector<discovery::NodeRecord> near_nodes() const;
+  const PeerTraffic& traffic(std::size_t kind) const { return traffic_[kind]; }
+
+ private:
+  using Nodes = std::vector<discovery::NodeRecord>;
+
+  void receive(std::string_view bytes);
+  void take(const peer_load::WorkReport& report) { handlers_.work(report); }
+  void take(const discovery::ViewUpdate& update) { handlers_.update(update); }
+  void take(const peer_load::PartsRequest& request) { handlers_.parts_request(request); }
+  void take(const ViewOffer& offer) { handlers_.offer(offer); }
+  void take(const peer_load::ReportToRelay& told);
+  void take(const peer_load::RelayedReport& told) { handlers_.relayed_work(told.sums); }
+  void take(const UpdateToRelay& told);
+
+  bool is_self(const discovery::NodeRecord& record) const {
+    return record.node == nodes_.self().node;
+  }
+  Nodes all_others() const;
+  /// The relays of this node's zone.
+  const Nodes& own_relays() const;
+  /// Encodes once for all; this node itself is left out.
+  void send_to(const Nodes& nodes, const PeerMessage& message);
+  void send_bytes(const discovery::NodeRecord& to, std::size_t kind, std::string_view bytes);
+
+  const discovery::NodeDirectory& nodes_;
+  discovery::RelayTable relays_;
+  PeerHandlers handlers_;
+  std::unique_ptr<peer_load::DatagramSocket> socket_;
+  std::array<PeerTraffic, std::variant_size_v<PeerMessage>> traffic_;
+};
+
+}  // namespace ochrespring::gateway_node
--- a/src/gateway_node/peer_message.h
+++ b/src/gateway_node/peer_message.h
@@ -1,6 +1,8 @@
 // Datagrams between gateway nodes.
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <variant>
 
 #include "discovery/view_update.h"
@@ -8,7 +10,7 @@
 
 namespace ochrespring::gateway_node {
 
-/// Sent to all while the store is out: a node that has just started may know nobody to ask.
+/// Sent while the store is out: a node that has just started may know nobody to ask.
 struct ViewOffer {
   Endpoint view_address;
 
@@ -18,8 +20,24 @@
   }
 };
 
+/// For a relay to pass on to the nodes of its zone as it stands.
+struct UpdateToRelay {
+  discovery::ViewUpdate update;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& update;
+  }
+};
+
 /// Each stands for itself: it may be lost, doubled or late.
 using PeerMessage =
-    std::variant<peer_load::WorkReport, discovery::ViewUpdate, peer_load::PartsRequest, ViewOffer>;
+    std::variant<peer_load::WorkReport, discovery::ViewUpdate, peer_load::PartsRequest, ViewOffer,
+                 peer_load::ReportToRelay, peer_load::RelayedReport, UpdateToRelay>;
+
+/// Names of the alternatives, in order, for metrics.
+constexpr std::array<const char*, std::variant_size_v<PeerMessage>> kPeerMessageNames{
+    "work_report",   "view_update",  "parts_request",  "view_offer",
+    "work_to_relay", "relayed_work", "update_to_relay"};
 
 }  // namespace ochrespring::gateway_node
--- a/src/gateway_node/settings.cc
+++ b/src/gateway_node/settings.cc
@@ -26,6 +26,8 @@
 constexpr const char* kRatioRule = "a number from 0 to 10";
 constexpr const char* kSlackRule = "a number from 0 to 1000000";
 constexpr const char* kSeedsRule = "addresses IP:PORT joined by commas";
+constexpr const char* kMegabitRule = "megabits a second from 0 to 10000000";
+constexpr const char* kNodesRule = "a number from 2 to 1000000";
 constexpr const char* kSecondsRule = "seconds from 0.1 to 3600";
 
 struct Specification {
@@ -68,6 +70,17 @@
   return end != text.c_str() && *end == '\0' && value >= least && value <= most;
 }
 
+/// A whole number; a fraction is dropped.
+template <class Member>
+auto store_whole(Member Settings::*member, double least, double most) {
+  return [=](const std::string& text, Settings& settings) {
+    double number = 0;
+    const bool allowed = read_real(text, least, most, number);
+    settings.*member = static_cast<Member>(number);
+    return allowed;
+  };
+}
+
 bool store_seconds(const std::string& text, Duration& span) {
   double seconds = 0;
   const bool allowed = read_real(text, 0.1, 3600, seconds);
@@ -133,6 +146,12 @@
       {"configuration-bound-ms",
        "Time from the store's word of a configuration to its being in force", kMillisecondRule,
        "2000", false, store_milliseconds(&Settings::configuration_bound)},
+      {"link-mbps", "Speed of this machine's network link, which relays are chosen by",
+       kMegabitRule, "0", false, store_whole(&Settings::link_mbps, 0, 1e7)},
+      {"relay-from-nodes", "Number of nodes from which on news between them goes by relays",
+       kNodesRule, "48", false, store_whole(&Settings::relay_from_nodes, 2, 1e6)},
+      {"relay-gather-ms", "Time for which a relay gathers what it is told", kMillisecondRule, "40",
+       false, store_milliseconds(&Settings::relay_gather)},
       {"log-level", "Least level of log lines", settings::kLevelRule, "info", false,
        [](const std::string& text, Settings& target) {
          return settings::read_level(text, target.log_level);
--- a/src/gateway_node/settings.h
+++ b/src/gateway_node/settings.h
@@ -31,6 +31,11 @@
   /// A configuration is in force after this time.
   Duration configuration_bound{std::chrono::milliseconds(2000)};
   Duration node_lease{std::chrono::seconds(3)};
+  std::uint32_t link_mbps = 0;  ///< Of this machine's network link; 0: not known.
+  /// From this many nodes on, news between nodes goes by relays.
+  std::uint32_t relay_from_nodes = 48;
+  /// How long a relay gathers what it is told before it tells its zone.
+  Duration relay_gather{std::chrono::milliseconds(40)};
   logging::Level log_level = logging::Level::kInfo;
   std::string file;  ///< The settings file, empty if none was given.
 };
--- /dev/null
+++ b/src/gateway_node/tests/peer_channel_test.cc
@@ -0,0 +1,162 @@
+// Datagrams among nodes on loopback: all to all in a small fleet, by way of relays in a large one.
+#include "gateway_node/peer_channel.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "simulation/virtual_time.h"
+
+using namespace ochrespring;
+using namespace ochrespring::gateway_node;
+
+namespace {
+
+/// One node and what came to it.
+struct ChannelNode {
+  ChannelNode(const Clock& clock, const std::string& name, const std::string& zone,
+              std::uint32_t from_nodes)
+      : record{NodeId(name), Endpoint("127.0.0.1:1"), ZoneName(zone), Endpoint(), 0},
+        nodes(clock, record),
+        channel(nodes, {.from_nodes = from_nodes},
+                {.work =
+                     [this](const peer_load::WorkReport& report) {
+                       ended += report.engines.at(0).ended;
+                       note();
+                     },
+                 .relayed_work = [this](const auto&) { note(); },
+                 .work_to_relay =
+                     [this](const peer_load::WorkReport& report) {
+                       ++to_relay;
+                       ended_to_relay += report.engines.at(0).ended;
+                       note();
+                     },
+                 .update = [this](const auto&) { ++updates, note(); },
+                 .parts_request = [this](const auto&) { note(); },
+                 .offer = [this](const auto&) { ++offers, note(); }}) {}
+
+  void note() {
+    if (on_message) {
+      on_message();
+    }
+  }
+
+  discovery::NodeRecord record;
+  discovery::NodeDirectory nodes;
+  PeerChannel channel;
+  int to_relay = 0;
+  int updates = 0;
+  int offers = 0;
+  std::uint32_t ended = 0;
+  std::uint32_t ended_to_relay = 0;
+  std::function<void()> on_message;
+};
+
+struct ChannelFleet {
+  explicit ChannelFleet(std::uint32_t from_nodes) {
+    for (const char* zone : {"a", "b"}) {
+      for (int i = 0; i != 5; ++i) {
+        nodes.push_back(
+            std::make_unique<ChannelNode>(time, zone + std::to_string(i), zone, from_nodes));
+        ChannelNode& node = *nodes.back();
+        REQUIRE(node.channel.listen(loop, Endpoint("127.0.0.1:0")));
+        node.record.peer_address = node.channel.bound();
+        node.on_message = [this] {
+          if (done()) {
+            loop.stop();
+          }
+        };
+      }
+    }
+    for (const auto& node : nodes) {
+      for (const auto& other : nodes) {
+        node->nodes.put(other->record);
+      }
+    }
+  }
+  /// Runs until `condition` holds.
+  void run_until(std::function<bool()> condition) {
+    done = std::move(condition);
+    if (!done()) {
+      loop.run();
+    }
+  }
+  int total(int ChannelNode::*count) const {
+    int sum = 0;
+    for (const auto& node : nodes) {
+      sum += (*node).*count;
+    }
+    return sum;
+  }
+
+  http::EventLoop loop;
+  simulation::VirtualTime time;
+  std::vector<std::unique_ptr<ChannelNode>> nodes;
+  std::function<bool()> done = [] { return false; };
+};
+
+peer_load::WorkReport make_report(std::uint64_t sequence) {
+  return {NodeId("a0"),
+          1,
+          sequence,
+          {{.engine = gateway::BackendId("e"), .ended = 1, .parts_read = {}}}};
+}
+
+}  // namespace
+
+TEST_CASE("in a small fleet each node tells all others") {
+  ChannelFleet fleet(11);
+  fleet.nodes[0]->channel.tell_update({});
+  fleet.run_until([&] { return fleet.total(&ChannelNode::updates) == 9; });
+  CHECK(fleet.nodes[0]->updates == 0);
+  const PeerTraffic& sent =
+      fleet.nodes[0]->channel.traffic(PeerMessage(discovery::ViewUpdate{}).index());
+  CHECK(sent.datagrams == 9);
+  CHECK(sent.bytes_to_zones * 9 == sent.bytes * 5);
+}
+
+TEST_CASE("in a large fleet an update reaches every node by two relays of its zone") {
+  ChannelFleet fleet(10);
+  for (const auto& sender : fleet.nodes) {
+    const int before = fleet.total(&ChannelNode::updates);
+    sender->channel.tell_update({});
+    // Four relays hear it, and each tells the four others of its zone; the sender may be one.
+    const bool relay = sender->channel.relays_here();
+    const int heard = relay ? 3 + 4 * 4 : 4 + 4 * 4;
+    fleet.run_until([&] { return fleet.total(&ChannelNode::updates) == before + heard; });
+  }
+  for (const auto& node : fleet.nodes) {
+    CHECK(node->updates >= 10);
+  }
+}
+
+TEST_CASE("work goes to the relays of all zones, and how attempts ended to one of each zone") {
+  ChannelFleet fleet(10);
+  for (std::uint64_t sequence = 1; sequence != 9; ++sequence) {
+    fleet.nodes[0]->channel.tell_work(make_report(sequence));
+  }
+  fleet.run_until([&] { return fleet.total(&ChannelNode::to_relay) == 8 * 4; });
+  std::uint32_t ended = 0;
+  for (const auto& node : fleet.nodes) {
+    CHECK((node->to_relay == 0 || node->to_relay == 8));
+    CHECK(node->ended_to_relay == node->to_relay / 2);
+    ended += node->ended_to_relay;
+  }
+  CHECK(ended == 8 * 2);
+}
+
+TEST_CASE("offers of views go up to the relays of a zone and from there to its nodes") {
+  ChannelFleet fleet(10);
+  int expected = 0;
+  for (const auto& sender : fleet.nodes) {
+    sender->channel.tell_offer({Endpoint("127.0.0.1:9")});
+    expected += sender->channel.relays_here() ? 4 : 2;
+  }
+  fleet.run_until([&] { return fleet.total(&ChannelNode::offers) == expected; });
+  for (const auto& node : fleet.nodes) {
+    CHECK(node->offers >= 1);
+  }
+}
--- a/src/peer_load/types.h
+++ b/src/peer_load/types.h
@@ -44,7 +44,7 @@
   }
 };
 
-/// One datagram.
+/// One datagram: a node's own work, or, from a relay, sums over all nodes.
 struct WorkReport {
   NodeId node;
   std::uint64_t life = 0;      ///< Drawn at the sender's start.
@@ -60,4 +60,24 @@
   }
 };
 
+/// A node's own work, for a relay to pass on.
+struct ReportToRelay {
+  WorkReport report;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& report;
+  }
+};
+
+/// Sums over all nodes that have reported to a relay, and what else they told since its last.
+struct RelayedReport {
+  WorkReport sums;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& sums;
+  }
+};
+
 }  // namespace ochrespring::peer_load
--- a/src/peer_load/work_announcer.cc
+++ b/src/peer_load/work_announcer.cc
@@ -4,17 +4,22 @@
 
 namespace ochrespring::peer_load {
 
-WorkAnnouncer::WorkAnnouncer(TimerService& timers, const gateway::LoadTable& loads, NodeId node,
-                             std::uint64_t life, Send send)
-    : loads_(loads), send_(std::move(send)), gather_(timers), repeat_(timers) {
-  report_.node = std::move(node);
-  report_.life = life;
+WorkAnnouncer::WorkAnnouncer(TimerService& timers, WorkAnnouncerOptions options, WorkOf work_of,
+                             Send send)
+    : gather_time_(options.gather),
+      repeats_(options.repeat),
+      work_of_(std::move(work_of)),
+      send_(std::move(send)),
+      gather_(timers),
+      repeat_(timers) {
+  report_.node = std::move(options.node);
+  report_.life = options.life;
 }
 
 void WorkAnnouncer::note_change(const gateway::BackendId& engine) {
   changed_.insert(engine);
   if (!gather_.armed()) {
-    gather_.arm(kGather, [this] { announce(); });
+    gather_.arm(gather_time_, [this] { announce(); });
   }
 }
 
@@ -23,10 +28,11 @@
   note_change(backend);
 }
 
-void WorkAnnouncer::note_end(const gateway::BackendId& engine, bool failed) {
+void WorkAnnouncer::note_ends(const gateway::BackendId& engine, std::uint32_t ended,
+                              std::uint32_t failed) {
   Ends& ends = ends_[engine];
-  ++ends.ended;
-  ends.failed += failed ? 1 : 0;
+  ends.ended += ended;
+  ends.failed += failed;
 }
 
 void WorkAnnouncer::note_parts(const gateway::BackendId& engine,
@@ -36,6 +42,18 @@
   note_change(engine);
 }
 
+void WorkAnnouncer::note_report(const WorkReport& report) {
+  for (const EngineWork& work : report.engines) {
+    if (work.silent) {
+      silent_.insert(work.engine);
+    }
+    if (work.ended != 0) {
+      note_ends(work.engine, work.ended, work.failed);
+    }
+    note_parts(work.engine, work.parts_read);
+  }
+}
+
 void WorkAnnouncer::announce() {
   for (const gateway::BackendId& engine : std::exchange(changed_, {})) {
     EngineWork work = work_at(engine);
@@ -55,13 +73,13 @@
     append(std::move(work), send_);
   }
   flush(send_);
-  if (!busy_.empty() && !repeat_.armed()) {
+  if (repeats_ && !busy_.empty() && !repeat_.armed()) {
     repeat_.arm(kRepeat, [this] { repeat(); });
   }
 }
 
-void WorkAnnouncer::tell_all(MonotonicTime now, const Send& send) {
-  for (const auto& [engine, load] : loads_.all()) {
+void WorkAnnouncer::tell_all(const gateway::LoadTable& loads, MonotonicTime now, const Send& send) {
+  for (const auto& [engine, load] : loads.all()) {
     EngineWork work = work_at(engine);
     work.parts_read = load.held_parts(now);
     if (!work.parts_read.empty()) {
@@ -72,13 +90,11 @@
 }
 
 EngineWork WorkAnnouncer::work_at(const gateway::BackendId& engine) const {
-  const gateway::BackendLoad* load = loads_.find(engine);
+  const gateway::EngineWorkload now = work_of_(engine);
   EngineWork work;
   work.engine = engine;
-  if (load != nullptr) {
-    work.requests = load->in_flight();
-    work.unread_tokens = load->unread_tokens();
-  }
+  work.requests = now.requests;
+  work.unread_tokens = now.unread_tokens;
   return work;
 }
 
@@ -96,6 +112,9 @@
   }
   parts_in_report_ += work.parts_read.size();
   report_.engines.push_back(std::move(work));
+  if (report_.engines.size() == kMostEngines) {
+    flush(send);
+  }
 }
 
 void WorkAnnouncer::flush(const Send& send) {
--- a/src/peer_load/work_announcer.h
+++ b/src/peer_load/work_announcer.h
@@ -1,4 +1,4 @@
-// Tells the other nodes of this node's work at engines.
+// Tells other nodes of work at engines: this node's own, or what a relay has been told.
 #pragma once
 
 #include <functional>
@@ -12,32 +12,51 @@
 
 namespace ochrespring::peer_load {
 
+/// Who announces, and how often.
+struct WorkAnnouncerOptions {
+  NodeId node;
+  std::uint64_t life = 0;  ///< Drawn at the node's start.
+  /// All changes of this time go out in one report. A node's own work is told at once but for what
+  /// one request changes in a row.
+  Duration gather{std::chrono::milliseconds(1)};
+  /// Whether work that goes on is told again by itself. A relay tells it when it is told.
+  bool repeat = true;
+};
+
 /// Sends a report when work changes, with all changes of a short while in one, and repeats what is
 /// not over, so that it stays believed. One loop.
 class WorkAnnouncer {
  public:
   using Send = std::function<void(const WorkReport&)>;
+  /// The work at an engine now.
+  using WorkOf = std::function<gateway::EngineWorkload(const gateway::BackendId& engine)>;
 
-  WorkAnnouncer(TimerService& timers, const gateway::LoadTable& loads, NodeId node,
-                std::uint64_t life, Send send);
+  WorkAnnouncer(TimerService& timers, WorkAnnouncerOptions options, WorkOf work_of, Send send);
 
   /// The work at an engine has changed.
   void note_change(const gateway::BackendId& engine);
   /// A back end has fallen silent, or could not be reached.
   void note_silence(const gateway::BackendId& backend);
   /// An attempt at an engine has ended; told with the next report on it.
-  void note_end(const gateway::BackendId& engine, bool failed);
+  void note_end(const gateway::BackendId& engine, bool failed) {
+    note_ends(engine, 1, failed ? 1 : 0);
+  }
+  void note_ends(const gateway::BackendId& engine, std::uint32_t ended, std::uint32_t failed);
   /// An engine reads shared prompt parts; told with the next report on it.
   void note_parts(const gateway::BackendId& engine, const std::vector<std::uint64_t>& keys);
+  /// What a node told a relay: its engines have changed, and the rest goes out with the next
+  /// report.
+  void note_report(const WorkReport& report);
   /// Everything this node believes engines to keep, for a node that has just started.
-  void tell_all(MonotonicTime now, const Send& send);
+  void tell_all(const gateway::LoadTable& loads, MonotonicTime now, const Send& send);
 
  private:
-  static constexpr Duration kGather{std::chrono::milliseconds(1)};
+  /// Work that goes on is told again after this time; see `PeerWork::kBelief`.
   static constexpr Duration kRepeat{std::chrono::milliseconds(1000)};
 
-  /// A report with this many parts fits into a datagram.
-  static constexpr std::size_t kMostParts = 500;
+  /// A report with this many of both fits into a datagram: 10 and some 45 bytes each.
+  static constexpr std::size_t kMostParts = 400;
+  static constexpr std::size_t kMostEngines = 80;
 
   void announce();
   /// Adds to the report; what is too much for one goes out before.
@@ -46,7 +65,9 @@
   EngineWork work_at(const gateway::BackendId& engine) const;
   void repeat();
 
-  const gateway::LoadTable& loads_;
+  Duration gather_time_;
+  bool repeats_;
+  WorkOf work_of_;
   Send send_;
   WorkReport report_;  ///< Engines are filled in for each datagram.
   std::size_t parts_in_report_ = 0;
