discovery: a view that cannot be joined is fetched from the node that holds it

Change: an update names the node that sent it; whoever cannot join it fetches the view there (a relay from the node that looked, the nodes of its zone from the relay, which passes the update on once it has seen as much). A listing that was begun before a newer view came is passed over. Failed looks in a row come seldomer, up to 1.2 s. Registrations are renewed after 0.4 of their lease in place of a third.

Tests of discovery and gateway_node pass.

--- a/src/discovery/change_log.cc
+++ b/src/discovery/change_log.cc
@@ -26,7 +26,12 @@
 }
 
 ViewUpdate ChangeLog::make_empty_update(shared_store::StoreRevision after, Duration age) const {
-  return {.after = after, .through = through_, .age = age, .fingerprint = {}, .changes = {}};
+  return {.after = after,
+          .through = through_,
+          .age = age,
+          .fingerprint = {},
+          .view_address = {},
+          .changes = {}};
 }
 
 std::vector<ViewUpdate> ChangeLog::make_updates(MonotonicTime now, Duration age) {
--- a/src/discovery/fleet_watcher.cc
+++ b/src/discovery/fleet_watcher.cc
@@ -12,6 +12,8 @@
 /// Every key of the store: one call tells of configuration, back ends and nodes.
 const std::string kEverything;
 
+/// Doublings of the pause after failed looks; `longest_retry` bounds it besides.
+constexpr std::uint32_t kMostRetryDoublings = 4;
 /// Parts of the bound: when a node looks at the earliest, and how much later at the latest.
 constexpr double kPeriodPart = 0.5;
 constexpr double kSpreadPart = 0.22;
@@ -41,7 +43,8 @@
       nodes_(nodes),
       writer_(world.clock, world.codec, world.logger, fleet, nodes),
       timer_(world.timers),
-      peer_timer_(world.timers) {}
+      peer_timer_(world.timers),
+      fetch_timer_(world.timers) {}
 
 void FleetWatcher::start() {
   look();
@@ -110,10 +113,14 @@
   });
 }
 
-void FleetWatcher::take_update(const ViewUpdate& update) {
+void FleetWatcher::take_update(const ViewUpdate& update, std::function<void()> covered) {
+  if (covered) {
+    uncovered_ = Uncovered{update.through, std::move(covered)};
+  }
   switch (writer_.take_update(update)) {
     case UpdateOutcome::kPassed:
       ++statistics_.updates_passed;
+      fetch_later(update.view_address);
       return;
     case UpdateOutcome::kDiffers:
       ++statistics_.updates_differed;
@@ -146,16 +153,60 @@
     }
   }
   if (success) {
+    failed_in_row_ = 0;
     note_current(look_began_);
   } else {
     ++statistics_.failed_looks;
-    timer_.arm(settings_.retry, [this] { look(); });
+    ++failed_in_row_;
+    timer_.arm(retry_pause(), [this] { look(); });
   }
   for (const auto& done : std::exchange(waiting_, {})) {
     done(success);
   }
 }
 
+/// Nodes that failed together try again apart.
+Duration FleetWatcher::retry_pause() {
+  const std::uint32_t doublings = std::min(failed_in_row_, kMostRetryDoublings);
+  const Duration longest = std::min(settings_.retry * (1U << doublings), settings_.longest_retry);
+  return settings_.retry / 2 + random_part_of(longest - settings_.retry / 2);
+}
+
+void FleetWatcher::fetch_later(const Endpoint& holder) {
+  if (holder.empty() || !fetch_view_) {
+    return;
+  }
+  view_holder_ = holder;
+  if (!fetching_ && !fetch_timer_.armed()) {
+    fetch_timer_.arm(random_part_of(settings_.fetch_spread), [this] { fetch(); });
+  }
+}
+
+void FleetWatcher::fetch() {
+  fetching_ = true;
+  fetch_view_(view_holder_, [this](const std::optional<ViewSnapshot>& snapshot) {
+    fetching_ = false;
+    // Without success this node's own look comes in time.
+    take_snapshot(snapshot);
+  });
+}
+
+bool FleetWatcher::take_snapshot(const std::optional<ViewSnapshot>& snapshot) {
+  if (!snapshot || !writer_.take_snapshot(*snapshot)) {
+    return false;
+  }
+  ++statistics_.snapshots_taken;
+  world_.logger.write(
+      {logging::Level::kInfo,
+       kComponent,
+       "view taken from a peer",
+       {{"revision", snapshot->through.value()},
+        {"age_milliseconds",
+         std::chrono::duration_cast<std::chrono::milliseconds>(snapshot->age).count()}}});
+  note_current(world_.clock.now() - snapshot->age);
+  return true;
+}
+
 void FleetWatcher::ask_peer_later() {
   peer_timer_.arm(settings_.peer_patience, [this] { ask_peer(); });
 }
@@ -165,19 +216,9 @@
     return;
   }
   ask_peer_([this](const std::optional<ViewSnapshot>& snapshot) {
-    if (!snapshot || !writer_.take_snapshot(*snapshot)) {
+    if (!take_snapshot(snapshot)) {
       ask_peer_later();
-      return;
     }
-    ++statistics_.snapshots_taken;
-    world_.logger.write(
-        {logging::Level::kWarning,
-         kComponent,
-         "view taken from a peer",
-         {{"revision", snapshot->through.value()},
-          {"age_milliseconds",
-           std::chrono::duration_cast<std::chrono::milliseconds>(snapshot->age).count()}}});
-    note_current(world_.clock.now() - snapshot->age);
   });
 }
 
@@ -195,6 +236,9 @@
     const MonotonicTime due = *fleet_.current_at() + settings_.period + waited;
     timer_.arm(std::max(due - world_.clock.now(), Duration::zero()), [this] { look(); });
   }
+  if (uncovered_ && writer_.seen() && *writer_.seen() >= uncovered_->through) {
+    std::exchange(uncovered_, std::nullopt)->covered();
+  }
   if (current_) {
     current_();
   }
--- a/src/discovery/fleet_watcher.h
+++ b/src/discovery/fleet_watcher.h
@@ -24,6 +24,11 @@
   Duration period{std::chrono::milliseconds(1000)};  ///< Between two looks of any node, at least.
   Duration spread{std::chrono::milliseconds(450)};   ///< A node waits up to this much longer.
   Duration retry{std::chrono::milliseconds(300)};    ///< After a look that failed.
+  /// The pause after failed looks in a row grows up to this: of many nodes one will soon succeed,
+  /// and tell the others.
+  Duration longest_retry{std::chrono::milliseconds(1200)};
+  /// A node waits up to this long before it fetches a view that it cannot join: many may at once.
+  Duration fetch_spread{std::chrono::milliseconds(100)};
   Duration peer_patience{std::chrono::milliseconds(250)};  ///< Before a peer is asked for a view.
   Duration relist_spread{std::chrono::milliseconds(200)};  ///< Before a listing out of turn.
   Duration fresh_enough{std::chrono::milliseconds(150)};   ///< Age at which refresh() asks again.
@@ -74,14 +79,19 @@
   void start();
   /// Calls back once the view is known to be current, or with false if the store does not answer.
   void refresh(std::function<void(bool current)> done);
-  /// Another node has looked.
-  void take_update(const ViewUpdate& update);
+  /// Another node has looked. `covered`, if given, is called once this node's view is no older than
+  /// the update: at once, after a fetch, or never if a newer update comes before.
+  void take_update(const ViewUpdate& update, std::function<void()> covered = {});
   using SnapshotCallback = std::function<void(std::optional<ViewSnapshot> snapshot)>;
   /// Called now and then while this node has no view and the store is slow to give one: asks
   /// another node for its own.
   void on_lost_without_view(std::function<void(SnapshotCallback done)> callback) {
     ask_peer_ = std::move(callback);
   }
+  /// Called to fetch another node's view from its address, when its update cannot be joined.
+  void on_unjoined(std::function<void(const Endpoint&, SnapshotCallback done)> callback) {
+    fetch_view_ = std::move(callback);
+  }
   std::optional<ViewSnapshot> make_snapshot() const { return writer_.make_snapshot(); }
   /// Called when the store is lost or regained by this node's own looks.
   void on_store_state(std::function<void(bool reachable)> callback) {
@@ -104,6 +114,11 @@
   Duration random_part_of(Duration whole);
   void ask_peer_later();
   void ask_peer();
+  void fetch_later(const Endpoint& holder);
+  void fetch();
+  /// Returns whether another node's view was taken.
+  bool take_snapshot(const std::optional<ViewSnapshot>& snapshot);
+  Duration retry_pause();
   /// The view is known to be as the store was at `at`.
   void note_current(MonotonicTime at);
 
@@ -114,6 +129,16 @@
   ViewWriter writer_;
   Timer timer_;
   Timer peer_timer_;
+  Timer fetch_timer_;
+  bool fetching_ = false;
+  Endpoint view_holder_;  ///< Of the newest update that could not be joined.
+  /// Update that waits to be covered, and what is called then.
+  struct Uncovered {
+    shared_store::StoreRevision through;
+    std::function<void()> covered;
+  };
+  std::optional<Uncovered> uncovered_;
+  std::uint32_t failed_in_row_ = 0;  ///< Looks.
   MonotonicTime look_began_{};
   bool looking_ = false;
   std::optional<bool> connected_;  ///< How the last look ended; none before the first.
@@ -122,6 +147,7 @@
   std::function<void(const ViewUpdate&)> share_;
   std::function<void(bool)> store_state_;
   std::function<void(SnapshotCallback)> ask_peer_;
+  std::function<void(const Endpoint&, SnapshotCallback)> fetch_view_;
   FleetWatcherStatistics statistics_;
 };
 
--- a/src/discovery/tests/shared_looks_test.cc
+++ b/src/discovery/tests/shared_looks_test.cc
@@ -268,6 +268,7 @@
           .through = StoreRevision(through),
           .age = 20ms,
           .fingerprint = 0,
+          .view_address = {},
           .changes = {}};
 }
 
@@ -341,6 +342,7 @@
   peer.watcher.take_update({.after = StoreRevision(10),
                             .through = StoreRevision(12),
                             .fingerprint = stable_hash(wire::encode(gateway::Backend{})),
+                            .view_address = {},
                             .changes = {make_backend_change("", 12)}});
   const auto snapshot = wire::decode<ViewSnapshot>(wire::encode(*peer.watcher.make_snapshot()));
   REQUIRE(snapshot);
@@ -386,6 +388,125 @@
   }
 }
 
+namespace {
+
+/// A node that fetches views; the fetches wait to be answered.
+struct FetchingFixture : SharingFixture {
+  FetchingFixture() {
+    watcher.on_unjoined([this](const Endpoint& holder, FleetWatcher::SnapshotCallback done) {
+      holders.push_back(holder);
+      fetches.push_back(std::move(done));
+    });
+  }
+  /// An update that this node cannot join, held by another node.
+  void hear_unjoined(std::uint64_t after, const std::string& holder) {
+    ViewUpdate update = empty_update(after, after + 2);
+    update.view_address = Endpoint(holder);
+    watcher.take_update(update, [this] { ++covered; });
+  }
+
+  std::vector<Endpoint> holders;
+  std::vector<FleetWatcher::SnapshotCallback> fetches;
+  int covered = 0;
+};
+
+ViewSnapshot make_snapshot_at(std::uint64_t revision, const std::string& version) {
+  ViewSnapshot snapshot;
+  snapshot.through = StoreRevision(revision);
+  snapshot.age = 30ms;
+  snapshot.configuration = version;
+  return snapshot;
+}
+
+}  // namespace
+
+TEST_CASE("what cannot be joined is fetched from the node that holds it, without a look") {
+  FetchingFixture world;
+  world.advance(900ms);
+  world.hear_unjoined(12, "holder");
+  CHECK(world.covered == 0);
+  world.advance(110ms);
+  REQUIRE(world.fetches.size() == 1);
+  CHECK(world.holders[0] == Endpoint("holder"));
+  world.fetches[0](make_snapshot_at(14, "7"));
+  CHECK(world.covered == 1);
+  CHECK(world.fleet.routes()->configuration().version.value() == 7);
+  world.advance(900ms);
+  CHECK(world.store.changes_calls.empty());
+  world.watcher.take_update(empty_update(14, 15));
+  CHECK(world.watcher.statistics().updates_taken == 1);
+}
+
+TEST_CASE("many updates that cannot be joined bring one fetch, from the newest holder") {
+  FetchingFixture world;
+  for (int i = 0; i != 5; ++i) {
+    world.hear_unjoined(12 + static_cast<std::uint64_t>(i), "holder" + std::to_string(i));
+  }
+  world.advance(110ms);
+  REQUIRE(world.fetches.size() == 1);
+  CHECK(world.holders[0] == Endpoint("holder4"));
+}
+
+TEST_CASE("a holder that does not answer, or knows less, does not put this node's own look off") {
+  for (const bool answers : {false, true}) {
+    FetchingFixture world;
+    world.advance(900ms);
+    world.hear_unjoined(12, "holder");
+    world.advance(110ms);
+    REQUIRE(world.fetches.size() == 1);
+    world.fetches[0](answers ? std::optional(make_snapshot_at(9, "2")) : std::nullopt);
+    CHECK(world.covered == 0);
+    CHECK(world.fleet.routes()->configuration().version.value() == 3);
+    world.advance(500ms);
+    CHECK(world.store.changes_calls.size() == 1);
+  }
+}
+
+TEST_CASE("a listing that was begun before a newer view came does not bring the older one back") {
+  FetchingFixture world;
+  ViewUpdate differing = empty_update(10, 11);
+  differing.fingerprint = 77;
+  world.watcher.take_update(differing);
+  world.advance(250ms);
+  REQUIRE(world.store.lists.size() == 1);
+  world.hear_unjoined(12, "holder");
+  world.advance(110ms);
+  REQUIRE(world.fetches.size() == 1);
+  ViewSnapshot snapshot = make_snapshot_at(14, "7");
+  gateway::Backend draining;
+  draining.id = gateway::BackendId("b");
+  draining.draining = true;
+  snapshot.backends.push_back(draining);
+  world.fetches[0](snapshot);
+  take(world.store.lists)(Listing{{{"backends/b", "ready", StoreRevision(4)}}, StoreRevision(12)});
+  REQUIRE(world.fleet.find(gateway::BackendId("b")) != nullptr);
+  CHECK(world.fleet.find(gateway::BackendId("b"))->draining);
+}
+
+TEST_CASE("looks that fail come seldomer, and again at their pace after one that succeeds") {
+  SharingFixture world;
+  world.advance(1500ms);
+  std::vector<MonotonicTime> tries;
+  for (int i = 0; i != 30; ++i) {
+    REQUIRE(world.store.changes_calls.size() == 1);
+    tries.push_back(world.time.now());
+    take(world.store.changes_calls).done(fail(StoreErrc::kNotDone, "down"));
+    while (world.store.changes_calls.empty()) {
+      world.advance(10ms);
+    }
+    CHECK(world.time.now() - tries.back() >= 150ms);
+    CHECK(world.time.now() - tries.back() <= 1210ms);
+  }
+  // 30 tries at the pace of the first would take 9 s at most.
+  CHECK(tries.back() - tries.front() > 12s);
+  take(world.store.changes_calls).done(Changes{});
+  world.advance(1500ms);
+  REQUIRE(world.store.changes_calls.size() == 1);
+  take(world.store.changes_calls).done(fail(StoreErrc::kNotDone, "down"));
+  world.advance(610ms);
+  CHECK(world.store.changes_calls.size() == 1);
+}
+
 TEST_CASE("however many nodes there are, few look before they can know of each other's look") {
   SeededRandom random{11};
   for (const std::uint32_t nodes : {7U, 60U, 340U}) {
--- a/src/discovery/view_update.h
+++ b/src/discovery/view_update.h
@@ -52,6 +52,9 @@
   Duration age{};  ///< Since the look began, when the update was sent.
   /// Of all back ends at `through`; none where more updates follow.
   std::optional<std::uint64_t> fingerprint;
+  /// Where a node that cannot join the update gets the whole view up to `through`; empty: nowhere.
+  /// Filled in by whoever sends it.
+  Endpoint view_address;
   std::vector<ViewChange> changes;
 
   template <class Archive>
@@ -60,6 +63,7 @@
     archive& through;
     archive& age;
     archive& fingerprint;
+    archive& view_address;
     archive& changes;
   }
 };
--- a/src/discovery/view_writer.cc
+++ b/src/discovery/view_writer.cc
@@ -17,6 +17,10 @@
 }  // namespace
 
 void ViewWriter::take_listing(const shared_store::Listing& listing) {
+  if (seen_ && listing.revision < *seen_) {
+    // Another node's newer view came while the store was being read.
+    return;
+  }
   const StoreLayout& layout = codec_.layout();
   std::vector<gateway::Backend> backends;
   std::vector<NodeRecord> nodes;
@@ -151,7 +155,11 @@
 }
 
 bool ViewWriter::take_snapshot(const ViewSnapshot& snapshot) {
-  if (seen_ || !take_configuration(snapshot.configuration)) {
+  if (seen_ && snapshot.through <= *seen_) {
+    return false;
+  }
+  const bool known = snapshot.configuration == configuration_;
+  if (!known && !take_configuration(snapshot.configuration)) {
     return false;
   }
   fleet_.replace(snapshot.backends);
--- a/src/discovery/view_writer.h
+++ b/src/discovery/view_writer.h
@@ -39,7 +39,7 @@
   UpdateOutcome take_update(const ViewUpdate& update);
   /// The whole view; none before there is a configuration.
   std::optional<ViewSnapshot> make_snapshot() const;
-  /// Takes another node's view while this one has none; returns whether it was of use.
+  /// Takes another node's view if it is newer than this one's; returns whether it was.
   bool take_snapshot(const ViewSnapshot& snapshot);
   /// The history was lost: the next listing starts anew.
   void forget_history() { seen_.reset(); }
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -15,6 +15,9 @@
 /// The server closes later than callers do, so that a request seldom crosses the close.
 /// Between two offers of this node's view while the store is out.
 constexpr Duration kOfferPeriod = milliseconds(500);
+/// Part of its lease after which a node's registration is renewed: two more tries fit into the
+/// rest.
+constexpr double kRenewalPart = 0.4;
 /// How many others a node that starts asks what engines keep; any of them may be starting, too.
 constexpr std::size_t kPeersAsked = 3;
 constexpr Duration kIdleMargin = std::chrono::seconds(2);
@@ -48,12 +51,16 @@
                discovery::settings_within(
                    std::min(settings_.drain_bound, settings_.configuration_bound)),
                fleet_, nodes_),
-      registration_(
-          loop, adapter_.store, logger,
-          {adapter_.codec.layout().node_prefix + settings_.node.value(), settings_.node_lease},
-          self_),
+      registration_(loop, adapter_.store, logger,
+                    {.key = adapter_.codec.layout().node_prefix + settings_.node.value(),
+                     .time_to_live = settings_.node_lease,
+                     .period = from_seconds(kRenewalPart * to_seconds(settings_.node_lease))},
+                    self_),
       peer_work_([this](const gateway::BackendId& engine) { return loads_.own(engine); }),
-      peers_(nodes_, {.from_nodes = settings_.relay_from_nodes}, make_peer_handlers()),
+      peers_(nodes_,
+             {.relays = {.from_nodes = settings_.relay_from_nodes},
+              .view_address = settings_.view_listen},
+             make_peer_handlers()),
       announcer_(
           loop, {.node = settings_.node, .life = random.next()},
           [this](const gateway::BackendId& engine) { return loads_.own(engine); },
@@ -111,6 +118,8 @@
     }
   });
   watcher_.on_lost_without_view([this](auto done) { views_.fetch(std::move(done)); });
+  watcher_.on_unjoined(
+      [this](const Endpoint& holder, auto done) { views_.fetch_from(holder, std::move(done)); });
   fleet_.on_removed([this](const gateway::Backend& backend) {
     loads_.forget(backend.id);
     peer_work_.forget(backend.id);
@@ -161,7 +170,10 @@
       .work = [this](const peer_load::WorkReport& report) { take_work(report); },
       .relayed_work = [this](const peer_load::WorkReport& sums) { take_relayed_work(sums); },
       .work_to_relay = [this](const peer_load::WorkReport& report) { relay_.note_report(report); },
-      .update = [this](const discovery::ViewUpdate& update) { watcher_.take_update(update); },
+      .update =
+          [this](const discovery::ViewUpdate& update, std::function<void()> covered) {
+            watcher_.take_update(update, std::move(covered));
+          },
       .parts_request = [this](const peer_load::PartsRequest& request) { tell_parts(request); },
       .offer = [this](const ViewOffer& offer) { views_.note_source(offer.view_address); }};
 }
--- a/src/gateway_node/peer_channel.cc
+++ b/src/gateway_node/peer_channel.cc
@@ -44,8 +44,11 @@
 }
 
 void PeerChannel::take(const UpdateToRelay& told) {
-  handlers_.update(told.update);
-  send_to(relays_.zone_members(), told.update);
+  // The nodes of the zone that cannot join the update fetch the view here: it has to be as new.
+  handlers_.update(told.update, [this, update = told.update]() mutable {
+    update.view_address = view_address_;
+    send_to(relays_.zone_members(), update);
+  });
 }
 
 void PeerChannel::tell_work(const peer_load::WorkReport& report) {
@@ -73,7 +76,8 @@
   send_to(relays_.zone_members(), peer_load::RelayedReport{sums});
 }
 
-void PeerChannel::tell_update(const discovery::ViewUpdate& update) {
+void PeerChannel::tell_update(discovery::ViewUpdate update) {
+  update.view_address = view_address_;
   if (!relays_.in_use()) {
     send_to(all_others(), update);
     return;
--- a/src/gateway_node/peer_channel.h
+++ b/src/gateway_node/peer_channel.h
@@ -30,20 +30,30 @@
   /// Work that this node, as a relay, has to add up for its zone. Other nodes' work comes to
   /// `work` as well.
   std::function<void(const peer_load::WorkReport&)> work_to_relay;
-  std::function<void(const discovery::ViewUpdate&)> update;
+  /// `covered`, if given, is to be called once this node has seen as much as the update tells.
+  std::function<void(const discovery::ViewUpdate&, std::function<void()> covered)> update;
   std::function<void(const peer_load::PartsRequest&)> parts_request;
   std::function<void(const ViewOffer&)> offer;
 };
 
+struct PeerChannelOptions {
+  discovery::RelayOptions relays;
+  /// Where other nodes fetch this node's view if they cannot join an update; empty: nowhere.
+  Endpoint view_address;
+};
+
 /// In a small fleet every node tells all others. In a large one it tells the relays of each zone,
 /// which tell the nodes of their zone: a node then sends a number of datagrams that follows the
 /// zones, not the nodes. Whoever is asked to relay does so, whatever it believes itself: nodes may
 /// know different fleets for a while. One loop.
 class PeerChannel {
  public:
-  PeerChannel(const discovery::NodeDirectory& nodes, discovery::RelayOptions options,
+  PeerChannel(const discovery::NodeDirectory& nodes, PeerChannelOptions options,
               PeerHandlers handlers)
-      : nodes_(nodes), relays_(nodes, options), handlers_(std::move(handlers)) {}
+      : nodes_(nodes),
+        relays_(nodes, options.relays),
+        view_address_(std::move(options.view_address)),
+        handlers_(std::move(handlers)) {}
 
   Result<void, http::HttpError> listen(http::EventLoop& loop, const Endpoint& endpoint);
 
@@ -52,7 +62,7 @@
   /// As a relay: what the nodes of the zone are to know.
   void tell_relayed_work(const peer_load::WorkReport& sums);
   /// This node has looked at the store.
-  void tell_update(const discovery::ViewUpdate& update);
+  void tell_update(discovery::ViewUpdate update);
   void tell_offer(const ViewOffer& offer);
   /// To one node, which need not be known to this one.
   void send(const Endpoint& to, const PeerMessage& message);
@@ -69,7 +79,7 @@
 
   void receive(std::string_view bytes);
   void take(const peer_load::WorkReport& report) { handlers_.work(report); }
-  void take(const discovery::ViewUpdate& update) { handlers_.update(update); }
+  void take(const discovery::ViewUpdate& update) { handlers_.update(update, {}); }
   void take(const peer_load::PartsRequest& request) { handlers_.parts_request(request); }
   void take(const ViewOffer& offer) { handlers_.offer(offer); }
   void take(const peer_load::ReportToRelay& told);
@@ -88,6 +98,7 @@
 
   const discovery::NodeDirectory& nodes_;
   discovery::RelayTable relays_;
+  Endpoint view_address_;
   PeerHandlers handlers_;
   std::unique_ptr<peer_load::DatagramSocket> socket_;
   std::array<PeerTraffic, std::variant_size_v<PeerMessage>> traffic_;
--- a/src/gateway_node/tests/peer_channel_test.cc
+++ b/src/gateway_node/tests/peer_channel_test.cc
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,7 +22,7 @@
               std::uint32_t from_nodes)
       : record{NodeId(name), Endpoint("127.0.0.1:1"), ZoneName(zone), Endpoint(), 0},
         nodes(clock, record),
-        channel(nodes, {.from_nodes = from_nodes},
+        channel(nodes, {.relays = {.from_nodes = from_nodes}, .view_address = Endpoint(name)},
                 {.work =
                      [this](const peer_load::WorkReport& report) {
                        ended += report.engines.at(0).ended;
@@ -34,7 +35,15 @@
                        ended_to_relay += report.engines.at(0).ended;
                        note();
                      },
-                 .update = [this](const auto&) { ++updates, note(); },
+                 .update =
+                     [this](const discovery::ViewUpdate& update, std::function<void()> covered) {
+                       ++updates;
+                       holders.insert(update.view_address);
+                       if (covered && covers) {
+                         covered();
+                       }
+                       note();
+                     },
                  .parts_request = [this](const auto&) { note(); },
                  .offer = [this](const auto&) { ++offers, note(); }}) {}
 
@@ -52,6 +61,8 @@
   int offers = 0;
   std::uint32_t ended = 0;
   std::uint32_t ended_to_relay = 0;
+  bool covers = true;          ///< Whether updates can be joined.
+  std::set<Endpoint> holders;  ///< Named in updates.
   std::function<void()> on_message;
 };
 
@@ -133,6 +144,32 @@
   }
 }
 
+TEST_CASE("a relay passes an update on once it has seen as much, and names itself as its holder") {
+  ChannelFleet fleet(10);
+  ChannelNode& sender = *fleet.nodes[0];
+  std::set<Endpoint> relays{Endpoint("a0")};
+  for (const auto& node : fleet.nodes) {
+    node->covers = false;
+    if (node->channel.relays_here()) {
+      relays.insert(Endpoint(node->record.node.value()));
+    }
+  }
+  const int heard = sender.channel.relays_here() ? 3 + 4 : 4;
+  sender.channel.tell_update({});
+  fleet.run_until([&] { return fleet.total(&ChannelNode::updates) == heard; });
+  for (const auto& node : fleet.nodes) {
+    node->covers = true;
+  }
+  sender.channel.tell_update({});
+  const int then = sender.channel.relays_here() ? 3 + 4 * 4 : 4 + 4 * 4;
+  fleet.run_until([&] { return fleet.total(&ChannelNode::updates) == heard + then; });
+  for (const auto& node : fleet.nodes) {
+    for (const Endpoint& holder : node->holders) {
+      CHECK(relays.contains(holder));
+    }
+  }
+}
+
 TEST_CASE("work goes to the relays of all zones, and how attempts ended to one of each zone") {
   ChannelFleet fleet(10);
   for (std::uint64_t sequence = 1; sequence != 9; ++sequence) {
--- a/src/gateway_node/view_exchange.cc
+++ b/src/gateway_node/view_exchange.cc
@@ -61,8 +61,12 @@
     done(std::nullopt);
     return;
   }
+  fetch_from(candidates[next_++ % candidates.size()], std::move(done));
+}
+
+void ViewExchange::fetch_from(const Endpoint& holder, std::function<void(Snapshot)> done) {
   http::ClientRequest request;
-  request.endpoint = candidates[next_++ % candidates.size()];
+  request.endpoint = holder;
   request.path = kPath;
   request.timeout = kTimeout;
   request.connect_timeout = kConnectTimeout;
--- a/src/gateway_node/view_exchange.h
+++ b/src/gateway_node/view_exchange.h
@@ -36,6 +36,8 @@
   /// Asks the next of the seeds and of those that offered their view; calls back with none if it
   /// has no view or does not answer.
   void fetch(std::function<void(Snapshot)> done);
+  /// Asks one node, which has said that it has a view.
+  void fetch_from(const Endpoint& holder, std::function<void(Snapshot)> done);
 
  private:
   static constexpr std::size_t kMostSources = 8;
