gateway_node: PeerNews and PeerChannel without sockets; a fleet of 195 nodes under virtual time; half an update is not current

Now only the last update of a look makes a view current.

GatewayNode handed what concerns other nodes to PeerNews, which takes datagrams and gives them: the whole of it runs in tests with 195 nodes, a network that delays, loses and cuts, and a store that can be out.

--- a/src/discovery/fleet_watcher.cc
+++ b/src/discovery/fleet_watcher.cc
@@ -128,7 +128,12 @@
       return;
     case UpdateOutcome::kTaken:
       ++statistics_.updates_taken;
-      note_current(world_.clock.now() - update.age);
+      if (update.is_last()) {
+        note_current(world_.clock.now() - update.age);
+      } else {
+        // More changes are on their way: as of now the view is no newer than before.
+        note_covered();
+      }
       return;
   }
 }
@@ -236,12 +241,16 @@
     const MonotonicTime due = *fleet_.current_at() + settings_.period + waited;
     timer_.arm(std::max(due - world_.clock.now(), Duration::zero()), [this] { look(); });
   }
-  if (uncovered_ && writer_.seen() && *writer_.seen() >= uncovered_->through) {
-    std::exchange(uncovered_, std::nullopt)->covered();
-  }
+  note_covered();
   if (current_) {
     current_();
   }
 }
 
+void FleetWatcher::note_covered() {
+  if (uncovered_ && writer_.seen() && *writer_.seen() >= uncovered_->through) {
+    std::exchange(uncovered_, std::nullopt)->covered();
+  }
+}
+
 }  // namespace ochrespring::discovery
--- a/src/discovery/fleet_watcher.h
+++ b/src/discovery/fleet_watcher.h
@@ -119,6 +119,8 @@
   /// Returns whether another node's view was taken.
   bool take_snapshot(const std::optional<ViewSnapshot>& snapshot);
   Duration retry_pause();
+  /// Calls back whoever waits for the view to cover an update, if it does.
+  void note_covered();
   /// The view is known to be as the store was at `at`.
   void note_current(MonotonicTime at);
 
--- a/src/discovery/tests/shared_looks_test.cc
+++ b/src/discovery/tests/shared_looks_test.cc
@@ -437,6 +437,17 @@
   CHECK(world.watcher.statistics().updates_taken == 1);
 }
 
+TEST_CASE("an update that others follow does not put this node's own look off") {
+  SharingFixture world;
+  world.advance(900ms);
+  ViewUpdate update = empty_update(10, 11);
+  update.fingerprint.reset();
+  world.watcher.take_update(update);
+  world.advance(600ms);
+  REQUIRE(world.store.changes_calls.size() == 1);
+  CHECK(world.store.changes_calls[0].after == StoreRevision(11));
+}
+
 TEST_CASE("many updates that cannot be joined bring one fetch, from the newest holder") {
   FetchingFixture world;
   for (int i = 0; i != 5; ++i) {
--- a/src/discovery/view_update.h
+++ b/src/discovery/view_update.h
@@ -57,6 +57,9 @@
   Endpoint view_address;
   std::vector<ViewChange> changes;
 
+  /// Whether no further update of the same look follows.
+  bool is_last() const { return fingerprint.has_value(); }
+
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
     archive& after;
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -12,14 +12,10 @@
 constexpr std::string_view kComponent = "node";
 /// Kept back from the grace, so that the process ends by itself.
 constexpr Duration kGraceMargin = milliseconds(500);
-/// The server closes later than callers do, so that a request seldom crosses the close.
-/// Between two offers of this node's view while the store is out.
-constexpr Duration kOfferPeriod = milliseconds(500);
 /// Part of its lease after which a node's registration is renewed: two more tries fit into the
 /// rest.
 constexpr double kRenewalPart = 0.4;
-/// How many others a node that starts asks what engines keep; any of them may be starting, too.
-constexpr std::size_t kPeersAsked = 3;
+/// The server closes later than callers do, so that a request seldom crosses the close.
 constexpr Duration kIdleMargin = std::chrono::seconds(2);
 
 http::ServerSettings server_at(const Endpoint& endpoint) {
@@ -35,7 +31,6 @@
                          Adapter adapter)
     : loop_(loop),
       clock_(clock),
-      random_(random),
       logger_(logger),
       settings_(std::move(settings)),
       adapter_(std::move(adapter)),
@@ -56,26 +51,16 @@
                      .time_to_live = settings_.node_lease,
                      .period = from_seconds(kRenewalPart * to_seconds(settings_.node_lease))},
                     self_),
-      peer_work_([this](const gateway::BackendId& engine) { return loads_.own(engine); }),
-      peers_(nodes_,
-             {.relays = {.from_nodes = settings_.relay_from_nodes},
-              .view_address = settings_.view_listen},
-             make_peer_handlers()),
-      announcer_(
-          loop, {.node = settings_.node, .life = random.next()},
-          [this](const gateway::BackendId& engine) { return loads_.own(engine); },
-          [this](const peer_load::WorkReport& report) { peers_.tell_work(report); }),
-      relay_(
-          loop,
-          {.node = settings_.node,
-           .life = random.next(),
-           .gather = settings_.relay_gather,
-           .repeat = false},
-          [this](const gateway::BackendId& engine) { return work_of_all(engine); },
-          [this](const peer_load::WorkReport& sums) { peers_.tell_relayed_work(sums); }),
       views_(loop, client, {.listen = settings_.view_listen, .seeds = settings_.seeds},
              [this] { return watcher_.make_snapshot(); }),
-      offer_timer_(loop),
+      peer_news_(
+          {clock, loop, random, fleet_, loads_, nodes_, watcher_},
+          {.peer_address = settings_.peer_listen,
+           .view_address = settings_.view_listen,
+           .relays = {.from_nodes = settings_.relay_from_nodes},
+           .relay_gather = settings_.relay_gather},
+          [this](const Endpoint& to, std::string_view bytes) { peer_socket_->send(to, bytes); },
+          [this](const Endpoint& view_address) { views_.note_source(view_address); }),
       survey_(clock, adapter_.engines, fleet_, loads_,
               [this](http::ClientRequest request, std::function<void(std::string)> done) {
                 fetch_body(std::move(request), std::move(done));
@@ -111,18 +96,13 @@
   }
   BOOST_OUTCOME_TRY(listen_to_peers());
   BOOST_OUTCOME_TRY(views_.listen());
-  watcher_.on_store_state([this](bool reachable) {
-    offer_timer_.disarm();
-    if (!reachable && !settings_.view_listen.empty()) {
-      offer_view();
-    }
-  });
+  watcher_.on_store_state([this](bool reachable) { peer_news_.on_store_state(reachable); });
   watcher_.on_lost_without_view([this](auto done) { views_.fetch(std::move(done)); });
   watcher_.on_unjoined(
       [this](const Endpoint& holder, auto done) { views_.fetch_from(holder, std::move(done)); });
   fleet_.on_removed([this](const gateway::Backend& backend) {
     loads_.forget(backend.id);
-    peer_work_.forget(backend.id);
+    peer_news_.forget(backend.id);
     client_.forget(backend.address);
   });
   watcher_.on_current([this] {
@@ -140,97 +120,13 @@
 }
 
 Result<void, http::HttpError> GatewayNode::listen_to_peers() {
-  BOOST_OUTCOME_TRY(peers_.listen(loop_, settings_.peer_listen));
-  watcher_.on_look([this](const discovery::ViewUpdate& update) { peers_.tell_update(update); });
-  loads_.set_peers(&peer_work_);
-  loads_.on_change([this](const gateway::BackendId& id) {
-    if (is_engine(id)) {
-      announcer_.note_change(id);
-    }
-  });
-  loads_.on_end([this](const gateway::BackendId& id, bool failed) {
-    if (is_engine(id)) {
-      announcer_.note_end(id, failed);
-    }
-  });
-  loads_.on_silence([this](const gateway::BackendId& id) { announcer_.note_silence(id); });
-  loads_.on_prompt([this](const gateway::BackendId& id, const std::vector<std::uint64_t>& keys) {
-    announcer_.note_parts(id, keys);
-  });
+  BOOST_OUTCOME_TRY(socket, peer_load::DatagramSocket::bind(
+                                loop_, settings_.peer_listen,
+                                [this](std::string_view bytes) { peer_news_.receive(bytes); }));
+  peer_socket_ = std::move(socket);
   return outcome::success();
 }
 
-bool GatewayNode::is_engine(const gateway::BackendId& id) const {
-  const gateway::Backend* backend = fleet_.find(id);
-  return backend != nullptr && backend->role != gateway::EngineRole::kNone;
-}
-
-PeerHandlers GatewayNode::make_peer_handlers() {
-  return {
-      .work = [this](const peer_load::WorkReport& report) { take_work(report); },
-      .relayed_work = [this](const peer_load::WorkReport& sums) { take_relayed_work(sums); },
-      .work_to_relay = [this](const peer_load::WorkReport& report) { relay_.note_report(report); },
-      .update =
-          [this](const discovery::ViewUpdate& update, std::function<void()> covered) {
-            watcher_.take_update(update, std::move(covered));
-          },
-      .parts_request = [this](const peer_load::PartsRequest& request) { tell_parts(request); },
-      .offer = [this](const ViewOffer& offer) { views_.note_source(offer.view_address); }};
-}
-
-void GatewayNode::take_work(const peer_load::WorkReport& report) {
-  const MonotonicTime now = clock_.now();
-  peer_work_.apply(report, now);
-  take_observations(report, now);
-}
-
-/// What this node told itself comes back with the sums: its own ends then count twice, one among
-/// those of all nodes.
-void GatewayNode::take_relayed_work(const peer_load::WorkReport& sums) {
-  const MonotonicTime now = clock_.now();
-  peer_work_.apply_relayed(sums, now);
-  take_observations(sums, now);
-}
-
-void GatewayNode::take_observations(const peer_load::WorkReport& report, MonotonicTime now) {
-  for (const peer_load::EngineWork& work : report.engines) {
-    if (fleet_.find(work.engine) == nullptr) {
-      // Gone already, or not seen yet: nothing would ever forget it again.
-      peer_work_.forget(work.engine);
-      continue;
-    }
-    gateway::BackendLoad& load = loads_.of(work.engine);
-    if (work.ended != 0) {
-      load.note_told_ends(work.ended, work.failed, now);
-    }
-    if (work.silent) {
-      load.note_told_silence(now);
-    }
-    for (const std::uint64_t key : work.parts_read) {
-      load.note_cached(key, now);
-    }
-  }
-}
-
-gateway::EngineWorkload GatewayNode::work_of_all(const gateway::BackendId& engine) const {
-  const gateway::EngineWorkload own = loads_.own(engine);
-  const gateway::EngineWorkload others = peer_work_.direct_work_at(engine, clock_.now());
-  return {own.requests + others.requests, own.unread_tokens + others.unread_tokens};
-}
-
-void GatewayNode::tell_parts(const peer_load::PartsRequest& request) {
-  announcer_.tell_all(loads_, clock_.now(), [&](const peer_load::WorkReport& report) {
-    peers_.send(request.reply_to, report);
-  });
-}
-
-void GatewayNode::offer_view() {
-  if (fleet_.routes() != nullptr) {
-    peers_.tell_offer({settings_.view_listen});
-  }
-  offer_timer_.arm(kOfferPeriod, [this] { offer_view(); });
-}
-
 void GatewayNode::learn_cached_parts() {
   if (asked_peers_ && survey_.begun()) {
     return;
@@ -240,14 +136,8 @@
     nodes.push_back(node);
   }
   survey_.begin(settings_.node, nodes);
-  if (std::exchange(asked_peers_, true)) {
-    return;
-  }
-  std::vector<discovery::NodeRecord> peers = peers_.near_nodes();
-  for (std::size_t asked = 0; asked != kPeersAsked && !peers.empty(); ++asked) {
-    const std::size_t chosen = random_.below(peers.size());
-    peers_.send(peers[chosen].peer_address, peer_load::PartsRequest{settings_.peer_listen});
-    peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(chosen));
+  if (!std::exchange(asked_peers_, true)) {
+    peer_news_.ask_for_parts();
   }
 }
 
@@ -329,7 +219,7 @@
   counter("store_values_rejected", "Values not understood", watcher_.rejected_values());
   counter("backend_connections", "Connections opened", client_.statistics().connections_opened);
   counter("view_listings", "Listings of the whole store", watcher_.statistics().listings);
-  add_peer_metrics(sink);
+  peer_news_.add_metrics(sink);
   sink.gauge({"requests_running", "Requests running"}, static_cast<double>(gateway_.running()));
   sink.gauge({"backends", "Back ends known"}, static_cast<double>(fleet_.backends().size()));
   sink.gauge({"nodes", "Nodes known"}, static_cast<double>(nodes_.count()));
@@ -344,17 +234,4 @@
   sink.counter({"first_byte_seconds_sum", "Seconds to the first byte, added up"}, latency.sum());
 }
 
-void GatewayNode::add_peer_metrics(metrics::SampleSink& sink) const {
-  for (std::size_t kind = 0; kind != kPeerMessageNames.size(); ++kind) {
-    const PeerTraffic& sent = peers_.traffic(kind);
-    const std::vector<metrics::Label> labels{{"kind", kPeerMessageNames[kind]}};
-    sink.counter({"peer_datagrams_sent", "Datagrams sent to other nodes"},
-                 static_cast<double>(sent.datagrams), labels);
-    sink.counter({"peer_bytes_sent", "Their bytes, without headers"},
-                 static_cast<double>(sent.bytes), labels);
-    sink.counter({"peer_bytes_sent_to_other_zones", "Of these, to other zones"},
-                 static_cast<double>(sent.bytes_to_zones), labels);
-  }
-}
-
 }  // namespace ochrespring::gateway_node
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -11,7 +11,7 @@
 #include "gateway/cache_survey.h"
 #include "gateway/gateway.h"
 #include "gateway_node/adapter.h"
-#include "gateway_node/peer_channel.h"
+#include "gateway_node/peer_news.h"
 #include "gateway_node/settings.h"
 #include "gateway_node/stop_sequence.h"
 #include "gateway_node/view_exchange.h"
@@ -20,8 +20,7 @@
 #include "http/server.h"
 #include "logging/logger.h"
 #include "metrics/metrics.h"
-#include "peer_load/peer_work.h"
-#include "peer_load/work_announcer.h"
+#include "peer_load/datagram_socket.h"
 
 namespace ochrespring::gateway_node {
 
@@ -41,22 +40,9 @@
 
  private:
   Result<void, http::HttpError> listen_to_peers();
-  PeerHandlers make_peer_handlers();
-  /// Whether a registered back end is a model engine; only of these nodes tell each other.
-  bool is_engine(const gateway::BackendId& id) const;
-  void take_work(const peer_load::WorkReport& report);
-  void take_relayed_work(const peer_load::WorkReport& sums);
-  /// What a report tells besides work: how attempts ended, silence, prompt parts.
-  void take_observations(const peer_load::WorkReport& report, MonotonicTime now);
-  void tell_parts(const peer_load::PartsRequest& request);
-  /// Work of all nodes, this one included, that have told this one.
-  gateway::EngineWorkload work_of_all(const gateway::BackendId& engine) const;
-  /// Again and again while the store is out.
-  void offer_view();
   /// Once, when this node first knows the fleet: learns what engines keep.
   void learn_cached_parts();
   void add_metrics(metrics::SampleSink& sink) const;
-  void add_peer_metrics(metrics::SampleSink& sink) const;
   void fetch_body(http::ClientRequest request, std::function<void(std::string body)> done);
   void apply_limits();
   void leave();
@@ -64,7 +50,6 @@
 
   http::EventLoop& loop_;
   const Clock& clock_;
-  RandomSource& random_;
   logging::Logger& logger_;
   Settings settings_;
   Adapter adapter_;
@@ -80,12 +65,9 @@
   discovery::NodeDirectory nodes_;
   discovery::FleetWatcher watcher_;
   discovery::NodeRegistration registration_;
-  peer_load::PeerWork peer_work_;
-  PeerChannel peers_;
-  peer_load::WorkAnnouncer announcer_;
-  peer_load::WorkAnnouncer relay_;  ///< Adds up what this node is told to relay.
   ViewExchange views_;
-  Timer offer_timer_;
+  PeerNews peer_news_;
+  std::unique_ptr<peer_load::DatagramSocket> peer_socket_;
   gateway::CacheSurvey survey_;
   bool asked_peers_ = false;
   gateway::Gateway gateway_;
--- a/src/gateway_node/peer_channel.cc
+++ b/src/gateway_node/peer_channel.cc
@@ -22,16 +22,8 @@
 
 }  // namespace
 
-Result<void, http::HttpError> PeerChannel::listen(http::EventLoop& loop, const Endpoint& endpoint) {
-  BOOST_OUTCOME_TRY(
-      socket, peer_load::DatagramSocket::bind(loop, endpoint,
-                                              [this](std::string_view bytes) { receive(bytes); }));
-  socket_ = std::move(socket);
-  return outcome::success();
-}
-
 void PeerChannel::receive(std::string_view bytes) {
-  // Anybody may send to the port: what cannot be decoded is no message of a node.
+  // What cannot be decoded is no message of a node: it is left alone, and costs no log line each.
   const auto message = wire::decode<PeerMessage>(bytes);
   if (message) {
     std::visit([this](const auto& told) { take(told); }, message.value());
@@ -149,7 +141,7 @@
   ++sent.datagrams;
   sent.bytes += bytes.size();
   sent.bytes_to_zones += to.zone == nodes_.self().zone ? 0 : bytes.size();
-  socket_->send(to.peer_address, bytes);
+  send_(to.peer_address, bytes);
 }
 
 }  // namespace ochrespring::gateway_node
--- a/src/gateway_node/peer_channel.h
+++ b/src/gateway_node/peer_channel.h
@@ -4,14 +4,13 @@
 #include <array>
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "discovery/node_directory.h"
 #include "discovery/relay_table.h"
 #include "gateway_node/peer_message.h"
-#include "http/event_loop.h"
-#include "peer_load/datagram_socket.h"
 
 namespace ochrespring::gateway_node {
 
@@ -48,14 +47,19 @@
 /// know different fleets for a while. One loop.
 class PeerChannel {
  public:
+  /// Takes a datagram; it may be lost.
+  using Send = std::function<void(const Endpoint& to, std::string_view bytes)>;
+
   PeerChannel(const discovery::NodeDirectory& nodes, PeerChannelOptions options,
-              PeerHandlers handlers)
+              PeerHandlers handlers, Send send)
       : nodes_(nodes),
         relays_(nodes, options.relays),
         view_address_(std::move(options.view_address)),
-        handlers_(std::move(handlers)) {}
+        handlers_(std::move(handlers)),
+        send_(std::move(send)) {}
 
-  Result<void, http::HttpError> listen(http::EventLoop& loop, const Endpoint& endpoint);
+  /// A datagram has come, from a node or from anybody else.
+  void receive(std::string_view bytes);
 
   /// This node's own work has changed.
   void tell_work(const peer_load::WorkReport& report);
@@ -69,7 +73,6 @@
 
   /// Whether this node is a relay of its zone, as far as it knows.
   bool relays_here() const;
-  Endpoint bound() const { return socket_->bound(); }
   /// Nodes to ask first: of this node's zone, or all where the zone has no other.
   std::vector<discovery::NodeRecord> near_nodes() const;
   const PeerTraffic& traffic(std::size_t kind) const { return traffic_[kind]; }
@@ -77,7 +80,6 @@
  private:
   using Nodes = std::vector<discovery::NodeRecord>;
 
-  void receive(std::string_view bytes);
   void take(const peer_load::WorkReport& report) { handlers_.work(report); }
   void take(const discovery::ViewUpdate& update) { handlers_.update(update, {}); }
   void take(const peer_load::PartsRequest& request) { handlers_.parts_request(request); }
@@ -100,7 +102,7 @@
   discovery::RelayTable relays_;
   Endpoint view_address_;
   PeerHandlers handlers_;
-  std::unique_ptr<peer_load::DatagramSocket> socket_;
+  Send send_;
   std::array<PeerTraffic, std::variant_size_v<PeerMessage>> traffic_;
 };
 
--- /dev/null
+++ b/src/gateway_node/peer_news.cc
@@ -0,0 +1,164 @@
+#include "gateway_node/peer_news.h"
+
+#include <utility>
+#include <vector>
+
+namespace ochrespring::gateway_node {
+
+namespace {
+
+/// Between two offers of this node's view while the store is out: a node that has just started
+/// waits about this long for a view.
+constexpr Duration kOfferPeriod = std::chrono::milliseconds(500);
+/// How many others a node that starts asks what engines keep; any of them may be starting, too.
+constexpr std::size_t kPeersAsked = 3;
+
+}  // namespace
+
+PeerNews::PeerNews(World world, PeerNewsOptions options, PeerChannel::Send send,
+                   std::function<void(const Endpoint&)> on_offer)
+    : world_(world),
+      options_(std::move(options)),
+      on_offer_(std::move(on_offer)),
+      channel_(world.nodes, {.relays = options_.relays, .view_address = options_.view_address},
+               make_handlers(), std::move(send)),
+      peer_work_([this](const gateway::BackendId& engine) { return world_.loads.own(engine); }),
+      announcer_(
+          world.timers, {.node = world.nodes.self().node, .life = world.random.next()},
+          [this](const gateway::BackendId& engine) { return world_.loads.own(engine); },
+          [this](const peer_load::WorkReport& report) { channel_.tell_work(report); }),
+      relay_(
+          world.timers,
+          {.node = world.nodes.self().node,
+           .life = world.random.next(),
+           .gather = options_.relay_gather,
+           .repeat = false},
+          [this](const gateway::BackendId& engine) { return work_of_all(engine); },
+          [this](const peer_load::WorkReport& sums) { channel_.tell_relayed_work(sums); }),
+      offer_timer_(world.timers) {
+  listen_to_loads();
+  world_.watcher.on_look(
+      [this](const discovery::ViewUpdate& update) { channel_.tell_update(update); });
+}
+
+void PeerNews::listen_to_loads() {
+  gateway::LoadTable& loads = world_.loads;
+  loads.set_peers(&peer_work_);
+  loads.on_change([this](const gateway::BackendId& id) {
+    if (is_engine(id)) {
+      announcer_.note_change(id);
+    }
+  });
+  loads.on_end([this](const gateway::BackendId& id, bool failed) {
+    if (is_engine(id)) {
+      announcer_.note_end(id, failed);
+    }
+  });
+  loads.on_silence([this](const gateway::BackendId& id) { announcer_.note_silence(id); });
+  loads.on_prompt([this](const gateway::BackendId& id, const std::vector<std::uint64_t>& keys) {
+    announcer_.note_parts(id, keys);
+  });
+}
+
+bool PeerNews::is_engine(const gateway::BackendId& id) const {
+  const gateway::Backend* backend = world_.fleet.find(id);
+  return backend != nullptr && backend->role != gateway::EngineRole::kNone;
+}
+
+PeerHandlers PeerNews::make_handlers() {
+  return {
+      .work = [this](const peer_load::WorkReport& report) { take_work(report); },
+      .relayed_work = [this](const peer_load::WorkReport& sums) { take_relayed_work(sums); },
+      .work_to_relay = [this](const peer_load::WorkReport& report) { relay_.note_report(report); },
+      .update =
+          [this](const discovery::ViewUpdate& update, std::function<void()> covered) {
+            world_.watcher.take_update(update, std::move(covered));
+          },
+      .parts_request = [this](const peer_load::PartsRequest& request) { tell_parts(request); },
+      .offer = [this](const ViewOffer& offer) { on_offer_(offer.view_address); }};
+}
+
+void PeerNews::take_work(const peer_load::WorkReport& report) {
+  const MonotonicTime now = world_.clock.now();
+  peer_work_.apply(report, now);
+  take_observations(report, now);
+}
+
+/// What this node told itself comes back with the sums: its own ends then count twice, one among
+/// those of all nodes.
+void PeerNews::take_relayed_work(const peer_load::WorkReport& sums) {
+  const MonotonicTime now = world_.clock.now();
+  peer_work_.apply_relayed(sums, now);
+  take_observations(sums, now);
+}
+
+void PeerNews::take_observations(const peer_load::WorkReport& report, MonotonicTime now) {
+  for (const peer_load::EngineWork& work : report.engines) {
+    if (world_.fleet.find(work.engine) == nullptr) {
+      // Gone already, or not seen yet: nothing would ever forget it again.
+      peer_work_.forget(work.engine);
+      continue;
+    }
+    gateway::BackendLoad& load = world_.loads.of(work.engine);
+    if (work.ended != 0) {
+      load.note_told_ends(work.ended, work.failed, now);
+    }
+    if (work.silent) {
+      load.note_told_silence(now);
+    }
+    for (const std::uint64_t key : work.parts_read) {
+      load.note_cached(key, now);
+    }
+  }
+}
+
+gateway::EngineWorkload PeerNews::work_of_all(const gateway::BackendId& engine) const {
+  const gateway::EngineWorkload own = world_.loads.own(engine);
+  const gateway::EngineWorkload others = peer_work_.direct_work_at(engine, world_.clock.now());
+  return {own.requests + others.requests, own.unread_tokens + others.unread_tokens};
+}
+
+void PeerNews::tell_parts(const peer_load::PartsRequest& request) {
+  announcer_.tell_all(world_.loads, world_.clock.now(), [&](const peer_load::WorkReport& report) {
+    channel_.send(request.reply_to, report);
+  });
+}
+
+void PeerNews::ask_for_parts() {
+  std::vector<discovery::NodeRecord> peers = channel_.near_nodes();
+  for (std::size_t asked = 0; asked != kPeersAsked && !peers.empty(); ++asked) {
+    const std::size_t chosen = world_.random.below(peers.size());
+    channel_.send(peers[chosen].peer_address, peer_load::PartsRequest{options_.peer_address});
+    peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(chosen));
+  }
+}
+
+void PeerNews::on_store_state(bool reachable) {
+  offer_timer_.disarm();
+  if (!reachable && !options_.view_address.empty()) {
+    offer_view();
+  }
+}
+
+void PeerNews::offer_view() {
+  if (world_.fleet.routes() != nullptr) {
+    channel_.tell_offer({options_.view_address});
+  }
+  offer_timer_.arm(kOfferPeriod, [this] { offer_view(); });
+}
+
+void PeerNews::add_metrics(metrics::SampleSink& sink) const {
+  for (std::size_t kind = 0; kind != kPeerMessageNames.size(); ++kind) {
+    const PeerTraffic& sent = channel_.traffic(kind);
+    const std::vector<metrics::Label> labels{{"kind", kPeerMessageNames[kind]}};
+    sink.counter({"peer_datagrams_sent", "Datagrams sent to other nodes"},
+                 static_cast<double>(sent.datagrams), labels);
+    sink.counter({"peer_bytes_sent", "Their bytes, without headers"},
+                 static_cast<double>(sent.bytes), labels);
+    sink.counter({"peer_bytes_sent_to_other_zones", "Of these, to other zones"},
+                 static_cast<double>(sent.bytes_to_zones), labels);
+  }
+  sink.gauge({"relay", "Whether this node relays for its zone"}, relays_here() ? 1 : 0);
+}
+
+}  // namespace ochrespring::gateway_node
--- /dev/null
+++ b/src/gateway_node/peer_news.h
@@ -0,0 +1,81 @@
+// What this node tells other nodes and hears from them: work at engines, changes of the fleet, and
+// who has a view to give.
+#pragma once
+
+#include <functional>
+#include <string_view>
+
+#include "base/random.h"
+#include "base/timer.h"
+#include "discovery/fleet_watcher.h"
+#include "discovery/node_directory.h"
+#include "gateway/fleet_state.h"
+#include "gateway/load_table.h"
+#include "gateway_node/peer_channel.h"
+#include "metrics/metrics.h"
+#include "peer_load/peer_work.h"
+#include "peer_load/work_announcer.h"
+
+namespace ochrespring::gateway_node {
+
+struct PeerNewsOptions {
+  Endpoint peer_address;  ///< Where other nodes reach this one.
+  Endpoint view_address;  ///< Where they get its view; empty: nowhere.
+  discovery::RelayOptions relays;
+  Duration relay_gather{};  ///< How long a relay gathers work before it tells its zone.
+};
+
+/// Ties the load table and the watcher to the channel between nodes. Does no input or output
+/// itself: `send` takes the datagrams, receive() those of others. One loop.
+class PeerNews {
+ public:
+  /// References outlive it.
+  struct World {
+    const Clock& clock;
+    TimerService& timers;
+    RandomSource& random;
+    const gateway::FleetState& fleet;
+    gateway::LoadTable& loads;
+    const discovery::NodeDirectory& nodes;
+    discovery::FleetWatcher& watcher;
+  };
+
+  /// `on_offer` is called when another node offers its view at an address.
+  PeerNews(World world, PeerNewsOptions options, PeerChannel::Send send,
+           std::function<void(const Endpoint& view_address)> on_offer);
+
+  void receive(std::string_view datagram) { channel_.receive(datagram); }
+  /// Asks some nodes what they believe engines to keep.
+  void ask_for_parts();
+  /// The store is lost or regained: while it is out this node offers its view again and again.
+  void on_store_state(bool reachable);
+  /// A back end has gone.
+  void forget(const gateway::BackendId& backend) { peer_work_.forget(backend); }
+  void add_metrics(metrics::SampleSink& sink) const;
+  bool relays_here() const { return channel_.relays_here(); }
+
+ private:
+  PeerHandlers make_handlers();
+  void listen_to_loads();
+  /// Whether a registered back end is a model engine; only of these nodes tell each other.
+  bool is_engine(const gateway::BackendId& id) const;
+  void take_work(const peer_load::WorkReport& report);
+  void take_relayed_work(const peer_load::WorkReport& sums);
+  /// What a report tells besides work: how attempts ended, silence, prompt parts.
+  void take_observations(const peer_load::WorkReport& report, MonotonicTime now);
+  void tell_parts(const peer_load::PartsRequest& request);
+  void offer_view();
+  /// Work of all nodes, this one included, that have told this one.
+  gateway::EngineWorkload work_of_all(const gateway::BackendId& engine) const;
+
+  World world_;
+  PeerNewsOptions options_;
+  std::function<void(const Endpoint&)> on_offer_;
+  PeerChannel channel_;
+  peer_load::PeerWork peer_work_;
+  peer_load::WorkAnnouncer announcer_;
+  peer_load::WorkAnnouncer relay_;  ///< Adds up what this node is told to relay.
+  Timer offer_timer_;
+};
+
+}  // namespace ochrespring::gateway_node
--- /dev/null
+++ b/src/gateway_node/tests/large_fleet.h
@@ -0,0 +1,266 @@
+// Many nodes under virtual time: their watchers and their news over a network that delays, loses
+// and cuts, before one store.
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/random.h"
+#include "discovery/fleet_watcher.h"
+#include "gateway_node/peer_news.h"
+#include "logging/logger.h"
+#include "simulation/virtual_time.h"
+#include "tests/plain_codec.h"
+#include "wire/codec.h"
+
+namespace ochrespring::gateway_node::testing {
+
+using namespace std::chrono_literals;
+
+/// The tests' plain documents, with every back end a model engine.
+class EngineCodec final : public discovery::FleetCodec {
+ public:
+  const discovery::StoreLayout& layout() const override { return plain_.layout(); }
+  Result<gateway::Configuration, discovery::CodecError> read_configuration(
+      std::string_view value) const override {
+    return plain_.read_configuration(value);
+  }
+  Result<gateway::Backend, discovery::CodecError> read_backend(
+      std::string_view id, std::string_view value) const override {
+    auto backend = plain_.read_backend(id, value);
+    backend.value().role = gateway::EngineRole::kDecode;
+    return backend;
+  }
+
+ private:
+  discovery::testing::PlainCodec plain_;
+};
+
+/// Keys of the store, their last changes, and how often it was read.
+struct StoreState {
+  void put(const std::string& key, std::optional<std::string> value) {
+    ++revision;
+    items[key] = {key, std::move(value), shared_store::StoreRevision(revision)};
+  }
+
+  std::uint64_t revision = 0;
+  std::map<std::string, shared_store::Change> items;  ///< Without a value: removed.
+  bool down = false;
+  std::uint64_t reads = 0;    ///< Answered.
+  std::uint64_t refused = 0;  ///< While it was down.
+};
+
+/// The store as one node reaches it.
+class StoreOfNode final : public shared_store::SharedStore {
+ public:
+  StoreOfNode(simulation::VirtualTime& time, StoreState& state, const bool& cut_off)
+      : time_(time), state_(state), cut_off_(cut_off) {}
+
+  void list(const std::string& /*prefix*/,
+            shared_store::StoreCallback<shared_store::Listing> done) override {
+    answer<shared_store::Listing>(std::move(done), [this] {
+      shared_store::Listing listing;
+      listing.revision = shared_store::StoreRevision(state_.revision);
+      for (const auto& [key, change] : state_.items) {
+        if (change.value) {
+          listing.items.push_back(change);
+        }
+      }
+      return listing;
+    });
+  }
+  void changes(const std::string& /*prefix*/, shared_store::StoreRevision after, Duration /*wait*/,
+               shared_store::StoreCallback<shared_store::Changes> done) override {
+    answer<shared_store::Changes>(std::move(done), [this, after] {
+      shared_store::Changes changes;
+      for (const auto& [key, change] : state_.items) {
+        if (change.revision > after) {
+          changes.changes.push_back(change);
+        }
+      }
+      std::sort(changes.changes.begin(), changes.changes.end(),
+                [](const auto& left, const auto& right) { return left.revision < right.revision; });
+      return changes;
+    });
+  }
+  void put(const std::string&, const std::string&, std::optional<shared_store::LeaseId>,
+           shared_store::StoreCallback<shared_store::StoreRevision>) override {}
+  void grant_lease(Duration, shared_store::StoreCallback<shared_store::LeaseId>) override {}
+  void renew_lease(shared_store::LeaseId,
+                   shared_store::StoreCallback<shared_store::LeaseId>) override {}
+  void end_lease(shared_store::LeaseId,
+                 shared_store::StoreCallback<shared_store::LeaseId>) override {}
+
+ private:
+  static constexpr Duration kAnswerTime{4ms};
+  static constexpr Duration kTimeout{1s};
+
+  template <class T>
+  void answer(shared_store::StoreCallback<T> done, std::function<T()> make) {
+    if (cut_off_) {
+      time_.schedule_after(
+          kTimeout, [done] { done(fail(shared_store::StoreErrc::kUnknownEffect, "no answer")); });
+      return;
+    }
+    time_.schedule_after(kAnswerTime, [this, done, make] {
+      ++(state_.down ? state_.refused : state_.reads);
+      if (state_.down) {
+        done(fail(shared_store::StoreErrc::kNotDone, "down"));
+      } else {
+        done(make());
+      }
+    });
+  }
+
+  simulation::VirtualTime& time_;
+  StoreState& state_;
+  const bool& cut_off_;
+};
+
+class LargeFleet;
+
+struct FleetNode {
+  FleetNode(LargeFleet& fleet, int number, const std::string& zone);
+
+  void start() { watcher.start(); }
+
+  bool cut_off = false;  ///< From the store and from all other nodes.
+  SeededRandom random;
+  discovery::NodeRecord record;
+  discovery::NodeDirectory nodes;
+  gateway::FleetState fleet;
+  gateway::LoadTable loads;
+  StoreOfNode store;
+  discovery::FleetWatcher watcher;
+  PeerNews news;
+};
+
+/// Nodes in zones before a store that is written to all the time by servers' heartbeats.
+class LargeFleet {
+ public:
+  static constexpr int kEngines = 80;
+  static constexpr const char* kZones[] = {"a", "b", "c", "d", "e"};
+
+  explicit LargeFleet(int node_count, double loss = 0.01) : loss_(loss) {
+    state.put("config", "1");
+    for (int i = 0; i != kEngines; ++i) {
+      state.put("backends/e" + std::to_string(i), "ready");
+    }
+    for (int i = 0; i != node_count; ++i) {
+      nodes.push_back(std::make_unique<FleetNode>(*this, i, kZones[i % 5]));
+    }
+    heartbeat();
+  }
+
+  /// All nodes start within 0.3 s and register.
+  void start() {
+    for (const auto& node : nodes) {
+      time.schedule_after(random.below(300) * 1ms, [this, &node = *node] {
+        register_node(node);
+        node.start();
+      });
+    }
+    advance(6s);
+  }
+  void register_node(const FleetNode& node) {
+    state.put("nodes/" + node.record.node.value(), wire::encode(node.record));
+  }
+  void advance(Duration span) { time.run_until(time.now() + span); }
+  void carry(const FleetNode& from, const Endpoint& to, std::string_view bytes) {
+    ++datagrams;
+    if (random.chance(loss_) || from.cut_off) {
+      return;
+    }
+    time.schedule_after(from_seconds(0.001 + 0.001 * random.unit()),
+                        [this, to, bytes = std::string(bytes)] {
+                          FleetNode* node = find(to);
+                          if (node != nullptr && !node->cut_off) {
+                            node->news.receive(bytes);
+                          }
+                        });
+  }
+  /// A view goes over a stream: slower than a datagram, and whole or not at all.
+  void fetch_view(const FleetNode& asker, const Endpoint& holder,
+                  discovery::FleetWatcher::SnapshotCallback done) {
+    FleetNode* node = find(holder);
+    const bool reached = node != nullptr && !node->cut_off && !asker.cut_off;
+    time.schedule_after(reached ? Duration(10ms) : Duration(500ms), [node, reached, done] {
+      done(reached ? node->watcher.make_snapshot() : std::nullopt);
+    });
+  }
+  FleetNode* find(const Endpoint& address) {
+    const auto found = by_address_.find(address);
+    return found == by_address_.end() ? nullptr : found->second;
+  }
+  void know(FleetNode& node) { by_address_[node.record.peer_address] = &node; }
+  /// How many nodes the condition holds for.
+  template <class Condition>
+  std::size_t count(const Condition& condition) const {
+    return static_cast<std::size_t>(std::count_if(
+        nodes.begin(), nodes.end(), [&](const auto& node) { return condition(*node); }));
+  }
+  std::size_t count_with_version(std::uint64_t version) const {
+    return count([&](const FleetNode& node) {
+      return node.fleet.routes() && node.fleet.routes()->configuration().version.value() == version;
+    });
+  }
+
+  simulation::VirtualTime time;
+  SeededRandom random{17};
+  StoreState state;
+  EngineCodec codec;
+  logging::NullLogger logger;
+  std::uint64_t datagrams = 0;
+  std::vector<std::unique_ptr<FleetNode>> nodes;
+
+ private:
+  /// One server after another writes that it lives, without a change that matters.
+  void heartbeat() {
+    const std::string key = "backends/e" + std::to_string(beat_++ % kEngines);
+    const auto known = state.items.at(key).value;
+    if (known) {
+      state.put(key, known);
+    }
+    time.schedule_after(15ms, [this] { heartbeat(); });
+  }
+
+  double loss_;
+  int beat_ = 0;
+  std::map<Endpoint, FleetNode*> by_address_;
+};
+
+inline FleetNode::FleetNode(LargeFleet& large, int number, const std::string& zone)
+    : random(static_cast<std::uint64_t>(number) + 1),
+      record{NodeId("n" + std::to_string(number)), Endpoint("front"), ZoneName(zone),
+             Endpoint("n" + std::to_string(number)), number % 13 == 0 ? 200U : 20U},
+      nodes(large.time, record),
+      store(large.time, large.state, cut_off),
+      watcher({large.time, large.time, random, store, large.codec, large.logger},
+              discovery::settings_within(4s), fleet, nodes),
+      news(
+          {large.time, large.time, random, fleet, loads, nodes, watcher},
+          {.peer_address = record.peer_address,
+           .view_address = record.peer_address,
+           .relays = {.from_nodes = 48},
+           .relay_gather = 40ms},
+          [this, &large](const Endpoint& to, std::string_view bytes) {
+            large.carry(*this, to, bytes);
+          },
+          [](const Endpoint&) {}) {
+  large.know(*this);
+  watcher.on_unjoined([this, &large](const Endpoint& holder, auto done) {
+    large.fetch_view(*this, holder, std::move(done));
+  });
+  watcher.on_store_state([this](bool reachable) { news.on_store_state(reachable); });
+}
+
+}  // namespace ochrespring::gateway_node::testing
--- /dev/null
+++ b/src/gateway_node/tests/large_fleet_test.cc
@@ -0,0 +1,180 @@
+// What a fleet of 195 nodes asks of the store and of the network, in calm and under faults.
+#include "gateway_node/tests/large_fleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace ochrespring;
+using namespace ochrespring::gateway_node;
+using namespace ochrespring::gateway_node::testing;
+
+namespace {
+
+constexpr std::size_t kNodes = 195;
+
+/// Reads of the store while time goes on.
+std::uint64_t reads_during(LargeFleet& fleet, Duration span) {
+  const std::uint64_t before = fleet.state.reads;
+  fleet.advance(span);
+  return fleet.state.reads - before;
+}
+
+}  // namespace
+
+TEST_CASE("a fleet that starts lists the store once a node, and in calm about one node looks") {
+  LargeFleet fleet(kNodes);
+  fleet.start();
+  CHECK(fleet.state.reads < kNodes + 25);
+  CHECK(fleet.count_with_version(1) == kNodes);
+  CHECK(fleet.count([](const FleetNode& node) { return node.nodes.count() == kNodes; }) == kNodes);
+  CHECK(reads_during(fleet, 20s) < 25);
+}
+
+TEST_CASE("a configuration is in force everywhere in time, for a few reads of the store") {
+  LargeFleet fleet(kNodes);
+  fleet.start();
+  fleet.state.put("config", "2");
+  const std::uint64_t reads = reads_during(fleet, 3400ms);
+  CHECK(fleet.count_with_version(2) == kNodes);
+  CHECK(reads < 15);
+}
+
+TEST_CASE("more changes than an update holds, with nodes that go, bring no storm of looks") {
+  LargeFleet fleet(kNodes);
+  fleet.start();
+  for (int i = 0; i != LargeFleet::kEngines; ++i) {
+    fleet.state.put("backends/e" + std::to_string(i), "draining");
+  }
+  for (std::size_t i = 0; i != 60; ++i) {
+    fleet.nodes[3 * i]->cut_off = true;
+    fleet.state.put("nodes/n" + std::to_string(3 * i), std::nullopt);
+  }
+  const std::uint64_t reads = reads_during(fleet, 3400ms);
+  CHECK(reads < 20);
+  CHECK(fleet.count([](const FleetNode& node) {
+    return !node.cut_off && node.fleet.find(gateway::BackendId("e7"))->draining;
+  }) == kNodes - 60);
+}
+
+TEST_CASE("nodes whose registration is gone hear nothing, and look themselves in time") {
+  LargeFleet fleet(kNodes);
+  fleet.start();
+  for (int i = 0; i != 60; ++i) {
+    fleet.state.put("nodes/n" + std::to_string(3 * i), std::nullopt);
+  }
+  fleet.state.put("backends/e7", "draining");
+  const std::uint64_t reads = reads_during(fleet, 3400ms);
+  CHECK(reads < 60 + 20);
+  CHECK(fleet.count([](const FleetNode& node) {
+    return node.fleet.find(gateway::BackendId("e7"))->draining;
+  }) == kNodes);
+}
+
+TEST_CASE("a third of the nodes is cut off for long and then sees what the others see") {
+  LargeFleet fleet(kNodes);
+  fleet.start();
+  for (std::size_t i = 0; i < kNodes; i += 3) {
+    fleet.nodes[i]->cut_off = true;
+  }
+  fleet.state.put("config", "2");
+  fleet.state.put("backends/e3", std::nullopt);
+  fleet.advance(12s);
+  CHECK(fleet.count_with_version(2) == kNodes - kNodes / 3);
+  for (const auto& node : fleet.nodes) {
+    node->cut_off = false;
+  }
+  const std::uint64_t reads = reads_during(fleet, 3s);
+  CHECK(fleet.count_with_version(2) == kNodes);
+  CHECK(fleet.count([](const FleetNode& node) {
+    return node.fleet.find(gateway::BackendId("e3")) == nullptr;
+  }) == kNodes);
+  CHECK(reads < kNodes / 2);
+}
+
+TEST_CASE("while the store is out nodes ask seldomer, and when it is back one tells all") {
+  LargeFleet fleet(kNodes);
+  fleet.start();
+  fleet.state.down = true;
+  fleet.advance(10s);
+  const std::uint64_t refused = fleet.state.refused;
+  fleet.advance(10s);
+  // Half of the pace of a try each 0.3 s.
+  CHECK(fleet.state.refused - refused < kNodes * 10 / 0.6);
+  fleet.state.put("config", "2");
+  fleet.state.down = false;
+  fleet.advance(1500ms);
+  CHECK(fleet.count_with_version(2) == kNodes);
+}
+
+TEST_CASE("work at an engine is known everywhere within two gathers, for some datagrams a report") {
+  LargeFleet fleet(kNodes, 0);
+  fleet.start();
+  const gateway::BackendId engine("e5");
+  const std::uint64_t before = fleet.datagrams;
+  fleet.nodes[1]->loads.begin(engine, 400);
+  fleet.advance(50ms);
+  const std::uint64_t sent = fleet.datagrams - before;
+  CHECK(fleet.count([&](const FleetNode& node) {
+    return node.loads.others(engine, fleet.time.now()).unread_tokens == 400;
+  }) == kNodes - 1);
+  CHECK(fleet.nodes[1]->loads.others(engine, fleet.time.now()).requests == 0);
+  // Ten relays hear it, and each tells its zone once.
+  CHECK(sent <= 10 + 10 * 38 + 40);
+}
+
+TEST_CASE("a relay that dies costs no news, and with both dead others take over") {
+  LargeFleet fleet(kNodes, 0);
+  fleet.start();
+  std::vector<FleetNode*> relays;
+  for (const auto& node : fleet.nodes) {
+    if (node->news.relays_here() && node->record.zone == ZoneName("b")) {
+      relays.push_back(node.get());
+    }
+  }
+  REQUIRE(relays.size() == 2);
+  const auto known_in_zone = [&](const gateway::BackendId& engine) {
+    return fleet.count([&](const FleetNode& node) {
+      return node.record.zone == ZoneName("b") && !node.cut_off &&
+             node.loads.others(engine, fleet.time.now()).requests != 0;
+    });
+  };
+  relays[0]->cut_off = true;
+  fleet.nodes[0]->loads.begin(gateway::BackendId("e1"), 10);
+  fleet.advance(50ms);
+  CHECK(known_in_zone(gateway::BackendId("e1")) == 38);
+  relays[1]->cut_off = true;
+  fleet.nodes[0]->loads.begin(gateway::BackendId("e2"), 10);
+  fleet.advance(50ms);
+  CHECK(known_in_zone(gateway::BackendId("e2")) == 0);
+  // Their registrations lapse; work that goes on is told to the new relays.
+  for (const FleetNode* relay : relays) {
+    fleet.state.put("nodes/" + relay->record.node.value(), std::nullopt);
+  }
+  fleet.advance(4500ms);
+  CHECK(known_in_zone(gateway::BackendId("e2")) == 37);
+}
+
+TEST_CASE("forged, torn and old datagrams do no harm") {
+  LargeFleet fleet(kNodes, 0);
+  fleet.start();
+  FleetNode& node = *fleet.nodes[4];
+  SeededRandom random(3);
+  for (int i = 0; i != 2000; ++i) {
+    std::string bytes(random.below(120), '\0');
+    for (char& byte : bytes) {
+      byte = static_cast<char>(random.below(256));
+    }
+    node.news.receive(bytes);
+  }
+  discovery::ViewUpdate old;
+  old.after = shared_store::StoreRevision(0);
+  old.through = shared_store::StoreRevision(1);
+  old.changes.push_back(discovery::BackendChange{shared_store::StoreRevision(1),
+                                                 gateway::BackendId("e1"), std::nullopt});
+  const std::string whole = wire::encode(PeerMessage(old));
+  for (std::size_t size = 0; size <= whole.size(); ++size) {
+    node.news.receive(whole.substr(0, size));
+  }
+  CHECK(node.fleet.find(gateway::BackendId("e1")) != nullptr);
+  fleet.advance(4s);
+  CHECK(node.fleet.backends().size() == LargeFleet::kEngines);
+}
--- a/src/gateway_node/tests/peer_channel_test.cc
+++ b/src/gateway_node/tests/peer_channel_test.cc
@@ -1,12 +1,14 @@
-// Datagrams among nodes on loopback: all to all in a small fleet, by way of relays in a large one.
+// Datagrams among nodes: all to all in a small fleet, by way of relays in a large one.
 #include "gateway_node/peer_channel.h"
 
 #include <doctest/doctest.h>
 
-#include <map>
+#include <deque>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "simulation/virtual_time.h"
@@ -19,21 +21,19 @@
 /// One node and what came to it.
 struct ChannelNode {
   ChannelNode(const Clock& clock, const std::string& name, const std::string& zone,
-              std::uint32_t from_nodes)
-      : record{NodeId(name), Endpoint("127.0.0.1:1"), ZoneName(zone), Endpoint(), 0},
+              std::uint32_t from_nodes, PeerChannel::Send send)
+      : record{NodeId(name), Endpoint("front"), ZoneName(zone), Endpoint(name), 0},
         nodes(clock, record),
         channel(nodes, {.relays = {.from_nodes = from_nodes}, .view_address = Endpoint(name)},
                 {.work =
                      [this](const peer_load::WorkReport& report) {
                        ended += report.engines.at(0).ended;
-                       note();
                      },
-                 .relayed_work = [this](const auto&) { note(); },
+                 .relayed_work = [](const auto&) {},
                  .work_to_relay =
                      [this](const peer_load::WorkReport& report) {
                        ++to_relay;
                        ended_to_relay += report.engines.at(0).ended;
-                       note();
                      },
                  .update =
                      [this](const discovery::ViewUpdate& update, std::function<void()> covered) {
@@ -42,16 +42,10 @@
                        if (covered && covers) {
                          covered();
                        }
-                       note();
                      },
-                 .parts_request = [this](const auto&) { note(); },
-                 .offer = [this](const auto&) { ++offers, note(); }}) {}
-
-  void note() {
-    if (on_message) {
-      on_message();
-    }
-  }
+                 .parts_request = [](const auto&) {},
+                 .offer = [this](const auto&) { ++offers; }},
+                std::move(send)) {}
 
   discovery::NodeRecord record;
   discovery::NodeDirectory nodes;
@@ -63,23 +57,18 @@
   std::uint32_t ended_to_relay = 0;
   bool covers = true;          ///< Whether updates can be joined.
   std::set<Endpoint> holders;  ///< Named in updates.
-  std::function<void()> on_message;
 };
 
+/// Ten nodes in two zones that know each other; datagrams wait until they are delivered.
 struct ChannelFleet {
   explicit ChannelFleet(std::uint32_t from_nodes) {
     for (const char* zone : {"a", "b"}) {
       for (int i = 0; i != 5; ++i) {
         nodes.push_back(
-            std::make_unique<ChannelNode>(time, zone + std::to_string(i), zone, from_nodes));
-        ChannelNode& node = *nodes.back();
-        REQUIRE(node.channel.listen(loop, Endpoint("127.0.0.1:0")));
-        node.record.peer_address = node.channel.bound();
-        node.on_message = [this] {
-          if (done()) {
-            loop.stop();
-          }
-        };
+            std::make_unique<ChannelNode>(time, zone + std::to_string(i), zone, from_nodes,
+                                          [this](const Endpoint& to, std::string_view bytes) {
+                                            waiting.emplace_back(to, bytes);
+                                          }));
       }
     }
     for (const auto& node : nodes) {
@@ -88,11 +77,16 @@
       }
     }
   }
-  /// Runs until `condition` holds.
-  void run_until(std::function<bool()> condition) {
-    done = std::move(condition);
-    if (!done()) {
-      loop.run();
+  /// Delivers all datagrams, and those that these bring about.
+  void deliver() {
+    while (!waiting.empty()) {
+      const auto [to, bytes] = waiting.front();
+      waiting.pop_front();
+      for (const auto& node : nodes) {
+        if (node->record.peer_address == to) {
+          node->channel.receive(bytes);
+        }
+      }
     }
   }
   int total(int ChannelNode::*count) const {
@@ -103,10 +97,9 @@
     return sum;
   }
 
-  http::EventLoop loop;
   simulation::VirtualTime time;
+  std::deque<std::pair<Endpoint, std::string>> waiting;
   std::vector<std::unique_ptr<ChannelNode>> nodes;
-  std::function<bool()> done = [] { return false; };
 };
 
 peer_load::WorkReport make_report(std::uint64_t sequence) {
@@ -121,7 +114,8 @@
 TEST_CASE("in a small fleet each node tells all others") {
   ChannelFleet fleet(11);
   fleet.nodes[0]->channel.tell_update({});
-  fleet.run_until([&] { return fleet.total(&ChannelNode::updates) == 9; });
+  fleet.deliver();
+  CHECK(fleet.total(&ChannelNode::updates) == 9);
   CHECK(fleet.nodes[0]->updates == 0);
   const PeerTraffic& sent =
       fleet.nodes[0]->channel.traffic(PeerMessage(discovery::ViewUpdate{}).index());
@@ -137,7 +131,8 @@
     // Four relays hear it, and each tells the four others of its zone; the sender may be one.
     const bool relay = sender->channel.relays_here();
     const int heard = relay ? 3 + 4 * 4 : 4 + 4 * 4;
-    fleet.run_until([&] { return fleet.total(&ChannelNode::updates) == before + heard; });
+    fleet.deliver();
+    CHECK(fleet.total(&ChannelNode::updates) == before + heard);
   }
   for (const auto& node : fleet.nodes) {
     CHECK(node->updates >= 10);
@@ -156,13 +151,15 @@
   }
   const int heard = sender.channel.relays_here() ? 3 + 4 : 4;
   sender.channel.tell_update({});
-  fleet.run_until([&] { return fleet.total(&ChannelNode::updates) == heard; });
+  fleet.deliver();
+  CHECK(fleet.total(&ChannelNode::updates) == heard);
   for (const auto& node : fleet.nodes) {
     node->covers = true;
   }
   sender.channel.tell_update({});
   const int then = sender.channel.relays_here() ? 3 + 4 * 4 : 4 + 4 * 4;
-  fleet.run_until([&] { return fleet.total(&ChannelNode::updates) == heard + then; });
+  fleet.deliver();
+  CHECK(fleet.total(&ChannelNode::updates) == heard + then);
   for (const auto& node : fleet.nodes) {
     for (const Endpoint& holder : node->holders) {
       CHECK(relays.contains(holder));
@@ -175,7 +172,8 @@
   for (std::uint64_t sequence = 1; sequence != 9; ++sequence) {
     fleet.nodes[0]->channel.tell_work(make_report(sequence));
   }
-  fleet.run_until([&] { return fleet.total(&ChannelNode::to_relay) == 8 * 4; });
+  fleet.deliver();
+  CHECK(fleet.total(&ChannelNode::to_relay) == 8 * 4);
   std::uint32_t ended = 0;
   for (const auto& node : fleet.nodes) {
     CHECK((node->to_relay == 0 || node->to_relay == 8));
@@ -192,7 +190,8 @@
     sender->channel.tell_offer({Endpoint("127.0.0.1:9")});
     expected += sender->channel.relays_here() ? 4 : 2;
   }
-  fleet.run_until([&] { return fleet.total(&ChannelNode::offers) == expected; });
+  fleet.deliver();
+  CHECK(fleet.total(&ChannelNode::offers) == expected);
   for (const auto& node : fleet.nodes) {
     CHECK(node->offers >= 1);
   }
