discovery: looks tell what the last two have not; whole views are fetched at most once in half a period

A listing in pages holds later changes than its revision says, and was compared all the same.

Change: a node that looks begins where the last look but one ended, 3,072 changes are kept, a fetch follows another after half a period at the earliest, and a view is compared only once it has caught up with its listing's pages.

--- a/src/discovery/change_log.cc
+++ b/src/discovery/change_log.cc
@@ -34,11 +34,22 @@
           .changes = {}};
 }
 
+void ChangeLog::note_told(shared_store::StoreRevision revision) {
+  if (revision > told_) {
+    told_before_ = std::exchange(told_, revision);
+  }
+}
+
+/// One look whose news was lost is made up for by the next: hence from the last but one.
 std::vector<ViewUpdate> ChangeLog::make_updates(MonotonicTime now, Duration age) {
   trim(now);
-  std::vector<ViewUpdate> updates{make_empty_update(after_, age)};
+  const shared_store::StoreRevision begin = std::max(after_, told_before_);
+  std::vector<ViewUpdate> updates{make_empty_update(begin, age)};
   for (const Entry& entry : entries_) {
     const shared_store::StoreRevision revision = revision_of(entry.change);
+    if (revision <= begin) {
+      continue;
+    }
     ViewUpdate& last = updates.back();
     // What changed in one transaction stands at one revision and stays together.
     if (last.changes.size() >= kChangesPerUpdate && revision_of(last.changes.back()) != revision) {
--- a/src/discovery/change_log.h
+++ b/src/discovery/change_log.h
@@ -21,7 +21,10 @@
   void note(ViewChange change, MonotonicTime now);
   /// Everything up to `revision` has been noted.
   void advance(shared_store::StoreRevision revision) { through_ = std::max(through_, revision); }
-  /// All that can be told, oldest first; never empty. The last one ends at the newest revision.
+  /// Another node or this one has told of everything up to `revision`.
+  void note_told(shared_store::StoreRevision revision);
+  /// All that others may lack, oldest first; never empty: from where the last look but one ended,
+  /// or from the oldest change kept if that is newer. The last one ends at the newest revision.
   std::vector<ViewUpdate> make_updates(MonotonicTime now, Duration age);
 
  private:
@@ -29,8 +32,9 @@
   static constexpr Duration kKeep{std::chrono::seconds(6)};
   /// With this many an update fits into a datagram.
   static constexpr std::size_t kChangesPerUpdate = 24;
-  /// In all. While a fleet of some hundred nodes starts, each node and server comes as one change.
-  static constexpr std::size_t kMostChanges = 16 * kChangesPerUpdate;
+  /// In all. While a fleet of some hundred nodes and thousands of servers starts, each comes as one
+  /// change.
+  static constexpr std::size_t kMostChanges = 128 * kChangesPerUpdate;
 
   struct Entry {
     ViewChange change;
@@ -45,6 +49,8 @@
 
   shared_store::StoreRevision after_;
   shared_store::StoreRevision through_;
+  shared_store::StoreRevision told_;         ///< By the last look that this node knows of.
+  shared_store::StoreRevision told_before_;  ///< By the one before.
   std::deque<Entry> entries_;
 };
 
--- a/src/discovery/fleet_watcher.cc
+++ b/src/discovery/fleet_watcher.cc
@@ -182,13 +182,20 @@
     return;
   }
   view_holder_ = holder;
-  if (!fetching_ && !fetch_timer_.armed()) {
-    fetch_timer_.arm(random_part_of(settings_.fetch_spread), [this] { fetch(); });
+  if (fetching_ || fetch_timer_.armed()) {
+    return;
+  }
+  Duration wait = random_part_of(settings_.fetch_spread);
+  if (fetched_at_) {
+    // Whole views are large: while more changes than can be told, one in half a period has to do.
+    wait += std::max(*fetched_at_ + settings_.period / 2 - world_.clock.now(), Duration::zero());
   }
+  fetch_timer_.arm(wait, [this] { fetch(); });
 }
 
 void FleetWatcher::fetch() {
   fetching_ = true;
+  fetched_at_ = world_.clock.now();
   fetch_view_(view_holder_, [this](const std::optional<ViewSnapshot>& snapshot) {
     fetching_ = false;
     // Without success this node's own look comes in time.
--- a/src/discovery/fleet_watcher.h
+++ b/src/discovery/fleet_watcher.h
@@ -133,7 +133,8 @@
   Timer peer_timer_;
   Timer fetch_timer_;
   bool fetching_ = false;
-  Endpoint view_holder_;  ///< Of the newest update that could not be joined.
+  std::optional<MonotonicTime> fetched_at_;  ///< When the last fetch began.
+  Endpoint view_holder_;                     ///< Of the newest update that could not be joined.
   /// Update that waits to be covered, and what is called then.
   struct Uncovered {
     shared_store::StoreRevision through;
--- a/src/discovery/tests/shared_looks_test.cc
+++ b/src/discovery/tests/shared_looks_test.cc
@@ -158,22 +158,22 @@
   ChangeLog log;
   const MonotonicTime start{};
   log.restart(StoreRevision(10));
-  for (std::uint64_t revision = 11; revision != 411; ++revision) {
+  for (std::uint64_t revision = 11; revision != 3099; ++revision) {
     log.note(make_backend_change("b", revision), start);
   }
   const std::vector<ViewUpdate> all = log.make_updates(start, 0ms);
   CHECK(all.front().after == StoreRevision(26));
-  CHECK(all.back().through == StoreRevision(410));
-  CHECK(all.size() == 16);
-  log.note(make_backend_change("c", 460), start + 5s);
+  CHECK(all.back().through == StoreRevision(3098));
+  CHECK(all.size() == 128);
+  log.note(make_backend_change("c", 3460), start + 5s);
   const std::vector<ViewUpdate> late = log.make_updates(start + 7s, 0ms);
   REQUIRE(late.size() == 1);
-  CHECK(late[0].after == StoreRevision(410));
+  CHECK(late[0].after == StoreRevision(3098));
   CHECK(late[0].changes.size() == 1);
-  log.note_untold(StoreRevision(470));
+  log.note_untold(StoreRevision(3470));
   const std::vector<ViewUpdate> untold = log.make_updates(start + 7s, 0ms);
   REQUIRE(untold.size() == 1);
-  CHECK(untold[0].after == StoreRevision(470));
+  CHECK(untold[0].after == StoreRevision(3470));
   CHECK(untold[0].changes.empty());
 }
 
@@ -204,6 +204,46 @@
   CHECK(changes == 90);
 }
 
+TEST_CASE("what the last look but one has told is not told again") {
+  ChangeLog log;
+  log.restart(StoreRevision(10));
+  for (std::uint64_t revision = 11; revision != 31; ++revision) {
+    log.note(make_backend_change("b", revision), {});
+    if (revision == 15 || revision == 25) {
+      log.note_told(StoreRevision(revision));
+    }
+  }
+  // Told by two nodes, the older one late: the order of the looks counts.
+  log.note_told(StoreRevision(20));
+  const std::vector<ViewUpdate> updates = log.make_updates({}, 0ms);
+  REQUIRE(updates.size() == 1);
+  CHECK(updates[0].after == StoreRevision(15));
+  CHECK(updates[0].through == StoreRevision(30));
+  CHECK(updates[0].changes.size() == 15);
+}
+
+TEST_CASE(
+    "a listing whose pages are newer than its beginning is not compared before it is caught up "
+    "with") {
+  simulation::VirtualTime time;
+  const PlainCodec codec;
+  logging::NullLogger logger;
+  ViewingNode lister(time, codec, logger);
+  // The second page shows a change that was made after the first was read.
+  lister.writer.take_listing(
+      {{{"backends/a", "ready", StoreRevision(4)}, {"backends/b", "draining", StoreRevision(15)}},
+       StoreRevision(10)});
+  ViewUpdate update{.after = StoreRevision(10),
+                    .through = StoreRevision(12),
+                    .fingerprint = 1,
+                    .view_address = {},
+                    .changes = {}};
+  CHECK(lister.writer.take_update(update) == UpdateOutcome::kTaken);
+  update.after = StoreRevision(12);
+  update.through = StoreRevision(15);
+  CHECK(lister.writer.take_update(update) == UpdateOutcome::kDiffers);
+}
+
 TEST_CASE("a node that misses one of several updates does not take those behind it for whole") {
   simulation::VirtualTime time;
   const PlainCodec codec;
@@ -456,6 +496,13 @@
   world.advance(110ms);
   REQUIRE(world.fetches.size() == 1);
   CHECK(world.holders[0] == Endpoint("holder4"));
+  // Whole views are large: the next one waits for half a period.
+  world.fetches[0](make_snapshot_at(14, "7"));
+  world.hear_unjoined(20, "holder5");
+  world.advance(380ms);
+  CHECK(world.fetches.size() == 1);
+  world.advance(120ms);
+  CHECK(world.fetches.size() == 2);
 }
 
 TEST_CASE("a holder that does not answer, or knows less, does not put this node's own look off") {
--- a/src/discovery/view_writer.cc
+++ b/src/discovery/view_writer.cc
@@ -24,7 +24,9 @@
   const StoreLayout& layout = codec_.layout();
   std::vector<gateway::Backend> backends;
   std::vector<NodeRecord> nodes;
+  listed_through_ = listing.revision;
   for (const shared_store::Change& item : listing.items) {
+    listed_through_ = std::max(listed_through_, item.revision);
     if (item.key == layout.configuration_key) {
       take_configuration(*item.value);
     } else if (item.key.starts_with(layout.backend_prefix)) {
@@ -58,6 +60,7 @@
 std::vector<ViewUpdate> ViewWriter::make_updates(Duration age) {
   std::vector<ViewUpdate> updates = log_.make_updates(clock_.now(), age);
   updates.back().fingerprint = fingerprint();
+  log_.note_told(updates.back().through);
   return updates;
 }
 
@@ -90,7 +93,10 @@
   }
   seen_ = std::max(known, update.through);
   log_.advance(*seen_);
-  const bool comparable = update.fingerprint && *seen_ == update.through;
+  if (update.is_last()) {
+    log_.note_told(update.through);
+  }
+  const bool comparable = update.is_last() && *seen_ == update.through && *seen_ >= listed_through_;
   return comparable && *update.fingerprint != fingerprint() ? UpdateOutcome::kDiffers
                                                             : UpdateOutcome::kTaken;
 }
--- a/src/discovery/view_writer.h
+++ b/src/discovery/view_writer.h
@@ -69,7 +69,10 @@
   ChangeLog log_;
   std::optional<shared_store::StoreRevision> seen_;
   std::optional<std::uint64_t> fingerprint_;  ///< None: the back ends have changed since.
-  std::string configuration_;                 ///< The document in force.
+  /// A listing in pages tells later pages as they are by then: up to this revision the view may
+  /// hold more than `seen_` says, and is not compared with others'.
+  shared_store::StoreRevision listed_through_;
+  std::string configuration_;  ///< The document in force.
   std::uint64_t rejected_values_ = 0;
 };
 
