--- a/Makefile
+++ b/Makefile
@@ -60,4 +60,5 @@
 SOAK_SECONDS ?= 120
 .PHONY: soak
 soak: build
-	python3 platform/soak/soak.py --program $(BUILD)/bin/ochrespring-gateway --seconds $(SOAK_SECONDS) $(if $(SEED),--seed $(SEED))
+	python3 platform/soak/soak.py --program $(BUILD)/bin/ochrespring-gateway --seconds $(SOAK_SECONDS) $(if $(SEED),--seed $(SEED)) \
+	  $(if $(RELAYS),--relays)
