--- a/src/discovery/change_log.cc
+++ b/src/discovery/change_log.cc
@@ -53,15 +53,15 @@
     ViewUpdate& last = updates.back();
     // What changed in one transaction stands at one revision and stays together.
     if (last.changes.size() >= kChangesPerUpdate && revision_of(last.changes.back()) != revision) {
+      if (updates.size() == kMostUpdates) {
+        return {make_empty_update(through_, age)};
+      }
       last.through = revision_of(last.changes.back());
       const shared_store::StoreRevision after = last.through;
       updates.push_back(make_empty_update(after, age));
     }
     updates.back().changes.push_back(entry.change);
   }
-  if (updates.size() > kMostUpdates) {
-    return {make_empty_update(through_, age)};
-  }
   return updates;
 }
 
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peer_view.h
@@ -12,6 +12,12 @@
 struct EngineWorkload {
   std::uint32_t requests = 0;
   std::uint64_t unread_tokens = 0;
+
+  EngineWorkload& operator+=(const EngineWorkload& other) {
+    requests += other.requests;
+    unread_tokens += other.unread_tokens;
+    return *this;
+  }
 };
 
 class PeerView {
--- a/src/gateway_node/peer_channel.cc
+++ b/src/gateway_node/peer_channel.cc
@@ -45,7 +45,7 @@
 
 void PeerChannel::tell_work(const peer_load::WorkReport& report) {
   if (!relays_.in_use()) {
-    send_to(all_others(), report);
+    send_to_others(report);
     return;
   }
   const peer_load::WorkReport plain = without_ends(report);
@@ -71,11 +71,13 @@
 void PeerChannel::tell_update(discovery::ViewUpdate update) {
   update.view_address = view_address_;
   if (!relays_.in_use()) {
-    send_to(all_others(), update);
+    send_to_others(update);
     return;
   }
+  const PeerMessage message = UpdateToRelay{update};
+  const std::string bytes = wire::encode(message);
   for (const Nodes& ranked : relays_.relays()) {
-    send_to(ranked, UpdateToRelay{update});
+    send_encoded(ranked, message.index(), bytes);
   }
   if (relays_here()) {
     send_to(relays_.zone_members(), update);
@@ -86,7 +88,7 @@
 /// relay that has just started learns of a view from any node, and any node from a relay.
 void PeerChannel::tell_offer(const ViewOffer& offer) {
   if (!relays_.in_use()) {
-    send_to(all_others(), offer);
+    send_to_others(offer);
     return;
   }
   send_to(relays_here() ? relays_.zone_members() : own_relays(), offer);
@@ -98,16 +100,13 @@
 }
 
 std::vector<discovery::NodeRecord> PeerChannel::near_nodes() const {
-  const Nodes& members = relays_.zone_members();
-  return members.empty() ? all_others() : members;
-}
-
-PeerChannel::Nodes PeerChannel::all_others() const {
-  Nodes others;
-  for (const auto& [node, record] : nodes_.others()) {
-    others.push_back(record);
+  Nodes near = relays_.zone_members();
+  if (near.empty()) {
+    for (const auto& [node, record] : nodes_.others()) {
+      near.push_back(record);
+    }
   }
-  return others;
+  return near;
 }
 
 const PeerChannel::Nodes& PeerChannel::own_relays() const {
@@ -126,11 +125,21 @@
                      [this](const auto& record) { return is_self(record); });
 }
 
-void PeerChannel::send_to(const Nodes& nodes, const PeerMessage& message) {
+void PeerChannel::send_to_others(const PeerMessage& message) {
   const std::string bytes = wire::encode(message);
+  for (const auto& [node, record] : nodes_.others()) {
+    send_bytes(record, message.index(), bytes);
+  }
+}
+
+void PeerChannel::send_to(const Nodes& nodes, const PeerMessage& message) {
+  send_encoded(nodes, message.index(), wire::encode(message));
+}
+
+void PeerChannel::send_encoded(const Nodes& nodes, std::size_t kind, std::string_view bytes) {
   for (const discovery::NodeRecord& record : nodes) {
     if (!is_self(record)) {
-      send_bytes(record, message.index(), bytes);
+      send_bytes(record, kind, bytes);
     }
   }
 }
--- a/src/gateway_node/peer_channel.h
+++ b/src/gateway_node/peer_channel.h
@@ -91,11 +91,12 @@
   bool is_self(const discovery::NodeRecord& record) const {
     return record.node == nodes_.self().node;
   }
-  Nodes all_others() const;
   /// The relays of this node's zone.
   const Nodes& own_relays() const;
-  /// Encodes once for all; this node itself is left out.
+  /// Both encode once for all and leave this node itself out.
+  void send_to_others(const PeerMessage& message);
   void send_to(const Nodes& nodes, const PeerMessage& message);
+  void send_encoded(const Nodes& nodes, std::size_t kind, std::string_view bytes);
   void send_bytes(const discovery::NodeRecord& to, std::size_t kind, std::string_view bytes);
 
   const discovery::NodeDirectory& nodes_;
--- a/src/gateway_node/peer_news.cc
+++ b/src/gateway_node/peer_news.cc
@@ -113,9 +113,9 @@
 }
 
 gateway::EngineWorkload PeerNews::work_of_all(const gateway::BackendId& engine) const {
-  const gateway::EngineWorkload own = world_.loads.own(engine);
-  const gateway::EngineWorkload others = peer_work_.direct_work_at(engine, world_.clock.now());
-  return {own.requests + others.requests, own.unread_tokens + others.unread_tokens};
+  gateway::EngineWorkload all = world_.loads.own(engine);
+  all += peer_work_.direct_work_at(engine, world_.clock.now());
+  return all;
 }
 
 void PeerNews::tell_parts(const peer_load::PartsRequest& request) {
--- a/src/gateway_node/settings.cc
+++ b/src/gateway_node/settings.cc
@@ -76,7 +76,9 @@
   return [=](const std::string& text, Settings& settings) {
     double number = 0;
     const bool allowed = read_real(text, least, most, number);
-    settings.*member = static_cast<Member>(number);
+    if (allowed) {
+      settings.*member = static_cast<Member>(number);
+    }
     return allowed;
   };
 }
--- a/src/peer_load/peer_work.cc
+++ b/src/peer_load/peer_work.cc
@@ -8,11 +8,6 @@
 
 namespace {
 
-void add(EngineWorkload& sum, const EngineWorkload& work) {
-  sum.requests += work.requests;
-  sum.unread_tokens += work.unread_tokens;
-}
-
 /// Takes off what was added before, or at most all.
 void take_off(EngineWorkload& sum, const EngineWorkload& work) {
   sum.requests -= std::min(sum.requests, work.requests);
@@ -35,7 +30,7 @@
     }
     take_off(engine.sum, told.work);
     told = {report.life, report.sequence, {work.requests, work.unread_tokens}, now};
-    add(engine.sum, told.work);
+    engine.sum += told.work;
   }
 }
 
@@ -68,7 +63,7 @@
   EngineWorkload sum;
   for (const auto& [node, told] : found->second.nodes) {
     if (now - told.at <= kBelief) {
-      add(sum, told.work);
+      sum += told.work;
     }
   }
   return sum;
--- a/src/peer_load/tests/peer_load_test.cc
+++ b/src/peer_load/tests/peer_load_test.cc
@@ -32,6 +32,17 @@
             .parts_read = {}}}};
 }
 
+/// A node and what it announces of its own work.
+struct AnnouncingNode {
+  simulation::VirtualTime time;
+  gateway::LoadTable loads;
+  std::vector<WorkReport> sent;
+  WorkAnnouncer announcer{time,
+                          {.node = NodeId("a"), .life = 7},
+                          [this](const BackendId& id) { return loads.own(id); },
+                          [this](const WorkReport& report) { sent.push_back(report); }};
+};
+
 }  // namespace
 
 TEST_CASE("the work of several nodes adds up, and the newest report of each counts") {
@@ -136,19 +147,14 @@
 }
 
 TEST_CASE("a report on very many engines goes out in datagrams that others can take") {
-  simulation::VirtualTime time;
-  gateway::LoadTable loads;
-  std::vector<WorkReport> sent;
-  WorkAnnouncer announcer(
-      time, {.node = NodeId("a"), .life = 7}, [&](const BackendId& id) { return loads.own(id); },
-      [&](const WorkReport& report) { sent.push_back(report); });
+  AnnouncingNode world;
   for (int i = 0; i != 770; ++i) {
     const BackendId engine("i-0123456789abcdef" + std::to_string(i));
-    announcer.note_parts(engine, {~std::uint64_t{1}, ~std::uint64_t{2}, ~std::uint64_t{3}});
+    world.announcer.note_parts(engine, {~std::uint64_t{1}, ~std::uint64_t{2}, ~std::uint64_t{3}});
   }
-  time.run_until(time.now() + 10ms);
+  world.time.run_until(world.time.now() + 10ms);
   std::size_t engines = 0;
-  for (const WorkReport& report : sent) {
+  for (const WorkReport& report : world.sent) {
     CHECK(wire::encode(report).size() < 8192);
     engines += report.engines.size();
   }
@@ -156,87 +162,69 @@
 }
 
 TEST_CASE("a node announces changes together, repeats what is not over, and then is quiet") {
-  simulation::VirtualTime time;
-  gateway::LoadTable loads;
-  std::vector<WorkReport> sent;
-  WorkAnnouncer announcer(
-      time, {.node = NodeId("a"), .life = 7}, [&](const BackendId& id) { return loads.own(id); },
-      [&](const WorkReport& report) { sent.push_back(report); });
-  loads.on_change([&](const BackendId& id) { announcer.note_change(id); });
-  loads.begin(BackendId("e"), 40);
-  loads.begin(BackendId("e"), 60);
-  time.run_until(time.now() + 10ms);
-  REQUIRE(sent.size() == 1);
-  CHECK(sent[0].engines[0].requests == 2);
-  CHECK(sent[0].engines[0].unread_tokens == 100);
-  time.run_until(time.now() + 1100ms);
-  CHECK(sent.size() == 2);
-  loads.end(BackendId("e"), gateway::AttemptVerdict::kGood, time.now());
-  loads.end(BackendId("e"), gateway::AttemptVerdict::kGood, time.now());
-  time.run_until(time.now() + 10s);
-  CHECK(sent.back().engines[0].requests == 0);
-  CHECK(sent.size() == 3);
+  AnnouncingNode world;
+  world.loads.on_change([&](const BackendId& id) { world.announcer.note_change(id); });
+  world.loads.begin(BackendId("e"), 40);
+  world.loads.begin(BackendId("e"), 60);
+  world.time.run_until(world.time.now() + 10ms);
+  REQUIRE(world.sent.size() == 1);
+  CHECK(world.sent[0].engines[0].requests == 2);
+  CHECK(world.sent[0].engines[0].unread_tokens == 100);
+  world.time.run_until(world.time.now() + 1100ms);
+  CHECK(world.sent.size() == 2);
+  world.loads.end(BackendId("e"), gateway::AttemptVerdict::kGood, world.time.now());
+  world.loads.end(BackendId("e"), gateway::AttemptVerdict::kGood, world.time.now());
+  world.time.run_until(world.time.now() + 10s);
+  CHECK(world.sent.back().engines[0].requests == 0);
+  CHECK(world.sent.size() == 3);
 }
 
 TEST_CASE("a silent back end is told once, with its work") {
-  simulation::VirtualTime time;
-  gateway::LoadTable loads;
-  std::vector<WorkReport> sent;
-  WorkAnnouncer announcer(
-      time, {.node = NodeId("a"), .life = 7}, [&](const BackendId& id) { return loads.own(id); },
-      [&](const WorkReport& report) { sent.push_back(report); });
-  loads.on_change([&](const BackendId& id) { announcer.note_change(id); });
-  loads.on_silence([&](const BackendId& id) { announcer.note_silence(id); });
-  loads.begin(BackendId("e"), 0);
-  loads.note_silence(BackendId("e"), time.now());
-  time.run_until(time.now() + 10ms);
-  loads.end(BackendId("e"), gateway::AttemptVerdict::kFailed, time.now());
-  time.run_until(time.now() + 10ms);
-  REQUIRE(sent.size() == 2);
-  CHECK(sent[0].engines[0].silent);
-  CHECK_FALSE(sent[1].engines[0].silent);
+  AnnouncingNode world;
+  world.loads.on_change([&](const BackendId& id) { world.announcer.note_change(id); });
+  world.loads.on_silence([&](const BackendId& id) { world.announcer.note_silence(id); });
+  world.loads.begin(BackendId("e"), 0);
+  world.loads.note_silence(BackendId("e"), world.time.now());
+  world.time.run_until(world.time.now() + 10ms);
+  world.loads.end(BackendId("e"), gateway::AttemptVerdict::kFailed, world.time.now());
+  world.time.run_until(world.time.now() + 10ms);
+  REQUIRE(world.sent.size() == 2);
+  CHECK(world.sent[0].engines[0].silent);
+  CHECK_FALSE(world.sent[1].engines[0].silent);
 }
 
 TEST_CASE("how attempts ended is told once") {
-  simulation::VirtualTime time;
-  gateway::LoadTable loads;
-  std::vector<WorkReport> sent;
-  WorkAnnouncer announcer(
-      time, {.node = NodeId("a"), .life = 7}, [&](const BackendId& id) { return loads.own(id); },
-      [&](const WorkReport& report) { sent.push_back(report); });
-  loads.on_change([&](const BackendId& id) { announcer.note_change(id); });
-  loads.on_end([&](const BackendId& id, bool failed) { announcer.note_end(id, failed); });
+  AnnouncingNode world;
+  world.loads.on_change([&](const BackendId& id) { world.announcer.note_change(id); });
+  world.loads.on_end(
+      [&](const BackendId& id, bool failed) { world.announcer.note_end(id, failed); });
   for (const auto verdict : {gateway::AttemptVerdict::kGood, gateway::AttemptVerdict::kFailed,
                              gateway::AttemptVerdict::kAbandoned}) {
-    loads.begin(BackendId("e"), 0);
-    loads.end(BackendId("e"), verdict, time.now());
+    world.loads.begin(BackendId("e"), 0);
+    world.loads.end(BackendId("e"), verdict, world.time.now());
   }
-  time.run_until(time.now() + 10ms);
-  announcer.note_change(BackendId("e"));
-  time.run_until(time.now() + 10ms);
-  REQUIRE(sent.size() == 2);
-  CHECK(sent[0].engines[0].ended == 2);
-  CHECK(sent[0].engines[0].failed == 1);
-  CHECK(sent[1].engines[0].ended == 0);
+  world.time.run_until(world.time.now() + 10ms);
+  world.announcer.note_change(BackendId("e"));
+  world.time.run_until(world.time.now() + 10ms);
+  REQUIRE(world.sent.size() == 2);
+  CHECK(world.sent[0].engines[0].ended == 2);
+  CHECK(world.sent[0].engines[0].failed == 1);
+  CHECK(world.sent[1].engines[0].ended == 0);
 }
 
 TEST_CASE("a node that starts is told all parts, in datagrams that others can take") {
-  simulation::VirtualTime time;
-  gateway::LoadTable loads;
-  WorkAnnouncer announcer(
-      time, {.node = NodeId("a"), .life = 7}, [&](const BackendId& id) { return loads.own(id); },
-      [](const WorkReport&) {});
+  AnnouncingNode world;
   for (const char* engine : {"e1", "e2", "e3"}) {
     std::vector<std::uint64_t> keys;
     for (std::uint64_t key = 0; key != 700; ++key) {
       keys.push_back(~key);
     }
-    loads.note_parts(BackendId(engine), keys, time.now());
+    world.loads.note_parts(BackendId(engine), keys, world.time.now());
   }
-  loads.begin(BackendId("e2"), 40);
+  world.loads.begin(BackendId("e2"), 40);
   std::map<BackendId, std::set<std::uint64_t>> told;
   std::uint64_t sequence = 0;
-  announcer.tell_all(loads, time.now() + 1s, [&](const WorkReport& report) {
+  world.announcer.tell_all(world.loads, world.time.now() + 1s, [&](const WorkReport& report) {
     CHECK(wire::encode(report).size() < 8192);
     CHECK(report.sequence > sequence);
     sequence = report.sequence;
@@ -250,7 +238,7 @@
     CHECK(keys.size() == 700);
   }
   std::size_t late = 0;
-  announcer.tell_all(loads, time.now() + 60s, [&](const WorkReport&) { ++late; });
+  world.announcer.tell_all(world.loads, world.time.now() + 60s, [&](const WorkReport&) { ++late; });
   CHECK(late == 0);
 }
 
