Callers' keys: looked up with the route, 401 for what the newest configuration does not know

Cause: the gateway knew no tenant.

Change: a configuration's tenants and digests of their keys stand in the table of its routes. A request whose key is not known waits for a view that is no older than three quarters of the configuration's bound, as one without a route does, and is then answered 401; a node that cannot tell answers 503. Weighed: 401 at once from the view at hand refuses keys that were just added for up to 2.2 s; a fresh look for each lets a storm of wrong keys become a storm of looks. The key stays here, the tenant's name goes to the server whatever the caller said, its priority goes before the route's. No error quotes the configuration, which holds keys.

--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -16,6 +16,7 @@
 /// Owned by its session; without a back end once it has been accounted for.
 struct Attempt {
   BackendId backend;
+  MonotonicTime started{};
   std::uint64_t unread_tokens = 0;
   std::optional<Endpoint> cache_source;  ///< Engine that shared parts are fetched from.
   bool prompt_read = false;
--- a/src/gateway/backend_request.cc
+++ b/src/gateway/backend_request.cc
@@ -50,6 +50,9 @@
   const auto left = std::chrono::duration_cast<milliseconds>(call.left).count();
   set_header(sent.headers, names.deadline, std::to_string(left));
   set_header(sent.headers, names.expected_instance, call.backend->id.value());
+  if (call.tenant != nullptr) {
+    set_header(sent.headers, names.tenant, call.tenant->name.value());
+  }
   if (call.priority) {
     set_header(sent.headers, names.priority, std::to_string(*call.priority));
   }
--- a/src/gateway/backend_request.h
+++ b/src/gateway/backend_request.h
@@ -23,6 +23,7 @@
   const Backend* backend = nullptr;
   Duration left{};                             ///< Of the request's time.
   bool prefill = false;                        ///< Read the prompt only.
+  const Tenant* tenant = nullptr;              ///< Whose request it is, if anybody's.
   std::optional<std::uint32_t> priority;       ///< 0 to 9, for engines.
   std::optional<CacheHandle> cache;            ///< Taken by the runner.
   std::optional<Endpoint> cache_source;        ///< Engine to fetch shared parts from.
--- a/src/gateway/environment.h
+++ b/src/gateway/environment.h
@@ -36,6 +36,8 @@
   logging::Logger& logger;
   /// Nodes believed to take part, this one included; at least 1.
   std::function<std::uint32_t()> node_count;
+  /// Called when a request of a tenant is seen to have begun to run, that long ago; may be empty.
+  std::function<void(const TenantName& tenant, Duration ago)> note_run{};
 };
 
 }  // namespace ochrespring::gateway
--- a/src/gateway/failure_answer.cc
+++ b/src/gateway/failure_answer.cc
@@ -14,6 +14,9 @@
   if (reason == FailureReason::kNoRoute) {
     return 404;
   }
+  if (reason == FailureReason::kUnknownKey) {
+    return 401;
+  }
   if (!may_have_run) {
     return 503;
   }
@@ -28,6 +31,8 @@
       return "no-configuration";
     case FailureReason::kNoRoute:
       return "no-route";
+    case FailureReason::kUnknownKey:
+      return "unknown-key";
     case FailureReason::kNoBackend:
       return "no-backend";
     case FailureReason::kUnreachable:
@@ -51,6 +56,9 @@
     const double seconds = to_seconds(std::max(retry_after, kLeastRetryAfter));
     answer.headers.push_back({"retry-after", std::to_string(seconds)});
   }
+  if (answer.status == 401) {
+    answer.headers.push_back({"www-authenticate", "Token"});
+  }
   if (!id.value.empty()) {
     answer.headers.push_back(id);
   }
--- a/src/gateway/failure_answer.h
+++ b/src/gateway/failure_answer.h
@@ -15,6 +15,7 @@
 enum class FailureReason : std::uint8_t {
   kNoConfiguration,  ///< This node knows none yet.
   kNoRoute,          ///< The newest configuration surely has none.
+  kUnknownKey,       ///< The newest configuration surely knows no such key.
   kNoBackend,        ///< No back end may take it.
   kUnreachable,      ///< No connection to any.
   kRefused,          ///< Back ends said that they did not run it.
@@ -25,7 +26,8 @@
 /// Name of a reason in logs and answers.
 std::string_view describe(FailureReason reason);
 
-/// A whole answer. Its status tells what is known: 404 no route; 503, with when to come back,
+/// A whole answer. Its status tells what is known: 404 no route; 401 no key
+/// that is known; 503, with when to come back,
 /// surely not run and never will; 502 or 504 may have run.
 struct FailureAnswer {
   std::uint16_t status = 0;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -18,39 +18,44 @@
 
 void Gateway::handle(http::Request request, std::shared_ptr<http::ResponseWriter> writer) {
   ++environment_.statistics.requests;
-  if (const Route* route = find_route(request)) {
-    start(*route, std::move(request), std::move(writer));
+  if (const Admission admission = look_up(request); admission.allowed()) {
+    start(admission, std::move(request), std::move(writer));
     return;
   }
-  // Only the newest configuration can tell that there is no route.
+  // Only the newest configuration can tell that there is no such route or key. Many such requests
+  // cost one look at the store in three quarters of the configuration's bound.
   refresh_([this, request = std::move(request), writer = std::move(writer)](bool current) mutable {
     if (writer->closed()) {
       return;
     }
-    if (const Route* route = find_route(request)) {
-      start(*route, std::move(request), std::move(writer));
+    const Admission admission = look_up(request);
+    if (admission.allowed()) {
+      start(admission, std::move(request), std::move(writer));
       return;
     }
-    ++environment_.statistics.no_route;
     const bool known = current && environment_.fleet.routes() != nullptr;
-    refuse(request, *writer, known ? FailureReason::kNoRoute : FailureReason::kNoConfiguration);
+    refuse(request, *writer, known ? admission.refusal() : FailureReason::kNoConfiguration);
   });
 }
 
-/// The route in the configuration in force, or null.
-const Route* Gateway::find_route(const http::Request& request) const {
+/// By the configuration in force.
+Admission Gateway::look_up(const http::Request& request) const {
   const std::shared_ptr<const RouteTable>& routes = environment_.fleet.routes();
   if (!routes) {
-    return nullptr;
+    return {};
   }
   const Route* route = routes->find(http::find_header(request.headers, "host"), request.path);
-  return route == nullptr || route->shares.empty() ? nullptr : route;
+  if (route == nullptr || route->shares.empty()) {
+    return {};
+  }
+  return {route, routes->check_key(
+                     *route, http::find_header(request.headers, environment_.names.credentials))};
 }
 
-void Gateway::start(const Route& route, http::Request request,
+void Gateway::start(const Admission& admission, http::Request request,
                     std::shared_ptr<http::ResponseWriter> writer) {
-  auto session = std::make_shared<RequestSession>(environment_, environment_.fleet.routes(), route,
-                                                  std::move(request), std::move(writer));
+  auto session = std::make_shared<RequestSession>(environment_, environment_.fleet.routes(),
+                                                  admission, std::move(request), std::move(writer));
   sessions_.insert(session);
   session->begin([this, raw = session.get()] {
     sessions_.erase(raw->shared_from_this());
@@ -62,6 +67,8 @@
 
 void Gateway::refuse(const http::Request& request, http::ResponseWriter& writer,
                      FailureReason reason) {
+  GatewayStatistics& statistics = environment_.statistics;
+  ++(reason == FailureReason::kUnknownKey ? statistics.unknown_key : statistics.no_route);
   const std::string id(http::find_header(request.headers, environment_.names.request_id));
   FailureAnswer answer =
       make_failure_answer(reason, false, kRetryAfterStart, {environment_.names.request_id, id});
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -25,8 +25,8 @@
   void on_idle(std::function<void()> callback) { idle_ = std::move(callback); }
 
  private:
-  const Route* find_route(const http::Request& request) const;
-  void start(const Route& route, http::Request request,
+  Admission look_up(const http::Request& request) const;
+  void start(const Admission& admission, http::Request request,
              std::shared_ptr<http::ResponseWriter> writer);
   void refuse(const http::Request& request, http::ResponseWriter& writer, FailureReason reason);
 
--- a/src/gateway/header_names.h
+++ b/src/gateway/header_names.h
@@ -23,6 +23,8 @@
   /// IP:PORT of an engine to take cached parts from before reading.
   std::string cache_fetch = "x-ochrespring-cache-fetch";
   std::string last_event = "last-event-id";
+  std::string credentials = "authorization";
+  std::string tenant = "x-ochrespring-tenant";  ///< Whose request a back end runs.
   /// Headers that only the gateway may set; a caller's are dropped.
   std::vector<std::string> reserved;
 };
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -43,11 +43,12 @@
 }  // namespace
 
 RequestSession::RequestSession(Environment& environment, std::shared_ptr<const RouteTable> routes,
-                               const Route& route, http::Request request,
+                               const Admission& admission, http::Request request,
                                std::shared_ptr<http::ResponseWriter> writer)
     : environment_(environment),
       routes_(std::move(routes)),
-      route_(route),
+      route_(*admission.route),
+      tenant_(admission.key.tenant),
       request_(std::move(request)),
       writer_(std::move(writer)),
       deadline_timer_(environment.timers),
@@ -61,6 +62,10 @@
   const auto most = static_cast<std::uint64_t>(to_milliseconds(route_.timeout));
   const std::string_view waits = http::find_header(request_.headers, names.deadline);
   deadline_ = arrived_ + milliseconds(std::min(most, read_number(waits, most)));
+  if (routes_->has_tenants()) {
+    std::erase_if(request_.headers,
+                  [&](const http::Header& header) { return header.name == names.credentials; });
+  }
   service_ = environment_.shares.pick(route_);
   const Service* service = routes_->configuration().find_service(service_);
   if (service != nullptr && service->engine) {
@@ -117,6 +122,7 @@
   const Backend& backend = *choice.backend;
   attempt_.emplace();
   attempt_->backend = backend.id;
+  attempt_->started = now;
   attempt_->prefill = prefill;
   attempt_->uses_cache = !prefill && cache_.has_value();
   attempt_->unread_tokens = attempt_->uses_cache ? 0 : choice.unread_tokens;
@@ -142,9 +148,10 @@
   BackendCall call;
   call.backend = &backend;
   call.left = time_left();
+  call.tenant = tenant_;
   call.prefill = attempt_->prefill;
   if (prompt_) {
-    call.priority = engine_priority(route_.priority, attempt_->unread_tokens);
+    call.priority = engine_priority(priority(), attempt_->unread_tokens);
   }
   if (attempt_->uses_cache) {
     call.cache = cache_;
@@ -157,6 +164,10 @@
   return call;
 }
 
+std::uint32_t RequestSession::priority() const {
+  return tenant_ != nullptr ? tenant_->priority.value_or(route_.priority) : route_.priority;
+}
+
 /// This node's part of the connections that a back end takes from all callers.
 std::size_t RequestSession::connection_share() const {
   const Service* service = routes_->configuration().find_service(service_);
@@ -216,6 +227,14 @@
   return replaced ? AttemptVerdict::kReplaced : AttemptVerdict::kFailed;
 }
 
+/// A request counts once, however often it runs.
+void RequestSession::note_run(Duration ago) {
+  if (std::exchange(run_noted_, true) || tenant_ == nullptr || !environment_.note_run) {
+    return;
+  }
+  environment_.note_run(tenant_->name, ago);
+}
+
 /// Frees a cache that nobody will take.
 void RequestSession::release_cache() {
   if (!cache_) {
@@ -241,6 +260,8 @@
     return;
   }
   may_have_run_ = true;
+  // Ordinary servers begin when they are sent a request, as a rule.
+  note_run(environment_.clock.now() - attempt_->started);
   if (!signed_answer) {
     log_attempt("attempt without signature", std::to_string(head.status));
     end_attempt(AttemptVerdict::kFailed);
@@ -288,6 +309,7 @@
     if (!attempt_->prompt_read) {
       attempt_->prompt_read = true;
       log_attempt("first event", "");
+      note_run(Duration::zero());
       environment_.loads.note_read(attempt_->backend, attempt_->unread_tokens);
     }
     passed = pass_event(*event) || passed;
@@ -479,6 +501,7 @@
        {{"request_id", id_},
         {"route", route_.name.value()},
         {"service", service_.value()},
+        {"tenant", tenant_ != nullptr ? tenant_->name.value() : ""},
         {"outcome", std::string(outcome)},
         {"attempts", static_cast<std::uint64_t>(sends_ + unreachable_)},
         {"configuration", routes_->configuration().version.value()},
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -21,6 +21,18 @@
 
 namespace ochrespring::gateway {
 
+/// What the configuration in force says of a request before it begins.
+struct Admission {
+  const Route* route = nullptr;  ///< Null: there is none.
+  KeyCheck key;
+
+  bool allowed() const { return route != nullptr && key.allowed; }
+  /// Why it is not.
+  FailureReason refusal() const {
+    return route == nullptr ? FailureReason::kNoRoute : FailureReason::kUnknownKey;
+  }
+};
+
 /// Shares its life with the exchange it waits for; used on its loop.
 ///
 /// Two facts decide what may follow an attempt: whether any byte of the request left, and whether
@@ -31,7 +43,7 @@
                              public std::enable_shared_from_this<RequestSession> {
  public:
   RequestSession(Environment& environment, std::shared_ptr<const RouteTable> routes,
-                 const Route& route, http::Request request,
+                 const Admission& admission, http::Request request,
                  std::shared_ptr<http::ResponseWriter> writer);
 
   /// `on_end` is called once, when nothing is left to do.
@@ -47,8 +59,10 @@
   void start_attempt(const PlacementChoice& choice, bool prefill);
   BackendCall make_call(const Backend& backend) const;
   std::size_t connection_share() const;
+  std::uint32_t priority() const;
   void end_prefill(bool refused);
   AttemptVerdict verdict_of_failed_prefill() const;
+  void note_run(Duration ago);
   void release_cache();
   bool may_send_again();
   bool spend_repeat();
@@ -75,6 +89,7 @@
   Environment& environment_;
   std::shared_ptr<const RouteTable> routes_;
   const Route& route_;
+  const Tenant* tenant_;  ///< Of the routes' configuration; null if nobody's.
   http::Request request_;
   std::shared_ptr<http::ResponseWriter> writer_;
   std::function<void()> on_end_;
@@ -92,6 +107,7 @@
   std::uint32_t unreachable_ = 0;  ///< Attempts without a connection.
   bool read_apart_ = false;        ///< A prefill engine was asked; once is enough.
   bool may_have_run_ = false;
+  bool run_noted_ = false;
   bool answer_open_ = false;  ///< The caller has the head.
   std::optional<std::uint64_t> last_event_;
   StreamTiming timing_;
--- a/src/gateway/route_table.cc
+++ b/src/gateway/route_table.cc
@@ -21,6 +21,12 @@
   for (const Route& route : configuration_.routes) {
     by_host_[normalise_host(route.host)].push_back(&route);
   }
+  for (const Tenant& tenant : configuration_.tenants) {
+    for (const KeyDigest& key : tenant.keys) {
+      // A key that several tenants name is the first one's on every node.
+      by_key_.try_emplace(key, &tenant);
+    }
+  }
   for (auto& [host, routes] : by_host_) {
     std::stable_sort(routes.begin(), routes.end(), [](const Route* left, const Route* right) {
       return left->path_prefix.size() > right->path_prefix.size();
@@ -28,6 +34,21 @@
   }
 }
 
+KeyCheck RouteTable::check_key(const Route& route, std::string_view authorization) const {
+  if (!has_tenants()) {
+    return {.allowed = true};
+  }
+  const auto key = read_caller_key(authorization);
+  if (!key) {
+    return {.allowed = route.anonymous};
+  }
+  const auto found = by_key_.find(digest_key(*key));
+  if (found == by_key_.end()) {
+    return {};
+  }
+  return {.allowed = true, .tenant = found->second};
+}
+
 const Route* RouteTable::find(std::string_view host, std::string_view path) const {
   const auto routes = by_host_.find(normalise_host(host));
   if (routes == by_host_.end()) {
--- a/src/gateway/route_table.h
+++ b/src/gateway/route_table.h
@@ -1,4 +1,4 @@
-// Finds the route of a request in one configuration.
+// Finds the route and the tenant of a request in one configuration.
 #pragma once
 
 #include <memory>
@@ -11,19 +11,32 @@
 
 namespace ochrespring::gateway {
 
-/// Immutable index of one configuration's routes. Requests keep the table they were routed by.
+/// What a configuration says of a caller's key.
+struct KeyCheck {
+  bool allowed = false;
+  const Tenant* tenant = nullptr;  ///< Null for a request without a key.
+};
+
+/// Immutable index of one configuration's routes and keys. Requests keep the table they were routed
+/// by.
 class RouteTable {
  public:
   explicit RouteTable(Configuration configuration);
 
   /// The route of `host` (a port is ignored) with the longest prefix that begins `path`, or null.
   const Route* find(std::string_view host, std::string_view path) const;
+  /// Whether a request on `route` may run with what its `Authorization` header says. A key that is
+  /// not known is never passed over, even where none is needed.
+  KeyCheck check_key(const Route& route, std::string_view authorization) const;
+  /// Whether callers' credentials are this system's, and no back end's.
+  bool has_tenants() const { return !configuration_.tenants.empty(); }
   const Configuration& configuration() const { return configuration_; }
 
  private:
   Configuration configuration_;
   /// Routes of each host, longest prefix first.
   std::unordered_map<std::string, std::vector<const Route*>> by_host_;
+  std::unordered_map<KeyDigest, const Tenant*> by_key_;
 };
 
 }  // namespace ochrespring::gateway
--- a/src/gateway/statistics.h
+++ b/src/gateway/statistics.h
@@ -42,6 +42,7 @@
   std::uint64_t broken = 0;    ///< Streams cut after their head.
   std::uint64_t caller_gone = 0;
   std::uint64_t no_route = 0;
+  std::uint64_t unknown_key = 0;
   std::uint64_t attempts = 0;
   std::uint64_t repeats = 0;  ///< Attempts beyond the first, from the retry budget.
   std::uint64_t budget_denied = 0;
--- a/src/gateway/types.h
+++ b/src/gateway/types.h
@@ -2,12 +2,14 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "gateway/caller_key.h"
 
 namespace ochrespring::gateway {
 
@@ -41,6 +43,7 @@
   std::uint32_t priority = 0;                        ///< 0 is the most urgent.
   std::uint32_t most_attempts = 1;                   ///< Servers one request may be sent to.
   bool resumable = false;
+  bool anonymous = false;  ///< Needs no caller's key, even where there are tenants.
   std::vector<TrafficShare> shares;
 
   /// Whether a request may run more than once.
@@ -57,10 +60,28 @@
   Duration role_change{std::chrono::seconds(2)};
 };
 
+/// Who is served, and by which keys its callers are known.
+struct Tenant {
+  TenantName name;
+  std::optional<std::uint32_t> priority;  ///< Goes before that of the route.
+  std::vector<KeyDigest> keys;
+};
+
+/// Servers of a service that can be had and given back.
+struct ServerMarket {
+  std::uint32_t least = 0;  ///< Servers of one zone, of both kinds together.
+  std::uint32_t most = 0;
+  Duration boot{std::chrono::seconds(5)};  ///< From an order to its server's first request.
+  /// Price of a server that may be taken away, as a part of the others'; none: there are no such.
+  std::optional<double> preemptible_price{};
+  std::map<ZoneName, double> zone_prices{};  ///< Of a server's second, relative to each other.
+};
+
 struct Service {
   ServiceName name;
   std::uint32_t most_connections = 100;  ///< Of all callers together, to one back end.
-  std::optional<EngineShape> engine;     ///< None: an ordinary service.
+  std::optional<EngineShape> engine{};   ///< None: an ordinary service.
+  std::optional<ServerMarket> market{};  ///< None: its servers are fixed.
 };
 
 /// What callers may send and how long their connections may rest.
@@ -73,6 +94,7 @@
   ConfigurationVersion version;
   std::vector<Route> routes;
   std::vector<Service> services;
+  std::vector<Tenant> tenants;  ///< Empty: callers need no keys.
   CallerLimits limits;
 
   const Service* find_service(const ServiceName& name) const;
@@ -91,6 +113,7 @@
   bool draining = false;
   bool cold = false;  ///< Slow for a while after its start.
   EngineRole role = EngineRole::kNone;
+  bool preemptible = false;  ///< May be taken away at short notice.
 
   bool operator==(const Backend&) const = default;
 
@@ -104,6 +127,7 @@
     archive& draining;
     archive& cold;
     archive& role;
+    archive& preemptible;
   }
 };
 
