A lease for duties of one node, with a fence from the store's revision, run by a state chart

Cause: usage reports and orders of servers have to come from one node, with a number that rises with each holder.

Change: src/duties. The lease is a key bound to a lease of the store; its revision is the fence. A holder acts only while the lease, less a margin, has not passed since its last renewal was sent, by its own monotonic clock; a node that held before the present holder waits a whole lease before it acts again. A second key, which stays, names the last two holders for that. A claim whose answer was lost is found by reading before claiming again. Only the first choice among the nodes asks the store. The store's interface gains transactions and reading one key.

--- a/src/discovery/tests/played_store.h
+++ b/src/discovery/tests/played_store.h
@@ -22,6 +22,14 @@
     std::string value;
     Callback<shared_store::StoreRevision> done;
   };
+  struct CommitCall {
+    shared_store::Transaction transaction;
+    Callback<shared_store::StoreRevision> done;
+  };
+  struct GetCall {
+    std::string key;
+    Callback<shared_store::Change> done;
+  };
 
   void list(const std::string& /*prefix*/, Callback<shared_store::Listing> done) override {
     lists.push_back(std::move(done));
@@ -35,6 +43,13 @@
            Callback<shared_store::StoreRevision> done) override {
     puts.push_back({key, value, std::move(done)});
   }
+  void commit(const shared_store::Transaction& transaction,
+              Callback<shared_store::StoreRevision> done) override {
+    commits.push_back({transaction, std::move(done)});
+  }
+  void get(const std::string& key, Callback<shared_store::Change> done) override {
+    gets.push_back({key, std::move(done)});
+  }
   void grant_lease(Duration /*time_to_live*/, Callback<shared_store::LeaseId> done) override {
     grants.push_back(std::move(done));
   }
@@ -48,6 +63,8 @@
   std::deque<Callback<shared_store::Listing>> lists;
   std::deque<ChangesCall> changes_calls;
   std::deque<PutCall> puts;
+  std::deque<CommitCall> commits;
+  std::deque<GetCall> gets;
   std::deque<Callback<shared_store::LeaseId>> grants;
   std::deque<Callback<shared_store::LeaseId>> renewals;
   std::deque<shared_store::LeaseId> ended;
--- /dev/null
+++ b/src/duties/duty_lease.cc
@@ -0,0 +1,244 @@
+#include "duties/duty_lease.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "statechart/chart_library.h"
+#include "wire/codec.h"
+
+namespace ochrespring::duties {
+
+namespace {
+
+using shared_store::LeaseId;
+using shared_store::StoreErrc;
+using shared_store::StoreError;
+using shared_store::StoreRevision;
+
+constexpr std::string_view kComponent = "duties";
+/// A holder that is unfit for this long gives the lease back: views of the fleet differ for a while
+/// when many nodes come and go.
+constexpr Duration kUnfitPatience = std::chrono::seconds(5);
+/// Claims of different nodes come apart by up to this part of the pause between them.
+constexpr double kClaimJitter = 0.3;
+
+}  // namespace
+
+template <class Function>
+auto DutyLease::current(Function function) {
+  return [this, number = ++call_, function = std::move(function)](auto result) {
+    if (number == call_) {
+      function(std::move(result));
+    }
+  };
+}
+
+DutyLease::DutyLease(World world, DutyLeaseOptions options, Fitness fitness)
+    : world_(world),
+      options_(std::move(options)),
+      fitness_(std::move(fitness)),
+      machine_(statechart::ChartLibrary::built_in().duty_lease),
+      timer_(world.timers),
+      deadline_timer_(world.timers) {}
+
+void DutyLease::start() {
+  machine_.start(*this);
+}
+
+std::optional<Fence> DutyLease::fence() const {
+  const MonotonicTime now = world_.clock.now();
+  const bool sure = machine_.in(State::kHolding) && now < deadline_ && now >= not_before_;
+  return sure ? std::optional(fence_) : std::nullopt;
+}
+
+void DutyLease::post(Event event) {
+  machine_.post(event, *this);
+}
+
+bool DutyLease::evaluate(Chart::Guard /*guard*/) const {
+  return fitness_.to_claim();
+}
+
+void DutyLease::run(Chart::Action action) {
+  switch (action) {
+    case Chart::Action::kScheduleClaim:
+      schedule_claim();
+      return;
+    case Chart::Action::kSendClaim:
+      read_holder();
+      return;
+    case Chart::Action::kScheduleRenewal:
+      schedule_renewal();
+      return;
+    case Chart::Action::kSendRenewal:
+      send_renewal();
+      return;
+    case Chart::Action::kAnnounceGained:
+      ++times_gained_;
+      log("duties held", "");
+      if (gained_) {
+        gained_();
+      }
+      return;
+    case Chart::Action::kAnnounceLost:
+      log("duties no longer held", machine_.state_name());
+      return;
+    case Chart::Action::kSendRelease:
+      send_release();
+      return;
+  }
+}
+
+void DutyLease::schedule_claim() {
+  lease_.reset();
+  ++call_;
+  deadline_timer_.disarm();
+  timer_.arm(claim_pause(), [this] { post(Event::kClaimDue); });
+}
+
+Duration DutyLease::claim_pause() const {
+  const Duration between = world_.random.jitter(options_.claim, kClaimJitter);
+  const Duration passed = claimed_at_ ? world_.clock.now() - *claimed_at_ : between;
+  return std::max(options_.look, between - passed);
+}
+
+void DutyLease::read_holder() {
+  claimed_at_ = world_.clock.now();
+  world_.store.get(options_.holder_key, current([this](auto result) {
+                     if (!result && result.error().code == StoreErrc::kNotFound) {
+                       read_history();
+                       return;
+                     }
+                     if (!result) {
+                       claim_failed("read holder", result.error());
+                       return;
+                     }
+                     const auto record =
+                         wire::decode<HolderRecord>(result.value().value.value_or(""));
+                     const bool own = record && record.value().node == options_.node &&
+                                      record.value().life == options_.life;
+                     if (!own) {
+                       post(Event::kClaimFailed);
+                       return;
+                     }
+                     // An earlier claim was done although its answer was lost.
+                     lease_ = record.value().lease;
+                     fence_ = Fence(result.value().revision.value());
+                     not_before_ = world_.clock.now() + options_.time_to_live;
+                     post(Event::kFoundOwn);
+                   }));
+}
+
+void DutyLease::read_history() {
+  world_.store.get(options_.history_key, current([this](auto result) {
+                     if (!result && result.error().code != StoreErrc::kNotFound) {
+                       claim_failed("read history", result.error());
+                       return;
+                     }
+                     if (!result) {
+                       grant(StoreRevision(), {});
+                       return;
+                     }
+                     auto history = wire::decode<HolderHistory>(result.value().value.value_or(""));
+                     // What cannot be understood may have named this node: as if it had.
+                     grant(result.value().revision,
+                           history ? history.value() : HolderHistory{{}, options_.node});
+                   }));
+}
+
+void DutyLease::grant(StoreRevision history_revision, HolderHistory history) {
+  const MonotonicTime sent = world_.clock.now();
+  world_.store.grant_lease(
+      options_.time_to_live,
+      current([this, sent, history_revision, history = std::move(history)](auto result) {
+        if (!result) {
+          claim_failed("grant", result.error());
+          return;
+        }
+        lease_ = result.value();
+        note_granted(sent);
+        commit(history_revision, history);
+      }));
+}
+
+void DutyLease::commit(StoreRevision history_revision, const HolderHistory& history) {
+  const bool held_before = history.before == options_.node && history.last != options_.node;
+  HolderHistory written = history;
+  if (history.last != options_.node) {
+    written = {.last = options_.node, .before = history.last};
+  }
+  not_before_ = world_.clock.now() + (held_before ? options_.time_to_live : Duration::zero());
+  const HolderRecord record{options_.node, options_.life, *lease_};
+  world_.store.commit(
+      {.conditions = {{options_.holder_key, {}}, {options_.history_key, history_revision}},
+       // The store answers with the revision of the last write: that of the holder's key.
+       .writes = {{options_.history_key, wire::encode(written), std::nullopt},
+                  {options_.holder_key, wire::encode(record), lease_}},
+       .removals = {}},
+      current([this](auto result) {
+        if (!result) {
+          claim_failed("commit", result.error());
+          return;
+        }
+        fence_ = Fence(result.value().value());
+        post(Event::kClaimed);
+      }));
+}
+
+void DutyLease::claim_failed(std::string_view step, const StoreError& error) {
+  log("claim of duties failed", std::string(step) + ": " + error.message);
+  post(Event::kClaimFailed);
+}
+
+/// The lease is sure until its life has passed since the call that granted or renewed it left.
+void DutyLease::note_granted(MonotonicTime sent) {
+  deadline_ = sent + options_.time_to_live - options_.margin;
+  deadline_timer_.arm(std::max(deadline_ - world_.clock.now(), Duration::zero()),
+                      [this] { post(Event::kDeadlinePassed); });
+}
+
+void DutyLease::schedule_renewal() {
+  timer_.arm(options_.renewal, [this] { post(Event::kRenewalDue); });
+}
+
+void DutyLease::send_renewal() {
+  const MonotonicTime now = world_.clock.now();
+  if (fitness_.to_hold()) {
+    unfit_since_.reset();
+  } else if (!unfit_since_) {
+    unfit_since_ = now;
+  }
+  // Asked again should no answer come.
+  timer_.arm(options_.retry * 2, [this] { post(Event::kRenewalDue); });
+  world_.store.renew_lease(*lease_, current([this, now](auto result) {
+    if (!result && result.error().code == StoreErrc::kNotFound) {
+      post(Event::kLeaseGone);
+    } else if (!result) {
+      timer_.arm(options_.retry, [this] { post(Event::kRenewalDue); });
+    } else if (unfit_since_ && world_.clock.now() - *unfit_since_ > kUnfitPatience) {
+      unfit_since_.reset();
+      post(Event::kReleaseRequested);
+    } else {
+      note_granted(now);
+      post(Event::kRenewed);
+    }
+  }));
+}
+
+void DutyLease::send_release() {
+  timer_.disarm();
+  deadline_timer_.disarm();
+  ++call_;
+  if (lease_) {
+    world_.store.end_lease(*std::exchange(lease_, std::nullopt), [](auto) {});
+  }
+}
+
+void DutyLease::log(std::string_view message, std::string_view detail) {
+  world_.logger.write({logging::Level::kInfo,
+                       kComponent,
+                       std::string(message),
+                       {{"fence", fence_.value()}, {"detail", std::string(detail)}}});
+}
+
+}  // namespace ochrespring::duties
--- /dev/null
+++ b/src/duties/duty_lease.h
@@ -0,0 +1,124 @@
+// The lease under which one node of the fleet does what only one may do at a time: reporting usage,
+// ordering servers, giving orders to engines.
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "base/timer.h"
+#include "duties/types.h"
+#include "logging/logger.h"
+#include "shared_store/store.h"
+#include "statechart/charts/duty_lease.h"
+#include "statechart/machine.h"
+
+namespace ochrespring::duties {
+
+struct DutyLeaseOptions {
+  std::string holder_key;   ///< Of the store; bound to the lease.
+  std::string history_key;  ///< Of the store; stays.
+  NodeId node;
+  std::uint64_t life = 0;  ///< Drawn at the node's start.
+  Duration time_to_live{std::chrono::milliseconds(3000)};
+  /// Kept back from the lease: a call that leaves in time also arrives in time.
+  Duration margin{std::chrono::milliseconds(400)};
+  Duration renewal{std::chrono::milliseconds(900)};  ///< Between two renewals.
+  Duration retry{std::chrono::milliseconds(300)};    ///< After a renewal that failed.
+  Duration claim{std::chrono::milliseconds(1500)};   ///< Between two claims.
+  /// Between two looks at whether this node is the first choice, which cost nothing.
+  Duration look{std::chrono::milliseconds(300)};
+};
+
+/// One lease for all duties, held by at most one node. The fence is the revision of the store at
+/// which the holder took it, so that every later holder has a higher one.
+///
+///     if (const auto fence = lease.fence()) {
+///       cloud.report_usage(*fence, ...);  // At most `margin` from now on the way.
+///     }
+///
+/// fence() is empty as soon as this node cannot be sure, by its own monotonic clock: after a
+/// freeze, or while the store is out, before anybody else can have taken over. A node that held the
+/// duties before the present holder waits for a whole lease before it acts again: no call of its
+/// own then frames one of the other's within a lease. The chart `duty_lease` runs it; one loop.
+class DutyLease {
+ public:
+  /// References outlive the lease.
+  struct World {
+    const Clock& clock;
+    TimerService& timers;
+    RandomSource& random;
+    shared_store::SharedStore& store;
+    logging::Logger& logger;
+  };
+  /// What the node is fit for, asked again and again.
+  struct Fitness {
+    std::function<bool()> to_claim;  ///< Whether it is the first choice among all nodes.
+    std::function<bool()> to_hold;   ///< Whether it is told what a holder needs to know.
+  };
+
+  DutyLease(World world, DutyLeaseOptions options, Fitness fitness);
+
+  void start();
+  /// Gives the lease back, for good.
+  void stop() { post(Event::kStopRequested); }
+  /// The lease is not to be trusted any more: whoever was called knows a later holder.
+  void give_up() { post(Event::kReleaseRequested); }
+
+  /// While this node may act.
+  std::optional<Fence> fence() const;
+  /// For conditions of transactions: the key bound to the lease, unchanged since `fence()`.
+  const std::string& holder_key() const { return options_.holder_key; }
+  /// Called each time this node begins to hold; it may act a little later.
+  void on_gained(std::function<void()> callback) { gained_ = std::move(callback); }
+  const std::string& state_name() const { return machine_.state_name(); }
+  std::uint64_t times_gained() const { return times_gained_; }
+
+  /// Chart hooks.
+  bool evaluate(statechart::DutyLease::Guard guard) const;
+  void run(statechart::DutyLease::Action action);
+
+ private:
+  using Chart = statechart::DutyLease;
+  using Event = Chart::Event;
+  using State = Chart::State;
+
+  void post(Event event);
+  void schedule_claim();
+  /// A claim is four calls, one after the other; the first that fails ends it.
+  void read_holder();
+  void read_history();
+  void grant(shared_store::StoreRevision history_revision, HolderHistory history);
+  void commit(shared_store::StoreRevision history_revision, const HolderHistory& history);
+  Duration claim_pause() const;
+  void claim_failed(std::string_view step, const shared_store::StoreError& error);
+  void schedule_renewal();
+  void send_renewal();
+  void send_release();
+  void note_granted(MonotonicTime sent);
+  void log(std::string_view message, std::string_view detail);
+  /// Wraps a callback so that it is dropped once another call has been started.
+  template <class Function>
+  auto current(Function function);
+
+  World world_;
+  DutyLeaseOptions options_;
+  Fitness fitness_;
+  statechart::Machine<Chart> machine_;
+  Timer timer_;  ///< The next claim or renewal.
+  Timer deadline_timer_;
+  std::uint64_t call_ = 0;  ///< Number of the call that is waited for.
+  std::optional<shared_store::LeaseId> lease_;
+  Fence fence_;
+  MonotonicTime deadline_{};                 ///< Until then nobody else can have the lease.
+  MonotonicTime not_before_{};               ///< No act before this.
+  std::optional<MonotonicTime> claimed_at_;  ///< When the last claim began.
+  std::optional<MonotonicTime> unfit_since_;
+  std::uint64_t times_gained_ = 0;
+  std::function<void()> gained_;
+};
+
+}  // namespace ochrespring::duties
--- a/src/gateway_node/tests/large_fleet.h
+++ b/src/gateway_node/tests/large_fleet.h
@@ -94,6 +94,9 @@
   }
   void put(const std::string&, const std::string&, std::optional<shared_store::LeaseId>,
            shared_store::StoreCallback<shared_store::StoreRevision>) override {}
+  void commit(const shared_store::Transaction&,
+              shared_store::StoreCallback<shared_store::StoreRevision>) override {}
+  void get(const std::string&, shared_store::StoreCallback<shared_store::Change>) override {}
   void grant_lease(Duration, shared_store::StoreCallback<shared_store::LeaseId>) override {}
   void renew_lease(shared_store::LeaseId,
                    shared_store::StoreCallback<shared_store::LeaseId>) override {}
--- a/src/shared_store/store.h
+++ b/src/shared_store/store.h
@@ -33,6 +33,26 @@
   std::vector<Change> changes;  ///< In the order of their revisions.
 };
 
+/// What a transaction depends on: the key's last change, zero if it is to be absent.
+struct Condition {
+  std::string key;
+  StoreRevision revision;
+};
+
+/// A key written by a transaction, bound to a lease if one is given.
+struct Write {
+  std::string key;
+  std::string value;
+  std::optional<LeaseId> lease;
+};
+
+/// Done whole, if all conditions hold, or not at all.
+struct Transaction {
+  std::vector<Condition> conditions;
+  std::vector<Write> writes;
+  std::vector<std::string> removals;
+};
+
 /// Asynchronous; one per loop. Each call is bounded in time by the implementation.
 class SharedStore {
  public:
@@ -45,6 +65,11 @@
   /// Writes a key, bound to a lease if one is given.
   virtual void put(const std::string& key, const std::string& value, std::optional<LeaseId> lease,
                    StoreCallback<StoreRevision> done) = 0;
+  /// The revision of its writes; kConflict if a condition did not hold, kNotFound if a lease is
+  /// over.
+  virtual void commit(const Transaction& transaction, StoreCallback<StoreRevision> done) = 0;
+  /// A key as it is now; kNotFound if it is absent.
+  virtual void get(const std::string& key, StoreCallback<Change> done) = 0;
   virtual void grant_lease(Duration time_to_live, StoreCallback<LeaseId> done) = 0;
   /// kNotFound if the lease is over.
   virtual void renew_lease(LeaseId lease, StoreCallback<LeaseId> done) = 0;
--- /dev/null
+++ b/src/shared_store/tests/memory_store.h
@@ -0,0 +1,191 @@
+// A store in memory under virtual time, with leases and the faults of a real one.
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "shared_store/store.h"
+#include "simulation/virtual_time.h"
+
+namespace ochrespring::shared_store::testing {
+
+/// What all clients see.
+class StoreState {
+ public:
+  explicit StoreState(simulation::VirtualTime& time) : time_(time) {}
+
+  Result<StoreRevision, StoreError> commit(const Transaction& transaction) {
+    expire();
+    for (const Condition& condition : transaction.conditions) {
+      const auto found = items.find(condition.key);
+      const StoreRevision now = found == items.end() ? StoreRevision() : found->second.revision;
+      if (now != condition.revision) {
+        return fail(StoreErrc::kConflict, "condition");
+      }
+    }
+    for (const Write& write : transaction.writes) {
+      if (write.lease && !leases.contains(*write.lease)) {
+        return fail(StoreErrc::kNotFound, "lease");
+      }
+    }
+    for (const Write& write : transaction.writes) {
+      items[write.key] = {write.key, write.value, next_revision()};
+      bound[write.key] = write.lease.value_or(LeaseId());
+    }
+    for (const std::string& key : transaction.removals) {
+      items.erase(key);
+      next_revision();
+    }
+    return StoreRevision(revision);
+  }
+  LeaseId grant(Duration time_to_live) {
+    const LeaseId lease(++last_lease_);
+    leases[lease] = {time_.now() + time_to_live, time_to_live};
+    return lease;
+  }
+  bool renew(LeaseId lease) {
+    expire();
+    const auto found = leases.find(lease);
+    if (found == leases.end()) {
+      return false;
+    }
+    found->second.ends = time_.now() + found->second.time_to_live;
+    return true;
+  }
+  void end(LeaseId lease) {
+    leases.erase(lease);
+    std::erase_if(items, [&](const auto& item) { return bound[item.first] == lease; });
+  }
+  void expire() {
+    for (auto lease = leases.begin(); lease != leases.end();) {
+      const auto next = std::next(lease);
+      if (lease->second.ends <= time_.now()) {
+        end(lease->first);
+      }
+      lease = next;
+    }
+  }
+
+  struct Lease {
+    MonotonicTime ends;
+    Duration time_to_live;
+  };
+  std::map<std::string, Change> items;
+  std::map<std::string, LeaseId> bound;
+  std::map<LeaseId, Lease> leases;
+  std::uint64_t revision = 0;
+  bool down = false;
+  Duration answer_time{std::chrono::milliseconds(4)};
+
+ private:
+  StoreRevision next_revision() { return StoreRevision(++revision); }
+
+  simulation::VirtualTime& time_;
+  std::uint64_t last_lease_ = 0;
+};
+
+/// The store as one node reaches it.
+class MemoryStore final : public SharedStore {
+ public:
+  /// Answers come by the timers of the node: a frozen one gets them when it wakes.
+  MemoryStore(simulation::VirtualTime& time, StoreState& state, TimerService& node)
+      : time_(time), state_(state), node_(node) {}
+
+  bool turned_away = false;   ///< It answers others.
+  bool cut = false;           ///< Calls are lost.
+  bool answers_lost = false;  ///< Calls are done and not answered.
+  /// Calls are not answered, and done only after this time.
+  Duration done_late{};
+  std::uint64_t calls = 0;
+
+  void list(const std::string& prefix, StoreCallback<Listing> done) override {
+    call<Listing>(std::move(done), [this, prefix]() -> Result<Listing, StoreError> {
+      state_.expire();
+      Listing listing;
+      listing.revision = StoreRevision(state_.revision);
+      for (const auto& [key, item] : state_.items) {
+        if (key.starts_with(prefix)) {
+          listing.items.push_back(item);
+        }
+      }
+      return listing;
+    });
+  }
+  void changes(const std::string&, StoreRevision, Duration, StoreCallback<Changes> done) override {
+    call<Changes>(std::move(done), []() -> Result<Changes, StoreError> { return Changes{}; });
+  }
+  void put(const std::string& key, const std::string& value, std::optional<LeaseId> lease,
+           StoreCallback<StoreRevision> done) override {
+    commit({.conditions = {}, .writes = {{key, value, lease}}, .removals = {}}, std::move(done));
+  }
+  void commit(const Transaction& transaction, StoreCallback<StoreRevision> done) override {
+    call<StoreRevision>(std::move(done),
+                        [this, transaction] { return state_.commit(transaction); });
+  }
+  void get(const std::string& key, StoreCallback<Change> done) override {
+    call<Change>(std::move(done), [this, key]() -> Result<Change, StoreError> {
+      state_.expire();
+      const auto found = state_.items.find(key);
+      if (found == state_.items.end()) {
+        return fail(StoreErrc::kNotFound, "absent");
+      }
+      return found->second;
+    });
+  }
+  void grant_lease(Duration time_to_live, StoreCallback<LeaseId> done) override {
+    call<LeaseId>(std::move(done), [this, time_to_live]() -> Result<LeaseId, StoreError> {
+      return state_.grant(time_to_live);
+    });
+  }
+  void renew_lease(LeaseId lease, StoreCallback<LeaseId> done) override {
+    call<LeaseId>(std::move(done), [this, lease]() -> Result<LeaseId, StoreError> {
+      if (!state_.renew(lease)) {
+        return fail(StoreErrc::kNotFound, "lease");
+      }
+      return lease;
+    });
+  }
+  void end_lease(LeaseId lease, StoreCallback<LeaseId> done) override {
+    call<LeaseId>(std::move(done), [this, lease]() -> Result<LeaseId, StoreError> {
+      state_.end(lease);
+      return lease;
+    });
+  }
+
+ private:
+  static constexpr Duration kTimeout{std::chrono::milliseconds(1500)};
+
+  template <class T>
+  void call(StoreCallback<T> done, std::function<Result<T, StoreError>()> act) {
+    ++calls;
+    if (turned_away || state_.down) {
+      node_.schedule_after(state_.answer_time,
+                           [done] { done(fail(StoreErrc::kNotDone, "turned away")); });
+      return;
+    }
+    if (cut || answers_lost || done_late != Duration::zero()) {
+      if (!cut) {
+        time_.schedule_after(std::max(done_late, state_.answer_time / 2), [act] { (void)act(); });
+      }
+      node_.schedule_after(kTimeout, [done] { done(fail(StoreErrc::kUnknownEffect, "silent")); });
+      return;
+    }
+    time_.schedule_after(state_.answer_time / 2, [this, done, act] {
+      auto result = act();
+      node_.schedule_after(state_.answer_time / 2,
+                           [done, result = std::move(result)] { done(result); });
+    });
+  }
+
+  simulation::VirtualTime& time_;
+  StoreState& state_;
+  TimerService& node_;
+};
+
+}  // namespace ochrespring::shared_store::testing
--- a/src/statechart/chart_library.cc
+++ b/src/statechart/chart_library.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "statechart/charts/drain.h"
+#include "statechart/charts/duty_lease.h"
 #include "statechart/charts/engine_life.h"
 #include "statechart/charts/lease_holder.h"
 #include "statechart/charts/request_attempt.h"
@@ -36,9 +37,9 @@
 }  // namespace
 
 std::span<const Vocabulary* const> vocabularies() {
-  static const std::array<const Vocabulary*, 4> all{&lease_holder_vocabulary(), &drain_vocabulary(),
-                                                    &engine_life_vocabulary(),
-                                                    &request_attempt_vocabulary()};
+  static const std::array<const Vocabulary*, 5> all{
+      &lease_holder_vocabulary(), &drain_vocabulary(), &engine_life_vocabulary(),
+      &request_attempt_vocabulary(), &duty_lease_vocabulary()};
   return all;
 }
 
@@ -64,9 +65,10 @@
   auto drain = load_chart(drain_vocabulary(), directory);
   auto engine_life = load_chart(engine_life_vocabulary(), directory);
   auto request_attempt = load_chart(request_attempt_vocabulary(), directory);
+  auto duty_lease = load_chart(duty_lease_vocabulary(), directory);
 
   std::optional<StatechartError> error;
-  for (const auto* chart : {&lease_holder, &drain, &engine_life, &request_attempt}) {
+  for (const auto* chart : {&lease_holder, &drain, &engine_life, &request_attempt, &duty_lease}) {
     if (!chart->has_error()) {
       continue;
     }
@@ -80,7 +82,8 @@
     return outcome::failure(*error);
   }
   return ChartLibrary{std::move(lease_holder).value(), std::move(drain).value(),
-                      std::move(engine_life).value(), std::move(request_attempt).value()};
+                      std::move(engine_life).value(), std::move(request_attempt).value(),
+                      std::move(duty_lease).value()};
 }
 
 const ChartLibrary& ChartLibrary::built_in() {
--- a/src/statechart/chart_library.h
+++ b/src/statechart/chart_library.h
@@ -26,6 +26,7 @@
   Chart drain;
   Chart engine_life;
   Chart request_attempt;
+  Chart duty_lease;
 
   /// Charts from `directory`, or the built-in ones. Every fault of every chart is reported.
   static Result<ChartLibrary, StatechartError> load(
