Servers by order: preemptible ones take the place of the others, with spares for a zone

Change: src/fleet_control. The operators' own sizing, the most regular servers seen, is what a service needs; it is kept in the store. Where preemptible servers with spares for the loss of any one zone cost less, each zone gets as many, and regular ones are given up as these come to take requests. What lacks for longer than crashed servers take to come back is made up for by regular ones. Orders that had no effect, or that an older one undid, are given again.

--- a/src/discovery/fleet_codec.h
+++ b/src/discovery/fleet_codec.h
@@ -21,6 +21,7 @@
   std::string configuration_key;
   std::string backend_prefix;
   std::string node_prefix;
+  std::string duty_prefix{};  ///< Who holds the duties, and what they have done.
 };
 
 /// Pure.
--- /dev/null
+++ b/src/fleet_control/server_controller.cc
@@ -0,0 +1,211 @@
+#include "fleet_control/server_controller.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace ochrespring::fleet_control {
+
+namespace {
+
+using duties::DutyErrc;
+using duties::Fence;
+
+constexpr std::string_view kComponent = "fleet_control";
+
+std::uint32_t regular_in_all(const ServersByZone& servers) {
+  std::uint32_t sum = 0;
+  for (const auto& [zone, present] : servers) {
+    sum += present.regular;
+  }
+  return sum;
+}
+
+std::uint32_t both_in_all(const ServersByZone& servers) {
+  std::uint32_t sum = 0;
+  for (const auto& [zone, present] : servers) {
+    sum += present.regular + present.preemptible;
+  }
+  return sum;
+}
+
+}  // namespace
+
+ServerController::ServerController(World world, ServerControllerOptions options)
+    : world_(world), options_(std::move(options)), timer_(world.timers) {}
+
+void ServerController::start() {
+  timer_.arm(options_.period, [this] {
+    step();
+    start();
+  });
+}
+
+void ServerController::step() {
+  const auto fence = world_.lease.fence();
+  if (!fence || calling_ || !world_.fleet.routes()) {
+    return;
+  }
+  if (std::exchange(forget_, false)) {
+    orders_.clear();
+    short_since_.clear();
+    read_needs(*fence);
+    return;
+  }
+  for (const gateway::Service& service : world_.fleet.routes()->configuration().services) {
+    if (service.market) {
+      steer(*fence, service);
+    }
+  }
+}
+
+void ServerController::read_needs(Fence fence) {
+  calling_ = true;
+  world_.store.list(options_.key_prefix, [this, fence](auto result) {
+    calling_ = false;
+    if (!result || world_.lease.fence() != fence) {
+      forget_ = true;
+      return;
+    }
+    for (const shared_store::Change& item : result.value().items) {
+      const std::string& text = *item.value;
+      std::uint32_t needed = 0;
+      const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), needed);
+      if (error == std::errc()) {
+        needed_[ServiceName(item.key.substr(options_.key_prefix.size()))] = needed;
+      }
+    }
+  });
+}
+
+bool ServerController::know_need(Fence fence, const ServiceName& service,
+                                 const ServersByZone& present) {
+  const std::uint32_t seen = regular_in_all(present);
+  const auto known = needed_.find(service);
+  if (known != needed_.end() && known->second >= seen) {
+    return true;
+  }
+  calling_ = true;
+  world_.store.commit(
+      {.conditions = {{world_.lease.holder_key(), shared_store::StoreRevision(fence.value())}},
+       .writes = {{options_.key_prefix + service.value(), std::to_string(seen), std::nullopt}},
+       .removals = {}},
+      [this, service, seen](auto result) {
+        calling_ = false;
+        if (result) {
+          needed_[service] = seen;
+          need_rose_at_[service] = world_.clock.now();
+        }
+      });
+  return false;
+}
+
+ServersByZone ServerController::count_servers(const gateway::Service& service) const {
+  ServersByZone servers;
+  // A zone that has lost all its servers still is one.
+  for (const auto& [zone, price] : service.market->zone_prices) {
+    servers[zone] = {};
+  }
+  for (const auto& [id, backend] : world_.fleet.backends()) {
+    if (backend.service == service.name && !backend.draining) {
+      ZoneServers& zone = servers[backend.zone];
+      ++(backend.preemptible ? zone.preemptible : zone.regular);
+    }
+  }
+  return servers;
+}
+
+void ServerController::steer(Fence fence, const gateway::Service& service) {
+  const ServersByZone present = count_servers(service);
+  if (calling_ || both_in_all(present) == 0 || !know_need(fence, service.name, present) ||
+      !preemptible_pays(*service.market, present.size(), options_.plan)) {
+    return;
+  }
+  const std::uint32_t needed = needed_.at(service.name);
+  const std::uint32_t lacking = needed - std::min(needed, both_in_all(present));
+  for (const auto& [zone, wanted] : plan_servers(*service.market, needed, present, options_.plan)) {
+    const ZoneServers& there = present.at(zone);
+    order(fence, {service.name, zone, true}, wanted.preemptible, there.preemptible,
+          service.market->boot);
+    order(fence, {service.name, zone, false},
+          regular_now(service.name, wanted.regular, there.regular, lacking), there.regular,
+          service.market->boot);
+  }
+}
+
+std::uint32_t ServerController::regular_now(const ServiceName& service, std::uint32_t wanted,
+                                            std::uint32_t present, std::uint32_t lacking) {
+  const MonotonicTime now = world_.clock.now();
+  const auto tolerated = static_cast<std::uint32_t>(options_.tolerated_part * needed_.at(service));
+  if (wanted <= present) {
+    short_since_.erase(service);
+    return now - need_rose_at_[service] < options_.settled ? present : wanted;
+  }
+  if (lacking <= tolerated) {
+    short_since_.erase(service);
+    return present;
+  }
+  const MonotonicTime since = short_since_.try_emplace(service, now).first->second;
+  return now - since < options_.grow_patience ? present : wanted;
+}
+
+void ServerController::order(Fence fence, const ServerPool& pool, std::uint32_t desired,
+                             std::uint32_t present, Duration boot) {
+  const MonotonicTime now = world_.clock.now();
+  const auto known = orders_.find(pool);
+  if (known == orders_.end() && desired == present) {
+    return;
+  }
+  Order& last = orders_[pool];
+  const bool first = known == orders_.end();
+  const bool changed = first || last.desired != desired;
+  const bool overdue = !first && present != desired && now - last.at > boot + options_.patience;
+  const bool again = last.failed && now - last.at > options_.patience;
+  if (last.calling || !(changed || overdue || again)) {
+    return;
+  }
+  last = {.desired = desired, .at = now, .calling = true, .failed = false};
+  ++statistics_.orders;
+  log("servers ordered", pool, desired, present, overdue ? "again" : "");
+  world_.provider.order_servers(fence, pool, desired,
+                                [this, pool](const auto& result) { order_ended(pool, result); });
+}
+
+void ServerController::order_ended(const ServerPool& pool, const duties::DutyResult& result) {
+  Order& last = orders_[pool];
+  last.calling = false;
+  if (result) {
+    return;
+  }
+  last.failed = true;
+  const bool refused = result.error().code == DutyErrc::kRefused;
+  ++(refused ? statistics_.refused : statistics_.failed);
+  log("order of servers failed", pool, last.desired, 0, result.error().message);
+  // Of servers that may be taken away there may be none; regular ones are refused for the fence
+  // alone.
+  if (refused && !pool.preemptible) {
+    world_.lease.give_up();
+  }
+}
+
+void ServerController::log(std::string_view message, const ServerPool& pool, std::uint32_t desired,
+                           std::uint32_t present, std::string_view detail) {
+  const auto age = world_.clock.now() - world_.fleet.current_at().value_or(world_.clock.now());
+  const auto needed = needed_.find(pool.service);
+  world_.logger.write(
+      {logging::Level::kInfo,
+       kComponent,
+       std::string(message),
+       {{"service", pool.service.value()},
+        {"zone", pool.zone.value()},
+        {"preemptible", pool.preemptible},
+        {"desired", static_cast<std::uint64_t>(desired)},
+        {"present", static_cast<std::uint64_t>(present)},
+        {"needed", static_cast<std::uint64_t>(needed == needed_.end() ? 0 : needed->second)},
+        {"view_age_milliseconds",
+         std::chrono::duration_cast<std::chrono::milliseconds>(age).count()},
+        {"fence", world_.lease.fence().value_or(Fence()).value()},
+        {"detail", std::string(detail)}}});
+}
+
+}  // namespace ochrespring::fleet_control
--- /dev/null
+++ b/src/fleet_control/server_controller.h
@@ -0,0 +1,105 @@
+// Orders servers while this node holds the duties.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "base/time.h"
+#include "base/timer.h"
+#include "duties/duty_lease.h"
+#include "fleet_control/server_plan.h"
+#include "fleet_control/server_provider.h"
+#include "gateway/fleet_state.h"
+#include "logging/logger.h"
+#include "shared_store/store.h"
+
+namespace ochrespring::fleet_control {
+
+struct ServerControllerOptions {
+  std::string key_prefix;  ///< Of the store; a service's name follows.
+  ServerPlanOptions plan{};
+  Duration period{std::chrono::milliseconds(500)};  ///< Between two looks at the fleet.
+  /// A pool that still differs this long after its order and its servers' boot is ordered again:
+  /// the order, or an older one carried out late, may have gone wrong.
+  Duration patience{std::chrono::seconds(3)};
+  /// Regular servers are ordered only for what lacks this long: crashed servers come back.
+  Duration grow_patience{std::chrono::seconds(2)};
+  /// Part of the servers needed that may lack meanwhile.
+  double tolerated_part = 0.2;
+  /// Regular servers are given up once the service's need has not risen for this long: when all
+  /// start at once, servers register over some seconds.
+  Duration settled{std::chrono::seconds(3)};
+};
+
+struct ServerControllerStatistics {
+  std::uint64_t orders = 0;
+  std::uint64_t failed = 0;   ///< Without effect, or with an unknown one.
+  std::uint64_t refused = 0;  ///< None to be had.
+};
+
+/// Of each service whose servers can be ordered, the most servers that were ever seen to be regular
+/// is what it needs: the operators' own sizing, kept in the store for whoever holds the duties
+/// next. One loop.
+class ServerController {
+ public:
+  /// References outlive the controller.
+  struct World {
+    const Clock& clock;
+    TimerService& timers;
+    shared_store::SharedStore& store;
+    logging::Logger& logger;
+    const gateway::FleetState& fleet;
+    duties::DutyLease& lease;
+    ServerProvider& provider;
+  };
+
+  ServerController(World world, ServerControllerOptions options);
+
+  void start();
+  /// This node has begun to hold the duties: nothing of an earlier time counts.
+  void on_gained() { forget_ = true; }
+  const ServerControllerStatistics& statistics() const { return statistics_; }
+  /// Servers that each service needs, as far as known.
+  const std::map<ServiceName, std::uint32_t>& needed() const { return needed_; }
+
+ private:
+  /// What was last ordered of a pool.
+  struct Order {
+    std::uint32_t desired = 0;
+    MonotonicTime at{};
+    bool calling = false;
+    bool failed = false;
+  };
+
+  void step();
+  void read_needs(duties::Fence fence);
+  /// Returns whether what the service needs is known and written down.
+  bool know_need(duties::Fence fence, const ServiceName& service, const ServersByZone& present);
+  ServersByZone count_servers(const gateway::Service& service) const;
+  void steer(duties::Fence fence, const gateway::Service& service);
+  /// How many regular servers a zone is to have now: not more for what lacks for a short time only,
+  /// not fewer before the need is sure.
+  std::uint32_t regular_now(const ServiceName& service, std::uint32_t wanted, std::uint32_t present,
+                            std::uint32_t lacking);
+  void order(duties::Fence fence, const ServerPool& pool, std::uint32_t desired,
+             std::uint32_t present, Duration boot);
+  void order_ended(const ServerPool& pool, const duties::DutyResult& result);
+  void log(std::string_view message, const ServerPool& pool, std::uint32_t desired,
+           std::uint32_t present, std::string_view detail);
+
+  World world_;
+  ServerControllerOptions options_;
+  Timer timer_;
+  bool forget_ = true;
+  bool calling_ = false;  ///< The store, for what is needed.
+  std::map<ServiceName, std::uint32_t> needed_;
+  std::map<ServiceName, MonotonicTime> need_rose_at_;
+  std::map<ServiceName, MonotonicTime> short_since_;
+  std::map<ServerPool, Order> orders_;
+  ServerControllerStatistics statistics_;
+};
+
+}  // namespace ochrespring::fleet_control
--- /dev/null
+++ b/src/fleet_control/tests/server_controller_test.cc
@@ -0,0 +1,218 @@
+// Servers are ordered by one node, and follow what has become of earlier orders.
+#include "fleet_control/server_controller.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+#include <string>
+
+#include "shared_store/tests/memory_store.h"
+
+using namespace ochrespring;
+using namespace ochrespring::fleet_control;
+using namespace std::chrono_literals;
+using duties::DutyErrc;
+using shared_store::testing::MemoryStore;
+using shared_store::testing::StoreState;
+
+namespace {
+
+const ServiceName kService("llm");
+const ZoneName kZones[] = {ZoneName("a"), ZoneName("b"), ZoneName("c")};
+
+/// Gives what is ordered after a boot, and takes away at once.
+class PlayedProvider final : public ServerProvider {
+ public:
+  PlayedProvider(simulation::VirtualTime& time, gateway::FleetState& fleet)
+      : time_(time), fleet_(fleet) {}
+
+  void order_servers(duties::Fence /*fence*/, const ServerPool& pool, std::uint32_t desired,
+                     duties::DutyCallback done) override {
+    ++orders;
+    if (pool.preemptible && dry) {
+      answer(done, duties::DutyResult(fail(DutyErrc::kRefused, "none")));
+    } else if (silent) {
+      answer(done, duties::DutyResult(fail(DutyErrc::kUnknownEffect, "silent")));
+    } else {
+      set(pool, desired);
+      answer(done, duties::DutyResult(outcome::success()));
+    }
+  }
+  void set(const ServerPool& pool, std::uint32_t count) {
+    std::uint32_t there = ordered[pool];
+    ordered[pool] = count;
+    for (; there > count; --there) {
+      fleet_.remove(id_of(pool, there));
+    }
+    for (; there < count; ++there) {
+      time_.schedule_after(4s, [this, pool, number = there + 1] {
+        if (ordered[pool] >= number) {
+          fleet_.put(make(pool, number));
+        }
+      });
+    }
+  }
+  /// Servers that are there from the start.
+  void put(const ServerPool& pool, std::uint32_t count) {
+    ordered[pool] = count;
+    for (std::uint32_t number = 1; number <= count; ++number) {
+      fleet_.put(make(pool, number));
+    }
+  }
+  std::uint32_t count(bool preemptible) const {
+    std::uint32_t servers = 0;
+    for (const auto& [id, backend] : fleet_.backends()) {
+      servers += backend.preemptible == preemptible ? 1 : 0;
+    }
+    return servers;
+  }
+
+  std::map<ServerPool, std::uint32_t> ordered;
+  bool dry = false;
+  bool silent = false;
+  std::uint64_t orders = 0;
+
+ private:
+  static gateway::BackendId id_of(const ServerPool& pool, std::uint32_t number) {
+    return gateway::BackendId(pool.zone.value() + (pool.preemptible ? "p" : "r") +
+                              std::to_string(number));
+  }
+  static gateway::Backend make(const ServerPool& pool, std::uint32_t number) {
+    gateway::Backend backend;
+    backend.id = id_of(pool, number);
+    backend.service = pool.service;
+    backend.zone = pool.zone;
+    backend.preemptible = pool.preemptible;
+    return backend;
+  }
+  void answer(const duties::DutyCallback& done, duties::DutyResult result) {
+    time_.schedule_after(5ms, [done, result] { done(result); });
+  }
+
+  simulation::VirtualTime& time_;
+  gateway::FleetState& fleet_;
+};
+
+struct ControllerFixture {
+  ControllerFixture() {
+    gateway::Configuration configuration;
+    configuration.version = gateway::ConfigurationVersion(1);
+    gateway::ServerMarket market;
+    market.least = 1;
+    market.most = 20;
+    market.boot = 4s;
+    market.preemptible_price = 0.2;
+    for (const ZoneName& zone : kZones) {
+      market.zone_prices[zone] = 1.0;
+    }
+    configuration.services = {{.name = kService, .market = market}};
+    fleet.apply(std::move(configuration));
+    lease.on_gained([this] { controller.on_gained(); });
+    lease.start();
+    controller.start();
+  }
+
+  void advance(Duration span) { time.run_until(time.now() + span); }
+  static ServerPool pool(std::size_t zone, bool preemptible) {
+    return {kService, kZones[zone], preemptible};
+  }
+  void put_regular(std::uint32_t each) {
+    for (std::size_t zone = 0; zone != 3; ++zone) {
+      provider.put(pool(zone, false), each);
+    }
+  }
+
+  simulation::VirtualTime time;
+  StoreState state{time};
+  MemoryStore store{time, state, time};
+  SeededRandom random{3};
+  logging::NullLogger logger;
+  gateway::FleetState fleet;
+  PlayedProvider provider{time, fleet};
+  duties::DutyLease lease{{time, time, random, store, logger},
+                          {.holder_key = "holder", .history_key = "history", .node = NodeId("n")},
+                          {.to_claim = [] { return true; }, .to_hold = [] { return true; }}};
+  ServerController controller{{time, time, store, logger, fleet, lease, provider},
+                              {.key_prefix = "servers/"}};
+};
+
+}  // namespace
+
+TEST_CASE("cheap servers take the place of the others, with spares for a zone") {
+  ControllerFixture world;
+  world.put_regular(8);
+  world.advance(30s);
+  CHECK(world.provider.count(false) == 0);
+  CHECK(world.provider.count(true) == 36);
+  CHECK(world.state.items.at("servers/llm").value == "24");
+  const std::uint64_t orders = world.provider.orders;
+  world.advance(60s);
+  CHECK(world.provider.orders == orders);
+}
+
+TEST_CASE("servers that register one after the other are all counted before any is given up") {
+  ControllerFixture world;
+  for (std::uint32_t each = 1; each <= 8; ++each) {
+    world.put_regular(each);
+    world.advance(700ms);
+    CHECK(world.provider.count(false) == 3 * each);
+  }
+  world.advance(30s);
+  CHECK(world.state.items.at("servers/llm").value == "24");
+  CHECK(world.provider.count(true) == 36);
+}
+
+TEST_CASE("a zone that lost its cheap servers gets them back, and no dear ones meanwhile") {
+  ControllerFixture world;
+  world.put_regular(8);
+  world.advance(30s);
+  world.provider.put(ControllerFixture::pool(2, true), 0);
+  for (std::uint32_t number = 1; number <= 12; ++number) {
+    world.fleet.remove(gateway::BackendId("cp" + std::to_string(number)));
+  }
+  world.provider.dry = true;
+  world.advance(9s);
+  CHECK(world.provider.count(false) == 0);
+  world.provider.dry = false;
+  world.advance(12s);
+  CHECK(world.provider.count(true) == 36);
+  CHECK(world.lease.fence());
+}
+
+TEST_CASE("where no cheap servers are to be had for long, dear ones fill the gap") {
+  ControllerFixture world;
+  world.put_regular(8);
+  world.advance(30s);
+  world.provider.dry = true;
+  for (std::size_t zone = 1; zone != 3; ++zone) {
+    world.provider.put(ControllerFixture::pool(zone, true), 0);
+    for (std::uint32_t number = 1; number <= 12; ++number) {
+      world.fleet.remove(gateway::BackendId(kZones[zone].value() + "p" + std::to_string(number)));
+    }
+  }
+  world.advance(1s);
+  CHECK(world.provider.count(false) == 0);
+  world.advance(10s);
+  CHECK(world.provider.count(false) == 12);
+}
+
+TEST_CASE("an order that had no effect is given again") {
+  ControllerFixture world;
+  world.put_regular(8);
+  world.provider.silent = true;
+  world.advance(10s);
+  CHECK(world.provider.count(true) == 0);
+  CHECK(world.provider.orders < 30);
+  world.provider.silent = false;
+  world.advance(30s);
+  CHECK(world.provider.count(true) == 36);
+}
+
+TEST_CASE("nothing is ordered without the lease") {
+  ControllerFixture world;
+  world.put_regular(8);
+  world.state.down = true;
+  world.advance(30s);
+  CHECK(world.provider.orders == 0);
+}
--- /dev/null
+++ b/src/fleet_control/tests/server_plan_test.cc
@@ -0,0 +1,81 @@
+// How many servers of each kind.
+#include "fleet_control/server_plan.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace ochrespring;
+using namespace ochrespring::fleet_control;
+
+namespace {
+
+const ZoneName kA("a");
+const ZoneName kB("b");
+const ZoneName kC("c");
+
+gateway::ServerMarket make_market(double price) {
+  gateway::ServerMarket market;
+  market.least = 1;
+  market.most = 94;
+  market.preemptible_price = price;
+  return market;
+}
+
+}  // namespace
+
+TEST_CASE("preemptible servers pay if they do with spares for a zone") {
+  CHECK(preemptible_pays(make_market(0.18), 3, {}));
+  CHECK_FALSE(preemptible_pays(make_market(0.7), 3, {}));
+  CHECK_FALSE(preemptible_pays(make_market(0.18), 1, {}));
+  CHECK_FALSE(preemptible_pays(gateway::ServerMarket{.least = 1, .most = 94}, 3, {}));
+  CHECK_FALSE(preemptible_pays(make_market(0.5), 3, {.head_room = 1.5}));
+}
+
+TEST_CASE("regular servers stay until preemptible ones take requests, and make room then") {
+  const ServersByZone before{{kA, {47, 0}}, {kB, {47, 0}}, {kC, {46, 0}}};
+  const ServersByZone ordered = plan_servers(make_market(0.18), 140, before, {});
+  CHECK(ordered.at(kA) == ZoneServers{47, 47});
+  CHECK(ordered.at(kC) == ZoneServers{47, 47});
+  const ServersByZone both{{kA, {47, 47}}, {kB, {47, 47}}, {kC, {46, 47}}};
+  CHECK(plan_servers(make_market(0.18), 140, both, {}).at(kA) == ZoneServers{0, 47});
+  const ServersByZone given_up{{kA, {0, 47}}, {kB, {0, 47}}, {kC, {0, 47}}};
+  CHECK(plan_servers(make_market(0.18), 140, given_up, {}).at(kA) == ZoneServers{0, 70});
+}
+
+TEST_CASE("the loss of a zone's preemptible servers is borne by the spares of the others") {
+  const ServersByZone lost{{kA, {0, 70}}, {kB, {0, 70}}, {kC, {0, 0}}};
+  const ServersByZone plan = plan_servers(make_market(0.18), 140, lost, {});
+  CHECK(plan.at(kC) == ZoneServers{0, 70});
+  CHECK(plan.at(kA) == ZoneServers{0, 70});
+}
+
+TEST_CASE("what both kinds lack is made up for by regular servers") {
+  const ServersByZone lost{{kA, {0, 70}}, {kB, {0, 0}}, {kC, {0, 0}}};
+  CHECK(plan_servers(make_market(0.18), 140, lost, {}).at(kB).regular == 24);
+}
+
+TEST_CASE("a service whose preemptible servers do not pay is left as it is") {
+  const ServersByZone there{{kA, {5, 0}}, {kB, {7, 0}}};
+  CHECK(plan_servers(make_market(0.9), 12, there, {}) == there);
+}
+
+TEST_CASE("no plan breaks the bounds of a zone") {
+  rc::check("both kinds together stay between the least and the most", [] {
+    gateway::ServerMarket market = make_market(*rc::gen::inRange(1, 30) / 100.0);
+    market.most = *rc::gen::inRange(1U, 100U);
+    market.least = *rc::gen::inRange(0U, market.most + 1);
+    ServersByZone present;
+    const int zones = *rc::gen::inRange(2, 6);
+    std::uint32_t needed = 0;
+    for (int i = 0; i != zones; ++i) {
+      const auto regular = *rc::gen::inRange(0U, market.most + 1);
+      present[ZoneName(std::to_string(i))] = {regular, *rc::gen::inRange(0U, market.most + 1)};
+      needed += regular;
+    }
+    for (const auto& [zone, wanted] :
+         plan_servers(market, needed, present, {.regular_part = 0.1})) {
+      RC_ASSERT(wanted.regular + wanted.preemptible <= market.most);
+      RC_ASSERT(wanted.regular + wanted.preemptible >= market.least);
+    }
+  });
+}
--- a/src/gateway_node/adapter.h
+++ b/src/gateway_node/adapter.h
@@ -5,10 +5,12 @@
 
 #include "discovery/fleet_codec.h"
 #include "discovery/node_directory.h"
+#include "fleet_control/server_provider.h"
 #include "gateway/engine_calls.h"
 #include "gateway/header_names.h"
 #include "http/server.h"
 #include "shared_store/store.h"
+#include "usage/usage_sink.h"
 
 namespace ochrespring::gateway_node {
 
@@ -18,6 +20,9 @@
   const gateway::EngineCalls& engines;
   const discovery::FleetCodec& codec;
   shared_store::SharedStore& store;
+  /// Null: nobody takes reports of usage, or orders of servers.
+  usage::UsageSink* usage_sink = nullptr;
+  fleet_control::ServerProvider* server_provider = nullptr;
   /// Adds the page that tells whether the node is ready.
   std::function<void(http::Server&, std::function<bool()> ready)> add_ready_page;
   /// Adds the page that tells callers which nodes to use.
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -61,13 +61,26 @@
            .relay_gather = settings_.relay_gather},
           [this](const Endpoint& to, std::string_view bytes) { peer_socket_->send(to, bytes); },
           [this](const Endpoint& view_address) { views_.note_source(view_address); }),
+      duties_(
+          {clock, loop, random, adapter_.store, logger, fleet_, adapter_.usage_sink,
+           adapter_.server_provider},
+          {.key_prefix = adapter_.codec.layout().duty_prefix,
+           .node = settings_.node,
+           .lease = settings_.node_lease,
+           .usage_windows = {settings_.usage_window},
+           .usage_due = settings_.usage_due,
+           .server_plan = settings_.server_plan},
+          {.fitness = {.to_claim = [this] { return peer_news_.channel().first_of_relays(); },
+                       .to_hold = [this] { return peer_news_.channel().told_usage(); }},
+           .tell = [this](const usage::UsageReport& report) { peer_news_.tell_usage(report); }}),
       survey_(clock, adapter_.engines, fleet_, loads_,
               [this](http::ClientRequest request, std::function<void(std::string)> done) {
                 fetch_body(std::move(request), std::move(done));
               }),
       gateway_(
           {clock, loop, transport_, fleet_, loads_, placement_, budget_, shares_, adapter_.names,
-           adapter_.engines, statistics_, logger, [this] { return nodes_.cautious_count(); }},
+           adapter_.engines, statistics_, logger, [this] { return nodes_.cautious_count(); },
+           [this](const TenantName& tenant, Duration ago) { duties_.note_run(tenant, ago); }},
           [this](auto done) { watcher_.refresh(std::move(done)); }),
       callers_(loop, server_at(settings_.listen)),
       ready_(loop, server_at(settings_.ready_listen)),
@@ -110,8 +123,10 @@
     learn_cached_parts();
   });
   gateway_.on_idle([this] { stop_.on_idle(); });
+  peer_news_.on_usage([this](const usage::UsageReport& report) { duties_.take_usage(report); });
   watcher_.start();
   registration_.start();
+  duties_.start();
   logger_.write({logging::Level::kInfo,
                  kComponent,
                  "started",
@@ -152,12 +167,14 @@
                  kComponent,
                  "stop requested",
                  {{"running", static_cast<std::uint64_t>(gateway_.running())}}});
+  duties_.leave();
   nodes_.leave();
   registration_.leave();
   callers_.announce_close();
 }
 
 void GatewayNode::finish() {
+  duties_.finish();
   logger_.write({logging::Level::kInfo,
                  kComponent,
                  "stopped",
@@ -201,6 +218,7 @@
   counter("streams_broken", "Streams cut after their head", counts.broken);
   counter("callers_gone", "Requests whose caller went away", counts.caller_gone);
   counter("requests_without_route", "Requests without a route", counts.no_route);
+  counter("requests_with_unknown_key", "Requests without a key that is known", counts.unknown_key);
   counter("attempts", "Attempts at back ends", counts.attempts);
   counter("repeats", "Attempts from the retry budget", counts.repeats);
   counter("repeats_denied", "Attempts that the retry budget did not allow", counts.budget_denied);
@@ -220,6 +238,7 @@
   counter("backend_connections", "Connections opened", client_.statistics().connections_opened);
   counter("view_listings", "Listings of the whole store", watcher_.statistics().listings);
   peer_news_.add_metrics(sink);
+  duties_.add_metrics(sink);
   sink.gauge({"requests_running", "Requests running"}, static_cast<double>(gateway_.running()));
   sink.gauge({"backends", "Back ends known"}, static_cast<double>(fleet_.backends().size()));
   sink.gauge({"nodes", "Nodes known"}, static_cast<double>(nodes_.count()));
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -11,6 +11,7 @@
 #include "gateway/cache_survey.h"
 #include "gateway/gateway.h"
 #include "gateway_node/adapter.h"
+#include "gateway_node/node_duties.h"
 #include "gateway_node/peer_news.h"
 #include "gateway_node/settings.h"
 #include "gateway_node/stop_sequence.h"
@@ -68,6 +69,7 @@
   ViewExchange views_;
   PeerNews peer_news_;
   std::unique_ptr<peer_load::DatagramSocket> peer_socket_;
+  NodeDuties duties_;
   gateway::CacheSurvey survey_;
   bool asked_peers_ = false;
   gateway::Gateway gateway_;
--- /dev/null
+++ b/src/gateway_node/node_duties.cc
@@ -0,0 +1,128 @@
+#include "gateway_node/node_duties.h"
+
+#include <utility>
+
+namespace ochrespring::gateway_node {
+
+namespace {
+
+/// All nodes may start at once, and register within this time: what the store said before does not
+/// tell who else there is.
+constexpr Duration kLearnsFleet = std::chrono::milliseconds(1000);
+/// A view of the fleet older than this tells nothing of who else there is.
+constexpr Duration kOldestView = std::chrono::seconds(5);
+
+}  // namespace
+
+NodeDuties::NodeDuties(World world, NodeDutiesOptions options, const Peers& peers)
+    : world_(world),
+      started_(world.clock.now()),
+      wall_(world.clock, world.timers),
+      lease_({world.clock, world.timers, world.random, world.store, world.logger},
+             {.holder_key = options.key_prefix + "holder",
+              .history_key = options.key_prefix + "history",
+              .node = options.node,
+              .life = world.random.next(),
+              .time_to_live = options.lease},
+             {.to_claim = [this, first = peers.fitness.to_claim] { return may_claim(first); },
+              .to_hold = peers.fitness.to_hold}) {
+  if (world.usage_sink != nullptr) {
+    meter_.emplace(wall_, world.timers,
+                   usage::UsageMeterOptions{.node = options.node,
+                                            .life = world.random.next(),
+                                            .windows = options.usage_windows,
+                                            .retention = options.usage_due},
+                   [this, tell = peers.tell](const usage::UsageReport& report) {
+                     tally_.take(report);
+                     tell(report);
+                   });
+    reporter_.emplace(usage::UsageReporter::World{world.timers, world.store, world.logger, wall_,
+                                                  lease_, tally_, *world.usage_sink},
+                      usage::UsageReporterOptions{.key_prefix = options.key_prefix + "usage/",
+                                                  .windows = options.usage_windows,
+                                                  .due = options.usage_due});
+  }
+  if (world.server_provider != nullptr) {
+    servers_.emplace(
+        fleet_control::ServerController::World{world.clock, world.timers, world.store, world.logger,
+                                               world.fleet, lease_, *world.server_provider},
+        fleet_control::ServerControllerOptions{.key_prefix = options.key_prefix + "servers/",
+                                               .plan = options.server_plan});
+  }
+  lease_.on_gained([this] {
+    if (reporter_) {
+      reporter_->on_gained();
+    }
+    if (servers_) {
+      servers_->on_gained();
+    }
+  });
+}
+
+void NodeDuties::start() {
+  if (!reporter_ && !servers_) {
+    return;
+  }
+  lease_.start();
+  if (reporter_) {
+    meter_->start();
+    reporter_->start();
+  }
+  if (servers_) {
+    servers_->start();
+  }
+}
+
+bool NodeDuties::may_claim(const std::function<bool()>& first_choice) const {
+  const MonotonicTime now = world_.clock.now();
+  const auto current_at = world_.fleet.current_at();
+  const bool knows_fleet =
+      current_at && *current_at - started_ >= kLearnsFleet && now - *current_at < kOldestView;
+  return knows_fleet && first_choice();
+}
+
+void NodeDuties::note_run(const TenantName& tenant, Duration ago) {
+  if (meter_) {
+    meter_->note_run(tenant, ago);
+  }
+}
+
+void NodeDuties::tell_usage() {
+  if (meter_) {
+    meter_->flush();
+  }
+}
+
+void NodeDuties::leave() {
+  tell_usage();
+  lease_.stop();
+}
+
+void NodeDuties::add_metrics(metrics::SampleSink& sink) const {
+  sink.gauge({"duties_held", "Whether this node may act for all"}, lease_.fence() ? 1 : 0);
+  sink.counter({"duties_gained", "Times this node began to hold the duties"},
+               static_cast<double>(lease_.times_gained()));
+  if (reporter_) {
+    const usage::UsageReporterStatistics& counts = reporter_->statistics();
+    sink.counter({"usage_windows_reported", "Windows of usage reported"},
+                 static_cast<double>(counts.reported));
+    sink.counter({"usage_windows_missed", "Windows of usage not reported in time"},
+                 static_cast<double>(counts.missed));
+    sink.counter({"usage_reports_refused", "Reports of usage refused for a higher fence"},
+                 static_cast<double>(counts.refused));
+  }
+  if (servers_) {
+    const fleet_control::ServerControllerStatistics& counts = servers_->statistics();
+    sink.counter({"server_orders", "Orders of servers"}, static_cast<double>(counts.orders));
+    sink.counter({"server_orders_failed", "Of these, without an answer or an effect"},
+                 static_cast<double>(counts.failed));
+    sink.counter({"server_orders_refused", "Of these, refused"},
+                 static_cast<double>(counts.refused));
+    for (const auto& [service, needed] : servers_->needed()) {
+      sink.gauge({"servers_needed", "Servers that a service needs"}, needed,
+                 {{"service", service.value()}});
+    }
+  }
+}
+
+}  // namespace ochrespring::gateway_node
--- a/src/gateway_node/peer_channel.cc
+++ b/src/gateway_node/peer_channel.cc
@@ -94,6 +94,23 @@
   send_to(relays_here() ? relays_.zone_members() : own_relays(), offer);
 }
 
+void PeerChannel::tell_usage(const usage::UsageReport& report) {
+  if (!relays_.in_use()) {
+    send_to_others(report);
+    return;
+  }
+  const PeerMessage message = report;
+  const std::string bytes = wire::encode(message);
+  for (const Nodes& ranked : relays_.relays()) {
+    send_encoded(ranked, message.index(), bytes);
+  }
+}
+
+bool PeerChannel::first_of_relays() const {
+  const auto& zones = relays_.relays();
+  return !zones.empty() && is_self(zones.front().front());
+}
+
 void PeerChannel::send(const Endpoint& to, const PeerMessage& message) {
   send_bytes({.node = {}, .address = {}, .zone = nodes_.self().zone, .peer_address = to},
              message.index(), wire::encode(message));
--- a/src/gateway_node/peer_channel.h
+++ b/src/gateway_node/peer_channel.h
@@ -33,6 +33,7 @@
   std::function<void(const discovery::ViewUpdate&, std::function<void()> covered)> update;
   std::function<void(const peer_load::PartsRequest&)> parts_request;
   std::function<void(const ViewOffer&)> offer;
+  std::function<void(const usage::UsageReport&)> usage;
 };
 
 struct PeerChannelOptions {
@@ -68,11 +69,18 @@
   /// This node has looked at the store.
   void tell_update(discovery::ViewUpdate update);
   void tell_offer(const ViewOffer& offer);
+  /// To all that may come to hold the duties: every node, or in a large fleet every relay.
+  void tell_usage(const usage::UsageReport& report);
   /// To one node, which need not be known to this one.
   void send(const Endpoint& to, const PeerMessage& message);
 
   /// Whether this node is a relay of its zone, as far as it knows.
   bool relays_here() const;
+  /// Whether this node is told all usage: see tell_usage().
+  bool told_usage() const { return !relays_.in_use() || relays_here(); }
+  /// Whether this node comes first among the relays of all zones: every node that knows the same
+  /// fleet names the same one.
+  bool first_of_relays() const;
   /// Nodes to ask first: of this node's zone, or all where the zone has no other.
   std::vector<discovery::NodeRecord> near_nodes() const;
   const PeerTraffic& traffic(std::size_t kind) const { return traffic_[kind]; }
@@ -84,6 +92,7 @@
   void take(const discovery::ViewUpdate& update) { handlers_.update(update, {}); }
   void take(const peer_load::PartsRequest& request) { handlers_.parts_request(request); }
   void take(const ViewOffer& offer) { handlers_.offer(offer); }
+  void take(const usage::UsageReport& report) { handlers_.usage(report); }
   void take(const peer_load::ReportToRelay& told);
   void take(const peer_load::RelayedReport& told) { handlers_.relayed_work(told.sums); }
   void take(const UpdateToRelay& told);
--- a/src/gateway_node/peer_news.cc
+++ b/src/gateway_node/peer_news.cc
@@ -75,7 +75,13 @@
             world_.watcher.take_update(update, std::move(covered));
           },
       .parts_request = [this](const peer_load::PartsRequest& request) { tell_parts(request); },
-      .offer = [this](const ViewOffer& offer) { on_offer_(offer.view_address); }};
+      .offer = [this](const ViewOffer& offer) { on_offer_(offer.view_address); },
+      .usage =
+          [this](const usage::UsageReport& report) {
+            if (usage_) {
+              usage_(report);
+            }
+          }};
 }
 
 void PeerNews::take_work(const peer_load::WorkReport& report) {
--- a/src/gateway_node/peer_news.h
+++ b/src/gateway_node/peer_news.h
@@ -52,6 +52,12 @@
   /// A back end has gone.
   void forget(const gateway::BackendId& backend) { peer_work_.forget(backend); }
   void add_metrics(metrics::SampleSink& sink) const;
+  void tell_usage(const usage::UsageReport& report) { channel_.tell_usage(report); }
+  /// `callback` takes other nodes' usage.
+  void on_usage(std::function<void(const usage::UsageReport&)> callback) {
+    usage_ = std::move(callback);
+  }
+  const PeerChannel& channel() const { return channel_; }
   bool relays_here() const { return channel_.relays_here(); }
 
  private:
@@ -71,6 +77,7 @@
   World world_;
   PeerNewsOptions options_;
   std::function<void(const Endpoint&)> on_offer_;
+  std::function<void(const usage::UsageReport&)> usage_;
   PeerChannel channel_;
   peer_load::PeerWork peer_work_;
   peer_load::WorkAnnouncer announcer_;
--- a/src/gateway_node/settings.cc
+++ b/src/gateway_node/settings.cc
@@ -28,6 +28,9 @@
 constexpr const char* kSeedsRule = "addresses IP:PORT joined by commas";
 constexpr const char* kMegabitRule = "megabits a second from 0 to 10000000";
 constexpr const char* kNodesRule = "a number from 2 to 1000000";
+constexpr const char* kDutiesRule = "names joined by commas: usage_report, autoscale";
+constexpr const char* kHeadRoomRule = "a number from 0 to 10";
+constexpr const char* kPartRule = "a number from 0 to 1";
 constexpr const char* kSecondsRule = "seconds from 0.1 to 3600";
 
 struct Specification {
@@ -102,6 +105,23 @@
   return true;
 }
 
+auto store_span(Duration Settings::*member) {
+  return [member](const std::string& text, Settings& settings) {
+    return store_seconds(text, settings.*member);
+  };
+}
+
+/// Duties that a node does not know are left to others.
+bool store_duties(const std::string& text, Settings& settings) {
+  std::istringstream names(text);
+  std::string name;
+  while (std::getline(names, name, ',')) {
+    settings.reports_usage = settings.reports_usage || name == "usage_report";
+    settings.orders_servers = settings.orders_servers || name == "autoscale";
+  }
+  return true;
+}
+
 std::vector<Specification> make_table() {
   return {
       {"node", "Name of this node", settings::kNameRule, "", true, store_name(&Settings::node)},
@@ -154,6 +174,27 @@
        kNodesRule, "48", false, store_whole(&Settings::relay_from_nodes, 2, 1e6)},
       {"relay-gather-ms", "Time for which a relay gathers what it is told", kMillisecondRule, "10",
        false, store_milliseconds(&Settings::relay_gather)},
+      {"cloud", "Address that takes usage reports and orders of servers; none if absent",
+       settings::kPeerEndpointRule, "", false,
+       [](const std::string& text, Settings& target) {
+         return settings::read_remote_endpoint(text, target.cloud);
+       }},
+      {"duties", "What one of the nodes does for all", kDutiesRule, "", false, store_duties},
+      {"usage-window-s", "Length of a window of usage", kSecondsRule, "5", false,
+       store_span(&Settings::usage_window)},
+      {"usage-due-s", "Time from a window's end to its report", kSecondsRule, "10", false,
+       store_span(&Settings::usage_due)},
+      {"preemptible-head-room",
+       "Preemptible servers ordered for each one needed, after the loss of a zone", kHeadRoomRule,
+       "1", false,
+       [](const std::string& text, Settings& target) {
+         return read_real(text, 0, 10, target.server_plan.head_room);
+       }},
+      {"regular-part", "Part of the servers needed that is never given up for preemptible ones",
+       kPartRule, "0", false,
+       [](const std::string& text, Settings& target) {
+         return read_real(text, 0, 1, target.server_plan.regular_part);
+       }},
       {"log-level", "Least level of log lines", settings::kLevelRule, "info", false,
        [](const std::string& text, Settings& target) {
          return settings::read_level(text, target.log_level);
--- a/src/gateway_node/settings.h
+++ b/src/gateway_node/settings.h
@@ -7,6 +7,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "fleet_control/server_plan.h"
 #include "gateway/retry_budget.h"
 #include "logging/logger.h"
 #include "settings/node_settings.h"
@@ -36,6 +37,12 @@
   std::uint32_t relay_from_nodes = 48;
   /// How long a relay gathers what it is told before it tells its zone.
   Duration relay_gather{std::chrono::milliseconds(10)};
+  Endpoint cloud;  ///< Takes the calls of duties; empty: there are none.
+  bool reports_usage = false;
+  bool orders_servers = false;
+  Duration usage_window{std::chrono::seconds(5)};  ///< Length of a window of usage.
+  Duration usage_due{std::chrono::seconds(10)};    ///< From a window's end to its report.
+  fleet_control::ServerPlanOptions server_plan;
   logging::Level log_level = logging::Level::kInfo;
   std::string file;  ///< The settings file, empty if none was given.
 };
