--- a/src/gateway_node/tests/peer_channel_test.cc
+++ b/src/gateway_node/tests/peer_channel_test.cc
@@ -44,7 +44,8 @@
                        }
                      },
                  .parts_request = [](const auto&) {},
-                 .offer = [this](const auto&) { ++offers; }},
+                 .offer = [this](const auto&) { ++offers; },
+                 .usage = [this](const auto&) { ++usage_reports; }},
                 std::move(send)) {}
 
   discovery::NodeRecord record;
@@ -53,6 +54,7 @@
   int to_relay = 0;
   int updates = 0;
   int offers = 0;
+  int usage_reports = 0;
   std::uint32_t ended = 0;
   std::uint32_t ended_to_relay = 0;
   bool covers = true;          ///< Whether updates can be joined.
@@ -196,3 +198,21 @@
     CHECK(node->offers >= 1);
   }
 }
+
+TEST_CASE("usage goes to all that may hold the duties, and one of them is the first choice of all") {
+  for (const std::uint32_t from_nodes : {2U, 100U}) {
+    ChannelFleet fleet(from_nodes);
+    for (const auto& node : fleet.nodes) {
+      node->channel.tell_usage({.node = node->record.node, .life = 1, .windows = {}});
+    }
+    fleet.deliver();
+    int first = 0;
+    for (const auto& node : fleet.nodes) {
+      // What a node tells itself does not go over the channel.
+      CHECK(node->usage_reports == (node->channel.told_usage() ? 9 : 0));
+      first += node->channel.first_of_relays() ? 1 : 0;
+      CHECK((!node->channel.first_of_relays() || node->channel.told_usage()));
+    }
+    CHECK(first == 1);
+  }
+}
