--- a/src/gateway_node/node_duties.cc
+++ b/src/gateway_node/node_duties.cc
@@ -14,7 +14,7 @@
 
 }  // namespace
 
-NodeDuties::NodeDuties(World world, NodeDutiesOptions options, const Peers& peers)
+NodeDuties::NodeDuties(World world, const NodeDutiesOptions& options, const Peers& peers)
     : world_(world),
       started_(world.clock.now()),
       wall_(world.clock, world.timers),
--- a/src/gateway_node/node_duties.h
+++ b/src/gateway_node/node_duties.h
@@ -48,7 +48,7 @@
     usage::UsageMeter::Send tell;        ///< Tells this node's usage to those that may report it.
   };
 
-  NodeDuties(World world, NodeDutiesOptions options, const Peers& peers);
+  NodeDuties(World world, const NodeDutiesOptions& options, const Peers& peers);
 
   void start();
   /// A request of this node has begun to run.
--- a/src/gateway_node/tests/peer_channel_test.cc
+++ b/src/gateway_node/tests/peer_channel_test.cc
@@ -199,7 +199,8 @@
   }
 }
 
-TEST_CASE("usage goes to all that may hold the duties, and one of them is the first choice of all") {
+TEST_CASE(
+    "usage goes to all that may hold the duties, and one of them is the first choice of all") {
   for (const std::uint32_t from_nodes : {2U, 100U}) {
     ChannelFleet fleet(from_nodes);
     for (const auto& node : fleet.nodes) {
--- a/src/usage/usage_reporter.cc
+++ b/src/usage/usage_reporter.cc
@@ -13,7 +13,6 @@
 
 using duties::DutyErrc;
 using duties::Fence;
-using shared_store::StoreErrc;
 
 constexpr std::string_view kComponent = "usage";
 /// Windows kept in the store after they were written: more than ever are due at once.
