usage: a node that takes the duties over reports the windows of before its start, too

Cause: a restarted node that came to hold the duties within 10 s of a window's end left that window out, though the others tell it of it again and again. Change: the reporter reaches back to the oldest window that is told and not late, and waits until all nodes have told it what they keep (2.5 s from its start).

--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway_node/node_metrics.h"
+
 namespace ochrespring::gateway_node {
 
 namespace {
@@ -207,50 +209,15 @@
 }
 
 void GatewayNode::add_metrics(metrics::SampleSink& sink) const {
-  const gateway::GatewayStatistics& counts = statistics_;
-  const auto counter = [&](const char* name, const char* help, std::uint64_t value) {
-    sink.counter({name, help}, static_cast<double>(value));
-  };
-  counter("requests", "Requests taken", counts.requests);
-  counter("requests_answered", "Ended with a back end's whole answer", counts.answered);
-  counter("requests_refused", "Ended as not run", counts.refused);
-  counter("requests_unknown", "Ended without knowing whether they ran", counts.unknown);
-  counter("streams_broken", "Streams cut after their head", counts.broken);
-  counter("callers_gone", "Requests whose caller went away", counts.caller_gone);
-  counter("requests_without_route", "Requests without a route", counts.no_route);
-  counter("requests_with_unknown_key", "Requests without a key that is known", counts.unknown_key);
-  counter("attempts", "Attempts at back ends", counts.attempts);
-  counter("repeats", "Attempts from the retry budget", counts.repeats);
-  counter("repeats_denied", "Attempts that the retry budget did not allow", counts.budget_denied);
-  counter("cache_fetches", "Attempts told to fetch cached parts", counts.cache_fetches);
-  counter("streams_resumed", "Streams taken up at another back end", counts.resumed);
-  counter("store_looks", "Looks at the store", watcher_.statistics().looks);
-  counter("store_looks_failed", "Looks that failed", watcher_.statistics().failed_looks);
-  counter("view_updates_taken", "Looks of other nodes taken over",
-          watcher_.statistics().updates_taken);
-  counter("view_updates_passed", "Looks of other nodes that could not be joined",
-          watcher_.statistics().updates_passed);
-  counter("view_snapshots_taken", "Views taken over whole from another node",
-          watcher_.statistics().snapshots_taken);
-  counter("view_updates_differed", "Looks of other nodes that showed a listing to be needed",
-          watcher_.statistics().updates_differed);
-  counter("store_values_rejected", "Values not understood", watcher_.rejected_values());
-  counter("backend_connections", "Connections opened", client_.statistics().connections_opened);
-  counter("view_listings", "Listings of the whole store", watcher_.statistics().listings);
+  add_gateway_metrics(statistics_, sink);
+  add_watcher_metrics(watcher_, sink);
   peer_news_.add_metrics(sink);
   duties_.add_metrics(sink);
+  sink.counter({"backend_connections", "Connections opened"},
+               static_cast<double>(client_.statistics().connections_opened));
   sink.gauge({"requests_running", "Requests running"}, static_cast<double>(gateway_.running()));
   sink.gauge({"backends", "Back ends known"}, static_cast<double>(fleet_.backends().size()));
   sink.gauge({"nodes", "Nodes known"}, static_cast<double>(nodes_.count()));
-  const gateway::LatencyHistogram& latency = counts.first_byte;
-  for (std::size_t i = 0; i != gateway::LatencyHistogram::kBounds.size(); ++i) {
-    sink.counter({"first_byte_seconds_bucket", "Time to the first byte of an answer"},
-                 static_cast<double>(latency.counts()[i]),
-                 {{"le", std::to_string(gateway::LatencyHistogram::kBounds[i])}});
-  }
-  sink.counter({"first_byte_seconds_count", "Answers counted"},
-               static_cast<double>(latency.count()));
-  sink.counter({"first_byte_seconds_sum", "Seconds to the first byte, added up"}, latency.sum());
 }
 
 }  // namespace ochrespring::gateway_node
--- a/src/gateway_node/node_duties.h
+++ b/src/gateway_node/node_duties.h
@@ -25,7 +25,7 @@
   Duration lease{std::chrono::milliseconds(3000)};
   usage::WindowLength usage_windows;
   Duration usage_due{std::chrono::seconds(10)};
-  fleet_control::ServerPlanOptions server_plan;
+  fleet_control::ServerPlanOptions server_plan{};
 };
 
 /// Every node counts its own usage and is ready to take the duties over. Does no input or output
--- /dev/null
+++ b/src/gateway_node/node_metrics.cc
@@ -0,0 +1,84 @@
+#include "gateway_node/node_metrics.h"
+
+#include <cstdint>
+#include <string>
+
+namespace ochrespring::gateway_node {
+
+namespace {
+
+/// One counter: its metric, and where it stands.
+template <class Statistics>
+struct CounterRow {
+  const char* name;
+  const char* help;
+  std::uint64_t Statistics::*member;
+};
+
+using gateway::GatewayStatistics;
+constexpr CounterRow<GatewayStatistics> kGatewayCounters[] = {
+    {"requests", "Requests taken", &GatewayStatistics::requests},
+    {"requests_answered", "Ended with a back end's whole answer", &GatewayStatistics::answered},
+    {"requests_refused", "Ended as not run", &GatewayStatistics::refused},
+    {"requests_unknown", "Ended without knowing whether they ran", &GatewayStatistics::unknown},
+    {"streams_broken", "Streams cut after their head", &GatewayStatistics::broken},
+    {"callers_gone", "Requests whose caller went away", &GatewayStatistics::caller_gone},
+    {"requests_without_route", "Requests without a route", &GatewayStatistics::no_route},
+    {"requests_with_unknown_key", "Requests without a key that is known",
+     &GatewayStatistics::unknown_key},
+    {"attempts", "Attempts at back ends", &GatewayStatistics::attempts},
+    {"repeats", "Attempts from the retry budget", &GatewayStatistics::repeats},
+    {"repeats_denied", "Attempts that the retry budget did not allow",
+     &GatewayStatistics::budget_denied},
+    {"cache_fetches", "Attempts told to fetch cached parts", &GatewayStatistics::cache_fetches},
+    {"streams_resumed", "Streams taken up at another back end", &GatewayStatistics::resumed},
+};
+
+using discovery::FleetWatcherStatistics;
+constexpr CounterRow<FleetWatcherStatistics> kWatcherCounters[] = {
+    {"store_looks", "Looks at the store", &FleetWatcherStatistics::looks},
+    {"store_looks_failed", "Looks that failed", &FleetWatcherStatistics::failed_looks},
+    {"view_listings", "Listings of the whole store", &FleetWatcherStatistics::listings},
+    {"view_updates_taken", "Looks of other nodes taken over",
+     &FleetWatcherStatistics::updates_taken},
+    {"view_updates_passed", "Looks of other nodes that could not be joined",
+     &FleetWatcherStatistics::updates_passed},
+    {"view_snapshots_taken", "Views taken over whole from another node",
+     &FleetWatcherStatistics::snapshots_taken},
+    {"view_updates_differed", "Looks of other nodes that showed a listing to be needed",
+     &FleetWatcherStatistics::updates_differed},
+};
+
+template <class Statistics, std::size_t kRows>
+void add_counters(const CounterRow<Statistics> (&rows)[kRows], const Statistics& counts,
+                  metrics::SampleSink& sink) {
+  for (const CounterRow<Statistics>& row : rows) {
+    sink.counter({row.name, row.help}, static_cast<double>(counts.*row.member));
+  }
+}
+
+void add_histogram(const gateway::LatencyHistogram& latency, metrics::SampleSink& sink) {
+  for (std::size_t i = 0; i != gateway::LatencyHistogram::kBounds.size(); ++i) {
+    sink.counter({"first_byte_seconds_bucket", "Time to the first byte of an answer"},
+                 static_cast<double>(latency.counts()[i]),
+                 {{"le", std::to_string(gateway::LatencyHistogram::kBounds[i])}});
+  }
+  sink.counter({"first_byte_seconds_count", "Answers counted"},
+               static_cast<double>(latency.count()));
+  sink.counter({"first_byte_seconds_sum", "Seconds to the first byte, added up"}, latency.sum());
+}
+
+}  // namespace
+
+void add_gateway_metrics(const GatewayStatistics& counts, metrics::SampleSink& sink) {
+  add_counters(kGatewayCounters, counts, sink);
+  add_histogram(counts.first_byte, sink);
+}
+
+void add_watcher_metrics(const discovery::FleetWatcher& watcher, metrics::SampleSink& sink) {
+  add_counters(kWatcherCounters, watcher.statistics(), sink);
+  sink.counter({"store_values_rejected", "Values not understood"},
+               static_cast<double>(watcher.rejected_values()));
+}
+
+}  // namespace ochrespring::gateway_node
--- /dev/null
+++ b/src/gateway_node/node_metrics.h
@@ -0,0 +1,13 @@
+// A node's counters as metrics.
+#pragma once
+
+#include "discovery/fleet_watcher.h"
+#include "gateway/statistics.h"
+#include "metrics/metrics.h"
+
+namespace ochrespring::gateway_node {
+
+void add_gateway_metrics(const gateway::GatewayStatistics& counts, metrics::SampleSink& sink);
+void add_watcher_metrics(const discovery::FleetWatcher& watcher, metrics::SampleSink& sink);
+
+}  // namespace ochrespring::gateway_node
--- /dev/null
+++ b/src/gateway_node/tests/node_duties_test.cc
@@ -0,0 +1,197 @@
+// Many nodes, one of which reports what all have counted, whatever becomes of it.
+#include "gateway_node/node_duties.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "shared_store/tests/memory_store.h"
+
+using namespace ochrespring;
+using namespace ochrespring::gateway_node;
+using namespace std::chrono_literals;
+using shared_store::testing::MemoryStore;
+using shared_store::testing::StoreState;
+
+namespace {
+
+constexpr usage::WindowLength kWindows{5s};
+const TenantName kTenant("t");
+
+class DutyFleet;
+
+/// The platform: what it was told, and by whom.
+class PlayedSink final : public usage::UsageSink {
+ public:
+  PlayedSink(DutyFleet& fleet, std::size_t node) : fleet_(fleet), node_(node) {}
+  void report_usage(duties::Fence fence, const usage::WindowCounts& counts,
+                    duties::DutyCallback done) override;
+
+ private:
+  DutyFleet& fleet_;
+  std::size_t node_;
+};
+
+struct DutyNode {
+  DutyNode(DutyFleet& fleet, std::size_t number, std::uint64_t life);
+
+  SeededRandom random;
+  MemoryStore store;
+  gateway::FleetState view;
+  PlayedSink sink;
+  NodeDuties duties;
+};
+
+/// Nodes that see each other and hear each other's usage after a millisecond; five of them relay.
+class DutyFleet {
+ public:
+  static constexpr std::size_t kRelays = 5;
+
+  explicit DutyFleet(std::size_t count) : alive(count, true) {
+    for (std::size_t i = 0; i != count; ++i) {
+      nodes.push_back(std::make_unique<DutyNode>(*this, i, ++lives_));
+      nodes.back()->duties.start();
+    }
+    look();
+  }
+
+  void advance(Duration span) { time.run_until(time.now() + span); }
+  void kill(std::size_t node) {
+    retired_.push_back(std::move(nodes[node]));
+    retired_.back()->store.cut = true;
+    alive[node] = false;
+  }
+  void restart(std::size_t node) {
+    nodes[node] = std::make_unique<DutyNode>(*this, node, ++lives_);
+    nodes[node]->duties.start();
+    alive[node] = true;
+  }
+  /// A run at a node, now.
+  void run(std::size_t node) {
+    nodes[node]->duties.note_run(kTenant, 0ms);
+    ++truth[kWindows.at(time.wall_now())];
+  }
+  void carry(const usage::UsageReport& report) {
+    time.schedule_after(1ms, [this, report] {
+      for (std::size_t i = 0; i != kRelays; ++i) {
+        if (alive[i]) {
+          nodes[i]->duties.take_usage(report);
+        }
+      }
+    });
+  }
+  bool is_first(std::size_t node) const {
+    for (std::size_t i = 0; i != node; ++i) {
+      if (alive[i]) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  simulation::VirtualTime time;
+  StoreState state{time};
+  logging::NullLogger logger;
+  std::vector<std::unique_ptr<DutyNode>> nodes;
+  std::vector<bool> alive;
+  std::map<usage::WindowNumber, std::uint32_t> truth;
+  std::map<usage::WindowNumber, usage::TenantCounts> told;
+  bool differed = false;
+
+ private:
+  void look() {
+    for (std::size_t i = 0; i != nodes.size(); ++i) {
+      if (alive[i]) {
+        nodes[i]->view.note_current(time.now());
+      }
+    }
+    time.schedule_after(500ms, [this] { look(); });
+  }
+
+  std::uint64_t lives_ = 0;
+  std::vector<std::unique_ptr<DutyNode>> retired_;  ///< Timers may still name them.
+};
+
+void PlayedSink::report_usage(duties::Fence /*fence*/, const usage::WindowCounts& counts,
+                              duties::DutyCallback done) {
+  if (!fleet_.alive[node_]) {
+    return;
+  }
+  const auto known = fleet_.told.try_emplace(counts.window, counts.counts).first;
+  fleet_.differed = fleet_.differed || known->second != counts.counts;
+  fleet_.time.schedule_after(5ms, [done] { done(duties::DutyResult(outcome::success())); });
+}
+
+DutyNode::DutyNode(DutyFleet& fleet, std::size_t number, std::uint64_t life)
+    : random(life),
+      store(fleet.time, fleet.state, fleet.time),
+      sink(fleet, number),
+      duties({fleet.time, fleet.time, random, store, fleet.logger, view, &sink, nullptr},
+             {.key_prefix = "duties/",
+              .node = NodeId("n" + std::to_string(number)),
+              .usage_windows = kWindows},
+             {.fitness = {.to_claim = [&fleet, number] { return fleet.is_first(number); },
+                          .to_hold = [number] { return number < DutyFleet::kRelays; }},
+              .tell = [&fleet](const usage::UsageReport& report) { fleet.carry(report); }}) {}
+
+}  // namespace
+
+TEST_CASE("two hundred nodes are told as one, right to the request") {
+  DutyFleet fleet(200);
+  for (int step = 0; step != 3000; ++step) {
+    fleet.run(static_cast<std::size_t>(step) % 200);
+    fleet.advance(10ms);
+  }
+  fleet.advance(8s);
+  CHECK(fleet.told.size() >= 6);
+  for (const auto& [window, counts] : fleet.told) {
+    const auto truth = fleet.truth.find(window);
+    if (truth != fleet.truth.end()) {
+      CHECK(counts.at(kTenant) == truth->second);
+    }
+  }
+}
+
+TEST_CASE(
+    "holders that are killed one after the other lose no window, and only their last counts") {
+  DutyFleet fleet(50);
+  std::uint32_t told = 0;
+  std::uint32_t truth = 0;
+  for (int step = 0; step != 4000; ++step) {
+    const std::size_t node = 6 + static_cast<std::size_t>(step) % 44;
+    fleet.run(node);
+    fleet.advance(10ms);
+    if (step == 700) {
+      fleet.kill(0);
+    } else if (step == 1500) {
+      fleet.restart(0);
+      fleet.kill(1);
+    } else if (step == 2400) {
+      fleet.kill(0);
+    }
+  }
+  fleet.advance(8s);
+  CHECK_FALSE(fleet.differed);
+  for (const auto& [window, runs] : fleet.truth) {
+    truth += runs;
+    REQUIRE(fleet.told.contains(window));
+    told += fleet.told.at(window).at(kTenant);
+  }
+  CHECK(told == truth);
+}
+
+TEST_CASE("a planned stop tells what was counted last") {
+  DutyFleet fleet(10);
+  fleet.advance(6s);
+  for (int run = 0; run != 100; ++run) {
+    fleet.run(7);
+  }
+  fleet.nodes[7]->duties.leave();
+  fleet.advance(2ms);
+  fleet.kill(7);
+  fleet.advance(8s);
+  CHECK(fleet.told.at(usage::WindowNumber(1)).at(kTenant) == 100);
+}
--- a/src/gateway_node/tests/settings_test.cc
+++ b/src/gateway_node/tests/settings_test.cc
@@ -80,3 +80,38 @@
   CHECK(parsed.value().settings.file == path);
   std::remove(path.c_str());
 }
+
+TEST_CASE("duties are named in a list, with defaults for an empty one") {
+  std::vector<std::string> arguments = kWhole;
+  for (const char* argument : {"--cloud=127.0.0.1:6", "--duties=of-tomorrow,usage_report",
+                               "--usage-window-s=2.5", "--preemptible-head-room=1.5"}) {
+    arguments.emplace_back(argument);
+  }
+  const auto parsed = parse_command_line(arguments);
+  REQUIRE(parsed);
+  const Settings& settings = parsed.value().settings;
+  CHECK(settings.cloud.value() == "127.0.0.1:6");
+  CHECK(settings.reports_usage);
+  CHECK_FALSE(settings.orders_servers);
+  CHECK(settings.usage_window == std::chrono::milliseconds(2500));
+  CHECK(settings.usage_due == std::chrono::seconds(10));
+  CHECK(settings.server_plan.head_room == 1.5);
+  arguments.emplace_back("--regular-part=2");
+  const auto mistaken = parse_command_line(arguments);
+  REQUIRE_FALSE(mistaken);
+  CHECK(names(mistaken.error(), "regular-part"));
+}
+
+TEST_CASE("a file of a platform without duties leaves their keys empty") {
+  const std::string path = "/tmp/ochrespring-no-duties-" + std::to_string(::getpid());
+  std::ofstream(path) << "cloud = \"\"\nduties = \"\"\nusage-window-s = \"\"\nusage-due-s = \"\"\n";
+  std::vector<std::string> arguments = kWhole;
+  arguments.push_back("--config=" + path);
+  const auto parsed = parse_command_line(arguments);
+  std::remove(path.c_str());
+  REQUIRE(parsed);
+  CHECK(parsed.value().settings.cloud.empty());
+  CHECK_FALSE(parsed.value().settings.reports_usage);
+  CHECK_FALSE(parsed.value().settings.orders_servers);
+  CHECK(parsed.value().settings.usage_window == std::chrono::seconds(5));
+}
--- a/src/usage/usage_reporter.cc
+++ b/src/usage/usage_reporter.cc
@@ -21,10 +21,11 @@
 }  // namespace
 
 UsageReporter::UsageReporter(World world, UsageReporterOptions options)
-    : world_(world), options_(std::move(options)), timer_(world.timers) {
-  // The window that runs now was counted by others too, which tell this node of it.
-  next_ = options_.windows.at(world_.wall.now());
-}
+    : world_(world),
+      options_(std::move(options)),
+      timer_(world.timers),
+      started_(world.wall.now()),
+      next_(options_.windows.at(started_)) {}
 
 void UsageReporter::start() {
   timer_.arm(options_.period, [this] {
@@ -37,8 +38,19 @@
   return options_.windows.end_of(window) + options_.settle <= world_.wall.now();
 }
 
+bool UsageReporter::is_late(WindowNumber window) const {
+  return options_.windows.end_of(window) + options_.due < world_.wall.now();
+}
+
+void UsageReporter::reach_back() {
+  const auto oldest = world_.tally.oldest();
+  if (oldest && *oldest < next_ && !is_late(*oldest)) {
+    next_ = *oldest;
+  }
+}
+
 void UsageReporter::drop_late(bool holding) {
-  while (options_.windows.end_of(next_) + options_.due < world_.wall.now()) {
+  while (is_late(next_)) {
     if (told_.erase(next_) == 0 && holding) {
       ++statistics_.missed;
       log("usage not reported in time", next_, "");
@@ -59,8 +71,10 @@
 
 void UsageReporter::step() {
   const auto fence = world_.lease.fence();
+  reach_back();
   drop_late(fence.has_value());
-  if (!fence || calling_) {
+  const bool learnt = world_.wall.now() - started_ >= options_.learn;
+  if (!fence || calling_ || !learnt) {
     return;
   }
   const auto window = next_window();
--- a/src/usage/usage_reporter.h
+++ b/src/usage/usage_reporter.h
@@ -27,6 +27,8 @@
   /// From a window's end to its adding up: reports of nodes are under way, and clocks differ.
   Duration settle{std::chrono::milliseconds(1200)};
   Duration period{std::chrono::milliseconds(250)};  ///< Between two looks at what is to be done.
+  /// A node that has started is told of all windows kept within this time (UsageMeterOptions).
+  Duration learn{std::chrono::milliseconds(2500)};
 };
 
 struct UsageReporterStatistics {
@@ -68,6 +70,9 @@
   void write_down(duties::Fence fence, WindowNumber window);
   void tell(duties::Fence fence, WindowNumber window);
   bool is_due(WindowNumber window) const;
+  bool is_late(WindowNumber window) const;
+  /// Windows of before this node's start may be its to report: the others tell it of them.
+  void reach_back();
   /// Forgets the windows whose time has run out.
   void drop_late(bool holding);
   /// The oldest window that is to be told and has not been; none: nothing to do now.
@@ -79,6 +84,7 @@
   World world_;
   UsageReporterOptions options_;
   Timer timer_;
+  WallTime started_;
   bool calling_ = false;  ///< One call at a time.
   bool listed_ = false;   ///< Whether `written_` holds what the store holds.
   std::map<WindowNumber, TenantCounts> written_;
--- a/src/usage/usage_tally.cc
+++ b/src/usage/usage_tally.cc
@@ -28,6 +28,10 @@
   return sum;
 }
 
+std::optional<WindowNumber> UsageTally::oldest() const {
+  return windows_.empty() ? std::nullopt : std::optional(windows_.begin()->first);
+}
+
 void UsageTally::forget_before(WindowNumber window) {
   windows_.erase(windows_.begin(), windows_.lower_bound(window));
 }
--- a/src/usage/usage_tally.h
+++ b/src/usage/usage_tally.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <utility>
 
 #include "usage/types.h"
@@ -15,6 +16,8 @@
   void take(const UsageReport& report);
   /// The sum over all lives of all nodes.
   TenantCounts sum(WindowNumber window) const;
+  /// The first window that any node has told of.
+  std::optional<WindowNumber> oldest() const;
   /// Forgets the windows before this one.
   void forget_before(WindowNumber window);
 
