fleet_control: regular servers at once where more than two fifths of the servers needed have gone

Change: the patience of 2 s, which spares orders for crashed servers that come back, holds up to 0.4 of the need.

--- a/src/fleet_control/server_controller.cc
+++ b/src/fleet_control/server_controller.cc
@@ -146,7 +146,8 @@
     return present;
   }
   const MonotonicTime since = short_since_.try_emplace(service, now).first->second;
-  return now - since < options_.grow_patience ? present : wanted;
+  const bool urgent = lacking > options_.urgent_part * needed_.at(service);
+  return urgent || now - since >= options_.grow_patience ? wanted : present;
 }
 
 void ServerController::order(Fence fence, const ServerPool& pool, std::uint32_t desired,
--- a/src/fleet_control/server_controller.h
+++ b/src/fleet_control/server_controller.h
@@ -31,6 +31,9 @@
   Duration grow_patience{std::chrono::seconds(2)};
   /// Part of the servers needed that may lack meanwhile.
   double tolerated_part = 0.2;
+  /// More than this part does not come from crashes alone: zones have lost their servers, and
+  /// regular ones are ordered at once.
+  double urgent_part = 0.4;
   /// Regular servers are given up once the service's need has not risen for this long: when all
   /// start at once, servers register over some seconds.
   Duration settled{std::chrono::seconds(3)};
--- a/src/fleet_control/tests/server_controller_test.cc
+++ b/src/fleet_control/tests/server_controller_test.cc
@@ -204,12 +204,32 @@
       world.fleet.remove(gateway::BackendId(kZones[zone].value() + "p" + std::to_string(number)));
     }
   }
-  world.advance(1s);
+  // Two of three zones are no crash: ordered at the next look, there after a boot.
+  world.advance(4400ms);
   CHECK(world.provider.count(false) == 0);
-  world.advance(10s);
+  world.advance(300ms);
   CHECK(world.provider.count(false) == 12);
 }
 
+TEST_CASE("crashed servers that come back soon are not made up for") {
+  ControllerFixture world;
+  world.put_regular(8);
+  world.advance(30s);
+  // A quarter of all, two thirds of them in one zone.
+  for (std::uint32_t number = 1; number <= 12; ++number) {
+    world.fleet.remove(gateway::BackendId("cp" + std::to_string(number)));
+  }
+  for (std::uint32_t number = 1; number <= 8; ++number) {
+    world.fleet.remove(gateway::BackendId("bp" + std::to_string(number)));
+  }
+  world.advance(1500ms);
+  world.provider.put(ControllerFixture::pool(1, true), 12);
+  world.advance(10s);
+  for (const auto& [pool, desired] : world.provider.ordered) {
+    CHECK((pool.preemptible || desired == 0));
+  }
+}
+
 TEST_CASE("an order that had no effect is given again") {
   ControllerFixture world;
   world.put_regular(8);
