--- a/src/fleet_control/server_controller.cc
+++ b/src/fleet_control/server_controller.cc
@@ -48,7 +48,7 @@
   }
   if (std::exchange(forget_, false)) {
     orders_.clear();
-    short_since_.clear();
+    supplies_.clear();
     read_needs(*fence);
     return;
   }
@@ -122,32 +122,47 @@
     return;
   }
   const std::uint32_t needed = needed_.at(service.name);
-  const std::uint32_t lacking = needed - std::min(needed, both_in_all(present));
+  note_supply(service.name, present);
   for (const auto& [zone, wanted] : plan_servers(*service.market, needed, present, options_.plan)) {
     const ZoneServers& there = present.at(zone);
     order(fence, {service.name, zone, true}, wanted.preemptible, there.preemptible,
           service.market->boot);
     order(fence, {service.name, zone, false},
-          regular_now(service.name, wanted.regular, there.regular, lacking), there.regular,
+          regular_now(service.name, wanted.regular, there.regular), there.regular,
           service.market->boot);
   }
 }
 
+void ServerController::note_supply(const ServiceName& service, const ServersByZone& present) {
+  const MonotonicTime now = world_.clock.now();
+  const std::uint32_t needed = needed_.at(service);
+  const auto [entry, first] = supplies_.try_emplace(service);
+  Supply& supply = entry->second;
+  if (first && regular_in_all(present) < needed) {
+    // Not the servers that the operators began with: an earlier holder may have ordered them.
+    supply.needed_regular_at = now;
+  }
+  const std::uint32_t lacking = needed - std::min(needed, both_in_all(present));
+  if (lacking <= static_cast<std::uint32_t>(options_.tolerated_part * needed)) {
+    supply.short_since.reset();
+    return;
+  }
+  supply.short_since = supply.short_since.value_or(now);
+  supply.needed_regular_at = now;
+}
+
 std::uint32_t ServerController::regular_now(const ServiceName& service, std::uint32_t wanted,
-                                            std::uint32_t present, std::uint32_t lacking) {
+                                            std::uint32_t present) const {
   const MonotonicTime now = world_.clock.now();
-  const auto tolerated = static_cast<std::uint32_t>(options_.tolerated_part * needed_.at(service));
-  if (wanted <= present) {
-    short_since_.erase(service);
-    return now - need_rose_at_[service] < options_.settled ? present : wanted;
-  }
-  if (lacking <= tolerated) {
-    short_since_.erase(service);
-    return present;
-  }
-  const MonotonicTime since = short_since_.try_emplace(service, now).first->second;
-  const bool urgent = lacking > options_.urgent_part * needed_.at(service);
-  return urgent || now - since >= options_.grow_patience ? wanted : present;
+  const Supply& supply = supplies_.at(service);
+  if (wanted > present) {
+    const bool lasts = supply.short_since && now - *supply.short_since >= options_.grow_patience;
+    return lasts ? wanted : present;
+  }
+  const bool calm = !supply.needed_regular_at || now - *supply.needed_regular_at >= options_.calm;
+  const auto rose = need_rose_at_.find(service);
+  const bool settled = rose == need_rose_at_.end() || now - rose->second >= options_.settled;
+  return calm && settled ? wanted : present;
 }
 
 void ServerController::order(Fence fence, const ServerPool& pool, std::uint32_t desired,
--- a/src/fleet_control/server_controller.h
+++ b/src/fleet_control/server_controller.h
@@ -27,13 +27,16 @@
   Duration patience{std::chrono::seconds(3)};
   /// After an order that failed, or was refused because none can be had: when some can is not told.
   Duration retry{std::chrono::seconds(1)};
-  /// Regular servers are ordered only for what lacks this long: crashed servers come back.
-  Duration grow_patience{std::chrono::seconds(2)};
+  /// Regular servers are ordered only for what lacks this long: crashed servers and those of a lost
+  /// zone mostly come back sooner, and each server that is given up again drains.
+  Duration grow_patience{std::chrono::seconds(10)};
   /// Part of the servers needed that may lack meanwhile.
   double tolerated_part = 0.2;
-  /// More than this part does not come from crashes alone: zones have lost their servers, and
-  /// regular ones are ordered at once.
-  double urgent_part = 0.4;
+  /// After servers lacked, regular ones are given up only once none has for this long. Guards the
+  /// bound of drains: with 2 s of patience and none of this, 72 servers were given up at once 5 s
+  /// after they had come, and a node that was cut off went on to send to ten of them beyond the
+  /// bound (one day of eight, played once).
+  Duration calm{std::chrono::seconds(30)};
   /// Regular servers are given up once the service's need has not risen for this long: when all
   /// start at once, servers register over some seconds.
   Duration settled{std::chrono::seconds(3)};
@@ -91,8 +94,10 @@
   void steer(duties::Fence fence, const gateway::Service& service);
   /// How many regular servers a zone is to have now: not more for what lacks for a short time only,
   /// not fewer before the need is sure.
-  std::uint32_t regular_now(const ServiceName& service, std::uint32_t wanted, std::uint32_t present,
-                            std::uint32_t lacking);
+  std::uint32_t regular_now(const ServiceName& service, std::uint32_t wanted,
+                            std::uint32_t present) const;
+  /// Notes whether servers lack.
+  void note_supply(const ServiceName& service, const ServersByZone& present);
   void order(duties::Fence fence, const ServerPool& pool, std::uint32_t desired,
              std::uint32_t present, Duration boot);
   void order_ended(const ServerPool& pool, const duties::DutyResult& result);
@@ -106,7 +111,13 @@
   bool calling_ = false;  ///< The store, for what is needed.
   std::map<ServiceName, std::uint32_t> needed_;
   std::map<ServiceName, MonotonicTime> need_rose_at_;
-  std::map<ServiceName, MonotonicTime> short_since_;
+  /// What this holder has seen of a service's servers.
+  struct Supply {
+    std::optional<MonotonicTime> short_since;  ///< Since when too many lack; none: they do not.
+    /// When regular servers last had to stand in, or may have: then they are not given up soon.
+    std::optional<MonotonicTime> needed_regular_at;
+  };
+  std::map<ServiceName, Supply> supplies_;
   std::map<ServerPool, Order> orders_;
   ServerControllerStatistics statistics_;
 };
