--- a/src/fleet_control/server_controller.cc
+++ b/src/fleet_control/server_controller.cc
@@ -63,6 +63,9 @@
   calling_ = true;
   world_.store.list(options_.key_prefix, [this, fence](auto result) {
     calling_ = false;
+    if (!result) {
+      log_store_failure("needs not read", result.error().message);
+    }
     if (!result || world_.lease.fence() != fence) {
       forget_ = true;
       return;
@@ -71,9 +74,11 @@
       const std::string& text = *item.value;
       std::uint32_t needed = 0;
       const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), needed);
-      if (error == std::errc()) {
-        needed_[ServiceName(item.key.substr(options_.key_prefix.size()))] = needed;
+      if (error != std::errc()) {
+        log_store_failure("need not understood", item.key);
+        continue;
       }
+      needed_[ServiceName(item.key.substr(options_.key_prefix.size()))] = needed;
     }
   });
 }
@@ -92,10 +97,13 @@
        .removals = {}},
       [this, service, seen](auto result) {
         calling_ = false;
-        if (result) {
-          needed_[service] = seen;
-          need_rose_at_[service] = world_.clock.now();
+        if (!result) {
+          // Whatever became of it, the next look writes it again.
+          log_store_failure("need not written down", result.error().message);
+          return;
         }
+        needed_[service] = seen;
+        need_rose_at_[service] = world_.clock.now();
       });
   return false;
 }
@@ -204,6 +212,13 @@
   }
 }
 
+void ServerController::log_store_failure(std::string_view message, std::string_view detail) {
+  world_.logger.write({logging::Level::kWarning,
+                       kComponent,
+                       std::string(message),
+                       {{"detail", std::string(detail)}}});
+}
+
 void ServerController::log(std::string_view message, const ServerPool& pool, std::uint32_t desired,
                            std::uint32_t present, std::string_view detail) {
   const auto age = world_.clock.now() - world_.fleet.current_at().value_or(world_.clock.now());
--- a/src/fleet_control/server_controller.h
+++ b/src/fleet_control/server_controller.h
@@ -48,13 +48,13 @@
   std::uint64_t refused = 0;  ///< None to be had.
 };
 
+/// Brings each service whose servers can be ordered to what plan_servers() says. The most servers
+/// that were ever seen to be regular is what a service needs: the operators' own sizing, kept in
+/// the store for whoever holds the duties next. One loop.
+///
 /// Saves 0.09 to 0.11 of a day's credit: 140 regular servers cost 0.157 to 0.174 of it, 210 that
 /// may be taken away 0.06 to 0.07 with those they replace (seven days, each played before and
 /// after).
-///
-/// Of each service whose servers can be ordered, the most servers that were ever seen to be regular
-/// is what it needs: the operators' own sizing, kept in the store for whoever holds the duties
-/// next. One loop.
 class ServerController {
  public:
   /// References outlive the controller.
@@ -101,6 +101,7 @@
   void order(duties::Fence fence, const ServerPool& pool, std::uint32_t desired,
              std::uint32_t present, Duration boot);
   void order_ended(const ServerPool& pool, const duties::DutyResult& result);
+  void log_store_failure(std::string_view message, std::string_view detail);
   void log(std::string_view message, const ServerPool& pool, std::uint32_t desired,
            std::uint32_t present, std::string_view detail);
 
