--- a/src/fleet_control/server_controller.h
+++ b/src/fleet_control/server_controller.h
@@ -33,9 +33,9 @@
   /// Part of the servers needed that may lack meanwhile.
   double tolerated_part = 0.2;
   /// After servers lacked, regular ones are given up only once none has for this long. Guards the
-  /// bound of drains: with 2 s of patience and none of this, 72 servers were given up at once 5 s
-  /// after they had come, and a node that was cut off went on to send to ten of them beyond the
-  /// bound (one day of eight, played once).
+  /// bound of drains: ordered at once and without this, 72 servers were given up at the same moment
+  /// 7.5 s after their order, and a node that was cut off sent ten requests to such servers beyond
+  /// the bound (one day of eight, played once).
   Duration calm{std::chrono::seconds(30)};
   /// Regular servers are given up once the service's need has not risen for this long: when all
   /// start at once, servers register over some seconds.
