--- a/src/duties/duty_lease.h
+++ b/src/duties/duty_lease.h
@@ -74,7 +74,6 @@
   const std::string& holder_key() const { return options_.holder_key; }
   /// Called each time this node begins to hold; it may act a little later.
   void on_gained(std::function<void()> callback) { gained_ = std::move(callback); }
-  const std::string& state_name() const { return machine_.state_name(); }
   std::uint64_t times_gained() const { return times_gained_; }
 
   /// Chart hooks.
--- a/src/gateway_node/node_duties.cc
+++ b/src/gateway_node/node_duties.cc
@@ -17,7 +17,6 @@
 NodeDuties::NodeDuties(World world, const NodeDutiesOptions& options, const Peers& peers)
     : world_(world),
       started_(world.clock.now()),
-      wall_(world.clock, world.timers),
       lease_({world.clock, world.timers, world.random, world.store, world.logger},
              {.holder_key = options.key_prefix + "holder",
               .history_key = options.key_prefix + "history",
@@ -27,7 +26,8 @@
              {.to_claim = [this, first = peers.fitness.to_claim] { return may_claim(first); },
               .to_hold = peers.fitness.to_hold}) {
   if (world.usage_sink != nullptr) {
-    meter_.emplace(wall_, world.timers,
+    wall_.emplace(world.clock, world.timers);
+    meter_.emplace(*wall_, world.timers,
                    usage::UsageMeterOptions{.node = options.node,
                                             .life = world.random.next(),
                                             .windows = options.usage_windows,
@@ -36,7 +36,7 @@
                      tally_.take(report);
                      tell(report);
                    });
-    reporter_.emplace(usage::UsageReporter::World{world.timers, world.store, world.logger, wall_,
+    reporter_.emplace(usage::UsageReporter::World{world.timers, world.store, world.logger, *wall_,
                                                   lease_, tally_, *world.usage_sink},
                       usage::UsageReporterOptions{.key_prefix = options.key_prefix + "usage/",
                                                   .windows = options.usage_windows,
--- a/src/gateway_node/node_duties.h
+++ b/src/gateway_node/node_duties.h
@@ -67,7 +67,7 @@
 
   World world_;
   MonotonicTime started_;
-  usage::WallClockEstimate wall_;
+  std::optional<usage::WallClockEstimate> wall_;  ///< With the meter: it samples all the time.
   usage::UsageTally tally_;
   std::optional<usage::UsageMeter> meter_;
   duties::DutyLease lease_;
