Break-offs are logged with a fingerprint of their request and the error

Cause: the incident's logs could not tell which requests that broke off were the same one, nor whether a kept connection had died. Change: a fingerprint (caller, method, host, path, query, body; XXH3) in "attempt broke off", with the error's name. No change of behaviour.

--- a/src/base/hash.h
+++ b/src/base/hash.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <initializer_list>
 #include <string_view>
 
 namespace ochrespring {
@@ -9,6 +10,14 @@
 /// Hash of bytes under a seed.
 std::uint64_t stable_hash(std::string_view bytes, std::uint64_t seed = 0);
 
+struct Hash128 {
+  std::uint64_t high = 0;
+  std::uint64_t low = 0;
+};
+
+/// Hash (XXH3) of several texts in order, each with its length: "ab", "c" and "a", "bc" differ.
+Hash128 stable_hash_128(std::initializer_list<std::string_view> texts);
+
 /// Combines two hashes into one; the order matters.
 std::uint64_t combine_hashes(std::uint64_t first, std::uint64_t second);
 
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -168,6 +168,13 @@
   return tenant_ != nullptr ? tenant_->priority.value_or(route_.priority) : route_.priority;
 }
 
+const RequestFingerprint& RequestSession::fingerprint() {
+  if (!fingerprint_) {
+    fingerprint_ = fingerprint_of(request_, tenant_ != nullptr ? tenant_->name.value() : "");
+  }
+  return *fingerprint_;
+}
+
 /// This node's part of the connections that a back end takes from all callers.
 std::size_t RequestSession::connection_share() const {
   const Service* service = routes_->configuration().find_service(service_);
@@ -348,8 +355,8 @@
 
 void RequestSession::on_failure(const http::HttpError& error, bool sent) {
   const std::shared_ptr<RequestSession> keep = shared_from_this();
-  log_attempt(sent ? "attempt broke off" : "no connection", error.message);
   if (!sent) {
+    log_attempt("no connection", error.message);
     ++unreachable_;
     end_attempt(AttemptVerdict::kUnreachable);
     if (unreachable_ < kMostUnreachable) {
@@ -359,6 +366,7 @@
     }
     return;
   }
+  log_break(error);
   if (error.code == http::HttpErrc::kTimeout) {
     environment_.loads.note_silence(attempt_->backend, environment_.clock.now());
   }
@@ -516,6 +524,25 @@
   }
 }
 
+/// With what tells the same request again, under another id and at another node.
+void RequestSession::log_break(const http::HttpError& error) {
+  environment_.logger.write(
+      {logging::Level::kInfo,
+       kComponent,
+       "attempt broke off",
+       {{"request_id", id_},
+        {"fingerprint", fingerprint().to_hex()},
+        {"route", route_.name.value()},
+        {"tenant", tenant_ != nullptr ? tenant_->name.value() : ""},
+        {"backend", attempt_->backend.value()},
+        {"error", std::string(http::describe(error.code))},
+        {"detail", error.message},
+        {"prefill", attempt_->prefill},
+        {"answer_begun", attempt_->head.has_value()},
+        {"attempt_milliseconds", to_milliseconds(environment_.clock.now() - attempt_->started)},
+        {"age_milliseconds", to_milliseconds(environment_.clock.now() - arrived_)}}});
+}
+
 void RequestSession::log_attempt(std::string_view message, std::string_view detail) {
   const std::string backend = attempt_ ? attempt_->backend.value() : std::string();
   environment_.logger.write(
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -14,6 +14,7 @@
 #include "gateway/environment.h"
 #include "gateway/failure_answer.h"
 #include "gateway/prompt.h"
+#include "gateway/request_fingerprint.h"
 #include "gateway/route_table.h"
 #include "gateway/stream_timing.h"
 #include "http/client.h"
@@ -58,6 +59,8 @@
   void dispatch();
   void start_attempt(const PlacementChoice& choice, bool prefill);
   BackendCall make_call(const Backend& backend) const;
+  /// Made when it is first asked for: most requests never need it.
+  const RequestFingerprint& fingerprint();
   std::size_t connection_share() const;
   std::uint32_t priority() const;
   void end_prefill(bool refused);
@@ -81,6 +84,7 @@
   void caller_gone();
   void on_deadline();
   void finish(std::string_view outcome);
+  void log_break(const http::HttpError& error);
   void log_attempt(std::string_view message, std::string_view detail);
 
   bool is_stream() const { return route_.kind == RequestKind::kStreaming; }
@@ -94,6 +98,7 @@
   std::shared_ptr<http::ResponseWriter> writer_;
   std::function<void()> on_end_;
   std::string id_;
+  std::optional<RequestFingerprint> fingerprint_;
   ServiceName service_;
   std::optional<Prompt> prompt_;
   MonotonicTime arrived_{};
--- a/src/http/errc.h
+++ b/src/http/errc.h
@@ -1,6 +1,8 @@
 // Errors of the HTTP layer.
 #pragma once
 
+#include <string_view>
+
 #include "base/result.h"
 
 namespace ochrespring::http {
@@ -20,6 +22,9 @@
   kCancelled,
 };
 
+/// Name of an error in logs.
+std::string_view describe(HttpErrc code);
+
 using HttpError = LayerError<HttpErrc>;
 
 }  // namespace ochrespring::http
