--- /dev/null
+++ b/src/gateway_node/tests/crash_fleet.h
@@ -0,0 +1,474 @@
+// Nodes before servers that end, under virtual time: gateways, their views of the fleet and their
+// news, before one store, with callers that come again.
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/random.h"
+#include "discovery/fleet_watcher.h"
+#include "gateway/gateway.h"
+#include "gateway/tests/gateway_fixture.h"
+#include "gateway_node/peer_news.h"
+#include "logging/logger.h"
+#include "shared_store/tests/memory_store.h"
+#include "simulation/virtual_time.h"
+#include "wire/codec.h"
+
+namespace ochrespring::gateway_node::testing {
+
+using namespace std::chrono_literals;
+
+/// Back ends as they are encoded between nodes, and one configuration.
+class EncodedCodec final : public discovery::FleetCodec {
+ public:
+  const discovery::StoreLayout& layout() const override { return layout_; }
+  Result<gateway::Configuration, discovery::CodecError> read_configuration(
+      std::string_view /*value*/) const override {
+    return gateway::testing::GatewayFixture::make_configuration(1);
+  }
+  Result<gateway::Backend, discovery::CodecError> read_backend(
+      std::string_view /*id*/, std::string_view value) const override {
+    return wire::decode<gateway::Backend>(value).value();
+  }
+
+ private:
+  discovery::StoreLayout layout_{"config", "backends/", "nodes/", "duties/"};
+};
+
+/// A request on its way to a server, or at it.
+struct FleetExchange {
+  http::ClientRequest request;
+  http::ResponseObserver* observer = nullptr;
+  bool open = true;
+  bool head_sent = false;
+};
+
+/// A server, life after life at one address.
+struct PlayedServer {
+  gateway::Backend backend;
+  bool alive = true;
+  std::uint32_t lives = 1;
+  std::vector<std::shared_ptr<FleetExchange>> at_work;
+};
+
+class CrashFleet;
+
+class FleetTransport final : public gateway::BackendTransport {
+ public:
+  FleetTransport(CrashFleet& fleet, std::size_t node) : fleet_(fleet), node_(node) {}
+  std::unique_ptr<http::Exchange> start(http::ClientRequest request,
+                                        http::ResponseObserver& observer) override;
+  bool has_idle_connection(const Endpoint& /*endpoint*/) const override { return true; }
+  void send_and_forget(http::ClientRequest /*request*/) override {}
+
+  /// The process has ended: its connections are closed.
+  void close_all() {
+    for (const auto& exchange : exchanges_) {
+      exchange->open = false;
+    }
+  }
+
+ private:
+  class Handle final : public http::Exchange {
+   public:
+    explicit Handle(std::shared_ptr<FleetExchange> exchange) : exchange_(std::move(exchange)) {}
+    ~Handle() override { exchange_->open = false; }
+    void set_reading(bool /*reading*/) override {}
+
+   private:
+    std::shared_ptr<FleetExchange> exchange_;
+  };
+
+  CrashFleet& fleet_;
+  std::size_t node_;
+  std::vector<std::shared_ptr<FleetExchange>> exchanges_;
+};
+
+struct CrashNode {
+  CrashNode(CrashFleet& fleet, std::size_t number, std::uint64_t life);
+
+  bool cut_off = false;     ///< From all other nodes.
+  MonotonicTime touched{};  ///< Last end of a fault of this node.
+  SeededRandom random;
+  discovery::NodeRecord record;
+  discovery::NodeDirectory nodes;
+  gateway::FleetState view;
+  gateway::LoadTable loads;
+  gateway::Placement placement;
+  gateway::RetryBudget budget{{0.2, 52, 10s}};
+  gateway::SharePicker shares;
+  gateway::HeaderNames names;
+  gateway::testing::PlayedEngineCalls engines;
+  gateway::GatewayStatistics statistics;
+  FleetTransport transport;
+  shared_store::testing::MemoryStore store;
+  discovery::FleetWatcher watcher;
+  PeerNews news;
+  gateway::Gateway gateway;
+};
+
+struct CrashFleetOptions {
+  std::size_t nodes = 6;
+  std::size_t readers = 4;
+  std::size_t runners = 5;
+  std::size_t relays = 3;  ///< Servers of the ordinary service.
+  double loss = 0;         ///< Of datagrams between nodes.
+  std::uint64_t seed = 7;
+  std::uint32_t relay_from_nodes = 48;
+};
+
+/// What became of one caller's requests.
+struct CallerCounts {
+  std::uint32_t sent = 0;
+  std::uint32_t served = 0;
+  std::uint32_t refused = 0;  ///< 503.
+  std::uint32_t unknown = 0;  ///< 502, 504 or a broken stream.
+};
+
+class CrashFleet {
+ public:
+  /// Without a fault for this long a machine is bound by what follows the third end.
+  static constexpr Duration kContact{3s};
+
+  explicit CrashFleet(const CrashFleetOptions& options) : options_(options), random(options.seed) {
+    write("config", "1");
+    add_servers("llm", gateway::EngineRole::kPrefill, options.readers);
+    add_servers("llm", gateway::EngineRole::kDecode, options.runners);
+    add_servers("relay", gateway::EngineRole::kNone, options.relays);
+    for (std::size_t i = 0; i != options.nodes; ++i) {
+      nodes.push_back(nullptr);
+      start_node(i);
+    }
+    advance(12s);
+  }
+
+  void advance(Duration span) { time.run_until(time.now() + span); }
+  Duration draw(Duration least, Duration most) {
+    return least + from_seconds(to_seconds(most - least) * random.unit());
+  }
+
+  /// Kills a node's process; it starts again at once and knows nothing.
+  void restart(std::size_t number) {
+    nodes[number]->transport.close_all();
+    nodes[number]->cut_off = true;
+    nodes[number]->store.cut = true;
+    retired_.push_back(std::move(nodes[number]));
+    start_node(number);
+    nodes[number]->touched = time.now();
+  }
+
+  /// One request of a caller at a node; `done` is told the status, 0 for a broken answer.
+  void send(std::size_t node, const std::string& path, const std::string& body,
+            std::function<void(int)> done = {}) {
+    auto caller = std::make_shared<gateway::testing::PlayedCaller>();
+    const gateway::HeaderNames names;
+    std::vector<http::Header> headers{
+        {"host", "h"},
+        {"x-request-id", "r" + std::to_string(++ids_)},
+        {names.deadline, "5000"},
+        {names.prompt_parts, "aa:6300," + std::to_string(ids_) + ":2000"},
+        {names.token_counts, "8300,20"}};
+    nodes[node]->gateway.handle({"POST", path, "", std::move(headers), body}, caller);
+    await(std::move(caller), std::move(done));
+  }
+
+  /// A caller sends `body` again and again, to any node, until the time is over.
+  void repeat(const std::string& path, const std::string& body, Duration pause, Duration span) {
+    if (span <= Duration::zero()) {
+      return;
+    }
+    send(random.below(nodes.size()), path, body,
+         [this, body](int status) { count(callers[body], status); });
+    const Duration wait = draw(pause / 2, pause * 3 / 2);
+    time.schedule_after(
+        wait, [this, path, body, pause, span, wait] { repeat(path, body, pause, span - wait); });
+  }
+
+  /// Requests of a body each, of all kinds; each comes again once where that is safe.
+  void traffic(double per_second, Duration span) {
+    if (span <= Duration::zero()) {
+      return;
+    }
+    static constexpr const char* kPaths[] = {"/resumable/x", "/stream/x", "/resumable/x",
+                                             "/idempotent/x", "/once/x"};
+    const std::string path = kPaths[random.below(5)];
+    const std::string body = "innocent-" + std::to_string(++ids_);
+    send(random.below(nodes.size()), path, body, [this, path, body](int status) {
+      if (status == 503 || (status != 200 && path == "/idempotent/x")) {
+        time.schedule_after(100ms, [this, path, body] {
+          send(random.below(nodes.size()), path, body,
+               [this](int again) { count(innocents, again); });
+        });
+        return;
+      }
+      count(innocents, status);
+    });
+    const Duration wait = from_seconds(random.exponential(1 / per_second));
+    time.schedule_after(wait, [this, per_second, span, wait] { traffic(per_second, span - wait); });
+  }
+
+  /// Ends a server and all that runs there; it is back after some seconds, under a new id.
+  void crash(PlayedServer& server) {
+    server.alive = false;
+    const std::string id = server.backend.id.value();
+    for (const auto& exchange : std::exchange(server.at_work, {})) {
+      if (exchange->open) {
+        exchange->observer->on_failure(
+            {exchange->head_sent ? http::HttpErrc::kTruncated : http::HttpErrc::kReset, "ended"},
+            true);
+      }
+    }
+    time.schedule_after(3600ms, [this, id] { state.remove("backends/" + id); });
+    time.schedule_after(draw(2s, 3500ms), [this, &server] {
+      ++server.lives;
+      name(server);
+      server.alive = true;
+      time.schedule_after(200ms, [this, &server] { register_server(server); });
+    });
+  }
+
+  /// Sends of a body to servers, by machines in touch, later than `kContact` after the third end
+  /// under it.
+  std::size_t late_sends(const std::string& body) const {
+    const auto found = ends.find(body);
+    if (found == ends.end() || found->second.size() < 3) {
+      return 0;
+    }
+    const MonotonicTime bound = found->second[2] + kContact;
+    return static_cast<std::size_t>(std::count_if(
+        sends.begin(), sends.end(),
+        [&](const Send& send) { return send.body == body && send.at > bound && send.in_touch; }));
+  }
+
+  /// One request that arrives at a server.
+  void accept(std::size_t node, const std::shared_ptr<FleetExchange>& exchange) {
+    PlayedServer& server = server_at(exchange->request.endpoint);
+    time.schedule_after(1ms, [this, node, exchange, &server] {
+      if (!exchange->open) {
+        return;
+      }
+      if (!server.alive) {
+        exchange->observer->on_failure({http::HttpErrc::kConnect, "refused"}, false);
+        return;
+      }
+      const bool in_touch = time.now() - nodes[node]->touched > kContact;
+      sends.push_back({time.now(), exchange->request.body, in_touch});
+      serve(server, exchange);
+    });
+  }
+
+  struct Send {
+    MonotonicTime at;
+    std::string body;
+    bool in_touch = true;
+  };
+
+  simulation::VirtualTime time;
+  shared_store::testing::StoreState state{time};
+  EncodedCodec codec;
+  logging::NullLogger logger;
+
+ private:
+  CrashFleetOptions options_;
+  std::uint64_t ids_ = 0;
+  std::uint64_t node_lives_ = 0;
+
+ public:
+  SeededRandom random;
+  std::vector<std::unique_ptr<PlayedServer>> servers;
+  std::vector<std::unique_ptr<CrashNode>> nodes;
+  std::set<std::string> guilty;  ///< Bodies that end each server that begins to run them.
+  std::map<std::string, std::vector<MonotonicTime>> ends;  ///< Of servers, by body.
+  std::vector<Send> sends;
+  std::map<std::string, CallerCounts> callers;  ///< Of repeat(), by body.
+  CallerCounts innocents;
+
+  void carry(const CrashNode& from, const Endpoint& to, std::string_view bytes) {
+    if (from.cut_off || random.chance(options_.loss)) {
+      return;
+    }
+    time.schedule_after(draw(1ms, 2ms), [this, to, bytes = std::string(bytes)] {
+      for (const auto& node : nodes) {
+        if (node->record.peer_address == to && !node->cut_off) {
+          node->news.receive(bytes);
+        }
+      }
+    });
+  }
+  std::uint32_t relay_from_nodes() const { return options_.relay_from_nodes; }
+
+ private:
+  void add_servers(const std::string& service, gateway::EngineRole role, std::size_t count) {
+    for (std::size_t i = 0; i != count; ++i) {
+      auto server = std::make_unique<PlayedServer>();
+      server->backend.service = ServiceName(service);
+      server->backend.address = Endpoint("s" + std::to_string(servers.size()) + ":1");
+      server->backend.zone = ZoneName("a");
+      server->backend.slots = 64;
+      server->backend.role = role;
+      servers.push_back(std::move(server));
+      name(*servers.back());
+      register_server(*servers.back());
+    }
+  }
+  static void name(PlayedServer& server) {
+    server.backend.id = gateway::BackendId("i-" + server.backend.address.value() + "-" +
+                                           std::to_string(server.lives));
+  }
+  void register_server(const PlayedServer& server) {
+    write("backends/" + server.backend.id.value(), wire::encode(server.backend));
+  }
+  void write(const std::string& key, const std::string& value) {
+    REQUIRE(state.commit({.conditions = {}, .writes = {{key, value, {}}}, .removals = {}}));
+  }
+  void start_node(std::size_t number) {
+    nodes[number] = std::make_unique<CrashNode>(*this, number, ++node_lives_);
+    write("nodes/" + nodes[number]->record.node.value(), wire::encode(nodes[number]->record));
+    nodes[number]->watcher.start();
+  }
+  PlayedServer& server_at(const Endpoint& address) {
+    return **std::find_if(servers.begin(), servers.end(),
+                          [&](const auto& server) { return server->backend.address == address; });
+  }
+
+  void serve(PlayedServer& server, const std::shared_ptr<FleetExchange>& exchange) {
+    const gateway::HeaderNames names;
+    const auto header = [&](const std::string& wanted) {
+      return http::find_header(exchange->request.headers, wanted);
+    };
+    if (header(names.expected_instance) != server.backend.id.value()) {
+      answer(server, exchange, 421, {}, "");
+      return;
+    }
+    server.at_work.push_back(exchange);
+    if (header(names.phase) == names.phase_prefill) {
+      time.schedule_after(draw(30ms, 60ms), [this, &server, exchange] {
+        answer(server, exchange, 200, {}, "handle=1");
+      });
+      return;
+    }
+    if (guilty.contains(exchange->request.body)) {
+      time.schedule_after(draw(20ms, 100ms), [this, &server, exchange] {
+        if (holds(server, exchange)) {
+          ends[exchange->request.body].push_back(time.now());
+          crash(server);
+        }
+      });
+      return;
+    }
+    if (server.backend.role == gateway::EngineRole::kDecode) {
+      time.schedule_after(draw(20ms, 150ms),
+                          [this, &server, exchange] { stream(server, exchange, 1); });
+      return;
+    }
+    time.schedule_after(draw(20ms, 100ms), [this, &server, exchange] {
+      answer(server, exchange, 200, {signature()}, "answer");
+    });
+  }
+  static http::Header signature() { return {gateway::HeaderNames().signature, "sig"}; }
+  static bool holds(const PlayedServer& server, const std::shared_ptr<FleetExchange>& exchange) {
+    return server.alive && std::find(server.at_work.begin(), server.at_work.end(), exchange) !=
+                               server.at_work.end();
+  }
+  void answer(PlayedServer& server, const std::shared_ptr<FleetExchange>& exchange,
+              std::uint16_t status, std::vector<http::Header> headers, std::string_view body) {
+    std::erase(server.at_work, exchange);
+    if (server.alive && exchange->open) {
+      exchange->observer->on_head({status, std::move(headers)});
+      exchange->observer->on_body(body);
+      exchange->observer->on_complete();
+    }
+  }
+  void stream(PlayedServer& server, const std::shared_ptr<FleetExchange>& exchange, int event) {
+    constexpr int kEvents = 4;
+    if (!holds(server, exchange) || !exchange->open) {
+      std::erase(server.at_work, exchange);
+      return;
+    }
+    if (!exchange->head_sent) {
+      exchange->head_sent = true;
+      exchange->observer->on_head({200, {signature()}});
+    }
+    exchange->observer->on_body("id: " + std::to_string(event) + "\ndata: x\n\n");
+    if (event == kEvents) {
+      std::erase(server.at_work, exchange);
+      exchange->observer->on_complete();
+      return;
+    }
+    time.schedule_after(50ms,
+                        [this, &server, exchange, event] { stream(server, exchange, event + 1); });
+  }
+  /// Looks now and then whether an answer has ended.
+  void await(std::shared_ptr<gateway::testing::PlayedCaller> caller,
+             std::function<void(int)> done) {
+    if (!caller->ended()) {
+      time.schedule_after(20ms,
+                          [this, caller = std::move(caller), done = std::move(done)]() mutable {
+                            await(std::move(caller), std::move(done));
+                          });
+    } else if (done) {
+      done(caller->finished ? caller->head.status : 0);
+    }
+  }
+  static void count(CallerCounts& counts, int status) {
+    ++counts.sent;
+    ++(status == 200 ? counts.served : status == 503 ? counts.refused : counts.unknown);
+  }
+
+  std::vector<std::unique_ptr<CrashNode>> retired_;  ///< Timers may still name them.
+};
+
+inline std::unique_ptr<http::Exchange> FleetTransport::start(http::ClientRequest request,
+                                                             http::ResponseObserver& observer) {
+  exchanges_.push_back(std::make_shared<FleetExchange>());
+  const auto exchange = exchanges_.back();
+  exchange->request = std::move(request);
+  exchange->observer = &observer;
+  fleet_.accept(node_, exchange);
+  return std::make_unique<Handle>(exchange);
+}
+
+inline CrashNode::CrashNode(CrashFleet& fleet, std::size_t number, std::uint64_t life)
+    : random(life),
+      record{NodeId("n" + std::to_string(number)), Endpoint("front"),
+             ZoneName(number % 3 == 0   ? "a"
+                      : number % 3 == 1 ? "b"
+                                        : "c"),
+             Endpoint("n" + std::to_string(number)), 200},
+      nodes(fleet.time, record),
+      placement(view, loads, random, record.zone),
+      shares(random),
+      transport(fleet, number),
+      store(fleet.time, fleet.state, fleet.time),
+      watcher({fleet.time, fleet.time, random, store, fleet.codec, fleet.logger},
+              discovery::settings_within(2s), view, nodes),
+      news(
+          {fleet.time, fleet.time, random, view, loads, nodes, watcher},
+          {.peer_address = record.peer_address,
+           .view_address = {},
+           .relays = {.from_nodes = fleet.relay_from_nodes()},
+           .relay_gather = 10ms},
+          [this, &fleet](const Endpoint& to, std::string_view bytes) {
+            fleet.carry(*this, to, bytes);
+          },
+          [](const Endpoint&) {}),
+      gateway({fleet.time, fleet.time, transport, view, loads, placement, budget, shares, names,
+               engines, statistics, fleet.logger, [this] { return nodes.cautious_count(); }},
+              [this](auto done) { watcher.refresh(std::move(done)); }) {
+  view.on_removed([this](const gateway::Backend& backend) {
+    loads.forget(backend.id);
+    news.forget(backend.id);
+  });
+}
+
+}  // namespace ochrespring::gateway_node::testing
