--- a/src/discovery/tests/shared_looks_test.cc
+++ b/src/discovery/tests/shared_looks_test.cc
@@ -112,7 +112,7 @@
 }  // namespace
 
 TEST_CASE("a view that is kept up by others' looks is the store's, whatever updates are lost") {
-  rc::check([](const std::vector<std::pair<std::uint8_t, std::uint8_t>>& steps) {
+  CHECK(rc::check([](const std::vector<std::pair<std::uint8_t, std::uint8_t>>& steps) {
     simulation::VirtualTime time;
     const PlainCodec codec;
     logging::NullLogger logger;
@@ -151,7 +151,7 @@
         RC_ASSERT(node->view() == store.at(*node->writer.seen()));
       }
     }
-  });
+  }));
 }
 
 TEST_CASE("a log that is too long or too old tells less, and says from where on") {
--- a/src/duties/tests/duty_lease_test.cc
+++ b/src/duties/tests/duty_lease_test.cc
@@ -301,7 +301,7 @@
 }
 
 TEST_CASE("whatever happens, holders follow each other with rising fences and never by turns") {
-  rc::check("kills, freezes, cuts, restarts, lost and late answers", [] {
+  CHECK(rc::check("kills, freezes, cuts, restarts, lost and late answers", [] {
     constexpr std::size_t kMachines = 6;
     Machines world(kMachines);
     for (int step = 0; step != 30; ++step) {
@@ -345,5 +345,5 @@
       world.advance(*rc::gen::inRange(1, 40) * 100ms);
       RC_ASSERT(world.broken() == "");
     }
-  });
+  }));
 }
--- a/src/fleet_control/tests/server_plan_test.cc
+++ b/src/fleet_control/tests/server_plan_test.cc
@@ -60,7 +60,7 @@
 }
 
 TEST_CASE("no plan breaks the bounds of a zone") {
-  rc::check("both kinds together stay between the least and the most", [] {
+  CHECK(rc::check("both kinds together stay between the least and the most", [] {
     gateway::ServerMarket market = make_market(*rc::gen::inRange(1, 30) / 100.0);
     market.most = *rc::gen::inRange(1U, 100U);
     market.least = *rc::gen::inRange(0U, market.most + 1);
@@ -77,5 +77,5 @@
       RC_ASSERT(wanted.regular + wanted.preemptible <= market.most);
       RC_ASSERT(wanted.regular + wanted.preemptible >= market.least);
     }
-  });
+  }));
 }
--- a/src/gateway/tests/caller_keys_test.cc
+++ b/src/gateway/tests/caller_keys_test.cc
@@ -118,7 +118,7 @@
 }
 
 TEST_CASE("through storms of configurations a key runs just while it is known, for its tenant") {
-  rc::check("keys come, go and change hands", [] {
+  CHECK(rc::check("keys come, go and change hands", [] {
     KeyedFixture world;
     std::map<std::string, std::string> keys{{"k1", "t1"}};
     std::uint64_t version = 2;
@@ -143,5 +143,5 @@
         }
       }
     }
-  });
+  }));
 }
--- a/src/gateway/tests/policies_test.cc
+++ b/src/gateway/tests/policies_test.cc
@@ -81,7 +81,7 @@
 }
 
 TEST_CASE("events come out the same however the stream is cut into pieces") {
-  rc::check([](const std::vector<std::uint8_t>& sizes) {
+  CHECK(rc::check([](const std::vector<std::uint8_t>& sizes) {
     const std::string stream = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n: note\n\nid: 30\n\nrest";
     EventSplitter whole;
     whole.append(stream);
@@ -107,7 +107,7 @@
     }
     RC_ASSERT(index == events.size());
     RC_ASSERT(pieces.rest() == "rest");
-  });
+  }));
 }
 
 TEST_CASE("the longest pause of a stream is that between two events, not the wait for the first") {
@@ -145,7 +145,7 @@
 }
 
 TEST_CASE("all nodes together stay inside the retry budget in every window") {
-  rc::check([](std::vector<std::pair<std::uint8_t, std::uint8_t>> steps) {
+  CHECK(rc::check([](std::vector<std::pair<std::uint8_t, std::uint8_t>> steps) {
     constexpr std::uint32_t kNodes = 3;
     const RetryBudgetSettings settings{0.2, 9, 10s};
     std::vector<RetryBudget> nodes(kNodes, RetryBudget(settings));
@@ -169,7 +169,7 @@
       RC_ASSERT(static_cast<double>(again) <=
                 settings.ratio * static_cast<double>(recent) + settings.slack);
     }
-  });
+  }));
 }
 
 TEST_CASE("shares follow the weights within one request in each run of requests") {
--- a/src/peer/tests/frame_test.cc
+++ b/src/peer/tests/frame_test.cc
@@ -6,7 +6,7 @@
 namespace ochrespring::peer {
 
 TEST_CASE("frames are found whatever way the bytes are split") {
-  rc::check([](const std::vector<std::string>& payloads, std::size_t piece) {
+  CHECK(rc::check([](const std::vector<std::string>& payloads, std::size_t piece) {
     std::string stream;
     for (const std::string& payload : payloads) {
       stream += encode_frame(Frame{Channel::kLedger, payload});
@@ -25,7 +25,7 @@
       RC_ASSERT(frame.state == FrameState::kIncomplete);
     }
     RC_ASSERT(found == payloads);
-  });
+  }));
 }
 
 TEST_CASE("a length beyond the limit is told from one that is incomplete") {
--- a/src/peer_load/tests/peer_load_test.cc
+++ b/src/peer_load/tests/peer_load_test.cc
@@ -96,23 +96,25 @@
 }
 
 TEST_CASE("sums of direct reports are those of the newest report of each living node") {
-  rc::check([](const std::vector<std::tuple<std::uint8_t, std::uint8_t, std::uint16_t>>& steps) {
-    PeerWork work;
-    MonotonicTime now{};
-    std::map<int, std::pair<std::uint32_t, MonotonicTime>> expected;
-    std::uint64_t sequence = 0;
-    for (const auto& [node, requests, wait] : steps) {
-      now += std::chrono::milliseconds(wait % 1500);
-      work.apply(make_report("n" + std::to_string(node % 5), ++sequence, requests, requests), now);
-      expected[node % 5] = {requests, now};
-      std::uint32_t sum = 0;
-      for (const auto& [id, told] : expected) {
-        sum += now - told.second <= PeerWork::kBelief ? told.first : 0;
-      }
-      RC_ASSERT(work.work_at(BackendId("e"), now).requests == sum);
-      RC_ASSERT(work.work_at(BackendId("e"), now).unread_tokens == sum);
-    }
-  });
+  CHECK(rc::check(
+      [](const std::vector<std::tuple<std::uint8_t, std::uint8_t, std::uint16_t>>& steps) {
+        PeerWork work;
+        MonotonicTime now{};
+        std::map<int, std::pair<std::uint32_t, MonotonicTime>> expected;
+        std::uint64_t sequence = 0;
+        for (const auto& [node, requests, wait] : steps) {
+          now += std::chrono::milliseconds(wait % 1500);
+          work.apply(make_report("n" + std::to_string(node % 5), ++sequence, requests, requests),
+                     now);
+          expected[node % 5] = {requests, now};
+          std::uint32_t sum = 0;
+          for (const auto& [id, told] : expected) {
+            sum += now - told.second <= PeerWork::kBelief ? told.first : 0;
+          }
+          RC_ASSERT(work.work_at(BackendId("e"), now).requests == sum);
+          RC_ASSERT(work.work_at(BackendId("e"), now).unread_tokens == sum);
+        }
+      }));
 }
 
 TEST_CASE("a relay tells sums, ends and parts together, and repeats nothing by itself") {
@@ -247,12 +249,12 @@
   const auto read = wire::decode<WorkReport>(wire::encode(report));
   REQUIRE(read);
   CHECK(read.value().engines[0].unread_tokens == 100);
-  rc::check([](const std::string& bytes) {
+  CHECK(rc::check([](const std::string& bytes) {
     const auto tried = wire::decode<WorkReport>(bytes);
     if (tried) {
       RC_ASSERT(wire::encode(tried.value()).size() <= bytes.size());
     }
-  });
+  }));
 }
 
 TEST_CASE("datagrams pass between sockets on loopback") {
--- a/src/usage/tests/usage_reporter_test.cc
+++ b/src/usage/tests/usage_reporter_test.cc
@@ -203,7 +203,7 @@
 }
 
 TEST_CASE("never two reports of a window that differ, whatever fails") {
-  rc::check("kills, restarts, an outage of the store, lost answers on both sides", [] {
+  CHECK(rc::check("kills, restarts, an outage of the store, lost answers on both sides", [] {
     ReporterFixture world;
     for (int step = 0; step != 25; ++step) {
       const std::size_t node = *rc::gen::inRange<std::size_t>(0, 2);
@@ -234,5 +234,5 @@
       world.advance(*rc::gen::inRange(1, 50) * 100ms);
       RC_ASSERT_FALSE(world.sink.differed);
     }
-  });
+  }));
 }
--- a/src/usage/tests/usage_tally_test.cc
+++ b/src/usage/tests/usage_tally_test.cc
@@ -57,7 +57,7 @@
 }
 
 TEST_CASE("sums are right whatever reports are lost, doubled, late or out of order") {
-  rc::check("all that is told at least once counts once", [] {
+  CHECK(rc::check("all that is told at least once counts once", [] {
     UsageTally tally;
     TenantCounts truth;
     std::vector<UsageReport> sent;
@@ -81,5 +81,5 @@
       tally.take(sent[*rc::gen::inRange<std::size_t>(0, sent.size())]);
     }
     RC_ASSERT(tally.sum(WindowNumber(7)) == truth);
-  });
+  }));
 }
