Clocks go on while a machine is suspended; what waited meanwhile is known to be old

Cause: the steady clock stands still while a machine is suspended, so leases, ages of views, deadlines and budgets did not see that time. Two faults besides, found by the tests with such a machine: a datagram of a look told its age as when it was sent although it had waited in the socket (a route added 7 s before was refused with 404), and whoever waits for a current view was served by a look begun before the suspension. Tests: event loop (failed before: the timer ran first), a holder that wakes late, with a clock that stands still as planted defect, suspended nodes of a fleet (404 in place of 200 before).

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,13 +4,18 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build/release}
-clean='^(platform|src/(discovery|duties|fleet_control|gateway|gateway_node|http|logging|peer_load|process|quarantine|settings|usage))/[a-z_]+[.]cc$'
-all='^(platform|src)/'
-pattern=$all
+clean='platform|src/(discovery|duties|fleet_control|gateway|gateway_node|http|logging|peer_load|process|quarantine|settings|usage)'
+pattern='^(platform|src)/'
 if [ "${2:-}" = "--gate" ]; then
-  pattern=$clean
+  pattern="^($clean)/[a-z_]+[.]cc\$"
 fi
 ./scripts/format.sh --check
+# A clock that stands still while a machine is suspended breaks leases and bounds: only SystemClock reads one.
+if git ls-files | grep -E "^($clean)/[a-z_]+[.](cc|h)\$" |
+  xargs grep -nE 'steady_clock|system_clock::now|CLOCK_[A-Z]+|gettimeofday'; then
+  echo "lint: clocks are read in src/base/time.cc only" >&2
+  exit 1
+fi
 git ls-files 'src/*.cc' 'platform/*.cc' | grep -v '^src/generated/' | grep -E "$pattern" |
   xargs -P "$(nproc)" -n 1 clang-tidy -p "$build" --quiet --extra-arg=-Wno-unknown-warning-option
 echo "lint: clean"
--- a/src/base/time.cc
+++ b/src/base/time.cc
@@ -1,10 +1,15 @@
 #include "base/time.h"
 
+#include <ctime>
+
 namespace ochrespring {
 
+/// Not the steady clock, which stands still while a machine is suspended: a lease would not end, a
+/// view not age, a deadline not pass for the time that the rest of the world has lived through.
 MonotonicTime SystemClock::now() const {
-  const auto since_boot = std::chrono::steady_clock::now().time_since_epoch();
-  return MonotonicTime(std::chrono::duration_cast<Duration>(since_boot));
+  timespec time{};
+  ::clock_gettime(CLOCK_BOOTTIME, &time);
+  return MonotonicTime(std::chrono::seconds(time.tv_sec) + Duration(time.tv_nsec));
 }
 
 WallTime SystemClock::wall_now() const {
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -28,13 +28,13 @@
 class Clock {
  public:
   virtual ~Clock() = default;
-  /// Current monotonic time of this machine.
+  /// Current monotonic time of this machine. Goes on while the machine is suspended.
   virtual MonotonicTime now() const = 0;
   /// Current wall time of this machine.
   virtual WallTime wall_now() const = 0;
 };
 
-/// The machine's own clocks.
+/// The machine's own clocks. The only place that reads them.
 class SystemClock final : public Clock {
  public:
   MonotonicTime now() const override;
--- a/src/discovery/fleet_watcher.cc
+++ b/src/discovery/fleet_watcher.cc
@@ -174,8 +174,17 @@
     ++failed_in_row_;
     timer_.arm(retry_pause(), [this] { look(); });
   }
+  // A look that began long ago says nothing of now: the node was held up meanwhile, and is quicker
+  // the second time, or the store is slow.
+  const bool too_old = world_.clock.now() - look_began_ >= settings_.fresh_enough;
+  if (success && too_old && !waiting_.empty() && !std::exchange(looked_again_, true)) {
+    timer_.disarm();
+    look();
+    return;
+  }
+  looked_again_ = false;
   for (const auto& done : std::exchange(waiting_, {})) {
-    done(success);
+    done(success && !too_old);
   }
 }
 
@@ -208,11 +217,12 @@
   fetch_view_(view_holder_, [this](const std::optional<ViewSnapshot>& snapshot) {
     fetching_ = false;
     // Without success this node's own look comes in time.
-    take_snapshot(snapshot);
+    take_snapshot(snapshot, *fetched_at_);
   });
 }
 
-bool FleetWatcher::take_snapshot(const std::optional<ViewSnapshot>& snapshot) {
+/// The snapshot's age counts from when it was asked for: the answer may have waited.
+bool FleetWatcher::take_snapshot(const std::optional<ViewSnapshot>& snapshot, MonotonicTime asked) {
   if (!snapshot || !writer_.take_snapshot(*snapshot)) {
     return false;
   }
@@ -224,7 +234,7 @@
        {{"revision", snapshot->through.value()},
         {"age_milliseconds",
          std::chrono::duration_cast<std::chrono::milliseconds>(snapshot->age).count()}}});
-  note_current(world_.clock.now() - snapshot->age);
+  note_current(asked - snapshot->age);
   return true;
 }
 
@@ -236,8 +246,8 @@
   if (writer_.seen() || !ask_peer_) {
     return;
   }
-  ask_peer_([this](const std::optional<ViewSnapshot>& snapshot) {
-    if (!take_snapshot(snapshot)) {
+  ask_peer_([this, asked = world_.clock.now()](const std::optional<ViewSnapshot>& snapshot) {
+    if (!take_snapshot(snapshot, asked)) {
       ask_peer_later();
     }
   });
--- a/src/discovery/fleet_watcher.h
+++ b/src/discovery/fleet_watcher.h
@@ -119,8 +119,8 @@
   void ask_peer();
   void fetch_later(const Endpoint& holder);
   void fetch();
-  /// Returns whether another node's view was taken.
-  bool take_snapshot(const std::optional<ViewSnapshot>& snapshot);
+  /// Returns whether another node's view, asked for at `asked`, was taken.
+  bool take_snapshot(const std::optional<ViewSnapshot>& snapshot, MonotonicTime asked);
   Duration retry_pause();
   /// Tells the others what this node's look found, unless another node has just told them.
   void share_look();
@@ -150,6 +150,7 @@
   std::uint32_t failed_in_row_ = 0;  ///< Looks.
   MonotonicTime look_began_{};
   bool looking_ = false;
+  bool looked_again_ = false;      ///< For those waiting, the look before having taken too long.
   std::optional<bool> connected_;  ///< How the last look ended; none before the first.
   std::vector<std::function<void(bool)>> waiting_;
   std::function<void()> current_;
--- a/src/duties/tests/duty_lease_test.cc
+++ b/src/duties/tests/duty_lease_test.cc
@@ -14,6 +14,7 @@
 
 #include "logging/logger.h"
 #include "shared_store/tests/memory_store.h"
+#include "simulation/suspendable_machine.h"
 
 using namespace ochrespring;
 using namespace ochrespring::duties;
@@ -25,63 +26,37 @@
 
 constexpr Duration kLease = 3s;
 
-/// A machine whose process may be frozen: its clock goes on, its timers wait.
-class FreezableTimers final : public TimerService {
- public:
-  explicit FreezableTimers(simulation::VirtualTime& time) : time_(time) {}
-
-  TimerId schedule_after(Duration delay, std::function<void()> callback) override {
-    const TimerId id = ++last_;
-    waiting_[id] = std::move(callback);
-    time_.schedule_after(delay, [this, id] { run(id); });
-    return id;
-  }
-  void cancel(TimerId timer) override { waiting_.erase(timer); }
-  void freeze_until(MonotonicTime end) { frozen_until_ = end; }
-  bool frozen() const { return time_.now() < frozen_until_; }
-
- private:
-  void run(TimerId id) {
-    if (frozen()) {
-      time_.schedule_after(frozen_until_ - time_.now(), [this, id] { run(id); });
-      return;
-    }
-    auto waiting = waiting_.extract(id);
-    if (!waiting.empty()) {
-      waiting.mapped()();
-    }
-  }
-
-  simulation::VirtualTime& time_;
-  TimerId last_ = 0;
-  std::map<TimerId, std::function<void()>> waiting_;
-  MonotonicTime frozen_until_{};
-};
-
 struct Act {
   MonotonicTime at;
   std::size_t machine;
   Fence fence;
 };
 
+/// Planted ones.
+struct Defects {
+  Duration margin{400ms};    ///< Below zero: a holder trusts its lease after its end.
+  bool still_clock = false;  ///< Nodes go by a clock that stands still while they are suspended.
+};
+
 struct Candidate {
-  Candidate(simulation::VirtualTime& time, StoreState& state, std::size_t machine,
-            std::uint64_t life, Duration margin, std::function<bool()> first)
-      : timers(time),
+  Candidate(simulation::VirtualTime& time, StoreState& state, std::size_t number,
+            std::uint64_t life, const Defects& defects, std::function<bool()> first)
+      : machine(time),
         random(life),
-        store(time, state, timers),
-        lease({time, timers, random, store, logger},
+        store(time, state, machine),
+        lease({defects.still_clock ? machine.still_clock() : machine.clock(), machine, random,
+               store, logger},
               {.holder_key = "d/holder",
                .history_key = "d/history",
-               .node = NodeId("n" + std::to_string(machine)),
+               .node = NodeId("n" + std::to_string(number)),
                .life = life,
                .time_to_live = kLease,
-               .margin = margin},
+               .margin = defects.margin},
               {.to_claim = std::move(first), .to_hold = [] { return true; }}) {
     lease.start();
   }
 
-  FreezableTimers timers;
+  simulation::SuspendableMachine machine;
   SeededRandom random;
   MemoryStore store;
   logging::NullLogger logger;
@@ -91,9 +66,8 @@
 /// Machines that act as often as they may.
 class Machines {
  public:
-  /// A margin below zero is a planted defect: a holder that trusts its lease after its end.
-  explicit Machines(std::size_t count, Duration margin = 400ms)
-      : alive(count, true), margin_(margin) {
+  explicit Machines(std::size_t count, Defects defects = {})
+      : alive(count, true), defects_(defects) {
     for (std::size_t i = 0; i != count; ++i) {
       nodes.push_back(make(i));
     }
@@ -152,11 +126,11 @@
 
  private:
   std::unique_ptr<Candidate> make(std::size_t machine) {
-    return std::make_unique<Candidate>(time, state, machine, ++lives_, margin_, [this, machine] {
+    return std::make_unique<Candidate>(time, state, machine, ++lives_, defects_, [this, machine] {
       // Whoever lives and comes first; all look at the same.
       for (std::size_t i = 0; i != machine; ++i) {
         if (alive[i] && !nodes[i]->store.cut && !nodes[i]->store.turned_away &&
-            !nodes[i]->timers.frozen()) {
+            !nodes[i]->machine.suspended()) {
           return false;
         }
       }
@@ -165,7 +139,7 @@
   }
   void act() {
     for (std::size_t i = 0; i != nodes.size(); ++i) {
-      if (alive[i] && !nodes[i]->timers.frozen()) {
+      if (alive[i] && !nodes[i]->machine.suspended()) {
         if (const auto fence = nodes[i]->lease.fence()) {
           acts.push_back({time.now(), i, *fence});
         }
@@ -174,7 +148,7 @@
     time.schedule_after(50ms, [this] { act(); });
   }
 
-  Duration margin_;
+  Defects defects_;
   std::uint64_t lives_ = 0;
   std::vector<std::unique_ptr<Candidate>> retired_;  ///< Timers may still name them.
 };
@@ -210,10 +184,10 @@
   CHECK(world.holder() == 1);
 }
 
-TEST_CASE("a frozen holder never acts on its old lease") {
+TEST_CASE("a suspended holder never acts on its old lease when it wakes") {
   Machines world(3);
   world.advance(5s);
-  world.nodes[0]->timers.freeze_until(world.time.now() + 6s);
+  world.nodes[0]->machine.suspend(6s);
   world.advance(5900ms);
   REQUIRE(world.holder() == 1);
   world.advance(200ms);
@@ -222,6 +196,35 @@
   CHECK(world.broken().empty());
 }
 
+TEST_CASE(
+    "holders suspended in a series, each before the one before has woken, never act by turns") {
+  Machines world(6);
+  world.advance(5s);
+  for (int round = 0; round != 20; ++round) {
+    if (const auto holder = world.holder()) {
+      world.nodes[*holder]->machine.suspend(Duration(4s) + round % 5 * 900ms);
+    }
+    world.advance(3300ms);
+    CHECK(world.broken().empty());
+  }
+}
+
+TEST_CASE("the tests see a holder whose clock stands still while it is suspended") {
+  Machines world(3, {.still_clock = true});
+  world.advance(5s);
+  world.nodes[0]->machine.suspend(6s);
+  world.advance(8s);
+  CHECK_FALSE(world.broken().empty());
+}
+
+TEST_CASE("the tests see a holder that outlives its lease") {
+  Machines world(3, {.margin = -10s});
+  world.advance(5s);
+  world.nodes[0]->store.cut = true;
+  world.advance(8s);
+  CHECK_FALSE(world.broken().empty());
+}
+
 TEST_CASE(
     "while the store is out nobody acts for longer than the lease, and the holder goes on after") {
   Machines world(3);
@@ -323,7 +326,7 @@
           break;
         case 2:
           if (world.alive[machine]) {
-            node.timers.freeze_until(world.time.now() + *rc::gen::inRange(1, 9) * 1s);
+            node.machine.suspend(*rc::gen::inRange(1, 9) * 1s);
           }
           break;
         case 3:
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -165,8 +165,9 @@
 
 Result<void, http::HttpError> GatewayNode::listen_to_peers() {
   BOOST_OUTCOME_TRY(socket, peer_load::DatagramSocket::bind(
-                                loop_, settings_.peer_listen,
-                                [this](std::string_view bytes) { peer_news_.receive(bytes); }));
+                                loop_, settings_.peer_listen, [this](std::string_view bytes) {
+                                  peer_news_.receive(bytes, loop_.held_up());
+                                }));
   peer_socket_ = std::move(socket);
   return outcome::success();
 }
--- a/src/gateway_node/peer_channel.cc
+++ b/src/gateway_node/peer_channel.cc
@@ -22,12 +22,20 @@
 
 }  // namespace
 
-void PeerChannel::receive(std::string_view bytes) {
+void PeerChannel::receive(std::string_view bytes, Duration waited) {
   // What cannot be decoded is no message of a node: it is left alone, and costs no log line each.
-  const auto message = wire::decode<PeerMessage>(bytes);
-  if (message) {
-    std::visit([this](const auto& told) { take(told); }, message.value());
+  auto message = wire::decode<PeerMessage>(bytes);
+  if (!message) {
+    return;
+  }
+  // A look's news are as old as they were when sent, and as long as they waited: a view that seems
+  // young would refuse what a newer configuration allows.
+  if (auto* update = std::get_if<discovery::ViewUpdate>(&message.value())) {
+    update->age += waited;
+  } else if (auto* relayed = std::get_if<UpdateToRelay>(&message.value())) {
+    relayed->update.age += waited;
   }
+  std::visit([this](const auto& told) { take(told); }, message.value());
 }
 
 void PeerChannel::take(const peer_load::ReportToRelay& told) {
--- a/src/gateway_node/peer_channel.h
+++ b/src/gateway_node/peer_channel.h
@@ -62,8 +62,9 @@
         handlers_(std::move(handlers)),
         send_(std::move(send)) {}
 
-  /// A datagram has come, from a node or from anybody else.
-  void receive(std::string_view bytes);
+  /// A datagram has come, from a node or from anybody else, and may have waited so long until this
+  /// node ran again.
+  void receive(std::string_view bytes, Duration waited = {});
 
   /// This node's own work has changed.
   void tell_work(const peer_load::WorkReport& report);
--- a/src/gateway_node/peer_news.h
+++ b/src/gateway_node/peer_news.h
@@ -44,7 +44,10 @@
   PeerNews(World world, PeerNewsOptions options, PeerChannel::Send send,
            std::function<void(const Endpoint& view_address)> on_offer);
 
-  void receive(std::string_view datagram) { channel_.receive(datagram); }
+  /// See PeerChannel::receive().
+  void receive(std::string_view datagram, Duration waited = {}) {
+    channel_.receive(datagram, waited);
+  }
   /// Asks some nodes what they believe engines to keep.
   void ask_for_parts();
   /// The store is lost or regained: while it is out this node offers its view again and again.
--- a/src/gateway_node/tests/crash_fleet.h
+++ b/src/gateway_node/tests/crash_fleet.h
@@ -22,6 +22,7 @@
 #include "logging/logger.h"
 #include "quarantine/quarantine.h"
 #include "shared_store/tests/memory_store.h"
+#include "simulation/suspendable_machine.h"
 #include "simulation/virtual_time.h"
 #include "wire/codec.h"
 
@@ -29,13 +30,21 @@
 
 using namespace std::chrono_literals;
 
-/// Back ends as they are encoded between nodes, and one configuration.
+/// Back ends as they are encoded between nodes, and configurations by their numbers; from the
+/// second on there is a route more.
 class EncodedCodec final : public discovery::FleetCodec {
  public:
   const discovery::StoreLayout& layout() const override { return layout_; }
   Result<gateway::Configuration, discovery::CodecError> read_configuration(
-      std::string_view /*value*/) const override {
-    return gateway::testing::GatewayFixture::make_configuration(1);
+      std::string_view value) const override {
+    using gateway::testing::GatewayFixture;
+    const std::uint64_t version = std::stoul(std::string(value));
+    gateway::Configuration configuration = GatewayFixture::make_configuration(version);
+    if (version > 1) {
+      configuration.routes.push_back(GatewayFixture::make_route(
+          "/added/", gateway::RequestKind::kIdempotent, "relay", 2, false));
+    }
+    return configuration;
   }
   Result<gateway::Backend, discovery::CodecError> read_backend(
       std::string_view /*id*/, std::string_view value) const override {
@@ -48,12 +57,25 @@
 
 /// A request on its way to a server, or at it.
 struct FleetExchange {
+  /// Tells the node, once it runs.
+  void tell(std::function<void(http::ResponseObserver&)> what);
+
   http::ClientRequest request;
   http::ResponseObserver* observer = nullptr;
   bool open = true;
   bool head_sent = false;
+  simulation::SuspendableMachine* machine = nullptr;  ///< Of the node.
+  std::weak_ptr<FleetExchange> self;
 };
 
+inline void FleetExchange::tell(std::function<void(http::ResponseObserver&)> what) {
+  machine->when_awake([exchange = self.lock(), what = std::move(what)] {
+    if (exchange->open) {
+      what(*exchange->observer);
+    }
+  });
+}
+
 /// A server, life after life at one address.
 struct PlayedServer {
   gateway::Backend backend;
@@ -74,9 +96,9 @@
 
   void reset_all() {
     for (const auto& exchange : std::exchange(exchanges_, {})) {
-      if (exchange->open) {
-        exchange->observer->on_failure({http::HttpErrc::kReset, "reset"}, true);
-      }
+      exchange->tell([](auto& observer) {
+        observer.on_failure({http::HttpErrc::kReset, "reset"}, true);
+      });
     }
   }
   /// The process has ended: its connections are closed.
@@ -105,6 +127,8 @@
 struct CrashNode {
   CrashNode(CrashFleet& fleet, std::size_t number, std::uint64_t life);
 
+  simulation::SuspendableMachine machine;
+  const Clock& clock;
   bool cut_off = false;     ///< From all other nodes.
   bool asked = false;       ///< Other nodes, for what they know.
   bool refused = false;     ///< Cut off from servers by something that resets.
@@ -136,7 +160,8 @@
   double loss = 0;         ///< Of datagrams between nodes.
   std::uint64_t seed = 7;
   std::uint32_t relay_from_nodes = 48;
-  bool guarded = true;  ///< Without: what the quarantine is worth.
+  bool still_clock = false;  ///< Nodes go by a clock that stands still while they are suspended.
+  bool guarded = true;       ///< Without: what the quarantine is worth.
 };
 
 /// What became of one caller's requests.
@@ -169,6 +194,13 @@
     return least + from_seconds(to_seconds(most - least) * random.unit());
   }
 
+  void write(const std::string& key, const std::string& value) {
+    REQUIRE(state.commit({.conditions = {}, .writes = {{key, value, {}}}, .removals = {}}));
+  }
+  void suspend(std::size_t number, Duration span) {
+    nodes[number]->machine.suspend(span);
+    nodes[number]->touched = time.now() + span;
+  }
   /// Kills a node's process; it starts again at once and knows nothing.
   void restart(std::size_t number) {
     nodes[number]->transport.close_all();
@@ -190,7 +222,9 @@
         {names.deadline, "5000"},
         {names.prompt_parts, "aa:6300," + std::to_string(ids_) + ":2000"},
         {names.token_counts, "8300,20"}};
-    nodes[node]->gateway.handle({"POST", path, "", std::move(headers), body}, caller);
+    nodes[node]->machine.when_awake([gateway = &nodes[node]->gateway, caller, path, body, headers] {
+      gateway->handle({"POST", path, "", headers, body}, caller);
+    });
     await(std::move(caller), std::move(done));
   }
 
@@ -234,11 +268,8 @@
     server.alive = false;
     const std::string id = server.backend.id.value();
     for (const auto& exchange : std::exchange(server.at_work, {})) {
-      if (exchange->open) {
-        exchange->observer->on_failure(
-            {exchange->head_sent ? http::HttpErrc::kTruncated : http::HttpErrc::kReset, "ended"},
-            true);
-      }
+      const auto code = exchange->head_sent ? http::HttpErrc::kTruncated : http::HttpErrc::kReset;
+      exchange->tell([code](auto& observer) { observer.on_failure({code, "ended"}, true); });
     }
     time.schedule_after(3600ms, [this, id] { state.remove("backends/" + id); });
     time.schedule_after(draw(2s, 3500ms), [this, &server] {
@@ -262,19 +293,21 @@
         [&](const Send& send) { return send.body == body && send.at > bound && send.in_touch; }));
   }
 
-  void probe(const CrashNode& node, const Endpoint& address,
+  void probe(CrashNode& node, const Endpoint& address,
              std::function<void(http::ProbeResult)> done) {
     time.schedule_after(2ms, [this, &node, address, done = std::move(done)] {
       const bool accepted = server_at(address).alive && !node.refused;
-      done(accepted ? http::ProbeResult::kAccepted : http::ProbeResult::kRefused);
+      node.machine.when_awake([accepted, done] {
+        done(accepted ? http::ProbeResult::kAccepted : http::ProbeResult::kRefused);
+      });
     });
   }
   /// Resets all connections between nodes and a server that goes on.
   void reset_connections(PlayedServer& server) {
     for (const auto& exchange : std::exchange(server.at_work, {})) {
-      if (exchange->open) {
-        exchange->observer->on_failure({http::HttpErrc::kReset, "reset"}, true);
-      }
+      exchange->tell([](auto& observer) {
+        observer.on_failure({http::HttpErrc::kReset, "reset"}, true);
+      });
     }
   }
   /// Something between a node and all servers resets what goes through it.
@@ -308,7 +341,9 @@
         return;
       }
       if (!server.alive || nodes[node]->refused) {
-        exchange->observer->on_failure({http::HttpErrc::kConnect, "refused"}, false);
+        exchange->tell([](auto& observer) {
+          observer.on_failure({http::HttpErrc::kConnect, "refused"}, false);
+        });
         return;
       }
       const bool in_touch = time.now() - nodes[node]->touched > kContact;
@@ -350,7 +385,8 @@
     time.schedule_after(draw(1ms, 2ms), [this, to, bytes = std::string(bytes)] {
       for (const auto& node : nodes) {
         if (node->record.peer_address == to && !node->cut_off) {
-          node->news.receive(bytes);
+          node->machine.when_awake(
+              [node = node.get(), bytes] { node->news.receive(bytes, node->machine.held_up()); });
         }
       }
     });
@@ -378,9 +414,6 @@
   void register_server(const PlayedServer& server) {
     write("backends/" + server.backend.id.value(), wire::encode(server.backend));
   }
-  void write(const std::string& key, const std::string& value) {
-    REQUIRE(state.commit({.conditions = {}, .writes = {{key, value, {}}}, .removals = {}}));
-  }
   void start_node(std::size_t number) {
     nodes[number] = std::make_unique<CrashNode>(*this, number, ++node_lives_);
     write("nodes/" + nodes[number]->record.node.value(), wire::encode(nodes[number]->record));
@@ -434,9 +467,12 @@
               std::uint16_t status, std::vector<http::Header> headers, std::string_view body) {
     std::erase(server.at_work, exchange);
     if (server.alive && exchange->open) {
-      exchange->observer->on_head({status, std::move(headers)});
-      exchange->observer->on_body(body);
-      exchange->observer->on_complete();
+      exchange->tell(
+          [status, headers = std::move(headers), body = std::string(body)](auto& observer) {
+            observer.on_head({status, headers});
+            observer.on_body(body);
+            observer.on_complete();
+          });
     }
   }
   void stream(PlayedServer& server, const std::shared_ptr<FleetExchange>& exchange, int event) {
@@ -447,12 +483,14 @@
     }
     if (!exchange->head_sent) {
       exchange->head_sent = true;
-      exchange->observer->on_head({200, {signature()}});
+      exchange->tell([](auto& observer) { observer.on_head({200, {signature()}}); });
     }
-    exchange->observer->on_body("id: " + std::to_string(event) + "\ndata: x\n\n");
+    exchange->tell([event](auto& observer) {
+      observer.on_body("id: " + std::to_string(event) + "\ndata: x\n\n");
+    });
     if (event == kEvents) {
       std::erase(server.at_work, exchange);
-      exchange->observer->on_complete();
+      exchange->tell([](auto& observer) { observer.on_complete(); });
       return;
     }
     time.schedule_after(50ms,
@@ -484,26 +522,30 @@
   const auto exchange = exchanges_.back();
   exchange->request = std::move(request);
   exchange->observer = &observer;
+  exchange->machine = &fleet_.nodes[node_]->machine;
+  exchange->self = exchange;
   fleet_.accept(node_, exchange);
   return std::make_unique<Handle>(exchange);
 }
 
 inline CrashNode::CrashNode(CrashFleet& fleet, std::size_t number, std::uint64_t life)
-    : random(life),
+    : machine(fleet.time),
+      clock(fleet.options().still_clock ? machine.still_clock() : machine.clock()),
+      random(life),
       record{NodeId("n" + std::to_string(number)), Endpoint("front"),
              ZoneName(number % 3 == 0   ? "a"
                       : number % 3 == 1 ? "b"
                                         : "c"),
              Endpoint("n" + std::to_string(number)), 200},
-      nodes(fleet.time, record),
+      nodes(clock, record),
       placement(view, loads, random, record.zone),
       shares(random),
       transport(fleet, number),
-      store(fleet.time, fleet.state, fleet.time),
-      watcher({fleet.time, fleet.time, random, store, fleet.codec, fleet.logger},
+      store(fleet.time, fleet.state, machine),
+      watcher({clock, machine, random, store, fleet.codec, fleet.logger},
               discovery::settings_within(2s), view, nodes),
       news(
-          {fleet.time, fleet.time, random, view, loads, nodes, watcher},
+          {clock, machine, random, view, loads, nodes, watcher},
           {.peer_address = record.peer_address,
            .view_address = {},
            .relays = {.from_nodes = fleet.options().relay_from_nodes},
@@ -513,14 +555,14 @@
           },
           [](const Endpoint&) {}),
       quarantine(
-          {fleet.time, fleet.time, random, store, fleet.logger, view},
+          {clock, machine, random, store, fleet.logger, view},
           {.key_prefix = fleet.codec.layout().quarantine_prefix, .node = record.node},
           {.probe = [this, &fleet](const Endpoint& address,
                                    auto done) { fleet.probe(*this, address, std::move(done)); },
            .tell = [this](const auto& told) { news.tell_crashes(told); },
            .tell_zone = [this](const auto& told) { news.tell_zone_crashes(told); }}),
-      gateway({fleet.time,
-               fleet.time,
+      gateway({clock,
+               machine,
                transport,
                view,
                loads,
--- a/src/gateway_node/tests/crashing_request_test.cc
+++ b/src/gateway_node/tests/crashing_request_test.cc
@@ -206,3 +206,17 @@
   CHECK(most_late_sends(fleet) <= kMostLateSends);
   CHECK(share_served(fleet.innocents) > 0.9);
 }
+
+TEST_CASE("nodes suspended in a series learn it when they wake, and keep to it") {
+  CrashFleet fleet({.loss = 0.05});
+  fleet.traffic(60, 40s);
+  send_guilty(fleet, 3, 40s);
+  for (int i = 0; i != 16; ++i) {
+    fleet.time.schedule_after(500ms + i * 2s, [&fleet] {
+      fleet.suspend(fleet.random.below(fleet.nodes.size()), fleet.draw(1s, 6s));
+    });
+  }
+  fleet.advance(50s);
+  CHECK(most_late_sends(fleet) <= kMostLateSends);
+  CHECK(fleet.nodes_with_quarantined(3) == fleet.nodes.size());
+}
--- a/src/http/event_loop.cc
+++ b/src/http/event_loop.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <chrono>
 #include <csignal>
 #include <limits>
 #include <map>
@@ -17,8 +18,11 @@
 
 namespace {
 
-/// Longest sleep; bounds the wait when no timer is due.
-constexpr std::int64_t kLongestWaitMilliseconds = 60'000;
+/// Longest sleep. Timers are due by a clock that goes on while the machine is suspended, but the
+/// sleep in the kernel does not: after a suspension it lasts for what was left of it.
+constexpr std::int64_t kLongestWaitMilliseconds = 250;
+/// A timer overdue by this much has been held up, by a suspension, a pause or want of processor.
+constexpr Duration kHeldUp = std::chrono::milliseconds(20);
 constexpr std::int64_t kNanosecondsPerMillisecond = 1'000'000;
 
 using Task = std::function<void()>;
@@ -41,6 +45,11 @@
   std::atomic<bool> stopping = false;
   std::atomic<std::thread::id> owner;
 
+  MonotonicTime poll_began = clock.now();
+  MonotonicTime poll_ended = clock.now();
+  Duration poll_wait{};    ///< How long the poll was to wait at most.
+  Duration before_poll{};  ///< How long nothing was polled before it.
+
   std::map<std::pair<MonotonicTime, TimerId>, Task> timers;
   std::unordered_map<TimerId, MonotonicTime> due;
   TimerId next_timer = 1;
@@ -62,6 +71,23 @@
 
   void wake() { h2o_multithread_send_message(&receiver, nullptr); }
 
+  void poll(std::int32_t wait) {
+    poll_began = clock.now();
+    poll_wait = std::chrono::milliseconds(wait);
+    before_poll = poll_began - poll_ended;
+    h2o_evloop_run(loop, wait);
+    poll_ended = clock.now();
+  }
+
+  Duration held_up() const {
+    const Duration in_poll = clock.now() - poll_began - poll_wait;
+    Duration held{};
+    for (const Duration span : {before_poll, in_poll}) {
+      held += span > kHeldUp ? span : Duration::zero();
+    }
+    return held;
+  }
+
   bool run_tasks() {
     std::vector<Task> batch;
     {
@@ -76,7 +102,12 @@
   }
 
   bool run_timers() {
-    const MonotonicTime now = clock.now();
+    MonotonicTime now = clock.now();
+    if (!timers.empty() && now - timers.begin()->first.first > kHeldUp) {
+      // What came meanwhile is read first: an answer that has arrived is not given up as silent.
+      poll(0);
+      now = clock.now();
+    }
     bool ran = false;
     while (!timers.empty() && timers.begin()->first.first <= now) {
       auto node = timers.extract(timers.begin());
@@ -132,7 +163,7 @@
     if (state_->stopping) {
       break;
     }
-    h2o_evloop_run(state_->loop, state_->wait_milliseconds());
+    state_->poll(state_->wait_milliseconds());
   }
   state_->stopping = false;
   state_->owner = std::thread::id();
@@ -175,6 +206,10 @@
   state_->due.erase(found);
 }
 
+Duration EventLoop::held_up() const {
+  return state_->held_up();
+}
+
 st_h2o_evloop_t* EventLoop::native() {
   return state_->loop;
 }
--- a/src/http/event_loop.h
+++ b/src/http/event_loop.h
@@ -11,7 +11,9 @@
 
 namespace ochrespring::http {
 
-/// Event loop owned by one thread. Everything but post() and stop() is called on that thread.
+/// Event loop owned by one thread. Timers are due by SystemClock, which counts suspensions of the
+/// machine; those that came due in one run up to 250 ms after it, behind what has come to sockets.
+/// Everything but post() and stop() is called on that thread.
 class EventLoop final : public TimerService {
  public:
   EventLoop();
@@ -29,6 +31,10 @@
   TimerId schedule_after(Duration delay, std::function<void()> callback) override;
   void cancel(TimerId timer) override;
 
+  /// How long what comes to a socket now may have waited there because nothing ran: the machine was
+  /// suspended, or the process paused. Zero as a rule.
+  Duration held_up() const;
+
   /// The underlying h2o loop, for the HTTP and peer layers.
   st_h2o_evloop_t* native();
 
--- a/src/http/tests/event_loop_test.cc
+++ b/src/http/tests/event_loop_test.cc
@@ -5,9 +5,12 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <string>
 #include <thread>
 #include <vector>
 
+#include "http/h2o_api.h"
+
 using namespace ochrespring;
 using namespace std::chrono_literals;
 
@@ -62,3 +65,31 @@
   CHECK(::write(pair[0], "x", 1) == -1);
   ::close(pair[0]);
 }
+
+TEST_CASE("what came while the process stood still is read before timers that are overdue") {
+  http::EventLoop loop;
+  int pair[2];
+  REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, pair) == 0);
+  std::vector<std::string> order;
+  h2o_socket_t* socket =
+      h2o_evloop_socket_create(loop.native(), pair[0], H2O_SOCKET_FLAG_DONT_READ);
+  socket->data = &order;
+  h2o_socket_read_start(socket, [](h2o_socket_t* readable, const char* /*error*/) {
+    char byte = 0;
+    CHECK(::read(h2o_socket_get_fd(readable), &byte, 1) == 1);
+    static_cast<std::vector<std::string>*>(readable->data)->push_back("read");
+  });
+  loop.schedule_after(100ms, [&] {
+    order.push_back("timer");
+    loop.stop();
+  });
+  // The answer comes in time, but nothing runs until the timer is overdue.
+  loop.post([&] {
+    REQUIRE(::write(pair[1], "x", 1) == 1);
+    std::this_thread::sleep_for(200ms);
+  });
+  loop.run();
+  CHECK(order == std::vector<std::string>{"read", "timer"});
+  h2o_socket_close(socket);
+  ::close(pair[1]);
+}
