--- a/src/gateway/retry_budget.cc
+++ b/src/gateway/retry_budget.cc
@@ -13,7 +13,8 @@
 bool RetryBudget::spend(const ServiceName& service, std::uint32_t nodes, MonotonicTime now) {
   Window& window = windows_[service];
   forget_old(window, now);
-  const double share = settings_.slack / std::max<std::uint32_t>(nodes, 1);
+  const bool knows_window = !started_ || now - *started_ >= settings_.window;
+  const double share = knows_window ? settings_.slack / std::max<std::uint32_t>(nodes, 1) : 0;
   const double allowed =
       kCaution * (settings_.ratio * static_cast<double>(window.requests.size()) + share);
   if (static_cast<double>(window.repeats.size()) + 1 > allowed) {
--- a/src/gateway/retry_budget.h
+++ b/src/gateway/retry_budget.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 
 #include "base/ids.h"
 #include "base/time.h"
@@ -19,10 +20,13 @@
 };
 
 /// Pure; per service. A node spends from its own requests and from its part of the slack, both
-/// reduced by `kCaution`, since windows of nodes do not line up.
+/// reduced by `kCaution`, since windows of nodes do not line up. What a node spent before it was
+/// started again it does not know: for a window it has no part of the slack.
 class RetryBudget {
  public:
-  explicit RetryBudget(RetryBudgetSettings settings) : settings_(settings) {}
+  /// `started`: when the node did; none: long ago.
+  explicit RetryBudget(RetryBudgetSettings settings, std::optional<MonotonicTime> started = {})
+      : settings_(settings), started_(started) {}
 
   void set(const RetryBudgetSettings& settings) { settings_ = settings; }
   /// Counts a caller's request.
@@ -41,6 +45,7 @@
   void forget_old(Window& window, MonotonicTime now) const;
 
   RetryBudgetSettings settings_;
+  std::optional<MonotonicTime> started_;
   std::map<ServiceName, Window> windows_;
 };
 
--- a/src/gateway/tests/policies_test.cc
+++ b/src/gateway/tests/policies_test.cc
@@ -144,7 +144,7 @@
   CHECK(parse_prompt("a:5", "").tokens == 5);
 }
 
-TEST_CASE("all nodes together stay inside the retry budget in every window") {
+TEST_CASE("all nodes together stay inside the retry budget in every window, and when they restart") {
   CHECK(rc::check([](std::vector<std::pair<std::uint8_t, std::uint8_t>> steps) {
     constexpr std::uint32_t kNodes = 3;
     const RetryBudgetSettings settings{0.2, 9, 10s};
@@ -156,6 +156,9 @@
     for (const auto& [wait, choice] : steps) {
       now += std::chrono::milliseconds(wait * 10);
       RetryBudget& node = nodes[choice % kNodes];
+      if (choice % 8 == 7) {
+        node = RetryBudget(settings, now);
+      }
       node.note_request(service, now);
       requests.push_back(now);
       for (int i = 0; i != 4; ++i) {
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -40,7 +40,7 @@
       adapter_(std::move(adapter)),
       client_(client),
       placement_(fleet_, loads_, random, settings_.zone),
-      budget_(settings_.retry_budget),
+      budget_(settings_.retry_budget, clock.now()),
       shares_(random),
       transport_(client),
       self_{settings_.node, settings_.listen, settings_.zone, settings_.peer_listen,
