--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,5 +1,6 @@
 #include "http/client.h"
 
+#include <chrono>
 #include <string>
 #include <unordered_set>
 #include <utility>
@@ -13,6 +14,9 @@
 
 namespace {
 
+/// How long a probed connection has to stay open: several round trips within a network of ours.
+constexpr Duration kProbeHold = std::chrono::milliseconds(150);
+
 /// The caller's handle.
 class ExchangeHandle final : public Exchange {
  public:
@@ -110,9 +114,21 @@
   }
 
   void on_connected(bool success) override {
-    finish(success ? ProbeResult::kAccepted : ProbeResult::kRefused);
+    if (!success) {
+      finish(ProbeResult::kRefused);
+      return;
+    }
+    timeout_.arm(kProbeHold, [this] { finish(ProbeResult::kAccepted); });
+    connection_->set_reading(true);
+  }
+  void on_readable() override {
+    char byte = 0;
+    const IoResult result = connection_->read(&byte, 1);
+    if (result.status != IoStatus::kAgain) {
+      const bool talks = result.status == IoStatus::kDone;
+      finish(talks ? ProbeResult::kAccepted : ProbeResult::kRefused);
+    }
   }
-  void on_readable() override {}
   void on_writable() override {}
 
  private:
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -72,8 +72,9 @@
 
 /// What became of a connection that was only opened.
 enum class ProbeResult : std::uint8_t {
-  kAccepted,
-  kRefused,   ///< Nothing listens there, or there is no way to it.
+  kAccepted,  ///< And kept open for a while, as by a server that waits for a request.
+  kRefused,   ///< Nothing listens there, there is no way to it, or it was closed at once: whoever
+              ///< accepts for others has nobody behind.
   kNoAnswer,  ///< Not in time.
 };
 
@@ -90,7 +91,7 @@
   /// Fetches a whole answer of at most `largest_body_bytes`.
   void fetch(ClientRequest request, std::function<void(Result<Response, FetchFailure>)> done,
              std::uint64_t largest_body_bytes = 8U << 20U);
-  /// Opens a connection and closes it again without a byte.
+  /// Opens a connection and, if it is accepted and stays open for 150 ms, closes it without a byte.
   void probe(const Endpoint& endpoint, Duration timeout, std::function<void(ProbeResult)> done);
   /// Closes the idle connections to an endpoint.
   void forget(const Endpoint& endpoint);
--- a/src/http/tests/client_failure_test.cc
+++ b/src/http/tests/client_failure_test.cc
@@ -281,4 +281,7 @@
   ::close(listener);
   CHECK(probe(endpoint) == http::ProbeResult::kRefused);
   CHECK(probe(Endpoint("no address")) == http::ProbeResult::kRefused);
+  // Somebody accepts, finds nobody behind and closes.
+  const ScriptedPeer closes(std::vector<std::vector<std::string>>(1));
+  CHECK(probe(closes.endpoint()) == http::ProbeResult::kRefused);
 }
