--- a/src/gateway/tests/policies_test.cc
+++ b/src/gateway/tests/policies_test.cc
@@ -144,7 +144,8 @@
   CHECK(parse_prompt("a:5", "").tokens == 5);
 }
 
-TEST_CASE("all nodes together stay inside the retry budget in every window, and when they restart") {
+TEST_CASE(
+    "all nodes together stay inside the retry budget in every window, and when they restart") {
   CHECK(rc::check([](std::vector<std::pair<std::uint8_t, std::uint8_t>> steps) {
     constexpr std::uint32_t kNodes = 3;
     const RetryBudgetSettings settings{0.2, 9, 10s};
