--- a/src/config/checkpoint_storage.cc
+++ b/src/config/checkpoint_storage.cc
@@ -2,9 +2,9 @@
 
 #include <utility>
 
-#include "config/compression.h"
 #include "config/document_transfer.h"
 #include "fleet/storage_codec.h"
+#include "wire/compression.h"
 
 namespace ochrespring::config {
 
@@ -45,7 +45,7 @@
   writing->reference.revision = document.document.revision;
   writing->reference.name = checkpoint_name(document, writer_);
   writing->done = std::move(done);
-  const std::string bytes = compress(fleet::encode_document(document.document));
+  const std::string bytes = wire::compress(fleet::encode_document(document.document));
   for (std::size_t at = 0; at < bytes.size(); at += settings_.checkpoint_part_bytes) {
     writing->parts.push_back(bytes.substr(at, settings_.checkpoint_part_bytes));
   }
--- a/src/config/document_transfer.cc
+++ b/src/config/document_transfer.cc
@@ -2,8 +2,8 @@
 
 #include <utility>
 
-#include "config/compression.h"
 #include "fleet/storage_codec.h"
+#include "wire/compression.h"
 
 namespace ochrespring::config {
 
@@ -23,7 +23,7 @@
     return;
   }
   revision_ = documents_.revision();
-  bytes_ = compress(fleet::encode_document(*documents_.document()));
+  bytes_ = wire::compress(fleet::encode_document(*documents_.document()));
 }
 
 std::optional<Part> DocumentServer::part(const PartRequest& request, MonotonicTime now) {
@@ -64,8 +64,11 @@
 }
 
 Result<fleet::FleetDocument, ConfigError> open_document(const std::string& compressed) {
-  BOOST_OUTCOME_TRY(bytes, decompress(compressed));
-  auto document = fleet::decode_document(bytes);
+  const auto bytes = wire::decompress(compressed);
+  if (!bytes) {
+    return fail(ConfigErrc::kMalformed, bytes.error().message);
+  }
+  auto document = fleet::decode_document(bytes.value());
   if (document.has_error()) {
     const bool newer = document.error().code == fleet::FleetErrc::kUnsupportedFormat;
     return fail(newer ? ConfigErrc::kUnsupportedFormat : ConfigErrc::kMalformed,
--- a/src/discovery/change_log.cc
+++ b/src/discovery/change_log.cc
@@ -1,12 +1,21 @@
 #include "discovery/change_log.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace ochrespring::discovery {
 
 namespace {
 
+/// Back ends and nodes have names of their own; which of them a change is of is told apart.
+std::pair<std::size_t, std::string_view> subject_of(const ViewChange& change) {
+  const std::string_view id = std::visit(
+      [](const auto& alternative) { return std::string_view(alternative.id.value()); }, change);
+  return {change.index(), id};
+}
+
 shared_store::StoreRevision revision_of(const ViewChange& change) {
   return std::visit([](const auto& alternative) { return alternative.revision; }, change);
 }
@@ -19,6 +28,11 @@
   through_ = std::max(through_, revision);
 }
 
+void ChangeLog::note_configuration(shared_store::StoreRevision revision) {
+  configuration_at_ = std::max(configuration_at_, revision);
+  advance(revision);
+}
+
 void ChangeLog::note(ViewChange change, MonotonicTime now) {
   advance(revision_of(change));
   entries_.push_back({std::move(change), now});
@@ -43,7 +57,7 @@
 /// One look whose news was lost is made up for by the next: hence from the last but one.
 std::vector<ViewUpdate> ChangeLog::make_updates(MonotonicTime now, Duration age) {
   trim(now);
-  const shared_store::StoreRevision begin = std::max(after_, told_before_);
+  const shared_store::StoreRevision begin = std::max({after_, told_before_, configuration_at_});
   std::vector<ViewUpdate> updates{make_empty_update(begin, age)};
   for (const Entry& entry : entries_) {
     const shared_store::StoreRevision revision = revision_of(entry.change);
@@ -65,6 +79,21 @@
   return updates;
 }
 
+std::vector<ViewChange> ChangeLog::changes_since(shared_store::StoreRevision revision) const {
+  std::set<std::pair<std::size_t, std::string_view>> seen;
+  std::vector<ViewChange> changes;
+  for (auto entry = entries_.rbegin(); entry != entries_.rend(); ++entry) {
+    if (revision_of(entry->change) <= revision) {
+      break;
+    }
+    if (seen.insert(subject_of(entry->change)).second) {
+      changes.push_back(entry->change);
+    }
+  }
+  std::reverse(changes.begin(), changes.end());
+  return changes;
+}
+
 void ChangeLog::trim(MonotonicTime now) {
   while (!entries_.empty() &&
          (entries_.size() > kMostChanges || now - entries_.front().at > kKeep)) {
--- a/src/discovery/change_log.h
+++ b/src/discovery/change_log.h
@@ -16,8 +16,9 @@
  public:
   /// Nothing up to `revision` can be told.
   void restart(shared_store::StoreRevision revision);
-  /// A change too large to tell was made at `revision`; each node has to read it itself.
-  void note_untold(shared_store::StoreRevision revision) { restart(revision); }
+  /// The configuration was changed at `revision`. It is too large for an update: who has not seen
+  /// that revision has to fetch it.
+  void note_configuration(shared_store::StoreRevision revision);
   void note(ViewChange change, MonotonicTime now);
   /// Everything up to `revision` has been noted.
   void advance(shared_store::StoreRevision revision) { through_ = std::max(through_, revision); }
@@ -27,18 +28,26 @@
   /// or from the oldest change kept if that is newer. The last one ends at the newest revision. If
   /// that is more than `kMostUpdates` hold, one that nobody can join who has not seen it all.
   std::vector<ViewUpdate> make_updates(MonotonicTime now, Duration age);
+  /// Whether all changes after `revision` are kept.
+  bool covers(shared_store::StoreRevision revision) const { return revision >= after_; }
+  /// What changed after `revision`, each key as it was changed last, in the order of revisions; the
+  /// configuration left out. Only if `revision` is covered.
+  std::vector<ViewChange> changes_since(shared_store::StoreRevision revision) const;
+  /// Of the configuration's last change; zero if that was before the log.
+  shared_store::StoreRevision configuration_at() const { return configuration_at_; }
 
  private:
-  /// Longer than the others' time between two looks, so that two updates in a row may be lost.
-  static constexpr Duration kKeep{std::chrono::seconds(6)};
+  /// Far longer than the others' time between two looks: a node that has not been heard for a while
+  /// then fetches what changed (some KB) in place of everything (some 100 KB for 10,000 servers).
+  static constexpr Duration kKeep{std::chrono::seconds(30)};
   /// With this many an update fits into a datagram.
   static constexpr std::size_t kChangesPerUpdate = 24;
   /// Of one look. A relay sends each to all of its zone at once: of longer bursts a link loses the
   /// end, and a view that is fetched over a stream is hardly larger.
   static constexpr std::size_t kMostUpdates = 4;
-  /// In all. While a fleet of some hundred nodes and thousands of servers starts, each comes as one
-  /// change.
-  static constexpr std::size_t kMostChanges = 128 * kChangesPerUpdate;
+  /// In all, some 4 MB. While a fleet starts each server and node comes as one change: of 20,000
+  /// the last three quarters are kept, and who lacks more fetches everything.
+  static constexpr std::size_t kMostChanges = 16'384;
 
   struct Entry {
     ViewChange change;
@@ -53,6 +62,7 @@
 
   shared_store::StoreRevision after_;
   shared_store::StoreRevision through_;
+  shared_store::StoreRevision configuration_at_;
   shared_store::StoreRevision told_;         ///< By the last look that this node knows of.
   shared_store::StoreRevision told_before_;  ///< By the one before.
   std::deque<Entry> entries_;
--- a/src/discovery/fleet_watcher.cc
+++ b/src/discovery/fleet_watcher.cc
@@ -1,7 +1,6 @@
 #include "discovery/fleet_watcher.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace ochrespring::discovery {
@@ -12,32 +11,17 @@
 /// Every key of the store: one call tells of configuration, back ends and nodes.
 const std::string kEverything;
 
-/// Doublings of the pause after failed looks; `longest_retry` bounds it besides.
-constexpr std::uint32_t kMostRetryDoublings = 4;
-/// Of the longest pause after failed looks, for each node of the fleet: together they try some 50
-/// times a second, whatever their number.
-constexpr Duration kRetryOfEachNode = std::chrono::milliseconds(40);
-/// Parts of the bound: when a node looks at the earliest, and how much later at the latest.
-constexpr double kPeriodPart = 0.5;
-constexpr double kSpreadPart = 0.22;
-/// A view this old still tells what a configuration lacks: a newer one need not be in force yet.
-constexpr double kFreshPart = 0.75;
+/// A listing is cut into ranges of about so many back ends, so that a small one stays one range...
+constexpr std::size_t kBackendsOfRange = 1'000;
+/// ...and into no more than this: of 20,000 back ends 13 pages of 200 come one after the other
+/// then, and a reader's connections to the store stay few.
+constexpr std::size_t kMostRanges = 8;
+/// Looks in a row that a follower leaves to the readers before it lists the store itself: by then
+/// two seconds have passed, and the readers have either told or died.
+constexpr std::uint32_t kLooksLeftToReaders = 4;
 
 }  // namespace
 
-Duration spread_wait(Duration spread, std::uint32_t nodes, double uniform) {
-  const double exponent = std::max(1.0, std::log(static_cast<double>(nodes)));
-  return from_seconds(to_seconds(spread) * std::pow(uniform, 1 / exponent));
-}
-
-FleetWatcherSettings settings_within(Duration bound) {
-  FleetWatcherSettings settings;
-  settings.period = from_seconds(kPeriodPart * to_seconds(bound));
-  settings.fresh_enough = from_seconds(kFreshPart * to_seconds(bound));
-  settings.spread = from_seconds(kSpreadPart * to_seconds(bound));
-  return settings;
-}
-
 FleetWatcher::FleetWatcher(World world, FleetWatcherSettings settings, gateway::FleetState& fleet,
                            NodeDirectory& nodes)
     : world_(world),
@@ -45,9 +29,16 @@
       fleet_(fleet),
       nodes_(nodes),
       writer_(world.clock, world.codec, world.logger, fleet, nodes),
+      lister_(world.store, world.timers),
+      fetcher_(world.clock, world.timers, world.random, settings,
+               {.fetch = [this](const ViewRequest& request,
+                                TransferCallback done) { fetch_view_(request, std::move(done)); },
+                .seen = [this] { return writer_.seen(); },
+                .take = [this](const ViewTransfer& transfer,
+                               MonotonicTime asked) { return take_transfer(transfer, asked); }}),
       timer_(world.timers),
       peer_timer_(world.timers),
-      fetch_timer_(world.timers) {}
+      patience_timer_(world.timers) {}
 
 void FleetWatcher::start() {
   look();
@@ -55,43 +46,145 @@
 }
 
 void FleetWatcher::refresh(std::function<void(bool current)> done) {
-  const auto current_at = fleet_.current_at();
-  if (current_at && world_.clock.now() - *current_at < settings_.fresh_enough) {
+  const MonotonicTime now = world_.clock.now();
+  if (configuration_at_ && now - *configuration_at_ < settings_.fresh_enough) {
     done(true);
     return;
   }
-  if (!looking_ && failed_in_row_ != 0) {
-    // The next try is due soon; one for each request that asks would be a storm of them.
+  const bool failing = !looking_ && failed_in_row_ != 0;
+  if (failing || look_is_slow_) {
+    // The next try is due soon, or under way; one for each request that asks would be a storm.
     done(false);
     return;
   }
   waiting_.push_back(std::move(done));
+  if (!patience_timer_.armed()) {
+    limit_waiting();
+  }
   if (!looking_) {
     timer_.disarm();
     look();
   }
 }
 
+void FleetWatcher::limit_waiting() {
+  const MonotonicTime due = world_.clock.now() + settings_.refresh_patience;
+  patience_timer_.arm(settings_.refresh_patience, [this, due] {
+    if (world_.clock.now() - due > settings_.refresh_patience) {
+      // This node was held up itself: the answer may have come, and is read first.
+      limit_waiting();
+    } else {
+      look_is_slow_ = looking_;
+      answer_waiting(false);
+    }
+  });
+}
+
 void FleetWatcher::look() {
   looking_ = true;
   look_began_ = world_.clock.now();
   ++statistics_.looks;
-  if (writer_.seen()) {
+  if (!writer_.seen()) {
+    look_without_view();
+    return;
+  }
+  if (relist_) {
+    list_all();
+    return;
+  }
+  const ReadingDuty duty = this->duty();
+  if (duty.readers.empty() || !fetch_view_) {
     read_changes();
   } else {
-    list_all();
+    ask_reader(duty.readers[world_.random.below(duty.readers.size())]);
   }
 }
 
+/// A page holds all that a small fleet has. In a large one it names nodes to ask for the rest.
+void FleetWatcher::look_without_view() {
+  ++statistics_.listings;
+  world_.store.list_page({.prefix = kEverything, .after = {}}, [this](auto page) {
+    if (!page) {
+      look_ended(LookResult::kStoreLost, look_began_, page.error().message);
+    } else if (!page.value().more) {
+      take_listing(shared_store::Listing{std::move(page.value().items), page.value().revision});
+    } else if (writer_.seen()) {
+      // Another node's view has come meanwhile.
+      read_changes();
+    } else {
+      find_peers(std::move(page.value()));
+    }
+  });
+}
+
+void FleetWatcher::find_peers(shared_store::ListPage first) {
+  writer_.learn_nodes(first.items);
+  first_page_ = std::move(first);
+  if (!nodes_.others().empty() || settings_.lists_at_once) {
+    hold_listing();
+    return;
+  }
+  const std::string& prefix = world_.codec.layout().node_prefix;
+  world_.store.list_page({.prefix = prefix, .after = {}}, [this](auto page) {
+    if (!first_page_) {
+      // Another node's view has come meanwhile.
+      return;
+    }
+    if (page) {
+      writer_.learn_nodes(page.value().items);
+    }
+    hold_listing();
+  });
+}
+
+void FleetWatcher::hold_listing() {
+  const Duration wait = wait_for_peers(settings_, nodes_.count(), world_.random.unit());
+  timer_.arm(wait, [this] { list_rest(); });
+  ask_peer();
+}
+
+void FleetWatcher::list_rest() {
+  shared_store::ListPage first = std::move(*first_page_);
+  first_page_.reset();
+  lister_.resume(std::move(first), [this](const ListingResult& listing) { take_listing(listing); });
+}
+
 void FleetWatcher::list_all() {
   ++statistics_.listings;
-  world_.store.list(kEverything, [this](auto result) {
-    if (!result) {
-      look_ended(false, result.error().message);
+  const std::size_t ranges =
+      std::clamp<std::size_t>(fleet_.backends().size() / kBackendsOfRange, 1, kMostRanges);
+  lister_.start(writer_.split_points(ranges),
+                [this](const ListingResult& listing) { take_listing(listing); });
+}
+
+void FleetWatcher::take_listing(const ListingResult& listing) {
+  if (!listing) {
+    look_ended(LookResult::kStoreLost, look_began_, listing.error().message);
+    return;
+  }
+  const bool first = !writer_.seen();
+  if (writer_.take_listing(listing.value())) {
+    relist_ = false;
+    if (!first) {
+      share_look();
+    }
+  }
+  look_ended(LookResult::kCurrent, look_began_, "listed");
+}
+
+/// What a reader tells is enough unless the reader has not heard of the store for long itself.
+void FleetWatcher::ask_reader(const Endpoint& reader) {
+  fetcher_.ask(reader, [this](const std::optional<ViewTransfer>& transfer) {
+    if (!transfer || !take_transfer(*transfer, look_began_)) {
+      read_changes();
       return;
     }
-    writer_.take_listing(result.value());
-    look_ended(true, "listed");
+    const Duration age = std::visit([](const auto& told) { return told.age; }, *transfer);
+    if (age < settings_.follower_period) {
+      look_ended(LookResult::kCurrent, look_began_ - age, "told by a reader");
+    } else {
+      read_changes();
+    }
   });
 }
 
@@ -99,28 +192,63 @@
   world_.store.changes(kEverything, *writer_.seen(), Duration::zero(), [this](auto result) {
     if (!result) {
       if (result.error().code == shared_store::StoreErrc::kHistoryGone) {
-        writer_.forget_history();
-        list_all();
-        return;
+        recover_history();
+      } else {
+        look_ended(LookResult::kStoreLost, look_began_, result.error().message);
       }
-      look_ended(false, result.error().message);
       return;
     }
-    if (!writer_.seen()) {
+    if (relist_) {
       // The view was found to lack something meanwhile.
       list_all();
       return;
     }
     writer_.take_changes(result.value());
     share_look();
-    look_ended(true, "");
+    look_ended(LookResult::kCurrent, look_began_, "");
   });
 }
 
+/// The store has forgotten what came after the view: only a listing tells what is there now. The
+/// readers of a large fleet list it for all; the configuration has no time to wait for that.
+void FleetWatcher::recover_history() {
+  ++statistics_.histories_gone;
+  world_.logger.write({logging::Level::kWarning,
+                       kComponent,
+                       "store has forgotten its history",
+                       {{"seen", writer_.seen()->value()}}});
+  const bool follows = duty().role == ReadingRole::kFollower;
+  if (follows || fleet_.backends().size() >= kBackendsOfRange) {
+    read_configuration();
+  }
+  if (follows && failed_in_row_ < kLooksLeftToReaders) {
+    look_ended(LookResult::kBehind, look_began_, "");
+  } else {
+    list_all();
+  }
+}
+
+void FleetWatcher::read_configuration() {
+  world_.store.get(world_.codec.layout().configuration_key,
+                   [this, asked = world_.clock.now()](auto item) {
+                     if (!item) {
+                       world_.logger.write({logging::Level::kWarning,
+                                            kComponent,
+                                            "configuration not read",
+                                            {{"reason", item.error().message}}});
+                       return;
+                     }
+                     writer_.take_configuration_alone(item.value());
+                     note_configuration_current(asked);
+                   });
+}
+
 /// Many nodes may look at once when they could not take another's news; told by all of them it
 /// would fill the links.
 void FleetWatcher::share_look() {
-  const bool heard = heard_at_ && world_.clock.now() - *heard_at_ < settings_.period / 2;
+  const Duration pace =
+      duty().role == ReadingRole::kReader ? settings_.reader_period : settings_.period;
+  const bool heard = heard_at_ && world_.clock.now() - *heard_at_ < pace / 2;
   if (!share_ || heard) {
     return;
   }
@@ -137,11 +265,13 @@
   switch (writer_.take_update(update)) {
     case UpdateOutcome::kPassed:
       ++statistics_.updates_passed;
-      fetch_later(update.view_address);
+      if (fetch_view_) {
+        fetcher_.want(update.view_address);
+      }
       return;
     case UpdateOutcome::kDiffers:
       ++statistics_.updates_differed;
-      list_again();
+      distrust_view(update.view_address);
       return;
     case UpdateOutcome::kTaken:
       ++statistics_.updates_taken;
@@ -155,97 +285,107 @@
   }
 }
 
-void FleetWatcher::list_again() {
+/// A follower takes the other's view for the right one: all of a large fleet may differ at once,
+/// and the readers, who list, find out whose it is.
+void FleetWatcher::distrust_view(const Endpoint& holder) {
   world_.logger.write({logging::Level::kWarning, kComponent, "view differs from a peer's", {}});
-  writer_.forget_history();
+  writer_.distrust();
+  const bool follows = duty().role == ReadingRole::kFollower;
+  if (follows && fetch_view_) {
+    fetcher_.want_whole(holder);
+  }
+  relist_ = true;
   if (!looking_) {
-    timer_.arm(random_part_of(settings_.relist_spread), [this] { look(); });
+    timer_.arm(follows ? settings_.period / 2 + random_part_of(settings_.period)
+                       : random_part_of(settings_.relist_spread),
+               [this] { look(); });
   }
 }
 
-void FleetWatcher::look_ended(bool success, std::string_view detail) {
+void FleetWatcher::look_ended(LookResult result, MonotonicTime as_of, std::string_view detail) {
   looking_ = false;
-  if (std::exchange(connected_, success) != success) {
-    world_.logger.write({logging::Level::kWarning,
-                         kComponent,
-                         success ? "store regained" : "store lost",
-                         {{"detail", std::string(detail)}}});
-    if (store_state_) {
-      store_state_(success);
-    }
-  }
+  look_is_slow_ = false;
+  note_store_state(result != LookResult::kStoreLost, detail);
+  const MonotonicTime now = world_.clock.now();
+  const bool success = result == LookResult::kCurrent;
   if (success) {
     failed_in_row_ = 0;
-    note_current(look_began_);
+    note_current(as_of);
   } else {
     ++statistics_.failed_looks;
     ++failed_in_row_;
-    timer_.arm(retry_pause(), [this] { look(); });
+    timer_.arm(wait_after_failure(settings_, failed_in_row_, nodes_.count(), world_.random.unit()),
+               [this] { look(); });
   }
   // A look that began long ago says nothing of now: the node was held up meanwhile, and is quicker
   // the second time, or the store is slow.
-  const bool too_old = world_.clock.now() - look_began_ >= settings_.fresh_enough;
+  const bool too_old = now - as_of >= settings_.fresh_enough;
   if (success && too_old && !waiting_.empty() && !std::exchange(looked_again_, true)) {
     timer_.disarm();
     look();
     return;
   }
   looked_again_ = false;
-  for (const auto& done : std::exchange(waiting_, {})) {
-    done(success && !too_old);
+  if (result == LookResult::kBehind) {
+    // The configuration is being read alone, and that answers them.
+    return;
   }
+  answer_waiting(success && !too_old);
 }
 
-/// Nodes that failed together try again apart.
-Duration FleetWatcher::retry_pause() {
-  const std::uint32_t doublings = std::min(failed_in_row_, kMostRetryDoublings);
-  const Duration longest =
-      std::min(settings_.retry * (1U << doublings),
-               std::max(settings_.longest_retry,
-                        std::min(settings_.fresh_enough, nodes_.count() * kRetryOfEachNode)));
-  return settings_.retry / 2 + random_part_of(longest - settings_.retry / 2);
-}
-
-void FleetWatcher::fetch_later(const Endpoint& holder) {
-  if (holder.empty() || !fetch_view_) {
+void FleetWatcher::note_store_state(bool reachable, std::string_view detail) {
+  if (std::exchange(connected_, reachable) == reachable) {
     return;
   }
-  view_holder_ = holder;
-  if (fetching_ || fetch_timer_.armed()) {
-    return;
+  world_.logger.write({logging::Level::kWarning,
+                       kComponent,
+                       reachable ? "store regained" : "store lost",
+                       {{"detail", std::string(detail)}}});
+  if (store_state_) {
+    store_state_(reachable);
   }
-  Duration wait = random_part_of(settings_.fetch_spread);
-  if (fetched_at_) {
-    // Whole views are large: while more changes than can be told, one in half a period has to do.
-    wait += std::max(*fetched_at_ + settings_.period / 2 - world_.clock.now(), Duration::zero());
-  }
-  fetch_timer_.arm(wait, [this] { fetch(); });
 }
 
-void FleetWatcher::fetch() {
-  fetching_ = true;
-  fetched_at_ = world_.clock.now();
-  fetch_view_(view_holder_, [this](const std::optional<ViewSnapshot>& snapshot) {
-    fetching_ = false;
-    // Without success this node's own look comes in time.
-    take_snapshot(snapshot, *fetched_at_);
-  });
+void FleetWatcher::answer_waiting(bool current) {
+  patience_timer_.disarm();
+  for (const auto& done : std::exchange(waiting_, {})) {
+    done(current);
+  }
 }
 
-/// The snapshot's age counts from when it was asked for: the answer may have waited.
-bool FleetWatcher::take_snapshot(const std::optional<ViewSnapshot>& snapshot, MonotonicTime asked) {
-  if (!snapshot || !writer_.take_snapshot(*snapshot)) {
+/// A transfer's age counts from when it was asked for: the answer may have waited.
+bool FleetWatcher::take_transfer(const ViewTransfer& transfer, MonotonicTime asked) {
+  const UpdateOutcome outcome = writer_.take_transfer(transfer);
+  if (outcome == UpdateOutcome::kPassed) {
     return false;
   }
-  ++statistics_.snapshots_taken;
-  world_.logger.write(
-      {logging::Level::kInfo,
-       kComponent,
-       "view taken from a peer",
-       {{"revision", snapshot->through.value()},
-        {"age_milliseconds",
-         std::chrono::duration_cast<std::chrono::milliseconds>(snapshot->age).count()}}});
-  note_current(asked - snapshot->age);
+  if (outcome == UpdateOutcome::kDiffers) {
+    ++statistics_.updates_differed;
+    distrust_view({});
+    return true;
+  }
+  const Duration age = std::visit([](const auto& told) { return told.age; }, transfer);
+  if (const auto* snapshot = std::get_if<ViewSnapshot>(&transfer)) {
+    ++statistics_.snapshots_taken;
+    relist_ = false;
+    world_.logger.write({logging::Level::kInfo,
+                         kComponent,
+                         "view taken from a peer",
+                         {{"revision", snapshot->through.value()},
+                          {"age_milliseconds",
+                           std::chrono::duration_cast<std::chrono::milliseconds>(age).count()}}});
+  } else {
+    ++statistics_.deltas_taken;
+  }
+  if (first_page_ || (lister_.running() && !relist_)) {
+    // What this node was about to list, or is listing, is known to others.
+    first_page_.reset();
+    lister_.stop();
+    timer_.disarm();
+    look_ended(LookResult::kCurrent, asked - age, "told by a peer");
+    return true;
+  }
+  note_current(asked - age);
   return true;
 }
 
@@ -254,11 +394,12 @@
 }
 
 void FleetWatcher::ask_peer() {
-  if (writer_.seen() || !ask_peer_) {
+  if (writer_.seen() || !ask_peer_ || std::exchange(asking_peer_, true)) {
     return;
   }
-  ask_peer_([this, asked = world_.clock.now()](const std::optional<ViewSnapshot>& snapshot) {
-    if (!take_snapshot(snapshot, asked)) {
+  ask_peer_([this, asked = world_.clock.now()](const std::optional<ViewTransfer>& transfer) {
+    asking_peer_ = false;
+    if (!transfer || !take_transfer(*transfer, asked)) {
       ask_peer_later();
     }
   });
@@ -273,17 +414,30 @@
   if (!known || at > *known) {
     fleet_.note_current(at);
   }
-  if (!looking_) {
-    const Duration waited = spread_wait(settings_.spread, nodes_.count(), world_.random.unit());
-    const MonotonicTime due = *fleet_.current_at() + settings_.period + waited;
+  const bool listing_due = relist_ && timer_.armed();
+  if (!looking_ && !listing_due) {
+    const Duration waited = wait_for_look(settings_, duty(), nodes_.count(), world_.random.unit());
+    const MonotonicTime due = *fleet_.current_at() + waited;
     timer_.arm(std::max(due - world_.clock.now(), Duration::zero()), [this] { look(); });
   }
   note_covered();
+  note_configuration_current(at);
   if (current_) {
     current_();
   }
 }
 
+/// A configuration that is known to be the newest answers those who ask for no more.
+void FleetWatcher::note_configuration_current(MonotonicTime at) {
+  if (configuration_at_ && at <= *configuration_at_) {
+    return;
+  }
+  configuration_at_ = at;
+  if (!waiting_.empty() && world_.clock.now() - at < settings_.fresh_enough) {
+    answer_waiting(true);
+  }
+}
+
 void FleetWatcher::note_covered() {
   if (uncovered_ && writer_.seen() && *writer_.seen() >= uncovered_->through) {
     std::exchange(uncovered_, std::nullopt)->covered();
--- a/src/discovery/fleet_watcher.h
+++ b/src/discovery/fleet_watcher.h
@@ -10,8 +10,11 @@
 #include "base/time.h"
 #include "base/timer.h"
 #include "discovery/fleet_codec.h"
+#include "discovery/fleet_lister.h"
+#include "discovery/look_schedule.h"
 #include "discovery/node_directory.h"
-#include "discovery/view_snapshot.h"
+#include "discovery/view_fetcher.h"
+#include "discovery/view_transfer.h"
 #include "discovery/view_update.h"
 #include "discovery/view_writer.h"
 #include "gateway/fleet_state.h"
@@ -20,29 +23,6 @@
 
 namespace ochrespring::discovery {
 
-struct FleetWatcherSettings {
-  Duration period{std::chrono::milliseconds(1000)};  ///< Between two looks of any node, at least.
-  Duration spread{std::chrono::milliseconds(450)};   ///< A node waits up to this much longer.
-  Duration retry{std::chrono::milliseconds(300)};    ///< After a look that failed.
-  /// The pause after failed looks in a row grows up to this, in a large fleet further up to
-  /// `fresh_enough`: of many nodes one will soon succeed, and tell the others.
-  Duration longest_retry{std::chrono::milliseconds(1200)};
-  /// A node waits up to this long before it fetches a view that it cannot join: many may at once.
-  Duration fetch_spread{std::chrono::milliseconds(100)};
-  Duration peer_patience{std::chrono::milliseconds(250)};  ///< Before a peer is asked for a view.
-  Duration relist_spread{std::chrono::milliseconds(200)};  ///< Before a listing out of turn.
-  Duration fresh_enough{std::chrono::milliseconds(150)};   ///< Age at which refresh() asks again.
-};
-
-/// Settings by which each node's view is never older than `bound`, with time to spare for a slow
-/// answer and a second try.
-FleetWatcherSettings settings_within(Duration bound);
-
-/// How much longer than the period a node waits, from a draw in [0, 1). Late draws are likelier the
-/// more nodes there are, so that seldom two look before the first one's update has reached the
-/// second: about the logarithm of `nodes` do, where even draws would let a share of all.
-Duration spread_wait(Duration spread, std::uint32_t nodes, double uniform);
-
 struct FleetWatcherStatistics {
   std::uint64_t looks = 0;
   std::uint64_t failed_looks = 0;
@@ -50,7 +30,9 @@
   std::uint64_t updates_taken = 0;     ///< Of other nodes, each instead of a look.
   std::uint64_t updates_passed = 0;    ///< Began after what this node had seen.
   std::uint64_t snapshots_taken = 0;   ///< Views taken over whole from another node.
+  std::uint64_t deltas_taken = 0;      ///< What changed, fetched from another node.
   std::uint64_t updates_differed = 0;  ///< Showed that a listing was needed.
+  std::uint64_t histories_gone = 0;    ///< Looks that the store had forgotten the history of.
 };
 
 /// Looks now and then for what has changed since the newest change it has seen, instead of holding
@@ -59,9 +41,14 @@
 /// keeps changes back for a while is caught up with later; a store that has forgotten them is
 /// listed anew.
 ///
-/// Nodes share their looks: whoever has looked tells the others, who then put off their own. Each
-/// waits a different time, so mostly one node looks for all. No node depends on another: one that
-/// hears nothing looks itself in time. One loop.
+/// Nodes share their looks: whoever has looked tells the others, who then put off their own. In a
+/// small fleet each waits a different time, so mostly one node looks for all. In a large one a few
+/// readers look and list, so that what the store is asked does not grow with the fleet: of 985
+/// nodes that each listed 11,000 keys for themselves, once its history was gone, nobody came to an
+/// end within the bound. No node depends on another: one that hears nothing asks a reader, and in
+/// the end looks itself in time.
+///
+/// The configuration is small and read alone where the rest takes long. One loop.
 class FleetWatcher {
  public:
   struct World {
@@ -77,23 +64,27 @@
                NodeDirectory& nodes);
 
   void start();
-  /// Calls back once the view is known to be current, or with false if the store does not answer,
-  /// at once if it has just not answered.
+  /// Calls back once the configuration is known to be current, or with false if that cannot be
+  /// learnt soon; at once if the store has just not answered, or is being waited for for long.
   void refresh(std::function<void(bool current)> done);
   /// Another node has looked. `covered`, if given, is called once this node's view is no older than
   /// the update: at once, after a fetch, or never if a newer update comes before.
   void take_update(const ViewUpdate& update, std::function<void()> covered = {});
-  using SnapshotCallback = std::function<void(std::optional<ViewSnapshot> snapshot)>;
   /// Called now and then while this node has no view and the store is slow to give one: asks
   /// another node for its own.
-  void on_lost_without_view(std::function<void(SnapshotCallback done)> callback) {
+  void on_lost_without_view(std::function<void(TransferCallback done)> callback) {
     ask_peer_ = std::move(callback);
   }
-  /// Called to fetch another node's view from its address, when its update cannot be joined.
-  void on_unjoined(std::function<void(const Endpoint&, SnapshotCallback done)> callback) {
+  /// Called to ask a node for its view or for what has changed in it.
+  void on_unjoined(std::function<void(const ViewRequest&, TransferCallback done)> callback) {
     fetch_view_ = std::move(callback);
   }
-  std::optional<ViewSnapshot> make_snapshot() const { return writer_.make_snapshot(); }
+  /// Asked for this node's part in reading; without it the node is an equal.
+  void on_duty(std::function<ReadingDuty()> callback) { duty_ = std::move(callback); }
+  /// For another node that has seen everything up to `after`, or has no view.
+  std::optional<ViewTransfer> make_transfer(std::optional<shared_store::StoreRevision> after) {
+    return writer_.make_transfer(after);
+  }
   /// Called when the store is lost or regained by this node's own looks.
   void on_store_state(std::function<void(bool reachable)> callback) {
     store_state_ = std::move(callback);
@@ -109,56 +100,82 @@
   std::uint64_t rejected_values() const { return writer_.rejected_values(); }
 
  private:
+  /// How a look ended.
+  enum class LookResult : std::uint8_t {
+    kCurrent,
+    kBehind,     ///< The store answers, but the view could not be brought up to date.
+    kStoreLost,  ///< No answer, or not the one that was asked for.
+  };
+  using ListingResult = Result<shared_store::Listing, shared_store::StoreError>;
+
   void look();
+  void look_without_view();
+  void find_peers(shared_store::ListPage first);
+  void hold_listing();
+  void list_rest();
   void list_all();
+  void take_listing(const ListingResult& listing);
+  void ask_reader(const Endpoint& reader);
   void read_changes();
-  void look_ended(bool success, std::string_view detail);
-  /// The view turned out to lack something.
-  void list_again();
+  void recover_history();
+  void read_configuration();
+  /// `as_of`: when the store was as the view is now, after a look that succeeded.
+  void look_ended(LookResult result, MonotonicTime as_of, std::string_view detail);
+  void note_store_state(bool reachable, std::string_view detail);
+  void answer_waiting(bool current);
+  /// Those who wait are told when they have waited for long enough.
+  void limit_waiting();
+  /// The view turned out to be wrong; `holder` has another one.
+  void distrust_view(const Endpoint& holder);
   Duration random_part_of(Duration whole);
   void ask_peer_later();
   void ask_peer();
-  void fetch_later(const Endpoint& holder);
-  void fetch();
-  /// Returns whether another node's view, asked for at `asked`, was taken.
-  bool take_snapshot(const std::optional<ViewSnapshot>& snapshot, MonotonicTime asked);
-  Duration retry_pause();
+  /// Returns whether another node's view, asked for at `asked`, was of use.
+  bool take_transfer(const ViewTransfer& transfer, MonotonicTime asked);
+  ReadingDuty duty() const { return duty_ ? duty_() : ReadingDuty{}; }
   /// Tells the others what this node's look found, unless another node has just told them.
   void share_look();
   /// Calls back whoever waits for the view to cover an update, if it does.
   void note_covered();
   /// The view is known to be as the store was at `at`.
   void note_current(MonotonicTime at);
+  void note_configuration_current(MonotonicTime at);
 
   World world_;
   FleetWatcherSettings settings_;
   gateway::FleetState& fleet_;
   const NodeDirectory& nodes_;
   ViewWriter writer_;
+  FleetLister lister_;
+  ViewFetcher fetcher_;
   Timer timer_;
   Timer peer_timer_;
-  Timer fetch_timer_;
+  Timer patience_timer_;                   ///< Of the requests that wait.
   std::optional<MonotonicTime> heard_at_;  ///< When another node's look was last heard of.
-  bool fetching_ = false;
-  std::optional<MonotonicTime> fetched_at_;  ///< When the last fetch began.
-  Endpoint view_holder_;                     ///< Of the newest update that could not be joined.
   /// Update that waits to be covered, and what is called then.
   struct Uncovered {
     shared_store::StoreRevision through;
     std::function<void()> covered;
   };
   std::optional<Uncovered> uncovered_;
-  std::uint32_t failed_in_row_ = 0;  ///< Looks.
+  std::optional<MonotonicTime> configuration_at_;  ///< When it was last known to be the newest.
+  std::uint32_t failed_in_row_ = 0;                ///< Looks.
   MonotonicTime look_began_{};
   bool looking_ = false;
-  bool looked_again_ = false;      ///< For those waiting, the look before having taken too long.
+  bool look_is_slow_ = false;  ///< Somebody has waited for it for as long as anybody does.
+  bool relist_ = false;        ///< The view is wrong: the next look lists.
+  bool asking_peer_ = false;
+  bool looked_again_ = false;  ///< For those waiting, the look before having taken too long.
+  /// Of the first listing of a large fleet, while others are asked for theirs.
+  std::optional<shared_store::ListPage> first_page_;
   std::optional<bool> connected_;  ///< How the last look ended; none before the first.
   std::vector<std::function<void(bool)>> waiting_;
   std::function<void()> current_;
   std::function<void(const ViewUpdate&)> share_;
   std::function<void(bool)> store_state_;
-  std::function<void(SnapshotCallback)> ask_peer_;
-  std::function<void(const Endpoint&, SnapshotCallback)> fetch_view_;
+  std::function<void(TransferCallback)> ask_peer_;
+  std::function<void(const ViewRequest&, TransferCallback)> fetch_view_;
+  std::function<ReadingDuty()> duty_;
   FleetWatcherStatistics statistics_;
 };
 
--- /dev/null
+++ b/src/discovery/listing_comparison.cc
@@ -0,0 +1,79 @@
+#include "discovery/listing_comparison.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ochrespring::discovery {
+
+namespace {
+
+shared_store::StoreRevision revision_of(const ViewChange& change) {
+  return std::visit([](const auto& alternative) { return alternative.revision; }, change);
+}
+
+}  // namespace
+
+ListingComparison::ListingComparison(shared_store::StoreRevision listed,
+                                     shared_store::StoreRevision known, const ChangeLog& log)
+    : listed_(listed), known_(known) {
+  if (listed >= known) {
+    return;
+  }
+  for (const ViewChange& change : log.changes_since(listed)) {
+    if (const auto* backend = std::get_if<BackendChange>(&change)) {
+      newer_backends_.insert(backend->id);
+    } else {
+      newer_nodes_.insert(std::get<NodeChange>(change).id);
+    }
+  }
+}
+
+shared_store::StoreRevision ListingComparison::told_at(shared_store::StoreRevision revision) const {
+  return revision > known_ ? std::min(revision, listed_) : listed_;
+}
+
+bool ListingComparison::note_backend(const gateway::BackendId& id,
+                                     shared_store::StoreRevision revision,
+                                     std::optional<gateway::Backend> backend,
+                                     const gateway::FleetState& fleet) {
+  listed_backends_.insert(id);
+  const gateway::Backend* known = fleet.find(id);
+  const bool same = !backend || (known != nullptr && *known == *backend);
+  if (same || newer_backends_.contains(id)) {
+    return false;
+  }
+  changes_.emplace_back(BackendChange{told_at(revision), id, std::move(backend)});
+  return true;
+}
+
+void ListingComparison::note_node(const NodeId& id, shared_store::StoreRevision revision,
+                                  std::optional<NodeRecord> record, const NodeDirectory& nodes) {
+  listed_nodes_.insert(id);
+  const auto known = nodes.others().find(id);
+  const bool same = !record || id == nodes.self().node ||
+                    (known != nodes.others().end() && known->second == *record);
+  if (!same && !newer_nodes_.contains(id)) {
+    changes_.emplace_back(NodeChange{told_at(revision), id, std::move(record)});
+  }
+}
+
+std::vector<ViewChange> ListingComparison::finish(const gateway::FleetState& fleet,
+                                                  const NodeDirectory& nodes) {
+  for (const auto& [id, backend] : fleet.backends()) {
+    if (!listed_backends_.contains(id) && !newer_backends_.contains(id)) {
+      changes_.emplace_back(BackendChange{listed_, id, std::nullopt});
+    }
+  }
+  for (const auto& [id, record] : nodes.others()) {
+    if (!listed_nodes_.contains(id) && !newer_nodes_.contains(id)) {
+      changes_.emplace_back(NodeChange{listed_, id, std::nullopt});
+    }
+  }
+  std::stable_sort(changes_.begin(), changes_.end(),
+                   [](const ViewChange& left, const ViewChange& right) {
+                     return revision_of(left) < revision_of(right);
+                   });
+  return std::move(changes_);
+}
+
+}  // namespace ochrespring::discovery
--- a/src/discovery/node_directory.cc
+++ b/src/discovery/node_directory.cc
@@ -17,16 +17,19 @@
 }
 
 void NodeDirectory::remove(const NodeId& node) {
-  if (others_.erase(node) != 0) {
-    gone_[node] = clock_.now();
+  std::erase_if(gone_,
+                [this](const auto& entry) { return clock_.now() - entry.second.at >= kMayGoOn; });
+  auto known = others_.extract(node);
+  if (!known.empty()) {
+    gone_[node] = {std::move(known.mapped()), clock_.now()};
     ++version_;
   }
 }
 
 void NodeDirectory::replace(const std::vector<NodeRecord>& records) {
   ++version_;
-  for (const auto& [node, record] : std::exchange(others_, {})) {
-    gone_[node] = clock_.now();
+  for (auto& [node, record] : std::exchange(others_, {})) {
+    gone_[node] = {std::move(record), clock_.now()};
   }
   for (const NodeRecord& record : records) {
     put(record);
@@ -36,12 +39,22 @@
 std::uint32_t NodeDirectory::cautious_count() const {
   const MonotonicTime now = clock_.now();
   std::uint32_t nodes = count();
-  for (const auto& [node, at] : gone_) {
-    nodes += now - at < kMayGoOn ? 1 : 0;
+  for (const auto& [node, gone] : gone_) {
+    nodes += now - gone.at < kMayGoOn ? 1 : 0;
   }
   return now - started_ < kStart ? std::max(nodes, kAssumedAtStart) : nodes;
 }
 
+std::vector<NodeRecord> NodeDirectory::recently_gone() const {
+  std::vector<NodeRecord> nodes;
+  for (const auto& [node, gone] : gone_) {
+    if (clock_.now() - gone.at < kMayGoOn) {
+      nodes.push_back(gone.record);
+    }
+  }
+  return nodes;
+}
+
 std::vector<NodeRecord> NodeDirectory::list() const {
   std::vector<NodeRecord> nodes;
   if (!leaving_) {
--- a/src/discovery/node_directory.h
+++ b/src/discovery/node_directory.h
@@ -31,6 +31,9 @@
   /// This node, unless it leaves, and the others.
   std::vector<NodeRecord> list() const;
   const std::map<NodeId, NodeRecord>& others() const { return others_; }
+  /// Nodes whose registration has gone a short while ago: they have ended, or are cut off from the
+  /// store only and live on what others tell them.
+  std::vector<NodeRecord> recently_gone() const;
   std::uint32_t count() const { return static_cast<std::uint32_t>(others_.size()) + 1; }
   const NodeRecord& self() const { return self_; }
   /// Rises with every change of the list.
@@ -40,7 +43,8 @@
   std::uint32_t cautious_count() const;
 
  private:
-  /// How long a node counts after its registration has gone.
+  /// How long a node counts after its registration has gone: longer than the store turns single
+  /// machines away on an ordinary bad day (some 10 s).
   static constexpr Duration kMayGoOn{std::chrono::seconds(15)};
   /// For this long after the start at least so many nodes are assumed.
   static constexpr Duration kStart{std::chrono::seconds(10)};
@@ -50,7 +54,11 @@
   NodeRecord self_;
   MonotonicTime started_;
   std::map<NodeId, NodeRecord> others_;
-  std::map<NodeId, MonotonicTime> gone_;  ///< When a registration went.
+  struct GoneNode {
+    NodeRecord record;
+    MonotonicTime at{};  ///< When the registration went.
+  };
+  std::map<NodeId, GoneNode> gone_;
   bool leaving_ = false;
   std::uint64_t version_ = 1;
 };
--- a/src/discovery/node_record.h
+++ b/src/discovery/node_record.h
@@ -16,6 +16,7 @@
   ZoneName zone;
   Endpoint peer_address;        ///< Where other nodes reach it.
   std::uint32_t link_mbps = 0;  ///< Of its network link; 0: not known.
+  Endpoint view_address{};      ///< Where other nodes get its view; empty: nowhere.
 
   bool operator==(const NodeRecord&) const = default;
 
@@ -26,6 +27,7 @@
     archive& zone;
     archive& peer_address;
     archive& link_mbps;
+    archive& view_address;
   }
 };
 
--- a/src/discovery/relay_table.cc
+++ b/src/discovery/relay_table.cc
@@ -43,6 +43,11 @@
       members_.push_back(record);
     }
   }
+  for (NodeRecord& record : nodes_.recently_gone()) {
+    if (record.zone == nodes_.self().zone) {
+      members_.push_back(std::move(record));
+    }
+  }
   relays_.clear();
   for (auto& [zone, nodes] : zones) {
     const std::size_t kept = std::min(kRelaysPerZone, nodes.size());
--- a/src/discovery/relay_table.h
+++ b/src/discovery/relay_table.h
@@ -33,7 +33,8 @@
   /// The relays of all zones, `kRelaysPerZone` of each in order of rank, fewer of a zone that has
   /// fewer nodes; this node may be one.
   const std::vector<std::vector<NodeRecord>>& relays() const;
-  /// The other nodes of this node's zone.
+  /// The other nodes of this node's zone, those included whose registration went a short while ago:
+  /// while the store turns a third of the machines away they stay current by what they are told.
   const std::vector<NodeRecord>& zone_members() const;
 
  private:
--- /dev/null
+++ b/src/discovery/tests/fleet_lister_test.cc
@@ -0,0 +1,169 @@
+// Listings of the whole store in ranges, with pages that fail.
+#include "discovery/fleet_lister.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "simulation/virtual_time.h"
+#include "tests/played_store.h"
+
+using namespace ochrespring;
+using namespace ochrespring::discovery;
+using namespace std::chrono_literals;
+using shared_store::Change;
+using shared_store::Listing;
+using shared_store::ListPage;
+using shared_store::StoreErrc;
+using shared_store::StoreRevision;
+
+namespace {
+
+/// Pages of some keys; every call takes a millisecond, and those that are told to fail do.
+class PagedStore final : public testing::PlayedStore {
+ public:
+  PagedStore(simulation::VirtualTime& time, std::set<std::string> keys, std::size_t page_items)
+      : time_(time), keys_(std::move(keys)), page_items_(page_items) {}
+
+  void list_page(const shared_store::PageRequest& request,
+                 shared_store::StoreCallback<ListPage> done) override {
+    ++calls;
+    ++open_;
+    most_open = std::max(most_open, open_);
+    time_.schedule_after(1ms, [this, request, done = std::move(done)] {
+      --open_;
+      if (failures_left != 0) {
+        --failures_left;
+        done(fail(StoreErrc::kRateLimited, "too many"));
+        return;
+      }
+      ListPage page;
+      page.revision = StoreRevision(++revision_);
+      for (auto key = keys_.upper_bound(request.after); key != keys_.end(); ++key) {
+        page.more = page.items.size() == page_items_;
+        if (page.more) {
+          break;
+        }
+        page.items.push_back({*key, "value", StoreRevision(1)});
+      }
+      done(std::move(page));
+    });
+  }
+
+  int calls = 0;
+  int most_open = 0;
+  int failures_left = 0;
+
+ private:
+  simulation::VirtualTime& time_;
+  std::set<std::string> keys_;
+  std::size_t page_items_;
+  int open_ = 0;
+  std::uint64_t revision_ = 10;
+};
+
+std::string key_of(int number) {
+  return "k" + std::to_string(1000 + number);
+}
+
+std::set<std::string> make_keys(int count) {
+  std::set<std::string> keys;
+  for (int i = 0; i != count; ++i) {
+    keys.insert(key_of(i));
+  }
+  return keys;
+}
+
+struct ListerFixture {
+  explicit ListerFixture(int keys, std::size_t page_items = 10)
+      : store(time, make_keys(keys), page_items) {}
+
+  void list(const std::vector<std::string>& ends) {
+    lister.start(ends, [this](auto result) { kept.emplace(std::move(result)); });
+    time.run_until(time.now() + 5s);
+  }
+
+  simulation::VirtualTime time;
+  PagedStore store;
+  FleetLister lister{store, time};
+  std::optional<Result<Listing, shared_store::StoreError>> kept;
+};
+
+}  // namespace
+
+TEST_CASE("wherever the ranges end, each key is listed once and in order") {
+  CHECK(rc::check([] {
+    const int keys = *rc::gen::inRange(0, 120);
+    ListerFixture world(keys, *rc::gen::inRange<std::size_t>(1, 30));
+    std::set<std::string> ends;
+    const int count = *rc::gen::inRange(0, 9);
+    for (int i = 0; i != count; ++i) {
+      // Ends need not be keys that there are, nor before the last one.
+      ends.insert(key_of(*rc::gen::inRange(0, 140)));
+    }
+    world.list({ends.begin(), ends.end()});
+    RC_ASSERT(world.kept.has_value());
+    RC_ASSERT(world.kept->has_value());
+    std::vector<std::string> listed;
+    for (const Change& item : world.kept->value().items) {
+      listed.push_back(item.key);
+    }
+    const std::set<std::string> all = make_keys(keys);
+    RC_ASSERT(listed == std::vector<std::string>(all.begin(), all.end()));
+    RC_ASSERT(world.kept->value().revision == StoreRevision(11));
+  }));
+}
+
+TEST_CASE("ranges are listed side by side") {
+  ListerFixture world(100);
+  world.list({key_of(24), key_of(49), key_of(74)});
+  CHECK(world.store.most_open == 4);
+  CHECK(world.kept->value().items.size() == 100);
+}
+
+TEST_CASE("a page that fails is asked for again, and those before it are kept") {
+  ListerFixture world(100);
+  world.store.failures_left = 2;
+  world.list({});
+  CHECK(world.kept->value().items.size() == 100);
+  CHECK(world.store.calls == 12);
+}
+
+TEST_CASE("a store that goes on failing fails the listing, with its own error, once") {
+  ListerFixture world(100);
+  world.store.failures_left = 1000;
+  world.list({key_of(49)});
+  REQUIRE(world.kept.has_value());
+  CHECK(world.kept->error().code == StoreErrc::kRateLimited);
+  CHECK_FALSE(world.lister.running());
+  CHECK(world.store.calls <= 6);
+}
+
+TEST_CASE("a listing goes on behind a page that has been read") {
+  ListerFixture world(30);
+  ListPage first{{{key_of(0), "value", StoreRevision(1)}, {key_of(1), "value", StoreRevision(1)}},
+                 true,
+                 StoreRevision(5)};
+  world.lister.resume(first, [&](auto result) { world.kept.emplace(std::move(result)); });
+  world.time.run_until(world.time.now() + 1s);
+  CHECK(world.kept->value().items.size() == 30);
+  CHECK(world.kept->value().revision == StoreRevision(5));
+}
+
+TEST_CASE("a listing that is dropped calls nobody back") {
+  ListerFixture world(100);
+  bool called = false;
+  world.lister.start({}, [&](const auto&) { called = true; });
+  world.time.run_until(world.time.now() + 2ms);
+  world.lister.stop();
+  world.time.run_until(world.time.now() + 1s);
+  CHECK_FALSE(called);
+  world.list({});
+  CHECK(world.kept->value().items.size() == 100);
+}
--- a/src/discovery/view_writer.cc
+++ b/src/discovery/view_writer.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/hash.h"
+#include "discovery/listing_comparison.h"
 #include "wire/codec.h"
 
 namespace ochrespring::discovery {
@@ -16,20 +17,40 @@
 
 }  // namespace
 
-void ViewWriter::take_listing(const shared_store::Listing& listing) {
-  if (seen_ && listing.revision < *seen_) {
-    // Another node's newer view came while the store was being read.
-    return;
+bool ViewWriter::take_listing(const shared_store::Listing& listing) {
+  if (!seen_) {
+    take_first_listing(listing);
+    return true;
+  }
+  const bool behind = listing.revision < *seen_;
+  if (behind && !log_.covers(listing.revision)) {
+    // What other nodes told since the listing began is no longer known: it could undo that.
+    return false;
   }
+  const std::vector<ViewChange> changes = compare(listing);
+  take_other_keys(listing);
+  for (const ViewChange& change : changes) {
+    std::visit([this](const auto& alternative) { take(alternative); }, change);
+  }
+  if (behind) {
+    // The log is in the order of revisions, and these are older ones.
+    log_.restart(*seen_);
+  } else {
+    seen_ = listing.revision;
+    log_.advance(*seen_);
+  }
+  trusted_ = true;
+  return true;
+}
+
+void ViewWriter::take_first_listing(const shared_store::Listing& listing) {
   const StoreLayout& layout = codec_.layout();
   std::vector<gateway::Backend> backends;
   std::vector<NodeRecord> nodes;
   listed_through_ = listing.revision;
   for (const shared_store::Change& item : listing.items) {
     listed_through_ = std::max(listed_through_, item.revision);
-    if (item.key == layout.configuration_key) {
-      take_configuration(*item.value);
-    } else if (item.key.starts_with(layout.backend_prefix)) {
+    if (item.key.starts_with(layout.backend_prefix)) {
       if (auto backend = read_backend(item)) {
         backends.push_back(std::move(*backend));
       }
@@ -37,15 +58,76 @@
       if (auto node = read_node(item)) {
         nodes.push_back(std::move(*node));
       }
-    } else if (other_key_) {
-      other_key_(item.key, item.value);
     }
   }
+  take_other_keys(listing);
   fleet_.replace(std::move(backends));
   fingerprint_.reset();
   nodes_.replace(nodes);
   seen_ = listing.revision;
-  log_.restart(listing.revision);
+  // Of the keys of later pages only the newest state is known.
+  log_.restart(listed_through_);
+}
+
+void ViewWriter::take_other_keys(const shared_store::Listing& listing) {
+  const StoreLayout& layout = codec_.layout();
+  for (const shared_store::Change& item : listing.items) {
+    if (item.key == layout.configuration_key) {
+      if (take_configuration(*item.value)) {
+        log_.note_configuration(std::min(item.revision, listing.revision));
+      }
+    } else if (!item.key.starts_with(layout.backend_prefix) &&
+               !item.key.starts_with(layout.node_prefix) && other_key_) {
+      other_key_(item.key, item.value);
+    }
+  }
+}
+
+std::vector<ViewChange> ViewWriter::compare(const shared_store::Listing& listing) {
+  const StoreLayout& layout = codec_.layout();
+  const shared_store::StoreRevision known = *seen_;
+  ListingComparison comparison(listing.revision, known, log_);
+  listed_through_ = std::max(listed_through_, listing.revision);
+  for (const shared_store::Change& item : listing.items) {
+    listed_through_ = std::max(listed_through_, item.revision);
+    if (item.key.starts_with(layout.backend_prefix)) {
+      const gateway::BackendId id(item.key.substr(layout.backend_prefix.size()));
+      auto backend = read_backend(item);
+      const bool told = comparison.note_backend(id, item.revision, std::move(backend), fleet_);
+      if (told && item.revision > listing.revision) {
+        listed_ahead_.insert(id);
+      }
+    } else if (item.key.starts_with(layout.node_prefix)) {
+      const NodeId id(item.key.substr(layout.node_prefix.size()));
+      comparison.note_node(id, item.revision, read_node(item), nodes_);
+    }
+  }
+  return comparison.finish(fleet_, nodes_);
+}
+
+void ViewWriter::learn_nodes(const std::vector<shared_store::Change>& items) {
+  for (const shared_store::Change& item : items) {
+    if (item.key.starts_with(codec_.layout().node_prefix)) {
+      if (const auto node = read_node(item)) {
+        nodes_.put(*node);
+      }
+    }
+  }
+}
+
+std::vector<std::string> ViewWriter::split_points(std::size_t count) const {
+  std::vector<std::string> keys;
+  const std::size_t step = fleet_.backends().size() / std::max<std::size_t>(count, 1);
+  if (step == 0) {
+    return keys;
+  }
+  std::size_t passed = 0;
+  for (const auto& [id, backend] : fleet_.backends()) {
+    if (++passed % step == 0 && keys.size() + 1 < count) {
+      keys.push_back(codec_.layout().backend_prefix + id.value());
+    }
+  }
+  return keys;
 }
 
 void ViewWriter::take_changes(const shared_store::Changes& changes) {
@@ -83,31 +165,39 @@
   if (!seen_ || update.after > *seen_) {
     return UpdateOutcome::kPassed;
   }
-  const shared_store::StoreRevision known = *seen_;
-  for (const ViewChange& change : update.changes) {
+  apply(update.changes, *seen_);
+  seen_ = std::max(*seen_, update.through);
+  log_.advance(*seen_);
+  if (!update.is_last()) {
+    return UpdateOutcome::kTaken;
+  }
+  log_.note_told(update.through);
+  return check(update.through, *update.fingerprint);
+}
+
+void ViewWriter::apply(const std::vector<ViewChange>& changes, shared_store::StoreRevision behind) {
+  for (const ViewChange& change : changes) {
     std::visit(
         [&](const auto& alternative) {
-          if (alternative.revision > known) {
+          if (alternative.revision > behind) {
             take(alternative);
           }
         },
         change);
   }
-  seen_ = std::max(known, update.through);
-  log_.advance(*seen_);
-  if (update.is_last()) {
-    log_.note_told(update.through);
-  }
-  const bool comparable = update.is_last() && *seen_ == update.through && *seen_ >= listed_through_;
-  return comparable && *update.fingerprint != fingerprint() ? UpdateOutcome::kDiffers
-                                                            : UpdateOutcome::kTaken;
+}
+
+UpdateOutcome ViewWriter::check(shared_store::StoreRevision through, std::uint64_t fingerprint) {
+  const bool comparable = *seen_ == through && *seen_ >= listed_through_;
+  return comparable && fingerprint != this->fingerprint() ? UpdateOutcome::kDiffers
+                                                          : UpdateOutcome::kTaken;
 }
 
 void ViewWriter::take_stored(const shared_store::Change& change) {
   const StoreLayout& layout = codec_.layout();
   if (change.key == layout.configuration_key && change.value) {
     take_configuration(*change.value);
-    log_.note_untold(change.revision);
+    log_.note_configuration(change.revision);
   } else if (change.key.starts_with(layout.backend_prefix)) {
     const gateway::BackendId id(change.key.substr(layout.backend_prefix.size()));
     auto backend = change.value ? read_backend(change) : std::nullopt;
@@ -125,9 +215,13 @@
   }
 }
 
+/// A listing's state of it may have been newer than the listing: see `listed_ahead_`.
 void ViewWriter::take(BackendChange change) {
   const bool changed = change.backend ? fleet_.put(*change.backend) : fleet_.remove(change.id);
   if (!changed) {
+    if (change.revision <= listed_through_ && listed_ahead_.erase(change.id) != 0) {
+      log_.note(std::move(change), clock_.now());
+    }
     return;
   }
   fingerprint_.reset();
@@ -149,10 +243,27 @@
   log_.note(std::move(change), clock_.now());
 }
 
-std::optional<ViewSnapshot> ViewWriter::make_snapshot() const {
+std::optional<ViewTransfer> ViewWriter::make_transfer(
+    std::optional<shared_store::StoreRevision> after) {
   if (!seen_ || configuration_.empty() || !fleet_.current_at()) {
     return std::nullopt;
   }
+  if (!after || !trusted_ || !log_.covers(*after)) {
+    return make_snapshot();
+  }
+  ViewDelta delta;
+  delta.after = *after;
+  delta.through = *seen_;
+  delta.age = clock_.now() - *fleet_.current_at();
+  delta.changes = log_.changes_since(*after);
+  if (log_.configuration_at() > *after) {
+    delta.configuration = configuration_;
+  }
+  delta.fingerprint = fingerprint();
+  return delta;
+}
+
+ViewSnapshot ViewWriter::make_snapshot() const {
   ViewSnapshot snapshot;
   snapshot.through = *seen_;
   snapshot.age = clock_.now() - *fleet_.current_at();
@@ -164,20 +275,48 @@
   return snapshot;
 }
 
-bool ViewWriter::take_snapshot(const ViewSnapshot& snapshot) {
-  if (seen_ && snapshot.through <= *seen_) {
-    return false;
+UpdateOutcome ViewWriter::take_transfer(const ViewTransfer& transfer) {
+  return std::visit([this](const auto& alternative) { return take(alternative); }, transfer);
+}
+
+UpdateOutcome ViewWriter::take(const ViewDelta& delta) {
+  if (!seen_ || delta.after > *seen_ || delta.through < *seen_) {
+    return UpdateOutcome::kPassed;
+  }
+  if (delta.configuration && !take_configuration(*delta.configuration)) {
+    return UpdateOutcome::kPassed;
+  }
+  apply(delta.changes, *seen_);
+  seen_ = delta.through;
+  log_.advance(*seen_);
+  if (delta.configuration) {
+    log_.note_configuration(*seen_);
   }
+  return check(delta.through, delta.fingerprint);
+}
+
+UpdateOutcome ViewWriter::take(const ViewSnapshot& snapshot) {
+  const bool of_use =
+      !seen_ || snapshot.through > *seen_ || (!trusted_ && snapshot.through == *seen_);
   const bool known = snapshot.configuration == configuration_;
-  if (!known && !take_configuration(snapshot.configuration)) {
-    return false;
+  if (!of_use || (!known && !take_configuration(snapshot.configuration))) {
+    return UpdateOutcome::kPassed;
   }
   fleet_.replace(snapshot.backends);
   fingerprint_.reset();
   nodes_.replace(snapshot.nodes);
   seen_ = snapshot.through;
+  trusted_ = true;
   log_.restart(snapshot.through);
-  return true;
+  return UpdateOutcome::kTaken;
+}
+
+void ViewWriter::take_configuration_alone(const shared_store::Change& item) {
+  if (!item.value || !take_configuration(*item.value)) {
+    return;
+  }
+  // Who joins an update up to what is seen here is not known to have it.
+  log_.note_configuration(seen_ ? std::min(item.revision, *seen_) : item.revision);
 }
 
 /// Returns whether the document was understood.
--- a/src/discovery/view_writer.h
+++ b/src/discovery/view_writer.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -12,7 +13,7 @@
 #include "discovery/change_log.h"
 #include "discovery/fleet_codec.h"
 #include "discovery/node_directory.h"
-#include "discovery/view_snapshot.h"
+#include "discovery/view_transfer.h"
 #include "discovery/view_update.h"
 #include "gateway/fleet_state.h"
 #include "logging/logger.h"
@@ -40,16 +41,24 @@
   using OtherKey = std::function<void(const std::string&, const std::optional<std::string>&)>;
   void on_other_key(OtherKey callback) { other_key_ = std::move(callback); }
 
-  /// Replaces the view.
-  void take_listing(const shared_store::Listing& listing);
+  /// Makes the view what the listing says. Other nodes' updates go on to be taken while the store
+  /// is being listed: what they have told since is kept. Returns whether the listing was of use.
+  bool take_listing(const shared_store::Listing& listing);
+  /// Nodes of a part of a listing: somebody to ask for a view.
+  void learn_nodes(const std::vector<shared_store::Change>& items);
   void take_changes(const shared_store::Changes& changes);
+  /// The configuration as it was read alone, at some time after `seen()`.
+  void take_configuration_alone(const shared_store::Change& item);
   UpdateOutcome take_update(const ViewUpdate& update);
-  /// The whole view; none before there is a configuration.
-  std::optional<ViewSnapshot> make_snapshot() const;
-  /// Takes another node's view if it is newer than this one's; returns whether it was.
-  bool take_snapshot(const ViewSnapshot& snapshot);
-  /// The history was lost: the next listing starts anew.
-  void forget_history() { seen_.reset(); }
+  /// What has changed since `after`, if this node can tell, or else the whole view; none before
+  /// there is a configuration.
+  std::optional<ViewTransfer> make_transfer(std::optional<shared_store::StoreRevision> after);
+  UpdateOutcome take_transfer(const ViewTransfer& transfer);
+  /// The view has turned out to be wrong: another node's whole view is taken even if it is no
+  /// newer.
+  void distrust() { trusted_ = false; }
+  /// Keys that cut the store into about `count` ranges of the same size, as far as it is known.
+  std::vector<std::string> split_points(std::size_t count) const;
 
   /// None: a listing is needed.
   std::optional<shared_store::StoreRevision> seen() const { return seen_; }
@@ -60,6 +69,16 @@
 
  private:
   std::uint64_t fingerprint();
+  void take_first_listing(const shared_store::Listing& listing);
+  /// How a listing that began at `revision` differs from the view, in the order of revisions.
+  std::vector<ViewChange> compare(const shared_store::Listing& listing);
+  void take_other_keys(const shared_store::Listing& listing);
+  void apply(const std::vector<ViewChange>& changes, shared_store::StoreRevision behind);
+  ViewSnapshot make_snapshot() const;
+  UpdateOutcome take(const ViewSnapshot& snapshot);
+  UpdateOutcome take(const ViewDelta& delta);
+  /// Whether the view, now at `through`, is the one that `fingerprint` was taken of.
+  UpdateOutcome check(shared_store::StoreRevision through, std::uint64_t fingerprint);
   void take_stored(const shared_store::Change& change);
   bool take_configuration(const std::string& value);
   void take(BackendChange change);
@@ -79,6 +98,10 @@
   /// A listing in pages tells later pages as they are by then: up to this revision the view may
   /// hold more than `seen_` says, and is not compared with others'.
   shared_store::StoreRevision listed_through_;
+  /// Back ends whose state in that listing was newer than its beginning. Their change comes again
+  /// and, though nothing changes here any more, has to be told on.
+  std::set<gateway::BackendId> listed_ahead_;
+  bool trusted_ = true;
   std::string configuration_;  ///< The document in force.
   OtherKey other_key_;
   std::uint64_t rejected_values_ = 0;
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -28,6 +28,15 @@
   return settings;
 }
 
+/// The seeds, which all nodes ask first, list the store when they start; the others ask them.
+discovery::FleetWatcherSettings watcher_settings(const Settings& settings) {
+  auto made =
+      discovery::settings_within(std::min(settings.drain_bound, settings.configuration_bound));
+  made.lists_at_once = std::find(settings.seeds.begin(), settings.seeds.end(),
+                                 settings.view_listen) != settings.seeds.end();
+  return made;
+}
+
 }  // namespace
 
 GatewayNode::GatewayNode(http::EventLoop& loop, http::Client& client, const Clock& clock,
@@ -43,20 +52,21 @@
       budget_(settings_.retry_budget, clock.now()),
       shares_(random),
       transport_(client),
-      self_{settings_.node, settings_.listen, settings_.zone, settings_.peer_listen,
-            settings_.link_mbps},
+      self_{settings_.node,        settings_.listen,    settings_.zone,
+            settings_.peer_listen, settings_.link_mbps, settings_.view_listen},
       nodes_(clock, self_),
       watcher_({clock, loop, random, adapter_.store, adapter_.codec, logger},
-               discovery::settings_within(
-                   std::min(settings_.drain_bound, settings_.configuration_bound)),
-               fleet_, nodes_),
+               watcher_settings(settings_), fleet_, nodes_),
       registration_(loop, adapter_.store, logger,
                     {.key = adapter_.codec.layout().node_prefix + settings_.node.value(),
                      .time_to_live = settings_.node_lease,
                      .period = from_seconds(kRenewalPart * to_seconds(settings_.node_lease))},
                     self_),
-      views_(loop, client, {.listen = settings_.view_listen, .seeds = settings_.seeds},
-             [this] { return watcher_.make_snapshot(); }),
+      views_({loop, client, clock, random},
+             {.listen = settings_.view_listen,
+              .seeds = settings_.seeds,
+              .link_mbps = settings_.link_mbps},
+             [this](auto after) { return watcher_.make_transfer(after); }),
       peer_news_(
           {clock, loop, random, fleet_, loads_, nodes_, watcher_},
           {.peer_address = settings_.peer_listen,
@@ -125,9 +135,11 @@
   BOOST_OUTCOME_TRY(listen_to_peers());
   BOOST_OUTCOME_TRY(views_.listen());
   watcher_.on_store_state([this](bool reachable) { peer_news_.on_store_state(reachable); });
-  watcher_.on_lost_without_view([this](auto done) { views_.fetch(std::move(done)); });
+  watcher_.on_lost_without_view(
+      [this](auto done) { views_.fetch(known_view_addresses(), std::move(done)); });
   watcher_.on_unjoined(
-      [this](const Endpoint& holder, auto done) { views_.fetch_from(holder, std::move(done)); });
+      [this](const auto& request, auto done) { views_.fetch_from(request, std::move(done)); });
+  watcher_.on_duty([this] { return peer_news_.channel().reading_duty(); });
   fleet_.on_removed([this](const gateway::Backend& backend) {
     loads_.forget(backend.id);
     peer_news_.forget(backend.id);
@@ -151,6 +163,16 @@
   return outcome::success();
 }
 
+std::vector<Endpoint> GatewayNode::known_view_addresses() const {
+  std::vector<Endpoint> addresses;
+  for (const auto& [node, record] : nodes_.others()) {
+    if (!record.view_address.empty()) {
+      addresses.push_back(record.view_address);
+    }
+  }
+  return addresses;
+}
+
 void GatewayNode::connect_quarantine() {
   quarantine_.on_quarantined(
       [this](const gateway::RequestFingerprint& request) { gateway_.on_quarantined(request); });
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -43,6 +43,8 @@
  private:
   Result<void, http::HttpError> listen_to_peers();
   void connect_quarantine();
+  /// Of the nodes known so far.
+  std::vector<Endpoint> known_view_addresses() const;
   /// Once, when this node first knows the fleet: learns what engines keep.
   void learn_cached_parts();
   void add_metrics(metrics::SampleSink& sink) const;
--- a/src/gateway_node/node_metrics.cc
+++ b/src/gateway_node/node_metrics.cc
@@ -47,6 +47,10 @@
      &FleetWatcherStatistics::updates_passed},
     {"view_snapshots_taken", "Views taken over whole from another node",
      &FleetWatcherStatistics::snapshots_taken},
+    {"view_changes_fetched", "Changes fetched from another node",
+     &FleetWatcherStatistics::deltas_taken},
+    {"store_histories_gone", "Looks that the store had forgotten the history of",
+     &FleetWatcherStatistics::histories_gone},
     {"view_updates_differed", "Looks of other nodes that showed a listing to be needed",
      &FleetWatcherStatistics::updates_differed},
 };
--- a/src/gateway_node/peer_channel.cc
+++ b/src/gateway_node/peer_channel.cc
@@ -126,8 +126,36 @@
   return !zones.empty() && is_self(zones.front().front());
 }
 
+discovery::ReadingDuty PeerChannel::reading_duty() const {
+  if (!relays_.in_use()) {
+    return {};
+  }
+  discovery::ReadingDuty duty{.role = discovery::ReadingRole::kReader, .rank = 0, .readers = {}};
+  for (std::size_t place = 0; place != discovery::RelayTable::kRelaysPerZone; ++place) {
+    for (const Nodes& ranked : relays_.relays()) {
+      if (place < ranked.size() && is_self(ranked[place])) {
+        return duty;
+      }
+      duty.rank += place < ranked.size() ? 1 : 0;
+    }
+  }
+  duty.role = discovery::ReadingRole::kFollower;
+  duty.rank = 0;
+  for (const discovery::NodeRecord& relay : own_relays()) {
+    if (!relay.view_address.empty()) {
+      duty.readers.push_back(relay.view_address);
+    }
+  }
+  return duty;
+}
+
 void PeerChannel::send(const Endpoint& to, const PeerMessage& message) {
-  send_bytes({.node = {}, .address = {}, .zone = nodes_.self().zone, .peer_address = to},
+  send_bytes({.node = {},
+              .address = {},
+              .zone = nodes_.self().zone,
+              .peer_address = to,
+              .link_mbps = 0,
+              .view_address = {}},
              message.index(), wire::encode(message));
 }
 
--- a/src/gateway_node/peer_channel.h
+++ b/src/gateway_node/peer_channel.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "discovery/look_schedule.h"
 #include "discovery/node_directory.h"
 #include "discovery/relay_table.h"
 #include "gateway_node/peer_message.h"
@@ -89,6 +90,8 @@
   /// Whether this node comes first among the relays of all zones: every node that knows the same
   /// fleet names the same one.
   bool first_of_relays() const;
+  /// The relays read the store for all: the first of each zone, then the second ones.
+  discovery::ReadingDuty reading_duty() const;
   /// Nodes to ask first: of this node's zone, or all where the zone has no other.
   std::vector<discovery::NodeRecord> near_nodes() const;
   const PeerTraffic& traffic(std::size_t kind) const { return traffic_[kind]; }
--- a/src/shared_store/store.h
+++ b/src/shared_store/store.h
@@ -29,6 +29,20 @@
   StoreRevision revision;     ///< The store's when the listing began.
 };
 
+/// Which keys are asked for: those that begin with `prefix`, behind `after`.
+struct PageRequest {
+  std::string prefix;
+  std::string after;  ///< Empty: from the first one on.
+};
+
+/// Some of the keys that were asked for, in their order, as they are now. Pages are no snapshot:
+/// what changes between two of them is in the later one.
+struct ListPage {
+  std::vector<Change> items;  ///< All with a value.
+  bool more = false;          ///< Others follow behind the last one.
+  StoreRevision revision;     ///< The store's when the page was read.
+};
+
 struct Changes {
   std::vector<Change> changes;  ///< In the order of their revisions.
 };
@@ -59,6 +73,8 @@
   virtual ~SharedStore() = default;
   /// All keys that begin with `prefix`, as they are now.
   virtual void list(const std::string& prefix, StoreCallback<Listing> done) = 0;
+  /// One page of keys.
+  virtual void list_page(const PageRequest& request, StoreCallback<ListPage> done) = 0;
   /// Changes after `after`, as soon as there are any, or none after `wait`.
   virtual void changes(const std::string& prefix, StoreRevision after, Duration wait,
                        StoreCallback<Changes> done) = 0;
--- a/src/shared_store/tests/memory_store.h
+++ b/src/shared_store/tests/memory_store.h
@@ -130,6 +130,19 @@
       return listing;
     });
   }
+  void list_page(const PageRequest& request, StoreCallback<ListPage> done) override {
+    call<ListPage>(std::move(done), [this, request]() -> Result<ListPage, StoreError> {
+      state_.expire();
+      ListPage page;
+      page.revision = StoreRevision(state_.revision);
+      for (const auto& [key, item] : state_.items) {
+        if (key.starts_with(request.prefix) && key > request.after) {
+          page.items.push_back(item);
+        }
+      }
+      return page;
+    });
+  }
   void changes(const std::string& prefix, StoreRevision after, Duration /*wait*/,
                StoreCallback<Changes> done) override {
     call<Changes>(std::move(done), [this, prefix, after]() -> Result<Changes, StoreError> {
--- a/src/wire/compression.h
+++ b/src/wire/compression.h
@@ -1,20 +1,20 @@
-// Compression of documents for the key-value service and for the wire (zlib).
+// Compression of what goes over the wire in bulk (zlib).
 #pragma once
 
 #include <cstddef>
 #include <string>
 #include <string_view>
 
-#include "config/errc.h"
+#include "wire/errc.h"
 
-namespace ochrespring::config {
+namespace ochrespring::wire {
 
-/// Largest document accepted after decompression, in bytes.
-inline constexpr std::size_t kLargestDocumentBytes = 64U << 20U;
+/// Largest size accepted after decompression, in bytes: what a peer sends may not fill the memory.
+inline constexpr std::size_t kLargestInflatedBytes = 64U << 20U;
 
 /// Compressed bytes.
 std::string compress(std::string_view bytes);
-/// Original bytes; kMalformed if damaged or above kLargestDocumentBytes.
-Result<std::string, ConfigError> decompress(std::string_view bytes);
+/// Original bytes; kMalformed if damaged or above kLargestInflatedBytes.
+Result<std::string, WireError> decompress(std::string_view bytes);
 
-}  // namespace ochrespring::config
+}  // namespace ochrespring::wire
