--- a/Makefile
+++ b/Makefile
@@ -40,13 +40,6 @@
 clean:
 	rm -rf build
 
-# Costs of control at the target's size and around it, as JSON lines; takes some minutes.
-.PHONY: capacity
-capacity: build
-	for nodes in 85 170 340 680; do \
-	  $(BUILD)/bin/ochrespring-bench capacity --nodes $$nodes --seconds 20 --warm-up 15 --loss 0.01 --format json || exit 1; \
-	done
-
 # Long whole-system fuzzing; see docs/VERIFICATION.md. FUZZ_SEEDS and FUZZ_STEPS may be set.
 FUZZ_SEEDS ?= 10000
 FUZZ_STEPS ?= 1000
--- a/src/bench/main.cc
+++ b/src/bench/main.cc
@@ -1,7 +1,6 @@
-// ochrespring-bench: load, experiments, simulation, fuzzing, capacity and reports.
+// ochrespring-bench: load, experiments, simulation, fuzzing and reports.
 #include <CLI/CLI.hpp>
 
-#include "bench/capacity_command.h"
 #include "bench/check_emulator_command.h"
 #include "bench/commands.h"
 #include "bench/explore_command.h"
@@ -14,10 +13,9 @@
 #include "bench/sweep_command.h"
 
 int main(int argc, char** argv) {
-  CLI::App app{"ochrespring-bench: load, experiments, simulation, fuzzing, capacity and reports"};
+  CLI::App app{"ochrespring-bench: load, experiments, simulation, fuzzing and reports"};
   app.require_subcommand(1);
   ochrespring::bench::register_explore_command(app);
-  ochrespring::bench::register_capacity_command(app);
   ochrespring::bench::register_fuzz_command(app);
   ochrespring::bench::register_ledger_command(app);
   ochrespring::bench::register_overhead_command(app);
