--- a/src/base/random.cc
+++ b/src/base/random.cc
@@ -27,6 +27,10 @@
   return unit() < probability;
 }
 
+Duration RandomSource::part_of(Duration span) {
+  return from_seconds(to_seconds(span) * unit());
+}
+
 Duration RandomSource::jitter(Duration span, double fraction) {
   const double factor = 1.0 + fraction * (2.0 * unit() - 1.0);
   return Duration(static_cast<Duration::rep>(static_cast<double>(span.count()) * factor));
--- a/src/base/random.h
+++ b/src/base/random.h
@@ -23,6 +23,8 @@
   double exponential(double mean);
   /// True with the given probability.
   bool chance(double probability);
+  /// A uniform part of `span`: those that wait so long come apart.
+  Duration part_of(Duration span);
   /// `span` scaled by a uniform factor in [1 - fraction, 1 + fraction].
   Duration jitter(Duration span, double fraction);
 };
--- a/src/discovery/change_log.cc
+++ b/src/discovery/change_log.cc
@@ -16,10 +16,6 @@
   return {change.index(), id};
 }
 
-shared_store::StoreRevision revision_of(const ViewChange& change) {
-  return std::visit([](const auto& alternative) { return alternative.revision; }, change);
-}
-
 }  // namespace
 
 void ChangeLog::restart(shared_store::StoreRevision revision) {
--- a/src/discovery/fleet_lister.cc
+++ b/src/discovery/fleet_lister.cc
@@ -60,15 +60,11 @@
                                       [&](const Change& item) { return item.key > range.last; });
   const bool passed_end = end != page.items.end();
   std::move(page.items.begin(), end, std::back_inserter(range.items));
-  if (!page.more || passed_end || range.items.empty()) {
+  if (!page.more || passed_end || range.items.empty() || range.items.back().key == range.last) {
     finish_range(run);
     return;
   }
   range.after = range.items.back().key;
-  if (range.after == range.last) {
-    finish_range(run);
-    return;
-  }
   read(run, index);
 }
 
--- a/src/discovery/fleet_watcher.cc
+++ b/src/discovery/fleet_watcher.cc
@@ -179,7 +179,7 @@
       read_changes();
       return;
     }
-    const Duration age = std::visit([](const auto& told) { return told.age; }, *transfer);
+    const Duration age = age_of(*transfer);
     if (age < settings_.follower_period) {
       look_ended(LookResult::kCurrent, look_began_ - age, "told by a reader");
     } else {
@@ -296,8 +296,8 @@
   }
   relist_ = true;
   if (!looking_) {
-    timer_.arm(follows ? settings_.period / 2 + random_part_of(settings_.period)
-                       : random_part_of(settings_.relist_spread),
+    timer_.arm(follows ? settings_.period / 2 + world_.random.part_of(settings_.period)
+                       : world_.random.part_of(settings_.relist_spread),
                [this] { look(); });
   }
 }
@@ -364,7 +364,7 @@
     distrust_view({});
     return true;
   }
-  const Duration age = std::visit([](const auto& told) { return told.age; }, transfer);
+  const Duration age = age_of(transfer);
   if (const auto* snapshot = std::get_if<ViewSnapshot>(&transfer)) {
     ++statistics_.snapshots_taken;
     relist_ = false;
@@ -405,10 +405,6 @@
   });
 }
 
-Duration FleetWatcher::random_part_of(Duration whole) {
-  return from_seconds(to_seconds(whole) * world_.random.unit());
-}
-
 void FleetWatcher::note_current(MonotonicTime at) {
   const auto known = fleet_.current_at();
   if (!known || at > *known) {
--- a/src/discovery/fleet_watcher.h
+++ b/src/discovery/fleet_watcher.h
@@ -127,7 +127,6 @@
   void limit_waiting();
   /// The view turned out to be wrong; `holder` has another one.
   void distrust_view(const Endpoint& holder);
-  Duration random_part_of(Duration whole);
   void ask_peer_later();
   void ask_peer();
   /// Returns whether another node's view, asked for at `asked`, was of use.
--- a/src/discovery/listing_comparison.cc
+++ b/src/discovery/listing_comparison.cc
@@ -5,14 +5,6 @@
 
 namespace ochrespring::discovery {
 
-namespace {
-
-shared_store::StoreRevision revision_of(const ViewChange& change) {
-  return std::visit([](const auto& alternative) { return alternative.revision; }, change);
-}
-
-}  // namespace
-
 ListingComparison::ListingComparison(shared_store::StoreRevision listed,
                                      shared_store::StoreRevision known, const ChangeLog& log)
     : listed_(listed), known_(known) {
--- a/src/discovery/look_schedule.cc
+++ b/src/discovery/look_schedule.cc
@@ -27,7 +27,7 @@
 /// For each node known, before a node lists the whole store itself at its start: however many start
 /// at once, some 50 a second do. A fleet whose nodes and servers fit into one page never waits.
 constexpr Duration kPeersOfEachNode = std::chrono::milliseconds(20);
-/// And at most this long, as much again by chance: half of the time in which a fleet that was
+/// And at most this long, as much again by chance: a third of the time in which a fleet that was
 /// killed as a whole has to serve again (18 s where the largest fleets are).
 constexpr Duration kLongestWaitForPeers = std::chrono::seconds(3);
 
--- a/src/discovery/node_directory.cc
+++ b/src/discovery/node_directory.cc
@@ -1,7 +1,6 @@
 #include "discovery/node_directory.h"
 
 #include <algorithm>
-#include <cstddef>
 
 #include "base/hash.h"
 
@@ -59,10 +58,11 @@
 }
 
 const std::vector<NodeRecord>& NodeDirectory::named(std::size_t most) const {
-  if (named_at_ == version_ && named_.size() <= most) {
+  if (named_at_ == version_ && named_most_ == most) {
     return named_;
   }
   named_at_ = version_;
+  named_most_ = most;
   named_ = list();
   if (named_.size() > most) {
     const auto weight = [&](const NodeRecord& record) {
--- a/src/discovery/node_directory.h
+++ b/src/discovery/node_directory.h
@@ -1,6 +1,7 @@
 // The nodes that callers may be sent to.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <utility>
@@ -68,6 +69,7 @@
   std::uint64_t version_ = 1;
   mutable std::vector<NodeRecord> named_;
   mutable std::uint64_t named_at_ = 0;  ///< `version_` that `named_` was made of.
+  mutable std::size_t named_most_ = 0;  ///< And for how many.
 };
 
 }  // namespace ochrespring::discovery
--- a/src/discovery/view_fetcher.cc
+++ b/src/discovery/view_fetcher.cc
@@ -31,7 +31,7 @@
 
 /// While more changes than can be told, one fetch in a part of the period has to do.
 void ViewFetcher::fetch_later(Duration least) {
-  Duration wait = least + from_seconds(to_seconds(settings_.fetch_spread) * random_.unit());
+  Duration wait = least + random_.part_of(settings_.fetch_spread);
   if (fetched_at_) {
     const Duration pause =
         whole_ ? std::max(settings_.fetch_pause, settings_.period / 2) : settings_.fetch_pause;
--- a/src/discovery/view_transfer.h
+++ b/src/discovery/view_transfer.h
@@ -56,4 +56,9 @@
 
 using ViewTransfer = std::variant<ViewSnapshot, ViewDelta>;
 
+/// Since its holder last knew it to be the store's.
+inline Duration age_of(const ViewTransfer& transfer) {
+  return std::visit([](const auto& told) { return told.age; }, transfer);
+}
+
 }  // namespace ochrespring::discovery
--- a/src/discovery/view_update.h
+++ b/src/discovery/view_update.h
@@ -43,6 +43,10 @@
 
 using ViewChange = std::variant<BackendChange, NodeChange>;
 
+inline shared_store::StoreRevision revision_of(const ViewChange& change) {
+  return std::visit([](const auto& alternative) { return alternative.revision; }, change);
+}
+
 /// All that changed in the store in (`after`, `through`], heartbeats left out. Whoever has seen the
 /// store up to `after` or beyond has seen it up to `through` with it. What is too much for one
 /// datagram goes out in several updates, each of which goes on where the one before ends.
--- a/src/discovery/view_writer.cc
+++ b/src/discovery/view_writer.cc
@@ -222,8 +222,9 @@
 
 /// A listing's state of it may have been newer than the listing: see `listed_ahead_`.
 void ViewWriter::take(BackendChange change) {
-  const bool known = fleet_.find(change.id) != nullptr;
-  if (!write(change)) {
+  const gateway::Backend* const found = fleet_.find(change.id);
+  const bool known = found != nullptr;
+  if (!write(change, found)) {
     if (change.revision <= listed_through_ && listed_ahead_.erase(change.id) != 0) {
       log_.note(std::move(change), clock_.now());
     }
@@ -242,8 +243,7 @@
   log_.note(std::move(change), clock_.now());
 }
 
-bool ViewWriter::write(const BackendChange& change) {
-  const gateway::Backend* known = fleet_.find(change.id);
+bool ViewWriter::write(const BackendChange& change, const gateway::Backend* known) {
   const std::uint64_t before = known != nullptr && fingerprint_ ? hash_of(*known) : 0;
   const bool changed = change.backend ? fleet_.put(*change.backend) : fleet_.remove(change.id);
   if (changed && fingerprint_) {
--- a/src/discovery/view_writer.h
+++ b/src/discovery/view_writer.h
@@ -69,8 +69,9 @@
 
  private:
   std::uint64_t fingerprint();
-  /// Writes one back end, or its end, into the view; returns whether that changed anything.
-  bool write(const BackendChange& change);
+  /// Writes one back end, or its end, into the view, where it was `known` or null; returns whether
+  /// that changed anything.
+  bool write(const BackendChange& change, const gateway::Backend* known);
   /// Back ends that are new come by thousands while a fleet starts: one line for all of a batch.
   void log_added();
   void take_first_listing(const shared_store::Listing& listing);
--- a/src/gateway/backend_index.cc
+++ b/src/gateway/backend_index.cc
@@ -16,6 +16,20 @@
 
 }  // namespace
 
+const Backend* first_by_weight(const std::vector<const Backend*>& backends, std::string_view key,
+                               const std::function<bool(const Backend&)>& accept) {
+  const Backend* best = nullptr;
+  std::uint64_t best_weight = 0;
+  for (const Backend* backend : backends) {
+    const std::uint64_t weight = rendezvous_weight(key, backend->id.value());
+    if ((best == nullptr || weight > best_weight) && accept(*backend)) {
+      best = backend;
+      best_weight = weight;
+    }
+  }
+  return best;
+}
+
 std::size_t BackendGroup::part_of(const BackendId& id) {
   return stable_hash(id.value()) % kParts;
 }
@@ -40,27 +54,13 @@
   auto unordered = order.begin();
   for (; unordered != order.end(); ++unordered) {
     std::iter_swap(unordered, std::max_element(unordered, order.end()));
-    if (const Backend* found = first_of(parts_[unordered->second], key, accept)) {
+    if (const Backend* found = first_by_weight(parts_[unordered->second], key, accept)) {
       return found;
     }
   }
   return nullptr;
 }
 
-const Backend* BackendGroup::first_of(const Part& part, std::string_view key,
-                                      const Accept& accept) const {
-  const Backend* best = nullptr;
-  std::uint64_t best_weight = 0;
-  for (const Backend* member : part) {
-    const std::uint64_t weight = rendezvous_weight(key, member->id.value());
-    if ((best == nullptr || weight > best_weight) && accept(*member)) {
-      best = member;
-      best_weight = weight;
-    }
-  }
-  return best;
-}
-
 std::vector<const Backend*> BackendGroup::sample(std::size_t most, RandomSource& random,
                                                  const Accept& accept) const {
   std::vector<const Backend*> drawn;
--- a/src/gateway/backend_index.h
+++ b/src/gateway/backend_index.h
@@ -14,6 +14,10 @@
 
 namespace ochrespring::gateway {
 
+/// The one of highest rendezvous weight for `key` among those that are accepted, or null.
+const Backend* first_by_weight(const std::vector<const Backend*>& backends, std::string_view key,
+                               const std::function<bool(const Backend&)>& accept);
+
 /// The back ends of one service that do the same: read prompts for others, or run requests.
 class BackendGroup {
  public:
@@ -41,7 +45,6 @@
   using Part = std::vector<const Backend*>;
 
   static std::size_t part_of(const BackendId& id);
-  const Backend* first_of(const Part& part, std::string_view key, const Accept& accept) const;
 
   std::array<Part, kParts> parts_;
   std::size_t size_ = 0;
--- a/src/gateway/candidates.cc
+++ b/src/gateway/candidates.cc
@@ -3,23 +3,12 @@
 #include <algorithm>
 #include <string_view>
 
-#include "base/hash.h"
+#include "gateway/backend_index.h"
 
 namespace ochrespring::gateway {
 
 namespace {
 
-/// The back end that all nodes take for the home of `key`, or null.
-const Backend* find_home(const std::vector<const Backend*>& backends, std::string_view key) {
-  if (key.empty() || backends.empty()) {
-    return nullptr;
-  }
-  return *std::max_element(
-      backends.begin(), backends.end(), [&](const Backend* left, const Backend* right) {
-        return rendezvous_weight(key, left->id.value()) < rendezvous_weight(key, right->id.value());
-      });
-}
-
 std::string_view shared_key(const CandidateFinder::Query& query) {
   return query.prompt == nullptr ? std::string_view() : query.prompt->shared_key();
 }
@@ -53,7 +42,10 @@
     (ejected(backend, now) ? left_alone : healthy).backends.push_back(&backend);
   }
   Candidates chosen = healthy.backends.empty() ? std::move(left_alone) : std::move(healthy);
-  chosen.home = find_home(chosen.backends, shared_key(query));
+  if (!shared_key(query).empty()) {
+    chosen.home = first_by_weight(chosen.backends, shared_key(query),
+                                  [](const Backend& /*any*/) { return true; });
+  }
   return chosen;
 }
 
@@ -74,7 +66,7 @@
   } else {
     chosen.backends = group->sample(kSample, random_, healthy);
   }
-  for (const Backend* holder : holders(query, now)) {
+  for (const Backend* holder : query.holders) {
     const bool reader = holder->role == EngineRole::kPrefill;
     if (reader == readers && holder->service == query.service && healthy(*holder)) {
       add_once(chosen.backends, holder);
@@ -97,12 +89,10 @@
 }
 
 /// An engine that keeps a part mostly keeps those before it, which may be common to thousands.
-std::vector<const Backend*> CandidateFinder::holders(const Query& query, MonotonicTime now) const {
+std::vector<const Backend*> CandidateFinder::holders(const Prompt& prompt,
+                                                     MonotonicTime now) const {
   std::vector<const Backend*> engines;
-  if (query.prompt == nullptr) {
-    return engines;
-  }
-  const std::vector<PromptPart>& parts = query.prompt->parts;
+  const std::vector<PromptPart>& parts = prompt.parts;
   for (std::size_t shared = parts.size(); shared > 1 && engines.empty(); --shared) {
     const std::uint64_t key = parts[shared - 2].key;
     for (const BackendId& id : loads_.holders(key, kMostHolders, now, random_)) {
--- a/src/gateway/candidates.h
+++ b/src/gateway/candidates.h
@@ -30,6 +30,8 @@
     ServiceName service;
     const Prompt* prompt = nullptr;  ///< Null: an ordinary request.
     const std::set<BackendId>* avoid = nullptr;
+    /// Of the prompt, where not all back ends are looked at; see holders().
+    std::vector<const Backend*> holders{};
   };
 
   CandidateFinder(const FleetState& fleet, const LoadTable& loads, RandomSource& random)
@@ -37,7 +39,7 @@
 
   Candidates find(const Query& query, bool readers, MonotonicTime now) const;
   /// Engines of either role that are believed to keep shared parts of the prompt.
-  std::vector<const Backend*> holders(const Query& query, MonotonicTime now) const;
+  std::vector<const Backend*> holders(const Prompt& prompt, MonotonicTime now) const;
   /// Whether all back ends are looked at.
   bool walks_all() const { return fleet_.backends().size() <= kWalkAll; }
 
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -62,7 +62,10 @@
 }  // namespace
 
 PlacementPlan Placement::choose(const PlacementRequest& request, MonotonicTime now) const {
-  const CandidateFinder::Query query{request.service, request.prompt, &request.avoid};
+  CandidateFinder::Query query{request.service, request.prompt, &request.avoid};
+  if (request.prompt != nullptr && !finder_.walks_all()) {
+    query.holders = finder_.holders(*request.prompt, now);
+  }
   if (request.where_least_runs) {
     PlacementPlan plan;
     plan.runner = cheapest(finder_.find(query, false, now).backends, [&](const Backend& backend) {
@@ -71,7 +74,7 @@
     return plan;
   }
   if (request.prompt != nullptr) {
-    return choose_engines(request, now);
+    return choose_engines(request, query, now);
   }
   PlacementPlan plan;
   plan.runner = cheapest(finder_.find(query, false, now).backends,
@@ -79,10 +82,13 @@
   return plan;
 }
 
-PlacementPlan Placement::choose_engines(const PlacementRequest& request, MonotonicTime now) const {
+PlacementPlan Placement::choose_engines(const PlacementRequest& request,
+                                        const CandidateFinder::Query& query,
+                                        MonotonicTime now) const {
   const Prompt& prompt = *request.prompt;
-  const CandidateFinder::Query query{request.service, request.prompt, &request.avoid};
-  const CacheSources sources = sources_of(request, now);
+  const CacheSources sources = finder_.walks_all()
+                                   ? CacheSources(fleet_, loads_, request.service, prompt, now)
+                                   : CacheSources(query.holders, loads_, prompt, now);
   const Candidates runners = finder_.find(query, false, now);
   const PromptView at_runners{prompt, sources, request, runners.home};
   PlacementPlan direct;
@@ -121,14 +127,6 @@
   return best;
 }
 
-CacheSources Placement::sources_of(const PlacementRequest& request, MonotonicTime now) const {
-  if (finder_.walks_all()) {
-    return CacheSources(fleet_, loads_, request.service, *request.prompt, now);
-  }
-  const CandidateFinder::Query query{request.service, request.prompt, &request.avoid};
-  return CacheSources(finder_.holders(query, now), loads_, *request.prompt, now);
-}
-
 double Placement::busy_share(const Backends& engines, MonotonicTime now) const {
   const auto busy = std::count_if(engines.begin(), engines.end(), [&](const Backend* engine) {
     return work_at(*engine, now).unread_tokens != 0;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -60,8 +60,8 @@
  private:
   using Backends = std::vector<const Backend*>;
 
-  PlacementPlan choose_engines(const PlacementRequest& request, MonotonicTime now) const;
-  CacheSources sources_of(const PlacementRequest& request, MonotonicTime now) const;
+  PlacementPlan choose_engines(const PlacementRequest& request, const CandidateFinder::Query& query,
+                               MonotonicTime now) const;
   /// Part of these engines that have prompts to read, 0 to 1.
   double busy_share(const Backends& engines, MonotonicTime now) const;
   /// What a prompt is, who is its home, and who keeps its shared parts.
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -1,7 +1,6 @@
 #include "gateway/request_session.h"
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 #include <string>
 #include <utility>
@@ -26,12 +25,6 @@
 constexpr std::size_t kCallerBufferBytes = 64U << 10U;
 constexpr std::uint16_t kMisdirected = 421;
 
-std::uint64_t read_number(std::string_view text, std::uint64_t otherwise) {
-  std::uint64_t number = otherwise;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-  return error == std::errc() ? number : otherwise;
-}
-
 std::int64_t to_milliseconds(Duration span) {
   return std::chrono::duration_cast<milliseconds>(span).count();
 }
@@ -61,7 +54,7 @@
   id_ = http::find_header(request_.headers, names.request_id);
   const auto most = static_cast<std::uint64_t>(to_milliseconds(route_.timeout));
   const std::string_view waits = http::find_header(request_.headers, names.deadline);
-  deadline_ = arrived_ + milliseconds(std::min(most, read_number(waits, most)));
+  deadline_ = arrived_ + milliseconds(std::min(most, http::parse_number(waits).value_or(most)));
   if (routes_->has_tenants()) {
     std::erase_if(request_.headers,
                   [&](const http::Header& header) { return header.name == names.credentials; });
@@ -74,7 +67,7 @@
   }
   const std::string_view last = http::find_header(request_.headers, names.last_event);
   if (!last.empty()) {
-    last_event_ = read_number(last, 0);
+    last_event_ = http::parse_number(last).value_or(0);
   }
   environment_.budget.note_request(service_, arrived_);
   writer_->on_closed([weak = weak_from_this()] {
--- a/src/gateway_node/view_exchange.cc
+++ b/src/gateway_node/view_exchange.cc
@@ -1,7 +1,6 @@
 #include "gateway_node/view_exchange.h"
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 #include <string>
 #include <string_view>
@@ -40,12 +39,6 @@
   return settings;
 }
 
-std::optional<std::uint64_t> read_number(std::string_view text) {
-  std::uint64_t number = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-  return error == std::errc() ? std::optional(number) : std::nullopt;
-}
-
 /// The answer's age counts on while it is kept.
 std::optional<ViewTransfer> read_transfer(const http::Response& answer) {
   const auto bytes = wire::decompress(answer.body);
@@ -56,7 +49,7 @@
   if (!transfer) {
     return std::nullopt;
   }
-  const auto kept = read_number(http::find_header(answer.head.headers, kKeptHeader));
+  const auto kept = http::parse_number(http::find_header(answer.head.headers, kKeptHeader));
   std::visit([&](auto& told) { told.age += std::chrono::microseconds(kept.value_or(0)); },
              transfer.value());
   return std::move(transfer.value());
@@ -83,7 +76,7 @@
 }
 
 void ViewExchange::serve(const http::Request& request, http::ResponseWriter& response) {
-  const auto after = read_number(http::find_header(request.headers, kAfterHeader));
+  const auto after = http::parse_number(http::find_header(request.headers, kAfterHeader));
   const KeptAnswer* answer =
       answer_for(after ? AskedAfter(shared_store::StoreRevision(*after)) : std::nullopt);
   const MonotonicTime now = world_.clock.now();
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,6 +19,9 @@
 /// First value of a header by lower-case name, or empty.
 std::string_view find_header(const std::vector<Header>& headers, std::string_view name);
 
+/// The number that a header's value begins with; none: it begins with no number.
+std::optional<std::uint64_t> parse_number(std::string_view value);
+
 /// A whole request.
 struct Request {
   std::string method;
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -202,8 +202,7 @@
 void Quarantine::save_later(const Request& request, Duration pause) {
   unsaved_.insert(request);
   if (!save_timer_.armed() || pause == Duration::zero()) {
-    save_timer_.arm(pause + from_seconds(to_seconds(pause) * world_.random.unit()),
-                    [this] { save(); });
+    save_timer_.arm(pause + world_.random.part_of(pause), [this] { save(); });
   }
 }
 
