--- a/src/discovery/fleet_watcher.cc
+++ b/src/discovery/fleet_watcher.cc
@@ -168,6 +168,13 @@
     if (!first) {
       share_look();
     }
+  } else {
+    ++statistics_.listings_passed;
+    world_.logger.write(
+        {logging::Level::kWarning,
+         kComponent,
+         "listing older than the view",
+         {{"listed", listing.value().revision.value()}, {"seen", writer_.seen()->value()}}});
   }
   look_ended(LookResult::kCurrent, look_began_, "listed");
 }
--- a/src/discovery/fleet_watcher.h
+++ b/src/discovery/fleet_watcher.h
@@ -33,6 +33,7 @@
   std::uint64_t deltas_taken = 0;      ///< What changed, fetched from another node.
   std::uint64_t updates_differed = 0;  ///< Showed that a listing was needed.
   std::uint64_t histories_gone = 0;    ///< Looks that the store had forgotten the history of.
+  std::uint64_t listings_passed = 0;   ///< Older than the view, by their revision.
 };
 
 /// Looks now and then for what has changed since the newest change it has seen, instead of holding
--- a/src/gateway_node/node_metrics.cc
+++ b/src/gateway_node/node_metrics.cc
@@ -51,6 +51,8 @@
      &FleetWatcherStatistics::deltas_taken},
     {"store_histories_gone", "Looks that the store had forgotten the history of",
      &FleetWatcherStatistics::histories_gone},
+    {"store_listings_passed", "Listings older than the view, by their revision",
+     &FleetWatcherStatistics::listings_passed},
     {"view_updates_differed", "Looks of other nodes that showed a listing to be needed",
      &FleetWatcherStatistics::updates_differed},
 };
