--- a/src/gateway_node/tests/large_fleet.h
+++ b/src/gateway_node/tests/large_fleet.h
@@ -57,6 +57,23 @@
     std::erase_if(items, [](const auto& item) { return !item.second.value; });
   }
 
+  /// What the store would be set back to.
+  struct Copy {
+    std::uint64_t revision = 0;
+    std::map<std::string, shared_store::Change> items;
+  };
+  Copy copy() const { return {revision, items}; }
+  /// Comes back as it was when the copy was made: revisions are given out again from there on.
+  void set_back_to(const Copy& copy) {
+    revision = copy.revision;
+    items = copy.items;
+    forget_history();
+  }
+  /// Whether the changes after a revision can be told: neither forgotten nor still to come.
+  bool tells_changes_after(shared_store::StoreRevision after) const {
+    return after >= forgotten_through && after <= shared_store::StoreRevision(revision);
+  }
+
   std::uint64_t revision = 0;
   std::map<std::string, shared_store::Change> items;  ///< Without a value: removed.
   shared_store::StoreRevision forgotten_through;
@@ -101,7 +118,7 @@
   }
   void changes(const std::string& /*prefix*/, shared_store::StoreRevision after, Duration /*wait*/,
                shared_store::StoreCallback<shared_store::Changes> done) override {
-    if (after < state_.forgotten_through && !cut_off_ && !turned_away_) {
+    if (!state_.tells_changes_after(after) && !state_.down && !cut_off_ && !turned_away_) {
       time_.schedule_after(kAnswerTime, [this, done = std::move(done)] {
         ++state_.reads;
         done(fail(shared_store::StoreErrc::kHistoryGone, "gone"));
@@ -294,6 +311,7 @@
   StoreState state;
   EngineCodec codec;
   logging::NullLogger logger;
+  bool servers_write = true;  ///< That they live, again and again.
   std::uint64_t datagrams = 0;
   std::uint64_t dropped = 0;        ///< Of these, at full links.
   std::uint64_t fetched_bytes = 0;  ///< Over streams, before they are compressed.
@@ -317,7 +335,7 @@
   void heartbeat() {
     const std::string key = "backends/e" + std::to_string(beat_++ % engines_);
     const auto known = state.items.at(key).value;
-    if (known) {
+    if (known && servers_write) {
       state.put(key, known);
     }
     time.schedule_after(15ms, [this] { heartbeat(); });
