Revisions name the life of the store; what differs from an older life is taken whole

Cause: nodes ordered everything by the store's bare revision. A store that comes back from an older copy gives numbers out again: listings of the new life looked older than the view and were passed over while the look still counted as current, and changes under numbers up to the one seen before were never told.

Change: StoreRevision is (era, number) with the era first in its order. A listing that is not taken no longer counts as a look. Updates of an older life say nothing; those of a newer one are fetched whole. Registration, duties and quarantine are written again in a new life; a holder of the duties waits a whole lease, and fences rise on by an offset that the store keeps. Messages and views that carry revisions have new places on the wire, so that nodes of the build before neither read nor are read wrongly.

--- a/src/discovery/fleet_lister.cc
+++ b/src/discovery/fleet_lister.cc
@@ -14,7 +14,6 @@
 void FleetLister::start(const std::vector<std::string>& ends, Done done) {
   run_ = std::make_shared<Run>();
   run_->done = std::move(done);
-  run_->revision = shared_store::StoreRevision(UINT64_MAX);
   run_->ranges.resize(ends.size() + 1);
   for (std::size_t index = 0; index != ends.size(); ++index) {
     run_->ranges[index].last = ends[index];
@@ -53,7 +52,11 @@
 void FleetLister::take(const std::shared_ptr<Run>& run, std::size_t index, ListPage page) {
   Range& range = run->ranges[index];
   range.failed_tries = 0;
-  run->revision = std::min(run->revision, page.revision);
+  if (run->revision && run->revision->era() != page.revision.era()) {
+    end(run, {shared_store::StoreErrc::kNotDone, "the store was set back between two pages"});
+    return;
+  }
+  run->revision = std::min(run->revision.value_or(page.revision), page.revision);
   const auto end = range.last.empty()
                        ? page.items.end()
                        : std::find_if(page.items.begin(), page.items.end(),
@@ -72,8 +75,7 @@
                             const StoreError& error) {
   Range& range = run->ranges[index];
   if (++range.failed_tries >= kTriesOfPage) {
-    run_.reset();
-    run->done(outcome::failure(error));
+    end(run, error);
     return;
   }
   range.retry = std::make_unique<Timer>(timers_);
@@ -84,12 +86,17 @@
   });
 }
 
+void FleetLister::end(const std::shared_ptr<Run>& run, StoreError error) {
+  run_.reset();
+  run->done(outcome::failure(std::move(error)));
+}
+
 void FleetLister::finish_range(const std::shared_ptr<Run>& run) {
   if (--run->unfinished != 0) {
     return;
   }
   Listing listing;
-  listing.revision = run->revision;
+  listing.revision = *run->revision;
   for (Range& range : run->ranges) {
     std::move(range.items.begin(), range.items.end(), std::back_inserter(listing.items));
   }
--- a/src/discovery/fleet_lister.h
+++ b/src/discovery/fleet_lister.h
@@ -49,7 +49,7 @@
   struct Run {
     std::vector<Range> ranges;
     std::size_t unfinished = 0;
-    shared_store::StoreRevision revision;  ///< The oldest of all pages.
+    std::optional<shared_store::StoreRevision> revision;  ///< The oldest of all pages.
     Done done;
   };
 
@@ -58,6 +58,7 @@
   void fail_page(const std::shared_ptr<Run>& run, std::size_t index,
                  const shared_store::StoreError& error);
   void finish_range(const std::shared_ptr<Run>& run);
+  void end(const std::shared_ptr<Run>& run, shared_store::StoreError error);
 
   shared_store::SharedStore& store_;
   TimerService& timers_;
--- a/src/discovery/fleet_watcher.cc
+++ b/src/discovery/fleet_watcher.cc
@@ -163,22 +163,33 @@
     return;
   }
   const bool first = !writer_.seen();
-  if (writer_.take_listing(listing.value())) {
-    relist_ = false;
-    if (!first) {
-      share_look();
-    }
-  } else {
-    ++statistics_.listings_passed;
-    world_.logger.write(
-        {logging::Level::kWarning,
-         kComponent,
-         "listing older than the view",
-         {{"listed", listing.value().revision.value()}, {"seen", writer_.seen()->value()}}});
+  if (!writer_.take_listing(listing.value())) {
+    pass_listing(listing.value().revision);
+    return;
+  }
+  relist_ = false;
+  note_era();
+  if (!first) {
+    share_look();
   }
   look_ended(LookResult::kCurrent, look_began_, "listed");
 }
 
+/// A listing that was not taken says nothing of the view: the look has failed, though the store
+/// answers, and the configuration has no time to wait for the next one.
+void FleetWatcher::pass_listing(shared_store::StoreRevision listed) {
+  ++statistics_.listings_passed;
+  world_.logger.write({logging::Level::kWarning,
+                       kComponent,
+                       "listing older than the view",
+                       {{"era", listed.era().value()},
+                        {"listed", listed.value()},
+                        {"seen_era", writer_.seen()->era().value()},
+                        {"seen", writer_.seen()->value()}}});
+  read_configuration();
+  look_ended(LookResult::kBehind, look_began_, "");
+}
+
 /// What a reader tells is enough unless the reader has not heard of the store for long itself.
 void FleetWatcher::ask_reader(const Endpoint& reader) {
   fetcher_.ask(reader, [this](const std::optional<ViewTransfer>& transfer) {
@@ -265,11 +276,18 @@
 }
 
 void FleetWatcher::take_update(const ViewUpdate& update, std::function<void()> covered) {
+  const UpdateOutcome outcome = writer_.take_update(update);
+  if (outcome == UpdateOutcome::kOutdated) {
+    ++statistics_.updates_outdated;
+    return;
+  }
   heard_at_ = world_.clock.now();
+  world_.store.hear_of(update.through);
   if (covered) {
     uncovered_ = Uncovered{update.through, std::move(covered)};
   }
-  switch (writer_.take_update(update)) {
+  switch (outcome) {
+    case UpdateOutcome::kOutdated:
     case UpdateOutcome::kPassed:
       ++statistics_.updates_passed;
       if (fetch_view_) {
@@ -371,6 +389,7 @@
     distrust_view({});
     return true;
   }
+  note_era();
   const Duration age = age_of(transfer);
   if (const auto* snapshot = std::get_if<ViewSnapshot>(&transfer)) {
     ++statistics_.snapshots_taken;
@@ -412,6 +431,24 @@
   });
 }
 
+void FleetWatcher::note_era() {
+  const shared_store::StoreEra era = writer_.seen()->era();
+  world_.store.hear_of(*writer_.seen());
+  const bool rose = era_ && era > *era_;
+  era_ = era;
+  if (!rose) {
+    return;
+  }
+  ++statistics_.eras_begun;
+  world_.logger.write({logging::Level::kWarning,
+                       kComponent,
+                       "view is of a new era of the store",
+                       {{"era", era.value()}, {"revision", writer_.seen()->value()}}});
+  if (new_era_) {
+    new_era_();
+  }
+}
+
 void FleetWatcher::note_current(MonotonicTime at) {
   const auto known = fleet_.current_at();
   if (!known || at > *known) {
--- a/src/discovery/fleet_watcher.h
+++ b/src/discovery/fleet_watcher.h
@@ -31,9 +31,11 @@
   std::uint64_t updates_passed = 0;    ///< Began after what this node had seen.
   std::uint64_t snapshots_taken = 0;   ///< Views taken over whole from another node.
   std::uint64_t deltas_taken = 0;      ///< What changed, fetched from another node.
+  std::uint64_t updates_outdated = 0;  ///< Of a life of the store that has ended.
   std::uint64_t updates_differed = 0;  ///< Showed that a listing was needed.
   std::uint64_t histories_gone = 0;    ///< Looks that the store had forgotten the history of.
   std::uint64_t listings_passed = 0;   ///< Older than the view, by their revision.
+  std::uint64_t eras_begun = 0;        ///< Views that were the first of a later life of the store.
 };
 
 /// Looks now and then for what has changed since the newest change it has seen, instead of holding
@@ -95,6 +97,9 @@
   void on_other_key(ViewWriter::OtherKey callback) { writer_.on_other_key(std::move(callback)); }
   /// Called with what this node's look found, for the others.
   void on_look(std::function<void(const ViewUpdate&)> callback) { share_ = std::move(callback); }
+  /// Called when the view is the first one of a later life of the store: what this node wrote there
+  /// may be lost.
+  void on_new_era(std::function<void()> callback) { new_era_ = std::move(callback); }
   /// Called after each look that succeeded, and each update taken.
   void on_current(std::function<void()> callback) { current_ = std::move(callback); }
   const FleetWatcherStatistics& statistics() const { return statistics_; }
@@ -116,6 +121,7 @@
   void list_rest();
   void list_all();
   void take_listing(const ListingResult& listing);
+  void pass_listing(shared_store::StoreRevision listed);
   void ask_reader(const Endpoint& reader);
   void read_changes();
   void recover_history();
@@ -133,6 +139,7 @@
   /// Returns whether another node's view, asked for at `asked`, was of use.
   bool take_transfer(const ViewTransfer& transfer, MonotonicTime asked);
   ReadingDuty duty() const { return duty_ ? duty_() : ReadingDuty{}; }
+  void note_era();
   /// Tells the others what this node's look found, unless another node has just told them.
   void share_look();
   /// Calls back whoever waits for the view to cover an update, if it does.
@@ -168,9 +175,11 @@
   bool looked_again_ = false;  ///< For those waiting, the look before having taken too long.
   /// Of the first listing of a large fleet, while others are asked for theirs.
   std::optional<shared_store::ListPage> first_page_;
-  std::optional<bool> connected_;  ///< How the last look ended; none before the first.
+  std::optional<bool> connected_;              ///< How the last look ended; none before the first.
+  std::optional<shared_store::StoreEra> era_;  ///< Of the view; none before the first.
   std::vector<std::function<void(bool)>> waiting_;
   std::function<void()> current_;
+  std::function<void()> new_era_;
   std::function<void(const ViewUpdate&)> share_;
   std::function<void(bool)> store_state_;
   std::function<void(TransferCallback)> ask_peer_;
--- a/src/discovery/node_registration.cc
+++ b/src/discovery/node_registration.cc
@@ -17,13 +17,15 @@
 }  // namespace
 
 NodeRegistration::NodeRegistration(TimerService& timers, shared_store::SharedStore& store,
-                                   logging::Logger& logger, NodeRegistrationSettings settings,
-                                   const NodeRecord& record)
+                                   logging::Logger& logger, RandomSource& random,
+                                   NodeRegistrationSettings settings, const NodeRecord& record)
     : store_(store),
       logger_(logger),
+      random_(random),
       settings_(std::move(settings)),
       value_(wire::encode(record)),
-      timer_(timers) {}
+      timer_(timers),
+      rewrite_timer_(timers) {}
 
 void NodeRegistration::start() {
   grant();
@@ -65,6 +67,17 @@
   });
 }
 
+/// Beside the renewals, which go on: a write does not renew the lease.
+void NodeRegistration::rewrite() {
+  rewrite_timer_.arm(random_.part_of(settings_.period), [this] {
+    if (lease_ && published_ && !left_) {
+      timer_.disarm();
+      published_ = false;
+      publish();
+    }
+  });
+}
+
 void NodeRegistration::renew() {
   store_.renew_lease(*lease_, [this](auto result) {
     if (!result && result.error().code == StoreErrc::kNotFound) {
--- a/src/discovery/node_registration.h
+++ b/src/discovery/node_registration.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "base/random.h"
 #include "base/time.h"
 #include "base/timer.h"
 #include "discovery/node_record.h"
@@ -29,9 +30,13 @@
 class NodeRegistration {
  public:
   NodeRegistration(TimerService& timers, shared_store::SharedStore& store, logging::Logger& logger,
-                   NodeRegistrationSettings settings, const NodeRecord& record);
+                   RandomSource& random, NodeRegistrationSettings settings,
+                   const NodeRecord& record);
 
   void start();
+  /// The store may have lost the record, or its lease: it is written again, at some moment within a
+  /// period, lest a whole fleet writes at once.
+  void rewrite();
   /// Ends the lease, so that the others stop naming this node at once.
   void leave();
 
@@ -44,9 +49,11 @@
 
   shared_store::SharedStore& store_;
   logging::Logger& logger_;
+  RandomSource& random_;
   NodeRegistrationSettings settings_;
   std::string value_;
   Timer timer_;
+  Timer rewrite_timer_;
   std::optional<shared_store::LeaseId> lease_;
   std::uint32_t failed_in_row_ = 0;  ///< Calls.
   bool published_ = false;
--- a/src/discovery/tests/discovery_test.cc
+++ b/src/discovery/tests/discovery_test.cc
@@ -206,12 +206,11 @@
   simulation::VirtualTime time;
   PlayedStore store;
   logging::NullLogger logger;
+  SeededRandom random{3};
   NodeRegistration registration{
-      time,
-      store,
-      logger,
-      {"nodes/me"},
-      {NodeId("me"), Endpoint("1.1.1.1:1"), ZoneName("a"), Endpoint("127.0.0.1:9")}};
+      time,         store,
+      logger,       random,
+      {"nodes/me"}, {NodeId("me"), Endpoint("1.1.1.1:1"), ZoneName("a"), Endpoint("127.0.0.1:9")}};
 
   void advance(Duration span) { time.run_until(time.now() + span); }
   void register_node() {
--- a/src/discovery/view_writer.cc
+++ b/src/discovery/view_writer.cc
@@ -27,10 +27,12 @@
     return true;
   }
   const bool behind = listing.revision < *seen_;
-  if (behind && !log_.covers(listing.revision)) {
+  const bool older_life = listing.revision.era() < seen_->era();
+  if (older_life || (behind && !log_.covers(listing.revision))) {
     // What other nodes told since the listing began is no longer known: it could undo that.
     return false;
   }
+  const bool newer_life = listing.revision.era() > seen_->era();
   const std::vector<ViewChange> changes = compare(listing);
   take_other_keys(listing);
   for (const ViewChange& change : changes) {
@@ -44,6 +46,12 @@
     seen_ = listing.revision;
     log_.advance(*seen_);
   }
+  if (newer_life) {
+    // Others may have seen more of the life before than this node: what differs from its view does
+    // not make theirs right, and they take the whole.
+    log_.restart(listed_through_);
+    listed_ahead_.clear();
+  }
   trusted_ = true;
   return true;
 }
@@ -166,7 +174,10 @@
 }
 
 UpdateOutcome ViewWriter::take_update(const ViewUpdate& update) {
-  if (!seen_ || update.after > *seen_) {
+  if (seen_ && update.through.era() < seen_->era()) {
+    return UpdateOutcome::kOutdated;
+  }
+  if (!seen_ || update.after > *seen_ || update.through.era() > seen_->era()) {
     return UpdateOutcome::kPassed;
   }
   apply(update.changes, *seen_);
@@ -275,7 +286,8 @@
   if (!seen_ || configuration_.empty() || !fleet_.current_at()) {
     return std::nullopt;
   }
-  if (!after || !trusted_ || !log_.covers(*after)) {
+  const bool same_life = after && after->era() == seen_->era();
+  if (!same_life || !trusted_ || !log_.covers(*after)) {
     return make_snapshot();
   }
   ViewDelta delta;
@@ -307,7 +319,8 @@
 }
 
 UpdateOutcome ViewWriter::take(const ViewDelta& delta) {
-  if (!seen_ || delta.after > *seen_ || delta.through < *seen_) {
+  if (!seen_ || delta.after > *seen_ || delta.through < *seen_ ||
+      delta.through.era() != seen_->era()) {
     return UpdateOutcome::kPassed;
   }
   if (delta.configuration && !take_configuration(*delta.configuration)) {
--- a/src/discovery/view_writer.h
+++ b/src/discovery/view_writer.h
@@ -23,13 +23,16 @@
 
 enum class UpdateOutcome : std::uint8_t {
   kTaken,
-  kPassed,   ///< It begins after what this node has seen: nothing was taken.
-  kDiffers,  ///< Taken, but the views differ: what changed and changed back between two looks of
-             ///< the other node is not in its update. A listing is needed.
+  kPassed,    ///< It begins after what this node has seen: nothing was taken.
+  kDiffers,   ///< Taken, but the views differ: what changed and changed back between two looks of
+              ///< the other node is not in its update. A listing is needed.
+  kOutdated,  ///< Of a life of the store that has ended: it says nothing of now.
 };
 
 /// Knows the revision up to which the view is complete. What is not newer than that is passed over:
-/// a look's answer may arrive after another node's update that is newer. One loop.
+/// a look's answer may arrive after another node's update that is newer. Once the store has begun
+/// another life, what was known of the one before is replaced by a whole listing or view, and says
+/// nothing of which numbers are old (StoreRevision). One loop.
 class ViewWriter {
  public:
   ViewWriter(const Clock& clock, const FleetCodec& codec, logging::Logger& logger,
--- a/src/duties/duty_lease.cc
+++ b/src/duties/duty_lease.cc
@@ -123,66 +123,135 @@
                      }
                      // An earlier claim was done although its answer was lost.
                      lease_ = record.value().lease;
-                     fence_ = Fence(result.value().revision.value());
+                     holder_revision_ = result.value().revision;
                      not_before_ = world_.clock.now() + options_.time_to_live;
-                     post(Event::kFoundOwn);
+                     read_offset();
                    }));
 }
 
 void DutyLease::read_history() {
-  world_.store.get(options_.history_key, current([this](auto result) {
-                     if (!result && result.error().code != StoreErrc::kNotFound) {
-                       claim_failed("read history", result.error());
-                       return;
-                     }
-                     if (!result) {
-                       grant(StoreRevision(), {});
-                       return;
-                     }
-                     auto history = wire::decode<HolderHistory>(result.value().value.value_or(""));
-                     // What cannot be understood may have named this node: as if it had.
-                     grant(result.value().revision,
-                           history ? history.value() : HolderHistory{{}, options_.node});
-                   }));
+  lease_.reset();
+  world_.store.get(
+      options_.history_key, current([this](auto result) {
+        if (!result && result.error().code != StoreErrc::kNotFound) {
+          claim_failed("read history", result.error());
+          return;
+        }
+        claim_ = {};
+        if (result) {
+          claim_.history_revision = result.value().revision;
+          auto history = wire::decode<HolderHistory>(result.value().value.value_or(""));
+          // What cannot be understood may have named this node: as if it had.
+          claim_.history = history ? history.value() : HolderHistory{{}, options_.node};
+        }
+        read_offset();
+      }));
 }
 
-void DutyLease::grant(StoreRevision history_revision, HolderHistory history) {
-  const MonotonicTime sent = world_.clock.now();
-  world_.store.grant_lease(
-      options_.time_to_live,
-      current([this, sent, history_revision, history = std::move(history)](auto result) {
-        if (!result) {
-          claim_failed("grant", result.error());
+void DutyLease::read_offset() {
+  world_.store.get(
+      options_.offset_key, current([this](auto result) {
+        if (!result && result.error().code != StoreErrc::kNotFound) {
+          claim_failed("read offset of fences", result.error());
+          return;
+        }
+        claim_.offset_revision = {};
+        claim_.stored_offset.reset();
+        if (result) {
+          claim_.offset_revision = result.value().revision;
+          const auto stored = wire::decode<FenceOffset>(result.value().value.value_or(""));
+          if (!stored) {
+            claim_failed("read offset of fences", {StoreErrc::kMalformed, stored.error().message});
+            return;
+          }
+          claim_.stored_offset = stored.value();
+          // A node that has started may not know how often the store was set back.
+          world_.store.hear_of(StoreRevision(0, stored.value().era));
+        }
+        if (!result && set_back_at_) {
+          // The first holder's is lost.
+          claim_.stored_offset = FenceOffset();
+        }
+        offset_ = offset_in(world_.store.era(), claim_.stored_offset);
+        if (lease_) {
+          // Its own claim of before: with a fence that was never used if the store
+          // has been set back since.
+          fence_ = Fence(holder_revision_.value() + offset_.offset);
+          post(Event::kFoundOwn);
           return;
         }
-        lease_ = result.value();
-        note_granted(sent);
-        commit(history_revision, history);
+        grant();
       }));
 }
 
-void DutyLease::commit(StoreRevision history_revision, const HolderHistory& history) {
-  const bool held_before = history.before == options_.node && history.last != options_.node;
-  HolderHistory written = history;
+void DutyLease::grant() {
+  const MonotonicTime sent = world_.clock.now();
+  world_.store.grant_lease(options_.time_to_live, current([this, sent](auto result) {
+                             if (!result) {
+                               claim_failed("grant", result.error());
+                               return;
+                             }
+                             lease_ = result.value();
+                             note_granted(sent);
+                             commit();
+                           }));
+}
+
+void DutyLease::commit() {
+  const HolderHistory& history = claim_.history;
+  not_before_ = earliest_act(history.before == options_.node && history.last != options_.node);
+  world_.store.commit({.conditions = {{options_.holder_key, {}},
+                                      {options_.history_key, claim_.history_revision},
+                                      {options_.offset_key, claim_.offset_revision}},
+                       .writes = claiming_writes(),
+                       .removals = {}},
+                      current([this](auto result) {
+                        if (!result) {
+                          claim_failed("commit", result.error());
+                        } else {
+                          take_over(result.value());
+                        }
+                      }));
+}
+
+/// The store answers with the revision of the last write: that of the holder's key.
+std::vector<shared_store::Write> DutyLease::claiming_writes() const {
+  HolderHistory history = claim_.history;
   if (history.last != options_.node) {
-    written = {.last = options_.node, .before = history.last};
+    history = {.last = options_.node, .before = claim_.history.last};
+  }
+  std::vector<shared_store::Write> writes{
+      {options_.history_key, wire::encode(history), std::nullopt}};
+  if (offset_ != claim_.stored_offset) {
+    writes.push_back({options_.offset_key, wire::encode(offset_), std::nullopt});
   }
-  not_before_ = world_.clock.now() + (held_before ? options_.time_to_live : Duration::zero());
   const HolderRecord record{options_.node, options_.life, *lease_};
-  world_.store.commit(
-      {.conditions = {{options_.holder_key, {}}, {options_.history_key, history_revision}},
-       // The store answers with the revision of the last write: that of the holder's key.
-       .writes = {{options_.history_key, wire::encode(written), std::nullopt},
-                  {options_.holder_key, wire::encode(record), lease_}},
-       .removals = {}},
-      current([this](auto result) {
-        if (!result) {
-          claim_failed("commit", result.error());
-          return;
-        }
-        fence_ = Fence(result.value().value());
-        post(Event::kClaimed);
-      }));
+  writes.push_back({options_.holder_key, wire::encode(record), lease_});
+  return writes;
+}
+
+void DutyLease::take_over(StoreRevision revision) {
+  if (revision.era() > offset_.era) {
+    // The store has been set back meanwhile, and the fence is not above the ones before.
+    post(Event::kClaimFailed);
+    return;
+  }
+  holder_revision_ = revision;
+  fence_ = Fence(revision.value() + offset_.offset);
+  post(Event::kClaimed);
+}
+
+MonotonicTime DutyLease::earliest_act(bool held_before) const {
+  const MonotonicTime now = world_.clock.now();
+  const MonotonicTime earliest = held_before ? now + options_.time_to_live : now;
+  const bool set_back = set_back_at_ || (claim_.stored_offset && offset_ != *claim_.stored_offset);
+  return set_back ? std::max(earliest, set_back_at_.value_or(now) + options_.time_to_live)
+                  : earliest;
+}
+
+void DutyLease::on_store_set_back() {
+  set_back_at_ = world_.clock.now();
+  post(Event::kLeaseGone);
 }
 
 void DutyLease::claim_failed(std::string_view step, const StoreError& error) {
--- a/src/duties/duty_lease.h
+++ b/src/duties/duty_lease.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/random.h"
 #include "base/time.h"
@@ -21,6 +22,7 @@
 struct DutyLeaseOptions {
   std::string holder_key;   ///< Of the store; bound to the lease.
   std::string history_key;  ///< Of the store; stays.
+  std::string offset_key;   ///< Of the store; stays.
   NodeId node;
   std::uint64_t life = 0;  ///< Drawn at the node's start.
   Duration time_to_live{std::chrono::milliseconds(3000)};
@@ -34,7 +36,9 @@
 };
 
 /// One lease for all duties, held by at most one node. The fence is the revision of the store at
-/// which the holder took it, so that every later holder has a higher one.
+/// which the holder took it, so that every later holder has a higher one; FenceOffset keeps that
+/// true when the store comes back from an older copy. The lease may be lost then while its holder
+/// still trusts it: nobody acts in a new life of the store before a whole lease has passed.
 ///
 ///     if (const auto fence = lease.fence()) {
 ///       cloud.report_usage(*fence, ...);  // At most `margin` from now on the way.
@@ -65,13 +69,16 @@
   void start();
   /// Gives the lease back, for good.
   void stop() { post(Event::kStopRequested); }
+  /// The store has come back from an older copy: the lease may be lost, and what it was bound to.
+  void on_store_set_back();
   /// The lease is not to be trusted any more: whoever was called knows a later holder.
   void give_up() { post(Event::kReleaseRequested); }
 
   /// While this node may act.
   std::optional<Fence> fence() const;
-  /// For conditions of transactions: the key bound to the lease, unchanged since `fence()`.
-  const std::string& holder_key() const { return options_.holder_key; }
+  /// For transactions: the key bound to the lease is as this node wrote it. Whatever depends on it
+  /// is only done while nobody else has taken over.
+  shared_store::Condition still_held() const { return {options_.holder_key, holder_revision_}; }
   /// Called each time this node begins to hold; it may act a little later.
   void on_gained(std::function<void()> callback) { gained_ = std::move(callback); }
   std::uint64_t times_gained() const { return times_gained_; }
@@ -87,11 +94,16 @@
 
   void post(Event event);
   void schedule_claim();
-  /// A claim is four calls, one after the other; the first that fails ends it.
+  /// A claim is five calls, one after the other; the first that fails ends it.
   void read_holder();
   void read_history();
-  void grant(shared_store::StoreRevision history_revision, HolderHistory history);
-  void commit(shared_store::StoreRevision history_revision, const HolderHistory& history);
+  void read_offset();
+  void grant();
+  void commit();
+  std::vector<shared_store::Write> claiming_writes() const;
+  /// The claim that was sent is done, at a revision of the store.
+  void take_over(shared_store::StoreRevision revision);
+  MonotonicTime earliest_act(bool held_before) const;
   Duration claim_pause() const;
   void claim_failed(std::string_view step, const shared_store::StoreError& error);
   void schedule_renewal();
@@ -111,10 +123,21 @@
   Timer deadline_timer_;
   std::uint64_t call_ = 0;  ///< Number of the call that is waited for.
   std::optional<shared_store::LeaseId> lease_;
+  /// What the claim under way has read.
+  struct Claim {
+    shared_store::StoreRevision history_revision;
+    HolderHistory history;
+    shared_store::StoreRevision offset_revision;
+    std::optional<FenceOffset> stored_offset;  ///< None before the first holder of all.
+  };
+  Claim claim_;
+  FenceOffset offset_;
+  shared_store::StoreRevision holder_revision_;
   Fence fence_;
-  MonotonicTime deadline_{};                 ///< Until then nobody else can have the lease.
-  MonotonicTime not_before_{};               ///< No act before this.
-  std::optional<MonotonicTime> claimed_at_;  ///< When the last claim began.
+  std::optional<MonotonicTime> set_back_at_;  ///< When the store was last found to be.
+  MonotonicTime deadline_{};                  ///< Until then nobody else can have the lease.
+  MonotonicTime not_before_{};                ///< No act before this.
+  std::optional<MonotonicTime> claimed_at_;   ///< When the last claim began.
   std::optional<MonotonicTime> unfit_since_;
   std::uint64_t times_gained_ = 0;
   std::function<void()> gained_;
--- a/src/duties/tests/duty_lease_test.cc
+++ b/src/duties/tests/duty_lease_test.cc
@@ -48,6 +48,7 @@
                store, logger},
               {.holder_key = "d/holder",
                .history_key = "d/history",
+               .offset_key = "d/offset",
                .node = NodeId("n" + std::to_string(number)),
                .life = life,
                .time_to_live = kLease,
@@ -289,9 +290,10 @@
   SeededRandom random(1);
   logging::NullLogger logger;
   bool fit = true;
-  DutyLease lease({time, time, random, store, logger},
-                  {.holder_key = "h", .history_key = "i", .node = NodeId("n"), .life = 1},
-                  {.to_claim = [&] { return fit; }, .to_hold = [&] { return fit; }});
+  DutyLease lease(
+      {time, time, random, store, logger},
+      {.holder_key = "h", .history_key = "i", .offset_key = "o", .node = NodeId("n"), .life = 1},
+      {.to_claim = [&] { return fit; }, .to_hold = [&] { return fit; }});
   lease.start();
   time.run_until(time.now() + 3s);
   REQUIRE(lease.fence());
--- a/src/duties/types.h
+++ b/src/duties/types.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "base/ids.h"
 #include "base/strong_type.h"
@@ -38,4 +39,23 @@
   }
 };
 
+/// What is added to the store's revision to make a fence, so that fences rise on when the store has
+/// come back from an older copy and its revisions are lower.
+struct FenceOffset {
+  shared_store::StoreEra era;  ///< The life of the store that it is meant for.
+  std::uint64_t offset = 0;
+
+  bool operator==(const FenceOffset&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& era;
+    archive& offset;
+  }
+};
+
+/// As it has to be in `era`, after `last`: what a later life begins with is above all that any
+/// earlier one can have given out. None before the first holder of all.
+FenceOffset offset_in(shared_store::StoreEra era, const std::optional<FenceOffset>& last);
+
 }  // namespace ochrespring::duties
--- a/src/fleet_control/server_controller.cc
+++ b/src/fleet_control/server_controller.cc
@@ -83,8 +83,7 @@
   });
 }
 
-bool ServerController::know_need(Fence fence, const ServiceName& service,
-                                 const ServersByZone& present) {
+bool ServerController::know_need(const ServiceName& service, const ServersByZone& present) {
   const std::uint32_t seen = regular_in_all(present);
   const auto known = needed_.find(service);
   if (known != needed_.end() && known->second >= seen) {
@@ -92,7 +91,7 @@
   }
   calling_ = true;
   world_.store.commit(
-      {.conditions = {{world_.lease.holder_key(), shared_store::StoreRevision(fence.value())}},
+      {.conditions = {world_.lease.still_held()},
        .writes = {{options_.key_prefix + service.value(), std::to_string(seen), std::nullopt}},
        .removals = {}},
       [this, service, seen](auto result) {
@@ -125,7 +124,7 @@
 
 void ServerController::steer(Fence fence, const gateway::Service& service) {
   const ServersByZone present = count_servers(service);
-  if (calling_ || both_in_all(present) == 0 || !know_need(fence, service.name, present) ||
+  if (calling_ || both_in_all(present) == 0 || !know_need(service.name, present) ||
       !preemptible_pays(*service.market, present.size(), options_.plan)) {
     return;
   }
--- a/src/fleet_control/server_controller.h
+++ b/src/fleet_control/server_controller.h
@@ -89,7 +89,7 @@
   void step();
   void read_needs(duties::Fence fence);
   /// Returns whether what the service needs is known and written down.
-  bool know_need(duties::Fence fence, const ServiceName& service, const ServersByZone& present);
+  bool know_need(const ServiceName& service, const ServersByZone& present);
   ServersByZone count_servers(const gateway::Service& service) const;
   void steer(duties::Fence fence, const gateway::Service& service);
   /// How many regular servers a zone is to have now: not more for what lacks for a short time only,
--- a/src/fleet_control/tests/server_controller_test.cc
+++ b/src/fleet_control/tests/server_controller_test.cc
@@ -131,7 +131,10 @@
   gateway::FleetState fleet;
   PlayedProvider provider{time, fleet};
   duties::DutyLease lease{{time, time, random, store, logger},
-                          {.holder_key = "holder", .history_key = "history", .node = NodeId("n")},
+                          {.holder_key = "holder",
+                           .history_key = "history",
+                           .offset_key = "offset",
+                           .node = NodeId("n")},
                           {.to_claim = [] { return true; }, .to_hold = [] { return true; }}};
   ServerController controller{{time, time, store, logger, fleet, lease, provider},
                               {.key_prefix = "servers/"}};
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -57,7 +57,7 @@
       nodes_(clock, self_),
       watcher_({clock, loop, random, adapter_.store, adapter_.codec, logger},
                watcher_settings(settings_), fleet_, nodes_),
-      registration_(loop, adapter_.store, logger,
+      registration_(loop, adapter_.store, logger, random,
                     {.key = adapter_.codec.layout().node_prefix + settings_.node.value(),
                      .time_to_live = settings_.node_lease,
                      .period = from_seconds(kRenewalPart * to_seconds(settings_.node_lease))},
@@ -150,6 +150,7 @@
     apply_limits();
     learn_cached_parts();
   });
+  watcher_.on_new_era([this] { write_again(); });
   gateway_.on_idle([this] { stop_.on_idle(); });
   peer_news_.on_usage([this](const usage::UsageReport& report) { duties_.take_usage(report); });
   connect_quarantine();
@@ -173,6 +174,13 @@
   return addresses;
 }
 
+/// The store has come back from an older copy, without what was written there since.
+void GatewayNode::write_again() {
+  registration_.rewrite();
+  duties_.on_store_set_back();
+  quarantine_.on_store_set_back();
+}
+
 void GatewayNode::connect_quarantine() {
   quarantine_.on_quarantined(
       [this](const gateway::RequestFingerprint& request) { gateway_.on_quarantined(request); });
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -42,6 +42,7 @@
 
  private:
   Result<void, http::HttpError> listen_to_peers();
+  void write_again();
   void connect_quarantine();
   /// Of the nodes known so far.
   std::vector<Endpoint> known_view_addresses() const;
--- a/src/gateway_node/node_duties.cc
+++ b/src/gateway_node/node_duties.cc
@@ -20,6 +20,7 @@
       lease_({world.clock, world.timers, world.random, world.store, world.logger},
              {.holder_key = options.key_prefix + "holder",
               .history_key = options.key_prefix + "history",
+              .offset_key = options.key_prefix + "fence-offset",
               .node = options.node,
               .life = world.random.next(),
               .time_to_live = options.lease},
--- a/src/gateway_node/node_duties.h
+++ b/src/gateway_node/node_duties.h
@@ -57,6 +57,8 @@
   void take_usage(const usage::UsageReport& report) { tally_.take(report); }
   /// This node takes no more requests.
   void leave();
+  /// The store has come back from an older copy.
+  void on_store_set_back() { lease_.on_store_set_back(); }
   /// The process is about to end.
   void finish() { tell_usage(); }
   void add_metrics(metrics::SampleSink& sink) const;
--- a/src/gateway_node/node_metrics.cc
+++ b/src/gateway_node/node_metrics.cc
@@ -53,6 +53,10 @@
      &FleetWatcherStatistics::histories_gone},
     {"store_listings_passed", "Listings older than the view, by their revision",
      &FleetWatcherStatistics::listings_passed},
+    {"store_eras_begun", "Times the store was found to have come back from an older copy",
+     &FleetWatcherStatistics::eras_begun},
+    {"view_updates_outdated", "Looks of other nodes from before the store came back",
+     &FleetWatcherStatistics::updates_outdated},
     {"view_updates_differed", "Looks of other nodes that showed a listing to be needed",
      &FleetWatcherStatistics::updates_differed},
 };
--- a/src/gateway_node/peer_channel.h
+++ b/src/gateway_node/peer_channel.h
@@ -109,6 +109,8 @@
   void take(const peer_load::ReportToRelay& told);
   void take(const peer_load::RelayedReport& told) { handlers_.relayed_work(told.sums); }
   void take(const UpdateToRelay& told);
+  template <int kPlace>
+  void take(const FormerMessage<kPlace>& /*told*/) {}
 
   bool is_self(const discovery::NodeRecord& record) const {
     return record.node == nodes_.self().node;
--- a/src/gateway_node/peer_message.h
+++ b/src/gateway_node/peer_message.h
@@ -32,15 +32,27 @@
   }
 };
 
-/// Each stands for itself: it may be lost, doubled or late.
+/// In the place of a message that nodes of earlier builds send and this build does not read: their
+/// revisions name no life of the store. It is never sent, and taken for no message when it comes.
+template <int kPlace>
+struct FormerMessage {
+  template <class Archive>
+  void serialize(Archive& /*archive*/, unsigned /*version*/) {}
+};
+
+/// Each stands for itself: it may be lost, doubled or late. The place of an alternative is its name
+/// on the wire: builds that run side by side do not read what they do not know, so a message whose
+/// form changes gets a new place at the end.
 using PeerMessage =
-    std::variant<peer_load::WorkReport, discovery::ViewUpdate, peer_load::PartsRequest, ViewOffer,
-                 peer_load::ReportToRelay, peer_load::RelayedReport, UpdateToRelay,
-                 usage::UsageReport, quarantine::CrashNews, quarantine::CrashNewsToRelay>;
+    std::variant<peer_load::WorkReport, FormerMessage<1>, peer_load::PartsRequest, ViewOffer,
+                 peer_load::ReportToRelay, peer_load::RelayedReport, FormerMessage<6>,
+                 usage::UsageReport, quarantine::CrashNews, quarantine::CrashNewsToRelay,
+                 discovery::ViewUpdate, UpdateToRelay>;
 
 /// Names of the alternatives, in order, for metrics.
 constexpr std::array<const char*, std::variant_size_v<PeerMessage>> kPeerMessageNames{
-    "work_report",  "view_update",     "parts_request", "view_offer", "work_to_relay",
-    "relayed_work", "update_to_relay", "usage_report",  "crash_news", "crash_news_to_relay"};
+    "work_report",  "former_view_update",     "parts_request", "view_offer", "work_to_relay",
+    "relayed_work", "former_update_to_relay", "usage_report",  "crash_news", "crash_news_to_relay",
+    "view_update",  "update_to_relay"};
 
 }  // namespace ochrespring::gateway_node
--- a/src/gateway_node/tests/large_fleet.h
+++ b/src/gateway_node/tests/large_fleet.h
@@ -49,11 +49,11 @@
 struct StoreState {
   void put(const std::string& key, std::optional<std::string> value) {
     ++revision;
-    items[key] = {key, std::move(value), shared_store::StoreRevision(revision)};
+    items[key] = {key, std::move(value), now()};
   }
   /// Changes up to now are told no more.
   void forget_history() {
-    forgotten_through = shared_store::StoreRevision(revision);
+    forgotten_through = now();
     std::erase_if(items, [](const auto& item) { return !item.second.value; });
   }
 
@@ -65,15 +65,21 @@
   Copy copy() const { return {revision, items}; }
   /// Comes back as it was when the copy was made: revisions are given out again from there on.
   void set_back_to(const Copy& copy) {
+    era = era.next();
     revision = copy.revision;
     items = copy.items;
+    for (auto& [key, item] : items) {
+      item.revision = shared_store::StoreRevision(item.revision.value(), era);
+    }
     forget_history();
   }
+  shared_store::StoreRevision now() const { return shared_store::StoreRevision(revision, era); }
   /// Whether the changes after a revision can be told: neither forgotten nor still to come.
   bool tells_changes_after(shared_store::StoreRevision after) const {
-    return after >= forgotten_through && after <= shared_store::StoreRevision(revision);
+    return after >= forgotten_through && after <= now();
   }
 
+  shared_store::StoreEra era;
   std::uint64_t revision = 0;
   std::map<std::string, shared_store::Change> items;  ///< Without a value: removed.
   shared_store::StoreRevision forgotten_through;
@@ -101,7 +107,7 @@
                  shared_store::StoreCallback<shared_store::ListPage> done) override {
     answer<shared_store::ListPage>(std::move(done), [this, request] {
       shared_store::ListPage page;
-      page.revision = shared_store::StoreRevision(state_.revision);
+      page.revision = state_.now();
       for (auto item = state_.items.upper_bound(request.after); item != state_.items.end();
            ++item) {
         if (!item->second.value || !item->first.starts_with(request.prefix)) {
--- a/src/gateway_node/view_exchange.cc
+++ b/src/gateway_node/view_exchange.cc
@@ -17,11 +17,14 @@
 using discovery::ViewRequest;
 using discovery::ViewTransfer;
 
-constexpr const char* kPath = "/view";
+/// Of this form of a view; nodes of earlier builds serve theirs at another path, and neither reads
+/// the other's.
+constexpr const char* kPath = "/view/2";
 constexpr const char* kContentType = "application/octet-stream";
-/// Of a request: the revision behind which changes are asked for, and where the asker serves its
-/// own view later.
+/// Of a request: the revision behind which changes are asked for, with its era, and where the asker
+/// serves its own view later.
 constexpr const char* kAfterHeader = "view-after";
+constexpr const char* kEraHeader = "view-era";
 constexpr const char* kAskerHeader = "view-asker";
 /// Of an answer: microseconds for which it was kept before it went out.
 constexpr const char* kKeptHeader = "view-kept-us";
@@ -39,6 +42,16 @@
   return settings;
 }
 
+/// What was asked for; none: the whole view.
+std::optional<shared_store::StoreRevision> read_after(const http::Request& request) {
+  const auto after = http::parse_number(http::find_header(request.headers, kAfterHeader));
+  const auto era = http::parse_number(http::find_header(request.headers, kEraHeader));
+  if (!after || !era) {
+    return std::nullopt;
+  }
+  return shared_store::StoreRevision(*after, shared_store::StoreEra(*era));
+}
+
 /// The answer's age counts on while it is kept.
 std::optional<ViewTransfer> read_transfer(const http::Response& answer) {
   const auto bytes = wire::decompress(answer.body);
@@ -76,9 +89,7 @@
 }
 
 void ViewExchange::serve(const http::Request& request, http::ResponseWriter& response) {
-  const auto after = http::parse_number(http::find_header(request.headers, kAfterHeader));
-  const KeptAnswer* answer =
-      answer_for(after ? AskedAfter(shared_store::StoreRevision(*after)) : std::nullopt);
+  const KeptAnswer* answer = answer_for(read_after(request));
   const MonotonicTime now = world_.clock.now();
   if (answer == nullptr || !budget_.admit(answer->bytes.size(), now)) {
     refuse(response);
@@ -177,6 +188,7 @@
   request.connect_timeout = kConnectTimeout;
   if (wanted.after) {
     request.headers.push_back({kAfterHeader, std::to_string(wanted.after->value())});
+    request.headers.push_back({kEraHeader, std::to_string(wanted.after->era().value())});
   }
   if (!options_.listen.empty()) {
     request.headers.push_back({kAskerHeader, options_.listen.value()});
--- a/src/quarantine/crash_ledger.cc
+++ b/src/quarantine/crash_ledger.cc
@@ -191,6 +191,16 @@
   return until_trial(request, now).value_or(options_.longest_retry_after);
 }
 
+std::vector<CrashLedger::Request> CrashLedger::forget_stored() {
+  std::vector<Request> forgotten;
+  for (auto& [request, entry] : entries_) {
+    if (std::exchange(entry.stored, false)) {
+      forgotten.push_back(request);
+    }
+  }
+  return forgotten;
+}
+
 bool CrashLedger::stored(const Request& request) const {
   const Entry* entry = find(request);
   return entry != nullptr && entry->stored;
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -66,6 +66,8 @@
   void note_asked(const Request& request, MonotonicTime now);
   void note_trial(const Request& request, std::uint32_t trials, MonotonicTime now);
   void note_stored(const Request& request, bool stored);
+  /// None is known to be stored any more; returns those that were.
+  std::vector<Request> forget_stored();
   /// Requests whose counted ends include a server that ended before `started`; a server that has
   /// answered an attempt started then lives.
   std::vector<Request> held_against(const gateway::BackendId& server, MonotonicTime started) const;
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -199,6 +199,13 @@
   }
 }
 
+/// Every node knows what is stored, so any may have to write it; most find that another has.
+void Quarantine::on_store_set_back() {
+  for (const Request& request : ledger_.forget_stored()) {
+    save_later(request, kSavePause);
+  }
+}
+
 void Quarantine::save_later(const Request& request, Duration pause) {
   unsaved_.insert(request);
   if (!save_timer_.armed() || pause == Duration::zero()) {
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -75,6 +75,8 @@
   void take_to_relay(const CrashNews& news);
   /// A key of the store as it is since some change.
   void take_stored(const std::string& key, const std::optional<std::string>& value);
+  /// The store may have lost what was written there: it is written again.
+  void on_store_set_back();
   /// A server's entry has gone from the view.
   void note_gone(const gateway::Backend& server) { watch_.note_gone(server); }
   /// For a node that has started.
--- /dev/null
+++ b/src/shared_store/era_tracker.h
@@ -0,0 +1,44 @@
+// Tells which life of the store an answer comes from.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "shared_store/store_revision.h"
+
+namespace ochrespring::shared_store {
+
+/// For the client of a store that names its era with each answer, or of one that does not. Where it
+/// does not, a revision lower than one that was known before the call left proves a new life, since
+/// reads are linearizable. A life that nobody read from before it had counted past what was known
+/// goes unnoticed then. Pure; one loop.
+class EraTracker {
+ public:
+  /// What was known when a call left.
+  struct Sent {
+    StoreEra era;
+    std::uint64_t newest = 0;  ///< The highest revision of that era that was known.
+  };
+  struct Answer {
+    std::optional<StoreEra> era;  ///< As the store names it.
+    /// The store's as it answered; none: the answer does not tell.
+    std::optional<std::uint64_t> revision;
+  };
+
+  Sent on_send() const { return {era_, newest_}; }
+  /// The era of the answer: never one before that which was known when its call left.
+  StoreEra on_answer(const Sent& sent, const Answer& answer);
+  /// Another node has seen the store at `revision`.
+  void hear_of(StoreRevision revision) { note(revision.era(), revision.value()); }
+  StoreEra era() const { return era_; }
+
+ private:
+  void note(StoreEra era, std::uint64_t revision);
+  bool proves_new_life(const Sent& sent, const Answer& answer) const;
+
+  StoreEra era_;
+  std::uint64_t newest_ = 0;
+  bool named_ = false;  ///< The store names its era.
+};
+
+}  // namespace ochrespring::shared_store
--- a/src/shared_store/store.h
+++ b/src/shared_store/store.h
@@ -1,5 +1,6 @@
 // The store that all nodes share: the only thing that outlasts a process. One revision counts every
-// change; keys bound to a lease go with it.
+// change; keys bound to a lease go with it. It may come back from a copy that is some seconds old:
+// what was written since is lost then, leases too, and another life begins (StoreEra).
 #pragma once
 
 #include <cstdint>
@@ -10,11 +11,10 @@
 #include "base/strong_type.h"
 #include "base/time.h"
 #include "shared_store/errc.h"
+#include "shared_store/store_revision.h"
 
 namespace ochrespring::shared_store {
 
-/// Counts the changes of the whole store; zero is before the first.
-using StoreRevision = StrongNumber<struct StoreRevisionTag>;
 using LeaseId = StrongNumber<struct StoreLeaseIdTag>;
 
 /// A key as it was written, or, without a value, its end.
@@ -75,7 +75,8 @@
   virtual void list(const std::string& prefix, StoreCallback<Listing> done) = 0;
   /// One page of keys.
   virtual void list_page(const PageRequest& request, StoreCallback<ListPage> done) = 0;
-  /// Changes after `after`, as soon as there are any, or none after `wait`.
+  /// Changes after `after`, as soon as there are any, or none after `wait`. kHistoryGone if they
+  /// cannot be told any more, or if the store has begun another life since.
   virtual void changes(const std::string& prefix, StoreRevision after, Duration wait,
                        StoreCallback<Changes> done) = 0;
   /// Writes a key, bound to a lease if one is given.
@@ -90,6 +91,11 @@
   /// kNotFound if the lease is over.
   virtual void renew_lease(LeaseId lease, StoreCallback<LeaseId> done) = 0;
   virtual void end_lease(LeaseId lease, StoreCallback<LeaseId> done) = 0;
+  /// Another node has seen the store at `revision`: answers to calls that leave from now on are of
+  /// that life or a later one.
+  virtual void hear_of(StoreRevision /*revision*/) {}
+  /// The newest life of the store that is known of.
+  virtual StoreEra era() const { return {}; }
 };
 
 }  // namespace ochrespring::shared_store
--- /dev/null
+++ b/src/shared_store/tests/store_revision_test.cc
@@ -0,0 +1,60 @@
+// What a lower, a repeated and a missing number of the store says, within a life of the store and
+// across two.
+#include "shared_store/store_revision.h"
+
+#include <doctest/doctest.h>
+
+#include "shared_store/era_tracker.h"
+#include "wire/codec.h"
+
+using namespace ochrespring;
+using namespace ochrespring::shared_store;
+
+TEST_CASE("a revision of a later life is newer, whatever its number") {
+  CHECK(StoreRevision(24) < StoreRevision(26));
+  CHECK(StoreRevision(26) < StoreRevision(24, StoreEra(1)));
+  CHECK(StoreRevision(26, StoreEra(1)) < StoreRevision(1, StoreEra(2)));
+  CHECK(StoreRevision(26) != StoreRevision(26, StoreEra(1)));
+  const StoreRevision revision(7, StoreEra(3));
+  CHECK(revision.next() == StoreRevision(8, StoreEra(3)));
+  CHECK(wire::decode<StoreRevision>(wire::encode(revision)).value() == revision);
+}
+
+TEST_CASE("a store that names its era is taken at its word") {
+  EraTracker eras;
+  CHECK(eras.on_answer(eras.on_send(), {.era = StoreEra(4), .revision = 26}) == StoreEra(4));
+  // Lower within its life: an answer that was overtaken.
+  CHECK(eras.on_answer(eras.on_send(), {.era = StoreEra(4), .revision = 24}) == StoreEra(4));
+  CHECK(eras.on_answer(eras.on_send(), {.era = StoreEra(5), .revision = 24}) == StoreEra(5));
+  CHECK(eras.era() == StoreEra(5));
+}
+
+TEST_CASE("an answer to a call that left in a life before is of that life, unless it says more") {
+  EraTracker eras;
+  eras.hear_of(StoreRevision(20, StoreEra(1)));
+  const EraTracker::Sent sent = eras.on_send();
+  eras.hear_of(StoreRevision(30, StoreEra(2)));
+  CHECK(eras.on_answer(sent, {.era = {}, .revision = 25}) == StoreEra(1));
+  CHECK(eras.on_answer(sent, {.era = StoreEra(1), .revision = 25}) == StoreEra(1));
+  CHECK(eras.era() == StoreEra(2));
+}
+
+TEST_CASE("where the store names no era, a lower revision than was known proves a new life") {
+  EraTracker eras;
+  CHECK(eras.on_answer(eras.on_send(), {.era = {}, .revision = 26}) == StoreEra());
+  const EraTracker::Sent early = eras.on_send();
+  CHECK(eras.on_answer(eras.on_send(), {.era = {}, .revision = 26}) == StoreEra());
+  CHECK(eras.on_answer(eras.on_send(), {.era = {}, .revision = {}}) == StoreEra());
+  CHECK(eras.on_answer(eras.on_send(), {.era = {}, .revision = 24}) == StoreEra(1));
+  // The same life shown by another call that was under way.
+  CHECK(eras.on_answer(early, {.era = {}, .revision = 25}) == StoreEra(1));
+  CHECK(eras.era() == StoreEra(1));
+}
+
+TEST_CASE("what other nodes have seen is known, too") {
+  EraTracker eras;
+  eras.hear_of(StoreRevision(40));
+  CHECK(eras.on_answer(eras.on_send(), {.era = {}, .revision = 39}) == StoreEra(1));
+  eras.hear_of(StoreRevision(50));
+  CHECK(eras.on_answer(eras.on_send(), {.era = {}, .revision = 45}) == StoreEra(1));
+}
--- a/src/usage/tests/usage_reporter_test.cc
+++ b/src/usage/tests/usage_reporter_test.cc
@@ -76,6 +76,7 @@
         lease({time, time, random, store, logger},
               {.holder_key = "holder",
                .history_key = "history",
+               .offset_key = "offset",
                .node = NodeId(std::move(name)),
                .life = life},
               {.to_claim = std::move(first), .to_hold = [] { return true; }}),
--- a/src/usage/usage_reporter.cc
+++ b/src/usage/usage_reporter.cc
@@ -84,7 +84,7 @@
   if (!listed_) {
     list(*fence);
   } else if (!written_.contains(*window)) {
-    write_down(*fence, *window);
+    write_down(*window);
   } else {
     tell(*fence, *window);
   }
@@ -115,28 +115,26 @@
   });
 }
 
-void UsageReporter::write_down(Fence fence, WindowNumber window) {
+void UsageReporter::write_down(WindowNumber window) {
   calling_ = true;
   TenantCounts counts = world_.tally.sum(window);
-  world_.store.commit(
-      {.conditions = {{world_.lease.holder_key(), shared_store::StoreRevision(fence.value())},
-                      {key_of(window), {}}},
-       .writes = {{key_of(window), wire::encode(counts), std::nullopt}},
-       .removals = keys_to_remove()},
-      [this, window, counts](auto result) {
-        calling_ = false;
-        if (!result) {
-          // Whether it was done, or somebody else did it, only the store can tell.
-          listed_ = false;
-          log("usage not written down", window, result.error().message);
-          return;
-        }
-        written_[window] = counts;
-        std::erase_if(written_, [&](const auto& entry) {
-          return entry.first.value() + kWindowsKept < window.value();
-        });
-        step();
-      });
+  world_.store.commit({.conditions = {world_.lease.still_held(), {key_of(window), {}}},
+                       .writes = {{key_of(window), wire::encode(counts), std::nullopt}},
+                       .removals = keys_to_remove()},
+                      [this, window, counts](auto result) {
+                        calling_ = false;
+                        if (!result) {
+                          // Whether it was done, or somebody else did it, only the store can tell.
+                          listed_ = false;
+                          log("usage not written down", window, result.error().message);
+                          return;
+                        }
+                        written_[window] = counts;
+                        std::erase_if(written_, [&](const auto& entry) {
+                          return entry.first.value() + kWindowsKept < window.value();
+                        });
+                        step();
+                      });
 }
 
 std::vector<std::string> UsageReporter::keys_to_remove() const {
--- a/src/usage/usage_reporter.h
+++ b/src/usage/usage_reporter.h
@@ -67,7 +67,7 @@
  private:
   void step();
   void list(duties::Fence fence);
-  void write_down(duties::Fence fence, WindowNumber window);
+  void write_down(WindowNumber window);
   void tell(duties::Fence fence, WindowNumber window);
   bool is_due(WindowNumber window) const;
   bool is_late(WindowNumber window) const;
