A server that has said that it leaves stays out for its life, whatever an older copy of the store says

A store that comes back older may show a draining or departed server as ready until it writes again.

--- a/src/fleet_control/server_controller.cc
+++ b/src/fleet_control/server_controller.cc
@@ -114,7 +114,7 @@
     servers[zone] = {};
   }
   for (const auto& [id, backend] : world_.fleet.backends()) {
-    if (backend.service == service.name && !backend.draining) {
+    if (backend.service == service.name && !world_.fleet.is_leaving(backend)) {
       ZoneServers& zone = servers[backend.zone];
       ++(backend.preemptible ? zone.preemptible : zone.regular);
     }
--- a/src/gateway/cache_survey.cc
+++ b/src/gateway/cache_survey.cc
@@ -32,7 +32,8 @@
   }
   begun_ = true;
   for (const auto& [id, backend] : fleet_.backends()) {
-    if (backend.role != EngineRole::kNone && !backend.draining && falls_to(id, nodes) == self) {
+    if (backend.role != EngineRole::kNone && !fleet_.is_leaving(backend) &&
+        falls_to(id, nodes) == self) {
       ask(backend);
     }
   }
--- a/src/gateway/candidates.cc
+++ b/src/gateway/candidates.cc
@@ -35,7 +35,7 @@
   Candidates left_alone;
   for (const auto& [id, backend] : fleet_.backends()) {
     const bool reader = backend.role == EngineRole::kPrefill;
-    if (backend.service != query.service || backend.draining || reader != readers ||
+    if (backend.service != query.service || fleet_.is_leaving(backend) || reader != readers ||
         query.avoid->contains(id)) {
       continue;
     }
@@ -56,7 +56,7 @@
     return chosen;
   }
   const auto may_take = [&](const Backend& backend) {
-    return !backend.draining && !query.avoid->contains(backend.id);
+    return !fleet_.is_leaving(backend) && !query.avoid->contains(backend.id);
   };
   const auto healthy = [&](const Backend& backend) {
     return may_take(backend) && !ejected(backend, now);
--- a/src/gateway/fleet_state.cc
+++ b/src/gateway/fleet_state.cc
@@ -22,6 +22,7 @@
     index_.remove(known);
   }
   known = std::move(backend);
+  note_leaving(known);
   index_.add(known);
   return true;
 }
@@ -47,6 +48,7 @@
   backends_.swap(fresh);
   index_.clear();
   for (const auto& [id, backend] : backends_) {
+    note_leaving(backend);
     index_.add(backend);
   }
   for (const auto& [id, backend] : fresh) {
@@ -56,6 +58,13 @@
   }
 }
 
+void FleetState::note_leaving(const Backend& backend) {
+  if (!backend.draining || !leaving_.insert(backend.id).second || leaving_.size() <= kMostLeaving) {
+    return;
+  }
+  std::erase_if(leaving_, [this](const BackendId& id) { return !backends_.contains(id); });
+}
+
 const Backend* FleetState::find(const BackendId& id) const {
   const auto found = backends_.find(id);
   return found == backends_.end() ? nullptr : &found->second;
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "base/time.h"
@@ -30,6 +31,12 @@
   const std::shared_ptr<const RouteTable>& routes() const { return routes_; }
   const std::map<BackendId, Backend>& backends() const { return backends_; }
   const Backend* find(const BackendId& id) const;
+  /// Whether a back end has said that it leaves. In its life that is final: where the store says
+  /// otherwise later, an older copy of it or an overtaken write has undone it, and a back end that
+  /// leaves must get nothing new.
+  bool is_leaving(const Backend& backend) const {
+    return backend.draining || leaving_.contains(backend.id);
+  }
   const BackendIndex& index() const { return index_; }
 
   /// When the store last answered with the newest state.
@@ -40,9 +47,15 @@
   void on_removed(std::function<void(const Backend&)> callback) { removed_ = std::move(callback); }
 
  private:
+  /// Many more than leave within the time in which an older copy may show them again.
+  static constexpr std::size_t kMostLeaving = 16'384;
+
+  void note_leaving(const Backend& backend);
+
   std::shared_ptr<const RouteTable> routes_;
   std::map<BackendId, Backend> backends_;
-  BackendIndex index_;  ///< Of `backends_`.
+  BackendIndex index_;           ///< Of `backends_`.
+  std::set<BackendId> leaving_;  ///< All that have said so, gone ones too.
   std::optional<MonotonicTime> current_at_;
   std::function<void(const Backend&)> removed_;
 };
--- a/src/gateway_node/tests/store_set_back_test.cc
+++ b/src/gateway_node/tests/store_set_back_test.cc
@@ -31,6 +31,13 @@
   });
 }
 
+void set_store_back(LargeFleet& fleet, const StoreState::Copy& copy) {
+  fleet.state.down = true;
+  fleet.advance(2s);
+  fleet.state.set_back_to(copy);
+  fleet.state.down = false;
+}
+
 /// The store loses its newest changes and comes back after two seconds; the nodes had seen them.
 void lose_newest_changes(LargeFleet& fleet, int changes) {
   const StoreState::Copy copy = fleet.state.copy();
@@ -40,10 +47,7 @@
   fleet.state.put("config", "2");
   fleet.advance(kToAllNodes);
   REQUIRE(fleet.count_with_version(2) == fleet.nodes.size());
-  fleet.state.down = true;
-  fleet.advance(2s);
-  fleet.state.set_back_to(copy);
-  fleet.state.down = false;
+  set_store_back(fleet, copy);
   fleet.advance(2500ms);
 }
 
@@ -63,3 +67,80 @@
     CHECK(fleet.count_with_version(3) == fleet.nodes.size());
   }
 }
+
+TEST_CASE("a server that has said that it leaves stays out, whatever an older copy says of it") {
+  LargeFleet fleet(6, 0.0);
+  fleet.start();
+  fleet.servers_write = false;
+  const StoreState::Copy copy = fleet.state.copy();
+  fleet.state.put("backends/e7", "draining");
+  fleet.state.put("backends/e8", "draining");
+  fleet.advance(kToAllNodes);
+  fleet.state.put("backends/e8", std::nullopt);
+  fleet.advance(kToAllNodes);
+  set_store_back(fleet, copy);
+  fleet.advance(kToAllNodes);
+  for (const char* name : {"e7", "e8"}) {
+    const gateway::BackendId id(name);
+    CHECK(fleet.count([&](const FleetNode& node) {
+      const gateway::Backend* known = node.fleet.find(id);
+      return known != nullptr && !known->draining && node.fleet.is_leaving(*known);
+    }) == fleet.nodes.size());
+  }
+}
+
+TEST_CASE("the configuration does not go back, and what the store lost besides is forgotten") {
+  LargeFleet fleet(6, 0.0);
+  fleet.start();
+  fleet.servers_write = false;
+  const StoreState::Copy copy = fleet.state.copy();
+  fleet.state.put("config", "2");
+  fleet.state.put("backends/new", "ready");
+  fleet.advance(kToAllNodes);
+  set_store_back(fleet, copy);
+  fleet.advance(kToAllNodes);
+  CHECK(fleet.count_with_version(2) == fleet.nodes.size());
+  CHECK(fleet.count([](const FleetNode& node) {
+    return node.fleet.find(gateway::BackendId("new")) == nullptr;
+  }) == fleet.nodes.size());
+}
+
+TEST_CASE("a node that was cut off while the store was set back is in the new life with the rest") {
+  LargeFleet fleet(6, 0.0);
+  fleet.start();
+  fleet.servers_write = false;
+  FleetNode& away = *fleet.nodes[4];
+  const StoreState::Copy copy = fleet.state.copy();
+  fleet.state.put("backends/new", "ready");
+  fleet.advance(kToAllNodes);
+  away.cut_off = true;
+  set_store_back(fleet, copy);
+  // The store counts past what the node has seen.
+  for (int i = 0; i != 5; ++i) {
+    fleet.state.put("backends/e" + std::to_string(i), "draining");
+  }
+  fleet.advance(kToAllNodes);
+  away.cut_off = false;
+  fleet.advance(kToAllNodes);
+  CHECK(count_draining(fleet, "e0") == fleet.nodes.size());
+  CHECK(away.fleet.find(gateway::BackendId("new")) == nullptr);
+  CHECK(away.watcher.statistics().eras_begun == 1);
+}
+
+TEST_CASE("a large fleet is in the new life of its store within the bound") {
+  LargeFleet fleet(195);
+  fleet.start();
+  const StoreState::Copy copy = fleet.state.copy();
+  fleet.state.put("backends/new", "ready");
+  fleet.advance(kToAllNodes);
+  const std::uint64_t reads = fleet.state.reads;
+  set_store_back(fleet, copy);
+  fleet.state.put("config", "3");
+  fleet.advance(kToAllNodes);
+  CHECK(fleet.count_with_version(3) == fleet.nodes.size());
+  CHECK(fleet.count([](const FleetNode& node) {
+    return node.watcher.statistics().eras_begun == 1;
+  }) == fleet.nodes.size());
+  MESSAGE("reads of the store: " << fleet.state.reads - reads);
+  CHECK(fleet.state.reads - reads < 195);
+}
--- a/src/quarantine/end_watch.cc
+++ b/src/quarantine/end_watch.cc
@@ -42,7 +42,7 @@
     return;
   }
   const gateway::Backend* server = fleet_.find(attempt.backend);
-  if (server == nullptr || server->draining) {
+  if (server == nullptr || fleet_.is_leaving(*server)) {
     return;
   }
   const auto accepted = accepted_at_.find(attempt.backend);
@@ -88,7 +88,7 @@
 }
 
 void EndWatch::note_gone(const gateway::Backend& server) {
-  if (server.draining) {
+  if (fleet_.is_leaving(server)) {
     cases_.erase(server.id);
   } else if (cases_.contains(server.id)) {
     resolve_as_ended(server.id);
