--- a/src/duties/duty_lease.cc
+++ b/src/duties/duty_lease.cc
@@ -11,6 +11,7 @@
 namespace {
 
 using shared_store::LeaseId;
+using shared_store::StoreEra;
 using shared_store::StoreErrc;
 using shared_store::StoreError;
 using shared_store::StoreRevision;
@@ -90,6 +91,7 @@
 }
 
 void DutyLease::schedule_claim() {
+  note_era();
   lease_.reset();
   ++call_;
   deadline_timer_.disarm();
@@ -149,39 +151,43 @@
 }
 
 void DutyLease::read_offset() {
-  world_.store.get(
-      options_.offset_key, current([this](auto result) {
-        if (!result && result.error().code != StoreErrc::kNotFound) {
-          claim_failed("read offset of fences", result.error());
-          return;
-        }
-        claim_.offset_revision = {};
-        claim_.stored_offset.reset();
-        if (result) {
-          claim_.offset_revision = result.value().revision;
-          const auto stored = wire::decode<FenceOffset>(result.value().value.value_or(""));
-          if (!stored) {
-            claim_failed("read offset of fences", {StoreErrc::kMalformed, stored.error().message});
-            return;
-          }
-          claim_.stored_offset = stored.value();
-          // A node that has started may not know how often the store was set back.
-          world_.store.hear_of(StoreRevision(0, stored.value().era));
-        }
-        if (!result && set_back_at_) {
-          // The first holder's is lost.
-          claim_.stored_offset = FenceOffset();
-        }
-        offset_ = offset_in(world_.store.era(), claim_.stored_offset);
-        if (lease_) {
-          // Its own claim of before: with a fence that was never used if the store
-          // has been set back since.
-          fence_ = Fence(holder_revision_.value() + offset_.offset);
-          post(Event::kFoundOwn);
-          return;
-        }
-        grant();
-      }));
+  world_.store.get(options_.offset_key, current([this](auto result) {
+                     if (!result && result.error().code != StoreErrc::kNotFound) {
+                       claim_failed("read offset of fences", result.error());
+                       return;
+                     }
+                     note_era();
+                     if (result) {
+                       claim_.offset_revision = result.value().revision;
+                       take_offset(result.value().value.value_or(""));
+                     } else {
+                       claim_.offset_revision = {};
+                       // None is there yet, or the first holder's is lost.
+                       claim_.stored_offset =
+                           set_back_at_ ? std::optional(FenceOffset()) : std::nullopt;
+                     }
+                     offset_ = offset_in(era_.value_or(StoreEra()), claim_.stored_offset);
+                     if (lease_) {
+                       fence_ = Fence(holder_revision_.value() + offset_.offset);
+                       post(Event::kFoundOwn);
+                     } else {
+                       grant();
+                     }
+                   }));
+}
+
+void DutyLease::take_offset(std::string_view bytes) {
+  const auto stored = wire::decode<FenceOffset>(bytes);
+  if (!stored) {
+    // Made anew from the era alone it is at least as high as any before.
+    log("offset of fences not understood", stored.error().message);
+    claim_.stored_offset = FenceOffset();
+    return;
+  }
+  claim_.stored_offset = stored.value();
+  // A node that has started may not know how often the store was set back.
+  world_.store.hear_of(StoreRevision(0, stored.value().era));
+  era_ = world_.store.era();
 }
 
 void DutyLease::grant() {
@@ -249,7 +255,16 @@
                   : earliest;
 }
 
+void DutyLease::note_era() {
+  const auto era = world_.store.era();
+  if (era_ && era && *era > *era_) {
+    set_back_at_ = world_.clock.now();
+  }
+  era_ = era;
+}
+
 void DutyLease::on_store_set_back() {
+  note_era();
   set_back_at_ = world_.clock.now();
   post(Event::kLeaseGone);
 }
--- a/src/duties/duty_lease.h
+++ b/src/duties/duty_lease.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/random.h"
@@ -98,11 +99,14 @@
   void read_holder();
   void read_history();
   void read_offset();
+  void take_offset(std::string_view bytes);
   void grant();
   void commit();
   std::vector<shared_store::Write> claiming_writes() const;
   /// The claim that was sent is done, at a revision of the store.
   void take_over(shared_store::StoreRevision revision);
+  /// Another call may have shown that the store has been set back.
+  void note_era();
   MonotonicTime earliest_act(bool held_before) const;
   Duration claim_pause() const;
   void claim_failed(std::string_view step, const shared_store::StoreError& error);
@@ -134,10 +138,11 @@
   FenceOffset offset_;
   shared_store::StoreRevision holder_revision_;
   Fence fence_;
-  std::optional<MonotonicTime> set_back_at_;  ///< When the store was last found to be.
-  MonotonicTime deadline_{};                  ///< Until then nobody else can have the lease.
-  MonotonicTime not_before_{};                ///< No act before this.
-  std::optional<MonotonicTime> claimed_at_;   ///< When the last claim began.
+  std::optional<shared_store::StoreEra> era_;  ///< Of the store, when this node last looked.
+  std::optional<MonotonicTime> set_back_at_;   ///< When the store was last found to be.
+  MonotonicTime deadline_{};                   ///< Until then nobody else can have the lease.
+  MonotonicTime not_before_{};                 ///< No act before this.
+  std::optional<MonotonicTime> claimed_at_;    ///< When the last claim began.
   std::optional<MonotonicTime> unfit_since_;
   std::uint64_t times_gained_ = 0;
   std::function<void()> gained_;
--- a/src/duties/tests/duty_lease_test.cc
+++ b/src/duties/tests/duty_lease_test.cc
@@ -95,6 +95,18 @@
     }
     return std::nullopt;
   }
+  /// The store comes back from a copy; each node learns of it a while later, by a look.
+  void set_back_to(const StoreState::Copy& copy) {
+    state.set_back_to(copy);
+    for (std::size_t i = 0; i != nodes.size(); ++i) {
+      Candidate* node = nodes[i].get();
+      if (!alive[i]) {
+        continue;
+      }
+      node->machine.schedule_after(Duration(200ms) * (i + 1),
+                                   [node] { node->lease.on_store_set_back(); });
+    }
+  }
   /// What the rules say of the acts seen: fences never fall and name one machine, and no machine
   /// acts on both sides of another's act within a lease.
   std::string broken() const {
@@ -305,17 +317,55 @@
   CHECK_FALSE(state.items.contains("h"));
 }
 
+TEST_CASE("a holder that the store has forgotten is followed under a higher fence, not by turns") {
+  Machines world(3);
+  const StoreState::Copy before = world.state.copy();
+  world.advance(5s);
+  REQUIRE(world.holder() == 0);
+  const Fence last = *world.nodes[0]->lease.fence();
+  // The holder is cut off as the store comes back without its lease: another is free to claim.
+  world.nodes[0]->store.cut = true;
+  world.set_back_to(before);
+  world.advance(20s);
+  REQUIRE(world.holder() == 1);
+  CHECK(*world.nodes[1]->lease.fence() > last);
+  CHECK(world.broken().empty());
+}
+
+TEST_CASE("fences rise on when all nodes start anew after the store has come back older") {
+  Machines world(2);
+  world.advance(5s);
+  const StoreState::Copy copy = world.state.copy();
+  for (int round = 0; round != 3; ++round) {
+    world.kill(0);
+    world.advance(6s);
+    world.restart(0);
+    world.kill(1);
+    world.advance(6s);
+    world.restart(1);
+  }
+  world.set_back_to(copy);
+  for (std::size_t i = 0; i != 2; ++i) {
+    world.kill(i);
+    world.restart(i);
+  }
+  world.advance(20s);
+  REQUIRE(world.holder());
+  CHECK(world.broken().empty());
+}
+
 TEST_CASE("whatever happens, holders follow each other with rising fences and never by turns") {
-  CHECK(rc::check("kills, freezes, cuts, restarts, lost and late answers", [] {
+  CHECK(rc::check("kills, freezes, cuts, restarts, lost and late answers, a store set back", [] {
     constexpr std::size_t kMachines = 6;
     Machines world(kMachines);
+    StoreState::Copy copy = world.state.copy();
     for (int step = 0; step != 30; ++step) {
       // The holder is struck more often than the others.
       const std::size_t any = *rc::gen::inRange<std::size_t>(0, kMachines);
       world.restart(any);
       const std::size_t machine = *rc::gen::inRange(0, 2) == 0 ? world.holder().value_or(any) : any;
       Candidate& node = *world.nodes[world.alive[machine] ? machine : any];
-      switch (*rc::gen::inRange(0, 8)) {
+      switch (*rc::gen::inRange(0, 10)) {
         case 0:
           if (world.alive[machine]) {
             world.kill(machine);
@@ -343,9 +393,15 @@
         case 6:
           node.store.done_late = node.store.done_late == Duration::zero() ? 4s : Duration::zero();
           break;
-        default:
+        case 7:
           world.state.down = !world.state.down;
           break;
+        case 8:
+          copy = world.state.copy();
+          break;
+        default:
+          world.set_back_to(copy);
+          break;
       }
       world.advance(*rc::gen::inRange(1, 40) * 100ms);
       RC_ASSERT(world.broken() == "");
--- a/src/shared_store/era_tracker.cc
+++ b/src/shared_store/era_tracker.cc
@@ -22,6 +22,7 @@
 }
 
 void EraTracker::note(StoreEra era, std::uint64_t revision) {
+  known_ = true;
   if (era > era_) {
     era_ = era;
     newest_ = revision;
--- a/src/shared_store/era_tracker.h
+++ b/src/shared_store/era_tracker.h
@@ -30,12 +30,14 @@
   StoreEra on_answer(const Sent& sent, const Answer& answer);
   /// Another node has seen the store at `revision`.
   void hear_of(StoreRevision revision) { note(revision.era(), revision.value()); }
-  StoreEra era() const { return era_; }
+  /// None before the first answer.
+  std::optional<StoreEra> known() const { return known_ ? std::optional(era_) : std::nullopt; }
 
  private:
   void note(StoreEra era, std::uint64_t revision);
   bool proves_new_life(const Sent& sent, const Answer& answer) const;
 
+  bool known_ = false;
   StoreEra era_;
   std::uint64_t newest_ = 0;
   bool named_ = false;  ///< The store names its era.
--- a/src/shared_store/store.h
+++ b/src/shared_store/store.h
@@ -94,8 +94,8 @@
   /// Another node has seen the store at `revision`: answers to calls that leave from now on are of
   /// that life or a later one.
   virtual void hear_of(StoreRevision /*revision*/) {}
-  /// The newest life of the store that is known of.
-  virtual StoreEra era() const { return {}; }
+  /// The newest life of the store that is known of; none before the first answer.
+  virtual std::optional<StoreEra> era() const { return StoreEra(); }
 };
 
 }  // namespace ochrespring::shared_store
--- a/src/shared_store/tests/memory_store.h
+++ b/src/shared_store/tests/memory_store.h
@@ -42,7 +42,7 @@
     for (const std::string& key : transaction.removals) {
       remove(key);
     }
-    return StoreRevision(revision);
+    return now();
   }
   LeaseId grant(Duration time_to_live) {
     const LeaseId lease(++last_lease_);
@@ -84,6 +84,13 @@
     }
   }
 
+  /// What the store would be set back to.
+  struct Copy;
+  Copy copy() const;
+  /// Comes back as it was when the copy was made; leases of before run on from now.
+  void set_back_to(const Copy& copy);
+  StoreRevision now() const { return StoreRevision(revision, era); }
+
   struct Lease {
     MonotonicTime ends;
     Duration time_to_live;
@@ -92,17 +99,44 @@
   std::vector<Change> history;  ///< In the order of revisions.
   std::map<std::string, LeaseId> bound;
   std::map<LeaseId, Lease> leases;
+  StoreEra era;
   std::uint64_t revision = 0;
   bool down = false;
   Duration answer_time{std::chrono::milliseconds(4)};
 
  private:
-  StoreRevision next_revision() { return StoreRevision(++revision); }
+  StoreRevision next_revision() { return StoreRevision(++revision, era); }
 
   simulation::VirtualTime& time_;
   std::uint64_t last_lease_ = 0;
 };
 
+struct StoreState::Copy {
+  std::uint64_t revision = 0;
+  std::map<std::string, Change> items;
+  std::map<std::string, LeaseId> bound;
+  std::map<LeaseId, Lease> leases;
+};
+
+inline StoreState::Copy StoreState::copy() const {
+  return {revision, items, bound, leases};
+}
+
+inline void StoreState::set_back_to(const Copy& copy) {
+  era = era.next();
+  revision = copy.revision;
+  items = copy.items;
+  bound = copy.bound;
+  leases = copy.leases;
+  history.clear();
+  for (auto& [key, item] : items) {
+    item.revision = StoreRevision(item.revision.value(), era);
+  }
+  for (auto& [id, lease] : leases) {
+    lease.ends = time_.now() + lease.time_to_live;
+  }
+}
+
 /// The store as one node reaches it.
 class MemoryStore final : public SharedStore {
  public:
@@ -121,7 +155,7 @@
     call<Listing>(std::move(done), [this, prefix]() -> Result<Listing, StoreError> {
       state_.expire();
       Listing listing;
-      listing.revision = StoreRevision(state_.revision);
+      listing.revision = state_.now();
       for (const auto& [key, item] : state_.items) {
         if (key.starts_with(prefix)) {
           listing.items.push_back(item);
@@ -134,7 +168,7 @@
     call<ListPage>(std::move(done), [this, request]() -> Result<ListPage, StoreError> {
       state_.expire();
       ListPage page;
-      page.revision = StoreRevision(state_.revision);
+      page.revision = state_.now();
       for (const auto& [key, item] : state_.items) {
         if (key.starts_with(request.prefix) && key > request.after) {
           page.items.push_back(item);
@@ -147,6 +181,9 @@
                StoreCallback<Changes> done) override {
     call<Changes>(std::move(done), [this, prefix, after]() -> Result<Changes, StoreError> {
       state_.expire();
+      if (after.era() != state_.era) {
+        return fail(StoreErrc::kHistoryGone, "another life");
+      }
       Changes changes;
       for (const Change& change : state_.history) {
         if (change.revision > after && change.key.starts_with(prefix)) {
@@ -187,6 +224,7 @@
       return lease;
     });
   }
+  std::optional<StoreEra> era() const override { return state_.era; }
   void end_lease(LeaseId lease, StoreCallback<LeaseId> done) override {
     call<LeaseId>(std::move(done), [this, lease]() -> Result<LeaseId, StoreError> {
       state_.end(lease);
--- a/src/shared_store/tests/store_revision_test.cc
+++ b/src/shared_store/tests/store_revision_test.cc
@@ -26,7 +26,7 @@
   // Lower within its life: an answer that was overtaken.
   CHECK(eras.on_answer(eras.on_send(), {.era = StoreEra(4), .revision = 24}) == StoreEra(4));
   CHECK(eras.on_answer(eras.on_send(), {.era = StoreEra(5), .revision = 24}) == StoreEra(5));
-  CHECK(eras.era() == StoreEra(5));
+  CHECK(eras.known() == StoreEra(5));
 }
 
 TEST_CASE("an answer to a call that left in a life before is of that life, unless it says more") {
@@ -36,7 +36,7 @@
   eras.hear_of(StoreRevision(30, StoreEra(2)));
   CHECK(eras.on_answer(sent, {.era = {}, .revision = 25}) == StoreEra(1));
   CHECK(eras.on_answer(sent, {.era = StoreEra(1), .revision = 25}) == StoreEra(1));
-  CHECK(eras.era() == StoreEra(2));
+  CHECK(eras.known() == StoreEra(2));
 }
 
 TEST_CASE("where the store names no era, a lower revision than was known proves a new life") {
@@ -48,7 +48,7 @@
   CHECK(eras.on_answer(eras.on_send(), {.era = {}, .revision = 24}) == StoreEra(1));
   // The same life shown by another call that was under way.
   CHECK(eras.on_answer(early, {.era = {}, .revision = 25}) == StoreEra(1));
-  CHECK(eras.era() == StoreEra(1));
+  CHECK(eras.known() == StoreEra(1));
 }
 
 TEST_CASE("what other nodes have seen is known, too") {
