Back ends are known by their lives; entries that cannot be understood name none

A server may start again under its id (born): the id of a back end is that of its life, so that caches, loads, ejections, drains and attempts of the life before go with it, at nodes told by others, too. Requests still name the server by its own id.

--- a/src/discovery/listing_comparison.cc
+++ b/src/discovery/listing_comparison.cc
@@ -24,17 +24,16 @@
   return revision > known_ ? std::min(revision, listed_) : listed_;
 }
 
-bool ListingComparison::note_backend(const gateway::BackendId& id,
+bool ListingComparison::note_backend(const gateway::Backend& backend,
                                      shared_store::StoreRevision revision,
-                                     std::optional<gateway::Backend> backend,
                                      const gateway::FleetState& fleet) {
-  listed_backends_.insert(id);
-  const gateway::Backend* known = fleet.find(id);
-  const bool same = !backend || (known != nullptr && *known == *backend);
-  if (same || newer_backends_.contains(id)) {
+  listed_backends_.insert(backend.id);
+  const gateway::Backend* known = fleet.find(backend.id);
+  const bool same = known != nullptr && *known == backend;
+  if (same || newer_backends_.contains(backend.id)) {
     return false;
   }
-  changes_.emplace_back(BackendChange{told_at(revision), id, std::move(backend)});
+  changes_.emplace_back(BackendChange{told_at(revision), backend.id, backend});
   return true;
 }
 
--- a/src/discovery/listing_comparison.h
+++ b/src/discovery/listing_comparison.h
@@ -24,10 +24,10 @@
   ListingComparison(shared_store::StoreRevision listed, shared_store::StoreRevision known,
                     const ChangeLog& log);
 
-  /// A back end that is listed, last changed at `revision`; none: its value was not understood, and
-  /// what is known of it stays. Returns whether it differs from the view.
-  bool note_backend(const gateway::BackendId& id, shared_store::StoreRevision revision,
-                    std::optional<gateway::Backend> backend, const gateway::FleetState& fleet);
+  /// A back end that is listed, last changed at `revision`. Returns whether it differs from the
+  /// view.
+  bool note_backend(const gateway::Backend& backend, shared_store::StoreRevision revision,
+                    const gateway::FleetState& fleet);
   void note_node(const NodeId& id, shared_store::StoreRevision revision,
                  std::optional<NodeRecord> record, const NodeDirectory& nodes);
   /// All that differs, in the order of revisions: what is in the view and was not listed has gone.
--- /dev/null
+++ b/src/discovery/tests/reborn_backend_test.cc
@@ -0,0 +1,114 @@
+// A back end that starts again under its name is another one, and an entry that cannot be
+// understood names none. The others hold either way.
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
+
+#include "discovery/view_writer.h"
+#include "simulation/virtual_time.h"
+#include "tests/plain_codec.h"
+
+using namespace ochrespring;
+using namespace ochrespring::discovery;
+using discovery::testing::PlainCodec;
+using gateway::BackendId;
+using shared_store::Change;
+using shared_store::Changes;
+using shared_store::Listing;
+using shared_store::StoreEra;
+using shared_store::StoreRevision;
+
+namespace {
+
+struct Node {
+  Node() : nodes(time, {NodeId("me"), Endpoint(), ZoneName("a"), Endpoint()}) {
+    fleet.on_removed([this](const gateway::Backend& backend) { removed.push_back(backend.id); });
+  }
+
+  void list(std::uint64_t revision, const std::vector<Change>& items, StoreEra era = {}) {
+    writer.take_listing(Listing{items, StoreRevision(revision, era)});
+  }
+  void change(const Change& change) { writer.take_changes(Changes{{change}}); }
+  std::vector<std::string> known() const {
+    std::vector<std::string> ids;
+    for (const auto& [id, backend] : fleet.backends()) {
+      ids.push_back(id.value());
+    }
+    return ids;
+  }
+
+  simulation::VirtualTime time;
+  PlainCodec codec;
+  logging::NullLogger logger;
+  gateway::FleetState fleet;
+  NodeDirectory nodes;
+  ViewWriter writer{time, codec, logger, fleet, nodes};
+  std::vector<BackendId> removed;
+};
+
+Change entry(const std::string& name, std::optional<std::string> value, std::uint64_t revision) {
+  return {"backends/" + name, std::move(value), StoreRevision(revision)};
+}
+
+using Ids = std::vector<std::string>;
+
+}  // namespace
+
+TEST_CASE("a back end born again takes the place of its life before, whatever its clock says") {
+  Node node;
+  node.list(3, {entry("a", "draining@500", 1), entry("ab", "ready@7", 2)});
+  node.change(entry("a", "ready@400", 4));
+  CHECK(node.known() == Ids{"a@400", "ab@7"});
+  CHECK(node.removed == std::vector{BackendId("a@500")});
+  // That the life before left says nothing of this one.
+  CHECK_FALSE(node.fleet.is_leaving(*node.fleet.find(BackendId("a@400"))));
+  node.change(entry("a", std::nullopt, 5));
+  CHECK(node.known() == Ids{"ab@7"});
+}
+
+TEST_CASE("a restart that was never seen as a change is found by a listing") {
+  Node node;
+  node.list(3, {entry("a", "ready@500", 1)});
+  node.list(9, {entry("a", "ready@600", 8)});
+  CHECK(node.known() == Ids{"a@600"});
+  CHECK(node.removed == std::vector{BackendId("a@500")});
+}
+
+TEST_CASE("nodes that are told by others know the new life alone, too") {
+  Node looker;
+  Node told;
+  looker.list(3, {entry("a", "ready@500", 1)});
+  told.list(3, {entry("a", "ready@500", 1)});
+  looker.change(entry("a", "ready@600", 4));
+  looker.fleet.note_current(looker.time.now());
+  for (const ViewUpdate& update : looker.writer.make_updates({})) {
+    CHECK(told.writer.take_update(update) == UpdateOutcome::kTaken);
+  }
+  CHECK(told.known() == Ids{"a@600"});
+}
+
+TEST_CASE(
+    "an entry that cannot be understood names no back end, and one that was good none either") {
+  Node node;
+  node.list(3, {entry("a", "ready", 1), entry("b", "broken", 2)});
+  CHECK(node.known() == Ids{"a"});
+  node.change(entry("a", "broken", 4));
+  CHECK(node.known().empty());
+  node.list(9, {entry("a", "broken", 4), entry("c", "ready", 8)});
+  CHECK(node.known() == Ids{"c"});
+  CHECK(node.writer.rejected_values() == 3);
+  node.change(entry("a", "ready", 10));
+  CHECK(node.known() == Ids{"a", "c"});
+}
+
+TEST_CASE("whatever one entry holds, the view of the others is the same") {
+  CHECK(rc::check([](const std::string& name, const std::string& bytes) {
+    Node node;
+    const std::string value = bytes.find('@') == std::string::npos ? bytes : "broken";
+    node.list(9, {entry("a", "ready", 1), entry("x" + name, value, 2), entry("z", "draining", 3)});
+    RC_ASSERT(node.fleet.find(BackendId("a")) != nullptr);
+    RC_ASSERT(node.fleet.find(BackendId("z"))->draining);
+  }));
+}
--- a/src/discovery/view_writer.cc
+++ b/src/discovery/view_writer.cc
@@ -104,11 +104,10 @@
   for (const shared_store::Change& item : listing.items) {
     listed_through_ = std::max(listed_through_, item.revision);
     if (item.key.starts_with(layout.backend_prefix)) {
-      const gateway::BackendId id(item.key.substr(layout.backend_prefix.size()));
-      auto backend = read_backend(item);
-      const bool told = comparison.note_backend(id, item.revision, std::move(backend), fleet_);
+      const auto backend = read_backend(item);
+      const bool told = backend && comparison.note_backend(*backend, item.revision, fleet_);
       if (told && item.revision > listing.revision) {
-        listed_ahead_.insert(id);
+        listed_ahead_.insert(backend->id);
       }
     } else if (item.key.starts_with(layout.node_prefix)) {
       const NodeId id(item.key.substr(layout.node_prefix.size()));
@@ -215,11 +214,7 @@
     take_configuration(*change.value);
     log_.note_configuration(change.revision);
   } else if (change.key.starts_with(layout.backend_prefix)) {
-    const gateway::BackendId id(change.key.substr(layout.backend_prefix.size()));
-    auto backend = change.value ? read_backend(change) : std::nullopt;
-    if (backend || !change.value) {
-      take(BackendChange{change.revision, id, std::move(backend)});
-    }
+    take_backend_entry(change);
   } else if (change.key.starts_with(layout.node_prefix)) {
     const NodeId id(change.key.substr(layout.node_prefix.size()));
     auto node = change.value ? read_node(change) : std::nullopt;
@@ -231,6 +226,22 @@
   }
 }
 
+/// An entry is of one life of a back end. It takes the place of any other life under its name, and
+/// one that cannot be understood names no back end to use.
+void ViewWriter::take_backend_entry(const shared_store::Change& change) {
+  const std::string name = change.key.substr(codec_.layout().backend_prefix.size());
+  auto backend = change.value ? read_backend(change) : std::nullopt;
+  for (const gateway::BackendId& life : fleet_.lives_of(name)) {
+    if (!backend || backend->id != life) {
+      take(BackendChange{change.revision, life, std::nullopt});
+    }
+  }
+  if (backend) {
+    const gateway::BackendId id = backend->id;
+    take(BackendChange{change.revision, id, std::move(backend)});
+  }
+}
+
 /// A listing's state of it may have been newer than the listing: see `listed_ahead_`.
 void ViewWriter::take(BackendChange change) {
   const gateway::Backend* const found = fleet_.find(change.id);
--- a/src/discovery/view_writer.h
+++ b/src/discovery/view_writer.h
@@ -67,7 +67,7 @@
   std::optional<shared_store::StoreRevision> seen() const { return seen_; }
   /// What the others are told after a look that began `age` ago, in the order to send it.
   std::vector<ViewUpdate> make_updates(Duration age);
-  /// Values that could not be understood; the last good one stays.
+  /// Values that could not be understood. Of the configuration the last good one stays.
   std::uint64_t rejected_values() const { return rejected_values_; }
 
  private:
@@ -88,6 +88,7 @@
   /// Whether the view, now at `through`, is the one that `fingerprint` was taken of.
   UpdateOutcome check(shared_store::StoreRevision through, std::uint64_t fingerprint);
   void take_stored(const shared_store::Change& change);
+  void take_backend_entry(const shared_store::Change& change);
   bool take_configuration(const std::string& value);
   void take(BackendChange change);
   void take(NodeChange change);
--- a/src/gateway/fleet_state.cc
+++ b/src/gateway/fleet_state.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "gateway/backend_life.h"
+
 namespace ochrespring::gateway {
 
 bool FleetState::apply(Configuration configuration) {
@@ -65,6 +67,21 @@
   std::erase_if(leaving_, [this](const BackendId& id) { return !backends_.contains(id); });
 }
 
+std::vector<BackendId> FleetState::lives_of(std::string_view name) const {
+  std::vector<BackendId> lives;
+  const BackendId plain{std::string(name)};
+  if (backends_.contains(plain) && name_of(plain) == name) {
+    lives.push_back(plain);
+  }
+  for (auto found = backends_.lower_bound(BackendId(plain.value() + '@'));
+       found != backends_.end() && found->first.value().starts_with(plain.value() + '@'); ++found) {
+    if (name_of(found->first) == name) {
+      lives.push_back(found->first);
+    }
+  }
+  return lives;
+}
+
 const Backend* FleetState::find(const BackendId& id) const {
   const auto found = backends_.find(id);
   return found == backends_.end() ? nullptr : &found->second;
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <vector>
 
 #include "base/time.h"
@@ -31,6 +32,8 @@
   const std::shared_ptr<const RouteTable>& routes() const { return routes_; }
   const std::map<BackendId, Backend>& backends() const { return backends_; }
   const Backend* find(const BackendId& id) const;
+  /// The lives that are known of a back end: mostly one.
+  std::vector<BackendId> lives_of(std::string_view name) const;
   /// Whether a back end has said that it leaves. In its life that is final: where the store says
   /// otherwise later, an older copy of it or an overtaken write has undone it, and a back end that
   /// leaves must get nothing new.
--- a/src/gateway_node/tests/large_fleet.h
+++ b/src/gateway_node/tests/large_fleet.h
@@ -37,6 +37,9 @@
   Result<gateway::Backend, discovery::CodecError> read_backend(
       std::string_view id, std::string_view value) const override {
     auto backend = plain_.read_backend(id, value);
+    if (!backend) {
+      return backend;
+    }
     backend.value().role = gateway::EngineRole::kDecode;
     return backend;
   }
