A node that stops tells the others, besides ending its registration

Cause: only the store said that a node leaves, so while it was out the others went on naming it and callers came until its grace was over. Now it tells all (in a large fleet by the relays), three times 150 ms apart; the registration it had is ignored from then on, whatever listing brings it, and a later registration names it again.

--- a/src/discovery/listing_comparison.cc
+++ b/src/discovery/listing_comparison.cc
@@ -41,7 +41,7 @@
                                   std::optional<NodeRecord> record, const NodeDirectory& nodes) {
   listed_nodes_.insert(id);
   const auto known = nodes.others().find(id);
-  const bool same = !record || id == nodes.self().node ||
+  const bool same = !record || id == nodes.self().node || nodes.has_left(id, revision) ||
                     (known != nodes.others().end() && known->second == *record);
   if (!same && !newer_nodes_.contains(id)) {
     changes_.emplace_back(NodeChange{told_at(revision), id, std::move(record)});
--- a/src/discovery/node_directory.cc
+++ b/src/discovery/node_directory.cc
@@ -6,10 +6,12 @@
 
 namespace ochrespring::discovery {
 
-void NodeDirectory::put(const NodeRecord& record) {
-  if (record.node == self_.node) {
+void NodeDirectory::put(const NodeRecord& record, shared_store::StoreRevision registered) {
+  if (record.node == self_.node || has_left(record.node, registered)) {
     return;
   }
+  leaving_nodes_.erase(record.node);
+  registered_[record.node] = registered;
   gone_.erase(record.node);
   NodeRecord& known = others_[record.node];
   if (known != record) {
@@ -21,6 +23,7 @@
 void NodeDirectory::remove(const NodeId& node) {
   std::erase_if(gone_,
                 [this](const auto& entry) { return clock_.now() - entry.second.at >= kMayGoOn; });
+  registered_.erase(node);
   auto known = others_.extract(node);
   if (!known.empty()) {
     gone_[node] = {std::move(known.mapped()), clock_.now()};
@@ -28,6 +31,24 @@
   }
 }
 
+void NodeDirectory::note_leaving(const NodeId& node, shared_store::StoreRevision registered) {
+  const auto known = registered_.find(node);
+  const bool started_since = known != registered_.end() && known->second > registered;
+  if (started_since || node == self_.node) {
+    return;
+  }
+  std::erase_if(leaving_nodes_,
+                [this](const auto& entry) { return entry.second.until <= clock_.now(); });
+  leaving_nodes_[node] = {registered, clock_.now() + kLeaves};
+  remove(node);
+}
+
+bool NodeDirectory::has_left(const NodeId& node, shared_store::StoreRevision registered) const {
+  const auto leaving = leaving_nodes_.find(node);
+  return leaving != leaving_nodes_.end() && registered <= leaving->second.registered &&
+         clock_.now() < leaving->second.until;
+}
+
 void NodeDirectory::replace(const std::vector<NodeRecord>& records) {
   ++version_;
   for (auto& [node, record] : std::exchange(others_, {})) {
--- a/src/discovery/node_directory.h
+++ b/src/discovery/node_directory.h
@@ -9,6 +9,7 @@
 
 #include "base/time.h"
 #include "discovery/node_record.h"
+#include "shared_store/store_revision.h"
 
 namespace ochrespring::discovery {
 
@@ -19,9 +20,16 @@
   NodeDirectory(const Clock& clock, NodeRecord self)
       : clock_(clock), self_(std::move(self)), started_(clock.now()) {}
 
-  void put(const NodeRecord& record);
+  /// `registered`: when the record was written; zero: not known.
+  void put(const NodeRecord& record, shared_store::StoreRevision registered = {});
   /// Takes a node out that has said goodbye or whose lease has lapsed.
   void remove(const NodeId& node);
+  /// A node tells that it takes no more requests: it is named no longer, even while the store, out
+  /// or set back, goes on listing the registration that it wrote at `registered`. A later one is of
+  /// a process that has started since.
+  void note_leaving(const NodeId& node, shared_store::StoreRevision registered);
+  /// Whether a registration is one that its node has left.
+  bool has_left(const NodeId& node, shared_store::StoreRevision registered) const;
   /// Keeps only the nodes of a fresh listing.
   void replace(const std::vector<NodeRecord>& records);
   void leave() {
@@ -52,6 +60,9 @@
   /// How long a node counts after its registration has gone: longer than the store turns single
   /// machines away on an ordinary bad day (some 10 s).
   static constexpr Duration kMayGoOn{std::chrono::seconds(15)};
+  /// How long a node that leaves is remembered: longer than its stop and its lease together (8 and
+  /// 3 s as deployed).
+  static constexpr Duration kLeaves{std::chrono::seconds(15)};
   /// For this long after the start at least so many nodes are assumed.
   static constexpr Duration kStart{std::chrono::seconds(10)};
   static constexpr std::uint32_t kAssumedAtStart = 8;
@@ -65,6 +76,12 @@
     MonotonicTime at{};  ///< When the registration went.
   };
   std::map<NodeId, GoneNode> gone_;
+  std::map<NodeId, shared_store::StoreRevision> registered_;  ///< Of others, where it is known.
+  struct LeavingNode {
+    shared_store::StoreRevision registered;
+    MonotonicTime until{};
+  };
+  std::map<NodeId, LeavingNode> leaving_nodes_;
   bool leaving_ = false;
   std::uint64_t version_ = 1;
   mutable std::vector<NodeRecord> named_;
--- a/src/discovery/node_registration.cc
+++ b/src/discovery/node_registration.cc
@@ -58,6 +58,7 @@
     }
     failed_in_row_ = 0;
     published_ = true;
+    registered_ = result.value();
     logger_.write(
         {logging::Level::kInfo,
          "discovery",
--- a/src/discovery/node_registration.h
+++ b/src/discovery/node_registration.h
@@ -40,6 +40,9 @@
   /// Ends the lease, so that the others stop naming this node at once.
   void leave();
 
+  /// When the record was last written; zero: never.
+  shared_store::StoreRevision registered() const { return registered_; }
+
  private:
   void grant();
   void publish();
@@ -55,6 +58,7 @@
   Timer timer_;
   Timer rewrite_timer_;
   std::optional<shared_store::LeaseId> lease_;
+  shared_store::StoreRevision registered_;
   std::uint32_t failed_in_row_ = 0;  ///< Calls.
   bool published_ = false;
   bool left_ = false;
--- a/src/discovery/view_writer.cc
+++ b/src/discovery/view_writer.cc
@@ -121,7 +121,7 @@
   for (const shared_store::Change& item : items) {
     if (item.key.starts_with(codec_.layout().node_prefix)) {
       if (const auto node = read_node(item)) {
-        nodes_.put(*node);
+        nodes_.put(*node, item.revision);
       }
     }
   }
@@ -285,7 +285,7 @@
 
 void ViewWriter::take(NodeChange change) {
   if (change.record) {
-    nodes_.put(*change.record);
+    nodes_.put(*change.record, change.revision);
   } else {
     nodes_.remove(change.id);
   }
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -230,6 +230,7 @@
                  {{"running", static_cast<std::uint64_t>(gateway_.running())}}});
   duties_.leave();
   nodes_.leave();
+  peer_news_.tell_leaving(registration_.registered());
   registration_.leave();
   callers_.announce_close();
 }
--- a/src/gateway_node/peer_channel.cc
+++ b/src/gateway_node/peer_channel.cc
@@ -106,6 +106,22 @@
   send_to_relays(report);
 }
 
+void PeerChannel::take(const NodeLeavingToRelay& told) {
+  handlers_.leaving(told.leaving);
+  send_to(relays_.zone_members(), told.leaving);
+}
+
+void PeerChannel::tell_leaving(const NodeLeaving& leaving) {
+  if (!relays_.in_use()) {
+    send_to_others(leaving);
+    return;
+  }
+  send_to_relays(NodeLeavingToRelay{leaving});
+  if (relays_here()) {
+    send_to(relays_.zone_members(), leaving);
+  }
+}
+
 void PeerChannel::tell_crashes(const quarantine::CrashNews& news) {
   if (!relays_.in_use()) {
     send_to_others(news);
--- a/src/gateway_node/peer_channel.h
+++ b/src/gateway_node/peer_channel.h
@@ -38,6 +38,7 @@
   std::function<void(const quarantine::CrashNews&)> crashes;
   /// As a relay: to be told to the nodes of its zone.
   std::function<void(const quarantine::CrashNews&)> crashes_to_relay;
+  std::function<void(const NodeLeaving&)> leaving;
 };
 
 struct PeerChannelOptions {
@@ -77,6 +78,8 @@
   /// To all that may come to hold the duties: every node, or in a large fleet every relay.
   void tell_usage(const usage::UsageReport& report);
   /// To every node, in a large fleet by its relays.
+  void tell_leaving(const NodeLeaving& leaving);
+  /// To every node, in a large fleet by its relays.
   void tell_crashes(const quarantine::CrashNews& news);
   /// As a relay: to the nodes of the zone.
   void tell_zone_crashes(const quarantine::CrashNews& news);
@@ -109,6 +112,8 @@
   void take(const peer_load::ReportToRelay& told);
   void take(const peer_load::RelayedReport& told) { handlers_.relayed_work(told.sums); }
   void take(const UpdateToRelay& told);
+  void take(const NodeLeaving& told) { handlers_.leaving(told); }
+  void take(const NodeLeavingToRelay& told);
   template <int kPlace>
   void take(const FormerMessage<kPlace>& /*told*/) {}
 
--- a/src/gateway_node/peer_message.h
+++ b/src/gateway_node/peer_message.h
@@ -22,6 +22,28 @@
   }
 };
 
+/// A node takes no more requests. Its registration goes, too, but only if the store answers.
+struct NodeLeaving {
+  NodeId node;
+  shared_store::StoreRevision registered;  ///< When it wrote its registration.
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& node;
+    archive& registered;
+  }
+};
+
+/// For a relay to pass on to the nodes of its zone as it stands.
+struct NodeLeavingToRelay {
+  NodeLeaving leaving;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& leaving;
+  }
+};
+
 /// For a relay to pass on to the nodes of its zone as it stands.
 struct UpdateToRelay {
   discovery::ViewUpdate update;
@@ -47,12 +69,23 @@
     std::variant<peer_load::WorkReport, FormerMessage<1>, peer_load::PartsRequest, ViewOffer,
                  peer_load::ReportToRelay, peer_load::RelayedReport, FormerMessage<6>,
                  usage::UsageReport, quarantine::CrashNews, quarantine::CrashNewsToRelay,
-                 discovery::ViewUpdate, UpdateToRelay>;
+                 discovery::ViewUpdate, UpdateToRelay, NodeLeaving, NodeLeavingToRelay>;
 
 /// Names of the alternatives, in order, for metrics.
 constexpr std::array<const char*, std::variant_size_v<PeerMessage>> kPeerMessageNames{
-    "work_report",  "former_view_update",     "parts_request", "view_offer", "work_to_relay",
-    "relayed_work", "former_update_to_relay", "usage_report",  "crash_news", "crash_news_to_relay",
-    "view_update",  "update_to_relay"};
+    "work_report",
+    "former_view_update",
+    "parts_request",
+    "view_offer",
+    "work_to_relay",
+    "relayed_work",
+    "former_update_to_relay",
+    "usage_report",
+    "crash_news",
+    "crash_news_to_relay",
+    "view_update",
+    "update_to_relay",
+    "node_leaving",
+    "node_leaving_to_relay"};
 
 }  // namespace ochrespring::gateway_node
--- a/src/gateway_node/peer_news.cc
+++ b/src/gateway_node/peer_news.cc
@@ -10,6 +10,8 @@
 /// Between two offers of this node's view while the store is out: a node that has just started
 /// waits about this long for a view.
 constexpr Duration kOfferPeriod = std::chrono::milliseconds(500);
+/// Between two times that this node tells that it leaves: callers ask for nodes every few seconds.
+constexpr Duration kLeavingPause = std::chrono::milliseconds(150);
 /// How many others a node that starts asks what engines keep; any of them may be starting, too.
 constexpr std::size_t kPeersAsked = 3;
 
@@ -35,7 +37,8 @@
            .repeat = false},
           [this](const gateway::BackendId& engine) { return work_of_all(engine); },
           [this](const peer_load::WorkReport& sums) { channel_.tell_relayed_work(sums); }),
-      offer_timer_(world.timers) {
+      offer_timer_(world.timers),
+      leaving_timer_(world.timers) {
   listen_to_loads();
   world_.watcher.on_look(
       [this](const discovery::ViewUpdate& update) { channel_.tell_update(update); });
@@ -93,6 +96,10 @@
             if (crashes_.take_to_relay) {
               crashes_.take_to_relay(news);
             }
+          },
+      .leaving =
+          [this](const NodeLeaving& told) {
+            world_.nodes.note_leaving(told.node, told.registered);
           }};
 }
 
@@ -169,6 +176,14 @@
   offer_timer_.arm(kOfferPeriod, [this] { offer_view(); });
 }
 
+void PeerNews::tell_leaving(shared_store::StoreRevision registered, int times) {
+  channel_.tell_leaving({world_.nodes.self().node, registered});
+  if (times > 1) {
+    leaving_timer_.arm(kLeavingPause,
+                       [this, registered, times] { tell_leaving(registered, times - 1); });
+  }
+}
+
 void PeerNews::add_metrics(metrics::SampleSink& sink) const {
   for (std::size_t kind = 0; kind != kPeerMessageNames.size(); ++kind) {
     const PeerTraffic& sent = channel_.traffic(kind);
--- a/src/gateway_node/peer_news.h
+++ b/src/gateway_node/peer_news.h
@@ -36,7 +36,7 @@
     RandomSource& random;
     const gateway::FleetState& fleet;
     gateway::LoadTable& loads;
-    const discovery::NodeDirectory& nodes;
+    discovery::NodeDirectory& nodes;
     discovery::FleetWatcher& watcher;
   };
 
@@ -55,6 +55,9 @@
   /// A back end has gone.
   void forget(const gateway::BackendId& backend) { peer_work_.forget(backend); }
   void add_metrics(metrics::SampleSink& sink) const;
+  /// This node, registered at a revision of the store, takes no more requests. Told some times
+  /// over: a datagram may be lost.
+  void tell_leaving(shared_store::StoreRevision registered, int times = kLeavingTold);
   void tell_usage(const usage::UsageReport& report) { channel_.tell_usage(report); }
   /// `callback` takes other nodes' usage.
   void on_usage(std::function<void(const usage::UsageReport&)> callback) {
@@ -74,6 +77,9 @@
   bool relays_here() const { return channel_.relays_here(); }
 
  private:
+  /// Of a hundred datagrams one is lost, in a bad hour five: three in a row hardly ever.
+  static constexpr int kLeavingTold = 3;
+
   PeerHandlers make_handlers();
   void listen_to_loads();
   /// Whether a registered back end is a model engine; only of these nodes tell each other.
@@ -97,6 +103,7 @@
   peer_load::WorkAnnouncer announcer_;
   peer_load::WorkAnnouncer relay_;  ///< Adds up what this node is told to relay.
   Timer offer_timer_;
+  Timer leaving_timer_;
 };
 
 }  // namespace ochrespring::gateway_node
--- a/src/gateway_node/tests/large_fleet.h
+++ b/src/gateway_node/tests/large_fleet.h
@@ -213,12 +213,16 @@
   void start() { watcher.start(); }
   /// What a node does first when it is told to stop; its registration ends only if the store
   /// answers.
-  void leave() { nodes.leave(); }
+  void leave() {
+    nodes.leave();
+    news.tell_leaving(registered);
+  }
 
   bool cut_off = false;      ///< From the store and from all other nodes.
   bool turned_away = false;  ///< By the store alone.
   SeededRandom random;
   discovery::NodeRecord record;
+  shared_store::StoreRevision registered;  ///< When it was last.
   discovery::NodeDirectory nodes;
   gateway::FleetState fleet;
   gateway::LoadTable loads;
@@ -265,8 +269,9 @@
     }
     advance(6s);
   }
-  void register_node(const FleetNode& node) {
+  void register_node(FleetNode& node) {
     state.put("nodes/" + node.record.node.value(), wire::encode(node.record));
+    node.registered = state.now();
   }
   void advance(Duration span) { time.run_until(time.now() + span); }
   void carry(const FleetNode& from, const Endpoint& to, std::string_view bytes) {
--- a/src/gateway_node/tests/peer_channel_test.cc
+++ b/src/gateway_node/tests/peer_channel_test.cc
@@ -51,7 +51,8 @@
                      [this](const quarantine::CrashNews& news) {
                        ++crash_news;
                        channel.tell_zone_crashes(news);
-                     }},
+                     },
+                 .leaving = [](const auto&) {}},
                 std::move(send)) {}
 
   discovery::NodeRecord record;
--- a/src/gateway_node/tests/planned_stop_test.cc
+++ b/src/gateway_node/tests/planned_stop_test.cc
@@ -38,3 +38,39 @@
   fleet.advance(1s);
   CHECK(count_naming(fleet, stopping.record.node) == 0);
 }
+
+TEST_CASE("a node that has stopped and starts again is named again, also by what it wrote before") {
+  LargeFleet fleet(8, 0.0);
+  fleet.start();
+  fleet.nodes[3]->leave();
+  fleet.advance(3s);
+  const NodeId id = fleet.nodes[3]->record.node;
+  // Its registration is still in the store, and the store forgets its history.
+  fleet.state.forget_history();
+  fleet.advance(3s);
+  CHECK(count_naming(fleet, id) == 0);
+  fleet.register_node(*fleet.nodes[3]);
+  fleet.advance(3s);
+  CHECK(count_naming(fleet, id) == 7);
+}
+
+TEST_CASE("late news of a stop do nothing to a node that has started since") {
+  LargeFleet fleet(8, 0.0);
+  fleet.start();
+  const shared_store::StoreRevision before = fleet.nodes[3]->registered;
+  fleet.register_node(*fleet.nodes[3]);
+  fleet.advance(3s);
+  fleet.nodes[3]->news.tell_leaving(before);
+  fleet.advance(1s);
+  CHECK(count_naming(fleet, fleet.nodes[3]->record.node) == 8);
+}
+
+TEST_CASE("in a large fleet a stop is heard of by the relays' word while the store is out") {
+  LargeFleet fleet(195);
+  fleet.start();
+  fleet.state.down = true;
+  const NodeId id = fleet.nodes[100]->record.node;
+  fleet.nodes[100]->leave();
+  fleet.advance(1s);
+  CHECK(fleet.count([&](const FleetNode& node) { return node.nodes.others().contains(id); }) == 0);
+}
