--- a/Makefile
+++ b/Makefile
@@ -50,9 +50,11 @@
 	  --threads $(JOBS) --output failing-history.json
 
 # Fault soak of the gateway: real processes, faults from outside, a fresh seed each time unless given. CI runs
-# one of 50 s; scripts/soak_seeds.sh runs many.
+# one of 50 s; scripts/soak_seeds.sh runs many. With UPGRADE_FROM=COMMIT the nodes begin with that commit's build and
+# are replaced in both directions.
 SOAK_SECONDS ?= 120
 .PHONY: soak
 soak: build
 	python3 platform/soak/soak.py --program $(BUILD)/bin/ochrespring-gateway --seconds $(SOAK_SECONDS) $(if $(SEED),--seed $(SEED)) \
-	  $(if $(RELAYS),--relays)
+	  $(if $(RELAYS),--relays) \
+	  $(if $(UPGRADE_FROM),--upgrade-from $$(./scripts/build_gateway_of.sh $(UPGRADE_FROM)))
