A corpus of the build before; registrations of a new life take a new lease; entries are read in a place of their own

A lease of the life before may be lost and its number given to another node, so writing under it again could bind the record to that one's life.

--- /dev/null
+++ b/src/discovery/entry_reader.cc
@@ -0,0 +1,45 @@
+#include "discovery/entry_reader.h"
+
+#include <utility>
+
+#include "wire/codec.h"
+
+namespace ochrespring::discovery {
+
+std::optional<gateway::Backend> EntryReader::read_backend(const shared_store::Change& entry) {
+  const std::string name = entry.key.substr(codec_.layout().backend_prefix.size());
+  auto backend = codec_.read_backend(name, *entry.value);
+  if (!backend) {
+    reject(entry.key, backend.error().message);
+    return std::nullopt;
+  }
+  return std::move(backend.value());
+}
+
+std::optional<NodeRecord> EntryReader::read_node(const shared_store::Change& entry) {
+  auto node = wire::decode<NodeRecord>(*entry.value);
+  if (!node) {
+    reject(entry.key, node.error().message);
+    return std::nullopt;
+  }
+  return std::move(node.value());
+}
+
+std::optional<gateway::Configuration> EntryReader::read_configuration(const std::string& value) {
+  auto configuration = codec_.read_configuration(value);
+  if (!configuration) {
+    reject(codec_.layout().configuration_key, configuration.error().message);
+    return std::nullopt;
+  }
+  return std::move(configuration.value());
+}
+
+void EntryReader::reject(const std::string& key, const std::string& reason) {
+  ++rejected_;
+  logger_.write({logging::Level::kError,
+                 "discovery",
+                 "value of the store not understood",
+                 {{"key", key}, {"reason", reason}}});
+}
+
+}  // namespace ochrespring::discovery
--- a/src/discovery/node_registration.cc
+++ b/src/discovery/node_registration.cc
@@ -24,8 +24,7 @@
       random_(random),
       settings_(std::move(settings)),
       value_(wire::encode(record)),
-      timer_(timers),
-      rewrite_timer_(timers) {}
+      timer_(timers) {}
 
 void NodeRegistration::start() {
   grant();
@@ -33,6 +32,7 @@
 
 void NodeRegistration::grant() {
   published_ = false;
+  lease_lost_ = false;
   store_.grant_lease(settings_.time_to_live, [this](auto result) {
     if (!result) {
       again_after_failure();
@@ -68,15 +68,13 @@
   });
 }
 
-/// Beside the renewals, which go on: a write does not renew the lease.
+/// Under a new lease: the one before may be lost, and its number given to another node.
 void NodeRegistration::rewrite() {
-  rewrite_timer_.arm(random_.part_of(settings_.period), [this] {
-    if (lease_ && published_ && !left_) {
-      timer_.disarm();
-      published_ = false;
-      publish();
-    }
-  });
+  lease_lost_ = true;
+  if (timer_.armed()) {
+    again(random_.part_of(settings_.period));
+  }
+  // Else a call is under way, and what follows it is this.
 }
 
 void NodeRegistration::renew() {
@@ -106,7 +104,7 @@
     return;
   }
   timer_.arm(pause, [this] {
-    if (!lease_) {
+    if (!lease_ || lease_lost_) {
       grant();
     } else if (!published_) {
       publish();
--- a/src/discovery/node_registration.h
+++ b/src/discovery/node_registration.h
@@ -34,7 +34,7 @@
                    const NodeRecord& record);
 
   void start();
-  /// The store may have lost the record, or its lease: it is written again, at some moment within a
+  /// The store may have lost the record and its lease: both are made again, at some moment within a
   /// period, lest a whole fleet writes at once.
   void rewrite();
   /// Ends the lease, so that the others stop naming this node at once.
@@ -56,11 +56,11 @@
   NodeRegistrationSettings settings_;
   std::string value_;
   Timer timer_;
-  Timer rewrite_timer_;
   std::optional<shared_store::LeaseId> lease_;
   shared_store::StoreRevision registered_;
   std::uint32_t failed_in_row_ = 0;  ///< Calls.
   bool published_ = false;
+  bool lease_lost_ = false;  ///< As far as is known: the store was set back.
   bool left_ = false;
 };
 
--- a/src/discovery/tests/discovery_test.cc
+++ b/src/discovery/tests/discovery_test.cc
@@ -244,6 +244,29 @@
   CHECK(world.store.puts.size() == 1);
 }
 
+TEST_CASE("a node registers anew, under a new lease, when the store has come back older") {
+  RegistrationFixture world;
+  world.register_node();
+  world.registration.rewrite();
+  world.advance(1000ms);
+  REQUIRE(world.store.grants.size() == 1);
+  CHECK(world.store.renewals.empty());
+  take(world.store.grants)(LeaseId(7));
+  take(world.store.puts).done(StoreRevision(2, shared_store::StoreEra(1)));
+  CHECK(world.registration.registered() == StoreRevision(2, shared_store::StoreEra(1)));
+}
+
+TEST_CASE("a store that comes back while a renewal is under way is registered with after it") {
+  RegistrationFixture world;
+  world.register_node();
+  world.advance(1100ms);
+  REQUIRE(world.store.renewals.size() == 1);
+  world.registration.rewrite();
+  take(world.store.renewals)(LeaseId(7));
+  world.advance(1100ms);
+  CHECK(world.store.grants.size() == 1);
+}
+
 TEST_CASE("a renewal without an answer is tried again under the same lease") {
   RegistrationFixture world;
   world.register_node();
--- a/src/discovery/view_writer.cc
+++ b/src/discovery/view_writer.cc
@@ -64,11 +64,11 @@
   for (const shared_store::Change& item : listing.items) {
     listed_through_ = std::max(listed_through_, item.revision);
     if (item.key.starts_with(layout.backend_prefix)) {
-      if (auto backend = read_backend(item)) {
+      if (auto backend = entries_.read_backend(item)) {
         backends.push_back(std::move(*backend));
       }
     } else if (item.key.starts_with(layout.node_prefix)) {
-      if (auto node = read_node(item)) {
+      if (auto node = entries_.read_node(item)) {
         nodes.push_back(std::move(*node));
       }
     }
@@ -104,14 +104,14 @@
   for (const shared_store::Change& item : listing.items) {
     listed_through_ = std::max(listed_through_, item.revision);
     if (item.key.starts_with(layout.backend_prefix)) {
-      const auto backend = read_backend(item);
+      const auto backend = entries_.read_backend(item);
       const bool told = backend && comparison.note_backend(*backend, item.revision, fleet_);
       if (told && item.revision > listing.revision) {
         listed_ahead_.insert(backend->id);
       }
     } else if (item.key.starts_with(layout.node_prefix)) {
       const NodeId id(item.key.substr(layout.node_prefix.size()));
-      comparison.note_node(id, item.revision, read_node(item), nodes_);
+      comparison.note_node(id, item.revision, entries_.read_node(item), nodes_);
     }
   }
   return comparison.finish(fleet_, nodes_);
@@ -120,7 +120,7 @@
 void ViewWriter::learn_nodes(const std::vector<shared_store::Change>& items) {
   for (const shared_store::Change& item : items) {
     if (item.key.starts_with(codec_.layout().node_prefix)) {
-      if (const auto node = read_node(item)) {
+      if (const auto node = entries_.read_node(item)) {
         nodes_.put(*node, item.revision);
       }
     }
@@ -217,7 +217,7 @@
     take_backend_entry(change);
   } else if (change.key.starts_with(layout.node_prefix)) {
     const NodeId id(change.key.substr(layout.node_prefix.size()));
-    auto node = change.value ? read_node(change) : std::nullopt;
+    auto node = change.value ? entries_.read_node(change) : std::nullopt;
     if (node || !change.value) {
       take(NodeChange{change.revision, id, std::move(node)});
     }
@@ -230,7 +230,7 @@
 /// one that cannot be understood names no back end to use.
 void ViewWriter::take_backend_entry(const shared_store::Change& change) {
   const std::string name = change.key.substr(codec_.layout().backend_prefix.size());
-  auto backend = change.value ? read_backend(change) : std::nullopt;
+  auto backend = change.value ? entries_.read_backend(change) : std::nullopt;
   for (const gateway::BackendId& life : fleet_.lives_of(name)) {
     if (!backend || backend->id != life) {
       take(BackendChange{change.revision, life, std::nullopt});
@@ -372,13 +372,12 @@
 
 /// Returns whether the document was understood.
 bool ViewWriter::take_configuration(const std::string& value) {
-  auto configuration = codec_.read_configuration(value);
+  auto configuration = entries_.read_configuration(value);
   if (!configuration) {
-    reject(codec_.layout().configuration_key, configuration.error().message);
     return false;
   }
-  const std::uint64_t version = configuration.value().version.value();
-  if (fleet_.apply(std::move(configuration.value()))) {
+  const std::uint64_t version = configuration->version.value();
+  if (fleet_.apply(std::move(*configuration))) {
     configuration_ = value;
     logger_.write({logging::Level::kInfo,
                    kComponent,
@@ -388,31 +387,4 @@
   return true;
 }
 
-std::optional<gateway::Backend> ViewWriter::read_backend(const shared_store::Change& change) {
-  const std::string id = change.key.substr(codec_.layout().backend_prefix.size());
-  auto backend = codec_.read_backend(id, *change.value);
-  if (!backend) {
-    reject(change.key, backend.error().message);
-    return std::nullopt;
-  }
-  return std::move(backend.value());
-}
-
-std::optional<NodeRecord> ViewWriter::read_node(const shared_store::Change& change) {
-  auto node = wire::decode<NodeRecord>(*change.value);
-  if (!node) {
-    reject(change.key, node.error().message);
-    return std::nullopt;
-  }
-  return std::move(node.value());
-}
-
-void ViewWriter::reject(const std::string& key, const std::string& reason) {
-  ++rejected_values_;
-  logger_.write({logging::Level::kError,
-                 kComponent,
-                 "value of the store not understood",
-                 {{"key", key}, {"reason", reason}}});
-}
-
 }  // namespace ochrespring::discovery
--- a/src/discovery/view_writer.h
+++ b/src/discovery/view_writer.h
@@ -11,6 +11,7 @@
 
 #include "base/time.h"
 #include "discovery/change_log.h"
+#include "discovery/entry_reader.h"
 #include "discovery/fleet_codec.h"
 #include "discovery/node_directory.h"
 #include "discovery/view_transfer.h"
@@ -37,7 +38,12 @@
  public:
   ViewWriter(const Clock& clock, const FleetCodec& codec, logging::Logger& logger,
              gateway::FleetState& fleet, NodeDirectory& nodes)
-      : clock_(clock), codec_(codec), logger_(logger), fleet_(fleet), nodes_(nodes) {}
+      : clock_(clock),
+        codec_(codec),
+        logger_(logger),
+        fleet_(fleet),
+        nodes_(nodes),
+        entries_(codec, logger) {}
 
   /// Called with keys that are neither the configuration nor of a back end or a node, as they are
   /// since some change; without a value: removed.
@@ -68,7 +74,7 @@
   /// What the others are told after a look that began `age` ago, in the order to send it.
   std::vector<ViewUpdate> make_updates(Duration age);
   /// Values that could not be understood. Of the configuration the last good one stays.
-  std::uint64_t rejected_values() const { return rejected_values_; }
+  std::uint64_t rejected_values() const { return entries_.rejected(); }
 
  private:
   std::uint64_t fingerprint();
@@ -92,15 +98,13 @@
   bool take_configuration(const std::string& value);
   void take(BackendChange change);
   void take(NodeChange change);
-  std::optional<gateway::Backend> read_backend(const shared_store::Change& change);
-  std::optional<NodeRecord> read_node(const shared_store::Change& change);
-  void reject(const std::string& key, const std::string& reason);
 
   const Clock& clock_;
   const FleetCodec& codec_;
   logging::Logger& logger_;
   gateway::FleetState& fleet_;
   NodeDirectory& nodes_;
+  EntryReader entries_;
   ChangeLog log_;
   std::optional<shared_store::StoreRevision> seen_;
   /// Sum over the back ends, kept up with each change; none: to be made anew.
@@ -115,7 +119,6 @@
   bool trusted_ = true;
   std::string configuration_;  ///< The document in force.
   OtherKey other_key_;
-  std::uint64_t rejected_values_ = 0;
 };
 
 }  // namespace ochrespring::discovery
--- /dev/null
+++ b/src/gateway_node/tests/compatibility_test.cc
@@ -0,0 +1,91 @@
+// Builds run side by side while a fleet is upgraded, in both directions. What the build before
+// writes is read or left alone, and what it reads is written as it expects it.
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <fstream>
+#include <map>
+#include <sstream>
+#include <string>
+
+#include "discovery/node_record.h"
+#include "duties/types.h"
+#include "gateway_node/peer_message.h"
+#include "wire/codec.h"
+
+using namespace ochrespring;
+using namespace ochrespring::gateway_node;
+
+namespace {
+
+std::string from_hex(const std::string& text) {
+  std::string bytes;
+  for (std::size_t i = 0; i + 1 < text.size(); i += 2) {
+    bytes += static_cast<char>(std::stoi(text.substr(i, 2), nullptr, 16));
+  }
+  return bytes;
+}
+
+/// Name to bytes.
+std::map<std::string, std::string> read_corpus() {
+  std::map<std::string, std::string> corpus;
+  std::ifstream file(FORMER_MESSAGES);
+  for (std::string line; std::getline(file, line);) {
+    std::istringstream words(line);
+    std::string name;
+    std::string hex;
+    if (line.front() != '#' && words >> name >> hex) {
+      corpus[name] = from_hex(hex);
+    }
+  }
+  return corpus;
+}
+
+/// Whether bytes are read, and would be written the same.
+template <class T>
+bool is_same(const std::string& bytes) {
+  const auto read = wire::decode<T>(bytes);
+  return read && wire::encode(read.value()) == bytes;
+}
+
+}  // namespace
+
+TEST_CASE("messages of the build before are read and written as they were, or left alone") {
+  const auto corpus = read_corpus();
+  REQUIRE(corpus.size() == 15);
+  for (const char* name : {"work_report", "parts_request", "view_offer", "work_to_relay",
+                           "relayed_work", "usage_report", "crash_news", "crash_news_to_relay"}) {
+    CAPTURE(name);
+    CHECK(is_same<PeerMessage>(corpus.at(name)));
+  }
+  // Their revisions name no life of the store.
+  CHECK_FALSE(wire::decode<PeerMessage>(corpus.at("view_update")));
+  CHECK_FALSE(wire::decode<PeerMessage>(corpus.at("update_to_relay")));
+}
+
+TEST_CASE("records in the store are read and written as the build before has them") {
+  const auto corpus = read_corpus();
+  CHECK(is_same<discovery::NodeRecord>(corpus.at("node_record")));
+  CHECK(is_same<duties::HolderRecord>(corpus.at("holder_record")));
+  CHECK(is_same<duties::HolderHistory>(corpus.at("holder_history")));
+  CHECK(is_same<usage::TenantCounts>(corpus.at("usage_counts")));
+  CHECK(is_same<quarantine::CrashReport>(corpus.at("crash_report")));
+}
+
+TEST_CASE("messages that the build before does not know begin with a kind that it has not got") {
+  constexpr std::size_t kKindsBefore = 10;
+  CHECK(PeerMessage(discovery::ViewUpdate()).index() >= kKindsBefore);
+  CHECK(PeerMessage(UpdateToRelay()).index() >= kKindsBefore);
+  CHECK(PeerMessage(NodeLeaving()).index() >= kKindsBefore);
+  CHECK(PeerMessage(NodeLeavingToRelay()).index() >= kKindsBefore);
+}
+
+TEST_CASE("kinds of builds to come, and bytes behind a known one, are left alone") {
+  CHECK(rc::check([](const std::string& bytes) {
+    const std::string of_tomorrow =
+        std::string(1, static_cast<char>(std::variant_size_v<PeerMessage>)) + bytes;
+    RC_ASSERT_FALSE(wire::decode<PeerMessage>(of_tomorrow).has_value());
+    const std::string longer = wire::encode(PeerMessage(NodeLeaving())) + "x" + bytes;
+    RC_ASSERT_FALSE(wire::decode<PeerMessage>(longer).has_value());
+  }));
+}
