--- a/src/discovery/fleet_watcher.cc
+++ b/src/discovery/fleet_watcher.cc
@@ -38,7 +38,8 @@
                                MonotonicTime asked) { return take_transfer(transfer, asked); }}),
       timer_(world.timers),
       peer_timer_(world.timers),
-      patience_timer_(world.timers) {}
+      waiting_(world.clock, world.timers, settings_.refresh_patience,
+               [this] { look_is_slow_ = looking_; }) {}
 
 void FleetWatcher::start() {
   look();
@@ -57,29 +58,13 @@
     done(false);
     return;
   }
-  waiting_.push_back(std::move(done));
-  if (!patience_timer_.armed()) {
-    limit_waiting();
-  }
+  waiting_.add(std::move(done));
   if (!looking_) {
     timer_.disarm();
     look();
   }
 }
 
-void FleetWatcher::limit_waiting() {
-  const MonotonicTime due = world_.clock.now() + settings_.refresh_patience;
-  patience_timer_.arm(settings_.refresh_patience, [this, due] {
-    if (world_.clock.now() - due > settings_.refresh_patience) {
-      // This node was held up itself: the answer may have come, and is read first.
-      limit_waiting();
-    } else {
-      look_is_slow_ = looking_;
-      answer_waiting(false);
-    }
-  });
-}
-
 void FleetWatcher::look() {
   looking_ = true;
   look_began_ = world_.clock.now();
@@ -355,7 +340,7 @@
     // The configuration is being read alone, and that answers them.
     return;
   }
-  answer_waiting(success && !too_old);
+  waiting_.answer(success && !too_old);
 }
 
 void FleetWatcher::note_store_state(bool reachable, std::string_view detail) {
@@ -371,13 +356,6 @@
   }
 }
 
-void FleetWatcher::answer_waiting(bool current) {
-  patience_timer_.disarm();
-  for (const auto& done : std::exchange(waiting_, {})) {
-    done(current);
-  }
-}
-
 /// A transfer's age counts from when it was asked for: the answer may have waited.
 bool FleetWatcher::take_transfer(const ViewTransfer& transfer, MonotonicTime asked) {
   const UpdateOutcome outcome = writer_.take_transfer(transfer);
@@ -474,7 +452,7 @@
   }
   configuration_at_ = at;
   if (!waiting_.empty() && world_.clock.now() - at < settings_.fresh_enough) {
-    answer_waiting(true);
+    waiting_.answer(true);
   }
 }
 
--- a/src/discovery/fleet_watcher.h
+++ b/src/discovery/fleet_watcher.h
@@ -13,6 +13,7 @@
 #include "discovery/fleet_lister.h"
 #include "discovery/look_schedule.h"
 #include "discovery/node_directory.h"
+#include "discovery/refresh_waiters.h"
 #include "discovery/view_fetcher.h"
 #include "discovery/view_transfer.h"
 #include "discovery/view_update.h"
@@ -129,9 +130,6 @@
   /// `as_of`: when the store was as the view is now, after a look that succeeded.
   void look_ended(LookResult result, MonotonicTime as_of, std::string_view detail);
   void note_store_state(bool reachable, std::string_view detail);
-  void answer_waiting(bool current);
-  /// Those who wait are told when they have waited for long enough.
-  void limit_waiting();
   /// The view turned out to be wrong; `holder` has another one.
   void distrust_view(const Endpoint& holder);
   void ask_peer_later();
@@ -157,7 +155,6 @@
   ViewFetcher fetcher_;
   Timer timer_;
   Timer peer_timer_;
-  Timer patience_timer_;                   ///< Of the requests that wait.
   std::optional<MonotonicTime> heard_at_;  ///< When another node's look was last heard of.
   /// Update that waits to be covered, and what is called then.
   struct Uncovered {
@@ -177,7 +174,7 @@
   std::optional<shared_store::ListPage> first_page_;
   std::optional<bool> connected_;              ///< How the last look ended; none before the first.
   std::optional<shared_store::StoreEra> era_;  ///< Of the view; none before the first.
-  std::vector<std::function<void(bool)>> waiting_;
+  RefreshWaiters waiting_;
   std::function<void()> current_;
   std::function<void()> new_era_;
   std::function<void(const ViewUpdate&)> share_;
