--- a/src/discovery/tests/shared_looks_test.cc
+++ b/src/discovery/tests/shared_looks_test.cc
@@ -34,57 +34,78 @@
 
 using View = std::map<std::string, bool>;  ///< Back end to whether it is draining.
 
-/// A store that remembers how it was at each revision.
+/// A store that remembers how it was at each revision, and may be set back to one.
 class RememberingStore {
  public:
+  RememberingStore() { past_[now_] = {}; }
+
   void write(const std::string& backend, std::optional<bool> draining) {
-    ++revision_;
+    now_ = now_.next();
     if (draining) {
-      now_[backend] = *draining;
+      state_.view[backend] = *draining;
     } else {
-      now_.erase(backend);
+      state_.view.erase(backend);
+    }
+    state_.written[backend] = now_.value();
+    past_[now_] = state_;
+  }
+  /// Comes back as it was so many changes ago, in another life.
+  void set_back(std::uint64_t changes) {
+    const std::uint64_t number = now_.value() - std::min(changes, now_.value());
+    state_ = past_.at(StoreRevision(number, now_.era()));
+    const shared_store::StoreEra era = now_.era().next();
+    // What the life before had up to there is the beginning of this one.
+    for (std::uint64_t i = 0; i <= number; ++i) {
+      past_[StoreRevision(i, era)] = past_.at(StoreRevision(i, now_.era()));
     }
-    written_[backend] = revision_;
-    past_[revision_] = now_;
+    now_ = StoreRevision(number, era);
   }
   Listing list() const {
     Listing listing;
-    listing.revision = StoreRevision(revision_);
-    for (const auto& [backend, draining] : now_) {
-      listing.items.push_back(item(backend, written_.at(backend)));
+    listing.revision = now_;
+    for (const auto& [backend, draining] : state_.view) {
+      listing.items.push_back(item(backend, state_.written.at(backend)));
     }
     return listing;
   }
-  /// Only the last change of each key, as a store tells it.
-  Changes changes_after(StoreRevision after) const {
+  /// Only the last change of each key, as a store tells it; none: of another life.
+  std::optional<Changes> changes_after(StoreRevision after) const {
+    if (after.era() != now_.era()) {
+      return std::nullopt;
+    }
     std::map<std::uint64_t, std::string> in_order;
-    for (const auto& [backend, revision] : written_) {
-      if (revision > after.value()) {
-        in_order[revision] = backend;
+    for (const auto& [backend, number] : state_.written) {
+      if (number > after.value()) {
+        in_order[number] = backend;
       }
     }
     Changes changes;
-    for (const auto& [revision, backend] : in_order) {
-      changes.changes.push_back(item(backend, revision));
+    for (const auto& [number, backend] : in_order) {
+      changes.changes.push_back(item(backend, number));
     }
     return changes;
   }
-  const View& at(StoreRevision revision) const { return past_.at(revision.value()); }
+  const View& at(StoreRevision revision) const { return past_.at(revision).view; }
+  const View& list_view() const { return state_.view; }
 
  private:
-  Change item(const std::string& backend, std::uint64_t revision) const {
-    const auto found = now_.find(backend);
+  struct State {
+    View view;
+    std::map<std::string, std::uint64_t> written;  ///< Numbers of the last changes.
+  };
+
+  Change item(const std::string& backend, std::uint64_t number) const {
+    const auto found = state_.view.find(backend);
     std::optional<std::string> value;
-    if (found != now_.end()) {
+    if (found != state_.view.end()) {
       value = found->second ? "draining" : "ready";
     }
-    return {"backends/" + backend, value, StoreRevision(revision)};
+    return {"backends/" + backend, value, StoreRevision(number, now_.era())};
   }
 
-  std::uint64_t revision_ = 0;
-  View now_;
-  std::map<std::string, std::uint64_t> written_;
-  std::map<std::uint64_t, View> past_{{0, {}}};
+  StoreRevision now_;
+  State state_;
+  std::map<StoreRevision, State> past_;
 };
 
 struct ViewingNode {
@@ -137,7 +158,7 @@
           break;
         default:
           ViewingNode& looker = *nodes[choice % 3];
-          looker.writer.take_changes(store.changes_after(*looker.writer.seen()));
+          looker.writer.take_changes(*store.changes_after(*looker.writer.seen()));
           for (const ViewUpdate& update : looker.writer.make_updates(0ms)) {
             for (std::size_t other = 0; other != nodes.size(); ++other) {
               const bool lost = ((choice >> 2U) & (1U << other)) != 0;
@@ -154,6 +175,67 @@
   }));
 }
 
+TEST_CASE("however often the store is set back, a view is the store's as it was in some life") {
+  CHECK(rc::check([](const std::vector<std::pair<std::uint8_t, std::uint8_t>>& steps) {
+    simulation::VirtualTime time;
+    const PlainCodec codec;
+    logging::NullLogger logger;
+    RememberingStore store;
+    std::vector<std::unique_ptr<ViewingNode>> nodes;
+    for (int i = 0; i != 3; ++i) {
+      nodes.push_back(std::make_unique<ViewingNode>(time, codec, logger));
+      nodes.back()->writer.take_listing(store.list());
+    }
+    std::vector<ViewUpdate> late;  ///< Come again, in whatever life of the store.
+    for (const auto& [what, choice] : steps) {
+      time.run_until(time.now() + 400ms);
+      const std::string backend(1, static_cast<char>('a' + choice % 3));
+      ViewingNode& looker = *nodes[choice % 3];
+      switch (what % 8) {
+        case 0:
+          store.write(backend, false);
+          break;
+        case 1:
+          store.write(backend, true);
+          break;
+        case 2:
+          store.write(backend, std::nullopt);
+          break;
+        case 3:
+          store.set_back(choice % 5);
+          break;
+        case 4:
+          for (const ViewUpdate& update : late) {
+            if (looker.writer.take_update(update) == UpdateOutcome::kDiffers) {
+              looker.writer.take_listing(store.list());
+            }
+          }
+          break;
+        default:
+          const auto changes = store.changes_after(*looker.writer.seen());
+          if (changes) {
+            looker.writer.take_changes(*changes);
+          } else {
+            RC_ASSERT(looker.writer.take_listing(store.list()));
+          }
+          late = looker.writer.make_updates(0ms);
+          for (const ViewUpdate& update : late) {
+            for (std::size_t other = 0; other != nodes.size(); ++other) {
+              const bool lost = ((choice >> 2U) & (1U << other)) != 0;
+              if (!lost && nodes[other]->writer.take_update(update) == UpdateOutcome::kDiffers) {
+                nodes[other]->writer.take_listing(store.list());
+              }
+            }
+          }
+          RC_ASSERT(looker.view() == store.list_view());
+      }
+      for (const auto& node : nodes) {
+        RC_ASSERT(node->view() == store.at(*node->writer.seen()));
+      }
+    }
+  }));
+}
+
 TEST_CASE("a log that is too long or too old tells less, and says from where on") {
   ChangeLog log;
   const MonotonicTime start{};
@@ -303,7 +385,7 @@
   for (int i = 0; i != 60; ++i) {
     store.write("b" + std::to_string(i), false);
   }
-  looker.writer.take_changes(store.changes_after(StoreRevision(0)));
+  looker.writer.take_changes(*store.changes_after(StoreRevision(0)));
   const std::vector<ViewUpdate> updates = looker.writer.make_updates(0ms);
   REQUIRE(updates.size() == 3);
   CHECK(hearer.writer.take_update(updates[0]) == UpdateOutcome::kTaken);
