A stop is told until the process ends; near its end a node refuses what may outlast it

A node got its stop signal while the store was out, so its registration stayed; a node that started 5 s later found it in the store and named it again, and a caller on a kept connection was served 6.3 s after the signal and cut 1.2 s later, as the process ended.

Now the lease is ended again and again until the store answers, the other nodes are told every 300 ms until the process ends, and once callers have had time to notice, a request that may last longer than the process gets 503 at once.

--- a/src/discovery/node_registration.cc
+++ b/src/discovery/node_registration.cc
@@ -117,10 +117,20 @@
 void NodeRegistration::leave() {
   left_ = true;
   timer_.disarm();
-  if (!lease_) {
-    return;
+  if (lease_) {
+    end_lease();
   }
-  store_.end_lease(*std::exchange(lease_, std::nullopt), [](auto) {});
+}
+
+/// Again and again while the store is out: until the lease lapses, a node that starts is told by
+/// the store that this one is there.
+void NodeRegistration::end_lease() {
+  store_.end_lease(*lease_, [this](auto result) {
+    const bool over = result || result.error().code == StoreErrc::kNotFound;
+    if (!over) {
+      timer_.arm(settings_.retry, [this] { end_lease(); });
+    }
+  });
 }
 
 }  // namespace ochrespring::discovery
--- a/src/discovery/node_registration.h
+++ b/src/discovery/node_registration.h
@@ -47,6 +47,7 @@
   void grant();
   void publish();
   void renew();
+  void end_lease();
   void again(Duration pause);
   void again_after_failure();
 
--- a/src/discovery/tests/discovery_test.cc
+++ b/src/discovery/tests/discovery_test.cc
@@ -234,6 +234,21 @@
   CHECK(world.store.renewals.empty());
 }
 
+TEST_CASE("a node that leaves ends its lease once the store answers") {
+  RegistrationFixture world;
+  world.register_node();
+  world.store.answers_ends = false;
+  world.registration.leave();
+  world.advance(3s);
+  CHECK(world.store.ended.size() > 3);
+  world.store.answers_ends = true;
+  world.advance(1s);
+  const std::size_t tries = world.store.ended.size();
+  world.advance(10s);
+  CHECK(world.store.ended.size() == tries);
+  CHECK(world.store.renewals.empty());
+}
+
 TEST_CASE("a lease that is over is replaced, and the record written again") {
   RegistrationFixture world;
   world.register_node();
--- a/src/discovery/tests/played_store.h
+++ b/src/discovery/tests/played_store.h
@@ -68,10 +68,16 @@
   void renew_lease(shared_store::LeaseId /*lease*/, Callback<shared_store::LeaseId> done) override {
     renewals.push_back(std::move(done));
   }
-  void end_lease(shared_store::LeaseId lease, Callback<shared_store::LeaseId> /*done*/) override {
+  void end_lease(shared_store::LeaseId lease, Callback<shared_store::LeaseId> done) override {
     ended.push_back(lease);
+    if (answers_ends) {
+      done(lease);
+    } else {
+      done(fail(shared_store::StoreErrc::kNotDone, "out"));
+    }
   }
 
+  bool answers_ends = true;  ///< Of leases: these are answered at once.
   std::deque<Callback<shared_store::Listing>> lists;
   std::deque<ChangesCall> changes_calls;
   std::deque<PutCall> puts;
--- a/src/gateway/environment.h
+++ b/src/gateway/environment.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 #include "base/random.h"
 #include "base/time.h"
@@ -40,6 +41,8 @@
   /// Called when a request of a tenant is seen to have begun to run, that long ago; may be empty.
   std::function<void(const TenantName& tenant, Duration ago)> note_run{};
   RequestGuard* guard = nullptr;  ///< Null: requests that end back ends are not kept from others.
+  /// The process ends then, whatever runs; none: not before long.
+  std::optional<MonotonicTime> ends_at{};
 };
 
 }  // namespace ochrespring::gateway
--- a/src/gateway/failure_answer.h
+++ b/src/gateway/failure_answer.h
@@ -22,6 +22,7 @@
   kBroken,           ///< An attempt broke off; it may have run.
   kTimeout,
   kQuarantined,  ///< Back ends have ended under it.
+  kStopping,     ///< This node ends before the request may.
 };
 
 /// Name of a reason in logs and answers.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -23,6 +23,10 @@
   std::size_t running() const { return sessions_.size(); }
   /// The request has come to be quarantined; of those running, it ends where it still waits.
   void on_quarantined(const RequestFingerprint& request);
+  /// The process ends at `end`. A request that comes from now on and may last longer is refused at
+  /// once, so that its caller goes elsewhere: 1.2 s into its answer it would be cut, at a node
+  /// whose callers had 6 s to notice and had kept a connection all the same.
+  void end_at(MonotonicTime end) { environment_.ends_at = end; }
   /// Called whenever the last running request has ended.
   void on_idle(std::function<void()> callback) { idle_ = std::move(callback); }
 
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -81,6 +81,10 @@
       self->attempt_->exchange->set_reading(true);
     }
   });
+  if (environment_.ends_at && deadline_ > *environment_.ends_at) {
+    give_up(FailureReason::kStopping);
+    return;
+  }
   deadline_timer_.arm(deadline_ - arrived_, [this] { on_deadline(); });
   dispatch();
 }
@@ -546,6 +550,10 @@
   if (reason == FailureReason::kQuarantined) {
     return environment_.guard->retry_after(fingerprint());
   }
+  if (reason == FailureReason::kStopping) {
+    // Other nodes serve it now.
+    return {};
+  }
   return from_seconds(kRetryAfterObjectives * to_seconds(route_.target_latency));
 }
 
--- a/src/gateway/tests/request_session_test.cc
+++ b/src/gateway/tests/request_session_test.cc
@@ -148,6 +148,20 @@
   CHECK_FALSE(exchange->open);
 }
 
+TEST_CASE("a node that is about to end refuses what may outlast it, and serves the rest") {
+  GatewayFixture world;
+  world.add_backend("a", "relay");
+  world.gateway.end_at(world.time.now() + 1s);
+  const auto longer = world.send("/once/");
+  CHECK(longer->head.status == 503);
+  CHECK(longer->header("retry-after") == "0.020000");
+  CHECK(world.sends() == 0);
+  const auto shorter = world.send("/once/", {{world.names.deadline, "900"}});
+  CHECK(world.sends() == 1);
+  world.last().answer(200, {world.signature()}, "done");
+  CHECK(shorter->head.status == 200);
+}
+
 TEST_CASE("a caller that leaves stops the work, and nothing is sent for it any more") {
   GatewayFixture world;
   world.add_backend("b1", "relay");
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -110,7 +110,7 @@
       callers_(loop, server_at(settings_.listen)),
       ready_(loop, server_at(settings_.ready_listen)),
       directory_(loop, server_at(settings_.directory_listen)),
-      stop_(loop, {[this] { leave(); }, [this] { callers_.stop_accepting(); }, [this] { finish(); },
+      stop_(loop, {[this] { leave(); }, [this] { stop_accepting(); }, [this] { finish(); },
                    [this] { return gateway_.running(); }}) {}
 
 Result<void, http::HttpError> GatewayNode::start() {
@@ -220,6 +220,9 @@
 void GatewayNode::stop() {
   StopTimes times;
   times.grace = std::max<Duration>(settings_.stop_grace - kGraceMargin, kGraceMargin);
+  if (!stop_.begun()) {
+    ends_at_ = clock_.now() + times.grace;
+  }
   stop_.begin(times);
 }
 
@@ -235,6 +238,13 @@
   callers_.announce_close();
 }
 
+/// Callers have had time to notice; those that use a kept connection still are told to go
+/// elsewhere.
+void GatewayNode::stop_accepting() {
+  callers_.stop_accepting();
+  gateway_.end_at(ends_at_);
+}
+
 void GatewayNode::finish() {
   duties_.finish();
   logger_.write({logging::Level::kInfo,
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -52,6 +52,7 @@
   void fetch_body(http::ClientRequest request, std::function<void(std::string body)> done);
   void apply_limits();
   void leave();
+  void stop_accepting();
   void finish();
 
   http::EventLoop& loop_;
@@ -84,6 +85,7 @@
   http::Server directory_;
   std::unique_ptr<http::Server> metrics_server_;
   metrics::MetricsRegistry metrics_;
+  MonotonicTime ends_at_{};  ///< Once a stop has begun.
   StopSequence stop_;
 };
 
--- a/src/gateway_node/peer_news.cc
+++ b/src/gateway_node/peer_news.cc
@@ -10,8 +10,9 @@
 /// Between two offers of this node's view while the store is out: a node that has just started
 /// waits about this long for a view.
 constexpr Duration kOfferPeriod = std::chrono::milliseconds(500);
-/// Between two times that this node tells that it leaves: callers ask for nodes every few seconds.
-constexpr Duration kLeavingPause = std::chrono::milliseconds(150);
+/// Between two times that this node tells that it leaves: callers ask for nodes every few seconds,
+/// and a stop takes 7.5 s at most.
+constexpr Duration kLeavingPause = std::chrono::milliseconds(300);
 /// How many others a node that starts asks what engines keep; any of them may be starting, too.
 constexpr std::size_t kPeersAsked = 3;
 
@@ -176,12 +177,9 @@
   offer_timer_.arm(kOfferPeriod, [this] { offer_view(); });
 }
 
-void PeerNews::tell_leaving(shared_store::StoreRevision registered, int times) {
+void PeerNews::tell_leaving(shared_store::StoreRevision registered) {
   channel_.tell_leaving({world_.nodes.self().node, registered});
-  if (times > 1) {
-    leaving_timer_.arm(kLeavingPause,
-                       [this, registered, times] { tell_leaving(registered, times - 1); });
-  }
+  leaving_timer_.arm(kLeavingPause, [this, registered] { tell_leaving(registered); });
 }
 
 void PeerNews::add_metrics(metrics::SampleSink& sink) const {
--- a/src/gateway_node/peer_news.h
+++ b/src/gateway_node/peer_news.h
@@ -55,9 +55,10 @@
   /// A back end has gone.
   void forget(const gateway::BackendId& backend) { peer_work_.forget(backend); }
   void add_metrics(metrics::SampleSink& sink) const;
-  /// This node, registered at a revision of the store, takes no more requests. Told some times
-  /// over: a datagram may be lost.
-  void tell_leaving(shared_store::StoreRevision registered, int times = kLeavingTold);
+  /// This node, registered at a revision of the store, takes no more requests. Told again and again
+  /// until the process ends: a datagram may be lost, and a node that starts meanwhile may find the
+  /// registration in a store that has been out.
+  void tell_leaving(shared_store::StoreRevision registered);
   void tell_usage(const usage::UsageReport& report) { channel_.tell_usage(report); }
   /// `callback` takes other nodes' usage.
   void on_usage(std::function<void(const usage::UsageReport&)> callback) {
@@ -77,9 +78,6 @@
   bool relays_here() const { return channel_.relays_here(); }
 
  private:
-  /// Of a hundred datagrams one is lost, in a bad hour five: three in a row hardly ever.
-  static constexpr int kLeavingTold = 3;
-
   PeerHandlers make_handlers();
   void listen_to_loads();
   /// Whether a registered back end is a model engine; only of these nodes tell each other.
--- a/src/gateway_node/tests/large_fleet.h
+++ b/src/gateway_node/tests/large_fleet.h
@@ -259,6 +259,15 @@
     start();
   }
 
+  /// One process is killed and starts again.
+  void restart(std::size_t index) {
+    retired_.push_back(std::move(nodes[index]));
+    retired_.back()->cut_off = true;
+    nodes[index] = std::make_unique<FleetNode>(*this, static_cast<int>(index), kZones[index % 5]);
+    register_node(*nodes[index]);
+    nodes[index]->start();
+  }
+
   /// All nodes start within 0.3 s and register.
   void start() {
     for (const auto& node : nodes) {
--- a/src/gateway_node/tests/planned_stop_test.cc
+++ b/src/gateway_node/tests/planned_stop_test.cc
@@ -74,3 +74,18 @@
   fleet.advance(1s);
   CHECK(fleet.count([&](const FleetNode& node) { return node.nodes.others().contains(id); }) == 0);
 }
+
+// Seen a second time at a node that had told all others at once: one that started 5 s later found
+// the registration in the store, which had been out when it was to be taken back, and named it.
+TEST_CASE("a node that starts while another stops does not name it, whatever the store lists") {
+  LargeFleet fleet(8, 0.0);
+  fleet.start();
+  const NodeId id = fleet.nodes[3]->record.node;
+  fleet.state.down = true;
+  fleet.nodes[3]->leave();
+  fleet.advance(4s);
+  fleet.state.down = false;
+  fleet.restart(5);
+  fleet.advance(1s);
+  CHECK(count_naming(fleet, id) == 0);
+}
