Servers that are soon back under their names do not clear what ended them

A server that has started again under its name answers before the views show its new life, and was taken for the one that had ended: "it answers, so a way to it was cut". Where lives of one name are told apart, the request is cleared only once a view that is current long enough after the answer still has the same life.

--- a/src/gateway/backend_life.h
+++ b/src/gateway/backend_life.h
@@ -25,6 +25,11 @@
   return BackendId(std::move(id));
 }
 
+/// Whether lives under its name are told apart: another may answer where this one did.
+inline bool may_be_reborn(const BackendId& id) {
+  return id.value().find('@') != std::string::npos;
+}
+
 /// What the back end itself goes by.
 inline std::string_view name_of(const BackendId& id) {
   return std::string_view(id.value()).substr(0, id.value().rfind('@'));
--- a/src/gateway_node/tests/crash_fleet.h
+++ b/src/gateway_node/tests/crash_fleet.h
@@ -16,6 +16,7 @@
 
 #include "base/random.h"
 #include "discovery/fleet_watcher.h"
+#include "gateway/backend_life.h"
 #include "gateway/gateway.h"
 #include "gateway/tests/gateway_fixture.h"
 #include "gateway_node/peer_news.h"
@@ -162,6 +163,7 @@
   std::uint64_t seed = 7;
   std::uint32_t relay_from_nodes = 48;
   bool still_clock = false;  ///< Nodes go by a clock that stands still while they are suspended.
+  bool reborn = false;       ///< Servers start again soon, under their names.
   bool guarded = true;       ///< Without: what the quarantine is worth.
 };
 
@@ -272,12 +274,17 @@
       const auto code = exchange->head_sent ? http::HttpErrc::kTruncated : http::HttpErrc::kReset;
       exchange->tell([code](auto& observer) { observer.on_failure({code, "ended"}, true); });
     }
-    time.schedule_after(3600ms, [this, id] { state.remove("backends/" + id); });
-    time.schedule_after(draw(2s, 3500ms), [this, &server] {
+    if (!options_.reborn) {
+      time.schedule_after(3600ms, [this, id] { state.remove("backends/" + id); });
+    }
+    const Duration away = options_.reborn ? draw(300ms, 1200ms) : draw(2s, 3500ms);
+    time.schedule_after(away, [this, &server] {
       ++server.lives;
       name(server);
       server.alive = true;
-      time.schedule_after(200ms, [this, &server] { register_server(server); });
+      // At once, or, should that call be lost, with the next heartbeat.
+      const Duration until_registered = options_.reborn ? draw(200ms, 1200ms) : Duration(200ms);
+      time.schedule_after(until_registered, [this, &server] { register_server(server); });
     });
   }
 
@@ -428,12 +435,15 @@
       register_server(*servers.back());
     }
   }
-  static void name(PlayedServer& server) {
-    server.backend.id = gateway::BackendId("i-" + server.backend.address.value() + "-" +
-                                           std::to_string(server.lives));
+  void name(PlayedServer& server) const {
+    const std::string base = "i-" + server.backend.address.value();
+    server.backend.id = options_.reborn
+                            ? gateway::make_backend_id(base, server.lives)
+                            : gateway::BackendId(base + "-" + std::to_string(server.lives));
   }
   void register_server(const PlayedServer& server) {
-    write("backends/" + server.backend.id.value(), wire::encode(server.backend));
+    write("backends/" + std::string(gateway::name_of(server.backend.id)),
+          wire::encode(server.backend));
   }
   void start_node(std::size_t number) {
     nodes[number] = std::make_unique<CrashNode>(*this, number, ++node_lives_);
@@ -450,7 +460,7 @@
     const auto header = [&](const std::string& wanted) {
       return http::find_header(exchange->request.headers, wanted);
     };
-    if (header(names.expected_instance) != server.backend.id.value()) {
+    if (header(names.expected_instance) != gateway::name_of(server.backend.id)) {
       answer(server, exchange, 421, {}, "");
       return;
     }
--- a/src/gateway_node/tests/crashing_request_test.cc
+++ b/src/gateway_node/tests/crashing_request_test.cc
@@ -288,3 +288,20 @@
     }
   }
 }
+
+// A request that ends its servers reached six more after the third, at nodes in touch. Each of its
+// servers started again under its name within a second and answered other requests while the nodes'
+// views still showed the life before: taken for that one, it had not ended, and the request was
+// cleared again and again. Evidence: the log's ends of that request, each excused within a second.
+TEST_CASE("servers that are soon back under their names do not clear what ended them") {
+  for (const std::uint64_t seed : {7, 8, 9, 10, 11, 12}) {
+    CAPTURE(seed);
+    CrashFleet fleet({.seed = seed, .reborn = true});
+    fleet.traffic(60, 30s);
+    send_guilty(fleet, 2, 30s);
+    fleet.advance(35s);
+    MESSAGE("ends " << fleet.ends["guilty-0"].size() << " and " << fleet.ends["guilty-1"].size()
+                    << ", late sends " << most_late_sends(fleet));
+    CHECK(most_late_sends(fleet) <= kMostLateSends);
+  }
+}
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/backend_life.h"
 #include "wire/codec.h"
 
 namespace ochrespring::quarantine {
@@ -31,6 +32,11 @@
 /// Nodes of a fleet that make the store forget what is too old, on average; what all leave there is
 /// learnt anew by the next node that starts, and forgotten later.
 constexpr double kForgetters = 3;
+/// A server registers when it starts, and the latest with its next heartbeat (1.2 s as deployed): a
+/// view that is current by then shows its new life.
+constexpr Duration kLifeShown = milliseconds(1500);
+/// Between two looks at whether a view shows that yet.
+constexpr Duration kClearingPause = milliseconds(500);
 /// Between two looks for what is too old.
 constexpr Duration kSweepPause = seconds(5);
 
@@ -47,6 +53,7 @@
       relay_(world.clock, world.timers, ledger_, {.gather = options.relay_gather, .repeats = 0},
              std::move(links.tell_zone)),
       store_(world.store, options.key_prefix),
+      clearing_timer_(world.timers),
       save_timer_(world.timers),
       sweep_timer_(world.timers) {}
 
@@ -136,17 +143,57 @@
     remove_stored(attempt.request);
     review(attempt.request);
   }
-  const std::vector<Request> held = ledger_.held_against(attempt.backend, attempt.started);
+  if (ledger_.held_against(attempt.backend, attempt.started).empty()) {
+    return;
+  }
+  if (gateway::may_be_reborn(attempt.backend)) {
+    clear_later(attempt.backend, attempt.started);
+  } else {
+    clear(attempt.backend, attempt.started);
+  }
+}
+
+void Quarantine::clear(const gateway::BackendId& server, MonotonicTime started) {
+  const std::vector<Request> held = ledger_.held_against(server, started);
   if (held.empty()) {
     return;
   }
-  ledger_.excuse_server(attempt.backend);
+  ledger_.excuse_server(server);
   for (const Request& request : held) {
     announcer_.note_change(request);
     review(request);
   }
 }
 
+/// A server that started again under its name answers to the name before the view shows its new
+/// life. Taken for the one that had ended, it cleared the request under which it had: that reached
+/// six servers more.
+void Quarantine::clear_later(const gateway::BackendId& server, MonotonicTime started) {
+  unclear_.try_emplace(server, UnclearEnd{.started = started, .answered = world_.clock.now()});
+  if (!clearing_timer_.armed()) {
+    clearing_timer_.arm(kClearingPause, [this] { settle_unclear(); });
+  }
+}
+
+void Quarantine::settle_unclear() {
+  const auto current_at = world_.fleet.current_at();
+  for (auto entry = unclear_.begin(); entry != unclear_.end();) {
+    const auto& [server, end] = *entry;
+    const bool shown = current_at && *current_at >= end.answered + kLifeShown;
+    if (!shown) {
+      ++entry;
+      continue;
+    }
+    if (world_.fleet.find(server) != nullptr) {
+      clear(server, end.started);
+    }
+    entry = unclear_.erase(entry);
+  }
+  if (!unclear_.empty()) {
+    clearing_timer_.arm(kClearingPause, [this] { settle_unclear(); });
+  }
+}
+
 void Quarantine::take(const CrashNews& news) {
   merge(news);
 }
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -78,7 +78,10 @@
   /// The store may have lost what was written there: it is written again.
   void on_store_set_back();
   /// A server's entry has gone from the view.
-  void note_gone(const gateway::Backend& server) { watch_.note_gone(server); }
+  void note_gone(const gateway::Backend& server) {
+    unclear_.erase(server.id);
+    watch_.note_gone(server);
+  }
   /// For a node that has started.
   void tell_all(const CrashAnnouncer::Send& send) const { announcer_.tell_all(send); }
   /// Called when a request has come to be quarantined.
@@ -94,6 +97,11 @@
   void note_ended(const gateway::BackendId& server,
                   const std::vector<gateway::BrokenAttempt>& attempts);
   void merge(const CrashNews& news);
+  /// A server that answers an attempt begun at `started` has not ended before: a way to it was cut.
+  void clear(const gateway::BackendId& server, MonotonicTime started);
+  /// As clear(), unless it turns out to be another life of the server that answered.
+  void clear_later(const gateway::BackendId& server, MonotonicTime started);
+  void settle_unclear();
   /// What is known of a request has changed.
   void review(const Request& request);
   void release(const Request& request);
@@ -115,6 +123,13 @@
   std::set<Request> quarantined_;
   std::map<Request, MonotonicTime> claimed_at_;  ///< Last claims of trials, of this node.
   std::set<Request> unsaved_;
+  /// Servers that have answered although they were seen to end, and the newest such attempt.
+  struct UnclearEnd {
+    MonotonicTime started{};
+    MonotonicTime answered{};
+  };
+  std::map<gateway::BackendId, UnclearEnd> unclear_;
+  Timer clearing_timer_;
   Timer save_timer_;
   Timer sweep_timer_;
   std::function<void(const Request&)> quarantined_callback_;
