Usage that was told is written down again when the store comes back without it

What is told is written down first, so that a later holder tells the same; a store set back loses it. Whoever knows what was written writes it again, under the condition that the key is absent. The test fails without that.

--- a/src/gateway_node/node_duties.cc
+++ b/src/gateway_node/node_duties.cc
@@ -99,6 +99,13 @@
   lease_.stop();
 }
 
+void NodeDuties::on_store_set_back() {
+  lease_.on_store_set_back();
+  if (reporter_) {
+    reporter_->on_store_set_back();
+  }
+}
+
 void NodeDuties::add_metrics(metrics::SampleSink& sink) const {
   sink.gauge({"duties_held", "Whether this node may act for all"}, lease_.fence() ? 1 : 0);
   sink.counter({"duties_gained", "Times this node began to hold the duties"},
--- a/src/gateway_node/node_duties.h
+++ b/src/gateway_node/node_duties.h
@@ -58,7 +58,7 @@
   /// This node takes no more requests.
   void leave();
   /// The store has come back from an older copy.
-  void on_store_set_back() { lease_.on_store_set_back(); }
+  void on_store_set_back();
   /// The process is about to end.
   void finish() { tell_usage(); }
   void add_metrics(metrics::SampleSink& sink) const;
--- a/src/usage/tests/usage_reporter_test.cc
+++ b/src/usage/tests/usage_reporter_test.cc
@@ -237,3 +237,29 @@
     }
   }));
 }
+
+// A window was reported twice with other counts, in a fleet whose store had been set back: what had
+// been written down before it was told was lost, and the next holder wrote what it had heard
+// itself.
+TEST_CASE("what was told stays as it was when the store comes back without it") {
+  ReporterFixture world;
+  world.advance(9s);
+  const StoreState::Copy copy = world.state.copy();
+  const std::size_t told = world.sink.told.size();
+  while (world.sink.told.size() == told) {
+    world.advance(50ms);
+  }
+  const WindowNumber last = world.sink.told.rbegin()->first;
+  // Another node heard of more runs of that window.
+  world.nodes[1]->tally.take({NodeId("late"), 9, {{last, {{kTenant, 5}}}}});
+  world.state.set_back_to(copy);
+  for (const auto& node : world.nodes) {
+    node->lease.on_store_set_back();
+    node->reporter.on_store_set_back();
+  }
+  world.alive[0] = false;
+  world.nodes[0]->lease.stop();
+  world.advance(12s);
+  CHECK(world.nodes[1]->lease.times_gained() == 1);
+  CHECK_FALSE(world.sink.differed);
+}
--- a/src/usage/usage_reporter.cc
+++ b/src/usage/usage_reporter.cc
@@ -137,6 +137,22 @@
                       });
 }
 
+void UsageReporter::on_store_set_back() {
+  listed_ = false;
+  for (const auto& [window, counts] : written_) {
+    world_.store.commit({.conditions = {{key_of(window), {}}},
+                         .writes = {{key_of(window), wire::encode(counts), std::nullopt}},
+                         .removals = {}},
+                        [this, window](const auto& result) {
+                          const bool there =
+                              result || result.error().code == shared_store::StoreErrc::kConflict;
+                          if (!there) {
+                            log("usage not written down again", window, result.error().message);
+                          }
+                        });
+  }
+}
+
 std::vector<std::string> UsageReporter::keys_to_remove() const {
   std::vector<std::string> keys;
   for (const auto& [window, counts] : written_) {
--- a/src/usage/usage_reporter.h
+++ b/src/usage/usage_reporter.h
@@ -62,6 +62,9 @@
   void start();
   /// This node has begun to hold the duties: what others have written is to be read first.
   void on_gained() { listed_ = false; }
+  /// The store may have lost what was written down: it is written again as it was, by any node that
+  /// knows, before another can write what it has heard, which may differ from what was told.
+  void on_store_set_back();
   const UsageReporterStatistics& statistics() const { return statistics_; }
 
  private:
