--- a/src/usage/usage_reporter.cc
+++ b/src/usage/usage_reporter.cc
@@ -143,7 +143,7 @@
     world_.store.commit({.conditions = {{key_of(window), {}}},
                          .writes = {{key_of(window), wire::encode(counts), std::nullopt}},
                          .removals = {}},
-                        [this, window](const auto& result) {
+                        [this, window = window](const auto& result) {
                           const bool there =
                               result || result.error().code == shared_store::StoreErrc::kConflict;
                           if (!there) {
