A request that waits for a newer configuration counts as held: a stop awaits it, and near the end none begins to wait

Cause: the gateway handed such a request to the refresh of the view, where it waits up to 400 ms; what the stop asked for counted sessions alone, so the node took itself for idle and ended. Shown by held_requests on a whole node: sent 3.48 s after the signal while the store is silent, the caller gets nothing; with the mend a 503 at once.

Mend: the gateway owns the waiting request and counts it in the one figure that stop, log lines and metrics read; a caller that leaves takes it out. Once callers have had time to notice a stop, a request that would have to wait is refused as not run, with leave to go elsewhere at once.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -12,6 +12,17 @@
 /// When to come back to a node that has no configuration yet.
 constexpr Duration kRetryAfterStart = std::chrono::milliseconds(300);
 
+std::uint64_t& counter_of(FailureReason reason, GatewayStatistics& statistics) {
+  switch (reason) {
+    case FailureReason::kUnknownKey:
+      return statistics.unknown_key;
+    case FailureReason::kStopping:
+      return statistics.refused;
+    default:
+      return statistics.no_route;
+  }
+}
+
 }  // namespace
 
 Gateway::Gateway(Environment environment, Refresh refresh)
@@ -23,20 +34,49 @@
     start(admission, std::move(request), std::move(writer));
     return;
   }
-  // Only the newest configuration can tell that there is no such route or key. However many such
-  // requests come, they cost one look at the store in three quarters of the configuration's bound.
-  refresh_([this, request = std::move(request), writer = std::move(writer)](bool current) mutable {
-    if (writer->closed()) {
-      return;
-    }
-    const Admission admission = look_up(request);
-    if (admission.allowed()) {
-      start(admission, std::move(request), std::move(writer));
-      return;
-    }
-    const bool known = current && environment_.fleet.routes() != nullptr;
-    refuse(request, *writer, known ? admission.refusal() : FailureReason::kNoConfiguration);
+  if (environment_.ends_at) {
+    refuse(request, *writer, FailureReason::kStopping);
+    return;
+  }
+  await_configuration(std::move(request), std::move(writer));
+}
+
+/// Only the newest configuration can tell that there is no such route or key. However many such
+/// requests come, they cost one look at the store in three quarters of the configuration's bound.
+void Gateway::await_configuration(http::Request request,
+                                  std::shared_ptr<http::ResponseWriter> writer) {
+  const std::uint64_t number = next_waiting_++;
+  writer->on_closed([this, number] {
+    ++environment_.statistics.caller_gone;
+    waiting_.erase(number);
+    note_ended();
   });
+  waiting_.emplace(number, WaitingRequest{std::move(request), std::move(writer)});
+  refresh_([this, number](bool current) { on_refreshed(number, current); });
+}
+
+void Gateway::on_refreshed(std::uint64_t number, bool current) {
+  auto found = waiting_.extract(number);
+  if (found.empty()) {
+    return;
+  }
+  WaitingRequest& waited = found.mapped();
+  waited.writer->on_closed(nullptr);
+  const Admission admission = look_up(waited.request);
+  if (admission.allowed()) {
+    start(admission, std::move(waited.request), std::move(waited.writer));
+    return;
+  }
+  const bool known = current && environment_.fleet.routes() != nullptr;
+  refuse(waited.request, *waited.writer,
+         known ? admission.refusal() : FailureReason::kNoConfiguration);
+  note_ended();
+}
+
+void Gateway::note_ended() {
+  if (running() == 0 && idle_) {
+    idle_();
+  }
 }
 
 /// By the configuration in force.
@@ -60,9 +100,7 @@
   sessions_.insert(session);
   session->begin([this, raw = session.get()] {
     sessions_.erase(raw->shared_from_this());
-    if (sessions_.empty() && idle_) {
-      idle_();
-    }
+    note_ended();
   });
 }
 
@@ -76,11 +114,12 @@
 
 void Gateway::refuse(const http::Request& request, http::ResponseWriter& writer,
                      FailureReason reason) {
-  GatewayStatistics& statistics = environment_.statistics;
-  ++(reason == FailureReason::kUnknownKey ? statistics.unknown_key : statistics.no_route);
+  ++counter_of(reason, environment_.statistics);
   const std::string id(http::find_header(request.headers, environment_.names.request_id));
+  // Another node serves it now.
+  const Duration retry_after = reason == FailureReason::kStopping ? Duration() : kRetryAfterStart;
   FailureAnswer answer =
-      make_failure_answer(reason, false, kRetryAfterStart, {environment_.names.request_id, id});
+      make_failure_answer(reason, false, retry_after, {environment_.names.request_id, id});
   environment_.logger.write({logging::Level::kInfo,
                              "gateway",
                              "request ended",
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,7 +1,9 @@
 // The gateway of one node: takes callers' requests and sees each to its end.
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <unordered_set>
 
@@ -14,23 +16,42 @@
 /// Brings the fleet state up to date, then calls back with whether it is the newest.
 using Refresh = std::function<void(std::function<void(bool current)> done)>;
 
+/// Requests that a gateway holds, by what they wait for.
+struct HeldRequests {
+  std::size_t at_configuration = 0;  ///< Whether there is a newer one.
+  std::size_t at_back_ends = 0;      ///< An answer, or the rest of one; or leave to be sent.
+
+  std::size_t total() const { return at_configuration + at_back_ends; }
+};
+
 /// Used on one loop; outlives its requests only if destroyed after the loop has stopped.
 class Gateway {
  public:
   Gateway(Environment environment, Refresh refresh);
 
   void handle(http::Request request, std::shared_ptr<http::ResponseWriter> writer);
-  std::size_t running() const { return sessions_.size(); }
+  /// All that have been handed over and have no final answer yet.
+  HeldRequests held() const { return {waiting_.size(), sessions_.size()}; }
+  std::size_t running() const { return held().total(); }
   /// The request has come to be quarantined; of those running, it ends where it still waits.
   void on_quarantined(const RequestFingerprint& request);
-  /// The process ends at `end`. A request that comes from now on and may last longer is refused at
-  /// once, so that its caller goes elsewhere: 1.2 s into its answer it would be cut, at a node
-  /// whose callers had 6 s to notice and had kept a connection all the same.
+  /// The process ends at `end`. A request that comes from now on and may last longer, or would have
+  /// to wait for a newer configuration, is refused at once, so that its caller goes elsewhere: 1.2
+  /// s into its answer it would be cut, at a node whose callers had 6 s to notice and had kept a
+  /// connection all the same.
   void end_at(MonotonicTime end) { environment_.ends_at = end; }
-  /// Called whenever the last running request has ended.
+  /// Called whenever the last request that was held has ended.
   void on_idle(std::function<void()> callback) { idle_ = std::move(callback); }
 
  private:
+  struct WaitingRequest {
+    http::Request request;
+    std::shared_ptr<http::ResponseWriter> writer;
+  };
+
+  void await_configuration(http::Request request, std::shared_ptr<http::ResponseWriter> writer);
+  void on_refreshed(std::uint64_t number, bool current);
+  void note_ended();
   Admission look_up(const http::Request& request) const;
   void start(const Admission& admission, http::Request request,
              std::shared_ptr<http::ResponseWriter> writer);
@@ -38,6 +59,9 @@
 
   Environment environment_;
   Refresh refresh_;
+  /// Held here and not by the refresh alone: a stop has to know of them.
+  std::map<std::uint64_t, WaitingRequest> waiting_;
+  std::uint64_t next_waiting_ = 0;
   std::unordered_set<std::shared_ptr<RequestSession>> sessions_;
   std::function<void()> idle_;
 };
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -28,6 +28,13 @@
   return settings;
 }
 
+/// What holds the requests that have no final answer yet.
+std::vector<logging::Field> held_fields(const gateway::HeldRequests& held) {
+  return {{"running", static_cast<std::uint64_t>(held.total())},
+          {"at_configuration", static_cast<std::uint64_t>(held.at_configuration)},
+          {"at_back_ends", static_cast<std::uint64_t>(held.at_back_ends)}};
+}
+
 /// The seeds, which all nodes ask first, list the store when they start; the others ask them.
 discovery::FleetWatcherSettings watcher_settings(const Settings& settings) {
   auto made =
@@ -227,10 +234,8 @@
 }
 
 void GatewayNode::leave() {
-  logger_.write({logging::Level::kInfo,
-                 kComponent,
-                 "stop requested",
-                 {{"running", static_cast<std::uint64_t>(gateway_.running())}}});
+  logger_.write(
+      {logging::Level::kInfo, kComponent, "stop requested", held_fields(gateway_.held())});
   duties_.leave();
   nodes_.leave();
   peer_news_.tell_leaving(registration_.registered());
@@ -247,10 +252,7 @@
 
 void GatewayNode::finish() {
   duties_.finish();
-  logger_.write({logging::Level::kInfo,
-                 kComponent,
-                 "stopped",
-                 {{"running", static_cast<std::uint64_t>(gateway_.running())}}});
+  logger_.write({logging::Level::kInfo, kComponent, "stopped", held_fields(gateway_.held())});
   loop_.stop();
 }
 
