A stop counts requests where their bytes are: from the first one read to the last one handed to the kernel

Cause: what the stop asked for was what the gateway held. A request is the gateway's only once it is whole, and no longer its own once the answer has been given to the server's buffer; the 50 ms of linger stood for the rest.

Mend: the server tells what it holds, by the bytes of its connections, which covers every holder between them; the stop asks it every 50 ms until nothing is held twice in a row, so it depends on nobody's word that a request has ended. 16 MiB to a caller that does not read for 5 s leave whole.

--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -28,13 +28,6 @@
   return settings;
 }
 
-/// What holds the requests that have no final answer yet.
-std::vector<logging::Field> held_fields(const gateway::HeldRequests& held) {
-  return {{"running", static_cast<std::uint64_t>(held.total())},
-          {"at_configuration", static_cast<std::uint64_t>(held.at_configuration)},
-          {"at_back_ends", static_cast<std::uint64_t>(held.at_back_ends)}};
-}
-
 /// The seeds, which all nodes ask first, list the store when they start; the others ask them.
 discovery::FleetWatcherSettings watcher_settings(const Settings& settings) {
   auto made =
@@ -118,7 +111,7 @@
       ready_(loop, server_at(settings_.ready_listen)),
       directory_(loop, server_at(settings_.directory_listen)),
       stop_(loop, {[this] { leave(); }, [this] { stop_accepting(); }, [this] { finish(); },
-                   [this] { return gateway_.running(); }}) {}
+                   [this] { return callers_.held(); }}) {}
 
 Result<void, http::HttpError> GatewayNode::start() {
   callers_.route("/",
@@ -233,9 +226,17 @@
   stop_.begin(times);
 }
 
+/// All requests by what holds them. `held` counts those, too, that are partly in or whose answer is
+/// partly out.
+std::vector<logging::Field> GatewayNode::held_fields() const {
+  const gateway::HeldRequests requests = gateway_.held();
+  return {{"held", static_cast<std::uint64_t>(callers_.held())},
+          {"at_configuration", static_cast<std::uint64_t>(requests.at_configuration)},
+          {"at_back_ends", static_cast<std::uint64_t>(requests.at_back_ends)}};
+}
+
 void GatewayNode::leave() {
-  logger_.write(
-      {logging::Level::kInfo, kComponent, "stop requested", held_fields(gateway_.held())});
+  logger_.write({logging::Level::kInfo, kComponent, "stop requested", held_fields()});
   duties_.leave();
   nodes_.leave();
   peer_news_.tell_leaving(registration_.registered());
@@ -252,7 +253,7 @@
 
 void GatewayNode::finish() {
   duties_.finish();
-  logger_.write({logging::Level::kInfo, kComponent, "stopped", held_fields(gateway_.held())});
+  logger_.write({logging::Level::kInfo, kComponent, "stopped", held_fields()});
   loop_.stop();
 }
 
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "base/random.h"
 #include "base/timer.h"
@@ -53,6 +54,7 @@
   void add_metrics(metrics::SampleSink& sink) const;
   void fetch_body(http::ClientRequest request, std::function<void(std::string body)> done);
   void apply_limits();
+  std::vector<logging::Field> held_fields() const;
   void leave();
   void stop_accepting();
   void finish();
--- a/src/gateway_node/stop_sequence.cc
+++ b/src/gateway_node/stop_sequence.cc
@@ -22,17 +22,21 @@
 }
 
 void StopSequence::on_idle() {
-  if (callers_noticed_ && actions_.running() == 0) {
-    step_.arm(times_.linger, [this] { finish_if_idle(); });
+  if (callers_noticed_) {
+    was_idle_ = false;
+    finish_if_idle();
   }
 }
 
-/// A request on a kept connection may have come while the last answer's bytes left; its own end
-/// calls on_idle() again.
+/// Twice in a row: a connection that was just accepted is read in the next turn of the loop.
 void StopSequence::finish_if_idle() {
-  if (actions_.running() == 0) {
+  const bool idle = actions_.running() == 0;
+  if (idle && was_idle_) {
     actions_.finish();
+    return;
   }
+  was_idle_ = idle;
+  step_.arm(times_.linger, [this] { finish_if_idle(); });
 }
 
 }  // namespace ochrespring::gateway_node
--- a/src/gateway_node/stop_sequence.h
+++ b/src/gateway_node/stop_sequence.h
@@ -12,28 +12,30 @@
 struct StopTimes {
   /// Callers may go on using an old answer of the directory that names this node for this long.
   Duration callers_notice{std::chrono::milliseconds(3500)};
-  /// Between the last answer and the end, for its bytes to leave.
+  /// Nothing may be held for so long before the end. Also how often that is asked.
   Duration linger{std::chrono::milliseconds(50)};
   /// From the stop signal to the end by force.
   Duration grace{std::chrono::milliseconds(7500)};
 };
 
-/// Ends the process when callers have had time to notice and no request has run for a while; by
-/// force when the grace is over. Requests that arrive meanwhile are served. One loop.
+/// Ends the process when callers have had time to notice and no request is held any more; by force
+/// when the grace is over. Requests that arrive meanwhile are served. What is held is asked for
+/// again and again: an end that depends on being told of each request's end cuts those whose holder
+/// does not tell. One loop.
 class StopSequence {
  public:
   struct Actions {
     std::function<void()> leave;           ///< Out of the directory; connections close politely.
     std::function<void()> stop_accepting;  ///< No new connections.
     std::function<void()> finish;          ///< End the process.
-    std::function<std::size_t()> running;  ///< Requests that have no final answer yet.
+    std::function<std::size_t()> running;  ///< Requests of which anything is held.
   };
 
   StopSequence(TimerService& timers, Actions actions);
 
   /// The stop signal; a second one changes nothing.
   void begin(const StopTimes& times);
-  /// The last running request has ended.
+  /// The last request may have ended: the end need not wait for the next question.
   void on_idle();
   bool begun() const { return begun_; }
 
@@ -46,6 +48,7 @@
   Timer force_;
   bool begun_ = false;
   bool callers_noticed_ = false;
+  bool was_idle_ = false;  ///< When it was last asked.
 };
 
 }  // namespace ochrespring::gateway_node
--- a/src/gateway_node/tests/held_requests_test.cc
+++ b/src/gateway_node/tests/held_requests_test.cc
@@ -13,9 +13,10 @@
 namespace {
 
 const std::string kUnknownRoute = "GET /unknown/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n\r\n";
-const std::string kKnownRoute = "GET /once/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n\r\n";
+const std::string kShort = "GET /short/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n\r\n";
+const std::string kLong = "GET /long/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n\r\n";
 const std::string kWithBody =
-    "POST /once/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\nContent-Length: 8\r\n\r\n01234567";
+    "POST /short/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\nContent-Length: 8\r\n\r\n01234567";
 
 void await_at_backend(StoppingNode& world) {
   REQUIRE(world.comes_about([&] { return world.backend.held.size() == 1; }));
@@ -57,7 +58,7 @@
 }
 
 TEST_CASE("a request that is partly in is served") {
-  for (const std::string& request : {kKnownRoute, kWithBody}) {
+  for (const std::string& request : {kShort, kWithBody}) {
     StoppingNode world;
     RawCaller caller(world.address());
     caller.send(request.substr(0, request.size() - 2));
@@ -74,7 +75,7 @@
 TEST_CASE("a request that a back end works on is served, also when settings are read again") {
   StoppingNode world;
   RawCaller caller(world.address());
-  caller.send(kKnownRoute);
+  caller.send(kLong);
   await_at_backend(world);
   world.node.stop();
   world.advance(1000ms);
@@ -88,7 +89,7 @@
   world.node.stop();
   world.advance(3480ms);
   RawCaller caller(world.address());
-  caller.send(kKnownRoute);
+  caller.send(kShort);
   world.clock.move(20ms);
   await_at_backend(world);
   check_answered(world, caller);
@@ -97,7 +98,7 @@
 TEST_CASE("an answer that its caller takes slowly leaves whole") {
   StoppingNode world;
   RawCaller caller(world.address());
-  caller.send(kKnownRoute);
+  caller.send(kLong);
   await_at_backend(world);
   const std::string body(16U << 20U, 'x');
   world.backend.answer(body);
@@ -113,7 +114,7 @@
 TEST_CASE("a request that outlasts the grace is answered, not cut") {
   StoppingNode world;
   RawCaller caller(world.address());
-  caller.send(kKnownRoute);
+  caller.send(kLong);
   await_at_backend(world);
   world.node.stop();
   world.advance(7400ms);
--- a/src/gateway_node/tests/stopping_node.h
+++ b/src/gateway_node/tests/stopping_node.h
@@ -39,21 +39,16 @@
   std::atomic<MonotonicTime> now_{MonotonicTime(std::chrono::hours(1))};
 };
 
-/// One route, `/once/` of host `h`, of a service with one back end.
-class OneRouteCodec final : public discovery::FleetCodec {
+/// Routes `/short/` and `/long/` of host `h`, by how long a request may take, of a service with one
+/// back end.
+class TwoRoutesCodec final : public discovery::FleetCodec {
  public:
   const discovery::StoreLayout& layout() const override { return layout_; }
   Result<gateway::Configuration, discovery::CodecError> read_configuration(
       std::string_view /*value*/) const override {
-    gateway::Route route;
-    route.name = RouteName("once");
-    route.host = "h";
-    route.path_prefix = "/once/";
-    route.timeout = 20s;
-    route.shares = {{ServiceName("relay"), 1}};
     gateway::Configuration configuration;
     configuration.version = gateway::ConfigurationVersion(1);
-    configuration.routes = {route};
+    configuration.routes = {make_route("/short/", 2s), make_route("/long/", 20s)};
     configuration.services = {{ServiceName("relay"), 100, std::nullopt}};
     return configuration;
   }
@@ -68,7 +63,16 @@
   }
 
  private:
-  using RouteName = gateway::RouteName;
+  static gateway::Route make_route(const std::string& prefix, Duration timeout) {
+    gateway::Route route;
+    route.name = gateway::RouteName(prefix);
+    route.host = "h";
+    route.path_prefix = prefix;
+    route.timeout = timeout;
+    route.shares = {{ServiceName("relay"), 1}};
+    return route;
+  }
+
   discovery::StoreLayout layout_{"config", "backends/", "nodes/"};
 };
 
@@ -288,7 +292,7 @@
   SeededRandom random{5};
   gateway::HeaderNames names;
   NoEngineCalls engines;
-  OneRouteCodec codec;
+  TwoRoutesCodec codec;
   GatewayNode node{loop,
                    client,
                    clock,
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -25,6 +25,7 @@
 /// Pause of accepting when the process has no descriptor left.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
 constexpr std::size_t kHttp2RequestsPerConnection = 256;
+constexpr int kHttp2Version = 0x200;
 /// Turns of the loop given to connections that are being closed when the server goes.
 constexpr int kClosingTurns = 16;
 
@@ -65,6 +66,21 @@
   return request;
 }
 
+/// Whether there is anything of a request on its connection. h2o keeps a request's bytes in the
+/// input of an HTTP/1.1 connection until its answer is out; of HTTP/2 it shows open streams only.
+bool is_held(const h2o_req_t& request) {
+  if (request.version >= kHttp2Version) {
+    return true;
+  }
+  const h2o_socket_t* socket = request.conn->callbacks->get_socket(request.conn);
+  return socket != nullptr && socket->input->size != 0;
+}
+
+int count_held(h2o_req_t* request, void* count) {
+  *static_cast<std::size_t*>(count) += is_held(*request) ? 1 : 0;
+  return 0;
+}
+
 void drop_entries(h2o_timeout_t& timeout) {
   while (h2o_linklist_is_empty(&timeout._entries) == 0) {
     h2o_linklist_t* entry = timeout._entries.next;
@@ -252,6 +268,14 @@
   h2o_context_request_shutdown(&state_->context);
 }
 
+std::size_t Server::held() const {
+  std::size_t count = 0;
+  h2o_globalconf_t& config = state_->config;
+  config.http1.callbacks.foreach_request(&state_->context, count_held, &count);
+  config.http2.callbacks.foreach_request(&state_->context, count_held, &count);
+  return count;
+}
+
 Result<void, HttpError> Server::reload_tls() {
   if (!state_->settings.tls) {
     return outcome::success();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -78,6 +78,9 @@
   void set_idle_timeout(Duration timeout);
   /// Stops accepting; connections that are busy go on.
   void stop_accepting();
+  /// Requests of which a byte has been read and whose answer has not wholly been handed to the
+  /// kernel, whoever waits for what meanwhile. Walks the connections.
+  std::size_t held() const;
   /// Reads the TLS files again; keeps the old identity on failure.
   Result<void, HttpError> reload_tls();
 
