A listener that closes first takes what the kernel has accepted for it

Symptom (found by held_requests): a caller that connects and sends while the node stands still, just before its listener closes in a stop, gets a reset. Cause: the kernel resets with the listener the connections that wait in its queue.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -130,7 +130,7 @@
   }
 
   ~State() {
-    stop_accepting();
+    close_listener();
     close_connections();
     h2o_context_dispose(&context);
     h2o_config_dispose(&config);
@@ -163,18 +163,20 @@
     }
   }
 
-  void accept_connections() {
-    for (int i = 0; i != kAcceptsPerTurn; ++i) {
+  /// Returns how many there were.
+  int accept_connections() {
+    for (int accepted = 0; accepted != kAcceptsPerTurn; ++accepted) {
       errno = 0;
       h2o_socket_t* connection = h2o_evloop_socket_accept(listener);
       if (connection == nullptr) {
         if (errno == EMFILE || errno == ENFILE) {
           pause_accepting();
         }
-        return;
+        return accepted;
       }
       h2o_accept(&accept, connection);
     }
+    return kAcceptsPerTurn;
   }
 
   void pause_accepting() {
@@ -187,6 +189,12 @@
   }
 
   void stop_accepting() {
+    while (listener != nullptr && accept_connections() == kAcceptsPerTurn) {
+    }
+    close_listener();
+  }
+
+  void close_listener() {
     accept_pause.disarm();
     if (listener == nullptr) {
       return;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -76,7 +76,8 @@
   void set_largest_body(std::uint64_t bytes);
   /// How long connections may rest from now on.
   void set_idle_timeout(Duration timeout);
-  /// Stops accepting; connections that are busy go on.
+  /// Stops accepting; connections that are busy go on, and those that the kernel has already taken
+  /// for this server are accepted first: it would reset them with the listener.
   void stop_accepting();
   /// Requests of which a byte has been read and whose answer has not wholly been handed to the
   /// kernel, whoever waits for what meanwhile. Walks the connections.
