A request that outlasts the grace gets its final answer, not a connection that closes

Symptom (found by held_requests): at the end of the grace a node closed the connections of the requests it still held; a caller could not tell whether its request had run.

Cause: the end by force ended the process and nothing else. Mend: the gateway ends each request it holds with what is known of it (503 where no back end was sent it, 502 where one was, a cut where an answer had begun), and the process ends 50 ms later, so that the bytes leave.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -105,13 +105,26 @@
 }
 
 void Gateway::on_quarantined(const RequestFingerprint& request) {
-  // Those that end are taken out.
-  const std::vector<std::shared_ptr<RequestSession>> running(sessions_.begin(), sessions_.end());
-  for (const auto& session : running) {
+  for (const auto& session : running_sessions()) {
     session->on_quarantined(request);
   }
 }
 
+void Gateway::end_all() {
+  for (const auto& [number, waiting] : std::exchange(waiting_, {})) {
+    waiting.writer->on_closed(nullptr);
+    refuse(waiting.request, *waiting.writer, FailureReason::kStopping);
+  }
+  for (const auto& session : running_sessions()) {
+    session->on_stop();
+  }
+}
+
+/// A copy: those that end meanwhile are taken out.
+std::vector<std::shared_ptr<RequestSession>> Gateway::running_sessions() const {
+  return {sessions_.begin(), sessions_.end()};
+}
+
 void Gateway::refuse(const http::Request& request, http::ResponseWriter& writer,
                      FailureReason reason) {
   ++counter_of(reason, environment_.statistics);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <unordered_set>
+#include <vector>
 
 #include "gateway/environment.h"
 #include "gateway/request_session.h"
@@ -40,6 +41,9 @@
   /// s into its answer it would be cut, at a node whose callers had 6 s to notice and had kept a
   /// connection all the same.
   void end_at(MonotonicTime end) { environment_.ends_at = end; }
+  /// The process ends now: each request that is held gets its final answer, which says whether it
+  /// may have run, where a connection that closes would leave its caller to guess.
+  void end_all();
   /// Called whenever the last request that was held has ended.
   void on_idle(std::function<void()> callback) { idle_ = std::move(callback); }
 
@@ -52,6 +56,7 @@
   void await_configuration(http::Request request, std::shared_ptr<http::ResponseWriter> writer);
   void on_refreshed(std::uint64_t number, bool current);
   void note_ended();
+  std::vector<std::shared_ptr<RequestSession>> running_sessions() const;
   Admission look_up(const http::Request& request) const;
   void start(const Admission& admission, http::Request request,
              std::shared_ptr<http::ResponseWriter> writer);
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -451,7 +451,7 @@
 /// Closes the attempt's connection, if it still runs, and accounts for it.
 void RequestSession::end_attempt(AttemptVerdict verdict) {
   progress_timer_.disarm();
-  if (!attempt_ || attempt_->backend.empty()) {
+  if (!at_work()) {
     return;
   }
   if (!std::exchange(attempt_->prompt_read, true)) {
@@ -479,8 +479,7 @@
 }
 
 void RequestSession::on_no_progress() {
-  if (trial_ || sends_ + 1 >= route_.most_attempts || !attempt_ || attempt_->backend.empty() ||
-      attempt_->prefill) {
+  if (trial_ || sends_ + 1 >= route_.most_attempts || !at_work() || attempt_->prefill) {
     return;
   }
   const std::shared_ptr<RequestSession> keep = shared_from_this();
@@ -516,17 +515,27 @@
 }
 
 void RequestSession::on_quarantined(const RequestFingerprint& request) {
-  const bool at_work = attempt_ && !attempt_->backend.empty();
-  const bool begun = trial_ || (at_work && (attempt_->head || attempt_->prompt_read));
+  const bool begun = trial_ || (at_work() && (attempt_->head || attempt_->prompt_read));
   if (ended_ || begun || fingerprint() != request) {
     return;
   }
+  abandon(FailureReason::kQuarantined);
+}
+
+void RequestSession::on_stop() {
+  if (!ended_) {
+    abandon(FailureReason::kStopping);
+  }
+}
+
+/// Ends the request by this node's own decision, whatever a back end does with it.
+void RequestSession::abandon(FailureReason reason) {
   const std::shared_ptr<RequestSession> keep = shared_from_this();
-  if (at_work) {
+  if (at_work()) {
     note_break(BreakKind::kAbandoned);
     may_have_run_ = may_have_run_ || !attempt_->prefill;
   }
-  give_up(FailureReason::kQuarantined);
+  give_up(reason);
 }
 
 void RequestSession::give_up(FailureReason reason) {
@@ -562,7 +571,7 @@
     return;
   }
   const std::shared_ptr<RequestSession> keep = shared_from_this();
-  if (attempt_ && !attempt_->backend.empty()) {
+  if (at_work()) {
     note_break(BreakKind::kAbandoned);
   }
   ++environment_.statistics.caller_gone;
@@ -572,11 +581,10 @@
 
 void RequestSession::on_deadline() {
   const std::shared_ptr<RequestSession> keep = shared_from_this();
-  const bool at_work = attempt_ && !attempt_->backend.empty();
-  if (at_work && !attempt_->prompt_read) {
+  if (at_work() && !attempt_->prompt_read) {
     note_break(BreakKind::kSilent);
   }
-  may_have_run_ = may_have_run_ || (at_work && !attempt_->prefill);
+  may_have_run_ = may_have_run_ || (at_work() && !attempt_->prefill);
   log_attempt("deadline", "");
   give_up(FailureReason::kTimeout);
 }
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -57,6 +57,8 @@
 
   /// The request has come to be quarantined: where no back end has begun to answer, it ends.
   void on_quarantined(const RequestFingerprint& request);
+  /// The process ends: so does the request, with what is known of it.
+  void on_stop();
 
  private:
   void dispatch();
@@ -89,6 +91,7 @@
   void open_answer(const http::ResponseHead& head);
 
   void give_up(FailureReason reason);
+  void abandon(FailureReason reason);
   Duration retry_after(FailureReason reason);
   void caller_gone();
   void on_deadline();
@@ -97,6 +100,8 @@
   void log_attempt(std::string_view message, std::string_view detail);
 
   bool is_stream() const { return route_.kind == RequestKind::kStreaming; }
+  /// Whether an attempt runs.
+  bool at_work() const { return attempt_ && !attempt_->backend.empty(); }
   Duration time_left() const { return deadline_ - environment_.clock.now(); }
 
   Environment& environment_;
--- a/src/gateway/tests/waiting_requests_test.cc
+++ b/src/gateway/tests/waiting_requests_test.cc
@@ -26,9 +26,12 @@
   WaitingWorld() {
     waiting.on_idle([this] { ++idle; });
   }
-  std::shared_ptr<PlayedCaller> ask(const std::string& path) {
+  std::shared_ptr<PlayedCaller> ask(const std::string& path,
+                                    std::vector<http::Header> headers = {}) {
+    headers.push_back({"host", "h"});
+    headers.push_back({"x-request-id", "r1"});
     auto caller = std::make_shared<PlayedCaller>();
-    waiting.handle({"POST", path, "", {{"host", "h"}, {"x-request-id", "r1"}}, "body"}, caller);
+    waiting.handle({"POST", path, "", std::move(headers), "body"}, caller);
     return caller;
   }
   void end_refresh(bool current) { std::exchange(refreshes, {}).at(0)(current); }
@@ -84,3 +87,36 @@
   CHECK(caller->header("retry-after") == "0.020000");
   CHECK(world.statistics.refused == 1);
 }
+
+TEST_CASE("at the end whoever holds a request, its caller gets what is known of it") {
+  WaitingWorld world;
+  world.add_backend("b", "relay");
+  const auto waiting = world.ask("/unknown/1");
+  const auto sent = world.ask("/once/1");
+  const auto repeatable = world.ask("/idempotent/1");
+  world.waiting.end_all();
+  CHECK(waiting->head.status == 503);
+  CHECK(sent->head.status == 502);
+  CHECK(repeatable->head.status == 502);
+  CHECK(world.waiting.running() == 0);
+  CHECK(world.idle == 1);
+  CHECK_FALSE(world.last().open);
+}
+
+TEST_CASE(
+    "at the end a prompt that was only read has not run, and an answer that has begun is cut") {
+  WaitingWorld world;
+  world.add_backend("p", "llm", EngineRole::kPrefill);
+  world.add_backend("d", "llm", EngineRole::kDecode);
+  const auto read_apart = world.ask(
+      "/stream/1", {{world.names.prompt_parts, "a:4000"}, {world.names.token_counts, "4000,10"}});
+  REQUIRE(world.last().header(world.names.phase) == world.names.phase_prefill);
+  const auto begun = world.ask("/stream/2");
+  REQUIRE(world.last().header(world.names.phase).empty());
+  world.last().observer->on_head({200, {world.signature(), {"content-type", "text/event-stream"}}});
+  world.last().observer->on_body("id: 1\ndata: x\n\n");
+  world.waiting.end_all();
+  CHECK(read_apart->head.status == 503);
+  CHECK(begun->aborted);
+  CHECK(world.waiting.running() == 0);
+}
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -111,7 +111,7 @@
       ready_(loop, server_at(settings_.ready_listen)),
       directory_(loop, server_at(settings_.directory_listen)),
       stop_(loop, {[this] { leave(); }, [this] { stop_accepting(); }, [this] { finish(); },
-                   [this] { return callers_.held(); }}) {}
+                   [this] { return callers_.held(); }, [this] { end_requests(); }}) {}
 
 Result<void, http::HttpError> GatewayNode::start() {
   callers_.route("/",
@@ -251,6 +251,12 @@
   gateway_.end_at(ends_at_);
 }
 
+/// The grace is over.
+void GatewayNode::end_requests() {
+  logger_.write({logging::Level::kWarning, kComponent, "requests outlast the stop", held_fields()});
+  gateway_.end_all();
+}
+
 void GatewayNode::finish() {
   duties_.finish();
   logger_.write({logging::Level::kInfo, kComponent, "stopped", held_fields()});
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -57,6 +57,7 @@
   std::vector<logging::Field> held_fields() const;
   void leave();
   void stop_accepting();
+  void end_requests();
   void finish();
 
   http::EventLoop& loop_;
--- a/src/gateway_node/stop_sequence.cc
+++ b/src/gateway_node/stop_sequence.cc
@@ -16,13 +16,22 @@
   step_.arm(times_.callers_notice, [this] {
     callers_noticed_ = true;
     actions_.stop_accepting();
-    on_idle();
+    finish_if_idle();
   });
-  force_.arm(times_.grace, [this] { actions_.finish(); });
+  force_.arm(times_.grace, [this] { force(); });
+}
+
+void StopSequence::force() {
+  step_.disarm();
+  if (actions_.end_requests) {
+    actions_.end_requests();
+  }
+  force_.arm(times_.linger, [this] { actions_.finish(); });
 }
 
+/// Not after force(): the end is due then in any case.
 void StopSequence::on_idle() {
-  if (callers_noticed_) {
+  if (callers_noticed_ && step_.armed()) {
     was_idle_ = false;
     finish_if_idle();
   }
--- a/src/gateway_node/stop_sequence.h
+++ b/src/gateway_node/stop_sequence.h
@@ -14,7 +14,7 @@
   Duration callers_notice{std::chrono::milliseconds(3500)};
   /// Nothing may be held for so long before the end. Also how often that is asked.
   Duration linger{std::chrono::milliseconds(50)};
-  /// From the stop signal to the end by force.
+  /// From the stop signal to the end by force, but for `linger`.
   Duration grace{std::chrono::milliseconds(7500)};
 };
 
@@ -29,6 +29,8 @@
     std::function<void()> stop_accepting;  ///< No new connections.
     std::function<void()> finish;          ///< End the process.
     std::function<std::size_t()> running;  ///< Requests of which anything is held.
+    /// Each request that is held gets its final answer; may be empty.
+    std::function<void()> end_requests{};
   };
 
   StopSequence(TimerService& timers, Actions actions);
@@ -41,6 +43,7 @@
 
  private:
   void finish_if_idle();
+  void force();
 
   Actions actions_;
   StopTimes times_;
--- a/src/gateway_node/tests/held_requests_test.cc
+++ b/src/gateway_node/tests/held_requests_test.cc
@@ -1,7 +1,9 @@
 // Callers lost requests that a stopping node held without counting them. A node that had been told
 // to stop while the store was silent took a request for a route that it did not know, had it wait
 // for a newer configuration, and ended meanwhile: it took itself for idle. Seen on the users' bench
-// as a connection that closed 8 ms after another play's node had logged "stopped", "running": 0.
+// as a connection that closed 8 ms after another play's node had logged "stopped", "running": 0;
+// here the same request got no answer, and "running" counted the gateway's sessions alone, which
+// neither a waiting request, nor one partly in, nor an answer partly out is.
 // Each case is another holder of a request, from the first byte read to the last one handed on.
 #include <doctest/doctest.h>
 
