Seeds come from the system's generator, so that a play under a simulated system is the same twice

Cause: std::random_device reads the processor's own generator where there is one, which no simulated system answers for. Mend: getentropy.

--- a/src/base/random.cc
+++ b/src/base/random.cc
@@ -1,5 +1,7 @@
 #include "base/random.h"
 
+#include <unistd.h>
+
 #include <cmath>
 
 namespace ochrespring {
@@ -37,6 +39,10 @@
 }
 
 std::uint64_t entropy_seed() {
+  std::uint64_t seed = 0;
+  if (::getentropy(&seed, sizeof(seed)) == 0) {
+    return seed;
+  }
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
--- a/src/base/random.h
+++ b/src/base/random.h
@@ -39,7 +39,8 @@
   std::mt19937_64 engine_;
 };
 
-/// Seed drawn from the operating system, for production use.
+/// Seed drawn from the operating system, for production use. Asked of the system, not of the
+/// processor: where the system is simulated, one play is the same twice.
 std::uint64_t entropy_seed();
 
 }  // namespace ochrespring
