Requests that may outlast a stop are refused from 2.5 s after its signal, 3.5 s before

With a grace under 4 s none was ever refused.

Cause: refusing began with the step at which the listener closes. Mend: a step of its own, half a second before callers count on the answer; where the grace is short both steps come within it. Refused means 503, not run, to be tried again at once.

--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -110,8 +110,9 @@
       callers_(loop, server_at(settings_.listen)),
       ready_(loop, server_at(settings_.ready_listen)),
       directory_(loop, server_at(settings_.directory_listen)),
-      stop_(loop, {[this] { leave(); }, [this] { stop_accepting(); }, [this] { finish(); },
-                   [this] { return callers_.held(); }, [this] { end_requests(); }}) {}
+      stop_(loop, {[this] { leave(); }, [this] { callers_.stop_accepting(); }, [this] { finish(); },
+                   [this] { return callers_.held(); }, [this] { gateway_.end_at(ends_at_); },
+                   [this] { end_requests(); }}) {}
 
 Result<void, http::HttpError> GatewayNode::start() {
   callers_.route("/",
@@ -218,8 +219,8 @@
 }
 
 void GatewayNode::stop() {
-  StopTimes times;
-  times.grace = std::max<Duration>(settings_.stop_grace - kGraceMargin, kGraceMargin);
+  const StopTimes times =
+      StopTimes::within(std::max<Duration>(settings_.stop_grace - kGraceMargin, kGraceMargin));
   if (!stop_.begun()) {
     ends_at_ = clock_.now() + times.grace;
   }
@@ -244,13 +245,6 @@
   callers_.announce_close();
 }
 
-/// Callers have had time to notice; those that use a kept connection still are told to go
-/// elsewhere.
-void GatewayNode::stop_accepting() {
-  callers_.stop_accepting();
-  gateway_.end_at(ends_at_);
-}
-
 /// The grace is over.
 void GatewayNode::end_requests() {
   logger_.write({logging::Level::kWarning, kComponent, "requests outlast the stop", held_fields()});
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -56,7 +56,6 @@
   void apply_limits();
   std::vector<logging::Field> held_fields() const;
   void leave();
-  void stop_accepting();
   void end_requests();
   void finish();
 
--- a/src/gateway_node/stop_sequence.cc
+++ b/src/gateway_node/stop_sequence.cc
@@ -1,11 +1,20 @@
 #include "gateway_node/stop_sequence.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace ochrespring::gateway_node {
 
 StopSequence::StopSequence(TimerService& timers, Actions actions)
-    : actions_(std::move(actions)), step_(timers), force_(timers) {}
+    : actions_(std::move(actions)), refuse_(timers), step_(timers), force_(timers) {}
+
+StopTimes StopTimes::within(Duration grace) {
+  StopTimes times;
+  times.grace = grace;
+  times.callers_notice = std::min(times.callers_notice, grace / 2);
+  times.refuse_long = std::min(times.refuse_long, grace / 3);
+  return times;
+}
 
 void StopSequence::begin(const StopTimes& times) {
   if (std::exchange(begun_, true)) {
@@ -13,6 +22,11 @@
   }
   times_ = times;
   actions_.leave();
+  refuse_.arm(times_.refuse_long, [this] {
+    if (actions_.refuse_long) {
+      actions_.refuse_long();
+    }
+  });
   step_.arm(times_.callers_notice, [this] {
     callers_noticed_ = true;
     actions_.stop_accepting();
--- a/src/gateway_node/stop_sequence.h
+++ b/src/gateway_node/stop_sequence.h
@@ -10,12 +10,18 @@
 
 /// When the steps of a stop are due.
 struct StopTimes {
+  /// From the stop signal to when requests that may outlast the grace are refused. Later than 3 s
+  /// after the signal callers count on an answer; half a second is for what is on its way.
+  Duration refuse_long{std::chrono::milliseconds(2500)};
   /// Callers may go on using an old answer of the directory that names this node for this long.
   Duration callers_notice{std::chrono::milliseconds(3500)};
   /// Nothing may be held for so long before the end. Also how often that is asked.
   Duration linger{std::chrono::milliseconds(50)};
   /// From the stop signal to the end by force, but for `linger`.
   Duration grace{std::chrono::milliseconds(7500)};
+
+  /// The steps before the end come sooner where the grace is short.
+  static StopTimes within(Duration grace);
 };
 
 /// Ends the process when callers have had time to notice and no request is held any more; by force
@@ -29,6 +35,8 @@
     std::function<void()> stop_accepting;  ///< No new connections.
     std::function<void()> finish;          ///< End the process.
     std::function<std::size_t()> running;  ///< Requests of which anything is held.
+    /// Requests that may outlast the grace are refused from now on; may be empty.
+    std::function<void()> refuse_long{};
     /// Each request that is held gets its final answer; may be empty.
     std::function<void()> end_requests{};
   };
@@ -47,6 +55,7 @@
 
   Actions actions_;
   StopTimes times_;
+  Timer refuse_;
   Timer step_;
   Timer force_;
   bool begun_ = false;
--- a/src/gateway_node/tests/held_requests_test.cc
+++ b/src/gateway_node/tests/held_requests_test.cc
@@ -10,6 +10,7 @@
 #include "gateway_node/tests/stopping_node.h"
 
 using namespace ochrespring;
+using namespace ochrespring::gateway_node;
 using namespace ochrespring::gateway_node::testing;
 
 namespace {
@@ -125,3 +126,35 @@
   CHECK(world.stopped());
   CHECK(caller.receive().starts_with("HTTP/1.1 502"));
 }
+
+// Callers count on an answer to what they send later than 3 s after a stop signal; a request that
+// came 3.2 s after it and could take 20 s was taken, and ended without an answer 4.3 s later.
+TEST_CASE("a request that may outlast the grace is refused before callers count on its answer") {
+  StoppingNode world;
+  world.node.stop();
+  world.advance(2000ms);
+  RawCaller early(world.address());
+  early.send(kLong);
+  await_at_backend(world);
+  world.advance(1000ms);
+  RawCaller late(world.address());
+  late.send(kLong);
+  REQUIRE(world.comes_about([&] { return late.receive().starts_with("HTTP/1.1"); }));
+  CHECK(late.receive().starts_with("HTTP/1.1 503"));
+  CHECK(world.backend.held.size() == 1);
+}
+
+TEST_CASE("a grace shorter than callers take to notice leaves time to refuse what may outlast it") {
+  StoppingNode world;
+  Settings settings = world.settings();
+  settings.stop_grace = 3s;
+  world.node.reload(settings);
+  world.node.stop();
+  world.advance(1000ms);
+  RawCaller late(world.address());
+  late.send(kLong);
+  REQUIRE(world.comes_about([&] { return late.receive().starts_with("HTTP/1.1"); }));
+  CHECK(late.receive().starts_with("HTTP/1.1 503"));
+  world.advance(500ms);
+  CHECK(world.stopped());
+}
