A node that stops names the newest registration that anybody has told it to be its own

Symptom (leaving_node): where the store had done a write and lost the answer, or did it late, 7 of 8 nodes (194 of 194 in a large fleet) went on naming a node that had told them that it stops; 4 of 8 where it never heard of its registration. Callers were sent to a node that was about to end, or had.

Cause: the word names the registration that the node knows of; the others take a newer one for that of a process started since.

Mend: a node's own record, as listings, changes, updates and views tell of it, counts as well, asked anew each time the word is told; a record of another process under the same name (another address) does not. A word overtaken by a newer one says less. A first listing keeps when each node was registered, so that late words do nothing to a process started since.

--- a/src/discovery/node_directory.cc
+++ b/src/discovery/node_directory.cc
@@ -7,6 +7,9 @@
 namespace ochrespring::discovery {
 
 void NodeDirectory::put(const NodeRecord& record, shared_store::StoreRevision registered) {
+  if (record == self_) {
+    own_registered_ = std::max(own_registered_, registered);
+  }
   if (record.node == self_.node || has_left(record.node, registered)) {
     return;
   }
@@ -39,7 +42,10 @@
   }
   std::erase_if(leaving_nodes_,
                 [this](const auto& entry) { return entry.second.until <= clock_.now(); });
-  leaving_nodes_[node] = {registered, clock_.now() + kLeaves};
+  // Words overtake each other: an older one says less.
+  LeavingNode& leaving = leaving_nodes_[node];
+  leaving.registered = std::max(leaving.registered, registered);
+  leaving.until = clock_.now() + kLeaves;
   remove(node);
 }
 
@@ -49,13 +55,15 @@
          clock_.now() < leaving->second.until;
 }
 
-void NodeDirectory::replace(const std::vector<NodeRecord>& records) {
+void NodeDirectory::replace(const std::vector<NodeRecord>& records,
+                            shared_store::StoreRevision as_of) {
   ++version_;
   for (auto& [node, record] : std::exchange(others_, {})) {
     gone_[node] = {std::move(record), clock_.now()};
   }
+  registered_.clear();
   for (const NodeRecord& record : records) {
-    put(record);
+    put(record, record == self_ ? as_of : shared_store::StoreRevision());
   }
 }
 
--- a/src/discovery/node_directory.h
+++ b/src/discovery/node_directory.h
@@ -20,7 +20,8 @@
   NodeDirectory(const Clock& clock, NodeRecord self)
       : clock_(clock), self_(std::move(self)), started_(clock.now()) {}
 
-  /// `registered`: when the record was written; zero: not known.
+  /// `registered`: when the record was written; zero: not known. This node's own record tells when
+  /// it was last registered, which it may not have heard from the store.
   void put(const NodeRecord& record, shared_store::StoreRevision registered = {});
   /// Takes a node out that has said goodbye or whose lease has lapsed.
   void remove(const NodeId& node);
@@ -30,8 +31,8 @@
   void note_leaving(const NodeId& node, shared_store::StoreRevision registered);
   /// Whether a registration is one that its node has left.
   bool has_left(const NodeId& node, shared_store::StoreRevision registered) const;
-  /// Keeps only the nodes of a fresh listing.
-  void replace(const std::vector<NodeRecord>& records);
+  /// Keeps only the nodes of a fresh view, which was the store's at `as_of`; zero: not known.
+  void replace(const std::vector<NodeRecord>& records, shared_store::StoreRevision as_of = {});
   void leave() {
     leaving_ = true;
     ++version_;
@@ -50,6 +51,8 @@
   std::vector<NodeRecord> recently_gone() const;
   std::uint32_t count() const { return static_cast<std::uint32_t>(others_.size()) + 1; }
   const NodeRecord& self() const { return self_; }
+  /// When this node's own record was written last, as far as anybody has told; zero: not known.
+  shared_store::StoreRevision own_registered() const { return own_registered_; }
   /// Rises with every change of the list.
   std::uint64_t version() const { return version_; }
   /// How many nodes may be drawing on what all share: errs high. A node whose registration lapsed
@@ -82,6 +85,7 @@
     MonotonicTime until{};
   };
   std::map<NodeId, LeavingNode> leaving_nodes_;
+  shared_store::StoreRevision own_registered_;
   bool leaving_ = false;
   std::uint64_t version_ = 1;
   mutable std::vector<NodeRecord> named_;
--- a/src/discovery/view_writer.cc
+++ b/src/discovery/view_writer.cc
@@ -59,7 +59,7 @@
 void ViewWriter::take_first_listing(const shared_store::Listing& listing) {
   const StoreLayout& layout = codec_.layout();
   std::vector<gateway::Backend> backends;
-  std::vector<NodeRecord> nodes;
+  nodes_.replace({});
   listed_through_ = listing.revision;
   for (const shared_store::Change& item : listing.items) {
     listed_through_ = std::max(listed_through_, item.revision);
@@ -68,15 +68,14 @@
         backends.push_back(std::move(*backend));
       }
     } else if (item.key.starts_with(layout.node_prefix)) {
-      if (auto node = entries_.read_node(item)) {
-        nodes.push_back(std::move(*node));
+      if (const auto node = entries_.read_node(item)) {
+        nodes_.put(*node, item.revision);
       }
     }
   }
   take_other_keys(listing);
   fleet_.replace(std::move(backends));
   fingerprint_.reset();
-  nodes_.replace(nodes);
   seen_ = listing.revision;
   // Of the keys of later pages only the newest state is known.
   log_.restart(listed_through_);
@@ -111,7 +110,12 @@
       }
     } else if (item.key.starts_with(layout.node_prefix)) {
       const NodeId id(item.key.substr(layout.node_prefix.size()));
-      comparison.note_node(id, item.revision, entries_.read_node(item), nodes_);
+      const auto node = entries_.read_node(item);
+      if (node && id == nodes_.self().node) {
+        nodes_.put(*node, item.revision);
+      } else {
+        comparison.note_node(id, item.revision, node, nodes_);
+      }
     }
   }
   return comparison.finish(fleet_, nodes_);
@@ -355,7 +359,7 @@
   }
   fleet_.replace(snapshot.backends);
   fingerprint_.reset();
-  nodes_.replace(snapshot.nodes);
+  nodes_.replace(snapshot.nodes, snapshot.through);
   seen_ = snapshot.through;
   trusted_ = true;
   log_.restart(snapshot.through);
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -240,7 +240,9 @@
   logger_.write({logging::Level::kInfo, kComponent, "stop requested", held_fields()});
   duties_.leave();
   nodes_.leave();
-  peer_news_.tell_leaving(registration_.registered());
+  // The answer to a write of its own may have been lost: what others tell may be newer.
+  peer_news_.tell_leaving(
+      [this] { return std::max(registration_.registered(), nodes_.own_registered()); });
   registration_.leave();
   callers_.announce_close();
 }
--- a/src/gateway_node/peer_news.cc
+++ b/src/gateway_node/peer_news.cc
@@ -177,8 +177,8 @@
   offer_timer_.arm(kOfferPeriod, [this] { offer_view(); });
 }
 
-void PeerNews::tell_leaving(shared_store::StoreRevision registered) {
-  channel_.tell_leaving({world_.nodes.self().node, registered});
+void PeerNews::tell_leaving(std::function<shared_store::StoreRevision()> registered) {
+  channel_.tell_leaving({world_.nodes.self().node, registered()});
   leaving_timer_.arm(kLeavingPause, [this, registered] { tell_leaving(registered); });
 }
 
--- a/src/gateway_node/peer_news.h
+++ b/src/gateway_node/peer_news.h
@@ -55,10 +55,15 @@
   /// A back end has gone.
   void forget(const gateway::BackendId& backend) { peer_work_.forget(backend); }
   void add_metrics(metrics::SampleSink& sink) const;
-  /// This node, registered at a revision of the store, takes no more requests. Told again and again
-  /// until the process ends: a datagram may be lost, and a node that starts meanwhile may find the
-  /// registration in a store that has been out.
-  void tell_leaving(shared_store::StoreRevision registered);
+  /// This node takes no more requests. Told again and again until the process ends: a datagram may
+  /// be lost, and a node that starts meanwhile may find the registration in a store that has been
+  /// out. `registered` is asked each time for the newest registration that this node knows to be
+  /// its own: a write may be done late, and a newer registration than the one told of is taken for
+  /// that of a process started since.
+  void tell_leaving(std::function<shared_store::StoreRevision()> registered);
+  void tell_leaving(shared_store::StoreRevision registered) {
+    tell_leaving([registered] { return registered; });
+  }
   void tell_usage(const usage::UsageReport& report) { channel_.tell_usage(report); }
   /// `callback` takes other nodes' usage.
   void on_usage(std::function<void(const usage::UsageReport&)> callback) {
--- a/src/gateway_node/tests/large_fleet.h
+++ b/src/gateway_node/tests/large_fleet.h
@@ -214,12 +214,16 @@
   /// What a node does first when it is told to stop; its registration ends only if the store
   /// answers.
   void leave() {
+    leaving = true;
     nodes.leave();
-    news.tell_leaving(registered);
+    news.tell_leaving([this, told = registered] {
+      return leaving ? std::max(told, nodes.own_registered()) : told;
+    });
   }
 
   bool cut_off = false;      ///< From the store and from all other nodes.
   bool turned_away = false;  ///< By the store alone.
+  bool leaving = false;      ///< Until a process starts under its name: then only late words come.
   SeededRandom random;
   discovery::NodeRecord record;
   shared_store::StoreRevision registered;  ///< When it was last.
@@ -279,6 +283,7 @@
     advance(6s);
   }
   void register_node(FleetNode& node) {
+    node.leaving = false;
     state.put("nodes/" + node.record.node.value(), wire::encode(node.record));
     node.registered = state.now();
   }
--- a/src/gateway_node/tests/leaving_node_test.cc
+++ b/src/gateway_node/tests/leaving_node_test.cc
@@ -77,6 +77,33 @@
   CHECK(count_naming(fleet, leaving.record.node) == 0);
 }
 
+TEST_CASE("so it is where the node learnt of its registration by a later listing") {
+  LargeFleet fleet(8, 0.0);
+  fleet.start();
+  const NodeId id = fleet.nodes[3]->record.node;
+  register_unheard(fleet, *fleet.nodes[3]);
+  fleet.state.forget_history();
+  fleet.advance(3s);
+  fleet.state.down = true;
+  fleet.nodes[3]->leave();
+  fleet.advance(1s);
+  CHECK(count_naming(fleet, id) == 0);
+}
+
+TEST_CASE("a whole view tells a node by when it was registered, if it was") {
+  simulation::VirtualTime time;
+  const discovery::NodeRecord self{NodeId("me"), Endpoint("1.1.1.1:1"), ZoneName("a"), {}};
+  discovery::NodeRecord other = self;
+  other.node = NodeId("other");
+  discovery::NodeDirectory nodes(time, self);
+  nodes.replace({other}, StoreRevision(8));
+  CHECK(nodes.own_registered() == StoreRevision());
+  nodes.replace({self, other}, StoreRevision(12));
+  CHECK(nodes.own_registered() == StoreRevision(12));
+  nodes.replace({self, other}, StoreRevision(9));
+  CHECK(nodes.own_registered() == StoreRevision(12));
+}
+
 TEST_CASE("a registration that lands after the word is heard of and named no longer") {
   LargeFleet fleet(8, 0.0);
   fleet.start();
