A node that has left ends no lease that may be another's, and takes none

Symptom (leaving_node): a node that had left went on ending its lease after the store had come back older, where that number may be another node's: a live node's registration would go. A renewal answered late with no such lease made it register anew; a write so answered had it end a lease it no longer had.

Cause: calls under way when a node leaves, and the news of a new era, went on as if it had not.

--- a/src/discovery/node_registration.cc
+++ b/src/discovery/node_registration.cc
@@ -31,6 +31,9 @@
 }
 
 void NodeRegistration::grant() {
+  if (left_) {
+    return;
+  }
   published_ = false;
   lease_lost_ = false;
   store_.grant_lease(settings_.time_to_live, [this](auto result) {
@@ -71,6 +74,11 @@
 /// Under a new lease: the one before may be lost, and its number given to another node.
 void NodeRegistration::rewrite() {
   lease_lost_ = true;
+  if (left_) {
+    // Nothing to write again, and the lease's number may be another node's now.
+    timer_.disarm();
+    return;
+  }
   if (timer_.armed()) {
     again(random_.part_of(settings_.period));
   }
@@ -117,7 +125,7 @@
 void NodeRegistration::leave() {
   left_ = true;
   timer_.disarm();
-  if (lease_) {
+  if (!lease_lost_) {
     end_lease();
   }
 }
@@ -125,9 +133,12 @@
 /// Again and again while the store is out: until the lease lapses, a node that starts is told by
 /// the store that this one is there.
 void NodeRegistration::end_lease() {
+  if (!lease_) {
+    return;
+  }
   store_.end_lease(*lease_, [this](auto result) {
     const bool over = result || result.error().code == StoreErrc::kNotFound;
-    if (!over) {
+    if (!over && !lease_lost_) {
       timer_.arm(settings_.retry, [this] { end_lease(); });
     }
   });
