A configuration under the version of one that the store has lost is taken

Cause: configurations were ordered by their version beyond the life of the store that gave them out. Mend: another document of the version in force is taken where it is told as of a later revision; a version never goes back.

--- a/src/discovery/view_writer.cc
+++ b/src/discovery/view_writer.cc
@@ -85,7 +85,7 @@
   const StoreLayout& layout = codec_.layout();
   for (const shared_store::Change& item : listing.items) {
     if (item.key == layout.configuration_key) {
-      if (take_configuration(*item.value)) {
+      if (take_configuration(*item.value, item.revision)) {
         log_.note_configuration(std::min(item.revision, listing.revision));
       }
     } else if (!item.key.starts_with(layout.backend_prefix) &&
@@ -215,7 +215,7 @@
 void ViewWriter::take_stored(const shared_store::Change& change) {
   const StoreLayout& layout = codec_.layout();
   if (change.key == layout.configuration_key && change.value) {
-    take_configuration(*change.value);
+    take_configuration(*change.value, change.revision);
     log_.note_configuration(change.revision);
   } else if (change.key.starts_with(layout.backend_prefix)) {
     take_backend_entry(change);
@@ -338,7 +338,7 @@
       delta.through.era() != seen_->era()) {
     return UpdateOutcome::kPassed;
   }
-  if (delta.configuration && !take_configuration(*delta.configuration)) {
+  if (delta.configuration && !take_configuration(*delta.configuration, delta.through)) {
     return UpdateOutcome::kPassed;
   }
   apply(delta.changes, *seen_);
@@ -354,7 +354,7 @@
   const bool of_use =
       !seen_ || snapshot.through > *seen_ || (!trusted_ && snapshot.through == *seen_);
   const bool known = snapshot.configuration == configuration_;
-  if (!of_use || (!known && !take_configuration(snapshot.configuration))) {
+  if (!of_use || (!known && !take_configuration(snapshot.configuration, snapshot.through))) {
     return UpdateOutcome::kPassed;
   }
   fleet_.replace(snapshot.backends);
@@ -367,26 +367,32 @@
 }
 
 void ViewWriter::take_configuration_alone(const shared_store::Change& item) {
-  if (!item.value || !take_configuration(*item.value)) {
+  if (!item.value || !take_configuration(*item.value, item.revision)) {
     return;
   }
   // Who joins an update up to what is seen here is not known to have it.
   log_.note_configuration(seen_ ? std::min(item.revision, *seen_) : item.revision);
 }
 
-/// Returns whether the document was understood.
-bool ViewWriter::take_configuration(const std::string& value) {
+/// As it was at `told_at`. Returns whether the document was understood. In a later life the store
+/// may hold another document of the version in force: the operator's word after the one it has
+/// lost.
+bool ViewWriter::take_configuration(const std::string& value, shared_store::StoreRevision told_at) {
   auto configuration = entries_.read_configuration(value);
   if (!configuration) {
     return false;
   }
   const std::uint64_t version = configuration->version.value();
-  if (fleet_.apply(std::move(*configuration))) {
+  const bool reissued = value != configuration_ && told_at > configuration_at_;
+  if (fleet_.apply(std::move(*configuration), reissued)) {
     configuration_ = value;
+    configuration_at_ = told_at;
     logger_.write({logging::Level::kInfo,
                    kComponent,
                    "configuration in force",
                    {{"configuration", version}}});
+  } else if (value == configuration_) {
+    configuration_at_ = std::max(configuration_at_, told_at);
   }
   return true;
 }
--- a/src/discovery/view_writer.h
+++ b/src/discovery/view_writer.h
@@ -97,7 +97,7 @@
   UpdateOutcome check(shared_store::StoreRevision through, std::uint64_t fingerprint);
   void take_stored(const shared_store::Change& change);
   void take_backend_entry(const shared_store::Change& change);
-  bool take_configuration(const std::string& value);
+  bool take_configuration(const std::string& value, shared_store::StoreRevision told_at);
   void take(BackendChange change);
   void take(NodeChange change);
 
@@ -119,7 +119,8 @@
   /// and, though nothing changes here any more, has to be told on.
   std::set<gateway::BackendId> listed_ahead_;
   bool trusted_ = true;
-  std::string configuration_;  ///< The document in force.
+  std::string configuration_;                     ///< The document in force.
+  shared_store::StoreRevision configuration_at_;  ///< The newest at which that is known.
   OtherKey other_key_;
 };
 
--- a/src/gateway/fleet_state.cc
+++ b/src/gateway/fleet_state.cc
@@ -6,9 +6,12 @@
 
 namespace ochrespring::gateway {
 
-bool FleetState::apply(Configuration configuration) {
-  if (routes_ && configuration.version <= routes_->configuration().version) {
-    return false;
+bool FleetState::apply(Configuration configuration, bool reissued) {
+  if (routes_) {
+    const ConfigurationVersion in_force = routes_->configuration().version;
+    if (configuration.version < in_force || (configuration.version == in_force && !reissued)) {
+      return false;
+    }
   }
   routes_ = std::make_shared<const RouteTable>(std::move(configuration));
   return true;
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -19,8 +19,9 @@
 
 class FleetState {
  public:
-  /// Takes a configuration if it is newer than the one in force; returns whether it was.
-  bool apply(Configuration configuration);
+  /// Takes a configuration if it is newer than the one in force, or, where `reissued`, has the same
+  /// version; returns whether it was taken.
+  bool apply(Configuration configuration, bool reissued = false);
   /// Adds or replaces a back end; returns whether anything changed.
   bool put(Backend backend);
   /// Forgets a back end; returns whether it was known.
