A server that had gone is doubted where an older copy of the store shows it again

Symptom (older_copy): a server whose entry had gone without its ever saying that it drains was used again by 6 of 6 nodes once the store had come back from a copy that was older than its end, until the platform would take the entry away.

Cause: what was known of a back end's end went with its entry.

--- a/src/discovery/view_writer.cc
+++ b/src/discovery/view_writer.cc
@@ -14,6 +14,10 @@
 namespace {
 
 constexpr std::string_view kComponent = "discovery";
+/// How long a back end that had gone is doubted where an older copy of the store shows it: longer
+/// than three heartbeats (1.2 s each as deployed), after which the platform takes the silent ones
+/// away.
+constexpr Duration kDoubtful = std::chrono::seconds(6);
 
 std::uint64_t hash_of(const gateway::Backend& backend) {
   return stable_hash(wire::encode(backend));
@@ -32,7 +36,7 @@
     // What other nodes told since the listing began is no longer known: it could undo that.
     return false;
   }
-  const bool newer_life = listing.revision.era() > seen_->era();
+  const bool newer_life = begin_life(listing.revision);
   const std::vector<ViewChange> changes = compare(listing);
   take_other_keys(listing);
   for (const ViewChange& change : changes) {
@@ -56,6 +60,15 @@
   return true;
 }
 
+/// Returns whether `told` is of a later life of the store than the view.
+bool ViewWriter::begin_life(shared_store::StoreRevision told) {
+  const bool later = seen_ && told.era() > seen_->era();
+  if (later) {
+    fleet_.doubt_gone(clock_.now() + kDoubtful);
+  }
+  return later;
+}
+
 void ViewWriter::take_first_listing(const shared_store::Listing& listing) {
   const StoreLayout& layout = codec_.layout();
   std::vector<gateway::Backend> backends;
@@ -357,6 +370,7 @@
   if (!of_use || (!known && !take_configuration(snapshot.configuration, snapshot.through))) {
     return UpdateOutcome::kPassed;
   }
+  begin_life(snapshot.through);
   fleet_.replace(snapshot.backends);
   fingerprint_.reset();
   nodes_.replace(snapshot.nodes, snapshot.through);
--- a/src/discovery/view_writer.h
+++ b/src/discovery/view_writer.h
@@ -85,6 +85,7 @@
   bool write(const BackendChange& change, const gateway::Backend* known);
   /// Back ends that are new come by thousands while a fleet starts: one line for all of a batch.
   void log_added();
+  bool begin_life(shared_store::StoreRevision told);
   void take_first_listing(const shared_store::Listing& listing);
   /// How a listing that began at `revision` differs from the view, in the order of revisions.
   std::vector<ViewChange> compare(const shared_store::Listing& listing);
--- a/src/gateway/candidates.cc
+++ b/src/gateway/candidates.cc
@@ -25,23 +25,23 @@
   return walks_all() ? walk(query, readers, now) : sample(query, readers, now);
 }
 
-bool CandidateFinder::ejected(const Backend& backend, MonotonicTime now) const {
+bool CandidateFinder::left_alone(const Backend& backend, MonotonicTime now) const {
   const BackendLoad* load = loads_.find(backend.id);
-  return load != nullptr && load->ejected(now);
+  return (load != nullptr && load->ejected(now)) || fleet_.is_doubted(backend.id, now);
 }
 
 Candidates CandidateFinder::walk(const Query& query, bool readers, MonotonicTime now) const {
   Candidates healthy;
-  Candidates left_alone;
+  Candidates others;
   for (const auto& [id, backend] : fleet_.backends()) {
     const bool reader = backend.role == EngineRole::kPrefill;
     if (backend.service != query.service || fleet_.is_leaving(backend) || reader != readers ||
         query.avoid->contains(id)) {
       continue;
     }
-    (ejected(backend, now) ? left_alone : healthy).backends.push_back(&backend);
+    (left_alone(backend, now) ? others : healthy).backends.push_back(&backend);
   }
-  Candidates chosen = healthy.backends.empty() ? std::move(left_alone) : std::move(healthy);
+  Candidates chosen = healthy.backends.empty() ? std::move(others) : std::move(healthy);
   if (!shared_key(query).empty()) {
     chosen.home = first_by_weight(chosen.backends, shared_key(query),
                                   [](const Backend& /*any*/) { return true; });
@@ -59,7 +59,7 @@
     return !fleet_.is_leaving(backend) && !query.avoid->contains(backend.id);
   };
   const auto healthy = [&](const Backend& backend) {
-    return may_take(backend) && !ejected(backend, now);
+    return may_take(backend) && !left_alone(backend, now);
   };
   if (query.prompt == nullptr && group->size() <= kWalkAll) {
     chosen.backends = group->all(healthy);
--- a/src/gateway/candidates.h
+++ b/src/gateway/candidates.h
@@ -55,7 +55,8 @@
 
   Candidates walk(const Query& query, bool readers, MonotonicTime now) const;
   Candidates sample(const Query& query, bool readers, MonotonicTime now) const;
-  bool ejected(const Backend& backend, MonotonicTime now) const;
+  /// Ejected, or doubted: taken only if there is no other.
+  bool left_alone(const Backend& backend, MonotonicTime now) const;
 
   const FleetState& fleet_;
   const LoadTable& loads_;
--- a/src/gateway/fleet_state.cc
+++ b/src/gateway/fleet_state.cc
@@ -23,7 +23,9 @@
   if (!fresh && known == backend) {
     return false;
   }
-  if (!fresh) {
+  if (fresh) {
+    gone_.erase(backend.id);
+  } else {
     index_.remove(known);
   }
   known = std::move(backend);
@@ -38,10 +40,24 @@
     return false;
   }
   index_.remove(node.mapped());
+  note_gone(node.mapped());
+  return true;
+}
+
+/// More than that many are forgotten, all at once: doubt is no promise.
+void FleetState::note_gone(const Backend& backend) {
+  if (gone_.size() >= kMostLeaving) {
+    gone_.clear();
+  }
+  gone_.insert(backend.id);
   if (removed_) {
-    removed_(node.mapped());
+    removed_(backend);
   }
-  return true;
+}
+
+void FleetState::doubt_gone(MonotonicTime until) {
+  doubted_ = std::exchange(gone_, {});
+  doubted_until_ = until;
 }
 
 void FleetState::replace(std::vector<Backend> listed) {
@@ -53,12 +69,13 @@
   backends_.swap(fresh);
   index_.clear();
   for (const auto& [id, backend] : backends_) {
+    gone_.erase(id);
     note_leaving(backend);
     index_.add(backend);
   }
   for (const auto& [id, backend] : fresh) {
-    if (!backends_.contains(id) && removed_) {
-      removed_(backend);
+    if (!backends_.contains(id)) {
+      note_gone(backend);
     }
   }
 }
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -41,6 +41,13 @@
   bool is_leaving(const Backend& backend) const {
     return backend.draining || leaving_.contains(backend.id);
   }
+  /// The store has been set back: until `until` back ends that had gone are doubted where it shows
+  /// them, for its copy may be older than their end.
+  void doubt_gone(MonotonicTime until);
+  /// Whether a back end may be one that has gone: not to be used while there are others.
+  bool is_doubted(const BackendId& id, MonotonicTime now) const {
+    return now < doubted_until_ && doubted_.contains(id);
+  }
   const BackendIndex& index() const { return index_; }
 
   /// When the store last answered with the newest state.
@@ -55,11 +62,15 @@
   static constexpr std::size_t kMostLeaving = 16'384;
 
   void note_leaving(const Backend& backend);
+  void note_gone(const Backend& backend);
 
   std::shared_ptr<const RouteTable> routes_;
   std::map<BackendId, Backend> backends_;
   BackendIndex index_;           ///< Of `backends_`.
   std::set<BackendId> leaving_;  ///< All that have said so, gone ones too.
+  std::set<BackendId> gone_;     ///< Since the store was set back last.
+  std::set<BackendId> doubted_;  ///< Gone before that.
+  MonotonicTime doubted_until_{};
   std::optional<MonotonicTime> current_at_;
   std::function<void(const Backend&)> removed_;
 };
--- a/src/gateway_node/tests/older_copy_test.cc
+++ b/src/gateway_node/tests/older_copy_test.cc
@@ -67,6 +67,21 @@
   CHECK(count_using(fleet, "e7") == fleet.nodes.size());
 }
 
+TEST_CASE("a server that had been away and was back before the copy was made is not doubted") {
+  LargeFleet fleet(6, 0.0);
+  fleet.start();
+  fleet.state.put("backends/e7", std::nullopt);
+  fleet.advance(kToAllNodes);
+  REQUIRE(count_using(fleet, "e7") == 0);
+  fleet.state.put("backends/e7", "ready");
+  fleet.advance(kToAllNodes);
+  set_store_back(fleet, fleet.state.copy());
+  fleet.advance(kToAllNodes);
+  CHECK(fleet.count([](const FleetNode& node) { return node.watcher.statistics().eras_begun; }) ==
+        fleet.nodes.size());
+  CHECK(count_using(fleet, "e7") == fleet.nodes.size());
+}
+
 TEST_CASE("servers that all went with the store that was away are used as soon as it shows them") {
   LargeFleet fleet(6, 0.0, 12);
   fleet.start();
