A registration under another node's key is nobody's

Symptom (discovery_test, 2 checks red on the code before): an entry under one node's key that named another took that node's address in the view, and its end left what nobody had written. Found by reading for the fuzzing target of entries.

Cause: a node was known by what its record says, and its end by its key. Mend: the two must agree; else the entry is rejected, logged by its key and counted.

--- a/src/discovery/entry_reader.cc
+++ b/src/discovery/entry_reader.cc
@@ -22,6 +22,11 @@
     reject(entry.key, node.error().message);
     return std::nullopt;
   }
+  const std::size_t prefix = codec_.layout().node_prefix.size();
+  if (entry.key.compare(prefix, std::string::npos, node.value().node.value()) != 0) {
+    reject(entry.key, "names another node");
+    return std::nullopt;
+  }
   return std::move(node.value());
 }
 
--- a/src/discovery/tests/discovery_test.cc
+++ b/src/discovery/tests/discovery_test.cc
@@ -177,6 +177,24 @@
   CHECK(world.nodes.list().empty());
 }
 
+// Found by reading, for the fuzzing target of entries: whoever wrote such an entry took the node's
+// place, and its end left a record that nobody had written under the node's name.
+TEST_CASE("an entry that names another node than its key is nobody's registration") {
+  WatcherFixture world;
+  world.watcher.start();
+  const NodeRecord other{NodeId("other"), Endpoint("2.2.2.2:2"), ZoneName("b"),
+                         Endpoint("127.0.0.1:9")};
+  NodeRecord forged = other;
+  forged.address = Endpoint("6.6.6.6:6");
+  world.list(10, {make_change("nodes/forged", wire::encode(forged), 8),
+                  make_change("nodes/other", wire::encode(other), 9)});
+  world.advance(2s);
+  world.answer({make_change("nodes/forged", wire::encode(forged), 11)});
+  REQUIRE(world.nodes.others().contains(other.node));
+  CHECK(world.nodes.others().at(other.node).address == other.address);
+  CHECK(world.watcher.rejected_values() == 2);
+}
+
 TEST_CASE("shares of what all nodes draw on err low while registrations come and go") {
   simulation::VirtualTime time;
   NodeDirectory nodes(time, {NodeId("me"), Endpoint("1.1.1.1:1"), ZoneName("a"), Endpoint()});
