--- a/src/gateway_node/tests/compatibility_test.cc
+++ b/src/gateway_node/tests/compatibility_test.cc
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "discovery/node_record.h"
+#include "discovery/view_transfer.h"
 #include "duties/types.h"
 #include "gateway_node/peer_message.h"
 #include "wire/codec.h"
@@ -27,9 +28,9 @@
 }
 
 /// Name to bytes.
-std::map<std::string, std::string> read_corpus() {
+std::map<std::string, std::string> read_corpus(const char* path = FORMER_MESSAGES) {
   std::map<std::string, std::string> corpus;
-  std::ifstream file(FORMER_MESSAGES);
+  std::ifstream file(path);
   for (std::string line; std::getline(file, line);) {
     std::istringstream words(line);
     std::string name;
@@ -63,6 +64,20 @@
   CHECK_FALSE(wire::decode<PeerMessage>(corpus.at("update_to_relay")));
 }
 
+TEST_CASE("what came with the last landing is read and written as it was") {
+  const auto corpus = read_corpus(LAST_MESSAGES);
+  REQUIRE(corpus.size() == 8);
+  for (const char* name :
+       {"view_update", "update_to_relay", "node_leaving", "node_leaving_to_relay"}) {
+    CAPTURE(name);
+    CHECK(is_same<PeerMessage>(corpus.at(name)));
+  }
+  CHECK(is_same<discovery::ViewTransfer>(corpus.at("view_snapshot")));
+  CHECK(is_same<discovery::ViewTransfer>(corpus.at("view_delta")));
+  CHECK(is_same<discovery::NodeRecord>(corpus.at("node_record")));
+  CHECK(is_same<duties::FenceOffset>(corpus.at("fence_offset")));
+}
+
 TEST_CASE("records in the store are read and written as the build before has them") {
   const auto corpus = read_corpus();
   CHECK(is_same<discovery::NodeRecord>(corpus.at("node_record")));
