--- a/scripts/fuzz_gateway.sh
+++ b/scripts/fuzz_gateway.sh
@@ -7,7 +7,7 @@
 cd "$(dirname "$0")/.."
 jobs=${1:-$(nproc)}
 targets=(store_entries node_messages node_datagrams)
-declare -A runs=([store_entries]=12000 [node_messages]=150000 [node_datagrams]=8000)
+declare -A runs=([store_entries]=25000 [node_messages]=600000 [node_datagrams]=60000)
 cmake --preset fuzzing >/dev/null
 cmake --build --preset fuzzing -j "$jobs" --target "${targets[@]/#/fuzz_}"
 finds=build/fuzzing/finds
