--- a/src/gateway_node/peer_news.cc
+++ b/src/gateway_node/peer_news.cc
@@ -179,7 +179,8 @@
 
 void PeerNews::tell_leaving(std::function<shared_store::StoreRevision()> registered) {
   channel_.tell_leaving({world_.nodes.self().node, registered()});
-  leaving_timer_.arm(kLeavingPause, [this, registered] { tell_leaving(registered); });
+  leaving_timer_.arm(kLeavingPause,
+                     [this, registered = std::move(registered)] { tell_leaving(registered); });
 }
 
 void PeerNews::add_metrics(metrics::SampleSink& sink) const {
