--- a/src/fuzzing/targets/node_datagrams.cc
+++ b/src/fuzzing/targets/node_datagrams.cc
@@ -1,6 +1,7 @@
 // Datagrams as a whole node's news take them, one after the other: anybody can send to its port.
-// None may crash, and none may take this node, or a back end that the store lists, out of the view.
-// An input is datagrams behind their lengths, two bytes each.
+// None may crash, and none may take this node itself out of the directory. An input is datagrams
+// behind their lengths, two bytes each.
+#include <algorithm>
 #include <cstdint>
 #include <string_view>
 
