--- a/scripts/soak_seeds.sh
+++ b/scripts/soak_seeds.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Many soaks, each with its own seed and ports, some at a time; prints each one's outcome and counts those that failed.
+# Their ports lie above those that a single soak draws, so that one may run beside; four jobs at most.
 # Usage: scripts/soak_seeds.sh BUILD_DIRECTORY FIRST_SEED COUNT JOBS [SOAK-ARGUMENT...]
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -10,7 +11,7 @@
 run_one() {
   local seed=$1
   shift
-  if python3 platform/soak/soak.py --program "$program" --seed "$seed" --first-port $((12000 + SLOT * 1800)) "$@" 2>&1; then
+  if python3 platform/soak/soak.py --program "$program" --seed "$seed" --first-port $((25000 + SLOT * 1800)) "$@" 2>&1; then
     echo "seed $seed: passed"
   else
     echo "seed $seed: FAILED"
