--- a/src/gateway/tests/request_guard_test.cc
+++ b/src/gateway/tests/request_guard_test.cc
@@ -200,3 +200,50 @@
   CHECK(world.guard.judged == 0);
   CHECK(world.guard.answers.empty());
 }
+
+TEST_CASE("a request that comes to be quarantined while it waits for a configuration is not sent") {
+  GuardedFixture world;
+  std::function<void(bool)> refreshed;
+  Gateway gateway{{world.time,
+                   world.time,
+                   world.transport,
+                   world.fleet,
+                   world.loads,
+                   world.placement,
+                   world.budget,
+                   world.shares,
+                   world.names,
+                   world.engines,
+                   world.statistics,
+                   world.logger,
+                   [] { return 1U; },
+                   {},
+                   &world.guard},
+                  [&](auto done) { refreshed = std::move(done); }};
+  const auto caller = std::make_shared<gateway::testing::PlayedCaller>();
+  gateway.handle({"POST", "/newer/1", "", {{"host", "h"}, {"x-request-id", "r1"}}, "body"}, caller);
+  gateway.on_quarantined(GuardedFixture::print_of("/newer/1"));
+  CHECK(gateway.held().at_configuration == 1);
+  world.guard.verdict = SendVerdict::kRefused;
+  Configuration newer = GatewayFixture::make_configuration(2);
+  newer.routes.push_back(
+      GatewayFixture::make_route("/newer/", RequestKind::kNonIdempotent, "relay", 1, false));
+  world.fleet.apply(std::move(newer));
+  refreshed(true);
+  CHECK(world.sends() == 0);
+  CHECK(caller->head.status == 503);
+  CHECK(gateway.running() == 0);
+}
+
+TEST_CASE("a request that waits for a trial when the process ends is told that it has not run") {
+  GuardedFixture world;
+  world.guard.verdict = SendVerdict::kTrialDue;
+  const auto caller = world.ask("/once/1");
+  REQUIRE(world.guard.claims.size() == 1);
+  CHECK(world.guarded.held().at_back_ends == 1);
+  world.guarded.end_all();
+  CHECK(caller->head.status == 503);
+  world.guard.claims.front()(true);
+  CHECK(world.sends() == 0);
+  CHECK(world.guarded.running() == 0);
+}
