--- a/src/fuzzing/targets/node_messages.cc
+++ b/src/fuzzing/targets/node_messages.cc
@@ -9,37 +9,30 @@
 #include "discovery/view_transfer.h"
 #include "duties/types.h"
 #include "fuzzing/fuzz_target.h"
+#include "fuzzing/round_trip.h"
 #include "gateway_node/peer_message.h"
-#include "wire/codec.h"
 #include "wire/compression.h"
 
 namespace {
 
 using namespace ochrespring;
-
-template <class T>
-void check(std::string_view bytes) {
-  const auto decoded = wire::decode<T>(bytes);
-  if (!decoded) {
-    return;
-  }
-  const std::string encoded = wire::encode(decoded.value());
-  const auto again = wire::decode<T>(encoded);
-  fuzzing::require(again.has_value());
-  fuzzing::require(wire::encode(again.value()) == encoded);
-}
+using fuzzing::require_round_trip;
 
 void check_compressed_view(std::string_view bytes) {
   if (const auto view = wire::decompress(bytes)) {
-    check<discovery::ViewTransfer>(view.value());
+    require_round_trip<discovery::ViewTransfer>(view.value());
   }
 }
 
 using Check = void (*)(std::string_view);
-constexpr std::array<Check, 8> kChecks{
-    check<gateway_node::PeerMessage>, check<discovery::ViewTransfer>, check_compressed_view,
-    check<std::vector<Endpoint>>,     check<discovery::NodeRecord>,   check<duties::HolderRecord>,
-    check<duties::HolderHistory>,     check<quarantine::CrashReport>};
+constexpr std::array<Check, 8> kChecks{require_round_trip<gateway_node::PeerMessage>,
+                                       require_round_trip<discovery::ViewTransfer>,
+                                       check_compressed_view,
+                                       require_round_trip<std::vector<Endpoint>>,
+                                       require_round_trip<discovery::NodeRecord>,
+                                       require_round_trip<duties::HolderRecord>,
+                                       require_round_trip<duties::HolderHistory>,
+                                       require_round_trip<quarantine::CrashReport>};
 
 }  // namespace
 
--- a/src/fuzzing/targets/peer_messages.cc
+++ b/src/fuzzing/targets/peer_messages.cc
@@ -10,26 +10,15 @@
 #include "digest/messages.h"
 #include "fleet/storage_codec.h"
 #include "fuzzing/fuzz_target.h"
+#include "fuzzing/round_trip.h"
 #include "ledger/messages.h"
 #include "membership/messages.h"
 #include "peer/frame.h"
-#include "wire/codec.h"
 
 namespace {
 
 using namespace ochrespring;
-
-template <class T>
-void check(std::string_view bytes) {
-  const auto decoded = wire::decode<T>(bytes);
-  if (decoded.has_error()) {
-    return;
-  }
-  const std::string encoded = wire::encode(decoded.value());
-  const auto again = wire::decode<T>(encoded);
-  fuzzing::require(again.has_value());
-  fuzzing::require(wire::encode(again.value()) == encoded);
-}
+using fuzzing::require_round_trip;
 
 void check_document(std::string_view bytes) {
   const auto decoded = fleet::decode_document(bytes);
@@ -50,14 +39,14 @@
 
 using Check = void (*)(std::string_view);
 constexpr std::array<Check, 10> kChecks{
-    check<membership::Message>,
-    check<config::Message>,
-    check<config::StoredHead>,
-    check<ledger::LedgerMessage>,
-    check<authority::AuthorityMessage>,
-    check<digest::Message>,
-    check<peer::Hello>,
-    check<peer::Frame>,
+    require_round_trip<membership::Message>,
+    require_round_trip<config::Message>,
+    require_round_trip<config::StoredHead>,
+    require_round_trip<ledger::LedgerMessage>,
+    require_round_trip<authority::AuthorityMessage>,
+    require_round_trip<digest::Message>,
+    require_round_trip<peer::Hello>,
+    require_round_trip<peer::Frame>,
     check_document,
     check_mutation,
 };
--- a/src/http/h2o_api.h
+++ b/src/http/h2o_api.h
@@ -10,6 +10,9 @@
 
 namespace ochrespring::http {
 
+/// From this version on a request, as h2o numbers them, is a stream among others on its connection.
+inline constexpr int kHttp2Version = 0x200;
+
 /// Views h2o's bytes without copying.
 inline std::string_view to_view(const h2o_iovec_t& bytes) {
   return {bytes.base, bytes.len};
--- a/src/http/response_stream.cc
+++ b/src/http/response_stream.cc
@@ -14,7 +14,6 @@
 
 /// How often a caller with pipelined bytes waiting is checked for having gone.
 constexpr Duration kPipelinedCheckPeriod = std::chrono::seconds(1);
-constexpr int kHttp2Version = 0x200;
 constexpr int kHttp11Version = 0x101;
 constexpr std::string_view kContentLength = "content-length";
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -25,7 +25,6 @@
 /// Pause of accepting when the process has no descriptor left.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
 constexpr std::size_t kHttp2RequestsPerConnection = 256;
-constexpr int kHttp2Version = 0x200;
 /// Turns of the loop given to connections that are being closed when the server goes.
 constexpr int kClosingTurns = 16;
 
