A back end's rate limit is logged and counted

Nothing of the nodes spoke of the limits that servers name, so neither their logs nor their metrics could tell a limit that nobody reads from one that is read too late or shared out too generously. Nothing acts on it.

--- a/src/gateway/header_names.h
+++ b/src/gateway/header_names.h
@@ -14,6 +14,8 @@
   std::string signature = "x-ochrespring-signature";  ///< On every answer that a back end ran for.
   std::string expected_instance = "x-ochrespring-expected-instance";
   std::string load = "x-ochrespring-load";  ///< Running, waiting and slots, joined by commas.
+  /// Requests a second that a back end in need takes from all nodes together, a decimal number.
+  std::string rate_limit = "x-ochrespring-rate-limit";
   std::string prompt_parts = "x-ochrespring-prompt-parts";  ///< ID:TOKENS, joined by commas.
   std::string token_counts = "x-ochrespring-token-counts";  ///< Prompt and most output.
   std::string priority = "x-ochrespring-priority";          ///< 0 to 9, 0 first.
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -223,10 +223,21 @@
   if (load) {
     environment_.loads.note_report(attempt_->backend, *load, environment_.clock.now());
   }
+  note_rate_limit(head);
   attempt_->streams = is_stream() && !attempt_->prefill && is_success(head.status) &&
                       !http::find_header(head.headers, environment_.names.signature).empty();
 }
 
+/// An answer 421 is another back end's, which has the address now.
+void RequestSession::note_rate_limit(const http::ResponseHead& head) {
+  const std::string_view limit = http::find_header(head.headers, environment_.names.rate_limit);
+  if (head.status == kMisdirected || limit.empty()) {
+    return;
+  }
+  ++environment_.statistics.limits_named;
+  log_attempt("back end names a rate limit", limit);
+}
+
 void RequestSession::on_body(std::string_view bytes) {
   const std::shared_ptr<RequestSession> keep = shared_from_this();
   if (!attempt_->streams) {
