Sends of all nodes together keep to the rate limit that a back end names

Callers' side: a server that names a limit in its answers (server-limit) got as much as before, four times its limit from six nodes. Cause: no node read the header; it was passed on and nothing else.

Why this works: one node, named by rendezvous hash of back end and nodes, owns the back end's token bucket; before each send to a limited back end a node asks it for a permit, one round trip between nodes. The sum over nodes is kept where it is counted, whatever the number of nodes and however uneven their callers. What a back end says is told to all nodes when a limit begins or ends, and goes with every permit and reply. A back end without room is no candidate until its turn; where none has room the request is refused at once as not run, with the time to come back (rate-limited, its own reason and counter). Without an answer from a coordinator nothing is sent; a silent one is passed over.

--- a/src/discovery/node_directory.h
+++ b/src/discovery/node_directory.h
@@ -38,6 +38,8 @@
     ++version_;
   }
 
+  bool leaving() const { return leaving_; }
+
   /// This node, unless it leaves, and the others.
   std::vector<NodeRecord> list() const;
   /// The nodes that a caller who asks this one is sent to, `most` at most. Each node names others,
--- a/src/gateway/candidates.cc
+++ b/src/gateway/candidates.cc
@@ -30,13 +30,18 @@
   return (load != nullptr && load->ejected(now)) || fleet_.is_doubted(backend.id, now);
 }
 
+bool CandidateFinder::may_take(const Backend& backend, const Query& query,
+                               MonotonicTime now) const {
+  return !fleet_.is_leaving(backend) && !query.avoid->contains(backend.id) &&
+         (query.rates == nullptr || query.rates->has_room(backend.id, now));
+}
+
 Candidates CandidateFinder::walk(const Query& query, bool readers, MonotonicTime now) const {
   Candidates healthy;
   Candidates others;
   for (const auto& [id, backend] : fleet_.backends()) {
     const bool reader = backend.role == EngineRole::kPrefill;
-    if (backend.service != query.service || fleet_.is_leaving(backend) || reader != readers ||
-        query.avoid->contains(id)) {
+    if (backend.service != query.service || reader != readers || !may_take(backend, query, now)) {
       continue;
     }
     (left_alone(backend, now) ? others : healthy).backends.push_back(&backend);
@@ -55,11 +60,9 @@
   if (group == nullptr) {
     return chosen;
   }
-  const auto may_take = [&](const Backend& backend) {
-    return !fleet_.is_leaving(backend) && !query.avoid->contains(backend.id);
-  };
+  const auto allowed = [&](const Backend& backend) { return may_take(backend, query, now); };
   const auto healthy = [&](const Backend& backend) {
-    return may_take(backend) && !left_alone(backend, now);
+    return allowed(backend) && !left_alone(backend, now);
   };
   if (query.prompt == nullptr && group->size() <= kWalkAll) {
     chosen.backends = group->all(healthy);
@@ -83,7 +86,7 @@
     chosen.backends = group->all(healthy);
   }
   if (chosen.backends.empty()) {
-    chosen.backends = group->all(may_take);
+    chosen.backends = group->all(allowed);
   }
   return chosen;
 }
--- a/src/gateway/candidates.h
+++ b/src/gateway/candidates.h
@@ -9,6 +9,7 @@
 #include "gateway/fleet_state.h"
 #include "gateway/load_table.h"
 #include "gateway/prompt.h"
+#include "gateway/rate_gate.h"
 #include "gateway/types.h"
 
 namespace ochrespring::gateway {
@@ -32,6 +33,7 @@
     const std::set<BackendId>* avoid = nullptr;
     /// Of the prompt, where not all back ends are looked at; see holders().
     std::vector<const Backend*> holders{};
+    const RateGate* rates = nullptr;  ///< Null: all back ends have room.
   };
 
   CandidateFinder(const FleetState& fleet, const LoadTable& loads, RandomSource& random)
@@ -57,6 +59,8 @@
   Candidates sample(const Query& query, bool readers, MonotonicTime now) const;
   /// Ejected, or doubted: taken only if there is no other.
   bool left_alone(const Backend& backend, MonotonicTime now) const;
+  /// Whether the request may be sent there at all.
+  bool may_take(const Backend& backend, const Query& query, MonotonicTime now) const;
 
   const FleetState& fleet_;
   const LoadTable& loads_;
--- a/src/gateway/failure_answer.cc
+++ b/src/gateway/failure_answer.cc
@@ -45,6 +45,8 @@
       return "timeout";
     case FailureReason::kQuarantined:
       return "quarantined";
+    case FailureReason::kRateLimited:
+      return "rate-limited";
     case FailureReason::kStopping:
       return "stopping";
   }
--- a/src/gateway/failure_answer.h
+++ b/src/gateway/failure_answer.h
@@ -22,6 +22,7 @@
   kBroken,           ///< An attempt broke off; it may have run.
   kTimeout,
   kQuarantined,  ///< Back ends have ended under it.
+  kRateLimited,  ///< All back ends that could take it have named rates, and have had as much.
   kStopping,     ///< This node ends before the request may.
 };
 
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -62,7 +62,10 @@
 }  // namespace
 
 PlacementPlan Placement::choose(const PlacementRequest& request, MonotonicTime now) const {
-  CandidateFinder::Query query{request.service, request.prompt, &request.avoid};
+  CandidateFinder::Query query{.service = request.service,
+                               .prompt = request.prompt,
+                               .avoid = &request.avoid,
+                               .rates = request.rates};
   if (request.prompt != nullptr && !finder_.walks_all()) {
     query.holders = finder_.holders(*request.prompt, now);
   }
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -137,19 +137,75 @@
   wanted.prompt = prompt_ ? &*prompt_ : nullptr;
   wanted.may_read_apart = !read_apart_;
   wanted.avoid = tried_;
+  wanted.rates = environment_.rates;
   wanted.where_least_runs = trial_;
   wanted.connected = [this](const Backend& backend) {
     return environment_.transport.has_idle_connection(backend.address);
   };
-  const PlacementPlan plan = environment_.placement.choose(wanted, now);
-  if (plan.runner.backend == nullptr) {
-    give_up(FailureReason::kNoBackend);
-  } else if (plan.reader.backend != nullptr) {
-    read_apart_ = true;
-    start_attempt(plan.reader, true);
-  } else {
-    start_attempt(plan.runner, false);
+  // Each denial takes a back end out of the candidates.
+  bool denied = true;
+  while (denied) {
+    const PlacementPlan plan = environment_.placement.choose(wanted, now);
+    if (plan.runner.backend == nullptr) {
+      give_up(reason_of_no_backend(now));
+      return;
+    }
+    const bool prefill = plan.reader.backend != nullptr;
+    denied = !claim_and_start(prefill ? plan.reader : plan.runner, prefill);
+  }
+}
+
+FailureReason RequestSession::reason_of_no_backend(MonotonicTime now) const {
+  const bool limited =
+      environment_.rates != nullptr && environment_.rates->time_to_room(service_, now);
+  return limited ? FailureReason::kRateLimited : FailureReason::kNoBackend;
+}
+
+/// Sends the request once the back end's rate limit allows it. False: it does not, now.
+bool RequestSession::claim_and_start(const PlacementChoice& choice, bool prefill) {
+  ClaimResult result = ClaimResult::kGranted;
+  if (environment_.rates != nullptr) {
+    const bool begun = answer_open_ || last_event_.has_value();
+    result = environment_.rates->claim(
+        choice.backend->id, begun ? kBegunStreamRank : kBegunStreamRank + 1 + priority(),
+        [weak = weak_from_this(), claimed = ClaimedSend::of(choice, prefill)](bool granted) {
+          const auto self = weak.lock();
+          if (self && !self->ended_) {
+            self->on_claim(claimed, granted);
+          }
+        });
+  }
+  if (result == ClaimResult::kGranted) {
+    start_attempt(choice, prefill);
   }
+  return result != ClaimResult::kDenied;
+}
+
+/// What was chosen may have gone, and the request become guilty, while the claim was out.
+void RequestSession::on_claim(const ClaimedSend& claimed, bool granted) {
+  const std::shared_ptr<RequestSession> keep = shared_from_this();
+  const FleetState& fleet = environment_.fleet;
+  const Backend* backend = fleet.find(claimed.backend);
+  if (!granted || backend == nullptr || fleet.is_leaving(*backend)) {
+    dispatch();
+    return;
+  }
+  if (time_left() < kLeastTime) {
+    give_up(FailureReason::kTimeout);
+  } else if (passes_guard()) {
+    start_attempt({.backend = backend,
+                   .unread_tokens = claimed.unread_tokens,
+                   .cache_source = fleet.find(claimed.cache_source)},
+                  claimed.prefill);
+  }
+}
+
+RequestSession::ClaimedSend RequestSession::ClaimedSend::of(const PlacementChoice& choice,
+                                                            bool prefill) {
+  return {.backend = choice.backend->id,
+          .unread_tokens = choice.unread_tokens,
+          .cache_source = choice.cache_source != nullptr ? choice.cache_source->id : BackendId(),
+          .prefill = prefill};
 }
 
 void RequestSession::start_attempt(const PlacementChoice& choice, bool prefill) {
@@ -159,6 +215,7 @@
   attempt_->backend = backend.id;
   attempt_->started = now;
   attempt_->prefill = prefill;
+  read_apart_ = read_apart_ || prefill;
   attempt_->uses_cache = !prefill && cache_.has_value();
   attempt_->unread_tokens = attempt_->uses_cache ? 0 : choice.unread_tokens;
   if (!attempt_->uses_cache && choice.cache_source != nullptr) {
@@ -230,12 +287,12 @@
 
 /// An answer 421 is another back end's, which has the address now.
 void RequestSession::note_rate_limit(const http::ResponseHead& head) {
-  const std::string_view limit = http::find_header(head.headers, environment_.names.rate_limit);
-  if (head.status == kMisdirected || limit.empty()) {
-    return;
+  if (environment_.rates != nullptr && head.status != kMisdirected) {
+    environment_.rates->note_answer(
+        {.backend = attempt_->backend,
+         .sent = attempt_->started,
+         .statement = read_rate_limit(head.headers, environment_.names.rate_limit)});
   }
-  ++environment_.statistics.limits_named;
-  log_attempt("back end names a rate limit", limit);
 }
 
 void RequestSession::on_body(std::string_view bytes) {
@@ -552,6 +609,7 @@
 void RequestSession::give_up(FailureReason reason) {
   end_attempt(AttemptVerdict::kAbandoned);
   environment_.statistics.quarantined += reason == FailureReason::kQuarantined ? 1 : 0;
+  environment_.statistics.rate_limited += reason == FailureReason::kRateLimited ? 1 : 0;
   if (answer_open_) {
     ++environment_.statistics.broken;
     writer_->abort();
@@ -574,6 +632,10 @@
     // Other nodes serve it now.
     return {};
   }
+  if (reason == FailureReason::kRateLimited) {
+    return environment_.rates->time_to_room(service_, environment_.clock.now())
+        .value_or(Duration::zero());
+  }
   return from_seconds(kRetryAfterObjectives * to_seconds(route_.target_latency));
 }
 
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -65,6 +65,18 @@
   bool passes_guard();
   void claim_trial(RequestGuard& guard);
   void place();
+  /// A choice that waits for leave to be sent; back ends may go meanwhile.
+  struct ClaimedSend {
+    BackendId backend;
+    std::uint64_t unread_tokens = 0;
+    BackendId cache_source;  ///< Empty: none.
+    bool prefill = false;
+
+    static ClaimedSend of(const PlacementChoice& choice, bool prefill);
+  };
+  bool claim_and_start(const PlacementChoice& choice, bool prefill);
+  void on_claim(const ClaimedSend& claimed, bool granted);
+  FailureReason reason_of_no_backend(MonotonicTime now) const;
   void start_attempt(const PlacementChoice& choice, bool prefill);
   BackendCall make_call(const Backend& backend) const;
   /// Made when it is first asked for: most requests never need it.
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -97,6 +97,12 @@
            .tell = [this](const auto& news) { peer_news_.tell_crashes(news); },
            .tell_zone = [this](const auto& news) { peer_news_.tell_zone_crashes(news); },
            .node_count = [this] { return nodes_.count(); }}),
+      rate_limiter_(
+          {clock, loop, random, logger, fleet_, nodes_},
+          {.tell_all = [this](const auto& news) { peer_news_.tell_limits(news); },
+           .tell = [this](const Endpoint& to, const auto& news) { peer_news_.send(to, news); },
+           .ask = [this](const Endpoint& to, const auto& ask) { peer_news_.send(to, ask); },
+           .reply = [this](const Endpoint& to, const auto& told) { peer_news_.send(to, told); }}),
       survey_(clock, adapter_.engines, fleet_, loads_,
               [this](http::ClientRequest request, std::function<void(std::string)> done) {
                 fetch_body(std::move(request), std::move(done));
@@ -105,7 +111,7 @@
           {clock, loop, transport_, fleet_, loads_, placement_, budget_, shares_, adapter_.names,
            adapter_.engines, statistics_, logger, [this] { return nodes_.cautious_count(); },
            [this](const TenantName& tenant, Duration ago) { duties_.note_run(tenant, ago); },
-           &quarantine_},
+           &quarantine_, &rate_limiter_},
           [this](auto done) { watcher_.refresh(std::move(done)); }),
       callers_(loop, server_at(settings_.listen)),
       ready_(loop, server_at(settings_.ready_listen)),
@@ -146,6 +152,7 @@
     peer_news_.forget(backend.id);
     client_.forget(backend.address);
     quarantine_.note_gone(backend);
+    rate_limiter_.forget(backend.id);
   });
   watcher_.on_current([this] {
     apply_limits();
@@ -155,6 +162,7 @@
   gateway_.on_idle([this] { stop_.on_idle(); });
   peer_news_.on_usage([this](const usage::UsageReport& report) { duties_.take_usage(report); });
   connect_quarantine();
+  connect_rate_limiter();
   watcher_.start();
   registration_.start();
   duties_.start();
@@ -195,6 +203,14 @@
   quarantine_.start();
 }
 
+void GatewayNode::connect_rate_limiter() {
+  peer_news_.on_limits(
+      {.take = [this](const auto& news) { rate_limiter_.take(news); },
+       .take_request = [this](const auto& request) { rate_limiter_.take(request); },
+       .take_reply = [this](const auto& reply) { rate_limiter_.take(reply); },
+       .tell_all = [this](const auto& send) { rate_limiter_.tell_all(send); }});
+}
+
 Result<void, http::HttpError> GatewayNode::listen_to_peers() {
   BOOST_OUTCOME_TRY(socket, peer_load::DatagramSocket::bind(
                                 loop_, settings_.peer_listen, [this](std::string_view bytes) {
@@ -289,6 +305,7 @@
   peer_news_.add_metrics(sink);
   duties_.add_metrics(sink);
   quarantine_.add_metrics(sink);
+  rate_limiter_.add_metrics(sink);
   sink.counter({"backend_connections", "Connections opened"},
                static_cast<double>(client_.statistics().connections_opened));
   sink.gauge({"requests_running", "Requests running"}, static_cast<double>(gateway_.running()));
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -24,6 +24,7 @@
 #include "metrics/metrics.h"
 #include "peer_load/datagram_socket.h"
 #include "quarantine/quarantine.h"
+#include "rate_limit/rate_limiter.h"
 
 namespace ochrespring::gateway_node {
 
@@ -47,6 +48,7 @@
   Result<void, http::HttpError> listen_to_peers();
   void write_again();
   void connect_quarantine();
+  void connect_rate_limiter();
   /// Of the nodes known so far.
   std::vector<Endpoint> known_view_addresses() const;
   /// Once, when this node first knows the fleet: learns what engines keep.
@@ -81,6 +83,7 @@
   std::unique_ptr<peer_load::DatagramSocket> peer_socket_;
   NodeDuties duties_;
   quarantine::Quarantine quarantine_;
+  rate_limit::RateLimiter rate_limiter_;
   gateway::CacheSurvey survey_;
   bool asked_peers_ = false;
   gateway::Gateway gateway_;
--- a/src/gateway_node/node_metrics.cc
+++ b/src/gateway_node/node_metrics.cc
@@ -33,8 +33,8 @@
     {"cache_fetches", "Attempts told to fetch cached parts", &GatewayStatistics::cache_fetches},
     {"requests_quarantined", "Ended as requests under which back ends have ended",
      &GatewayStatistics::quarantined},
-    {"rate_limits_named", "Answers in which a back end named a rate limit",
-     &GatewayStatistics::limits_named},
+    {"requests_rate_limited", "Ended since back ends had as much as the rates they had named",
+     &GatewayStatistics::rate_limited},
     {"streams_resumed", "Streams taken up at another back end", &GatewayStatistics::resumed},
 };
 
--- a/src/gateway_node/peer_channel.cc
+++ b/src/gateway_node/peer_channel.cc
@@ -111,26 +111,33 @@
   send_to(relays_.zone_members(), told.leaving);
 }
 
-void PeerChannel::tell_leaving(const NodeLeaving& leaving) {
+template <class Message, class ToRelay>
+void PeerChannel::tell_every_node(const Message& message, const ToRelay& to_relay) {
   if (!relays_.in_use()) {
-    send_to_others(leaving);
+    send_to_others(message);
     return;
   }
-  send_to_relays(NodeLeavingToRelay{leaving});
+  send_to_relays(to_relay);
   if (relays_here()) {
-    send_to(relays_.zone_members(), leaving);
+    send_to(relays_.zone_members(), message);
   }
 }
 
+void PeerChannel::tell_leaving(const NodeLeaving& leaving) {
+  tell_every_node(leaving, NodeLeavingToRelay{leaving});
+}
+
 void PeerChannel::tell_crashes(const quarantine::CrashNews& news) {
-  if (!relays_.in_use()) {
-    send_to_others(news);
-    return;
-  }
-  send_to_relays(quarantine::CrashNewsToRelay{news});
-  if (relays_here()) {
-    tell_zone_crashes(news);
-  }
+  tell_every_node(news, quarantine::CrashNewsToRelay{news});
+}
+
+void PeerChannel::tell_limits(const rate_limit::LimitNews& news) {
+  tell_every_node(news, rate_limit::LimitNewsToRelay{news});
+}
+
+void PeerChannel::take(const rate_limit::LimitNewsToRelay& told) {
+  handlers_.limits(told.news);
+  send_to(relays_.zone_members(), told.news);
 }
 
 void PeerChannel::tell_zone_crashes(const quarantine::CrashNews& news) {
--- a/src/gateway_node/peer_channel.h
+++ b/src/gateway_node/peer_channel.h
@@ -39,6 +39,9 @@
   /// As a relay: to be told to the nodes of its zone.
   std::function<void(const quarantine::CrashNews&)> crashes_to_relay;
   std::function<void(const NodeLeaving&)> leaving;
+  std::function<void(const rate_limit::LimitNews&)> limits{};
+  std::function<void(const rate_limit::PermitRequest&)> permit_request{};
+  std::function<void(const rate_limit::PermitReply&)> permit_reply{};
 };
 
 struct PeerChannelOptions {
@@ -81,6 +84,8 @@
   void tell_leaving(const NodeLeaving& leaving);
   /// To every node, in a large fleet by its relays.
   void tell_crashes(const quarantine::CrashNews& news);
+  /// To every node, in a large fleet by its relays.
+  void tell_limits(const rate_limit::LimitNews& news);
   /// As a relay: to the nodes of the zone.
   void tell_zone_crashes(const quarantine::CrashNews& news);
   /// To one node, which need not be known to this one.
@@ -114,6 +119,10 @@
   void take(const UpdateToRelay& told);
   void take(const NodeLeaving& told) { handlers_.leaving(told); }
   void take(const NodeLeavingToRelay& told);
+  void take(const rate_limit::LimitNews& told) { handlers_.limits(told); }
+  void take(const rate_limit::LimitNewsToRelay& told);
+  void take(const rate_limit::PermitRequest& told) { handlers_.permit_request(told); }
+  void take(const rate_limit::PermitReply& told) { handlers_.permit_reply(told); }
   template <int kPlace>
   void take(const FormerMessage<kPlace>& /*told*/) {}
 
@@ -127,6 +136,9 @@
   void send_to(const Nodes& nodes, const PeerMessage& message);
   /// To the relays of all zones but this node itself.
   void send_to_relays(const PeerMessage& message);
+  /// In a large fleet by relays, which take `to_relay` and pass `message` on to their zones.
+  template <class Message, class ToRelay>
+  void tell_every_node(const Message& message, const ToRelay& to_relay);
   void send_encoded(const Nodes& nodes, std::size_t kind, std::string_view bytes);
   void send_bytes(const discovery::NodeRecord& to, std::size_t kind, std::string_view bytes);
 
--- a/src/gateway_node/peer_message.h
+++ b/src/gateway_node/peer_message.h
@@ -8,6 +8,7 @@
 #include "discovery/view_update.h"
 #include "peer_load/types.h"
 #include "quarantine/types.h"
+#include "rate_limit/types.h"
 #include "usage/types.h"
 
 namespace ochrespring::gateway_node {
@@ -69,7 +70,9 @@
     std::variant<peer_load::WorkReport, FormerMessage<1>, peer_load::PartsRequest, ViewOffer,
                  peer_load::ReportToRelay, peer_load::RelayedReport, FormerMessage<6>,
                  usage::UsageReport, quarantine::CrashNews, quarantine::CrashNewsToRelay,
-                 discovery::ViewUpdate, UpdateToRelay, NodeLeaving, NodeLeavingToRelay>;
+                 discovery::ViewUpdate, UpdateToRelay, NodeLeaving, NodeLeavingToRelay,
+                 rate_limit::LimitNews, rate_limit::LimitNewsToRelay, rate_limit::PermitRequest,
+                 rate_limit::PermitReply>;
 
 /// Names of the alternatives, in order, for metrics.
 constexpr std::array<const char*, std::variant_size_v<PeerMessage>> kPeerMessageNames{
@@ -86,6 +89,10 @@
     "view_update",
     "update_to_relay",
     "node_leaving",
-    "node_leaving_to_relay"};
+    "node_leaving_to_relay",
+    "limit_news",
+    "limit_news_to_relay",
+    "permit_request",
+    "permit_reply"};
 
 }  // namespace ochrespring::gateway_node
--- a/src/gateway_node/peer_news.cc
+++ b/src/gateway_node/peer_news.cc
@@ -101,6 +101,24 @@
       .leaving =
           [this](const NodeLeaving& told) {
             world_.nodes.note_leaving(told.node, told.registered);
+          },
+      .limits =
+          [this](const rate_limit::LimitNews& news) {
+            if (limits_.take) {
+              limits_.take(news);
+            }
+          },
+      .permit_request =
+          [this](const rate_limit::PermitRequest& request) {
+            if (limits_.take_request) {
+              limits_.take_request(request);
+            }
+          },
+      .permit_reply =
+          [this](const rate_limit::PermitReply& reply) {
+            if (limits_.take_reply) {
+              limits_.take_reply(reply);
+            }
           }};
 }
 
@@ -152,6 +170,10 @@
     crashes_.tell_all(
         [&](const quarantine::CrashNews& news) { channel_.send(request.reply_to, news); });
   }
+  if (limits_.tell_all) {
+    limits_.tell_all(
+        [&](const rate_limit::LimitNews& news) { channel_.send(request.reply_to, news); });
+  }
 }
 
 void PeerNews::ask_for_parts() {
--- a/src/gateway_node/peer_news.h
+++ b/src/gateway_node/peer_news.h
@@ -79,6 +79,18 @@
   void on_crashes(CrashHandlers handlers) { crashes_ = std::move(handlers); }
   void tell_crashes(const quarantine::CrashNews& news) { channel_.tell_crashes(news); }
   void tell_zone_crashes(const quarantine::CrashNews& news) { channel_.tell_zone_crashes(news); }
+  /// News of back ends' rate limits, and permits for sends to them.
+  struct LimitHandlers {
+    std::function<void(const rate_limit::LimitNews&)> take;
+    std::function<void(const rate_limit::PermitRequest&)> take_request;
+    std::function<void(const rate_limit::PermitReply&)> take_reply;
+    /// A node that has started is to be told all, by calls of `send`.
+    std::function<void(const std::function<void(const rate_limit::LimitNews&)>& send)> tell_all;
+  };
+  void on_limits(LimitHandlers handlers) { limits_ = std::move(handlers); }
+  void tell_limits(const rate_limit::LimitNews& news) { channel_.tell_limits(news); }
+  /// To one node.
+  void send(const Endpoint& to, const PeerMessage& message) { channel_.send(to, message); }
   const PeerChannel& channel() const { return channel_; }
   bool relays_here() const { return channel_.relays_here(); }
 
@@ -101,6 +113,7 @@
   std::function<void(const Endpoint&)> on_offer_;
   std::function<void(const usage::UsageReport&)> usage_;
   CrashHandlers crashes_;
+  LimitHandlers limits_;
   PeerChannel channel_;
   peer_load::PeerWork peer_work_;
   peer_load::WorkAnnouncer announcer_;
--- a/src/gateway_node/tests/rate_limit_test.cc
+++ b/src/gateway_node/tests/rate_limit_test.cc
@@ -1,6 +1,8 @@
 // A server that names a rate limit gets no more than that from all nodes together.
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -41,6 +43,50 @@
   CHECK(count.held());
 }
 
+/// Callers of one node alone, `per_second` of them.
+void send_to_one(CrashFleet& fleet, std::size_t node, double per_second, Duration span) {
+  if (span <= Duration::zero()) {
+    return;
+  }
+  fleet.send(node, "/idempotent/x", "skewed");
+  const Duration wait = from_seconds(fleet.random.exponential(1 / per_second));
+  fleet.time.schedule_after(wait, [&fleet, node, per_second, span, wait] {
+    send_to_one(fleet, node, per_second, span - wait);
+  });
+}
+
+std::uint64_t rate_limited_refusals(const CrashFleet& fleet) {
+  std::uint64_t sum = 0;
+  for (const auto& node : fleet.nodes) {
+    sum += node->statistics.rate_limited;
+  }
+  return sum;
+}
+
+std::size_t nodes_that_know(const CrashFleet& fleet, const PlayedServer& server) {
+  return static_cast<std::size_t>(
+      std::count_if(fleet.nodes.begin(), fleet.nodes.end(), [&](const auto& node) {
+        return node->rate_limiter.limits().limit_of(server.backend.id).has_value();
+      }));
+}
+
+/// All servers of a kind name the same limit; checks that each is kept to it and that nearly all
+/// of it is used, and returns how much.
+double use_of_limits(CrashFleet& fleet, gateway::EngineRole role, double per_second,
+                     Duration span) {
+  std::vector<NamedLimit> limits;
+  for (PlayedServer* server : servers_of(fleet, role)) {
+    limits.push_back(name_limit(fleet, *server, per_second, span));
+  }
+  fleet.advance(span + 1s);
+  double rate = 0;
+  for (const NamedLimit& limit : limits) {
+    check_held(fleet, limit);
+    rate += count_limit(fleet, limit).rate;
+  }
+  return rate / (per_second * static_cast<double>(limits.size()));
+}
+
 }  // namespace
 
 TEST_CASE("servers that name a rate limit get no more from all nodes together") {
@@ -59,3 +105,98 @@
     }
   }
 }
+
+TEST_CASE("where all servers name limits, nearly all that they take is used") {
+  for (const std::size_t nodes : {6U, 20U, 100U}) {
+    for (const double per_second : {0.7, 2.0, 6.0}) {
+      CrashFleet fleet({.nodes = nodes});
+      fleet.traffic(150, 45s);
+      fleet.advance(5s);
+      const double use = use_of_limits(fleet, gateway::EngineRole::kNone, per_second, 30s);
+      MESSAGE("nodes " << nodes << " limit " << per_second << " use " << use);
+      CHECK(use >= 0.8);
+      CHECK(use <= 1.1);
+    }
+  }
+}
+
+TEST_CASE("callers of one node alone get all that limited servers take") {
+  for (const std::size_t nodes : {6U, 100U}) {
+    CrashFleet fleet({.nodes = nodes});
+    send_to_one(fleet, 2, 60, 45s);
+    fleet.advance(5s);
+    const double use = use_of_limits(fleet, gateway::EngineRole::kNone, 2.0, 30s);
+    MESSAGE("nodes " << nodes << " use " << use);
+    CHECK(use >= 0.8);
+    CHECK(use <= 1.1);
+  }
+}
+
+TEST_CASE("no caller notices a limit while another server has room") {
+  CrashFleet fleet({});
+  send_to_one(fleet, 1, 60, 30s);
+  fleet.traffic(60, 30s);
+  fleet.advance(5s);
+  const std::vector<PlayedServer*> servers = servers_of(fleet, gateway::EngineRole::kNone);
+  name_limit(fleet, *servers[0], 0.4, 20s);
+  name_limit(fleet, *servers[1], 3.0, 20s);
+  fleet.advance(26s);
+  CHECK(rate_limited_refusals(fleet) == 0);
+}
+
+TEST_CASE("a limit is kept by twenty nodes with relays as it moves, and ends everywhere") {
+  for (const double loss : {0.0, 0.1}) {
+    CAPTURE(loss);
+    CrashFleet fleet({.nodes = 20, .loss = loss, .relay_from_nodes = 12});
+    fleet.traffic(150, 60s);
+    fleet.advance(5s);
+    PlayedServer& server = *servers_of(fleet, gateway::EngineRole::kNone)[0];
+    name_limit(fleet, server, 8.0, 30s);
+    fleet.advance(8s);
+    CHECK(nodes_that_know(fleet, server) == fleet.nodes.size());
+    const NamedLimit low = name_limit(fleet, server, 0.4, 12s);
+    fleet.advance(13s);
+    check_held(fleet, low);
+    fleet.advance(10s);
+    CHECK(nodes_that_know(fleet, server) == 0);
+  }
+}
+
+TEST_CASE("a limit of nothing leaves a request now and then, which tells of its end") {
+  CrashFleet fleet({});
+  fleet.traffic(60, 60s);
+  fleet.advance(5s);
+  PlayedServer& server = *servers_of(fleet, gateway::EngineRole::kNone)[0];
+  const NamedLimit nothing = name_limit(fleet, server, 0, 20s);
+  fleet.advance(20s);
+  check_held(fleet, nothing);
+  CHECK(nodes_that_know(fleet, server) == fleet.nodes.size());
+  fleet.advance(10s);
+  CHECK(nodes_that_know(fleet, server) == 0);
+}
+
+TEST_CASE("a limit is kept, and used, when nodes start again, are suspended or are cut off") {
+  for (std::uint64_t seed = 1; seed != 9; ++seed) {
+    CAPTURE(seed);
+    CrashFleet fleet({.loss = 0.05, .seed = seed});
+    fleet.traffic(120, 60s);
+    fleet.advance(5s);
+    fleet.time.schedule_after(6s, [&] { fleet.restart(seed % 6); });
+    fleet.time.schedule_after(10s, [&] { fleet.suspend((seed + 1) % 6, 3s); });
+    fleet.time.schedule_after(16s, [&] { fleet.cut_off((seed + 2) % 6, 6s); });
+    const double use = use_of_limits(fleet, gateway::EngineRole::kNone, 2.0, 40s);
+    MESSAGE("use " << use);
+    CHECK(use >= 0.7);
+  }
+}
+
+TEST_CASE("what limits refuse is told when to come back") {
+  CrashFleet fleet({});
+  fleet.traffic(60, 20s);
+  fleet.advance(5s);
+  for (PlayedServer* server : servers_of(fleet, gateway::EngineRole::kNone)) {
+    server->rate_limit = "1.0";
+  }
+  fleet.advance(10s);
+  CHECK(rate_limited_refusals(fleet) > 0);
+}
