A failure that a back end signed is delivered where no other back end does better

What callers saw: an answer 500 of a server, which may be tried again, was dropped before the second try; where there was no other server, or it broke off, they got 502 of our own in its place. Servers' rate limits make that common: the other server has no room. Cause: the answer was gone once another try was allowed. It is kept until an answer is given.

--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -385,6 +385,7 @@
   }
   if (!is_success(head.status) && !answer_open_ && route_.repeatable() && may_send_again()) {
     log_attempt("attempt failed at the back end", std::to_string(head.status));
+    failed_answer_ = FailedAnswer{head, std::move(attempt_->body)};
     end_attempt(AttemptVerdict::kFailed);
     dispatch();
     return;
@@ -404,16 +405,19 @@
     retry_or_give_up(FailureReason::kBroken);
     return;
   } else {
-    answer_open_ = true;
-    environment_.statistics.first_byte.note(environment_.clock.now() - arrived_);
-    writer_->respond(attempt_->head->status, headers_for_caller(attempt_->head->headers),
-                     attempt_->body);
+    answer_whole(*attempt_->head, attempt_->body);
   }
   ++environment_.statistics.answered;
   end_attempt(is_success(attempt_->head->status) ? AttemptVerdict::kGood : AttemptVerdict::kFailed);
   finish("answered");
 }
 
+void RequestSession::answer_whole(const http::ResponseHead& head, std::string_view body) {
+  answer_open_ = true;
+  environment_.statistics.first_byte.note(environment_.clock.now() - arrived_);
+  writer_->respond(head.status, headers_for_caller(head.headers), body);
+}
+
 void RequestSession::relay_events() {
   bool passed = false;
   while (const auto event = attempt_->events.next()) {
@@ -616,6 +620,12 @@
     finish("broken");
     return;
   }
+  if (failed_answer_) {
+    answer_whole(failed_answer_->head, failed_answer_->body);
+    ++environment_.statistics.answered;
+    finish("answered");
+    return;
+  }
   ++(may_have_run_ ? environment_.statistics.unknown : environment_.statistics.refused);
   FailureAnswer answer = make_failure_answer(reason, may_have_run_, retry_after(reason),
                                              {environment_.names.request_id, id_});
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -99,6 +99,7 @@
 
   void judge_complete();
   void relay_whole();
+  void answer_whole(const http::ResponseHead& head, std::string_view body);
   void relay_events();
   bool pass_event(const StreamEvent& event);
   void open_answer(const http::ResponseHead& head);
@@ -142,6 +143,12 @@
   bool may_have_run_ = false;
   bool run_noted_ = false;
   bool answer_open_ = false;  ///< The caller has the head.
+  /// A back end's own failure, for a caller who would get none of a server's answers otherwise.
+  struct FailedAnswer {
+    http::ResponseHead head;
+    std::string body;
+  };
+  std::optional<FailedAnswer> failed_answer_;
   std::optional<std::uint64_t> last_event_;
   StreamTiming timing_;
   bool ended_ = false;
--- a/src/gateway/tests/request_session_test.cc
+++ b/src/gateway/tests/request_session_test.cc
@@ -102,6 +102,24 @@
   CHECK(again->body == "failed again");
 }
 
+TEST_CASE("a failure that a back end signed is not lost where no other back end can do better") {
+  GatewayFixture f;
+  f.add_backend("b1", "relay");
+  const auto alone = f.send("/idempotent/x");
+  f.last().answer(500, {f.signature()}, "why");
+  CHECK(f.sends() == 1);
+  CHECK(alone->head.status == 500);
+  CHECK(alone->body == "why");
+  CHECK(alone->header(f.names.signature) == "sig");
+
+  f.add_backend("b2", "relay");
+  const auto broken = f.send("/idempotent/x");
+  f.last().answer(500, {f.signature()}, "why");
+  f.last().fail(http::HttpErrc::kReset, true);
+  CHECK(broken->head.status == 500);
+  CHECK(broken->body == "why");
+}
+
 TEST_CASE("without a connection nothing was sent: another back end is tried free of charge") {
   GatewayFixture world;
   world.budget.set({0, 0, 10s});
