A silent back end is not left while rate limits leave no other

What callers saw: a request that may be repeated and waits at a silent back end is sent to another one after a while; where all others have had as much as they take it was ended in place of that (502), its server at work. Cause: the attempt was given up before anybody asked whether there is room elsewhere. The test failed before (the attempt is closed, 502). What is not sent because of a limit has a line now.

--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -130,8 +130,7 @@
   });
 }
 
-void RequestSession::place() {
-  const MonotonicTime now = environment_.clock.now();
+PlacementRequest RequestSession::placement_request() const {
   PlacementRequest wanted;
   wanted.service = service_;
   wanted.prompt = prompt_ ? &*prompt_ : nullptr;
@@ -142,6 +141,12 @@
   wanted.connected = [this](const Backend& backend) {
     return environment_.transport.has_idle_connection(backend.address);
   };
+  return wanted;
+}
+
+void RequestSession::place() {
+  const MonotonicTime now = environment_.clock.now();
+  const PlacementRequest wanted = placement_request();
   // Each denial takes a back end out of the candidates.
   bool denied = true;
   while (denied) {
@@ -161,6 +166,13 @@
   return limited ? FailureReason::kRateLimited : FailureReason::kNoBackend;
 }
 
+/// Whether rate limits leave no other back end to go to.
+bool RequestSession::is_rate_limited_elsewhere() const {
+  const MonotonicTime now = environment_.clock.now();
+  return reason_of_no_backend(now) == FailureReason::kRateLimited &&
+         environment_.placement.choose(placement_request(), now).runner.backend == nullptr;
+}
+
 /// Sends the request once the back end's rate limit allows it. False: it does not, now.
 bool RequestSession::claim_and_start(const PlacementChoice& choice, bool prefill) {
   ClaimResult result = ClaimResult::kGranted;
@@ -177,6 +189,8 @@
   }
   if (result == ClaimResult::kGranted) {
     start_attempt(choice, prefill);
+  } else if (result == ClaimResult::kDenied) {
+    log_rate_limited(choice.backend->id);
   }
   return result != ClaimResult::kDenied;
 }
@@ -186,6 +200,9 @@
   const std::shared_ptr<RequestSession> keep = shared_from_this();
   const FleetState& fleet = environment_.fleet;
   const Backend* backend = fleet.find(claimed.backend);
+  if (!granted) {
+    log_rate_limited(claimed.backend);
+  }
   if (!granted || backend == nullptr || fleet.is_leaving(*backend)) {
     dispatch();
     return;
@@ -555,7 +572,7 @@
     return;
   }
   const std::shared_ptr<RequestSession> keep = shared_from_this();
-  if (time_left() < kLeastTime || !spend_repeat()) {
+  if (time_left() < kLeastTime || is_rate_limited_elsewhere() || !spend_repeat()) {
     return;
   }
   ++sends_;
@@ -723,6 +740,16 @@
         {"age_milliseconds", to_milliseconds(environment_.clock.now() - arrived_)}}});
 }
 
+void RequestSession::log_rate_limited(const BackendId& backend) {
+  environment_.logger.write(
+      {logging::Level::kInfo,
+       kComponent,
+       "not sent: rate limit",
+       {{"request_id", id_},
+        {"backend", backend.value()},
+        {"age_milliseconds", to_milliseconds(environment_.clock.now() - arrived_)}}});
+}
+
 void RequestSession::log_attempt(std::string_view message, std::string_view detail) {
   const std::string backend = attempt_ ? attempt_->backend.value() : std::string();
   environment_.logger.write(
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -64,6 +64,7 @@
   void dispatch();
   bool passes_guard();
   void claim_trial(RequestGuard& guard);
+  PlacementRequest placement_request() const;
   void place();
   /// A choice that waits for leave to be sent; back ends may go meanwhile.
   struct ClaimedSend {
@@ -77,6 +78,7 @@
   bool claim_and_start(const PlacementChoice& choice, bool prefill);
   void on_claim(const ClaimedSend& claimed, bool granted);
   FailureReason reason_of_no_backend(MonotonicTime now) const;
+  bool is_rate_limited_elsewhere() const;
   void start_attempt(const PlacementChoice& choice, bool prefill);
   BackendCall make_call(const Backend& backend) const;
   /// Made when it is first asked for: most requests never need it.
@@ -111,6 +113,7 @@
   void on_deadline();
   void finish(std::string_view outcome);
   void log_break(const http::HttpError& error);
+  void log_rate_limited(const BackendId& backend);
   void log_attempt(std::string_view message, std::string_view detail);
 
   bool is_stream() const { return route_.kind == RequestKind::kStreaming; }
--- a/src/gateway/tests/rate_limited_request_test.cc
+++ b/src/gateway/tests/rate_limited_request_test.cc
@@ -202,3 +202,16 @@
   last().answer(421, {{names.rate_limit, "0.1"}}, "");
   CHECK(gate.answers.size() == 1);
 }
+
+TEST_CASE_FIXTURE(RateLimitedFixture, "a silent back end is not left while limits leave no other") {
+  const auto caller = request("/idempotent/x");
+  REQUIRE(sends() == 1);
+  for (const char* id : {"b1", "b2", "b3"}) {
+    gate.full.insert(BackendId(id));
+  }
+  advance(1500ms);
+  REQUIRE(last().open);
+  last().answer(200, {signature()}, "late");
+  CHECK(caller->head.status == 200);
+  CHECK(sends() == 1);
+}
