Three ways to share a rate limit, compared on the same arrivals

Three servers, callers ask for three times the limits, 60 s, limits of 0.7, 1.3 and 8, callers even or nine in ten at one node. Permits stay.

--- /dev/null
+++ b/src/rate_limit/tests/sharing_comparison_test.cc
@@ -0,0 +1,199 @@
+// Three ways to share a back end's rate limit between nodes, compared on the same arrivals.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/hash.h"
+#include "base/random.h"
+#include "rate_limit/permit_bucket.h"
+
+using namespace ochrespring;
+using namespace ochrespring::rate_limit;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kServers = 3;
+/// From one node to another, and by way of relays.
+constexpr Duration kOneWay = 3ms;
+constexpr Duration kByRelays = 20ms;
+
+struct Load {
+  std::size_t nodes = 6;
+  double limit = 2;       ///< Of each server, requests a second.
+  double per_second = 0;  ///< Of all callers.
+  double skew = 0;        ///< Part of the requests that come to the first node.
+  Duration span = 60s;
+};
+
+/// One way of sharing: whether a node may send one request to a server now.
+class Sharing {
+ public:
+  virtual ~Sharing() = default;
+  virtual bool send(std::size_t node, std::size_t server, MonotonicTime now) = 0;
+  std::uint64_t messages = 0;
+};
+
+/// The coordinator of a server grants permits.
+class Permits final : public Sharing {
+ public:
+  explicit Permits(const Load& load) {
+    const auto rate = static_cast<std::uint64_t>(load.limit * 1000);
+    buckets_.assign(kServers, PermitBucket({rate}, MonotonicTime()));
+  }
+  bool send(std::size_t node, std::size_t server, MonotonicTime now) override {
+    MonotonicTime& closed = closed_[{node, server}];
+    if (now < closed) {
+      return false;
+    }
+    messages += 2;
+    const PermitDecision decision =
+        buckets_[server].ask(NodeId("n" + std::to_string(node)), 1, now + kOneWay);
+    closed = decision.granted ? closed : now + 2 * kOneWay + decision.wait;
+    return decision.granted;
+  }
+
+ private:
+  std::vector<PermitBucket> buckets_;
+  std::map<std::pair<std::size_t, std::size_t>, MonotonicTime> closed_;
+};
+
+/// As many nodes as the limit has requests a second share it evenly, by rendezvous hash.
+class FewSenders final : public Sharing {
+ public:
+  explicit FewSenders(const Load& load) {
+    const std::size_t senders =
+        std::clamp<std::size_t>(static_cast<std::size_t>(load.limit), 1, load.nodes);
+    const double share = load.limit / static_cast<double>(senders);
+    for (std::size_t server = 0; server != kServers; ++server) {
+      std::vector<std::pair<std::uint64_t, std::size_t>> ranked;
+      for (std::size_t node = 0; node != load.nodes; ++node) {
+        ranked.emplace_back(
+            rendezvous_weight("s" + std::to_string(server), "n" + std::to_string(node)), node);
+      }
+      std::sort(ranked.rbegin(), ranked.rend());
+      for (std::size_t i = 0; i != senders; ++i) {
+        buckets_.emplace(std::pair(ranked[i].second, server),
+                         PermitBucket({static_cast<std::uint64_t>(share * 1000)}, MonotonicTime()));
+      }
+    }
+  }
+  bool send(std::size_t node, std::size_t server, MonotonicTime now) override {
+    const auto bucket = buckets_.find({node, server});
+    return bucket != buckets_.end() && bucket->second.ask(NodeId("n"), 1, now).granted;
+  }
+
+ private:
+  std::map<std::pair<std::size_t, std::size_t>, PermitBucket> buckets_;
+};
+
+/// Each node counts what all have told of the last seconds.
+class ToldSends final : public Sharing {
+ public:
+  explicit ToldSends(const Load& load)
+      : load_(load), lag_(load.nodes < 48 ? kOneWay : kByRelays), sends_(kServers) {}
+  bool send(std::size_t node, std::size_t server, MonotonicTime now) override {
+    constexpr Duration kWindow = 4s;
+    std::deque<Send>& sends = sends_[server];
+    while (!sends.empty() && now - sends.front().at > kWindow) {
+      sends.pop_front();
+    }
+    const auto known = std::count_if(sends.begin(), sends.end(), [&](const Send& sent) {
+      return sent.node == node || sent.at + lag_ <= now;
+    });
+    if (static_cast<double>(known + 1) > load_.limit * to_seconds(kWindow)) {
+      return false;
+    }
+    sends.push_back({now, node});
+    messages += load_.nodes < 48 ? load_.nodes - 1 : 2 * load_.nodes;
+    return true;
+  }
+
+ private:
+  struct Send {
+    MonotonicTime at;
+    std::size_t node = 0;
+  };
+
+  const Load& load_;
+  Duration lag_;
+  std::vector<std::deque<Send>> sends_;
+};
+
+struct Outcome {
+  std::size_t worst = 0;  ///< In 4 s, at any server.
+  double use = 0;         ///< Of the limits.
+  double messages = 0;    ///< A second and node.
+};
+
+Outcome play(const Load& load, Sharing& sharing) {
+  SeededRandom random(11);
+  std::vector<std::vector<MonotonicTime>> sent(kServers);
+  const MonotonicTime end = MonotonicTime() + load.span;
+  MonotonicTime now = MonotonicTime() + from_seconds(random.exponential(1 / load.per_second));
+  while (now < end) {
+    const std::size_t node = random.chance(load.skew) ? 0 : random.below(load.nodes);
+    const std::size_t first = random.below(kServers);
+    for (std::size_t i = 0; i != kServers; ++i) {
+      const std::size_t server = (first + i) % kServers;
+      if (sharing.send(node, server, now)) {
+        sent[server].push_back(now);
+        break;
+      }
+    }
+    now += from_seconds(random.exponential(1 / load.per_second));
+  }
+  Outcome outcome;
+  for (const std::vector<MonotonicTime>& times : sent) {
+    std::size_t oldest = 0;
+    for (std::size_t newest = 0; newest != times.size(); ++newest) {
+      while (times[newest] - times[oldest] > 4s) {
+        ++oldest;
+      }
+      outcome.worst = std::max(outcome.worst, newest - oldest + 1);
+    }
+    outcome.use += static_cast<double>(times.size()) /
+                   (load.limit * to_seconds(load.span) * static_cast<double>(kServers));
+  }
+  outcome.messages = static_cast<double>(sharing.messages) /
+                     (to_seconds(load.span) * static_cast<double>(load.nodes));
+  return outcome;
+}
+
+template <class Way>
+Outcome play(const Load& load) {
+  Way way(load);
+  return play(load, way);
+}
+
+}  // namespace
+
+TEST_CASE("of three ways to share limits permits alone keep and use them, whatever the fleet") {
+  for (const std::size_t nodes : {6U, 20U, 100U, 340U}) {
+    for (const double limit : {0.7, 1.3, 8.0}) {
+      for (const double skew : {0.0, 0.9}) {
+        const Load load{.nodes = nodes,
+                        .limit = limit,
+                        .per_second = 3 * limit * static_cast<double>(kServers),
+                        .skew = skew};
+        const Outcome permits = play<Permits>(load);
+        const Outcome few = play<FewSenders>(load);
+        const Outcome told = play<ToldSends>(load);
+        MESSAGE("nodes " << nodes << ", limit " << limit << ", skew " << skew
+                         << ": worst 4 s, use, messages a node and second: permits "
+                         << permits.worst << ", " << permits.use << ", " << permits.messages
+                         << "; few senders " << few.worst << ", " << few.use << ", " << few.messages
+                         << "; told sends " << told.worst << ", " << told.use << ", "
+                         << told.messages);
+        CHECK(static_cast<double>(permits.worst) <= 6 * limit + 5);
+        CHECK(permits.use >= 0.8);
+      }
+    }
+  }
+}
