Fuzzing and compatibility of rate limits: header values, news and permits

The four kinds at the end of PeerMessage have a corpus made by the build that brought them and are read and written byte by byte; a node's news are fuzzed with a limiter behind them and a claim that waits; header values are fuzzed as what is read of them.

--- a/src/fuzzing/targets/node_datagrams.cc
+++ b/src/fuzzing/targets/node_datagrams.cc
@@ -8,6 +8,7 @@
 #include "fuzzing/fuzz_target.h"
 #include "gateway_node/peer_news.h"
 #include "platform/fleet_codec.h"
+#include "rate_limit/rate_limiter.h"
 #include "simulation/virtual_time.h"
 
 namespace {
@@ -52,6 +53,27 @@
                                .relay_gather = std::chrono::milliseconds(10)},
                               [](const Endpoint&, std::string_view) {},
                               [](const Endpoint&) {}};
+  rate_limit::RateLimiter limiter{
+      {time, time, random, logger, fleet, nodes},
+      {.tell_all = [this](const auto& told) { news.tell_limits(told); },
+       .tell = [this](const Endpoint& to, const auto& told) { news.send(to, told); },
+       .ask = [this](const Endpoint& to, const auto& told) { news.send(to, told); },
+       .reply = [this](const Endpoint& to, const auto& told) { news.send(to, told); }}};
+
+  Node() {
+    nodes.put({NodeId("other"), Endpoint("10.0.0.3:80"), ZoneName("a"), Endpoint("10.0.0.3:81")});
+    gateway::Backend server;
+    server.id = gateway::BackendId("s");
+    fleet.put(server);
+    news.on_limits({.take = [this](const auto& told) { limiter.take(told); },
+                    .take_request = [this](const auto& told) { limiter.take(told); },
+                    .take_reply = [this](const auto& told) { limiter.take(told); },
+                    .tell_all = [this](const auto& send) { limiter.tell_all(send); }});
+  }
+  /// A request that waits for leave to go to the server while datagrams come.
+  void claim() {
+    limiter.claim(gateway::BackendId("s"), 1, [](bool) {});
+  }
 };
 
 }  // namespace
@@ -68,6 +90,7 @@
     rest.remove_prefix(kLengthBytes);
     node.news.receive(rest.substr(0, length));
     rest.remove_prefix(std::min(length, rest.size()));
+    node.claim();
     node.time.run_until(node.time.now() + std::chrono::milliseconds(5));
   }
   const auto named = node.nodes.list();
--- a/src/fuzzing/targets/node_messages.cc
+++ b/src/fuzzing/targets/node_messages.cc
@@ -10,6 +10,7 @@
 #include "duties/types.h"
 #include "fuzzing/fuzz_target.h"
 #include "fuzzing/round_trip.h"
+#include "gateway/rate_limit_header.h"
 #include "gateway_node/peer_message.h"
 #include "wire/compression.h"
 
@@ -24,15 +25,25 @@
   }
 }
 
+/// A header that a server sends: what is read of it is a rate, or nothing.
+void check_rate_limit(std::string_view bytes) {
+  const std::string value(bytes);
+  const auto rate = gateway::parse_rate(value);
+  const auto statement = gateway::read_rate_limit({{"limit", value}}, "limit");
+  fuzzing::require(rate.has_value() == (statement.kind == gateway::RateStatement::Kind::kLimited));
+  fuzzing::require(!rate || rate->per_second() < 1e9);
+}
+
 using Check = void (*)(std::string_view);
-constexpr std::array<Check, 8> kChecks{require_round_trip<gateway_node::PeerMessage>,
+constexpr std::array<Check, 9> kChecks{require_round_trip<gateway_node::PeerMessage>,
                                        require_round_trip<discovery::ViewTransfer>,
                                        check_compressed_view,
                                        require_round_trip<std::vector<Endpoint>>,
                                        require_round_trip<discovery::NodeRecord>,
                                        require_round_trip<duties::HolderRecord>,
                                        require_round_trip<duties::HolderHistory>,
-                                       require_round_trip<quarantine::CrashReport>};
+                                       require_round_trip<quarantine::CrashReport>,
+                                       check_rate_limit};
 
 }  // namespace
 
--- a/src/gateway_node/tests/compatibility_test.cc
+++ b/src/gateway_node/tests/compatibility_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <chrono>
 #include <fstream>
 #include <map>
 #include <sstream>
@@ -78,6 +79,20 @@
   CHECK(is_same<duties::FenceOffset>(corpus.at("fence_offset")));
 }
 
+TEST_CASE("news of rate limits and permits are read and written as when they were new") {
+  const auto corpus = read_corpus(RATE_LIMIT_MESSAGES);
+  REQUIRE(corpus.size() == 4);
+  for (const char* name : {"limit_news", "limit_news_to_relay", "permit_request", "permit_reply"}) {
+    CAPTURE(name);
+    CHECK(is_same<PeerMessage>(corpus.at(name)));
+  }
+  const auto reply = wire::decode<PeerMessage>(corpus.at("permit_reply"));
+  REQUIRE(reply);
+  const auto& told = std::get<rate_limit::PermitReply>(reply.value());
+  CHECK(told.wait == std::chrono::milliseconds(730));
+  CHECK(told.known.rate.thousandths == 1300);
+}
+
 TEST_CASE("records in the store are read and written as the build before has them") {
   const auto corpus = read_corpus();
   CHECK(is_same<discovery::NodeRecord>(corpus.at("node_record")));
@@ -93,6 +108,9 @@
   CHECK(PeerMessage(UpdateToRelay()).index() >= kKindsBefore);
   CHECK(PeerMessage(NodeLeaving()).index() >= kKindsBefore);
   CHECK(PeerMessage(NodeLeavingToRelay()).index() >= kKindsBefore);
+  constexpr std::size_t kKindsBeforeRateLimits = 14;
+  CHECK(PeerMessage(rate_limit::LimitNews()).index() == kKindsBeforeRateLimits);
+  CHECK(PeerMessage(rate_limit::PermitReply()).index() == kKindsBeforeRateLimits + 3);
 }
 
 TEST_CASE("kinds of builds to come, and bytes behind a known one, are left alone") {
