Nothing is sent to a back end whose address another one has taken, though no other has room

What callers saw: while all other servers had named rate limits and had no room, each request was sent to the one candidate that was left, a server that had ended; the server that has its address now answered 421, and the caller got 503. Cause: a back end that is left alone is taken where there is no other, also one that is known to have ended. Load told on a 421 is another back end's, too. The test failed before (sent; load of 5 waiting taken over).

--- a/src/gateway/candidates.cc
+++ b/src/gateway/candidates.cc
@@ -32,7 +32,9 @@
 
 bool CandidateFinder::may_take(const Backend& backend, const Query& query,
                                MonotonicTime now) const {
-  return !fleet_.is_leaving(backend) && !query.avoid->contains(backend.id) &&
+  const BackendLoad* load = loads_.find(backend.id);
+  const bool replaced = load != nullptr && load->replaced(now);
+  return !replaced && !fleet_.is_leaving(backend) && !query.avoid->contains(backend.id) &&
          (query.rates == nullptr || query.rates->has_room(backend.id, now));
 }
 
--- a/src/gateway/load_table.cc
+++ b/src/gateway/load_table.cc
@@ -92,6 +92,7 @@
       break;
     case AttemptVerdict::kReplaced:
       ejected_until_ = now + kUntilForgotten;
+      replaced_until_ = ejected_until_;
       break;
     case AttemptVerdict::kRefused:
     case AttemptVerdict::kAbandoned:
--- a/src/gateway/load_table.h
+++ b/src/gateway/load_table.h
@@ -64,6 +64,9 @@
   void note_told_silence(MonotonicTime now);
   /// Whether the back end is left alone for now.
   bool ejected(MonotonicTime now) const { return now < ejected_until_; }
+  /// Whether another back end has its address: it has ended, and what is sent there works for
+  /// nobody.
+  bool replaced(MonotonicTime now) const { return now < replaced_until_; }
 
   /// Remembers that a prompt part is in the back end's cache; returns whether that is new.
   bool note_cached(std::uint64_t part_key, MonotonicTime now);
@@ -100,6 +103,7 @@
   MonotonicTime faded_at_{};
   std::uint32_t unreachable_in_row_ = 0;
   MonotonicTime ejected_until_{};
+  MonotonicTime replaced_until_{};
   std::optional<MonotonicTime> answered_at_;
   std::unordered_map<std::uint64_t, CachedPart> cached_;  ///< By part key; old ones are dropped.
   std::size_t prune_cached_at_ = kLeastPrune;             ///< Size at which that is done.
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -294,7 +294,7 @@
 void RequestSession::on_head(const http::ResponseHead& head) {
   attempt_->head = head;
   const auto load = parse_load(http::find_header(head.headers, environment_.names.load));
-  if (load) {
+  if (load && head.status != kMisdirected) {
     environment_.loads.note_report(attempt_->backend, *load, environment_.clock.now());
   }
   note_rate_limit(head);
--- a/src/gateway/tests/request_session_test.cc
+++ b/src/gateway/tests/request_session_test.cc
@@ -382,6 +382,22 @@
   }
 }
 
+TEST_CASE(
+    "nothing is sent to a back end whose address another one has taken, though it is the only "
+    "one") {
+  GatewayFixture world;
+  world.add_backend("r1", "relay");
+  world.send("/once/x");
+  world.last().answer(421, {{world.names.load, "5,5,8"}}, "");
+  const auto caller = world.send("/once/x");
+  CHECK(world.sends() == 1);
+  CHECK(caller->head.status == 503);
+  CHECK(world.loads.of(BackendId("r1")).reported_waiting(world.time.now()) == 0);
+  world.add_backend("r2", "relay");
+  world.send("/once/x");
+  CHECK(world.last().request.endpoint == Endpoint("r2:1"));
+}
+
 TEST_CASE("an engine that was replaced is left alone after a prefill, too") {
   GatewayFixture world;
   world.add_backend("p1", "llm", EngineRole::kPrefill);
