A run counts for its tenant once its signed head is there

Cause: a run of an ordinary request counted only with its whole answer. A signed head proves the run. What is lost before its head is not counted: nothing tells that it ran.

--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -298,8 +298,14 @@
     environment_.loads.note_report(attempt_->backend, *load, environment_.clock.now());
   }
   note_rate_limit(head);
-  attempt_->streams = is_stream() && !attempt_->prefill && is_success(head.status) &&
-                      !http::find_header(head.headers, environment_.names.signature).empty();
+  const bool ran = !attempt_->prefill &&
+                   !http::find_header(head.headers, environment_.names.signature).empty() &&
+                   http::find_header(head.headers, environment_.names.not_run).empty();
+  attempt_->streams = ran && is_stream() && is_success(head.status);
+  if (ran && !attempt_->streams) {
+    // Ordinary servers begin when they are sent a request, as a rule.
+    note_run(environment_.clock.now() - attempt_->started);
+  }
 }
 
 /// An answer 421 is another back end's, which has the address now.
@@ -387,7 +393,6 @@
     return;
   }
   may_have_run_ = true;
-  // Ordinary servers begin when they are sent a request, as a rule.
   note_run(environment_.clock.now() - attempt_->started);
   if (!signed_answer) {
     log_attempt("attempt without signature", std::to_string(head.status));
--- a/src/gateway/tests/caller_keys_test.cc
+++ b/src/gateway/tests/caller_keys_test.cc
@@ -54,6 +54,26 @@
   CHECK(world.sends() == 2);
 }
 
+TEST_CASE("a run whose signed answer breaks off counts for its tenant, once") {
+  KeyedFixture world;
+  std::map<std::string, int> runs;
+  Gateway counting(
+      {world.time, world.time, world.transport, world.fleet, world.loads, world.placement,
+       world.budget, world.shares, world.names, world.engines, world.statistics, world.logger,
+       [] { return 1U; }, [&](const TenantName& tenant, Duration) { ++runs[tenant.value()]; }},
+      [](auto done) { done(true); });
+  world.add_backend("b2", "relay");
+  auto caller = std::make_shared<testing::PlayedCaller>();
+  counting.handle({"POST", "/idempotent/x", "", {{"host", "h"}, {"authorization", "Token k1"}}, ""},
+                  caller);
+  world.last().observer->on_head({200, {world.signature()}});
+  world.last().fail(http::HttpErrc::kTruncated, true);
+  CHECK(runs["t1"] == 1);
+  world.last().answer(200, {world.signature()}, "ok");
+  CHECK(caller->head.status == 200);
+  CHECK(runs["t1"] == 1);
+}
+
 TEST_CASE("a request without a known key is answered 401 and not run") {
   KeyedFixture world;
   const std::string long_key(8192, 'k');
