A request at a silent back end goes elsewhere once limits leave room again

What callers saw: a request that was not taken from a silent back end because limits left no other was never looked at again, and waited there for its deadline though room came. Cause: the watch over its progress was not set anew. The least wait of a denied permit has a name.

--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -577,7 +577,11 @@
     return;
   }
   const std::shared_ptr<RequestSession> keep = shared_from_this();
-  if (time_left() < kLeastTime || is_rate_limited_elsewhere() || !spend_repeat()) {
+  if (is_rate_limited_elsewhere()) {
+    watch_progress();
+    return;
+  }
+  if (time_left() < kLeastTime || !spend_repeat()) {
     return;
   }
   ++sends_;
--- a/src/gateway/tests/rate_limited_request_test.cc
+++ b/src/gateway/tests/rate_limited_request_test.cc
@@ -209,9 +209,23 @@
   for (const char* id : {"b1", "b2", "b3"}) {
     gate.full.insert(BackendId(id));
   }
+  advance(1200ms);
+  REQUIRE(last().open);
+  CHECK(sends() == 1);
+  gate.full.clear();
+  advance(700ms);
+  REQUIRE(sends() == 2);
+  last().answer(200, {signature()}, "elsewhere");
+  CHECK(caller->head.status == 200);
+}
+
+TEST_CASE_FIXTURE(RateLimitedFixture, "a late answer is delivered where limits left no other") {
+  const auto caller = request("/idempotent/x");
+  for (const char* id : {"b1", "b2", "b3"}) {
+    gate.full.insert(BackendId(id));
+  }
   advance(1500ms);
   REQUIRE(last().open);
   last().answer(200, {signature()}, "late");
   CHECK(caller->head.status == 200);
-  CHECK(sends() == 1);
 }
--- a/src/rate_limit/rate_limiter.cc
+++ b/src/rate_limit/rate_limiter.cc
@@ -20,6 +20,8 @@
 constexpr Duration kPermitTimeout = milliseconds(150);
 /// How long a back end is left alone that no coordinator has answered for.
 constexpr Duration kUnansweredPause = milliseconds(250);
+/// Bounds on the wait that a coordinator tells.
+constexpr Duration kLeastWait = milliseconds(10);
 constexpr Duration kMostWait = std::chrono::seconds(10);
 
 template <class Statistics>
@@ -176,7 +178,7 @@
   const bool granted = unlimited || (reply.granted && in_time);
   ++(granted ? statistics_.permits_granted : statistics_.permits_denied);
   if (!granted) {
-    close(backend, std::clamp(reply.wait, kAskAgain / 5, kMostWait));
+    close(backend, std::clamp(reply.wait, kLeastWait, kMostWait));
   }
   settle(reply.sequence, granted);
 }
