A node that was suspended does not lose the others for good by late words of leaving

Evidence in the logs: node 1 paused from 9:00:52.6 to 59.3; the processes of nodes 0 and 2 before the present ones told meanwhile that they leave; at 9:01:00 node 1 took a whole view, and from then on none of its news reached a node. Cause: a whole view does not tell when nodes were registered, so both were taken for the processes that had left, and an entry that does not change is never told again.

A word of leaving that waited for more than half a second is left alone: who still leaves repeats it. A node passed over in a whole view counts again once the word is over (15 s). The tests play both; they were written with the mend, and not run on the code before.

--- a/src/discovery/node_directory.cc
+++ b/src/discovery/node_directory.cc
@@ -10,9 +10,16 @@
   if (record == self_) {
     own_registered_ = std::max(own_registered_, registered);
   }
-  if (record.node == self_.node || has_left(record.node, registered)) {
+  if (record.node == self_.node) {
     return;
   }
+  if (has_left(record.node, registered)) {
+    if (registered == shared_store::StoreRevision()) {
+      passed_over_[record.node] = record;
+    }
+    return;
+  }
+  passed_over_.erase(record.node);
   leaving_nodes_.erase(record.node);
   registered_[record.node] = registered;
   gone_.erase(record.node);
@@ -23,7 +30,14 @@
   }
 }
 
+void NodeDirectory::admit_passed_over() {
+  for (const auto& [node, record] : std::exchange(passed_over_, {})) {
+    put(record);
+  }
+}
+
 void NodeDirectory::remove(const NodeId& node) {
+  passed_over_.erase(node);
   std::erase_if(gone_,
                 [this](const auto& entry) { return clock_.now() - entry.second.at >= kMayGoOn; });
   registered_.erase(node);
@@ -62,6 +76,7 @@
     gone_[node] = {std::move(record), clock_.now()};
   }
   registered_.clear();
+  passed_over_.clear();
   for (const NodeRecord& record : records) {
     put(record, record == self_ ? as_of : shared_store::StoreRevision());
   }
--- a/src/discovery/node_directory.h
+++ b/src/discovery/node_directory.h
@@ -33,6 +33,9 @@
   bool has_left(const NodeId& node, shared_store::StoreRevision registered) const;
   /// Keeps only the nodes of a fresh view, which was the store's at `as_of`; zero: not known.
   void replace(const std::vector<NodeRecord>& records, shared_store::StoreRevision as_of = {});
+  /// Takes in nodes of a whole view that had told they leave: such a view does not tell when they
+  /// were registered, and once the word is too old to be of their last process they count again.
+  void admit_passed_over();
   void leave() {
     leaving_ = true;
     ++version_;
@@ -87,6 +90,7 @@
     MonotonicTime until{};
   };
   std::map<NodeId, LeavingNode> leaving_nodes_;
+  std::map<NodeId, NodeRecord> passed_over_;  ///< Registered at no known time, after they had left.
   shared_store::StoreRevision own_registered_;
   bool leaving_ = false;
   std::uint64_t version_ = 1;
--- a/src/discovery/tests/node_directory_test.cc
+++ b/src/discovery/tests/node_directory_test.cc
@@ -90,3 +90,29 @@
   CHECK(names_of(directory).size() == 39);
   CHECK_FALSE(names_of(directory).contains(make_record(3).node));
 }
+
+TEST_CASE("a node that started again is not hidden for good by a late word of the process before") {
+  simulation::VirtualTime time;
+  NodeDirectory directory(time, make_record(0));
+  directory.put(make_record(1), shared_store::StoreRevision(74));
+  directory.note_leaving(NodeId("front-1"), shared_store::StoreRevision(84));
+  directory.replace({make_record(0), make_record(1)}, shared_store::StoreRevision(94));
+  CHECK(directory.count() == 1);
+  time.run_until(time.now() + std::chrono::seconds(16));
+  directory.admit_passed_over();
+  CHECK(directory.count() == 2);
+}
+
+TEST_CASE("a node that is gone from the store is not admitted after its word is over") {
+  simulation::VirtualTime time;
+  NodeDirectory directory(time, make_record(0));
+  directory.put(make_record(1), shared_store::StoreRevision(74));
+  directory.note_leaving(NodeId("front-1"), shared_store::StoreRevision(74));
+  directory.replace({make_record(0), make_record(1)}, shared_store::StoreRevision(94));
+  directory.admit_passed_over();
+  CHECK(directory.count() == 1);
+  directory.remove(NodeId("front-1"));
+  time.run_until(time.now() + std::chrono::seconds(16));
+  directory.admit_passed_over();
+  CHECK(directory.count() == 1);
+}
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -157,6 +157,7 @@
   watcher_.on_current([this] {
     apply_limits();
     learn_cached_parts();
+    nodes_.admit_passed_over();
   });
   watcher_.on_new_era([this] { write_again(); });
   gateway_.on_idle([this] { stop_.on_idle(); });
--- a/src/gateway_node/peer_channel.cc
+++ b/src/gateway_node/peer_channel.cc
@@ -10,6 +10,10 @@
 
 namespace {
 
+/// A word that a node leaves and that has waited longer than this may be of a process before the
+/// one that runs there now. One that still leaves tells it again sooner.
+constexpr Duration kLateLeaving = std::chrono::milliseconds(500);
+
 /// How attempts ended is counted by whoever hears it, and both relays of a zone pass on what they
 /// are told: only one of them is told of the ends, by turns.
 peer_load::WorkReport without_ends(peer_load::WorkReport report) {
@@ -35,6 +39,11 @@
   } else if (auto* relayed = std::get_if<UpdateToRelay>(&message.value())) {
     relayed->update.age += waited;
   }
+  const bool leaving = std::holds_alternative<NodeLeaving>(message.value()) ||
+                       std::holds_alternative<NodeLeavingToRelay>(message.value());
+  if (leaving && waited > kLateLeaving) {
+    return;
+  }
   std::visit([this](const auto& told) { take(told); }, message.value());
 }
 
--- a/src/gateway_node/tests/peer_channel_test.cc
+++ b/src/gateway_node/tests/peer_channel_test.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "simulation/virtual_time.h"
+#include "wire/codec.h"
 
 using namespace ochrespring;
 using namespace ochrespring::gateway_node;
@@ -52,7 +53,7 @@
                        ++crash_news;
                        channel.tell_zone_crashes(news);
                      },
-                 .leaving = [](const auto&) {}},
+                 .leaving = [this](const auto&) { ++leaving_words; }},
                 std::move(send)) {}
 
   discovery::NodeRecord record;
@@ -63,6 +64,7 @@
   int offers = 0;
   int usage_reports = 0;
   int crash_news = 0;
+  int leaving_words = 0;
   std::uint32_t ended = 0;
   std::uint32_t ended_to_relay = 0;
   bool covers = true;          ///< Whether updates can be joined.
@@ -238,3 +240,14 @@
     }
   }
 }
+
+TEST_CASE("a word of leaving that waited until a suspended node woke is left alone") {
+  simulation::VirtualTime time;
+  ChannelNode node(time, "a1", "a", 48, [](const Endpoint&, std::string_view) {});
+  const std::string word =
+      wire::encode(PeerMessage(NodeLeaving{NodeId("b1"), shared_store::StoreRevision(74)}));
+  node.channel.receive(word, std::chrono::seconds(6));
+  CHECK(node.leaving_words == 0);
+  node.channel.receive(word, std::chrono::milliseconds(5));
+  CHECK(node.leaving_words == 1);
+}
