Log and count answers in which a back end asks to back off or says that it leaves

The head of an answer is read once, into one typed statement, in place of six look-ups in RequestSession; no decision depends on the new fields yet.

--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "gateway/backend_statement.h"
 #include "gateway/event_splitter.h"
 #include "gateway/types.h"
 #include "http/client.h"
@@ -22,7 +23,8 @@
   bool prompt_read = false;
   std::unique_ptr<http::Exchange> exchange;
   std::optional<http::ResponseHead> head;
-  std::string body;  ///< Of an answer that is held back until it is whole.
+  BackendStatement statement;  ///< What the head says; nothing before it is there.
+  std::string body;            ///< Of an answer that is held back until it is whole.
   EventSplitter events;
   bool streams = false;     ///< Events are passed on as they come.
   bool prefill = false;     ///< Only reads the prompt; cannot run the request.
--- a/src/gateway/header_names.h
+++ b/src/gateway/header_names.h
@@ -16,6 +16,9 @@
   std::string load = "x-ochrespring-load";  ///< Running, waiting and slots, joined by commas.
   /// Requests a second that a back end in need takes from all nodes together, a decimal number.
   std::string rate_limit = "x-ochrespring-rate-limit";
+  /// Seconds, in a 503: the back end wants nothing from this node for so long.
+  std::string retry_after = "retry-after";
+  std::string leaving = "x-ochrespring-leaving";            ///< `1`: the back end ends soon.
   std::string prompt_parts = "x-ochrespring-prompt-parts";  ///< ID:TOKENS, joined by commas.
   std::string token_counts = "x-ochrespring-token-counts";  ///< Prompt and most output.
   std::string priority = "x-ochrespring-priority";          ///< 0 to 9, 0 first.
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -23,7 +23,6 @@
 constexpr double kRetryAfterObjectives = 0.15;
 /// Bytes a caller has not taken beyond which reading from the back end stops.
 constexpr std::size_t kCallerBufferBytes = 64U << 10U;
-constexpr std::uint16_t kMisdirected = 421;
 
 std::int64_t to_milliseconds(Duration span) {
   return std::chrono::duration_cast<milliseconds>(span).count();
@@ -293,14 +292,14 @@
 
 void RequestSession::on_head(const http::ResponseHead& head) {
   attempt_->head = head;
-  const auto load = parse_load(http::find_header(head.headers, environment_.names.load));
-  if (load && head.status != kMisdirected) {
-    environment_.loads.note_report(attempt_->backend, *load, environment_.clock.now());
-  }
-  note_rate_limit(head);
-  const bool ran = !attempt_->prefill &&
-                   !http::find_header(head.headers, environment_.names.signature).empty() &&
-                   http::find_header(head.headers, environment_.names.not_run).empty();
+  attempt_->statement = read_statement(head, environment_.names);
+  const BackendStatement& statement = attempt_->statement;
+  if (statement.load) {
+    environment_.loads.note_report(attempt_->backend, *statement.load, environment_.clock.now());
+  }
+  note_rate_limit(statement);
+  log_statement(statement);
+  const bool ran = !attempt_->prefill && statement.is_signed && !statement.not_run;
   attempt_->streams = ran && is_stream() && is_success(head.status);
   if (ran && !attempt_->streams) {
     // Ordinary servers begin when they are sent a request, as a rule.
@@ -309,12 +308,30 @@
 }
 
 /// An answer 421 is another back end's, which has the address now.
-void RequestSession::note_rate_limit(const http::ResponseHead& head) {
-  if (environment_.rates != nullptr && head.status != kMisdirected) {
-    environment_.rates->note_answer(
-        {.backend = attempt_->backend,
-         .sent = attempt_->started,
-         .statement = read_rate_limit(head.headers, environment_.names.rate_limit)});
+void RequestSession::note_rate_limit(const BackendStatement& statement) {
+  if (environment_.rates != nullptr && !statement.misdirected) {
+    environment_.rates->note_answer({.backend = attempt_->backend,
+                                     .sent = attempt_->started,
+                                     .statement = statement.rate_limit});
+  }
+}
+
+/// What a back end asked for, to be laid beside what it is sent afterwards.
+void RequestSession::log_statement(const BackendStatement& statement) {
+  GatewayStatistics& statistics = environment_.statistics;
+  const BackoffStatement& backoff = statement.backoff;
+  if (backoff.kind == BackoffStatement::Kind::kAsked) {
+    ++statistics.backoffs_heard;
+    log_attempt("back end asks to back off", std::to_string(to_milliseconds(backoff.span)) + " ms");
+  } else if (backoff.kind == BackoffStatement::Kind::kUnreadable) {
+    ++statistics.backoffs_unreadable;
+    log_attempt("time to back off cannot be read", backoff.text);
+  }
+  if (statement.leaving) {
+    ++statistics.leavings_heard;
+    log_attempt("back end says that it leaves", "");
+  } else if (statement.leaving_unreadable) {
+    log_attempt("statement of leaving cannot be read", "");
   }
 }
 
@@ -356,7 +373,7 @@
 }
 
 AttemptVerdict RequestSession::verdict_of_failed_prefill() const {
-  const bool replaced = attempt_->head && attempt_->head->status == kMisdirected;
+  const bool replaced = attempt_->statement.misdirected;
   return replaced ? AttemptVerdict::kReplaced : AttemptVerdict::kFailed;
 }
 
@@ -381,20 +398,17 @@
 }
 
 void RequestSession::judge_complete() {
-  const HeaderNames& names = environment_.names;
   const http::ResponseHead& head = *attempt_->head;
-  const bool signed_answer = !http::find_header(head.headers, names.signature).empty();
-  const bool not_run =
-      !http::find_header(head.headers, names.not_run).empty() || head.status == kMisdirected;
-  if (not_run) {
+  const BackendStatement& statement = attempt_->statement;
+  if (statement.not_run) {
     log_attempt("attempt refused", std::to_string(head.status));
-    end_attempt(head.status == kMisdirected ? AttemptVerdict::kReplaced : AttemptVerdict::kRefused);
+    end_attempt(statement.misdirected ? AttemptVerdict::kReplaced : AttemptVerdict::kRefused);
     retry_or_give_up(FailureReason::kRefused);
     return;
   }
   may_have_run_ = true;
   note_run(environment_.clock.now() - attempt_->started);
-  if (!signed_answer) {
+  if (!statement.is_signed) {
     log_attempt("attempt without signature", std::to_string(head.status));
     end_attempt(AttemptVerdict::kFailed);
     retry_or_give_up(FailureReason::kBroken);
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -85,7 +85,8 @@
   const RequestFingerprint& fingerprint();
   std::size_t connection_share() const;
   std::uint32_t priority() const;
-  void note_rate_limit(const http::ResponseHead& head);
+  void note_rate_limit(const BackendStatement& statement);
+  void log_statement(const BackendStatement& statement);
   void note_break(BreakKind kind);
   void note_answer();
   void end_prefill(bool refused);
--- a/src/gateway_node/node_metrics.cc
+++ b/src/gateway_node/node_metrics.cc
@@ -35,6 +35,12 @@
      &GatewayStatistics::quarantined},
     {"requests_rate_limited", "Ended since back ends had as much as the rates they had named",
      &GatewayStatistics::rate_limited},
+    {"backoffs_heard", "Answers in which a back end asked this node to back off",
+     &GatewayStatistics::backoffs_heard},
+    {"backoffs_unreadable", "Refusals whose time to back off could not be read",
+     &GatewayStatistics::backoffs_unreadable},
+    {"leavings_heard", "Answers in which a back end said that it leaves",
+     &GatewayStatistics::leavings_heard},
     {"streams_resumed", "Streams taken up at another back end", &GatewayStatistics::resumed},
 };
 
