Servers that ask to back off, or say that they leave, are sent requests all the same: failing test

Two of three servers answer 503 with Retry-After 3 and 2: ordinary ones up to 13 requests from one node within one such time (354 of 406 broken), engines that run prompts up to 22 (757 of 811). All three of a kind, chances 0.3 and 1: up to 13. Servers that leave and say so only in their answers: 74 to 357 requests later than 2 s. 56 callers refused beside two servers with room. Callers of servers that all turn away are told 0.02 s, where the first server takes requests again in 2.0 to 2.6 s.

The crash fleet's servers shed and say that they leave; no number is drawn where they do not, so other tests play as before.

--- a/src/gateway_node/tests/crash_fleet.h
+++ b/src/gateway_node/tests/crash_fleet.h
@@ -85,6 +85,14 @@
   bool alive = true;
   std::uint32_t lives = 1;
   std::string rate_limit;  ///< Named in its answers; empty: none.
+  /// How it turns requests away, if it does.
+  struct Shedding {
+    double chance = 1;
+    std::string retry_after;  ///< Named with it; empty: none.
+    Duration span{};          ///< That this stands for.
+  };
+  std::optional<Shedding> shedding;
+  bool says_leaving = false;  ///< In all its answers; the store says nothing of it.
   std::vector<std::shared_ptr<FleetExchange>> at_work;
 };
 
@@ -133,11 +141,12 @@
 
   simulation::SuspendableMachine machine;
   const Clock& clock;
-  bool cut_off = false;     ///< From all other nodes.
-  bool asked = false;       ///< Other nodes, for what they know.
-  Endpoint offered_at;      ///< The last node that offered its view.
-  bool refused = false;     ///< Cut off from servers by something that resets.
-  MonotonicTime touched{};  ///< Last end of a fault of this node.
+  bool cut_off = false;         ///< From all other nodes.
+  bool asked = false;           ///< Other nodes, for what they know.
+  Endpoint offered_at;          ///< The last node that offered its view.
+  bool refused = false;         ///< Cut off from servers by something that resets.
+  MonotonicTime touched{};      ///< Last end of a fault of this node.
+  MonotonicTime interrupted{};  ///< Last start, or end of a suspension.
   SeededRandom random;
   /// Apart, so that what the others draw does not depend on the rate limiter.
   SeededRandom limiter_random;
@@ -211,6 +220,7 @@
   void suspend(std::size_t number, Duration span) {
     nodes[number]->machine.suspend(span);
     nodes[number]->touched = time.now() + span;
+    nodes[number]->interrupted = time.now() + span;
   }
   /// Cuts a node off from all other nodes.
   void cut_off(std::size_t number, Duration span) {
@@ -228,11 +238,17 @@
     retired_.push_back(std::move(nodes[number]));
     start_node(number);
     nodes[number]->touched = time.now();
+    nodes[number]->interrupted = time.now();
   }
 
   /// One request of a caller at a node; `done` is told the status, 0 for a broken answer.
   void send(std::size_t node, const std::string& path, const std::string& body,
             std::function<void(int)> done = {}) {
+    await(ask(node, path, body), std::move(done));
+  }
+  /// One request of a caller at a node.
+  std::shared_ptr<gateway::testing::PlayedCaller> ask(std::size_t node, const std::string& path,
+                                                      const std::string& body) {
     auto caller = std::make_shared<gateway::testing::PlayedCaller>();
     const gateway::HeaderNames names;
     std::vector<http::Header> headers{
@@ -241,10 +257,11 @@
         {names.deadline, "5000"},
         {names.prompt_parts, "aa:6300," + std::to_string(ids_) + ":2000"},
         {names.token_counts, "8300,20"}};
+    asked_at["r" + std::to_string(ids_)] = time.now();
     nodes[node]->machine.when_awake([gateway = &nodes[node]->gateway, caller, path, body, headers] {
       gateway->handle({"POST", path, "", headers, body}, caller);
     });
-    await(std::move(caller), std::move(done));
+    return caller;
   }
 
   /// A caller sends `body` again and again, to any node, until the time is over.
@@ -381,6 +398,10 @@
       arrivals.push_back({.at = time.now(),
                           .node = node,
                           .server = server.backend.address,
+                          .life = server.lives,
+                          .asked = asked_at.at(std::string(http::find_header(
+                              exchange->request.headers, gateway::HeaderNames().request_id))),
+                          .interrupted = nodes[node]->interrupted,
                           .in_touch = in_touch && !nodes[node]->cut_off});
       serve(server, exchange);
     });
@@ -398,7 +419,10 @@
     MonotonicTime at;
     std::size_t node = 0;
     Endpoint server;
-    bool in_touch = true;  ///< The node is not, and was not of late, in a fault of its own.
+    std::uint32_t life = 1;       ///< Of the server.
+    MonotonicTime asked{};        ///< When the caller sent it.
+    MonotonicTime interrupted{};  ///< When the node last started or woke.
+    bool in_touch = true;         ///< The node is not, and was not of late, in a fault of its own.
   };
 
   simulation::VirtualTime time;
@@ -421,7 +445,18 @@
   std::vector<Arrival> arrivals;
   /// When a node was first given an answer that named a rate limit, by node and server.
   std::map<std::pair<std::size_t, Endpoint>, MonotonicTime> told_limits;
-  std::map<std::string, CallerCounts> callers;  ///< Of repeat(), by body.
+  /// What a server told a node of itself.
+  struct Told {
+    MonotonicTime at;
+    std::size_t node = 0;
+    Endpoint server;
+    std::uint32_t life = 1;
+    Duration span{};  ///< For which it wants nothing from the node.
+  };
+  std::vector<Told> told_backoffs;
+  std::vector<Told> told_leavings;                ///< The first of each life and node.
+  std::map<std::string, MonotonicTime> asked_at;  ///< By request.
+  std::map<std::string, CallerCounts> callers;    ///< Of repeat(), by body.
   CallerCounts innocents;
 
   void carry(const CrashNode& from, const Endpoint& to, std::string_view bytes) {
@@ -495,6 +530,10 @@
       answer(server, exchange, 421, {}, "");
       return;
     }
+    if (server.shedding && random.chance(server.shedding->chance)) {
+      shed(server, exchange);
+      return;
+    }
     server.at_work.push_back(exchange);
     if (header(names.phase) == names.phase_prefill) {
       time.schedule_after(draw(30ms, 60ms), [this, &server, exchange] {
@@ -528,6 +567,38 @@
       told_limits.try_emplace({exchange.node, server.backend.address}, time.now());
     }
   }
+  /// Turns a request away.
+  void shed(PlayedServer& server, const std::shared_ptr<FleetExchange>& exchange) {
+    const gateway::HeaderNames names;
+    std::vector<http::Header> headers{{names.not_run, "1"}};
+    if (!server.shedding->retry_after.empty()) {
+      headers.push_back({names.retry_after, server.shedding->retry_after});
+      told_backoffs.push_back({.at = time.now(),
+                               .node = exchange->node,
+                               .server = server.backend.address,
+                               .life = server.lives,
+                               .span = server.shedding->span});
+    }
+    answer(server, exchange, 503, std::move(headers), "");
+  }
+  void add_leaving(const PlayedServer& server, const FleetExchange& exchange,
+                   std::vector<http::Header>& headers) {
+    if (!server.says_leaving) {
+      return;
+    }
+    headers.push_back({gateway::HeaderNames().leaving, "1"});
+    const bool known =
+        std::any_of(told_leavings.begin(), told_leavings.end(), [&](const Told& told) {
+          return told.node == exchange.node && told.server == server.backend.address &&
+                 told.life == server.lives;
+        });
+    if (!known) {
+      told_leavings.push_back({.at = time.now(),
+                               .node = exchange.node,
+                               .server = server.backend.address,
+                               .life = server.lives});
+    }
+  }
   static bool holds(const PlayedServer& server, const std::shared_ptr<FleetExchange>& exchange) {
     return server.alive && std::find(server.at_work.begin(), server.at_work.end(), exchange) !=
                                server.at_work.end();
@@ -537,6 +608,7 @@
     std::erase(server.at_work, exchange);
     if (server.alive && exchange->open) {
       add_rate_limit(server, *exchange, headers);
+      add_leaving(server, *exchange, headers);
       exchange->tell(
           [status, headers = std::move(headers), body = std::string(body)](auto& observer) {
             observer.on_head({status, headers});
@@ -555,6 +627,7 @@
       exchange->head_sent = true;
       std::vector<http::Header> headers{signature()};
       add_rate_limit(server, *exchange, headers);
+      add_leaving(server, *exchange, headers);
       exchange->tell([headers](auto& observer) { observer.on_head({200, headers}); });
     }
     exchange->tell([event](auto& observer) {
--- /dev/null
+++ b/src/gateway_node/tests/server_backoff_test.cc
@@ -0,0 +1,145 @@
+// A server that asks a node to back off, or says that it leaves, gets nothing more from it.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "gateway_node/tests/backoff_judge.h"
+#include "gateway_node/tests/crash_fleet.h"
+
+using namespace ochrespring;
+using namespace ochrespring::gateway_node::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr gateway::EngineRole kRoles[] = {gateway::EngineRole::kNone, gateway::EngineRole::kDecode,
+                                          gateway::EngineRole::kPrefill};
+
+std::vector<PlayedServer*> servers_of(CrashFleet& fleet, gateway::EngineRole role) {
+  std::vector<PlayedServer*> servers;
+  for (const auto& server : fleet.servers) {
+    if (server->backend.role == role) {
+      servers.push_back(server.get());
+    }
+  }
+  return servers;
+}
+
+/// The server turns requests away for `span`, each for so many whole seconds.
+void shed(CrashFleet& fleet, PlayedServer& server, std::chrono::seconds backoff, double chance,
+          Duration span) {
+  server.shedding = PlayedServer::Shedding{
+      .chance = chance, .retry_after = std::to_string(backoff.count()), .span = backoff};
+  fleet.time.schedule_after(span, [&server] { server.shedding.reset(); });
+}
+
+void check_kept(const CrashFleet& fleet) {
+  const BackoffCount count = count_backoffs(fleet);
+  CAPTURE(count.asked);
+  CAPTURE(count.worst);
+  CHECK(count.asked > 0);
+  CHECK(count.broken == 0);
+}
+
+/// Requests to the ordinary service that may be sent twice; counts how many were answered 503.
+void send_ordinary(CrashFleet& fleet, double per_second, Duration span, std::size_t& refused) {
+  if (span <= Duration::zero()) {
+    return;
+  }
+  const bool repeatable = fleet.random.chance(0.5);
+  fleet.send(fleet.random.below(fleet.nodes.size()), repeatable ? "/idempotent/x" : "/once-twice/x",
+             "ordinary", [&refused](int status) { refused += status == 503 ? 1 : 0; });
+  const Duration wait = from_seconds(fleet.random.exponential(1 / per_second));
+  fleet.time.schedule_after(wait, [&fleet, per_second, span, wait, &refused] {
+    send_ordinary(fleet, per_second, span - wait, refused);
+  });
+}
+
+}  // namespace
+
+TEST_CASE("servers that ask to back off get nothing more from the nodes that they asked") {
+  for (const gateway::EngineRole role : kRoles) {
+    CAPTURE(static_cast<int>(role));
+    CrashFleet fleet({});
+    fleet.traffic(60, 20s);
+    fleet.advance(3s);
+    const std::vector<PlayedServer*> servers = servers_of(fleet, role);
+    shed(fleet, *servers[0], 3s, 1, 12s);
+    shed(fleet, *servers[1], 2s, 1, 12s);
+    fleet.advance(17s);
+    check_kept(fleet);
+  }
+}
+
+TEST_CASE("where all servers of a service ask to back off none is taken all the same") {
+  for (const gateway::EngineRole role : kRoles) {
+    for (const double chance : {0.3, 1.0}) {
+      CAPTURE(static_cast<int>(role));
+      CAPTURE(chance);
+      CrashFleet fleet({});
+      fleet.traffic(60, 20s);
+      fleet.advance(3s);
+      for (PlayedServer* server : servers_of(fleet, role)) {
+        shed(fleet, *server, 2s, chance, 12s);
+      }
+      fleet.advance(17s);
+      check_kept(fleet);
+    }
+  }
+}
+
+TEST_CASE("a server that says in its answers that it leaves gets nothing new") {
+  for (const gateway::EngineRole role : kRoles) {
+    for (const bool all : {false, true}) {
+      CAPTURE(static_cast<int>(role));
+      CAPTURE(all);
+      CrashFleet fleet({});
+      fleet.traffic(60, 15s);
+      fleet.advance(3s);
+      for (PlayedServer* server : servers_of(fleet, role)) {
+        server->says_leaving = all || server == servers_of(fleet, role)[0];
+      }
+      fleet.advance(12s);
+      CHECK(fleet.told_leavings.size() > 0);
+      CHECK(count_late_after_leaving(fleet) == 0);
+    }
+  }
+}
+
+TEST_CASE("no caller is refused beside servers that have room") {
+  CrashFleet fleet({});
+  std::size_t refused = 0;
+  send_ordinary(fleet, 40, 18s, refused);
+  fleet.advance(3s);
+  shed(fleet, *servers_of(fleet, gateway::EngineRole::kNone)[0], 3s, 1, 12s);
+  fleet.advance(16s);
+  CHECK(refused == 0);
+}
+
+TEST_CASE("a caller is told when the first of the servers takes requests again") {
+  CrashFleet fleet({});
+  fleet.traffic(60, 8s);
+  fleet.advance(3s);
+  for (PlayedServer* server : servers_of(fleet, gateway::EngineRole::kNone)) {
+    shed(fleet, *server, 4s, 1, 12s);
+  }
+  fleet.advance(1500ms);
+  for (std::size_t node = 0; node != fleet.nodes.size(); ++node) {
+    CAPTURE(node);
+    Duration least = Duration::max();
+    for (const CrashFleet::Told& told : fleet.told_backoffs) {
+      if (told.node == node) {
+        least = std::min(least, told.at + told.span - fleet.time.now());
+      }
+    }
+    REQUIRE(least != Duration::max());
+    const auto caller = fleet.ask(node, "/idempotent/x", "late");
+    fleet.advance(100ms);
+    REQUIRE(caller->finished);
+    CHECK(caller->head.status == 503);
+    CHECK(std::stod(caller->header("retry-after")) >= to_seconds(least) - 0.1);
+  }
+}
