--- /dev/null
+++ b/src/admission/backoff_table.h
@@ -0,0 +1,72 @@
+// Which back ends have asked this node to back off, and until when.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+
+#include "base/time.h"
+#include "gateway/types.h"
+
+namespace ochrespring::admission {
+
+/// A back end that has asked for a pause gets nothing until it is over. Then it gets one request,
+/// and with each good answer to one of these twice as many, so that it is not given at once all
+/// that waited for it. Of two pauses that overlap the later end counts.
+///
+/// Entries hang on the life of a back end and outlive its registration: one that is registered
+/// again has still asked, one that has started again has not. Pure; one loop.
+class BackoffTable {
+ public:
+  /// The back end asks for a pause of `span` from `now` on; returns whether it ends later than what
+  /// was known.
+  bool note(const gateway::BackendId& backend, Duration span, MonotonicTime now);
+  /// Whether a request may be sent now, as far as pauses go.
+  bool has_room(const gateway::BackendId& backend, MonotonicTime now) const {
+    return time_to_room(backend, now) == Duration::zero();
+  }
+  void note_send(const gateway::BackendId& backend, MonotonicTime now);
+  /// An answer that turned nothing away, to a request that was sent at `sent`; returns whether all
+  /// that is left of the pause has ended with it.
+  bool note_good_answer(const gateway::BackendId& backend, MonotonicTime sent);
+
+  /// Whether the back end has asked for nothing, as yet.
+  bool is_paused(const gateway::BackendId& backend, MonotonicTime now) const;
+  /// What has_room() waits for; zero: nothing.
+  Duration time_to_room(const gateway::BackendId& backend, MonotonicTime now) const;
+  /// All that have no room now.
+  template <class Visit>
+  void for_each_closed(MonotonicTime now, const Visit& visit) const {
+    for (const auto& [backend, entry] : entries_) {
+      if (time_to_room(entry, now) > Duration::zero()) {
+        visit(backend);
+      }
+    }
+  }
+  std::size_t pause_count(MonotonicTime now) const;
+
+ private:
+  /// Answered so often, a back end is believed to be well.
+  static constexpr std::uint32_t kFullWindow = 8;
+  /// A request whose answer does not come does not keep the back end closed for longer.
+  static constexpr Duration kProbePause{std::chrono::milliseconds(100)};
+  /// The back end has had requests for so long since its pause, or nobody has asked for it.
+  static constexpr Duration kRecovery{std::chrono::seconds(2)};
+  static constexpr std::size_t kLeastPrune = 1024;
+
+  struct Entry {
+    MonotonicTime until{};
+    std::uint32_t window = 1;  ///< Requests that may be sent in all since the pause.
+    std::uint32_t sent = 0;
+    MonotonicTime last_sent{};
+  };
+
+  static Duration time_to_room(const Entry& entry, MonotonicTime now);
+  void prune(MonotonicTime now);
+
+  std::map<gateway::BackendId, Entry> entries_;
+  std::size_t prune_at_ = kLeastPrune;  ///< Size at which ended entries are dropped.
+};
+
+}  // namespace ochrespring::admission
--- a/src/gateway/backend_request.h
+++ b/src/gateway/backend_request.h
@@ -14,6 +14,7 @@
 
 /// Prompt cache at a prefill engine.
 struct CacheHandle {
+  BackendId engine;
   Endpoint address;
   std::string handle;
 };
--- a/src/gateway/candidates.cc
+++ b/src/gateway/candidates.cc
@@ -35,7 +35,7 @@
   const BackendLoad* load = loads_.find(backend.id);
   const bool replaced = load != nullptr && load->replaced(now);
   return !replaced && !fleet_.is_leaving(backend) && !query.avoid->contains(backend.id) &&
-         (query.rates == nullptr || query.rates->has_room(backend.id, now));
+         (query.gate == nullptr || query.gate->has_room(backend.id, now));
 }
 
 Candidates CandidateFinder::walk(const Query& query, bool readers, MonotonicTime now) const {
--- a/src/gateway/candidates.h
+++ b/src/gateway/candidates.h
@@ -9,7 +9,7 @@
 #include "gateway/fleet_state.h"
 #include "gateway/load_table.h"
 #include "gateway/prompt.h"
-#include "gateway/rate_gate.h"
+#include "gateway/send_gate.h"
 #include "gateway/types.h"
 
 namespace ochrespring::gateway {
@@ -33,7 +33,7 @@
     const std::set<BackendId>* avoid = nullptr;
     /// Of the prompt, where not all back ends are looked at; see holders().
     std::vector<const Backend*> holders{};
-    const RateGate* rates = nullptr;  ///< Null: all back ends have room.
+    const SendGate* gate = nullptr;  ///< Null: all back ends have room.
   };
 
   CandidateFinder(const FleetState& fleet, const LoadTable& loads, RandomSource& random)
--- a/src/gateway/environment.h
+++ b/src/gateway/environment.h
@@ -14,9 +14,9 @@
 #include "gateway/header_names.h"
 #include "gateway/load_table.h"
 #include "gateway/placement.h"
-#include "gateway/rate_gate.h"
 #include "gateway/request_guard.h"
 #include "gateway/retry_budget.h"
+#include "gateway/send_gate.h"
 #include "gateway/share_picker.h"
 #include "gateway/statistics.h"
 #include "logging/logger.h"
@@ -42,7 +42,7 @@
   /// Called when a request of a tenant is seen to have begun to run, that long ago; may be empty.
   std::function<void(const TenantName& tenant, Duration ago)> note_run{};
   RequestGuard* guard = nullptr;  ///< Null: requests that end back ends are not kept from others.
-  RateGate* rates = nullptr;      ///< Null: rate limits of back ends are not kept.
+  SendGate* gate = nullptr;       ///< Null: what back ends ask for is not kept to.
   /// The process ends then, whatever runs; none: not before long.
   std::optional<MonotonicTime> ends_at{};
 };
--- a/src/gateway/failure_answer.cc
+++ b/src/gateway/failure_answer.cc
@@ -47,6 +47,8 @@
       return "quarantined";
     case FailureReason::kRateLimited:
       return "rate-limited";
+    case FailureReason::kBackingOff:
+      return "backing-off";
     case FailureReason::kStopping:
       return "stopping";
   }
--- a/src/gateway/failure_answer.h
+++ b/src/gateway/failure_answer.h
@@ -22,7 +22,8 @@
   kBroken,           ///< An attempt broke off; it may have run.
   kTimeout,
   kQuarantined,  ///< Back ends have ended under it.
-  kRateLimited,  ///< All back ends that could take it have named rates, and have had as much.
+  kRateLimited,  ///< All back ends that could take it have named gate, and have had as much.
+  kBackingOff,   ///< All back ends that could take it have asked this node for a pause.
   kStopping,     ///< This node ends before the request may.
 };
 
--- a/src/gateway/fleet_state.cc
+++ b/src/gateway/fleet_state.cc
@@ -29,7 +29,9 @@
     index_.remove(known);
   }
   known = std::move(backend);
-  note_leaving(known);
+  if (known.draining) {
+    note_leaving(known.id);
+  }
   index_.add(known);
   return true;
 }
@@ -70,7 +72,9 @@
   index_.clear();
   for (const auto& [id, backend] : backends_) {
     gone_.erase(id);
-    note_leaving(backend);
+    if (backend.draining) {
+      note_leaving(id);
+    }
     index_.add(backend);
   }
   for (const auto& [id, backend] : fresh) {
@@ -80,11 +84,16 @@
   }
 }
 
-void FleetState::note_leaving(const Backend& backend) {
-  if (!backend.draining || !leaving_.insert(backend.id).second || leaving_.size() <= kMostLeaving) {
+bool FleetState::is_leaving(const BackendId& id) const {
+  const Backend* backend = find(id);
+  return leaving_.contains(id) || (backend != nullptr && backend->draining);
+}
+
+void FleetState::note_leaving(const BackendId& id) {
+  if (!leaving_.insert(id).second || leaving_.size() <= kMostLeaving) {
     return;
   }
-  std::erase_if(leaving_, [this](const BackendId& id) { return !backends_.contains(id); });
+  std::erase_if(leaving_, [this](const BackendId& old) { return !backends_.contains(old); });
 }
 
 std::vector<BackendId> FleetState::lives_of(std::string_view name) const {
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -41,6 +41,11 @@
   bool is_leaving(const Backend& backend) const {
     return backend.draining || leaving_.contains(backend.id);
   }
+  bool is_leaving(const BackendId& id) const;
+  /// A back end has said itself that it leaves, to this node or to another.
+  void note_leaving(const BackendId& id);
+  /// The back ends that have said so, registered or not.
+  const std::set<BackendId>& leaving() const { return leaving_; }
   /// The store has been set back: until `until` back ends that had gone are doubted where it shows
   /// them, for its copy may be older than their end.
   void doubt_gone(MonotonicTime until);
@@ -61,7 +66,6 @@
   /// Many more than leave within the time in which an older copy may show them again.
   static constexpr std::size_t kMostLeaving = 16'384;
 
-  void note_leaving(const Backend& backend);
   void note_gone(const Backend& backend);
 
   std::shared_ptr<const RouteTable> routes_;
--- a/src/gateway/load_table.cc
+++ b/src/gateway/load_table.cc
@@ -95,6 +95,9 @@
       replaced_until_ = ejected_until_;
       break;
     case AttemptVerdict::kRefused:
+      refusals_ = std::min(refusals_ + 1, kMostAttempts);
+      break;
+    case AttemptVerdict::kNotSent:
     case AttemptVerdict::kAbandoned:
       break;
   }
@@ -135,6 +138,13 @@
   return failures_ * weight / (attempts_ * weight + kPriorAttempts);
 }
 
+double BackendLoad::refusal_share(MonotonicTime now) const {
+  const double weight = halved(now - faded_at_, kFailureHalfLife);
+  const double all = (attempts_ + refusals_) * weight + kPriorAttempts;
+  const double told = now < told_pause_until_ ? kToldPauseShare : 0;
+  return std::max(told, refusals_ * weight / all);
+}
+
 void BackendLoad::note_told_ends(std::uint32_t ended, std::uint32_t failed, MonotonicTime now) {
   fade(now);
   count_ends(ended, std::min(ended, failed));
@@ -154,6 +164,7 @@
   const double weight = halved(now - faded_at_, kFailureHalfLife);
   failures_ *= weight;
   attempts_ *= weight;
+  refusals_ *= weight;
   faded_at_ = now;
 }
 
--- a/src/gateway/load_table.h
+++ b/src/gateway/load_table.h
@@ -2,6 +2,7 @@
 // how they ended. Pure; one loop.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -35,6 +36,7 @@
   kRefused,      ///< Said itself that it did not run the request.
   kFailed,       ///< Broke off, answered garbage or with a failure, or was silent for too long.
   kUnreachable,  ///< No connection.
+  kNotSent,      ///< Kept back before its first byte left: says nothing.
   kReplaced,     ///< Another back end answers at its address: it has ended.
   kAbandoned,    ///< Ended by us or the caller; tells nothing.
 };
@@ -59,6 +61,14 @@
   double failure_share(MonotonicTime now) const;
   /// Other nodes' attempts ended, so many of them in failure; counted like this node's own.
   void note_told_ends(std::uint32_t ended, std::uint32_t failed, MonotonicTime now);
+  /// Share of recent requests that the back end turned away, fading with time, 0 to 1; at least
+  /// kToldPauseShare while another node has been asked to send it nothing.
+  double refusal_share(MonotonicTime now) const;
+  /// The back end has asked another node to send it nothing until then.
+  void note_told_pause(MonotonicTime until) {
+    told_pause_until_ = std::max(told_pause_until_, until);
+  }
+  MonotonicTime told_pause_until() const { return told_pause_until_; }
   /// Another node says that the back end is silent. Believed unless it has just answered this one:
   /// it may be the other's own link.
   void note_told_silence(MonotonicTime now);
@@ -81,6 +91,7 @@
 
  private:
   static constexpr std::size_t kLeastPrune = 1024;
+  static constexpr double kToldPauseShare = 0.5;
 
   struct CachedPart {
     MonotonicTime first_used{};
@@ -100,7 +111,9 @@
   std::optional<MonotonicTime> reported_at_;
   double failures_ = 0;  ///< Fading counts.
   double attempts_ = 0;
+  double refusals_ = 0;  ///< Not among the attempts: the back end is well.
   MonotonicTime faded_at_{};
+  MonotonicTime told_pause_until_{};
   std::uint32_t unreachable_in_row_ = 0;
   MonotonicTime ejected_until_{};
   MonotonicTime replaced_until_{};
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -65,7 +65,7 @@
   CandidateFinder::Query query{.service = request.service,
                                .prompt = request.prompt,
                                .avoid = &request.avoid,
-                               .rates = request.rates};
+                               .gate = request.gate};
   if (request.prompt != nullptr && !finder_.walks_all()) {
     query.holders = finder_.holders(*request.prompt, now);
   }
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -22,11 +22,11 @@
 /// What is to be placed.
 struct PlacementRequest {
   ServiceName service;
-  const Prompt* prompt = nullptr;   ///< Null: an ordinary request.
-  bool may_read_apart = true;       ///< Whether a prefill engine may read the prompt first.
-  std::set<BackendId> avoid;        ///< Already tried.
-  const RateGate* rates = nullptr;  ///< Null: all back ends have room.
-  bool where_least_runs = false;    ///< Whatever it costs: the back end may end under the request.
+  const Prompt* prompt = nullptr;  ///< Null: an ordinary request.
+  bool may_read_apart = true;      ///< Whether a prefill engine may read the prompt first.
+  std::set<BackendId> avoid;       ///< Already tried.
+  const SendGate* gate = nullptr;  ///< Null: all back ends have room.
+  bool where_least_runs = false;   ///< Whatever it costs: the back end may end under the request.
   /// Whether a back end is reached without a new connection; null: all are.
   std::function<bool(const Backend&)> connected;
 };
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -135,7 +135,7 @@
   wanted.prompt = prompt_ ? &*prompt_ : nullptr;
   wanted.may_read_apart = !read_apart_;
   wanted.avoid = tried_;
-  wanted.rates = environment_.rates;
+  wanted.gate = environment_.gate;
   wanted.where_least_runs = trial_;
   wanted.connected = [this](const Backend& backend) {
     return environment_.transport.has_idle_connection(backend.address);
@@ -159,25 +159,38 @@
   }
 }
 
+std::optional<RoomForecast> RequestSession::forecast(MonotonicTime now) const {
+  return environment_.gate != nullptr ? environment_.gate->forecast(service_, now) : std::nullopt;
+}
+
 FailureReason RequestSession::reason_of_no_backend(MonotonicTime now) const {
-  const bool limited =
-      environment_.rates != nullptr && environment_.rates->time_to_room(service_, now);
-  return limited ? FailureReason::kRateLimited : FailureReason::kNoBackend;
+  const auto room = forecast(now);
+  if (!room) {
+    return FailureReason::kNoBackend;
+  }
+  return room->backing_off ? FailureReason::kBackingOff : FailureReason::kRateLimited;
 }
 
-/// Whether rate limits leave no other back end to go to.
-bool RequestSession::is_rate_limited_elsewhere() const {
+/// Whether some back ends are closed to this node, and none that is not may take the request.
+/// `tried_too`: also none of those that it was sent to.
+bool RequestSession::is_closed_everywhere(bool tried_too) const {
   const MonotonicTime now = environment_.clock.now();
-  return reason_of_no_backend(now) == FailureReason::kRateLimited &&
-         environment_.placement.choose(placement_request(), now).runner.backend == nullptr;
+  if (!forecast(now)) {
+    return false;
+  }
+  PlacementRequest wanted = placement_request();
+  if (tried_too) {
+    wanted.avoid.clear();
+  }
+  return environment_.placement.choose(wanted, now).runner.backend == nullptr;
 }
 
 /// Sends the request once the back end's rate limit allows it. False: it does not, now.
 bool RequestSession::claim_and_start(const PlacementChoice& choice, bool prefill) {
   ClaimResult result = ClaimResult::kGranted;
-  if (environment_.rates != nullptr) {
+  if (environment_.gate != nullptr) {
     const bool begun = answer_open_ || last_event_.has_value();
-    result = environment_.rates->claim(
+    result = environment_.gate->claim(
         choice.backend->id, begun ? kBegunStreamRank : kBegunStreamRank + 1 + priority(),
         [weak = weak_from_this(), claimed = ClaimedSend::of(choice, prefill)](bool granted) {
           const auto self = weak.lock();
@@ -202,7 +215,8 @@
   if (!granted) {
     log_rate_limited(claimed.backend);
   }
-  if (!granted || backend == nullptr || fleet.is_leaving(*backend)) {
+  const bool open = environment_.gate->may_send(claimed.backend, environment_.clock.now());
+  if (!granted || backend == nullptr || !open || fleet.is_leaving(*backend)) {
     dispatch();
     return;
   }
@@ -247,8 +261,14 @@
   }
   ++environment_.statistics.attempts;
   log_attempt(prefill ? "prefill started" : "attempt started", backend.address.value());
-  attempt_->exchange = environment_.transport.start(
-      make_backend_request(request_, environment_.names, make_call(backend)), *this);
+  http::ClientRequest sent = make_backend_request(request_, environment_.names, make_call(backend));
+  if (SendGate* gate = environment_.gate) {
+    gate->note_send(backend.id, now);
+    sent.may_leave = [gate, &clock = environment_.clock, id = backend.id] {
+      return gate->may_send(id, clock.now());
+    };
+  }
+  attempt_->exchange = environment_.transport.start(std::move(sent), *this);
   watch_progress();
 }
 
@@ -294,11 +314,7 @@
   attempt_->head = head;
   attempt_->statement = read_statement(head, environment_.names);
   const BackendStatement& statement = attempt_->statement;
-  if (statement.load) {
-    environment_.loads.note_report(attempt_->backend, *statement.load, environment_.clock.now());
-  }
-  note_rate_limit(statement);
-  log_statement(statement);
+  note_statement(statement);
   const bool ran = !attempt_->prefill && statement.is_signed && !statement.not_run;
   attempt_->streams = ran && is_stream() && is_success(head.status);
   if (ran && !attempt_->streams) {
@@ -308,30 +324,13 @@
 }
 
 /// An answer 421 is another back end's, which has the address now.
-void RequestSession::note_rate_limit(const BackendStatement& statement) {
-  if (environment_.rates != nullptr && !statement.misdirected) {
-    environment_.rates->note_answer({.backend = attempt_->backend,
-                                     .sent = attempt_->started,
-                                     .statement = statement.rate_limit});
-  }
-}
-
-/// What a back end asked for, to be laid beside what it is sent afterwards.
-void RequestSession::log_statement(const BackendStatement& statement) {
-  GatewayStatistics& statistics = environment_.statistics;
-  const BackoffStatement& backoff = statement.backoff;
-  if (backoff.kind == BackoffStatement::Kind::kAsked) {
-    ++statistics.backoffs_heard;
-    log_attempt("back end asks to back off", std::to_string(to_milliseconds(backoff.span)) + " ms");
-  } else if (backoff.kind == BackoffStatement::Kind::kUnreadable) {
-    ++statistics.backoffs_unreadable;
-    log_attempt("time to back off cannot be read", backoff.text);
+void RequestSession::note_statement(const BackendStatement& statement) {
+  if (statement.load) {
+    environment_.loads.note_report(attempt_->backend, *statement.load, environment_.clock.now());
   }
-  if (statement.leaving) {
-    ++statistics.leavings_heard;
-    log_attempt("back end says that it leaves", "");
-  } else if (statement.leaving_unreadable) {
-    log_attempt("statement of leaving cannot be read", "");
+  if (environment_.gate != nullptr && !statement.misdirected) {
+    environment_.gate->note_answer(
+        {.backend = attempt_->backend, .sent = attempt_->started, .statement = statement});
   }
 }
 
@@ -361,7 +360,7 @@
   const auto handle =
       refused ? std::nullopt : environment_.engines.read_cache_handle(attempt_->body);
   if (handle && backend != nullptr) {
-    cache_ = CacheHandle{backend->address, *handle};
+    cache_ = CacheHandle{backend->id, backend->address, *handle};
   }
   log_attempt(handle ? "prefill done" : "prefill refused", handle.value_or(""));
   end_attempt(handle ? AttemptVerdict::kGood : verdict_of_failed_prefill());
@@ -372,9 +371,13 @@
   dispatch();
 }
 
+/// An engine that turns a request away is not ill.
 AttemptVerdict RequestSession::verdict_of_failed_prefill() const {
-  const bool replaced = attempt_->statement.misdirected;
-  return replaced ? AttemptVerdict::kReplaced : AttemptVerdict::kFailed;
+  const BackendStatement& statement = attempt_->statement;
+  if (statement.misdirected) {
+    return AttemptVerdict::kReplaced;
+  }
+  return statement.not_run ? AttemptVerdict::kRefused : AttemptVerdict::kFailed;
 }
 
 /// A request counts once, however often it runs.
@@ -390,6 +393,12 @@
   if (!cache_) {
     return;
   }
+  if (environment_.gate != nullptr &&
+      environment_.gate->is_paused(cache_->engine, environment_.clock.now())) {
+    // It lapses by itself.
+    cache_.reset();
+    return;
+  }
   http::ClientRequest request = environment_.engines.release_cache(cache_->handle);
   request.endpoint = cache_->address;
   request.timeout = kReleaseTimeout;
@@ -499,6 +508,10 @@
 
 void RequestSession::on_failure(const http::HttpError& error, bool sent) {
   const std::shared_ptr<RequestSession> keep = shared_from_this();
+  if (error.code == http::HttpErrc::kWithdrawn) {
+    on_withdrawn();
+    return;
+  }
   if (!sent) {
     log_attempt("no connection", error.message);
     ++unreachable_;
@@ -531,9 +544,27 @@
   retry_or_give_up(FailureReason::kBroken);
 }
 
+/// The back end has asked for nothing more while the request waited for a connection.
+void RequestSession::on_withdrawn() {
+  log_attempt("not sent: back end asked for nothing more", "");
+  ++environment_.statistics.withdrawn;
+  tried_.erase(attempt_->backend);
+  if (attempt_->prefill) {
+    read_apart_ = false;
+  }
+  end_attempt(AttemptVerdict::kNotSent);
+  dispatch();
+}
+
 void RequestSession::retry_or_give_up(FailureReason reason) {
   const bool allowed = reason == FailureReason::kRefused ? !may_have_run_ || route_.repeatable()
                                                          : route_.repeatable();
+  // A repeat that could go nowhere would be taken out of the budget for nothing.
+  if (allowed && is_closed_everywhere(false)) {
+    give_up(reason == FailureReason::kRefused ? reason_of_no_backend(environment_.clock.now())
+                                              : reason);
+    return;
+  }
   if (allowed && may_send_again()) {
     if (answer_open_) {
       ++environment_.statistics.resumed;
@@ -569,7 +600,7 @@
   if (attempt_->uses_cache && verdict == AttemptVerdict::kRefused) {
     release_cache();
   } else if (attempt_->uses_cache && verdict != AttemptVerdict::kUnreachable &&
-             verdict != AttemptVerdict::kReplaced) {
+             verdict != AttemptVerdict::kNotSent && verdict != AttemptVerdict::kReplaced) {
     // Taken: a handle serves once.
     cache_.reset();
   }
@@ -591,7 +622,7 @@
     return;
   }
   const std::shared_ptr<RequestSession> keep = shared_from_this();
-  if (is_rate_limited_elsewhere()) {
+  if (is_closed_everywhere(false)) {
     watch_progress();
     return;
   }
@@ -654,6 +685,7 @@
   end_attempt(AttemptVerdict::kAbandoned);
   environment_.statistics.quarantined += reason == FailureReason::kQuarantined ? 1 : 0;
   environment_.statistics.rate_limited += reason == FailureReason::kRateLimited ? 1 : 0;
+  environment_.statistics.backing_off += reason == FailureReason::kBackingOff ? 1 : 0;
   if (answer_open_) {
     ++environment_.statistics.broken;
     writer_->abort();
@@ -682,9 +714,9 @@
     // Other nodes serve it now.
     return {};
   }
-  if (reason == FailureReason::kRateLimited) {
-    return environment_.rates->time_to_room(service_, environment_.clock.now())
-        .value_or(Duration::zero());
+  const auto room = forecast(environment_.clock.now());
+  if (room && is_closed_everywhere(true)) {
+    return room->wait;
   }
   return from_seconds(kRetryAfterObjectives * to_seconds(route_.target_latency));
 }
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -78,15 +78,15 @@
   bool claim_and_start(const PlacementChoice& choice, bool prefill);
   void on_claim(const ClaimedSend& claimed, bool granted);
   FailureReason reason_of_no_backend(MonotonicTime now) const;
-  bool is_rate_limited_elsewhere() const;
+  std::optional<RoomForecast> forecast(MonotonicTime now) const;
+  bool is_closed_everywhere(bool tried_too) const;
   void start_attempt(const PlacementChoice& choice, bool prefill);
   BackendCall make_call(const Backend& backend) const;
   /// Made when it is first asked for: most requests never need it.
   const RequestFingerprint& fingerprint();
   std::size_t connection_share() const;
   std::uint32_t priority() const;
-  void note_rate_limit(const BackendStatement& statement);
-  void log_statement(const BackendStatement& statement);
+  void note_statement(const BackendStatement& statement);
   void note_break(BreakKind kind);
   void note_answer();
   void end_prefill(bool refused);
@@ -95,6 +95,7 @@
   void release_cache();
   bool may_send_again();
   bool spend_repeat();
+  void on_withdrawn();
   void retry_or_give_up(FailureReason reason);
   void end_attempt(AttemptVerdict verdict);
   void watch_progress();
--- a/src/gateway/statistics.h
+++ b/src/gateway/statistics.h
@@ -46,14 +46,13 @@
   std::uint64_t attempts = 0;
   std::uint64_t repeats = 0;  ///< Attempts beyond the first, from the retry budget.
   std::uint64_t budget_denied = 0;
-  std::uint64_t cache_fetches = 0;   ///< Attempts told to fetch shared parts from another engine.
-  std::uint64_t quarantined = 0;     ///< Ended as requests under which back ends have ended.
-  std::uint64_t rate_limited = 0;    ///< Ended since back ends had as much as they had named.
-  std::uint64_t backoffs_heard = 0;  ///< Answers in which a back end asked for a pause.
-  std::uint64_t backoffs_unreadable = 0;
-  std::uint64_t leavings_heard = 0;  ///< Answers in which a back end said that it leaves.
-  std::uint64_t resumed = 0;         ///< Streams taken up at another back end.
-  LatencyHistogram first_byte;       ///< From arrival to the first byte of the answer.
+  std::uint64_t cache_fetches = 0;  ///< Attempts told to fetch shared parts from another engine.
+  std::uint64_t quarantined = 0;    ///< Ended as requests under which back ends have ended.
+  std::uint64_t rate_limited = 0;   ///< Ended since back ends had as much as they had named.
+  std::uint64_t backing_off = 0;    ///< Ended since back ends had asked this node for a pause.
+  std::uint64_t withdrawn = 0;      ///< Sends kept back while they waited for a connection.
+  std::uint64_t resumed = 0;        ///< Streams taken up at another back end.
+  LatencyHistogram first_byte;      ///< From arrival to the first byte of the answer.
 };
 
 }  // namespace ochrespring::gateway
--- /dev/null
+++ b/src/gateway/tests/played_gate.h
@@ -0,0 +1,110 @@
+// A gateway before a gate that says what the test wants.
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "gateway/send_gate.h"
+#include "tests/gateway_fixture.h"
+
+namespace ochrespring::gateway::testing {
+
+class PlayedGate final : public SendGate {
+ public:
+  bool has_room(const BackendId& backend, MonotonicTime /*now*/) const override {
+    return !full.contains(backend);
+  }
+  ClaimResult claim(const BackendId& backend, SendRank rank,
+                    std::function<void(bool)> done) override {
+    ranks.push_back(rank);
+    if (denies.contains(backend)) {
+      full.insert(backend);
+      return ClaimResult::kDenied;
+    }
+    if (!asks) {
+      return ClaimResult::kGranted;
+    }
+    claims.emplace_back(backend, std::move(done));
+    return ClaimResult::kPending;
+  }
+  bool is_paused(const BackendId& backend, MonotonicTime /*now*/) const override {
+    return paused.contains(backend);
+  }
+  bool may_send(const BackendId& backend, MonotonicTime /*now*/) const override {
+    return !paused.contains(backend);
+  }
+  void note_send(const BackendId& backend, MonotonicTime /*now*/) override {
+    sent.push_back(backend);
+  }
+  std::optional<RoomForecast> forecast(const ServiceName& /*service*/,
+                                       MonotonicTime /*now*/) const override {
+    return full.empty() ? std::nullopt
+                        : std::optional(RoomForecast{.wait = std::chrono::milliseconds(700),
+                                                     .backing_off = backing_off});
+  }
+  void note_answer(const BackendAnswer& answer) override { answers.push_back(answer); }
+
+  /// Settles the oldest claim.
+  void settle(bool granted) {
+    auto [backend, done] = std::move(claims.front());
+    claims.erase(claims.begin());
+    if (!granted) {
+      full.insert(backend);
+    }
+    done(granted);
+  }
+
+  std::set<BackendId> full;
+  std::set<BackendId> paused;
+  std::vector<BackendId> sent;
+  bool backing_off = false;
+  std::set<BackendId> denies;
+  bool asks = false;
+  std::vector<SendRank> ranks;
+  std::vector<std::pair<BackendId, std::function<void(bool)>>> claims;
+  std::vector<BackendAnswer> answers;
+};
+
+/// Three ordinary back ends, `b1` to `b3`.
+struct GatedFixture : GatewayFixture {
+  GatedFixture() {
+    for (const char* id : {"b1", "b2", "b3"}) {
+      add_backend(id, "relay");
+    }
+  }
+  std::shared_ptr<PlayedCaller> request(const std::string& path,
+                                        std::vector<http::Header> headers = {}) {
+    headers.push_back({"host", "h"});
+    auto caller = std::make_shared<PlayedCaller>();
+    gated.handle({"POST", path, "", std::move(headers), "body"}, caller);
+    return caller;
+  }
+
+  PlayedGate gate;
+  Gateway gated{{time,
+                 time,
+                 transport,
+                 fleet,
+                 loads,
+                 placement,
+                 budget,
+                 shares,
+                 names,
+                 engines,
+                 statistics,
+                 logger,
+                 [] { return 1U; },
+                 {},
+                 nullptr,
+                 &gate},
+                [](auto done) { done(true); }};
+};
+
+}  // namespace ochrespring::gateway::testing
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -103,6 +103,8 @@
            .tell = [this](const Endpoint& to, const auto& news) { peer_news_.send(to, news); },
            .ask = [this](const Endpoint& to, const auto& ask) { peer_news_.send(to, ask); },
            .reply = [this](const Endpoint& to, const auto& told) { peer_news_.send(to, told); }}),
+      admission_({clock, random, logger, fleet_, loads_, rate_limiter_},
+                 [this](const auto& notice) { peer_news_.tell_notice(notice); }),
       survey_(clock, adapter_.engines, fleet_, loads_,
               [this](http::ClientRequest request, std::function<void(std::string)> done) {
                 fetch_body(std::move(request), std::move(done));
@@ -111,7 +113,7 @@
           {clock, loop, transport_, fleet_, loads_, placement_, budget_, shares_, adapter_.names,
            adapter_.engines, statistics_, logger, [this] { return nodes_.cautious_count(); },
            [this](const TenantName& tenant, Duration ago) { duties_.note_run(tenant, ago); },
-           &quarantine_, &rate_limiter_},
+           &quarantine_, &admission_},
           [this](auto done) { watcher_.refresh(std::move(done)); }),
       callers_(loop, server_at(settings_.listen)),
       ready_(loop, server_at(settings_.ready_listen)),
@@ -163,7 +165,7 @@
   gateway_.on_idle([this] { stop_.on_idle(); });
   peer_news_.on_usage([this](const usage::UsageReport& report) { duties_.take_usage(report); });
   connect_quarantine();
-  connect_rate_limiter();
+  connect_admission();
   watcher_.start();
   registration_.start();
   duties_.start();
@@ -204,12 +206,14 @@
   quarantine_.start();
 }
 
-void GatewayNode::connect_rate_limiter() {
+void GatewayNode::connect_admission() {
   peer_news_.on_limits(
       {.take = [this](const auto& news) { rate_limiter_.take(news); },
        .take_request = [this](const auto& request) { rate_limiter_.take(request); },
        .take_reply = [this](const auto& reply) { rate_limiter_.take(reply); },
        .tell_all = [this](const auto& send) { rate_limiter_.tell_all(send); }});
+  peer_news_.on_notices({.take = [this](const auto& notice) { admission_.take(notice); },
+                         .tell_all = [this](const auto& send) { admission_.tell_all(send); }});
 }
 
 Result<void, http::HttpError> GatewayNode::listen_to_peers() {
@@ -307,6 +311,7 @@
   duties_.add_metrics(sink);
   quarantine_.add_metrics(sink);
   rate_limiter_.add_metrics(sink);
+  admission_.add_metrics(sink);
   sink.counter({"backend_connections", "Connections opened"},
                static_cast<double>(client_.statistics().connections_opened));
   sink.gauge({"requests_running", "Requests running"}, static_cast<double>(gateway_.running()));
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "admission/admission_control.h"
 #include "base/random.h"
 #include "base/timer.h"
 #include "discovery/fleet_watcher.h"
@@ -48,7 +49,7 @@
   Result<void, http::HttpError> listen_to_peers();
   void write_again();
   void connect_quarantine();
-  void connect_rate_limiter();
+  void connect_admission();
   /// Of the nodes known so far.
   std::vector<Endpoint> known_view_addresses() const;
   /// Once, when this node first knows the fleet: learns what engines keep.
@@ -84,6 +85,7 @@
   NodeDuties duties_;
   quarantine::Quarantine quarantine_;
   rate_limit::RateLimiter rate_limiter_;
+  admission::AdmissionControl admission_;
   gateway::CacheSurvey survey_;
   bool asked_peers_ = false;
   gateway::Gateway gateway_;
--- a/src/gateway_node/node_metrics.cc
+++ b/src/gateway_node/node_metrics.cc
@@ -3,20 +3,14 @@
 #include <cstdint>
 #include <string>
 
+#include "metrics/counter_table.h"
+
 namespace ochrespring::gateway_node {
 
 namespace {
 
-/// One counter: its metric, and where it stands.
-template <class Statistics>
-struct CounterRow {
-  const char* name;
-  const char* help;
-  std::uint64_t Statistics::*member;
-};
-
 using gateway::GatewayStatistics;
-constexpr CounterRow<GatewayStatistics> kGatewayCounters[] = {
+constexpr metrics::CounterRow<GatewayStatistics> kGatewayCounters[] = {
     {"requests", "Requests taken", &GatewayStatistics::requests},
     {"requests_answered", "Ended with a back end's whole answer", &GatewayStatistics::answered},
     {"requests_refused", "Ended as not run", &GatewayStatistics::refused},
@@ -35,17 +29,15 @@
      &GatewayStatistics::quarantined},
     {"requests_rate_limited", "Ended since back ends had as much as the rates they had named",
      &GatewayStatistics::rate_limited},
-    {"backoffs_heard", "Answers in which a back end asked this node to back off",
-     &GatewayStatistics::backoffs_heard},
-    {"backoffs_unreadable", "Refusals whose time to back off could not be read",
-     &GatewayStatistics::backoffs_unreadable},
-    {"leavings_heard", "Answers in which a back end said that it leaves",
-     &GatewayStatistics::leavings_heard},
+    {"requests_backing_off", "Ended since back ends had asked this node to back off",
+     &GatewayStatistics::backing_off},
+    {"sends_withdrawn", "Sends kept back since the back end asked for nothing more meanwhile",
+     &GatewayStatistics::withdrawn},
     {"streams_resumed", "Streams taken up at another back end", &GatewayStatistics::resumed},
 };
 
 using discovery::FleetWatcherStatistics;
-constexpr CounterRow<FleetWatcherStatistics> kWatcherCounters[] = {
+constexpr metrics::CounterRow<FleetWatcherStatistics> kWatcherCounters[] = {
     {"store_looks", "Looks at the store", &FleetWatcherStatistics::looks},
     {"store_looks_failed", "Looks that failed", &FleetWatcherStatistics::failed_looks},
     {"view_listings", "Listings of the whole store", &FleetWatcherStatistics::listings},
@@ -69,14 +61,6 @@
      &FleetWatcherStatistics::updates_differed},
 };
 
-template <class Statistics, std::size_t kRows>
-void add_counters(const CounterRow<Statistics> (&rows)[kRows], const Statistics& counts,
-                  metrics::SampleSink& sink) {
-  for (const CounterRow<Statistics>& row : rows) {
-    sink.counter({row.name, row.help}, static_cast<double>(counts.*row.member));
-  }
-}
-
 void add_histogram(const gateway::LatencyHistogram& latency, metrics::SampleSink& sink) {
   for (std::size_t i = 0; i != gateway::LatencyHistogram::kBounds.size(); ++i) {
     sink.counter({"first_byte_seconds_bucket", "Time to the first byte of an answer"},
@@ -91,12 +75,12 @@
 }  // namespace
 
 void add_gateway_metrics(const GatewayStatistics& counts, metrics::SampleSink& sink) {
-  add_counters(kGatewayCounters, counts, sink);
+  metrics::add_counters(kGatewayCounters, counts, sink);
   add_histogram(counts.first_byte, sink);
 }
 
 void add_watcher_metrics(const discovery::FleetWatcher& watcher, metrics::SampleSink& sink) {
-  add_counters(kWatcherCounters, watcher.statistics(), sink);
+  metrics::add_counters(kWatcherCounters, watcher.statistics(), sink);
   sink.counter({"store_values_rejected", "Values not understood"},
                static_cast<double>(watcher.rejected_values()));
 }
--- a/src/gateway_node/peer_channel.cc
+++ b/src/gateway_node/peer_channel.cc
@@ -149,6 +149,15 @@
   send_to(relays_.zone_members(), told.news);
 }
 
+void PeerChannel::tell_notice(const admission::BackendNotice& notice) {
+  tell_every_node(notice, admission::BackendNoticeToRelay{notice});
+}
+
+void PeerChannel::take(const admission::BackendNoticeToRelay& told) {
+  handlers_.notice(told.notice);
+  send_to(relays_.zone_members(), told.notice);
+}
+
 void PeerChannel::tell_zone_crashes(const quarantine::CrashNews& news) {
   send_to(relays_.zone_members(), news);
 }
--- a/src/gateway_node/peer_channel.h
+++ b/src/gateway_node/peer_channel.h
@@ -42,6 +42,7 @@
   std::function<void(const rate_limit::LimitNews&)> limits{};
   std::function<void(const rate_limit::PermitRequest&)> permit_request{};
   std::function<void(const rate_limit::PermitReply&)> permit_reply{};
+  std::function<void(const admission::BackendNotice&)> notice{};
 };
 
 struct PeerChannelOptions {
@@ -86,6 +87,8 @@
   void tell_crashes(const quarantine::CrashNews& news);
   /// To every node, in a large fleet by its relays.
   void tell_limits(const rate_limit::LimitNews& news);
+  /// To every node, in a large fleet by its relays.
+  void tell_notice(const admission::BackendNotice& notice);
   /// As a relay: to the nodes of the zone.
   void tell_zone_crashes(const quarantine::CrashNews& news);
   /// To one node, which need not be known to this one.
@@ -123,6 +126,8 @@
   void take(const rate_limit::LimitNewsToRelay& told);
   void take(const rate_limit::PermitRequest& told) { handlers_.permit_request(told); }
   void take(const rate_limit::PermitReply& told) { handlers_.permit_reply(told); }
+  void take(const admission::BackendNotice& told) { handlers_.notice(told); }
+  void take(const admission::BackendNoticeToRelay& told);
   template <int kPlace>
   void take(const FormerMessage<kPlace>& /*told*/) {}
 
--- a/src/gateway_node/peer_message.h
+++ b/src/gateway_node/peer_message.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <variant>
 
+#include "admission/types.h"
 #include "discovery/view_update.h"
 #include "peer_load/types.h"
 #include "quarantine/types.h"
@@ -72,7 +73,8 @@
                  usage::UsageReport, quarantine::CrashNews, quarantine::CrashNewsToRelay,
                  discovery::ViewUpdate, UpdateToRelay, NodeLeaving, NodeLeavingToRelay,
                  rate_limit::LimitNews, rate_limit::LimitNewsToRelay, rate_limit::PermitRequest,
-                 rate_limit::PermitReply>;
+                 rate_limit::PermitReply, admission::BackendNotice,
+                 admission::BackendNoticeToRelay>;
 
 /// Names of the alternatives, in order, for metrics.
 constexpr std::array<const char*, std::variant_size_v<PeerMessage>> kPeerMessageNames{
@@ -93,6 +95,8 @@
     "limit_news",
     "limit_news_to_relay",
     "permit_request",
-    "permit_reply"};
+    "permit_reply",
+    "backend_notice",
+    "backend_notice_to_relay"};
 
 }  // namespace ochrespring::gateway_node
--- a/src/gateway_node/peer_news.cc
+++ b/src/gateway_node/peer_news.cc
@@ -16,6 +16,14 @@
 /// How many others a node that starts asks what engines keep; any of them may be starting, too.
 constexpr std::size_t kPeersAsked = 3;
 
+/// Whoever takes a kind of news says so once it is there; until then it is left alone.
+template <class Message>
+void call_if_set(const std::function<void(const Message&)>& handler, const Message& message) {
+  if (handler) {
+    handler(message);
+  }
+}
+
 }  // namespace
 
 PeerNews::PeerNews(World world, PeerNewsOptions options, PeerChannel::Send send,
@@ -80,46 +88,23 @@
           },
       .parts_request = [this](const peer_load::PartsRequest& request) { tell_parts(request); },
       .offer = [this](const ViewOffer& offer) { on_offer_(offer.view_address); },
-      .usage =
-          [this](const usage::UsageReport& report) {
-            if (usage_) {
-              usage_(report);
-            }
-          },
-      .crashes =
-          [this](const quarantine::CrashNews& news) {
-            if (crashes_.take) {
-              crashes_.take(news);
-            }
-          },
+      .usage = [this](const usage::UsageReport& report) { call_if_set(usage_, report); },
+      .crashes = [this](const quarantine::CrashNews& news) { call_if_set(crashes_.take, news); },
       .crashes_to_relay =
-          [this](const quarantine::CrashNews& news) {
-            if (crashes_.take_to_relay) {
-              crashes_.take_to_relay(news);
-            }
-          },
+          [this](const quarantine::CrashNews& news) { call_if_set(crashes_.take_to_relay, news); },
       .leaving =
           [this](const NodeLeaving& told) {
             world_.nodes.note_leaving(told.node, told.registered);
           },
-      .limits =
-          [this](const rate_limit::LimitNews& news) {
-            if (limits_.take) {
-              limits_.take(news);
-            }
-          },
+      .limits = [this](const rate_limit::LimitNews& news) { call_if_set(limits_.take, news); },
       .permit_request =
           [this](const rate_limit::PermitRequest& request) {
-            if (limits_.take_request) {
-              limits_.take_request(request);
-            }
+            call_if_set(limits_.take_request, request);
           },
       .permit_reply =
-          [this](const rate_limit::PermitReply& reply) {
-            if (limits_.take_reply) {
-              limits_.take_reply(reply);
-            }
-          }};
+          [this](const rate_limit::PermitReply& reply) { call_if_set(limits_.take_reply, reply); },
+      .notice =
+          [this](const admission::BackendNotice& notice) { call_if_set(notices_.take, notice); }};
 }
 
 void PeerNews::take_work(const peer_load::WorkReport& report) {
@@ -174,6 +159,10 @@
     limits_.tell_all(
         [&](const rate_limit::LimitNews& news) { channel_.send(request.reply_to, news); });
   }
+  if (notices_.tell_all) {
+    notices_.tell_all(
+        [&](const admission::BackendNotice& notice) { channel_.send(request.reply_to, notice); });
+  }
 }
 
 void PeerNews::ask_for_parts() {
--- a/src/gateway_node/peer_news.h
+++ b/src/gateway_node/peer_news.h
@@ -89,6 +89,14 @@
   };
   void on_limits(LimitHandlers handlers) { limits_ = std::move(handlers); }
   void tell_limits(const rate_limit::LimitNews& news) { channel_.tell_limits(news); }
+  /// News of back ends that ask for less.
+  struct NoticeHandlers {
+    std::function<void(const admission::BackendNotice&)> take;
+    /// A node that has started is to be told all, by calls of `send`.
+    std::function<void(const std::function<void(const admission::BackendNotice&)>& send)> tell_all;
+  };
+  void on_notices(NoticeHandlers handlers) { notices_ = std::move(handlers); }
+  void tell_notice(const admission::BackendNotice& notice) { channel_.tell_notice(notice); }
   /// To one node.
   void send(const Endpoint& to, const PeerMessage& message) { channel_.send(to, message); }
   const PeerChannel& channel() const { return channel_; }
@@ -114,6 +122,7 @@
   std::function<void(const usage::UsageReport&)> usage_;
   CrashHandlers crashes_;
   LimitHandlers limits_;
+  NoticeHandlers notices_;
   PeerChannel channel_;
   peer_load::PeerWork peer_work_;
   peer_load::WorkAnnouncer announcer_;
--- a/src/gateway_node/tests/crash_fleet.h
+++ b/src/gateway_node/tests/crash_fleet.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "admission/admission_control.h"
 #include "base/random.h"
 #include "discovery/fleet_watcher.h"
 #include "gateway/backend_life.h"
@@ -92,6 +93,7 @@
     Duration span{};          ///< That this stands for.
   };
   std::optional<Shedding> shedding;
+  Duration connect_delay{};   ///< Until it accepts a connection.
   bool says_leaving = false;  ///< In all its answers; the store says nothing of it.
   std::vector<std::shared_ptr<FleetExchange>> at_work;
 };
@@ -166,6 +168,7 @@
   PeerNews news;
   quarantine::Quarantine quarantine;
   rate_limit::RateLimiter rate_limiter;
+  admission::AdmissionControl admission;
   gateway::Gateway gateway;
 };
 
@@ -383,6 +386,25 @@
   /// One request that arrives at a server.
   void accept(std::size_t node, const std::shared_ptr<FleetExchange>& exchange) {
     PlayedServer& server = server_at(exchange->request.endpoint);
+    if (server.connect_delay == Duration::zero()) {
+      arrive(node, exchange, server);
+      return;
+    }
+    time.schedule_after(server.connect_delay, [this, node, exchange, &server] {
+      exchange->machine->when_awake([this, node, exchange, &server] {
+        if (!exchange->open) {
+          return;
+        }
+        if (exchange->request.may_leave && !exchange->request.may_leave()) {
+          exchange->observer->on_failure({http::HttpErrc::kWithdrawn, "withdrawn"}, false);
+          return;
+        }
+        arrive(node, exchange, server);
+      });
+    });
+  }
+  void arrive(std::size_t node, const std::shared_ptr<FleetExchange>& exchange,
+              PlayedServer& server) {
     time.schedule_after(1ms, [this, node, exchange, &server] {
       if (!exchange->open) {
         return;
@@ -715,6 +737,8 @@
            .tell = [this](const Endpoint& to, const auto& told) { news.send(to, told); },
            .ask = [this](const Endpoint& to, const auto& told) { news.send(to, told); },
            .reply = [this](const Endpoint& to, const auto& told) { news.send(to, told); }}),
+      admission({clock, limiter_random, fleet.logger, view, loads, rate_limiter},
+                [this](const auto& told) { news.tell_notice(told); }),
       gateway({clock,
                machine,
                transport,
@@ -730,7 +754,7 @@
                [this] { return nodes.cautious_count(); },
                {},
                fleet.options().guarded ? &quarantine : nullptr,
-               fleet.options().rate_limited ? &rate_limiter : nullptr},
+               fleet.options().rate_limited ? &admission : nullptr},
               [this](auto done) { watcher.refresh(std::move(done)); }) {
   for (std::uint32_t i = 0; i != fleet.options().drawn; ++i) {
     random.next();
@@ -751,6 +775,8 @@
                   .take_request = [this](const auto& told) { rate_limiter.take(told); },
                   .take_reply = [this](const auto& told) { rate_limiter.take(told); },
                   .tell_all = [this](const auto& send) { rate_limiter.tell_all(send); }});
+  news.on_notices({.take = [this](const auto& told) { admission.take(told); },
+                   .tell_all = [this](const auto& send) { admission.tell_all(send); }});
   watcher.on_store_state([this](bool reachable) { news.on_store_state(reachable); });
   watcher.on_lost_without_view([this, &fleet](auto done) {
     fleet.fetch_view(*this, {offered_at, {}}, std::move(done));
--- a/src/gateway_node/tests/server_backoff_test.cc
+++ b/src/gateway_node/tests/server_backoff_test.cc
@@ -58,6 +58,20 @@
   });
 }
 
+std::size_t arrivals_since(const CrashFleet& fleet, const PlayedServer& server,
+                           MonotonicTime since) {
+  return static_cast<std::size_t>(std::count_if(
+      fleet.arrivals.begin(), fleet.arrivals.end(), [&](const CrashFleet::Arrival& arrival) {
+        return arrival.server == server.backend.address && arrival.at >= since;
+      }));
+}
+
+std::size_t nodes_that_know_leaving(const CrashFleet& fleet, const PlayedServer& server) {
+  return static_cast<std::size_t>(
+      std::count_if(fleet.nodes.begin(), fleet.nodes.end(),
+                    [&](const auto& node) { return node->view.is_leaving(server.backend.id); }));
+}
+
 }  // namespace
 
 TEST_CASE("servers that ask to back off get nothing more from the nodes that they asked") {
@@ -143,3 +157,124 @@
     CHECK(std::stod(caller->header("retry-after")) >= to_seconds(least) - 0.1);
   }
 }
+
+TEST_CASE("a pause outlives registrations that flap, new configurations and nodes that wake") {
+  for (const gateway::EngineRole role : kRoles) {
+    CAPTURE(static_cast<int>(role));
+    CrashFleet fleet({});
+    fleet.traffic(60, 20s);
+    fleet.advance(3s);
+    PlayedServer& server = *servers_of(fleet, role)[0];
+    const std::string key = "backends/" + server.backend.id.value();
+    shed(fleet, server, 6s, 1, 12s);
+    fleet.time.schedule_after(1s, [&] { fleet.state.remove(key); });
+    fleet.time.schedule_after(2s, [&] { fleet.write(key, wire::encode(server.backend)); });
+    fleet.time.schedule_after(3s, [&] { fleet.write("config", "2"); });
+    fleet.time.schedule_after(4s, [&] { fleet.suspend(1, 1s); });
+    fleet.time.schedule_after(4s, [&] { fleet.state.down = true; });
+    fleet.time.schedule_after(7s, [&] { fleet.state.down = false; });
+    fleet.advance(17s);
+    check_kept(fleet);
+  }
+}
+
+TEST_CASE("requests that wait for a connection are not sent into a pause") {
+  CrashFleet fleet({});
+  fleet.traffic(60, 15s);
+  fleet.advance(3s);
+  for (PlayedServer* server : servers_of(fleet, gateway::EngineRole::kNone)) {
+    server->connect_delay = 700ms;
+    shed(fleet, *server, 3s, 1, 10s);
+  }
+  fleet.advance(13s);
+  check_kept(fleet);
+}
+
+TEST_CASE("a server that starts again under its name has asked for nothing and does not leave") {
+  CrashFleet fleet({.reborn = true});
+  fleet.traffic(60, 25s);
+  fleet.advance(3s);
+  PlayedServer& server = *servers_of(fleet, gateway::EngineRole::kNone)[0];
+  server.says_leaving = true;
+  shed(fleet, server, 60s, 1, 2s);
+  fleet.advance(2s);
+  server.says_leaving = false;
+  fleet.crash(server);
+  fleet.advance(4s);
+  const MonotonicTime since = fleet.time.now();
+  fleet.advance(5s);
+  CHECK(arrivals_since(fleet, server, since) > 5);
+}
+
+TEST_CASE("twenty nodes with relays that lose a tenth keep to pauses and to leaving") {
+  CrashFleet fleet({.nodes = 20, .loss = 0.1, .relay_from_nodes = 12});
+  fleet.traffic(150, 20s);
+  fleet.advance(3s);
+  for (const gateway::EngineRole role : kRoles) {
+    for (PlayedServer* server : servers_of(fleet, role)) {
+      shed(fleet, *server, 2s, 0.3, 8s);
+    }
+  }
+  fleet.time.schedule_after(8s, [&] {
+    for (const gateway::EngineRole role : kRoles) {
+      servers_of(fleet, role)[0]->says_leaving = true;
+    }
+  });
+  fleet.advance(17s);
+  check_kept(fleet);
+  CHECK(count_late_after_leaving(fleet) == 0);
+}
+
+TEST_CASE("all nodes learn that a server leaves from the one that it told, without the store") {
+  CrashFleet fleet({});
+  fleet.advance(1s);
+  fleet.state.down = true;
+  PlayedServer& server = *servers_of(fleet, gateway::EngineRole::kNone)[0];
+  server.says_leaving = true;
+  for (int i = 0; i != 12; ++i) {
+    fleet.send(2, "/idempotent/x", "asked");
+  }
+  fleet.advance(1s);
+  REQUIRE(fleet.told_leavings.size() == 1);
+  CHECK(nodes_that_know_leaving(fleet, server) == fleet.nodes.size());
+  fleet.state.down = false;
+  fleet.advance(2s);
+  fleet.restart(4);
+  fleet.advance(2s);
+  CHECK(nodes_that_know_leaving(fleet, server) == fleet.nodes.size());
+}
+
+TEST_CASE("no caller is refused beside servers that have room, whether a time is named or not") {
+  CrashFleet fleet({});
+  std::size_t refused = 0;
+  send_ordinary(fleet, 40, 18s, refused);
+  fleet.advance(3s);
+  PlayedServer& server = *servers_of(fleet, gateway::EngineRole::kNone)[0];
+  server.shedding = PlayedServer::Shedding{.chance = 1, .retry_after = "", .span = {}};
+  const MonotonicTime since = fleet.time.now();
+  fleet.advance(12s);
+  MESSAGE("turned away " << arrivals_since(fleet, server, since));
+  CHECK(refused == 0);
+}
+
+TEST_CASE(
+    "once all servers take requests again nearly all callers are served, and few turned away") {
+  for (const std::size_t nodes : {6U, 20U, 100U}) {
+    CrashFleet fleet({.nodes = nodes});
+    std::size_t refused = 0;
+    send_ordinary(fleet, 60, 20s, refused);
+    fleet.advance(3s);
+    for (PlayedServer* server : servers_of(fleet, gateway::EngineRole::kNone)) {
+      shed(fleet, *server, 3s, 1, 4s);
+    }
+    fleet.advance(7s);
+    const std::size_t in_pause = refused;
+    const std::size_t asked = fleet.told_backoffs.size();
+    fleet.advance(5s);
+    MESSAGE("nodes " << nodes << " asked " << asked << " refused " << in_pause
+                     << ", in the 5 s after " << refused - in_pause);
+    CHECK(fleet.told_backoffs.size() == asked);
+    CHECK(refused - in_pause <= 30);
+    check_kept(fleet);
+  }
+}
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -35,6 +35,8 @@
   bool close_ends_answer = false;
   /// Checked when the connection is there: at or after this, no byte leaves (kExpired).
   MonotonicTime send_before = MonotonicTime::max();
+  /// Asked when the connection is there: where it says no, no byte leaves (kWithdrawn). Null: yes.
+  std::function<bool()> may_leave{};
 };
 
 /// Follows one exchange. Called on the loop, never inside start(); after on_complete or on_failure
--- a/src/http/client_exchange.cc
+++ b/src/http/client_exchange.cc
@@ -149,6 +149,10 @@
     end_with_failure(HttpErrc::kExpired, "the time to send by has passed");
     return;
   }
+  if (request_.may_leave && !request_.may_leave()) {
+    end_with_failure(HttpErrc::kWithdrawn, "not wanted any more");
+    return;
+  }
   connection_->set_reading(true);
   write_more();
 }
--- a/src/http/errc.cc
+++ b/src/http/errc.cc
@@ -24,6 +24,8 @@
       return "too-large";
     case HttpErrc::kExpired:
       return "expired";
+    case HttpErrc::kWithdrawn:
+      return "withdrawn";
     case HttpErrc::kCancelled:
       return "cancelled";
   }
--- a/src/http/errc.h
+++ b/src/http/errc.h
@@ -18,7 +18,8 @@
   kTruncated,        ///< The answer ended before its proven end.
   kTimeout,          ///< After bytes of the request may have left.
   kTooLarge,
-  kExpired,  ///< The time to send by had passed before a byte could leave.
+  kExpired,    ///< The time to send by had passed before a byte could leave.
+  kWithdrawn,  ///< Whoever asked wanted it sent no more before a byte could leave.
   kCancelled,
 };
 
--- a/src/http/tests/client_failure_test.cc
+++ b/src/http/tests/client_failure_test.cc
@@ -203,6 +203,25 @@
   }
 }
 
+TEST_CASE("a request that is not wanted any more when its connection is there is not sent") {
+  http::EventLoop loop;
+  http::Client client(loop);
+  for (const bool reused : {false, true}) {
+    CAPTURE(reused);
+    ScriptedPeer peer(reused ? std::vector<std::vector<std::string>>{{kWhole}}
+                             : std::vector<std::vector<std::string>>{{}});
+    if (reused) {
+      CHECK(fetch(loop, client, get(peer.endpoint())).body == "ok");
+    }
+    auto request = get(peer.endpoint());
+    request.may_leave = [] { return false; };
+    const Ended ended = fetch(loop, client, request);
+    REQUIRE(ended.failure);
+    CHECK(ended.failure->error.code == http::HttpErrc::kWithdrawn);
+    CHECK_FALSE(ended.failure->sent);
+  }
+}
+
 TEST_CASE("a client may end while its fetches wait for answers") {
   http::EventLoop loop;
   const int listener = http::open_listener(Endpoint("127.0.0.1:0"), false).value();
--- a/src/proxy/http_backend_client.cc
+++ b/src/proxy/http_backend_client.cc
@@ -26,6 +26,7 @@
     case http::HttpErrc::kTimeout:
       return AttemptFailure::kTimeout;
     case http::HttpErrc::kCancelled:
+    case http::HttpErrc::kWithdrawn:
       return AttemptFailure::kCancelled;
     case http::HttpErrc::kExpired:
       return AttemptFailure::kGrantLapsed;
--- a/src/rate_limit/limit_table.cc
+++ b/src/rate_limit/limit_table.cc
@@ -18,8 +18,7 @@
 
 }  // namespace
 
-std::optional<LimitNews> LimitTable::note_answer(const gateway::RateAnswer& answer,
-                                                 MonotonicTime now) {
+std::optional<LimitNews> LimitTable::note_answer(const RateAnswer& answer, MonotonicTime now) {
   if (answer.statement.kind == Kind::kUnreadable) {
     return std::nullopt;
   }
--- a/src/rate_limit/limit_table.h
+++ b/src/rate_limit/limit_table.h
@@ -18,7 +18,7 @@
   static constexpr std::uint64_t kMostVersion = std::uint64_t{1} << 53U;
 
   /// Returns what other nodes are to be told, if the answer says something new.
-  std::optional<LimitNews> note_answer(const gateway::RateAnswer& answer, MonotonicTime now);
+  std::optional<LimitNews> note_answer(const RateAnswer& answer, MonotonicTime now);
   /// Whether the news changed what is known.
   bool take(const LimitNews& news, MonotonicTime now);
   /// Null: nothing was ever heard.
--- a/src/rate_limit/permit_bucket.h
+++ b/src/rate_limit/permit_bucket.h
@@ -6,7 +6,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
-#include "gateway/rate_gate.h"
+#include "gateway/send_gate.h"
 
 namespace ochrespring::rate_limit {
 
--- a/src/rate_limit/rate_limiter.cc
+++ b/src/rate_limit/rate_limiter.cc
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <string>
 #include <utility>
-#include <vector>
+
+#include "metrics/counter_table.h"
 
 namespace ochrespring::rate_limit {
 
@@ -24,14 +25,7 @@
 constexpr Duration kLeastWait = milliseconds(10);
 constexpr Duration kMostWait = std::chrono::seconds(10);
 
-template <class Statistics>
-struct CounterRow {
-  const char* name;
-  const char* help;
-  std::uint64_t Statistics::*member;
-};
-
-constexpr CounterRow<RateLimiterStatistics> kCounters[] = {
+constexpr metrics::CounterRow<RateLimiterStatistics> kCounters[] = {
     {"rate_permits_granted", "Sends to rate-limited back ends that were allowed",
      &RateLimiterStatistics::permits_granted},
     {"rate_permits_denied", "Sends to rate-limited back ends that were not allowed",
@@ -54,21 +48,10 @@
       coordinators_(world.nodes),
       next_sequence_(world.random.next()) {}
 
-bool RateLimiter::has_room(const gateway::BackendId& backend, MonotonicTime now) const {
+Duration RateLimiter::time_to_room(const gateway::BackendId& backend, MonotonicTime now) const {
   const auto closed = closed_until_.find(backend);
-  return closed == closed_until_.end() || now >= closed->second;
-}
-
-std::optional<Duration> RateLimiter::time_to_room(const ServiceName& service,
-                                                  MonotonicTime now) const {
-  std::optional<Duration> least;
-  for (const auto& [id, until] : closed_until_) {
-    const gateway::Backend* backend = world_.fleet.find(id);
-    if (until > now && backend != nullptr && backend->service == service) {
-      least = std::min(least.value_or(Duration::max()), until - now);
-    }
-  }
-  return least;
+  return closed == closed_until_.end() ? Duration::zero()
+                                       : std::max(Duration::zero(), closed->second - now);
 }
 
 gateway::ClaimResult RateLimiter::claim(const gateway::BackendId& backend, gateway::SendRank rank,
@@ -187,19 +170,15 @@
   adopt(news, "node");
 }
 
-bool RateLimiter::adopt(const LimitNews& news, std::string_view source) {
-  if (world_.fleet.find(news.backend) == nullptr) {
-    // Gone already, or not seen yet: nothing would ever forget it again.
-    return false;
+void RateLimiter::adopt(const LimitNews& news, std::string_view source) {
+  // A back end that has gone already, or was not seen yet, would never be forgotten again.
+  const bool known = world_.fleet.find(news.backend) != nullptr;
+  if (known && limits_.take(news, world_.clock.now())) {
+    follow(news, source);
   }
-  if (!limits_.take(news, world_.clock.now())) {
-    return false;
-  }
-  follow(news, source);
-  return true;
 }
 
-void RateLimiter::note_answer(const gateway::RateAnswer& answer) {
+void RateLimiter::note_answer(const RateAnswer& answer) {
   if (answer.statement.kind == gateway::RateStatement::Kind::kUnreadable) {
     ++statistics_.limits_unreadable;
     world_.logger.write({logging::Level::kWarning,
@@ -267,9 +246,7 @@
 }
 
 void RateLimiter::add_metrics(metrics::SampleSink& sink) const {
-  for (const auto& row : kCounters) {
-    sink.counter({row.name, row.help}, static_cast<double>(statistics_.*row.member));
-  }
+  metrics::add_counters(kCounters, statistics_, sink);
   sink.gauge({"rate_limited_backends", "Back ends that name a rate limit"},
              static_cast<double>(limits_.limited_count()));
   sink.gauge({"rate_coordinated_backends", "Rate-limited back ends that this node coordinates"},
--- a/src/rate_limit/rate_limiter.h
+++ b/src/rate_limit/rate_limiter.h
@@ -11,7 +11,7 @@
 #include "base/timer.h"
 #include "discovery/node_directory.h"
 #include "gateway/fleet_state.h"
-#include "gateway/rate_gate.h"
+#include "gateway/send_gate.h"
 #include "logging/logger.h"
 #include "metrics/metrics.h"
 #include "rate_limit/coordinator_choice.h"
@@ -37,7 +37,7 @@
 /// server that is given more than it can take.
 ///
 /// Does no input or output itself; one loop.
-class RateLimiter final : public gateway::RateGate {
+class RateLimiter final {
  public:
   /// References outlive it.
   struct World {
@@ -59,12 +59,25 @@
 
   RateLimiter(World world, Channel channel);
 
-  bool has_room(const gateway::BackendId& backend, MonotonicTime now) const override;
+  /// Whether the back end may have room for a request, as far as this node knows.
+  bool has_room(const gateway::BackendId& backend, MonotonicTime now) const {
+    return time_to_room(backend, now) == Duration::zero();
+  }
+  /// How long until has_room() may say so; zero: it does.
+  Duration time_to_room(const gateway::BackendId& backend, MonotonicTime now) const;
+  /// All back ends that have no room now.
+  template <class Visit>
+  void for_each_closed(MonotonicTime now, const Visit& visit) const {
+    for (const auto& [backend, until] : closed_until_) {
+      if (until > now) {
+        visit(backend);
+      }
+    }
+  }
+  /// To be asked before each send, of whatever kind. `done` is called for kPending alone.
   gateway::ClaimResult claim(const gateway::BackendId& backend, gateway::SendRank rank,
-                             std::function<void(bool granted)> done) override;
-  std::optional<Duration> time_to_room(const ServiceName& service,
-                                       MonotonicTime now) const override;
-  void note_answer(const gateway::RateAnswer& answer) override;
+                             std::function<void(bool granted)> done);
+  void note_answer(const RateAnswer& answer);
 
   void take(const LimitNews& news);
   void take(const PermitRequest& request);
@@ -98,8 +111,8 @@
   void settle(std::uint64_t sequence, bool granted);
   /// Nothing is sent to the back end for so long.
   void close(const gateway::BackendId& backend, Duration span);
-  /// Whether the news changed what is known; if so, everything here follows it.
-  bool adopt(const LimitNews& news, std::string_view source);
+  /// Where the news changes what is known, everything here follows it.
+  void adopt(const LimitNews& news, std::string_view source);
   void follow(const LimitNews& news, std::string_view source);
   LimitNews known(const gateway::BackendId& backend) const;
 
--- a/src/rate_limit/tests/limit_table_test.cc
+++ b/src/rate_limit/tests/limit_table_test.cc
@@ -20,7 +20,7 @@
   return MonotonicTime() + span;
 }
 
-gateway::RateAnswer named(double per_second, Duration sent) {
+RateAnswer named(double per_second, Duration sent) {
   return {kServer,
           at(sent),
           {.kind = Kind::kLimited,
@@ -28,7 +28,7 @@
            .text = {}}};
 }
 
-gateway::RateAnswer unnamed(Duration sent) {
+RateAnswer unnamed(Duration sent) {
   return {kServer, at(sent), {}};
 }
 
@@ -63,7 +63,7 @@
 
 TEST_CASE("an answer whose limit cannot be read leaves a limit as it is") {
   LimitTable table;
-  gateway::RateAnswer unreadable{kServer, at(5s), {Kind::kUnreadable, {}, "1,3"}};
+  RateAnswer unreadable{kServer, at(5s), {Kind::kUnreadable, {}, "1,3"}};
   CHECK_FALSE(table.note_answer(unreadable, at(6s)));
   CHECK_FALSE(table.limit_of(kServer));
   table.note_answer(named(2, 1s), at(2s));
--- a/src/rate_limit/types.h
+++ b/src/rate_limit/types.h
@@ -5,11 +5,18 @@
 
 #include "base/ids.h"
 #include "base/time.h"
-#include "gateway/rate_gate.h"
+#include "gateway/send_gate.h"
 #include "gateway/types.h"
 
 namespace ochrespring::rate_limit {
 
+/// What a back end says of a limit in the whole head of an answer.
+struct RateAnswer {
+  gateway::BackendId backend;
+  MonotonicTime sent{};  ///< When its request was.
+  gateway::RateStatement statement;
+};
+
 /// What is known of one life of a back end: a limit, or that one has ended. Of two the one of the
 /// higher version is the newer, whoever tells it and in whatever order they come.
 struct LimitNews {
