A back end that turns requests away is asked less often, also where it names no time

What callers saw: 503 beside servers with room. A server that sheds answers at once, so it looked idle and got more than its part; each refusal needs a second send, and three or more a second emptied the retry budget.

Cause: refusals counted for nothing where a back end is chosen. Now their share of recent requests is a cost, as failures are, apart from them: the back end is not ill.

--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -21,6 +21,9 @@
 constexpr double kTokensPerWaiting = 3'000;
 /// Cost in tokens of certain failure.
 constexpr double kTokensPerFailure = 60'000;
+/// Cost in tokens of a request that is certainly turned away: it needs another send, for which the
+/// budget may have nothing left.
+constexpr double kTokensPerRefusal = 40'000;
 /// Cost in tokens of handing a prompt's cache over: a second call and the set-up of the transfer.
 constexpr double kHandOverTokens = 1'500;
 /// Cost in tokens of transferring one token's cache.
@@ -49,6 +52,8 @@
 constexpr double kColdBackendCost = 1.6;
 /// Cost of certain failure for an ordinary service, in requests per slot.
 constexpr double kOrdinaryFailureCost = 6;
+/// Cost of a request that is certainly turned away, in requests per slot.
+constexpr double kOrdinaryRefusalCost = 3;
 constexpr double kTieBreak = 0.02;
 
 double fetch_cost(std::uint64_t tokens) {
@@ -157,7 +162,8 @@
   }
   choice.cost += connection_cost(backend, view.request) + kTokensPerRunning * work.requests +
                  kTokensPerWaiting * load.reported_waiting(now) +
-                 kTokensPerFailure * load.failure_share(now);
+                 kTokensPerFailure * load.failure_share(now) +
+                 kTokensPerRefusal * load.refusal_share(now);
   return choice;
 }
 
@@ -171,7 +177,8 @@
   const double missing = static_cast<double>(choice.unread_tokens - view.prompt.own_tokens());
   choice.cost = connection_cost(backend, view.request) + fetch_cost(reading.fetched_tokens) +
                 static_cast<double>(choice.unread_tokens) + view.cold_cost * missing +
-                work_at(backend, now).unread_tokens + kTokensPerFailure * load.failure_share(now);
+                work_at(backend, now).unread_tokens + kTokensPerFailure * load.failure_share(now) +
+                kTokensPerRefusal * load.refusal_share(now);
   return choice;
 }
 
@@ -208,7 +215,8 @@
   PlacementChoice choice;
   choice.cost = (1 + work_at(backend, now).requests) / std::max<double>(backend.slots, 1) +
                 (backend.zone == zone_ ? 0 : kOtherZoneCost) +
-                kOrdinaryFailureCost * load.failure_share(now);
+                kOrdinaryFailureCost * load.failure_share(now) +
+                kOrdinaryRefusalCost * load.refusal_share(now);
   return choice;
 }
 
--- a/src/gateway/tests/backed_off_request_test.cc
+++ b/src/gateway/tests/backed_off_request_test.cc
@@ -152,3 +152,20 @@
   caller->leave();
   CHECK(transport.forgotten.empty());
 }
+
+TEST_CASE_FIXTURE(BackedOffFixture,
+                  "a back end that turns requests away without a time is asked less often") {
+  std::size_t refused = 0;
+  for (int i = 0; i != 60; ++i) {
+    const auto caller = request("/once-twice/x");
+    if (backend_of_last() == "b1") {
+      ++refused;
+      last().answer(503, {{names.not_run, "1"}}, "");
+    }
+    last().answer(200, {signature()}, "ok");
+    CHECK(caller->head.status == 200);
+    advance(50ms);
+  }
+  CHECK(refused >= 1);
+  CHECK(refused <= 6);
+}
