A prompt is not believed to be kept by an engine that turned it away

Parts of a prompt are noted as kept when it is sent; a refusal did not take that back, so each request that was turned away made the engine the better choice for the next one with the same parts (attempts with unread_tokens 0 in the node's log).

Now what the attempt had noted, and was not believed before, is forgotten where the engine has certainly not read it: turned away, not sent, no connection. The new case of backed_off_request failed before.

--- a/src/gateway/load_table.cc
+++ b/src/gateway/load_table.cc
@@ -196,6 +196,13 @@
   return found != cached_.end() && believed(found->second, kCacheBelief, now);
 }
 
+void BackendLoad::forget_cached(std::uint64_t part_key, MonotonicTime first_used) {
+  const auto found = cached_.find(part_key);
+  if (found != cached_.end() && found->second.first_used >= first_used) {
+    cached_.erase(found);
+  }
+}
+
 std::vector<std::uint64_t> BackendLoad::held_parts(MonotonicTime now) const {
   std::vector<std::uint64_t> keys;
   for (const auto& [key, part] : cached_) {
@@ -225,6 +232,13 @@
   note_parts(id, keys, now);
 }
 
+void LoadTable::forget_prompt(const BackendId& id, const Prompt& prompt, MonotonicTime sent) {
+  BackendLoad* load = known(id);
+  for (std::size_t i = 0; load != nullptr && i + 1 < prompt.parts.size(); ++i) {
+    load->forget_cached(prompt.parts[i].key, sent);
+  }
+}
+
 void LoadTable::note_parts(const BackendId& id, const std::vector<std::uint64_t>& keys,
                            MonotonicTime now) {
   if (keys.empty()) {
--- a/src/gateway/load_table.h
+++ b/src/gateway/load_table.h
@@ -81,6 +81,8 @@
   /// Remembers that a prompt part is in the back end's cache; returns whether that is new.
   bool note_cached(std::uint64_t part_key, MonotonicTime now);
   bool holds(std::uint64_t part_key, MonotonicTime now) const;
+  /// Forgets a part that was first sent to the back end at `first_used` or later.
+  void forget_cached(std::uint64_t part_key, MonotonicTime first_used);
   /// When the part was last used, if the back end has surely read it by now and is believed to keep
   /// it still: others may fetch it there.
   std::optional<MonotonicTime> ready_part(std::uint64_t part_key, MonotonicTime now) const;
@@ -144,6 +146,9 @@
 
   /// Remembers the parts of a prompt that a back end reads now.
   void note_prompt(const BackendId& id, const Prompt& prompt, MonotonicTime now);
+  /// The back end has not read a prompt that was sent to it at `sent`: what was not believed there
+  /// before is not believed now.
+  void forget_prompt(const BackendId& id, const Prompt& prompt, MonotonicTime sent);
   /// Remembers one part that a back end keeps, as another node tells.
   void note_cached(const BackendId& id, std::uint64_t part_key, MonotonicTime now);
   /// Some of the back ends that are believed to keep a part: all if they are no more than `most`,
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -28,6 +28,12 @@
   return std::chrono::duration_cast<milliseconds>(span).count();
 }
 
+/// Whether the back end has not read the prompt, whatever else became of the attempt.
+bool is_certainly_unread(AttemptVerdict verdict) {
+  return verdict == AttemptVerdict::kRefused || verdict == AttemptVerdict::kNotSent ||
+         verdict == AttemptVerdict::kUnreachable;
+}
+
 bool is_success(std::uint16_t status) {
   return status >= 200 && status < 300;
 }
@@ -597,6 +603,9 @@
     environment_.loads.note_read(attempt_->backend, attempt_->unread_tokens);
   }
   environment_.loads.end(attempt_->backend, verdict, environment_.clock.now());
+  if (prompt_ && is_certainly_unread(verdict)) {
+    environment_.loads.forget_prompt(attempt_->backend, *prompt_, attempt_->started);
+  }
   if (attempt_->uses_cache && verdict == AttemptVerdict::kRefused) {
     release_cache();
   } else if (attempt_->uses_cache && verdict != AttemptVerdict::kUnreachable &&
--- a/src/gateway/tests/backed_off_request_test.cc
+++ b/src/gateway/tests/backed_off_request_test.cc
@@ -169,3 +169,17 @@
   CHECK(refused >= 1);
   CHECK(refused <= 6);
 }
+
+TEST_CASE_FIXTURE(BackedOffFixture,
+                  "a prompt is not believed to be kept by an engine that turned it away") {
+  add_backend("e1", "llm", EngineRole::kDecode);
+  add_backend("e2", "llm", EngineRole::kDecode);
+  request("/resumable/x",
+          {{names.prompt_parts, "aa:6300,bb:2000"}, {names.token_counts, "8300,20"}});
+  const BackendId first(backend_of_last());
+  const std::uint64_t shared = parse_prompt("aa:6300,bb:2000", "8300,20").parts[0].key;
+  CHECK(loads.find(first)->holds(shared, time.now()));
+  last().answer(503, {{names.not_run, "1"}}, "");
+  CHECK_FALSE(loads.find(first)->holds(shared, time.now()));
+  CHECK(loads.find(BackendId(backend_of_last()))->holds(shared, time.now()));
+}
