A back end that mostly turns this node's requests away is taken only if there is no other

Above a share of one half of recent requests a back end is now left alone like one that has failed; the memory halves in 3 s, so it is asked again every one to two seconds.

--- a/src/gateway/candidates.cc
+++ b/src/gateway/candidates.cc
@@ -27,7 +27,8 @@
 
 bool CandidateFinder::left_alone(const Backend& backend, MonotonicTime now) const {
   const BackendLoad* load = loads_.find(backend.id);
-  return (load != nullptr && load->ejected(now)) || fleet_.is_doubted(backend.id, now);
+  const bool avoided = load != nullptr && (load->ejected(now) || load->mostly_refuses(now));
+  return avoided || fleet_.is_doubted(backend.id, now);
 }
 
 bool CandidateFinder::may_take(const Backend& backend, const Query& query,
--- a/src/gateway/load_table.cc
+++ b/src/gateway/load_table.cc
@@ -138,11 +138,14 @@
   return failures_ * weight / (attempts_ * weight + kPriorAttempts);
 }
 
-double BackendLoad::refusal_share(MonotonicTime now) const {
+double BackendLoad::own_refusal_share(MonotonicTime now) const {
   const double weight = halved(now - faded_at_, kFailureHalfLife);
-  const double all = (attempts_ + refusals_) * weight + kPriorAttempts;
+  return refusals_ * weight / ((attempts_ + refusals_) * weight + kPriorAttempts);
+}
+
+double BackendLoad::refusal_share(MonotonicTime now) const {
   const double told = now < told_pause_until_ ? kToldPauseShare : 0;
-  return std::max(told, refusals_ * weight / all);
+  return std::max(told, own_refusal_share(now));
 }
 
 void BackendLoad::note_told_ends(std::uint32_t ended, std::uint32_t failed, MonotonicTime now) {
--- a/src/gateway/load_table.h
+++ b/src/gateway/load_table.h
@@ -64,6 +64,8 @@
   /// Share of recent requests that the back end turned away, fading with time, 0 to 1; at least
   /// kToldPauseShare while another node has been asked to send it nothing.
   double refusal_share(MonotonicTime now) const;
+  /// Whether this node's requests are mostly turned away there: taken only if there is no other.
+  bool mostly_refuses(MonotonicTime now) const { return own_refusal_share(now) >= kMostRefusals; }
   /// The back end has asked another node to send it nothing until then.
   void note_told_pause(MonotonicTime until) {
     told_pause_until_ = std::max(told_pause_until_, until);
@@ -94,6 +96,7 @@
  private:
   static constexpr std::size_t kLeastPrune = 1024;
   static constexpr double kToldPauseShare = 0.5;
+  static constexpr double kMostRefusals = 0.5;
 
   struct CachedPart {
     MonotonicTime first_used{};
@@ -103,6 +106,7 @@
 
   /// Whether the part is believed to be kept, by its age or because little was read there since.
   bool believed(const CachedPart& part, Duration belief, MonotonicTime now) const;
+  double own_refusal_share(MonotonicTime now) const;
   void fade(MonotonicTime now);
   void count_ends(double ended, double failed);
 
