What an engine says in its list of cached parts counts as in any answer

The survey of caches went by no gate, and the head of its answers was dropped: a node that had served on a peer's view before its first look at the store could ask an engine for its list within a pause, and did not hear an engine that asked for one there. Found by reading; no test shows it on whole nodes.

--- a/src/gateway/cache_survey.cc
+++ b/src/gateway/cache_survey.cc
@@ -44,7 +44,7 @@
   request.endpoint = engine.address;
   request.timeout = kTimeout;
   request.connect_timeout = kTimeout;
-  fetch_(std::move(request), [this, id = engine.id](const std::string& body) {
+  fetch_(engine.id, std::move(request), [this, id = engine.id](const std::string& body) {
     if (fleet_.find(id) == nullptr) {
       return;
     }
--- a/src/gateway/cache_survey.h
+++ b/src/gateway/cache_survey.h
@@ -17,7 +17,8 @@
 /// list holds up the engine's work.
 class CacheSurvey {
  public:
-  using Fetch = std::function<void(http::ClientRequest, std::function<void(std::string body)>)>;
+  using Fetch = std::function<void(const BackendId& engine, http::ClientRequest,
+                                   std::function<void(std::string body)>)>;
 
   CacheSurvey(const Clock& clock, const EngineCalls& engines, const FleetState& fleet,
               LoadTable& loads, Fetch fetch);
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -106,8 +106,9 @@
       admission_({clock, random, logger, fleet_, loads_, rate_limiter_},
                  [this](const auto& notice) { peer_news_.tell_notice(notice); }),
       survey_(clock, adapter_.engines, fleet_, loads_,
-              [this](http::ClientRequest request, std::function<void(std::string)> done) {
-                fetch_body(std::move(request), std::move(done));
+              [this](const gateway::BackendId& engine, http::ClientRequest request,
+                     std::function<void(std::string)> done) {
+                fetch_from_engine(engine, std::move(request), std::move(done));
               }),
       gateway_(
           {clock, loop, transport_, fleet_, loads_, placement_, budget_, shares_, adapter_.names,
@@ -287,12 +288,25 @@
   logger_.write({logging::Level::kInfo, kComponent, "settings reloaded", {}});
 }
 
-/// Hands over the body of a good answer; anything else is left out.
-void GatewayNode::fetch_body(http::ClientRequest request,
-                             std::function<void(std::string body)> done) {
-  client_.fetch(std::move(request), [done = std::move(done)](auto result) {
-    if (result && result.value().head.status == 200) {
-      done(std::move(result.value().body));
+/// Hands over the body of a good answer; anything else is left out. What the engine says of itself
+/// counts as on any answer.
+void GatewayNode::fetch_from_engine(const gateway::BackendId& engine, http::ClientRequest request,
+                                    std::function<void(std::string body)> done) {
+  const MonotonicTime now = clock_.now();
+  if (!admission_.may_send(engine, now)) {
+    return;
+  }
+  client_.fetch(std::move(request), [this, engine, now, done = std::move(done)](auto result) {
+    if (!result) {
+      return;
+    }
+    http::Response& response = result.value();
+    const auto statement = gateway::read_statement(response.head, adapter_.names);
+    if (!statement.misdirected) {
+      admission_.note_answer({.backend = engine, .sent = now, .statement = statement});
+    }
+    if (response.head.status == 200) {
+      done(std::move(response.body));
     }
   });
 }
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -55,7 +55,8 @@
   /// Once, when this node first knows the fleet: learns what engines keep.
   void learn_cached_parts();
   void add_metrics(metrics::SampleSink& sink) const;
-  void fetch_body(http::ClientRequest request, std::function<void(std::string body)> done);
+  void fetch_from_engine(const gateway::BackendId& engine, http::ClientRequest request,
+                         std::function<void(std::string body)> done);
   void apply_limits();
   std::vector<logging::Field> held_fields() const;
   void leave();
