The pace that a server tells with its load counts where it is chosen

It scales the cost of work at a back end and fades as the rest of the report does. The new case of policies_test fails to compile before.

--- a/src/gateway/load_table.cc
+++ b/src/gateway/load_table.cc
@@ -14,6 +14,10 @@
 
 /// Time in which a report of load loses half of its weight.
 constexpr Duration kReportHalfLife = milliseconds(300);
+constexpr std::uint32_t kUsualPacePercent = 100;
+/// A report that names more, or nothing, is believed no further.
+constexpr double kMostSlowness = 10;
+constexpr double kLeastSlowness = 0.1;
 /// Time in which the memory of failures halves.
 constexpr Duration kFailureHalfLife = seconds(3);
 /// Attempts believed good before anything is known, so that one failure condemns nobody.
@@ -62,7 +66,13 @@
   ReportedLoad load;
   const bool read = read_count(text, load.running) && read_count(text, load.waiting) &&
                     read_count(text, load.slots);
-  return read ? std::optional(load) : std::nullopt;
+  if (!read) {
+    return std::nullopt;
+  }
+  if (!text.empty() && !read_count(text, load.pace_percent)) {
+    load.pace_percent = kUsualPacePercent;
+  }
+  return load;
 }
 
 void BackendLoad::begin(std::uint64_t unread_tokens) {
@@ -133,6 +143,15 @@
   return reported_at_ ? reported_.waiting * halved(now - *reported_at_, kReportHalfLife) : 0.0;
 }
 
+double BackendLoad::slowness(MonotonicTime now) const {
+  if (!reported_at_) {
+    return 1;
+  }
+  const double told = std::clamp(static_cast<double>(reported_.pace_percent) / kUsualPacePercent,
+                                 kLeastSlowness, kMostSlowness);
+  return 1 + (told - 1) * halved(now - *reported_at_, kReportHalfLife);
+}
+
 double BackendLoad::failure_share(MonotonicTime now) const {
   const double weight = halved(now - faded_at_, kFailureHalfLife);
   return failures_ * weight / (attempts_ * weight + kPriorAttempts);
--- a/src/gateway/load_table.h
+++ b/src/gateway/load_table.h
@@ -25,9 +25,10 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 1;
+  std::uint32_t pace_percent = 100;  ///< How long work takes now; 100: as usual.
 };
 
-/// Reads `RUNNING,WAITING,SLOTS`.
+/// Reads `RUNNING,WAITING,SLOTS` or `RUNNING,WAITING,SLOTS,PACE`.
 std::optional<ReportedLoad> parse_load(std::string_view text);
 
 /// How an attempt ended, as far as the back end's health goes.
@@ -57,6 +58,8 @@
   std::uint32_t in_flight() const { return in_flight_; }
   std::uint64_t unread_tokens() const { return unread_tokens_; }
   double reported_waiting(MonotonicTime now) const;
+  /// How many times as long as usual work takes, by the last report, fading to 1 with its age.
+  double slowness(MonotonicTime now) const;
   /// Share of recent attempts that failed, fading with time, 0 to 1.
   double failure_share(MonotonicTime now) const;
   /// Other nodes' attempts ended, so many of them in failure; counted like this node's own.
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -156,7 +156,7 @@
     choice.unread_tokens = reading.unread_tokens;
     choice.cache_source = reading.cache_source;
     choice.cost = fetch_cost(reading.fetched_tokens) +
-                  kRunnerReadingCost *
+                  kRunnerReadingCost * load.slowness(now) *
                       (static_cast<double>(reading.unread_tokens) + work.unread_tokens) *
                       (1 + kHarmPerStream * work.requests);
   }
@@ -175,10 +175,12 @@
   choice.unread_tokens = reading.unread_tokens;
   choice.cache_source = reading.cache_source;
   const double missing = static_cast<double>(choice.unread_tokens - view.prompt.own_tokens());
-  choice.cost = connection_cost(backend, view.request) + fetch_cost(reading.fetched_tokens) +
-                static_cast<double>(choice.unread_tokens) + view.cold_cost * missing +
-                work_at(backend, now).unread_tokens + kTokensPerFailure * load.failure_share(now) +
-                kTokensPerRefusal * load.refusal_share(now);
+  choice.cost =
+      connection_cost(backend, view.request) + fetch_cost(reading.fetched_tokens) +
+      view.cold_cost * missing +
+      load.slowness(now) *
+          (static_cast<double>(choice.unread_tokens) + work_at(backend, now).unread_tokens) +
+      kTokensPerFailure * load.failure_share(now) + kTokensPerRefusal * load.refusal_share(now);
   return choice;
 }
 
@@ -213,7 +215,8 @@
 PlacementChoice Placement::estimate_ordinary(const Backend& backend, MonotonicTime now) const {
   const BackendLoad& load = load_of(backend);
   PlacementChoice choice;
-  choice.cost = (1 + work_at(backend, now).requests) / std::max<double>(backend.slots, 1) +
+  choice.cost = load.slowness(now) * (1 + work_at(backend, now).requests) /
+                    std::max<double>(backend.slots, 1) +
                 (backend.zone == zone_ ? 0 : kOtherZoneCost) +
                 kOrdinaryFailureCost * load.failure_share(now) +
                 kOrdinaryRefusalCost * load.refusal_share(now);
--- a/src/gateway/tests/policies_test.cc
+++ b/src/gateway/tests/policies_test.cc
@@ -188,6 +188,31 @@
   CHECK(std::abs(to_b - 30) <= 2);
 }
 
+TEST_CASE("a back end that says that work takes longer now is a worse choice until that is old") {
+  CHECK(parse_load("1,0,8")->pace_percent == 100);
+  CHECK(parse_load("1,0,8,250")->pace_percent == 250);
+  CHECK(parse_load("1,0,8,x")->pace_percent == 100);
+  FleetState fleet;
+  for (const char* id : {"a", "b"}) {
+    fleet.put(make_engine(id, EngineRole::kNone));
+  }
+  PlacementRequest request;
+  request.service = ServiceName("llm");
+  SeededRandom random(1);
+  LoadTable loads;
+  const MonotonicTime now = MonotonicTime() + 10s;
+  loads.of(BackendId("a")).note_report(*parse_load("0,0,8,300"), now);
+  const Placement placement(fleet, loads, random, ZoneName("a"));
+  for (int i = 0; i != 20; ++i) {
+    CHECK(placement.choose(request, now).runner.backend->id == BackendId("b"));
+  }
+  int to_a = 0;
+  for (int i = 0; i != 40; ++i) {
+    to_a += placement.choose(request, now + 5s).runner.backend->id == BackendId("a") ? 1 : 0;
+  }
+  CHECK(to_a > 5);
+}
+
 TEST_CASE("load reports are read and fade, own requests do not") {
   CHECK_FALSE(parse_load("3,x,8"));
   CHECK_FALSE(parse_load(""));
@@ -251,7 +276,7 @@
   gateway::testing::PlayedEngineCalls engines;
   std::vector<http::ClientRequest> asked;
   CacheSurvey survey(time, engines, fleet, loads,
-                     [&](http::ClientRequest request, const auto& done) {
+                     [&](const BackendId&, http::ClientRequest request, const auto& done) {
                        const bool second = request.endpoint.value() == "b:1";
                        asked.push_back(std::move(request));
                        done(second ? "k1" : "");
@@ -393,7 +418,7 @@
     });
     std::size_t asked_by_node = 0;
     CacheSurvey survey(time, engines, fleet, loads,
-                       [&](const http::ClientRequest&, const auto& done) {
+                       [&](const BackendId&, const http::ClientRequest&, const auto& done) {
                          ++asked_by_node;
                          done("k1");
                        });
