A node keeps no idle connection where there are more nodes than connections; a server that closes under a request has run it

The share of idle connections was at least one for each node: 101 nodes kept 101 where a back end takes 100. Kept connections that had died, and servers that are silent, still do not count.

What stays: of engines nothing tells whether a stream whose head is lost had begun.

--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -309,11 +309,12 @@
   return *fingerprint_;
 }
 
-/// This node's part of the connections that a back end takes from all callers.
+/// This node's part of the connections that a back end takes from all callers. Where there are more
+/// nodes than connections none is kept: one for each node would be more than the back end takes.
 std::size_t RequestSession::connection_share() const {
   const Service* service = routes_->configuration().find_service(service_);
-  const std::uint32_t all = service == nullptr ? 0 : service->most_connections;
-  return std::max<std::size_t>(1, all / std::max(1U, environment_.node_count()));
+  const std::uint32_t all = service == nullptr ? 1 : service->most_connections;
+  return all / std::max(1U, environment_.node_count());
 }
 
 void RequestSession::on_head(const http::ResponseHead& head) {
@@ -543,6 +544,10 @@
   may_have_run_ = true;
   // A kept connection that had died says nothing of the back end.
   const bool stale = error.code == http::HttpErrc::kStaleConnection;
+  if (!stale && !silent && !prompt_) {
+    // An ordinary server that closes under a request has begun it, as a rule.
+    note_run(environment_.clock.now() - attempt_->started);
+  }
   if (stale) {
     tried_.erase(attempt_->backend);
   }
--- a/src/gateway/tests/caller_keys_test.cc
+++ b/src/gateway/tests/caller_keys_test.cc
@@ -74,6 +74,31 @@
   CHECK(runs["t1"] == 1);
 }
 
+TEST_CASE(
+    "a request whose server closes before its answer counts as run, one that it may not have "
+    "had does not") {
+  struct Row {
+    http::HttpErrc code;
+    int runs;
+  };
+  for (const Row& row : {Row{http::HttpErrc::kReset, 1}, Row{http::HttpErrc::kTimeout, 0},
+                         Row{http::HttpErrc::kStaleConnection, 0}}) {
+    CAPTURE(http::describe(row.code));
+    KeyedFixture world;
+    std::map<std::string, int> runs;
+    Gateway counting(
+        {world.time, world.time, world.transport, world.fleet, world.loads, world.placement,
+         world.budget, world.shares, world.names, world.engines, world.statistics, world.logger,
+         [] { return 1U; }, [&](const TenantName& tenant, Duration) { ++runs[tenant.value()]; }},
+        [](auto done) { done(true); });
+    auto caller = std::make_shared<testing::PlayedCaller>();
+    counting.handle({"POST", "/once/x", "", {{"host", "h"}, {"authorization", "Token k1"}}, ""},
+                    caller);
+    world.last().fail(row.code, true);
+    CHECK(runs["t1"] == row.runs);
+  }
+}
+
 TEST_CASE("a request without a known key is answered 401 and not run") {
   KeyedFixture world;
   const std::string long_key(8192, 'k');
--- a/src/gateway/tests/request_session_test.cc
+++ b/src/gateway/tests/request_session_test.cc
@@ -416,3 +416,17 @@
     CHECK(world.last().header("x-deadline-ms") == "2000");
   }
 }
+
+TEST_CASE_FIXTURE(GatewayFixture, "nodes keep no more connections than a back end takes from all") {
+  add_backend("b1", "relay");
+  for (const std::uint32_t nodes : {1U, 30U, 101U, 340U}) {
+    CAPTURE(nodes);
+    Gateway one_of_many({time, time, transport, fleet, loads, placement, budget, shares, names,
+                         engines, statistics, logger, [nodes] { return nodes; }},
+                        [](auto done) { done(true); });
+    auto caller = std::make_shared<testing::PlayedCaller>();
+    one_of_many.handle({"POST", "/once/x", "", {{"host", "h"}}, "body"}, caller);
+    CHECK(last().request.most_idle * nodes <= 100);
+    last().answer(200, {signature()}, "ok");
+  }
+}
