--- /dev/null
+++ b/src/gateway/request_log.cc
@@ -0,0 +1,58 @@
+#include "gateway/request_log.h"
+
+namespace ochrespring::gateway {
+
+void RequestLog::note_attempt(std::string_view message, std::string_view detail,
+                              const Attempt* attempt) const {
+  const bool fetches = attempt != nullptr && attempt->cache_source;
+  write(message, {{"request_id", id_},
+                  {"backend", attempt != nullptr ? attempt->backend.value() : ""},
+                  {"detail", std::string(detail)},
+                  {"unread_tokens", attempt != nullptr ? attempt->unread_tokens : 0},
+                  {"cache_source", fetches ? attempt->cache_source->value() : ""},
+                  {"age_milliseconds", age()}});
+}
+
+void RequestLog::note_break(const http::HttpError& error, const Attempt& attempt,
+                            std::string fingerprint) const {
+  write("attempt broke off",
+        {{"request_id", id_},
+         {"fingerprint", std::move(fingerprint)},
+         {"route", route_.name.value()},
+         {"tenant", tenant_name()},
+         {"backend", attempt.backend.value()},
+         {"error", std::string(http::describe(error.code))},
+         {"detail", error.message},
+         {"prefill", attempt.prefill},
+         {"answer_begun", attempt.head.has_value()},
+         {"attempt_milliseconds", to_milliseconds(clock_.now() - attempt.started)},
+         {"age_milliseconds", age()}});
+}
+
+void RequestLog::note_denied(const BackendId& backend) const {
+  write("not sent: rate limit",
+        {{"request_id", id_}, {"backend", backend.value()}, {"age_milliseconds", age()}});
+}
+
+void RequestLog::note_end(const End& end, const StreamTiming& timing) const {
+  write("request ended", {{"request_id", id_},
+                          {"fingerprint", end.fingerprint},
+                          {"route", route_.name.value()},
+                          {"service", end.service},
+                          {"tenant", tenant_name()},
+                          {"outcome", end.outcome},
+                          {"attempts", end.attempts},
+                          {"configuration", end.configuration},
+                          {"most_output_tokens", end.most_output_tokens},
+                          {"events", timing.events()},
+                          {"longest_gap_milliseconds", to_milliseconds(timing.longest_gap())},
+                          {"last_event_milliseconds",
+                           to_milliseconds(timing.last_event().value_or(arrived_) - arrived_)},
+                          {"milliseconds", age()}});
+}
+
+void RequestLog::write(std::string_view message, std::vector<logging::Field> fields) const {
+  logger_.write({logging::Level::kInfo, "gateway", std::string(message), std::move(fields)});
+}
+
+}  // namespace ochrespring::gateway
--- /dev/null
+++ b/src/gateway/request_log.h
@@ -0,0 +1,69 @@
+// The log lines of one request.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "base/time.h"
+#include "gateway/attempt.h"
+#include "gateway/prompt.h"
+#include "gateway/stream_timing.h"
+#include "gateway/types.h"
+#include "http/errc.h"
+#include "logging/logger.h"
+
+namespace ochrespring::gateway {
+
+/// Each line names the request and its age. One loop.
+class RequestLog {
+ public:
+  /// References outlive it. `tenant`: null if nobody's.
+  RequestLog(const Clock& clock, logging::Logger& logger, const Route& route, const Tenant* tenant)
+      : clock_(clock), logger_(logger), route_(route), tenant_(tenant) {}
+
+  void begin(std::string id, MonotonicTime arrived) {
+    id_ = std::move(id);
+    arrived_ = arrived;
+  }
+  /// Something about an attempt; null: about the request before any.
+  void note_attempt(std::string_view message, std::string_view detail,
+                    const Attempt* attempt) const;
+  /// An attempt broke off. With what tells the same request again, under another id and at another
+  /// node.
+  void note_break(const http::HttpError& error, const Attempt& attempt,
+                  std::string fingerprint) const;
+  /// A back end that was chosen has no room.
+  void note_denied(const BackendId& backend) const;
+
+  /// How a request has ended.
+  struct End {
+    std::string fingerprint;  ///< Empty: nobody needed it.
+    std::string service;
+    std::string outcome;
+    std::uint64_t attempts = 0;
+    std::uint64_t configuration = 0;
+    std::uint64_t most_output_tokens = 0;
+  };
+  void note_end(const End& end, const StreamTiming& timing) const;
+
+ private:
+  std::string tenant_name() const { return tenant_ != nullptr ? tenant_->name.value() : ""; }
+  std::int64_t age() const { return to_milliseconds(clock_.now() - arrived_); }
+  static std::int64_t to_milliseconds(Duration span) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+  }
+  void write(std::string_view message, std::vector<logging::Field> fields) const;
+
+  const Clock& clock_;
+  logging::Logger& logger_;
+  const Route& route_;
+  const Tenant* tenant_;
+  std::string id_;
+  MonotonicTime arrived_{};
+};
+
+}  // namespace ochrespring::gateway
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -14,7 +14,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::string_view kComponent = "gateway";
 /// Less time than this is not worth an attempt.
 constexpr Duration kLeastTime = milliseconds(3);
 constexpr Duration kReleaseTimeout = milliseconds(1000);
@@ -47,6 +46,7 @@
       routes_(std::move(routes)),
       route_(*admission.route),
       tenant_(admission.key.tenant),
+      log_(environment.clock, environment.logger, route_, tenant_),
       request_(std::move(request)),
       writer_(std::move(writer)),
       deadline_timer_(environment.timers),
@@ -57,6 +57,7 @@
   const HeaderNames& names = environment_.names;
   arrived_ = environment_.clock.now();
   id_ = http::find_header(request_.headers, names.request_id);
+  log_.begin(id_, arrived_);
   const auto most = static_cast<std::uint64_t>(to_milliseconds(route_.timeout));
   const std::string_view waits = http::find_header(request_.headers, names.deadline);
   deadline_ = arrived_ + milliseconds(std::min(most, http::parse_number(waits).value_or(most)));
@@ -208,7 +209,7 @@
   if (result == ClaimResult::kGranted) {
     start_attempt(choice, prefill);
   } else if (result == ClaimResult::kDenied) {
-    log_rate_limited(choice.backend->id);
+    log_.note_denied(choice.backend->id);
   }
   return result != ClaimResult::kDenied;
 }
@@ -219,7 +220,7 @@
   const FleetState& fleet = environment_.fleet;
   const Backend* backend = fleet.find(claimed.backend);
   if (!granted) {
-    log_rate_limited(claimed.backend);
+    log_.note_denied(claimed.backend);
   }
   const bool open = environment_.gate->may_send(claimed.backend, environment_.clock.now());
   if (!granted || backend == nullptr || !open || fleet.is_leaving(*backend)) {
@@ -266,7 +267,7 @@
     environment_.loads.note_prompt(backend.id, *prompt_, now);
   }
   ++environment_.statistics.attempts;
-  log_attempt(prefill ? "prefill started" : "attempt started", backend.address.value());
+  note(prefill ? "prefill started" : "attempt started", backend.address.value());
   http::ClientRequest sent = make_backend_request(request_, environment_.names, make_call(backend));
   if (SendGate* gate = environment_.gate) {
     gate->note_send(backend.id, now);
@@ -369,7 +370,7 @@
   if (handle && backend != nullptr) {
     cache_ = CacheHandle{backend->id, backend->address, *handle};
   }
-  log_attempt(handle ? "prefill done" : "prefill refused", handle.value_or(""));
+  note(handle ? "prefill done" : "prefill refused", handle.value_or(""));
   end_attempt(handle ? AttemptVerdict::kGood : verdict_of_failed_prefill());
   if (!handle && !spend_repeat()) {
     give_up(FailureReason::kRefused);
@@ -417,7 +418,7 @@
   const http::ResponseHead& head = *attempt_->head;
   const BackendStatement& statement = attempt_->statement;
   if (statement.not_run) {
-    log_attempt("attempt refused", std::to_string(head.status));
+    note("attempt refused", std::to_string(head.status));
     end_attempt(statement.misdirected ? AttemptVerdict::kReplaced : AttemptVerdict::kRefused);
     retry_or_give_up(FailureReason::kRefused);
     return;
@@ -425,7 +426,7 @@
   may_have_run_ = true;
   note_run(environment_.clock.now() - attempt_->started);
   if (!statement.is_signed) {
-    log_attempt("attempt without signature", std::to_string(head.status));
+    note("attempt without signature", std::to_string(head.status));
     end_attempt(AttemptVerdict::kFailed);
     retry_or_give_up(FailureReason::kBroken);
     return;
@@ -436,7 +437,7 @@
     return;
   }
   if (!is_success(head.status) && !answer_open_ && route_.repeatable() && may_send_again()) {
-    log_attempt("attempt failed at the back end", std::to_string(head.status));
+    note("attempt failed at the back end", std::to_string(head.status));
     failed_answer_ = FailedAnswer{head, std::move(attempt_->body)};
     end_attempt(AttemptVerdict::kFailed);
     dispatch();
@@ -475,7 +476,7 @@
   while (const auto event = attempt_->events.next()) {
     if (!attempt_->prompt_read) {
       attempt_->prompt_read = true;
-      log_attempt("first event", "");
+      note("first event", "");
       note_run(Duration::zero());
       environment_.loads.note_read(attempt_->backend, attempt_->unread_tokens);
     }
@@ -520,7 +521,7 @@
     return;
   }
   if (!sent) {
-    log_attempt("no connection", error.message);
+    note("no connection", error.message);
     ++unreachable_;
     end_attempt(AttemptVerdict::kUnreachable);
     if (unreachable_ < kMostUnreachable) {
@@ -530,7 +531,7 @@
     }
     return;
   }
-  log_break(error);
+  log_.note_break(error, *attempt_, fingerprint().to_hex());
   const bool silent = error.code == http::HttpErrc::kTimeout;
   note_break(silent ? BreakKind::kSilent : BreakKind::kClosed);
   if (silent) {
@@ -557,7 +558,7 @@
 
 /// The back end has asked for nothing more while the request waited for a connection.
 void RequestSession::on_withdrawn() {
-  log_attempt("not sent: back end asked for nothing more", "");
+  note("not sent: back end asked for nothing more", "");
   ++environment_.statistics.withdrawn;
   tried_.erase(attempt_->backend);
   if (attempt_->prefill) {
@@ -645,7 +646,7 @@
   }
   ++sends_;
   may_have_run_ = true;
-  log_attempt("attempt made no progress", "");
+  note("attempt made no progress", "");
   note_break(BreakKind::kSilent);
   if (answer_open_) {
     ++environment_.statistics.resumed;
@@ -754,7 +755,7 @@
     note_break(BreakKind::kSilent);
   }
   may_have_run_ = may_have_run_ || (at_work() && !attempt_->prefill);
-  log_attempt("deadline", "");
+  note("deadline", "");
   give_up(FailureReason::kTimeout);
 }
 
@@ -767,70 +768,16 @@
   release_cache();
   writer_->on_closed(nullptr);
   writer_->on_drained(nullptr);
-  environment_.logger.write(
-      {logging::Level::kInfo,
-       kComponent,
-       "request ended",
-       {{"request_id", id_},
-        {"fingerprint", fingerprint_ ? fingerprint_->to_hex() : ""},
-        {"route", route_.name.value()},
-        {"service", service_.value()},
-        {"tenant", tenant_ != nullptr ? tenant_->name.value() : ""},
-        {"outcome", std::string(outcome)},
-        {"attempts", static_cast<std::uint64_t>(sends_ + unreachable_)},
-        {"configuration", routes_->configuration().version.value()},
-        {"most_output_tokens", prompt_ ? prompt_->output_tokens : 0},
-        {"events", timing_.events()},
-        {"longest_gap_milliseconds", to_milliseconds(timing_.longest_gap())},
-        {"last_event_milliseconds",
-         to_milliseconds(timing_.last_event().value_or(arrived_) - arrived_)},
-        {"milliseconds", to_milliseconds(environment_.clock.now() - arrived_)}}});
+  log_.note_end({.fingerprint = fingerprint_ ? fingerprint_->to_hex() : "",
+                 .service = service_.value(),
+                 .outcome = std::string(outcome),
+                 .attempts = static_cast<std::uint64_t>(sends_ + unreachable_),
+                 .configuration = routes_->configuration().version.value(),
+                 .most_output_tokens = prompt_ ? prompt_->output_tokens : 0},
+                timing_);
   if (const auto on_end = std::exchange(on_end_, nullptr)) {
     on_end();
   }
 }
 
-/// With what tells the same request again, under another id and at another node.
-void RequestSession::log_break(const http::HttpError& error) {
-  environment_.logger.write(
-      {logging::Level::kInfo,
-       kComponent,
-       "attempt broke off",
-       {{"request_id", id_},
-        {"fingerprint", fingerprint().to_hex()},
-        {"route", route_.name.value()},
-        {"tenant", tenant_ != nullptr ? tenant_->name.value() : ""},
-        {"backend", attempt_->backend.value()},
-        {"error", std::string(http::describe(error.code))},
-        {"detail", error.message},
-        {"prefill", attempt_->prefill},
-        {"answer_begun", attempt_->head.has_value()},
-        {"attempt_milliseconds", to_milliseconds(environment_.clock.now() - attempt_->started)},
-        {"age_milliseconds", to_milliseconds(environment_.clock.now() - arrived_)}}});
-}
-
-void RequestSession::log_rate_limited(const BackendId& backend) {
-  environment_.logger.write(
-      {logging::Level::kInfo,
-       kComponent,
-       "not sent: rate limit",
-       {{"request_id", id_},
-        {"backend", backend.value()},
-        {"age_milliseconds", to_milliseconds(environment_.clock.now() - arrived_)}}});
-}
-
-void RequestSession::log_attempt(std::string_view message, std::string_view detail) {
-  const std::string backend = attempt_ ? attempt_->backend.value() : std::string();
-  environment_.logger.write(
-      {logging::Level::kInfo,
-       kComponent,
-       std::string(message),
-       {{"request_id", id_},
-        {"backend", backend},
-        {"detail", std::string(detail)},
-        {"unread_tokens", attempt_ ? attempt_->unread_tokens : 0},
-        {"cache_source", attempt_ && attempt_->cache_source ? attempt_->cache_source->value() : ""},
-        {"age_milliseconds", to_milliseconds(environment_.clock.now() - arrived_)}}});
-}
-
 }  // namespace ochrespring::gateway
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -15,6 +15,7 @@
 #include "gateway/failure_answer.h"
 #include "gateway/prompt.h"
 #include "gateway/request_fingerprint.h"
+#include "gateway/request_log.h"
 #include "gateway/route_table.h"
 #include "gateway/stream_timing.h"
 #include "http/client.h"
@@ -114,9 +115,9 @@
   void caller_gone();
   void on_deadline();
   void finish(std::string_view outcome);
-  void log_break(const http::HttpError& error);
-  void log_rate_limited(const BackendId& backend);
-  void log_attempt(std::string_view message, std::string_view detail);
+  void note(std::string_view message, std::string_view detail) {
+    log_.note_attempt(message, detail, attempt_ ? &*attempt_ : nullptr);
+  }
 
   bool is_stream() const { return route_.kind == RequestKind::kStreaming; }
   /// Whether an attempt runs.
@@ -127,6 +128,7 @@
   std::shared_ptr<const RouteTable> routes_;
   const Route& route_;
   const Tenant* tenant_;  ///< Of the routes' configuration; null if nobody's.
+  RequestLog log_;
   http::Request request_;
   std::shared_ptr<http::ResponseWriter> writer_;
   std::function<void()> on_end_;
