A pause that another node tells of is believed for a minute at most; notices of back ends in the corpora

A notice with any duration went into a clock's sum as it came. Fuzzing takes notices as a node's news take them, and the two headers' values; compatibility_test reads and writes the notices of this build (testdata/backend_notices.txt).

--- a/src/admission/admission_control.cc
+++ b/src/admission/admission_control.cc
@@ -20,6 +20,8 @@
 constexpr Duration kMostSpread = std::chrono::seconds(1);
 /// Pauses that end this close together are the same news.
 constexpr Duration kSamePause = milliseconds(500);
+/// What another node tells is believed for no longer; then this node asks the back end itself.
+constexpr Duration kMostToldPause = std::chrono::minutes(1);
 
 constexpr metrics::CounterRow<AdmissionStatistics> kCounters[] = {
     {"backoffs_heard", "Answers in which a back end asked this node to back off",
@@ -144,7 +146,8 @@
     return;
   }
   ++statistics_.backoffs_told;
-  world_.loads.of(notice.backend).note_told_pause(world_.clock.now() + notice.backoff);
+  const Duration believed = std::min(notice.backoff, kMostToldPause);
+  world_.loads.of(notice.backend).note_told_pause(world_.clock.now() + believed);
 }
 
 void AdmissionControl::tell_all(const std::function<void(const BackendNotice&)>& send) const {
--- a/src/admission/tests/admission_control_test.cc
+++ b/src/admission/tests/admission_control_test.cc
@@ -117,6 +117,14 @@
   CHECK(told.empty());
 }
 
+TEST_CASE_FIXTURE(AdmissionFixture,
+                  "whatever pause another node tells of, it is believed for a while") {
+  for (const Duration told_pause : {Duration(-1s), Duration::max(), Duration::min()}) {
+    admission.take({gateway::BackendId("a@1"), false, told_pause});
+    CHECK(loads.of(gateway::BackendId("a@1")).refusal_share(time.now() + 61s) == 0);
+  }
+}
+
 TEST_CASE_FIXTURE(AdmissionFixture, "leaving that another node tells of binds this one") {
   admission.take({gateway::BackendId("a@1"), true, {}});
   CHECK(fleet.is_leaving(gateway::BackendId("a@1")));
--- a/src/fuzzing/targets/node_datagrams.cc
+++ b/src/fuzzing/targets/node_datagrams.cc
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string_view>
 
+#include "admission/admission_control.h"
 #include "fuzzing/fuzz_target.h"
 #include "gateway_node/peer_news.h"
 #include "platform/fleet_codec.h"
@@ -60,6 +61,10 @@
        .ask = [this](const Endpoint& to, const auto& told) { news.send(to, told); },
        .reply = [this](const Endpoint& to, const auto& told) { news.send(to, told); }}};
 
+  admission::AdmissionControl admission{
+      {time, random, logger, fleet, loads, limiter},
+      [this](const admission::BackendNotice& notice) { news.tell_notice(notice); }};
+
   Node() {
     nodes.put({NodeId("other"), Endpoint("10.0.0.3:80"), ZoneName("a"), Endpoint("10.0.0.3:81")});
     gateway::Backend server;
@@ -69,10 +74,12 @@
                     .take_request = [this](const auto& told) { limiter.take(told); },
                     .take_reply = [this](const auto& told) { limiter.take(told); },
                     .tell_all = [this](const auto& send) { limiter.tell_all(send); }});
+    news.on_notices({.take = [this](const auto& told) { admission.take(told); },
+                     .tell_all = [this](const auto& send) { admission.tell_all(send); }});
   }
   /// A request that waits for leave to go to the server while datagrams come.
   void claim() {
-    limiter.claim(gateway::BackendId("s"), 1, [](bool) {});
+    admission.claim(gateway::BackendId("s"), 1, [](bool) {});
   }
 };
 
--- a/src/fuzzing/targets/node_messages.cc
+++ b/src/fuzzing/targets/node_messages.cc
@@ -10,6 +10,7 @@
 #include "duties/types.h"
 #include "fuzzing/fuzz_target.h"
 #include "fuzzing/round_trip.h"
+#include "gateway/backend_statement.h"
 #include "gateway/rate_limit_header.h"
 #include "gateway_node/peer_message.h"
 #include "wire/compression.h"
@@ -34,16 +35,30 @@
   fuzzing::require(!rate || rate->per_second() < 1e9);
 }
 
+/// Headers of a refusal: what is read of them is a time, or that there is none.
+void check_backoff(std::string_view bytes) {
+  const gateway::HeaderNames names;
+  const std::string value(bytes);
+  const auto span = gateway::parse_seconds(value);
+  const auto statement = gateway::read_statement(
+      {503, {{names.not_run, "1"}, {names.retry_after, value}, {names.leaving, value}}}, names);
+  using Kind = gateway::BackoffStatement::Kind;
+  fuzzing::require(span.has_value() == (statement.backoff.kind == Kind::kAsked));
+  fuzzing::require(!span || *span >= Duration::zero());
+  fuzzing::require(statement.leaving == (value == "1"));
+}
+
 using Check = void (*)(std::string_view);
-constexpr std::array<Check, 9> kChecks{require_round_trip<gateway_node::PeerMessage>,
-                                       require_round_trip<discovery::ViewTransfer>,
-                                       check_compressed_view,
-                                       require_round_trip<std::vector<Endpoint>>,
-                                       require_round_trip<discovery::NodeRecord>,
-                                       require_round_trip<duties::HolderRecord>,
-                                       require_round_trip<duties::HolderHistory>,
-                                       require_round_trip<quarantine::CrashReport>,
-                                       check_rate_limit};
+constexpr std::array<Check, 10> kChecks{require_round_trip<gateway_node::PeerMessage>,
+                                        require_round_trip<discovery::ViewTransfer>,
+                                        check_compressed_view,
+                                        require_round_trip<std::vector<Endpoint>>,
+                                        require_round_trip<discovery::NodeRecord>,
+                                        require_round_trip<duties::HolderRecord>,
+                                        require_round_trip<duties::HolderHistory>,
+                                        require_round_trip<quarantine::CrashReport>,
+                                        check_rate_limit,
+                                        check_backoff};
 
 }  // namespace
 
--- a/src/gateway_node/tests/compatibility_test.cc
+++ b/src/gateway_node/tests/compatibility_test.cc
@@ -93,6 +93,19 @@
   CHECK(told.known.rate.thousandths == 1300);
 }
 
+TEST_CASE("notices of back ends are read and written as when they were new") {
+  const auto corpus = read_corpus(BACKEND_NOTICES);
+  REQUIRE(corpus.size() == 3);
+  for (const char* name : {"leaving", "pause", "pause_to_relay"}) {
+    CAPTURE(name);
+    CHECK(is_same<PeerMessage>(corpus.at(name)));
+  }
+  const auto pause = wire::decode<PeerMessage>(corpus.at("pause"));
+  REQUIRE(pause);
+  CHECK(std::get<admission::BackendNotice>(pause.value()).backoff ==
+        std::chrono::milliseconds(3500));
+}
+
 TEST_CASE("records in the store are read and written as the build before has them") {
   const auto corpus = read_corpus();
   CHECK(is_same<discovery::NodeRecord>(corpus.at("node_record")));
@@ -111,6 +124,8 @@
   constexpr std::size_t kKindsBeforeRateLimits = 14;
   CHECK(PeerMessage(rate_limit::LimitNews()).index() == kKindsBeforeRateLimits);
   CHECK(PeerMessage(rate_limit::PermitReply()).index() == kKindsBeforeRateLimits + 3);
+  constexpr std::size_t kKindsBeforeNotices = 18;
+  CHECK(PeerMessage(admission::BackendNotice()).index() == kKindsBeforeNotices);
 }
 
 TEST_CASE("kinds of builds to come, and bytes behind a known one, are left alone") {
