A pause that a new life of a server asks for before it is registered binds what it gets

Cause: an answer does not tell the life that gave it, and pauses are kept by life. Now a life that comes to be known within 3 s after a pause was heard under its name takes it over, for 10 s at most: then it is asked itself, by one request. One that starts again later has said nothing, as before.

--- a/src/admission/admission_control.h
+++ b/src/admission/admission_control.h
@@ -62,6 +62,10 @@
                                                 MonotonicTime now) const override;
   void note_answer(const gateway::BackendAnswer& answer) override;
 
+  /// A life of a back end has come to be known.
+  void note_known(const gateway::BackendId& backend) {
+    backoffs_.note_known(backend, world_.clock.now());
+  }
   void take(const BackendNotice& notice);
   /// Tells a node that has just started all that is known.
   void tell_all(const std::function<void(const BackendNotice&)>& send) const;
--- a/src/admission/backoff_table.cc
+++ b/src/admission/backoff_table.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "gateway/backend_life.h"
+
 namespace ochrespring::admission {
 
 bool BackoffTable::note(const gateway::BackendId& backend, Duration span, MonotonicTime now) {
@@ -11,6 +13,9 @@
   prune(now);
   Entry& entry = entries_[backend];
   const MonotonicTime until = now + span;
+  if (gateway::may_be_reborn(backend)) {
+    last_pauses_[std::string(gateway::name_of(backend))] = {.heard = now, .until = until};
+  }
   if (until <= entry.until) {
     return false;
   }
@@ -18,6 +23,18 @@
   return true;
 }
 
+void BackoffTable::note_known(const gateway::BackendId& backend, MonotonicTime now) {
+  const auto found = last_pauses_.find(std::string(gateway::name_of(backend)));
+  if (found == last_pauses_.end() || now - found->second.heard > kRegistrationLag) {
+    return;
+  }
+  const MonotonicTime until = std::min(found->second.until, now + kMostInherited);
+  Entry& entry = entries_[backend];
+  if (until > entry.until) {
+    entry = {.until = until};
+  }
+}
+
 bool BackoffTable::is_paused(const gateway::BackendId& backend, MonotonicTime now) const {
   const auto found = entries_.find(backend);
   return found != entries_.end() && now < found->second.until;
@@ -75,6 +92,8 @@
   }
   std::erase_if(entries_,
                 [now](const auto& entry) { return now >= entry.second.until + kRecovery; });
+  std::erase_if(last_pauses_,
+                [now](const auto& pause) { return now - pause.second.heard > kRegistrationLag; });
   prune_at_ = std::max(kLeastPrune, 2 * entries_.size());
 }
 
--- a/src/admission/backoff_table.h
+++ b/src/admission/backoff_table.h
@@ -4,7 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
+#include <string>
 
 #include "base/time.h"
 #include "gateway/types.h"
@@ -16,7 +16,9 @@
 /// that waited for it. Of two pauses that overlap the later end counts.
 ///
 /// Entries hang on the life of a back end and outlive its registration: one that is registered
-/// again has still asked, one that has started again has not. Pure; one loop.
+/// again has still asked, one that has started again has not. But a life that comes to be known
+/// soon after may be the one that asked: an answer does not tell its life, and may come before the
+/// registration. Pure; one loop.
 class BackoffTable {
  public:
   /// The back end asks for a pause of `span` from `now` on; returns whether it ends later than what
@@ -31,6 +33,8 @@
   /// that is left of the pause has ended with it.
   bool note_good_answer(const gateway::BackendId& backend, MonotonicTime sent);
 
+  /// A life of a back end has come to be known: see above.
+  void note_known(const gateway::BackendId& backend, MonotonicTime now);
   /// Whether the back end has asked for nothing, as yet.
   bool is_paused(const gateway::BackendId& backend, MonotonicTime now) const;
   /// What has_room() waits for; zero: nothing.
@@ -54,6 +58,10 @@
   /// The back end has had requests for so long since its pause, or nobody has asked for it.
   static constexpr Duration kRecovery{std::chrono::seconds(2)};
   static constexpr std::size_t kLeastPrune = 1024;
+  /// A back end that has started again is registered within this time of its first answers.
+  static constexpr Duration kRegistrationLag{std::chrono::seconds(3)};
+  /// Of a pause that another life may have asked for: then that one is asked itself.
+  static constexpr Duration kMostInherited{std::chrono::seconds(10)};
 
   struct Entry {
     MonotonicTime until{};
@@ -65,8 +73,15 @@
   static Duration time_to_room(const Entry& entry, MonotonicTime now);
   void prune(MonotonicTime now);
 
+  /// The last pause that was asked for under a name.
+  struct LastPause {
+    MonotonicTime heard{};
+    MonotonicTime until{};
+  };
+
   std::map<gateway::BackendId, Entry> entries_;
-  std::size_t prune_at_ = kLeastPrune;  ///< Size at which ended entries are dropped.
+  std::map<std::string, LastPause> last_pauses_;  ///< By name of back ends that have lives.
+  std::size_t prune_at_ = kLeastPrune;            ///< Size at which ended entries are dropped.
 };
 
 }  // namespace ochrespring::admission
--- a/src/gateway/fleet_state.cc
+++ b/src/gateway/fleet_state.cc
@@ -33,9 +33,18 @@
     note_leaving(known.id);
   }
   index_.add(known);
+  if (fresh) {
+    note_added(known);
+  }
   return true;
 }
 
+void FleetState::note_added(const Backend& backend) {
+  if (added_) {
+    added_(backend);
+  }
+}
+
 bool FleetState::remove(const BackendId& id) {
   auto node = backends_.extract(id);
   if (node.empty()) {
@@ -76,6 +85,9 @@
       note_leaving(id);
     }
     index_.add(backend);
+    if (!fresh.contains(id)) {
+      note_added(backend);
+    }
   }
   for (const auto& [id, backend] : fresh) {
     if (!backends_.contains(id)) {
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -59,6 +59,8 @@
   void note_current(MonotonicTime at) { current_at_ = at; }
   std::optional<MonotonicTime> current_at() const { return current_at_; }
 
+  /// Called after a back end has come to be known.
+  void on_added(std::function<void(const Backend&)> callback) { added_ = std::move(callback); }
   /// Called after a back end has gone.
   void on_removed(std::function<void(const Backend&)> callback) { removed_ = std::move(callback); }
 
@@ -66,6 +68,7 @@
   /// Many more than leave within the time in which an older copy may show them again.
   static constexpr std::size_t kMostLeaving = 16'384;
 
+  void note_added(const Backend& backend);
   void note_gone(const Backend& backend);
 
   std::shared_ptr<const RouteTable> routes_;
@@ -76,6 +79,7 @@
   std::set<BackendId> doubted_;  ///< Gone before that.
   MonotonicTime doubted_until_{};
   std::optional<MonotonicTime> current_at_;
+  std::function<void(const Backend&)> added_;
   std::function<void(const Backend&)> removed_;
 };
 
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -150,6 +150,7 @@
   watcher_.on_unjoined(
       [this](const auto& request, auto done) { views_.fetch_from(request, std::move(done)); });
   watcher_.on_duty([this] { return peer_news_.channel().reading_duty(); });
+  fleet_.on_added([this](const gateway::Backend& backend) { admission_.note_known(backend.id); });
   fleet_.on_removed([this](const gateway::Backend& backend) {
     loads_.forget(backend.id);
     peer_news_.forget(backend.id);
--- a/src/gateway_node/tests/crash_fleet.h
+++ b/src/gateway_node/tests/crash_fleet.h
@@ -759,6 +759,7 @@
   for (std::uint32_t i = 0; i != fleet.options().drawn; ++i) {
     random.next();
   }
+  view.on_added([this](const gateway::Backend& backend) { admission.note_known(backend.id); });
   view.on_removed([this](const gateway::Backend& backend) {
     loads.forget(backend.id);
     news.forget(backend.id);
