Tests: one way to make a gateway of the fixture, one look-up of servers of a role

Four fixtures spelled out the environment of a gateway, two tests the same look-up; the two cases of a request that is not sent are rows of one table, with both checks of each. No check changes otherwise.

--- a/src/gateway/tests/caller_keys_test.cc
+++ b/src/gateway/tests/caller_keys_test.cc
@@ -37,6 +37,13 @@
     fleet.apply(std::move(configuration));
   }
 
+  /// Runs of tenants are counted.
+  Environment counting_into(std::map<std::string, int>& runs) {
+    Environment made = environment();
+    made.note_run = [&runs](const TenantName& tenant, Duration) { ++runs[tenant.value()]; };
+    return made;
+  }
+
   auto send_with_key(const std::string& path, const std::string& authorization) {
     return send(path, {{"authorization", authorization}, {names.tenant, "forged"}});
   }
@@ -57,11 +64,7 @@
 TEST_CASE("a run whose signed answer breaks off counts for its tenant, once") {
   KeyedFixture world;
   std::map<std::string, int> runs;
-  Gateway counting(
-      {world.time, world.time, world.transport, world.fleet, world.loads, world.placement,
-       world.budget, world.shares, world.names, world.engines, world.statistics, world.logger,
-       [] { return 1U; }, [&](const TenantName& tenant, Duration) { ++runs[tenant.value()]; }},
-      [](auto done) { done(true); });
+  Gateway counting(world.counting_into(runs), [](auto done) { done(true); });
   world.add_backend("b2", "relay");
   auto caller = std::make_shared<testing::PlayedCaller>();
   counting.handle({"POST", "/idempotent/x", "", {{"host", "h"}, {"authorization", "Token k1"}}, ""},
@@ -86,11 +89,7 @@
     CAPTURE(http::describe(row.code));
     KeyedFixture world;
     std::map<std::string, int> runs;
-    Gateway counting(
-        {world.time, world.time, world.transport, world.fleet, world.loads, world.placement,
-         world.budget, world.shares, world.names, world.engines, world.statistics, world.logger,
-         [] { return 1U; }, [&](const TenantName& tenant, Duration) { ++runs[tenant.value()]; }},
-        [](auto done) { done(true); });
+    Gateway counting(world.counting_into(runs), [](auto done) { done(true); });
     auto caller = std::make_shared<testing::PlayedCaller>();
     counting.handle({"POST", "/once/x", "", {{"host", "h"}, {"authorization", "Token k1"}}, ""},
                     caller);
--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -146,9 +146,19 @@
   GatewayStatistics statistics;
   logging::NullLogger logger;
   bool store_answers = true;
-  Gateway gateway{{time, time, transport, fleet, loads, placement, budget, shares, names, engines,
-                   statistics, logger, [] { return 1U; }},
-                  [this](auto done) { done(store_answers); }};
+  Gateway gateway{environment(), [this](auto done) { done(store_answers); }};
+
+  /// What a gateway shares; a test adds what its own has besides.
+  Environment environment() {
+    return {time,   time,  transport, fleet,      loads,  placement,        budget,
+            shares, names, engines,   statistics, logger, [] { return 1U; }};
+  }
+  Environment environment_with(RequestGuard* guard, SendGate* gate) {
+    Environment made = environment();
+    made.guard = guard;
+    made.gate = gate;
+    return made;
+  }
 
   GatewayFixture() { fleet.apply(make_configuration(1)); }
 
--- a/src/gateway/tests/played_gate.h
+++ b/src/gateway/tests/played_gate.h
@@ -88,23 +88,7 @@
   }
 
   PlayedGate gate;
-  Gateway gated{{time,
-                 time,
-                 transport,
-                 fleet,
-                 loads,
-                 placement,
-                 budget,
-                 shares,
-                 names,
-                 engines,
-                 statistics,
-                 logger,
-                 [] { return 1U; },
-                 {},
-                 nullptr,
-                 &gate},
-                [](auto done) { done(true); }};
+  Gateway gated{environment_with(nullptr, &gate), [](auto done) { done(true); }};
 };
 
 }  // namespace ochrespring::gateway::testing
--- a/src/gateway/tests/request_guard_test.cc
+++ b/src/gateway/tests/request_guard_test.cc
@@ -55,22 +55,7 @@
   }
 
   PlayedGuard guard;
-  Gateway guarded{{time,
-                   time,
-                   transport,
-                   fleet,
-                   loads,
-                   placement,
-                   budget,
-                   shares,
-                   names,
-                   engines,
-                   statistics,
-                   logger,
-                   [] { return 1U; },
-                   {},
-                   &guard},
-                  [](auto done) { done(true); }};
+  Gateway guarded{environment_with(&guard, nullptr), [](auto done) { done(true); }};
 
   std::shared_ptr<gateway::testing::PlayedCaller> ask(const std::string& path) {
     auto caller = std::make_shared<gateway::testing::PlayedCaller>();
--- a/src/gateway/tests/request_session_test.cc
+++ b/src/gateway/tests/request_session_test.cc
@@ -421,9 +421,9 @@
   add_backend("b1", "relay");
   for (const std::uint32_t nodes : {1U, 30U, 101U, 340U}) {
     CAPTURE(nodes);
-    Gateway one_of_many({time, time, transport, fleet, loads, placement, budget, shares, names,
-                         engines, statistics, logger, [nodes] { return nodes; }},
-                        [](auto done) { done(true); });
+    Environment made = environment();
+    made.node_count = [nodes] { return nodes; };
+    Gateway one_of_many(std::move(made), [](auto done) { done(true); });
     auto caller = std::make_shared<testing::PlayedCaller>();
     one_of_many.handle({"POST", "/once/x", "", {{"host", "h"}}, "body"}, caller);
     CHECK(last().request.most_idle * nodes <= 100);
--- a/src/gateway_node/tests/crash_fleet.h
+++ b/src/gateway_node/tests/crash_fleet.h
@@ -367,6 +367,15 @@
       nodes[number]->transport.reset_all();
     }
   }
+  std::vector<PlayedServer*> servers_of(gateway::EngineRole role) {
+    std::vector<PlayedServer*> found;
+    for (const auto& server : servers) {
+      if (server->backend.role == role) {
+        found.push_back(server.get());
+      }
+    }
+    return found;
+  }
   /// Requests that were ended as quarantined, by all nodes there are now.
   std::uint64_t quarantine_ends() const {
     std::uint64_t sum = 0;
--- a/src/gateway_node/tests/rate_limit_test.cc
+++ b/src/gateway_node/tests/rate_limit_test.cc
@@ -15,16 +15,6 @@
 
 namespace {
 
-std::vector<PlayedServer*> servers_of(CrashFleet& fleet, gateway::EngineRole role) {
-  std::vector<PlayedServer*> servers;
-  for (const auto& server : fleet.servers) {
-    if (server->backend.role == role) {
-      servers.push_back(server.get());
-    }
-  }
-  return servers;
-}
-
 NamedLimit name_limit(CrashFleet& fleet, PlayedServer& server, double per_second, Duration span) {
   server.rate_limit = std::to_string(per_second);
   fleet.time.schedule_after(span, [&server] { server.rate_limit.clear(); });
@@ -75,7 +65,7 @@
 double use_of_limits(CrashFleet& fleet, gateway::EngineRole role, double per_second,
                      Duration span) {
   std::vector<NamedLimit> limits;
-  for (PlayedServer* server : servers_of(fleet, role)) {
+  for (PlayedServer* server : fleet.servers_of(role)) {
     limits.push_back(name_limit(fleet, *server, per_second, span));
   }
   fleet.advance(span + 1s);
@@ -95,7 +85,7 @@
     CrashFleet fleet({});
     fleet.traffic(60, 25s);
     fleet.advance(5s);
-    const std::vector<PlayedServer*> servers = servers_of(fleet, role);
+    const std::vector<PlayedServer*> servers = fleet.servers_of(role);
     const std::vector<NamedLimit> limits{name_limit(fleet, *servers[0], 1.3, 15s),
                                          name_limit(fleet, *servers[1], 2.1, 15s)};
     fleet.advance(20s);
@@ -137,7 +127,7 @@
   send_to_one(fleet, 1, 60, 30s);
   fleet.traffic(60, 30s);
   fleet.advance(5s);
-  const std::vector<PlayedServer*> servers = servers_of(fleet, gateway::EngineRole::kNone);
+  const std::vector<PlayedServer*> servers = fleet.servers_of(gateway::EngineRole::kNone);
   name_limit(fleet, *servers[0], 0.4, 20s);
   name_limit(fleet, *servers[1], 3.0, 20s);
   fleet.advance(26s);
@@ -150,7 +140,7 @@
     CrashFleet fleet({.nodes = 20, .loss = loss, .relay_from_nodes = 12});
     fleet.traffic(150, 60s);
     fleet.advance(5s);
-    PlayedServer& server = *servers_of(fleet, gateway::EngineRole::kNone)[0];
+    PlayedServer& server = *fleet.servers_of(gateway::EngineRole::kNone)[0];
     name_limit(fleet, server, 8.0, 30s);
     fleet.advance(8s);
     CHECK(nodes_that_know(fleet, server) == fleet.nodes.size());
@@ -166,7 +156,7 @@
   CrashFleet fleet({});
   fleet.traffic(60, 60s);
   fleet.advance(5s);
-  PlayedServer& server = *servers_of(fleet, gateway::EngineRole::kNone)[0];
+  PlayedServer& server = *fleet.servers_of(gateway::EngineRole::kNone)[0];
   const NamedLimit nothing = name_limit(fleet, server, 0, 20s);
   fleet.advance(20s);
   check_held(fleet, nothing);
@@ -194,7 +184,7 @@
   CrashFleet fleet({});
   fleet.traffic(60, 20s);
   fleet.advance(5s);
-  for (PlayedServer* server : servers_of(fleet, gateway::EngineRole::kNone)) {
+  for (PlayedServer* server : fleet.servers_of(gateway::EngineRole::kNone)) {
     server->rate_limit = "1.0";
   }
   fleet.advance(10s);
--- a/src/gateway_node/tests/server_backoff_test.cc
+++ b/src/gateway_node/tests/server_backoff_test.cc
@@ -18,16 +18,6 @@
 constexpr gateway::EngineRole kRoles[] = {gateway::EngineRole::kNone, gateway::EngineRole::kDecode,
                                           gateway::EngineRole::kPrefill};
 
-std::vector<PlayedServer*> servers_of(CrashFleet& fleet, gateway::EngineRole role) {
-  std::vector<PlayedServer*> servers;
-  for (const auto& server : fleet.servers) {
-    if (server->backend.role == role) {
-      servers.push_back(server.get());
-    }
-  }
-  return servers;
-}
-
 /// The server turns requests away for `span`, each for so many whole seconds.
 void shed(CrashFleet& fleet, PlayedServer& server, std::chrono::seconds backoff, double chance,
           Duration span) {
@@ -80,7 +70,7 @@
     CrashFleet fleet({});
     fleet.traffic(60, 20s);
     fleet.advance(3s);
-    const std::vector<PlayedServer*> servers = servers_of(fleet, role);
+    const std::vector<PlayedServer*> servers = fleet.servers_of(role);
     shed(fleet, *servers[0], 3s, 1, 12s);
     shed(fleet, *servers[1], 2s, 1, 12s);
     fleet.advance(17s);
@@ -96,7 +86,7 @@
       CrashFleet fleet({});
       fleet.traffic(60, 20s);
       fleet.advance(3s);
-      for (PlayedServer* server : servers_of(fleet, role)) {
+      for (PlayedServer* server : fleet.servers_of(role)) {
         shed(fleet, *server, 2s, chance, 12s);
       }
       fleet.advance(17s);
@@ -113,8 +103,8 @@
       CrashFleet fleet({});
       fleet.traffic(60, 15s);
       fleet.advance(3s);
-      for (PlayedServer* server : servers_of(fleet, role)) {
-        server->says_leaving = all || server == servers_of(fleet, role)[0];
+      for (PlayedServer* server : fleet.servers_of(role)) {
+        server->says_leaving = all || server == fleet.servers_of(role)[0];
       }
       fleet.advance(12s);
       CHECK(fleet.told_leavings.size() > 0);
@@ -128,7 +118,7 @@
   std::size_t refused = 0;
   send_ordinary(fleet, 40, 18s, refused);
   fleet.advance(3s);
-  shed(fleet, *servers_of(fleet, gateway::EngineRole::kNone)[0], 3s, 1, 12s);
+  shed(fleet, *fleet.servers_of(gateway::EngineRole::kNone)[0], 3s, 1, 12s);
   fleet.advance(16s);
   CHECK(refused == 0);
 }
@@ -137,7 +127,7 @@
   CrashFleet fleet({});
   fleet.traffic(60, 8s);
   fleet.advance(3s);
-  for (PlayedServer* server : servers_of(fleet, gateway::EngineRole::kNone)) {
+  for (PlayedServer* server : fleet.servers_of(gateway::EngineRole::kNone)) {
     shed(fleet, *server, 4s, 1, 12s);
   }
   fleet.advance(1500ms);
@@ -164,7 +154,7 @@
     CrashFleet fleet({});
     fleet.traffic(60, 20s);
     fleet.advance(3s);
-    PlayedServer& server = *servers_of(fleet, role)[0];
+    PlayedServer& server = *fleet.servers_of(role)[0];
     const std::string key = "backends/" + server.backend.id.value();
     shed(fleet, server, 6s, 1, 12s);
     fleet.time.schedule_after(1s, [&] { fleet.state.remove(key); });
@@ -182,7 +172,7 @@
   CrashFleet fleet({});
   fleet.traffic(60, 15s);
   fleet.advance(3s);
-  for (PlayedServer* server : servers_of(fleet, gateway::EngineRole::kNone)) {
+  for (PlayedServer* server : fleet.servers_of(gateway::EngineRole::kNone)) {
     server->connect_delay = 700ms;
     shed(fleet, *server, 3s, 1, 10s);
   }
@@ -194,7 +184,7 @@
   CrashFleet fleet({.reborn = true});
   fleet.traffic(60, 25s);
   fleet.advance(3s);
-  PlayedServer& server = *servers_of(fleet, gateway::EngineRole::kNone)[0];
+  PlayedServer& server = *fleet.servers_of(gateway::EngineRole::kNone)[0];
   server.says_leaving = true;
   shed(fleet, server, 60s, 1, 6s);
   fleet.advance(6s);
@@ -211,13 +201,13 @@
   fleet.traffic(150, 20s);
   fleet.advance(3s);
   for (const gateway::EngineRole role : kRoles) {
-    for (PlayedServer* server : servers_of(fleet, role)) {
+    for (PlayedServer* server : fleet.servers_of(role)) {
       shed(fleet, *server, 2s, 0.3, 8s);
     }
   }
   fleet.time.schedule_after(8s, [&] {
     for (const gateway::EngineRole role : kRoles) {
-      servers_of(fleet, role)[0]->says_leaving = true;
+      fleet.servers_of(role)[0]->says_leaving = true;
     }
   });
   fleet.advance(17s);
@@ -229,7 +219,7 @@
   CrashFleet fleet({});
   fleet.advance(1s);
   fleet.state.down = true;
-  PlayedServer& server = *servers_of(fleet, gateway::EngineRole::kNone)[0];
+  PlayedServer& server = *fleet.servers_of(gateway::EngineRole::kNone)[0];
   server.says_leaving = true;
   for (int i = 0; i != 12; ++i) {
     fleet.send(2, "/idempotent/x", "asked");
@@ -249,7 +239,7 @@
   std::size_t refused = 0;
   send_ordinary(fleet, 40, 18s, refused);
   fleet.advance(3s);
-  PlayedServer& server = *servers_of(fleet, gateway::EngineRole::kNone)[0];
+  PlayedServer& server = *fleet.servers_of(gateway::EngineRole::kNone)[0];
   server.shedding = PlayedServer::Shedding{.chance = 1, .retry_after = "", .span = {}};
   const MonotonicTime since = fleet.time.now();
   fleet.advance(12s);
@@ -264,7 +254,7 @@
     std::size_t refused = 0;
     send_ordinary(fleet, 60, 20s, refused);
     fleet.advance(3s);
-    for (PlayedServer* server : servers_of(fleet, gateway::EngineRole::kNone)) {
+    for (PlayedServer* server : fleet.servers_of(gateway::EngineRole::kNone)) {
       shed(fleet, *server, 3s, 1, 4s);
     }
     fleet.advance(7s);
@@ -285,7 +275,7 @@
     CrashFleet fleet({.seed = seed, .reborn = true});
     fleet.traffic(120, 15s);
     fleet.advance(3s);
-    PlayedServer& server = *servers_of(fleet, gateway::EngineRole::kNone)[0];
+    PlayedServer& server = *fleet.servers_of(gateway::EngineRole::kNone)[0];
     fleet.crash(server);
     shed(fleet, server, 6s, 1, 2500ms);
     fleet.advance(10500ms);
--- a/src/http/tests/client_failure_test.cc
+++ b/src/http/tests/client_failure_test.cc
@@ -184,41 +184,33 @@
   CHECK(failure->error.code == http::HttpErrc::kTooLarge);
 }
 
-TEST_CASE("nothing is sent once the time to send by has passed") {
+TEST_CASE("nothing is sent once the time to send by has passed, or what is not wanted any more") {
   http::EventLoop loop;
   http::Client client(loop);
-  for (const bool reused : {false, true}) {
-    CAPTURE(reused);
-    ScriptedPeer peer(reused ? std::vector<std::vector<std::string>>{{kWhole}}
-                             : std::vector<std::vector<std::string>>{{}});
-    if (reused) {
-      CHECK(fetch(loop, client, get(peer.endpoint())).body == "ok");
-    }
-    auto request = get(peer.endpoint());
-    request.send_before = SystemClock().now();
-    const Ended ended = fetch(loop, client, request);
-    REQUIRE(ended.failure);
-    CHECK(ended.failure->error.code == http::HttpErrc::kExpired);
-    CHECK_FALSE(ended.failure->sent);
-  }
-}
-
-TEST_CASE("a request that is not wanted any more when its connection is there is not sent") {
-  http::EventLoop loop;
-  http::Client client(loop);
-  for (const bool reused : {false, true}) {
-    CAPTURE(reused);
-    ScriptedPeer peer(reused ? std::vector<std::vector<std::string>>{{kWhole}}
-                             : std::vector<std::vector<std::string>>{{}});
-    if (reused) {
-      CHECK(fetch(loop, client, get(peer.endpoint())).body == "ok");
+  struct Row {
+    std::function<void(http::ClientRequest&)> prepare;
+    http::HttpErrc error;
+  };
+  const Row rows[] = {
+      {[](auto& request) { request.send_before = SystemClock().now(); }, http::HttpErrc::kExpired},
+      {[](auto& request) { request.may_leave = [] { return false; }; },
+       http::HttpErrc::kWithdrawn}};
+  for (const Row& row : rows) {
+    for (const bool reused : {false, true}) {
+      CAPTURE(http::describe(row.error));
+      CAPTURE(reused);
+      ScriptedPeer peer(reused ? std::vector<std::vector<std::string>>{{kWhole}}
+                               : std::vector<std::vector<std::string>>{{}});
+      if (reused) {
+        CHECK(fetch(loop, client, get(peer.endpoint())).body == "ok");
+      }
+      auto request = get(peer.endpoint());
+      row.prepare(request);
+      const Ended ended = fetch(loop, client, request);
+      REQUIRE(ended.failure);
+      CHECK(ended.failure->error.code == row.error);
+      CHECK_FALSE(ended.failure->sent);
     }
-    auto request = get(peer.endpoint());
-    request.may_leave = [] { return false; };
-    const Ended ended = fetch(loop, client, request);
-    REQUIRE(ended.failure);
-    CHECK(ended.failure->error.code == http::HttpErrc::kWithdrawn);
-    CHECK_FALSE(ended.failure->sent);
   }
 }
 
