A listing that waits for a page's retry is freed once

Cause: the timer of a retry belongs to the listing, and its callback owned the listing: a cycle. When the callback went first, the listing went with it, and its timer freed the callback again. Fix: the callback holds the listing weakly, as its timer already goes with it. Test: "a listing that is dropped while a page waits for its retry is gone at once" fails before (it was kept, use_count 2) and passes.

--- a/src/discovery/fleet_lister.cc
+++ b/src/discovery/fleet_lister.cc
@@ -79,9 +79,11 @@
     return;
   }
   range.retry = std::make_unique<Timer>(timers_);
-  range.retry->arm(kRetryPause, [this, run, index] {
-    if (run == run_) {
-      read(run, index);
+  // The run owns the timer.
+  range.retry->arm(kRetryPause, [this, weak_run = std::weak_ptr<Run>(run), index] {
+    const std::shared_ptr<Run> waiting = weak_run.lock();
+    if (waiting != nullptr && waiting == run_) {
+      read(waiting, index);
     }
   });
 }
--- a/src/discovery/tests/fleet_lister_test.cc
+++ b/src/discovery/tests/fleet_lister_test.cc
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -167,3 +168,18 @@
   world.list({});
   CHECK(world.kept->value().items.size() == 100);
 }
+
+// The retry's callback owned the listing that owned the timer: nodes that were killed while a page
+// waited for its retry freed both twice.
+TEST_CASE("a listing that is dropped while a page waits for its retry is gone at once") {
+  ListerFixture world(5);
+  world.store.failures_left = 1;
+  const auto token = std::make_shared<int>(0);
+  world.lister.start({}, [token](auto /*result*/) {});
+  world.time.run_until(world.time.now() + 50ms);
+  CHECK(token.use_count() == 2);
+  world.lister.stop();
+  CHECK(token.use_count() == 1);
+  world.time.run_until(world.time.now() + 1s);
+  CHECK(world.store.calls == 1);
+}
