After a restore followers give readers a moment before they read the configuration alone

What was seen: a store that came back from an older copy after 2.5 s was asked 74 times by a fleet of 66 nodes (fewer than one call a node are allowed); after 2.0 s, 27 times. Cause: followers that hear nothing look themselves 1.4 to 2.3 s after their last news, most of them late in that span. Where the store comes back just then, dozens are told that history is gone in the 100 ms before a reader's news comes, and each read the configuration alone at once: two calls. Change: a follower waits 100 to 300 ms before it reads the configuration alone, and does not once it has been told. Requests that wait for a configuration wait up to 400 ms. Test: "a restore costs the store fewer calls than the fleet has nodes, whenever it comes" fails before (74 of 66) and passes.

--- a/src/discovery/fleet_watcher.cc
+++ b/src/discovery/fleet_watcher.cc
@@ -38,6 +38,7 @@
                                MonotonicTime asked) { return take_transfer(transfer, asked); }}),
       timer_(world.timers),
       peer_timer_(world.timers),
+      configuration_timer_(world.timers),
       waiting_(world.clock, world.timers, settings_.refresh_patience,
                [this] { look_is_slow_ = looking_; }) {}
 
@@ -221,7 +222,9 @@
                        "store has forgotten its history",
                        {{"seen", writer_.seen()->value()}}});
   const bool follows = duty().role == ReadingRole::kFollower;
-  if (follows || fleet_.backends().size() >= kBackendsOfRange) {
+  if (follows) {
+    read_configuration_later();
+  } else if (fleet_.backends().size() >= kBackendsOfRange) {
     read_configuration();
   }
   if (follows && failed_in_row_ < kLooksLeftToReaders) {
@@ -231,6 +234,16 @@
   }
 }
 
+/// After a restore many followers look before a reader has told them of it, and need nothing more
+/// once it has.
+void FleetWatcher::read_configuration_later() {
+  if (!configuration_timer_.armed()) {
+    configuration_timer_.arm(
+        settings_.fetch_spread + world_.random.part_of(settings_.relist_spread),
+        [this] { read_configuration(); });
+  }
+}
+
 void FleetWatcher::read_configuration() {
   world_.store.get(world_.codec.layout().configuration_key,
                    [this, asked = world_.clock.now()](auto item) {
@@ -451,6 +464,7 @@
     return;
   }
   configuration_at_ = at;
+  configuration_timer_.disarm();
   if (!waiting_.empty() && world_.clock.now() - at < settings_.fresh_enough) {
     waiting_.answer(true);
   }
--- a/src/discovery/fleet_watcher.h
+++ b/src/discovery/fleet_watcher.h
@@ -128,6 +128,7 @@
   void ask_reader(const Endpoint& reader);
   void read_changes();
   void recover_history();
+  void read_configuration_later();
   void read_configuration();
   /// `as_of`: when the store was as the view is now, after a look that succeeded.
   void look_ended(LookResult result, MonotonicTime as_of, std::string_view detail);
@@ -157,6 +158,7 @@
   ViewFetcher fetcher_;
   Timer timer_;
   Timer peer_timer_;
+  Timer configuration_timer_;  ///< Of a follower, before it reads the configuration alone.
   std::optional<MonotonicTime> heard_at_;  ///< When another node's look was last heard of.
   /// Update that waits to be covered, and what is called then.
   struct Uncovered {
--- a/src/gateway_node/tests/older_copy_test.cc
+++ b/src/gateway_node/tests/older_copy_test.cc
@@ -166,3 +166,31 @@
     CHECK(calls < fleet.nodes.size());
   }
 }
+
+// A store that came back as the followers' looks were due was asked more often than the fleet has
+// nodes: each was told that history is gone and read the configuration alone, moments before a
+// reader told of the new life.
+TEST_CASE("a restore costs the store fewer calls than the fleet has nodes, whenever it comes") {
+  for (const int nodes : {66, 195}) {
+    for (Duration away = 1500ms; away <= 2500ms; away += 100ms) {
+      CAPTURE(nodes);
+      CAPTURE(to_seconds(away));
+      LargeFleet fleet(nodes);
+      fleet.start();
+      const StoreState::Copy copy = fleet.state.copy();
+      fleet.state.put("backends/new", "ready");
+      fleet.advance(kToAllNodes);
+      fleet.state.down = true;
+      fleet.advance(away);
+      const std::uint64_t reads = fleet.state.reads;
+      fleet.state.set_back_to(copy);
+      fleet.state.down = false;
+      fleet.advance(600ms);
+      CHECK(fleet.state.reads - reads < fleet.nodes.size());
+      fleet.advance(kToAllNodes);
+      CHECK(fleet.count([](const FleetNode& node) {
+        return node.watcher.statistics().eras_begun == 1;
+      }) == fleet.nodes.size());
+    }
+  }
+}
