Nodes know how far back their knowledge of crashing requests reaches

What callers saw: a request that ends its servers ended up to four more after its third end where all nodes had been killed in an outage of the store or moments after it; with each server went all that ran there. Cause: a node that starts takes the first end that it sees for the first there is. What the fleet had known was in no node and not in the store; that nobody knew was known to nobody. Change: LedgerHorizon tells since when a node's ledger is complete. Nodes hand it on with what they know; one that starts beside others asks again until it reaches as far back as they. A mark in the store tells a fleet's first start, which has forgotten nothing. While the horizon is nearer than suspicion_life, an end that is found counts with one that may have been forgotten, under an id that no server has, so that reports, merging and the store's records keep their form; an answer clears both. Of three trials as many fewer are left as ends were counted, but one. Why it works: after a loss two ends quarantine, and one trial is left: three sends in all, whatever came before. Two causes are left: news that are lost, and a node killed within 35 ms of the end it found.

--- a/src/discovery/fleet_watcher.cc
+++ b/src/discovery/fleet_watcher.cc
@@ -157,6 +157,8 @@
   note_era();
   if (!first) {
     share_look();
+  } else if (first_listing_) {
+    first_listing_();
   }
   look_ended(LookResult::kCurrent, look_began_, "listed");
 }
--- a/src/discovery/fleet_watcher.h
+++ b/src/discovery/fleet_watcher.h
@@ -96,6 +96,8 @@
   /// Called with keys of the store that are not of the fleet's view, as this node's looks find
   /// them.
   void on_other_key(ViewWriter::OtherKey callback) { writer_.on_other_key(std::move(callback)); }
+  /// Called when this node's first view is its own listing of the store, after on_other_key().
+  void on_first_listing(std::function<void()> callback) { first_listing_ = std::move(callback); }
   /// Called with what this node's look found, for the others.
   void on_look(std::function<void(const ViewUpdate&)> callback) { share_ = std::move(callback); }
   /// Called when the view is the first one of a later life of the store: what this node wrote there
@@ -181,6 +183,7 @@
   RefreshWaiters waiting_;
   std::function<void()> current_;
   std::function<void()> new_era_;
+  std::function<void()> first_listing_;
   std::function<void(const ViewUpdate&)> share_;
   std::function<void(bool)> store_state_;
   std::function<void(TransferCallback)> ask_peer_;
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -96,6 +96,7 @@
                },
            .tell = [this](const auto& news) { peer_news_.tell_crashes(news); },
            .tell_zone = [this](const auto& news) { peer_news_.tell_zone_crashes(news); },
+           .ask_horizon = [this] { peer_news_.ask_for_horizon(); },
            .node_count = [this] { return nodes_.count(); }}),
       rate_limiter_(
           {clock, loop, random, logger, fleet_, nodes_},
@@ -204,7 +205,10 @@
   peer_news_.on_crashes(
       {.take = [this](const auto& news) { quarantine_.take(news); },
        .take_to_relay = [this](const auto& news) { quarantine_.take_to_relay(news); },
-       .tell_all = [this](const auto& send) { quarantine_.tell_all(send); }});
+       .tell_all = [this](const auto& send) { quarantine_.tell_all(send); },
+       .take_horizon = [this](const auto& told) { quarantine_.take(told); },
+       .horizon = [this] { return quarantine_.horizon(); }});
+  watcher_.on_first_listing([this] { quarantine_.on_first_listing(); });
   quarantine_.start();
 }
 
--- a/src/gateway_node/peer_channel.h
+++ b/src/gateway_node/peer_channel.h
@@ -38,6 +38,8 @@
   std::function<void(const quarantine::CrashNews&)> crashes;
   /// As a relay: to be told to the nodes of its zone.
   std::function<void(const quarantine::CrashNews&)> crashes_to_relay;
+  std::function<void(const quarantine::HorizonRequest&)> horizon_request{};
+  std::function<void(const quarantine::HorizonReport&)> horizon_report{};
   std::function<void(const NodeLeaving&)> leaving;
   std::function<void(const rate_limit::LimitNews&)> limits{};
   std::function<void(const rate_limit::PermitRequest&)> permit_request{};
@@ -117,6 +119,8 @@
   void take(const usage::UsageReport& report) { handlers_.usage(report); }
   void take(const quarantine::CrashNews& news) { handlers_.crashes(news); }
   void take(const quarantine::CrashNewsToRelay& told) { handlers_.crashes_to_relay(told.news); }
+  void take(const quarantine::HorizonRequest& told) { handlers_.horizon_request(told); }
+  void take(const quarantine::HorizonReport& told) { handlers_.horizon_report(told); }
   void take(const peer_load::ReportToRelay& told);
   void take(const peer_load::RelayedReport& told) { handlers_.relayed_work(told.sums); }
   void take(const UpdateToRelay& told);
--- a/src/gateway_node/peer_message.h
+++ b/src/gateway_node/peer_message.h
@@ -73,8 +73,8 @@
                  usage::UsageReport, quarantine::CrashNews, quarantine::CrashNewsToRelay,
                  discovery::ViewUpdate, UpdateToRelay, NodeLeaving, NodeLeavingToRelay,
                  rate_limit::LimitNews, rate_limit::LimitNewsToRelay, rate_limit::PermitRequest,
-                 rate_limit::PermitReply, admission::BackendNotice,
-                 admission::BackendNoticeToRelay>;
+                 rate_limit::PermitReply, admission::BackendNotice, admission::BackendNoticeToRelay,
+                 quarantine::HorizonRequest, quarantine::HorizonReport>;
 
 /// Names of the alternatives, in order, for metrics.
 constexpr std::array<const char*, std::variant_size_v<PeerMessage>> kPeerMessageNames{
@@ -97,6 +97,8 @@
     "permit_request",
     "permit_reply",
     "backend_notice",
-    "backend_notice_to_relay"};
+    "backend_notice_to_relay",
+    "horizon_request",
+    "horizon_report"};
 
 }  // namespace ochrespring::gateway_node
--- a/src/gateway_node/peer_news.cc
+++ b/src/gateway_node/peer_news.cc
@@ -92,6 +92,12 @@
       .crashes = [this](const quarantine::CrashNews& news) { call_if_set(crashes_.take, news); },
       .crashes_to_relay =
           [this](const quarantine::CrashNews& news) { call_if_set(crashes_.take_to_relay, news); },
+      .horizon_request =
+          [this](const quarantine::HorizonRequest& request) { tell_all_crashes(request.reply_to); },
+      .horizon_report =
+          [this](const quarantine::HorizonReport& told) {
+            call_if_set(crashes_.take_horizon, told);
+          },
       .leaving =
           [this](const NodeLeaving& told) {
             world_.nodes.note_leaving(told.node, told.registered);
@@ -151,10 +157,7 @@
   announcer_.tell_all(world_.loads, world_.clock.now(), [&](const peer_load::WorkReport& report) {
     channel_.send(request.reply_to, report);
   });
-  if (crashes_.tell_all) {
-    crashes_.tell_all(
-        [&](const quarantine::CrashNews& news) { channel_.send(request.reply_to, news); });
-  }
+  tell_all_crashes(request.reply_to);
   if (limits_.tell_all) {
     limits_.tell_all(
         [&](const rate_limit::LimitNews& news) { channel_.send(request.reply_to, news); });
@@ -165,6 +168,23 @@
   }
 }
 
+void PeerNews::tell_all_crashes(const Endpoint& to) {
+  if (crashes_.tell_all) {
+    crashes_.tell_all([&](const quarantine::CrashNews& news) { channel_.send(to, news); });
+  }
+  if (crashes_.horizon) {
+    channel_.send(to, crashes_.horizon());
+  }
+}
+
+void PeerNews::ask_for_horizon() {
+  const std::vector<discovery::NodeRecord> peers = channel_.near_nodes();
+  if (!peers.empty()) {
+    const std::size_t chosen = world_.random.below(peers.size());
+    channel_.send(peers[chosen].peer_address, quarantine::HorizonRequest{options_.peer_address});
+  }
+}
+
 void PeerNews::ask_for_parts() {
   std::vector<discovery::NodeRecord> peers = channel_.near_nodes();
   for (std::size_t asked = 0; asked != kPeersAsked && !peers.empty(); ++asked) {
--- a/src/gateway_node/peer_news.h
+++ b/src/gateway_node/peer_news.h
@@ -50,6 +50,8 @@
   }
   /// Asks some nodes what they believe engines to keep.
   void ask_for_parts();
+  /// Asks another node how far back its knowledge of crashing requests reaches, and for that.
+  void ask_for_horizon();
   /// The store is lost or regained: while it is out this node offers its view again and again.
   void on_store_state(bool reachable);
   /// A back end has gone.
@@ -75,6 +77,8 @@
     std::function<void(const quarantine::CrashNews&)> take_to_relay;
     /// A node that has started is to be told all, by calls of `send`.
     std::function<void(const std::function<void(const quarantine::CrashNews&)>& send)> tell_all;
+    std::function<void(const quarantine::HorizonReport&)> take_horizon;
+    std::function<quarantine::HorizonReport()> horizon;
   };
   void on_crashes(CrashHandlers handlers) { crashes_ = std::move(handlers); }
   void tell_crashes(const quarantine::CrashNews& news) { channel_.tell_crashes(news); }
@@ -112,6 +116,7 @@
   /// What a report tells besides work: how attempts ended, silence, prompt parts.
   void take_observations(const peer_load::WorkReport& report, MonotonicTime now);
   void tell_parts(const peer_load::PartsRequest& request);
+  void tell_all_crashes(const Endpoint& to);
   void offer_view();
   /// Work of all nodes, this one included, that have told this one.
   gateway::EngineWorkload work_of_all(const gateway::BackendId& engine) const;
--- a/src/gateway_node/tests/compatibility_test.cc
+++ b/src/gateway_node/tests/compatibility_test.cc
@@ -106,6 +106,18 @@
         std::chrono::milliseconds(3500));
 }
 
+TEST_CASE("horizons are read and written as when they were new") {
+  const auto corpus = read_corpus(HORIZONS_AND_POSITIONS);
+  REQUIRE(corpus.size() == 2);
+  for (const char* name : {"horizon_request", "horizon_report"}) {
+    CAPTURE(name);
+    CHECK(is_same<PeerMessage>(corpus.at(name)));
+  }
+  const auto report = wire::decode<PeerMessage>(corpus.at("horizon_report"));
+  REQUIRE(report);
+  CHECK(std::get<quarantine::HorizonReport>(report.value()).age == std::chrono::seconds(600));
+}
+
 TEST_CASE("records in the store are read and written as the build before has them") {
   const auto corpus = read_corpus();
   CHECK(is_same<discovery::NodeRecord>(corpus.at("node_record")));
@@ -126,6 +138,8 @@
   CHECK(PeerMessage(rate_limit::PermitReply()).index() == kKindsBeforeRateLimits + 3);
   constexpr std::size_t kKindsBeforeNotices = 18;
   CHECK(PeerMessage(admission::BackendNotice()).index() == kKindsBeforeNotices);
+  constexpr std::size_t kKindsBeforeHorizons = 20;
+  CHECK(PeerMessage(quarantine::HorizonRequest()).index() == kKindsBeforeHorizons);
 }
 
 TEST_CASE("kinds of builds to come, and bytes behind a known one, are left alone") {
--- a/src/gateway_node/tests/crash_fleet.h
+++ b/src/gateway_node/tests/crash_fleet.h
@@ -739,6 +739,7 @@
                                    auto done) { fleet.probe(*this, address, std::move(done)); },
            .tell = [this](const auto& told) { news.tell_crashes(told); },
            .tell_zone = [this](const auto& told) { news.tell_zone_crashes(told); },
+           .ask_horizon = [this] { news.ask_for_horizon(); },
            .node_count = [this] { return nodes.count(); }}),
       rate_limiter(
           {clock, machine, limiter_random, fleet.logger, view, nodes},
@@ -780,7 +781,10 @@
       [this](const auto& key, const auto& value) { quarantine.take_stored(key, value); });
   news.on_crashes({.take = [this](const auto& told) { quarantine.take(told); },
                    .take_to_relay = [this](const auto& told) { quarantine.take_to_relay(told); },
-                   .tell_all = [this](const auto& send) { quarantine.tell_all(send); }});
+                   .tell_all = [this](const auto& send) { quarantine.tell_all(send); },
+                   .take_horizon = [this](const auto& told) { quarantine.take(told); },
+                   .horizon = [this] { return quarantine.horizon(); }});
+  watcher.on_first_listing([this] { quarantine.on_first_listing(); });
   news.on_limits({.take = [this](const auto& told) { rate_limiter.take(told); },
                   .take_request = [this](const auto& told) { rate_limiter.take(told); },
                   .take_reply = [this](const auto& told) { rate_limiter.take(told); },
--- a/src/quarantine/crash_ledger.cc
+++ b/src/quarantine/crash_ledger.cc
@@ -26,6 +26,11 @@
   return last;
 }
 
+bool CrashLedger::Entry::has_gap() const {
+  const auto forgotten = ends.find(kForgottenServer);
+  return forgotten != ends.end() && !forgotten->second.excused;
+}
+
 const CrashLedger::Entry* CrashLedger::find(const Request& request) const {
   const auto found = entries_.find(request);
   return found == entries_.end() ? nullptr : &found->second;
@@ -173,13 +178,22 @@
   return ends < options_.quarantine_after ? Standing::kSuspected : Standing::kQuarantined;
 }
 
+std::size_t CrashLedger::most_trials(const Entry& entry) const {
+  const std::size_t most = options_.trial_pauses.size();
+  if (!entry.has_gap()) {
+    return most;
+  }
+  const std::size_t seen = entry.counted() - 1;
+  return seen < most ? most - seen : 1;
+}
+
 std::optional<Duration> CrashLedger::until_trial(const Request& request, MonotonicTime now) const {
   const Entry* entry = find(request);
   if (entry == nullptr) {
     // Not told by anybody yet: this node has just seen the last end.
     return options_.trial_pauses.front();
   }
-  if (entry->trials >= options_.trial_pauses.size()) {
+  if (entry->trials >= most_trials(*entry)) {
     return std::nullopt;
   }
   const MonotonicTime due =
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -35,6 +35,9 @@
   std::size_t most_requests = 2048;
 };
 
+/// Stands for ends that nobody remembers, of servers that nobody can name: no server has this id.
+inline const gateway::BackendId kForgottenServer{"(forgotten)"};
+
 /// How a request stands.
 enum class Standing : std::uint8_t { kFree, kSuspected, kQuarantined };
 
@@ -52,6 +55,7 @@
 
   /// Nothing is held against any request.
   bool empty() const { return entries_.empty(); }
+  std::size_t size() const { return entries_.size(); }
   bool knows(const Request& request) const { return entries_.contains(request); }
   std::size_t count(Standing standing) const;
   /// Requests of a standing.
@@ -82,7 +86,9 @@
   }
   /// `also` are servers that may have ended under the request, as far as this node sees.
   Standing standing(const Request& request, const Servers& also = {}) const;
-  /// Until the next trial, zero if one is due; none: no trial is left.
+  /// Until the next trial, zero if one is due; none: no trial is left. Where ends may have been
+  /// forgotten, each that was counted may have come after the third: fewer trials are left, one at
+  /// least.
   std::optional<Duration> until_trial(const Request& request, MonotonicTime now) const;
   Duration retry_after(const Request& request, MonotonicTime now) const;
   bool stored(const Request& request) const;
@@ -108,11 +114,14 @@
 
     std::size_t counted() const;
     MonotonicTime last_end() const;
+    /// Ends may have been forgotten.
+    bool has_gap() const;
   };
 
   const Entry* find(const Request& request) const;
   Entry& entry_of(const Request& request, const ServiceName& service, MonotonicTime now);
   bool add_end(const Request& request, Entry& entry, const ServerEnd& end, MonotonicTime now);
+  std::size_t most_trials(const Entry& entry) const;
   bool outdated(const Request& request, const Entry& entry, MonotonicTime now) const;
   void erase(std::unordered_map<Request, Entry>::iterator entry);
   void make_room();
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -29,9 +29,9 @@
 constexpr Duration kOthersSave = seconds(3);
 /// Requests written to the store at a time.
 constexpr std::size_t kMostSaves = 8;
-/// Nodes of a fleet that make the store forget what is too old, on average; what all leave there is
-/// learnt anew by the next node that starts, and forgotten later.
-constexpr double kForgetters = 3;
+/// Nodes of a fleet that write what all of them might, on average. What is too old and left in the
+/// store by all is learnt anew by the next node that starts, and forgotten later.
+constexpr double kWriters = 3;
 /// A server registers when it starts, and the latest with its next heartbeat (1.2 s as deployed): a
 /// view that is current by then shows its new life.
 constexpr Duration kLifeShown = milliseconds(1500);
@@ -46,8 +46,10 @@
     : world_(world),
       options_(options),
       ledger_(options.ledger),
+      horizon_(world.clock.now(), options.ledger.suspicion_life),
       watch_(world.clock, world.timers, world.fleet, std::move(links.probe),
              [this](const auto& server, const auto& attempts) { note_ended(server, attempts); }),
+      ask_horizon_(std::move(links.ask_horizon)),
       node_count_(std::move(links.node_count)),
       announcer_(world.clock, world.timers, ledger_, {}, std::move(links.tell)),
       relay_(world.clock, world.timers, ledger_, {.gather = options.relay_gather, .repeats = 0},
@@ -66,7 +68,11 @@
 
 SendVerdict Quarantine::judge(const Request& request) {
   const MonotonicTime now = world_.clock.now();
-  if (ledger_.standing(request, watch_.may_have_ended(request)) != Standing::kQuarantined) {
+  CrashLedger::Servers ended = watch_.may_have_ended(request);
+  if (!ended.empty() && has_gap()) {
+    ended.insert(kForgottenServer);
+  }
+  if (ledger_.standing(request, ended) != Standing::kQuarantined) {
     return SendVerdict::kAllowed;
   }
   ++counts_.refusals;
@@ -124,6 +130,9 @@
   for (const gateway::BrokenAttempt& attempt : attempts) {
     const ServerEnd end{.server = server, .seen_by = options_.node};
     if (ledger_.note_end(attempt.request, attempt.service, end, now)) {
+      if (has_gap()) {
+        note_forgotten_end(attempt);
+      }
       announcer_.note_change(attempt.request);
       review(attempt.request);
       if (quarantined_.contains(attempt.request)) {
@@ -135,6 +144,13 @@
   }
 }
 
+/// The end that was seen may be the third and be taken for the first. One end counts as known to
+/// have been before, until the request is answered.
+void Quarantine::note_forgotten_end(const gateway::BrokenAttempt& attempt) {
+  const ServerEnd end{.server = kForgottenServer, .seen_by = options_.node};
+  ledger_.note_end(attempt.request, attempt.service, end, world_.clock.now());
+}
+
 /// What has been answered does not end its server. And a server that answers an attempt begun after
 /// its end has not ended: a way to it was cut.
 void Quarantine::note_answer(const gateway::AnsweredAttempt& attempt) {
@@ -212,6 +228,35 @@
       review(report.request);
     }
   }
+  settle_horizon();
+}
+
+void Quarantine::take(const HorizonReport& told) {
+  horizon_.take(told, world_.clock.now());
+  settle_horizon();
+}
+
+void Quarantine::settle_horizon() {
+  if (horizon_.is_unsettled()) {
+    horizon_.settle(held());
+  }
+}
+
+std::size_t Quarantine::held() const {
+  return ledger_.count(Standing::kSuspected) + ledger_.count(Standing::kQuarantined);
+}
+
+/// Where the fleet has never run nothing was forgotten.
+void Quarantine::on_first_listing() {
+  if (!mark_found_) {
+    horizon_.note_complete(world_.clock.now());
+    mark_fleet();
+  }
+}
+
+void Quarantine::mark_fleet() {
+  mark_due_ = true;
+  store_.mark_fleet([this](bool marked) { mark_due_ = !marked; });
 }
 
 void Quarantine::review(const Request& request) {
@@ -248,6 +293,7 @@
 
 /// Every node knows what is stored, so any may have to write it; most find that another has.
 void Quarantine::on_store_set_back() {
+  mark_due_ = mark_due_ || is_chosen();
   for (const Request& request : ledger_.forget_stored()) {
     save_later(request, kSavePause);
   }
@@ -289,6 +335,10 @@
 }
 
 void Quarantine::take_stored(const std::string& key, const std::optional<std::string>& value) {
+  if (store_.is_fleet_mark(key)) {
+    mark_found_ = value.has_value();
+    return;
+  }
   if (!store_.owns(key) || !value) {
     return;
   }
@@ -306,17 +356,26 @@
   merge({{report.value()}});
 }
 
+bool Quarantine::is_chosen() {
+  return world_.random.chance(kWriters / std::max<double>(kWriters, node_count_()));
+}
+
 void Quarantine::sweep() {
   const MonotonicTime now = world_.clock.now();
   // All nodes forget it at about the same time: some of them are enough.
-  const double share = kForgetters / std::max<double>(kForgetters, node_count_());
   for (const Request& request : ledger_.drop_outdated(now)) {
-    if (world_.random.chance(share)) {
+    if (is_chosen()) {
       store_.remove(request);
     }
   }
   std::erase_if(quarantined_, [&](const Request& request) { return !ledger_.knows(request); });
   std::erase_if(claimed_at_, [&](const auto& claim) { return now - claim.second > kClaimPause; });
+  if (has_gap()) {
+    ask_horizon_();
+  }
+  if (mark_due_) {
+    mark_fleet();
+  }
 }
 
 void Quarantine::log(std::string_view message, const Request& request) const {
@@ -342,6 +401,9 @@
              static_cast<double>(quarantined_.size()));
   sink.gauge({"suspected_requests", "Requests that had a server when it ended"},
              static_cast<double>(ledger_.count(Standing::kSuspected)));
+  sink.gauge({"crash_ledger_incomplete",
+              "Whether ends of servers may have been forgotten, as all nodes were killed"},
+             has_gap() ? 1 : 0);
   sink.counter({"server_ends_seen", "Servers that ended while they had requests of this node"},
                static_cast<double>(counts_.ends_seen));
   sink.counter({"server_end_probes", "Connections opened to learn whether a server has ended"},
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -20,6 +20,7 @@
 #include "quarantine/crash_announcer.h"
 #include "quarantine/crash_ledger.h"
 #include "quarantine/end_watch.h"
+#include "quarantine/ledger_horizon.h"
 #include "quarantine/quarantine_store.h"
 #include "shared_store/store.h"
 
@@ -53,8 +54,9 @@
   };
   struct Links {
     EndWatch::Probe probe;
-    CrashAnnouncer::Send tell;       ///< All other nodes, or relays of all zones.
-    CrashAnnouncer::Send tell_zone;  ///< As a relay: the nodes of the zone.
+    CrashAnnouncer::Send tell;          ///< All other nodes, or relays of all zones.
+    CrashAnnouncer::Send tell_zone;     ///< As a relay: the nodes of the zone.
+    std::function<void()> ask_horizon;  ///< Of some other node, if any is known.
     /// Nodes believed to take part, this one included; at least 1.
     std::function<std::uint32_t()> node_count;
   };
@@ -75,8 +77,14 @@
   void take_to_relay(const CrashNews& news);
   /// A key of the store as it is since some change.
   void take_stored(const std::string& key, const std::optional<std::string>& value);
+  /// This node has listed the store, as its first view of the fleet. After all keys of the listing
+  /// were handed to take_stored().
+  void on_first_listing();
   /// The store may have lost what was written there: it is written again.
   void on_store_set_back();
+  /// How far back another node's ledger reaches.
+  void take(const HorizonReport& told);
+  HorizonReport horizon() const { return horizon_.report(held(), world_.clock.now()); }
   /// A server's entry has gone from the view.
   void note_gone(const gateway::Backend& server) {
     unclear_.erase(server.id);
@@ -97,6 +105,15 @@
   void note_ended(const gateway::BackendId& server,
                   const std::vector<gateway::BrokenAttempt>& attempts);
   void merge(const CrashNews& news);
+  /// Whether ends may have been forgotten that count against requests of now.
+  bool has_gap() const { return !horizon_.is_complete(world_.clock.now()); }
+  void note_forgotten_end(const gateway::BrokenAttempt& attempt);
+  /// Requests that anything is held against.
+  std::size_t held() const;
+  void settle_horizon();
+  void mark_fleet();
+  /// Whether this node is among the few that write what all of them might.
+  bool is_chosen();
   /// A server that answers an attempt begun at `started` has not ended before: a way to it was cut.
   void clear(const gateway::BackendId& server, MonotonicTime started);
   /// As clear(), unless it turns out to be another life of the server that answered.
@@ -115,7 +132,9 @@
   World world_;
   QuarantineOptions options_;
   CrashLedger ledger_;
+  LedgerHorizon horizon_;
   EndWatch watch_;
+  std::function<void()> ask_horizon_;
   std::function<std::uint32_t()> node_count_;
   CrashAnnouncer announcer_;
   CrashAnnouncer relay_;
@@ -123,6 +142,8 @@
   std::set<Request> quarantined_;
   std::map<Request, MonotonicTime> claimed_at_;  ///< Last claims of trials, of this node.
   std::set<Request> unsaved_;
+  bool mark_found_ = false;  ///< The store says that the fleet has run before.
+  bool mark_due_ = false;    ///< This node is to write that there.
   /// Servers that have answered although they were seen to end, and the newest such attempt.
   struct UnclearEnd {
     MonotonicTime started{};
--- a/src/quarantine/quarantine_store.cc
+++ b/src/quarantine/quarantine_store.cc
@@ -20,6 +20,14 @@
                 });
 }
 
+void QuarantineStore::mark_fleet(std::function<void(bool marked)> done) {
+  const std::string key(fleet_mark());
+  store_.commit({.conditions = {{key, {}}}, .writes = {{key, "1", std::nullopt}}, .removals = {}},
+                [done = std::move(done)](const auto& result) {
+                  done(result || result.error().code == StoreErrc::kConflict);
+                });
+}
+
 void QuarantineStore::remove(const gateway::RequestFingerprint& request) {
   // Should it fail, the request is held back by nodes that start until a trial is served.
   store_.commit({.conditions = {}, .writes = {}, .removals = {key_of(request)}},
--- a/src/quarantine/quarantine_store.h
+++ b/src/quarantine/quarantine_store.h
@@ -1,5 +1,5 @@
 // Quarantined requests in the store: there they outlast all nodes, and there the fleet agrees who
-// tries one again.
+// tries one again. And whether the fleet has run before: a node that starts alone cannot tell.
 #pragma once
 
 #include <functional>
@@ -21,6 +21,10 @@
 
   /// Whether a key is one of these.
   bool owns(std::string_view key) const { return key.starts_with(key_prefix_); }
+  /// Whether a key says that the fleet has run before.
+  bool is_fleet_mark(std::string_view key) const { return key == fleet_mark(); }
+  /// Writes that key unless it is there.
+  void mark_fleet(std::function<void(bool marked)> done);
   /// Writes a request that the store does not have; true also if it turns out to have it.
   void add(CrashReport report, std::function<void(bool stored)> done);
   void remove(const gateway::RequestFingerprint& request);
@@ -40,6 +44,11 @@
     return key_prefix_ + request.to_hex();
   }
 
+  /// Beside the requests' keys, not among them.
+  std::string_view fleet_mark() const {
+    return std::string_view(key_prefix_).substr(0, key_prefix_.find('/'));
+  }
+
   shared_store::SharedStore& store_;
   std::string key_prefix_;
 };
--- a/src/quarantine/tests/crash_ledger_test.cc
+++ b/src/quarantine/tests/crash_ledger_test.cc
@@ -176,3 +176,35 @@
     }
   }));
 }
+
+TEST_CASE("ends that may have been forgotten count as one, and leave fewer trials") {
+  const ServerEnd forgotten{.server = kForgottenServer, .seen_by = NodeId("n")};
+  CrashLedger ledger = make_ledger(1);
+  ledger.note_end(kRequest, kService, forgotten, at(100s));
+  ledger.note_end(kRequest, kService, forgotten, at(100s));
+  CHECK(ledger.standing(kRequest) == Standing::kSuspected);
+  CHECK(ledger.worth_storing(kRequest));
+  ledger.note_end(kRequest, kService, end_of(1), at(101s));
+  CHECK(ledger.standing(kRequest) == Standing::kQuarantined);
+  CHECK(ledger.until_trial(kRequest, at(111s)) == Duration::zero());
+  // Two ends, one trial: three sends may have followed the third end.
+  ledger.note_trial(kRequest, 1, at(111s));
+  CHECK_FALSE(ledger.until_trial(kRequest, at(1000s)));
+}
+
+TEST_CASE("a request is left one trial, however many ends came at once beside forgotten ones") {
+  CrashLedger ledger = make_ledger(5);
+  ledger.note_end(kRequest, kService, {.server = kForgottenServer, .seen_by = NodeId("n")},
+                  at(100s));
+  CHECK(ledger.until_trial(kRequest, at(110s)) == Duration::zero());
+  ledger.note_trial(kRequest, 1, at(110s));
+  CHECK_FALSE(ledger.until_trial(kRequest, at(1000s)));
+}
+
+TEST_CASE("an answer clears a request of forgotten ends, too") {
+  CrashLedger ledger = make_ledger(1);
+  ledger.note_end(kRequest, kService, {.server = kForgottenServer, .seen_by = NodeId("n")},
+                  at(100s));
+  CHECK(ledger.excuse(kRequest));
+  CHECK(ledger.standing(kRequest) == Standing::kFree);
+}
--- /dev/null
+++ b/src/quarantine/tests/ledger_horizon_test.cc
@@ -0,0 +1,82 @@
+// How far back a node's knowledge reaches, whatever others tell of theirs.
+#include "quarantine/ledger_horizon.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <chrono>
+
+using namespace ochrespring;
+using namespace ochrespring::quarantine;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration kNeeded = 600s;
+
+MonotonicTime at(Duration since_start) {
+  return MonotonicTime(since_start);
+}
+
+}  // namespace
+
+TEST_CASE("a node that starts alone is complete only once nothing of before could matter") {
+  const LedgerHorizon horizon(at(50s), kNeeded);
+  CHECK_FALSE(horizon.is_complete(at(50s)));
+  CHECK_FALSE(horizon.is_complete(at(649s)));
+  CHECK(horizon.is_complete(at(650s)));
+}
+
+TEST_CASE("a fleet that has never run has forgotten nothing") {
+  LedgerHorizon horizon(at(50s), kNeeded);
+  horizon.note_complete(at(50s));
+  CHECK(horizon.is_complete(at(50s)));
+  CHECK(horizon.report(0, at(50s)).age == kNeeded);
+}
+
+TEST_CASE("a horizon is taken over once what the other knew is here") {
+  LedgerHorizon horizon(at(50s), kNeeded);
+  horizon.take({.age = kNeeded, .requests = 3}, at(51s));
+  horizon.settle(2);
+  CHECK_FALSE(horizon.is_complete(at(51s)));
+  CHECK(horizon.is_unsettled());
+  horizon.settle(3);
+  CHECK(horizon.is_complete(at(51s)));
+  CHECK_FALSE(horizon.is_unsettled());
+}
+
+TEST_CASE("of nodes that have all just started none makes another complete") {
+  LedgerHorizon horizon(at(50s), kNeeded);
+  horizon.take({.age = 2s, .requests = 0}, at(51s));
+  horizon.settle(0);
+  CHECK_FALSE(horizon.is_complete(at(51s)));
+  CHECK(horizon.report(0, at(51s)).age == 2s);
+}
+
+TEST_CASE("a report that lacks too much does not keep a later one out") {
+  LedgerHorizon horizon(at(50s), kNeeded);
+  horizon.take({.age = kNeeded, .requests = 9}, at(51s));
+  horizon.take({.age = 1s, .requests = 0}, at(52s));
+  horizon.take({.age = kNeeded, .requests = 1}, at(53s));
+  horizon.settle(1);
+  CHECK(horizon.is_complete(at(53s)));
+}
+
+TEST_CASE("whatever is told, a horizon never moves on, and never farther back than was told") {
+  CHECK(rc::check([](const std::vector<std::pair<std::int32_t, std::uint8_t>>& told) {
+    LedgerHorizon horizon(at(1000s), kNeeded);
+    Duration farthest = 0s;
+    Duration known = 0s;
+    for (const auto& [age, requests] : told) {
+      horizon.take({.age = 1s * age, .requests = requests}, at(1000s));
+      horizon.settle(4);
+      if (requests <= 4) {
+        farthest = std::max(farthest, std::min<Duration>(1s * age, kNeeded));
+      }
+      const Duration now = horizon.report(0, at(1000s)).age;
+      RC_ASSERT(now >= known);
+      RC_ASSERT(now <= farthest);
+      known = now;
+    }
+  }));
+}
--- a/src/quarantine/tests/quarantine_store_test.cc
+++ b/src/quarantine/tests/quarantine_store_test.cc
@@ -95,3 +95,20 @@
   world.advance();
   CHECK(world.state.items.empty());
 }
+
+TEST_CASE("the mark that the fleet has run is written once, and is no request") {
+  StoreWorld world;
+  int marked = 0;
+  for (int i = 0; i != 3; ++i) {
+    world.quarantined.mark_fleet([&](bool success) { marked += success ? 1 : 0; });
+  }
+  world.advance();
+  CHECK(marked == 3);
+  REQUIRE(world.state.items.size() == 1);
+  CHECK(world.state.revision == 1);
+  CHECK(world.quarantined.is_fleet_mark(world.state.items.begin()->first));
+  CHECK_FALSE(world.quarantined.owns(world.state.items.begin()->first));
+  world.state.down = true;
+  world.quarantined.mark_fleet([](bool success) { CHECK_FALSE(success); });
+  world.advance();
+}
--- a/src/quarantine/types.h
+++ b/src/quarantine/types.h
@@ -61,6 +61,29 @@
   }
 };
 
+/// Asks a node for all that it knows, and how far back that reaches.
+struct HorizonRequest {
+  Endpoint reply_to;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& reply_to;
+  }
+};
+
+/// How far back a node's ledger reaches: it has all ends since, of this many requests. Told behind
+/// the reports of these.
+struct HorizonReport {
+  Duration age{};
+  std::uint32_t requests = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& age;
+    archive& requests;
+  }
+};
+
 /// For a relay, which tells the nodes of its zone.
 struct CrashNewsToRelay {
   CrashNews news;
