What was known in an outage is written with the store's first answer

Cause: a write that failed was tried again 1 to 2 s later, whether the store was back or not. Change: the first look that succeeds, this node's or one that another has told of, tries again at once; where nothing has failed it does nothing.

--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -161,6 +161,7 @@
   });
   watcher_.on_current([this] {
     apply_limits();
+    quarantine_.on_store_answer();
     learn_cached_parts();
     nodes_.admit_passed_over();
   });
--- a/src/gateway_node/tests/crash_fleet.h
+++ b/src/gateway_node/tests/crash_fleet.h
@@ -800,6 +800,7 @@
   });
   watcher.on_duty([this] { return news.channel().reading_duty(); });
   watcher.on_current([this] {
+    quarantine.on_store_answer();
     if (!std::exchange(asked, true)) {
       news.ask_for_parts();
     }
--- a/src/gateway_node/tests/crashing_request_test.cc
+++ b/src/gateway_node/tests/crashing_request_test.cc
@@ -102,6 +102,29 @@
   CHECK(most_late_sends(fleet) <= kMostLateSends);
 }
 
+// A fleet that was killed as a whole 0.3 s after the store was back had not written yet what it had
+// known all through the outage.
+TEST_CASE("what was known in an outage is written once the store answers any node") {
+  for (const std::uint64_t seed : {7, 8, 9, 10, 11, 12}) {
+    CAPTURE(seed);
+    CrashFleet fleet({.seed = seed});
+    fleet.state.down = true;
+    send_guilty(fleet, 1, 15s);
+    fleet.advance(20s);
+    REQUIRE(fleet.nodes_with_quarantined(1) == fleet.nodes.size());
+    fleet.state.down = false;
+    const MonotonicTime back = fleet.time.now();
+    const auto has_looked = [&](const auto& node) { return node->view.current_at() > back; };
+    while (std::none_of(fleet.nodes.begin(), fleet.nodes.end(), has_looked)) {
+      fleet.advance(1ms);
+    }
+    // News of the look reach the others, and the call takes as long again.
+    fleet.advance(20ms);
+    CHECK(std::any_of(fleet.state.items.begin(), fleet.state.items.end(),
+                      [](const auto& item) { return item.first.starts_with("quarantine/"); }));
+  }
+}
+
 TEST_CASE("nodes that are started again, one by one or all at once, learn it again") {
   CrashFleet fleet({});
   send_guilty(fleet, 2, 60s);
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -299,6 +299,12 @@
   }
 }
 
+void Quarantine::on_store_answer() {
+  if (std::exchange(save_failed_, false) && !unsaved_.empty()) {
+    save_timer_.arm(Duration::zero(), [this] { save(); });
+  }
+}
+
 void Quarantine::save_later(const Request& request, Duration pause) {
   unsaved_.insert(request);
   if (!save_timer_.armed() || pause == Duration::zero()) {
@@ -319,6 +325,7 @@
     }
     ++calls;
     store_.add(*report, [this, request](bool stored) {
+      save_failed_ = !stored;
       if (!stored) {
         log("request not stored", request);
         save_later(request, kSavePause);
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -82,6 +82,9 @@
   void on_first_listing();
   /// The store may have lost what was written there: it is written again.
   void on_store_set_back();
+  /// The store answers, this node or another: what could not be written is tried at once, since it
+  /// is lost if all nodes are killed before.
+  void on_store_answer();
   /// How far back another node's ledger reaches.
   void take(const HorizonReport& told);
   HorizonReport horizon() const { return horizon_.report(held(), world_.clock.now()); }
@@ -142,8 +145,9 @@
   std::set<Request> quarantined_;
   std::map<Request, MonotonicTime> claimed_at_;  ///< Last claims of trials, of this node.
   std::set<Request> unsaved_;
-  bool mark_found_ = false;  ///< The store says that the fleet has run before.
-  bool mark_due_ = false;    ///< This node is to write that there.
+  bool save_failed_ = false;  ///< The last call that wrote a request.
+  bool mark_found_ = false;   ///< The store says that the fleet has run before.
+  bool mark_due_ = false;     ///< This node is to write that there.
   /// Servers that have answered although they were seen to end, and the newest such attempt.
   struct UnclearEnd {
     MonotonicTime started{};
