A look asks for the change that was known last, and finds a life of the store that nobody named

What callers saw: a store that names no era came back from an older copy and had counted past what was known before anybody read it; a drain written under a number given out before reached none of 6 nodes, so that they went on sending to a server that leaves. Cause: a position in the store's history was a number alone. "What changed after 26?" is answered alike by two stores that hold different changes at 26. Change: StorePosition, a number with the hash of the change that stands there. A look asks from just before it; another change in its place begins the next era, and all follows that a named one brings: a listing, registrations and leases anew, fences' offset, quarantine. Nodes tell each other the position where their look ends (a new kind of datagram: forms that builds before read stay). After a failed look the position known then is asked for, though others have told of newer changes since. Where no position is known, or the store has forgotten it: a store that was out and names no era is listed; one that was not out is asked as before, so a quiet store costs one call more, once. Why it works: within a life each number stands for one change for ever. Tests changed, as strict: discovery_test expected looks from the newest number (now from just before it, with the change there in the answer) and twice took an empty answer after an outage for proof that nothing had changed: such a store is now listed, and a refresh waits for that. The stores of the tests' large fleet tell all changes as they were written, as the platform's does.

--- a/src/discovery/fleet_watcher.cc
+++ b/src/discovery/fleet_watcher.cc
@@ -5,6 +5,8 @@
 
 namespace ochrespring::discovery {
 
+using shared_store::PositionCheck;
+
 namespace {
 
 constexpr std::string_view kComponent = "discovery";
@@ -195,26 +197,67 @@
 }
 
 void FleetWatcher::read_changes() {
-  world_.store.changes(kEverything, *writer_.seen(), Duration::zero(), [this](auto result) {
-    if (!result) {
-      if (result.error().code == shared_store::StoreErrc::kHistoryGone) {
-        recover_history();
-      } else {
-        look_ended(LookResult::kStoreLost, look_began_, result.error().message);
-      }
-      return;
-    }
-    if (relist_) {
-      // The view was found to lack something meanwhile.
-      list_all();
-      return;
+  if (lost_at_ && lost_at_->revision.era() != writer_.seen()->era()) {
+    lost_at_.reset();
+  }
+  ask_for_changes(lost_at_ ? lost_at_ : writer_.position());
+}
+
+void FleetWatcher::ask_for_changes(const std::optional<shared_store::StorePosition>& known) {
+  const shared_store::StoreRevision after = known ? known->before() : *writer_.seen();
+  world_.store.changes(kEverything, after, Duration::zero(), [this, known](auto result) {
+    if (result) {
+      take_changes(known, result.value());
+    } else if (result.error().code != shared_store::StoreErrc::kHistoryGone) {
+      look_ended(LookResult::kStoreLost, look_began_, result.error().message);
+    } else if (known && !may_be_another_life()) {
+      // Nothing has changed for longer than history is kept, or it was dropped early.
+      forget_position();
+      ask_for_changes(std::nullopt);
+    } else {
+      recover_history();
     }
-    writer_.take_changes(result.value());
-    share_look();
-    look_ended(LookResult::kCurrent, look_began_, "");
   });
 }
 
+void FleetWatcher::forget_position() {
+  lost_at_.reset();
+  writer_.forget_position();
+}
+
+void FleetWatcher::take_changes(const std::optional<shared_store::StorePosition>& known,
+                                const shared_store::Changes& changes) {
+  const auto found = known ? check_position(*known, changes.changes) : PositionCheck::kUnknown;
+  if (found == PositionCheck::kOther) {
+    begin_life(*known);
+    return;
+  }
+  lost_at_.reset();
+  if (found == PositionCheck::kSame) {
+    unverified_since_.reset();
+  }
+  if (relist_ || may_be_another_life()) {
+    // The view lacks something, or nothing tells whether it does.
+    list_all();
+    return;
+  }
+  writer_.take_changes(changes);
+  share_look();
+  look_ended(LookResult::kCurrent, look_began_, "");
+}
+
+/// The store has come back from an older copy and counted past what was known, without saying so.
+void FleetWatcher::begin_life(const shared_store::StorePosition& known) {
+  ++statistics_.lives_found;
+  world_.logger.write(
+      {logging::Level::kWarning,
+       kComponent,
+       "store holds another change than was known",
+       {{"era", known.revision.era().value()}, {"revision", known.revision.value()}}});
+  world_.store.begin_life_after(known.revision.era());
+  list_all();
+}
+
 /// The store has forgotten what came after the view: only a listing tells what is there now. The
 /// readers of a large fleet list it for all; the configuration has no time to wait for that.
 void FleetWatcher::recover_history() {
@@ -273,6 +316,30 @@
   for (const ViewUpdate& update : writer_.make_updates(world_.clock.now() - look_began_)) {
     share_(update);
   }
+  share_position();
+}
+
+/// Once for each place: one that is lost costs a listing at worst.
+void FleetWatcher::share_position() {
+  const auto known = writer_.position();
+  if (share_position_ && known && known != shared_position_) {
+    shared_position_ = known;
+    share_position_({*known});
+  }
+}
+
+/// Where two nodes know different changes at one place one of them has seen another life of the
+/// store: a look finds out which.
+void FleetWatcher::take_position(const PositionNews& told) {
+  shared_position_ = told.position;
+  if (writer_.learn_position(told.position)) {
+    return;
+  }
+  unverified_since_ = world_.clock.now();
+  lost_at_ = writer_.position();
+  if (!looking_) {
+    timer_.arm(world_.random.part_of(settings_.relist_spread), [this] { look(); });
+  }
 }
 
 void FleetWatcher::take_update(const ViewUpdate& update, std::function<void()> covered) {
@@ -333,6 +400,10 @@
   note_store_state(result != LookResult::kStoreLost, detail);
   const MonotonicTime now = world_.clock.now();
   const bool success = result == LookResult::kCurrent;
+  if (result == LookResult::kStoreLost && writer_.seen()) {
+    unverified_since_ = now;
+    lost_at_ = lost_at_ ? lost_at_ : writer_.position();
+  }
   if (success) {
     failed_in_row_ = 0;
     note_current(as_of);
@@ -443,6 +514,9 @@
 }
 
 void FleetWatcher::note_current(MonotonicTime at) {
+  if (unverified_since_ && at > *unverified_since_) {
+    unverified_since_.reset();
+  }
   const auto known = fleet_.current_at();
   if (!known || at > *known) {
     fleet_.note_current(at);
--- a/src/discovery/fleet_watcher.h
+++ b/src/discovery/fleet_watcher.h
@@ -37,6 +37,7 @@
   std::uint64_t histories_gone = 0;    ///< Looks that the store had forgotten the history of.
   std::uint64_t listings_passed = 0;   ///< Older than the view, by their revision.
   std::uint64_t eras_begun = 0;        ///< Views that were the first of a later life of the store.
+  std::uint64_t lives_found = 0;       ///< Looks that met another change than was known.
 };
 
 /// Looks now and then for what has changed since the newest change it has seen, instead of holding
@@ -52,6 +53,10 @@
 /// end within the bound. No node depends on another: one that hears nothing asks a reader, and in
 /// the end looks itself in time.
 ///
+/// A look asks for the newest change that is known, too: if another one stands in its place, the
+/// store has come back from an older copy and counted on. Where that change is not known, or has
+/// been forgotten, a store that was out meanwhile is listed anew.
+///
 /// The configuration is small and read alone where the rest takes long. One loop.
 class FleetWatcher {
  public:
@@ -100,6 +105,12 @@
   void on_first_listing(std::function<void()> callback) { first_listing_ = std::move(callback); }
   /// Called with what this node's look found, for the others.
   void on_look(std::function<void(const ViewUpdate&)> callback) { share_ = std::move(callback); }
+  /// Called, behind on_look(), with the place up to which this node's look has come.
+  void on_position(std::function<void(const PositionNews&)> callback) {
+    share_position_ = std::move(callback);
+  }
+  /// Another node has told of the place up to which its look has come.
+  void take_position(const PositionNews& told);
   /// Called when the view is the first one of a later life of the store: what this node wrote there
   /// may be lost.
   void on_new_era(std::function<void()> callback) { new_era_ = std::move(callback); }
@@ -129,6 +140,13 @@
   void pass_listing(shared_store::StoreRevision listed);
   void ask_reader(const Endpoint& reader);
   void read_changes();
+  void ask_for_changes(const std::optional<shared_store::StorePosition>& known);
+  void take_changes(const std::optional<shared_store::StorePosition>& known,
+                    const shared_store::Changes& changes);
+  void begin_life(const shared_store::StorePosition& known);
+  void forget_position();
+  /// Whether nothing tells that the store which answers is the one that the view is of.
+  bool may_be_another_life() const { return unverified_since_ && !world_.store.names_era(); }
   void recover_history();
   void read_configuration_later();
   void read_configuration();
@@ -145,6 +163,7 @@
   void note_era();
   /// Tells the others what this node's look found, unless another node has just told them.
   void share_look();
+  void share_position();
   /// Calls back whoever waits for the view to cover an update, if it does.
   void note_covered();
   /// The view is known to be as the store was at `at`.
@@ -174,6 +193,13 @@
   bool looking_ = false;
   bool look_is_slow_ = false;  ///< Somebody has waited for it for as long as anybody does.
   bool relist_ = false;        ///< The view is wrong: the next look lists.
+  /// When a look failed, unless the view has been known to be the store's since.
+  std::optional<MonotonicTime> unverified_since_;
+  /// What was known when a look failed. The next look that is answered asks for it, although
+  /// another node, which may know no place to ask for, has told of newer changes since.
+  std::optional<shared_store::StorePosition> lost_at_;
+  std::optional<shared_store::StorePosition>
+      shared_position_;  ///< The last that was told or heard.
   bool asking_peer_ = false;
   bool looked_again_ = false;  ///< For those waiting, the look before having taken too long.
   /// Of the first listing of a large fleet, while others are asked for theirs.
@@ -185,6 +211,7 @@
   std::function<void()> new_era_;
   std::function<void()> first_listing_;
   std::function<void(const ViewUpdate&)> share_;
+  std::function<void(const PositionNews&)> share_position_;
   std::function<void(bool)> store_state_;
   std::function<void(TransferCallback)> ask_peer_;
   std::function<void(const ViewRequest&, TransferCallback)> fetch_view_;
--- a/src/discovery/tests/discovery_test.cc
+++ b/src/discovery/tests/discovery_test.cc
@@ -68,8 +68,9 @@
   CHECK(world.fleet.find(gateway::BackendId("b"))->draining);
   CHECK(world.version() == 5);
   world.advance(2s);
-  CHECK(world.store.changes_calls[0].after == StoreRevision(12));
-  world.answer({make_change("backends/b", std::nullopt, 13)});
+  // The change at 12 is asked for, too: it tells whether the store is the one that was known.
+  CHECK(world.store.changes_calls[0].after == StoreRevision(11));
+  world.answer({make_change("config", "5", 12), make_change("backends/b", std::nullopt, 13)});
   CHECK(world.fleet.find(gateway::BackendId("b")) == nullptr);
 }
 
@@ -138,7 +139,10 @@
   std::optional<bool> current;
   world.watcher.refresh([&](bool outcome) { current = outcome; });
   CHECK_FALSE(current);
+  // Nothing tells that the store which was out is the same: it is listed.
   world.answer({});
+  CHECK_FALSE(current);
+  world.list(10, {make_change("config", "3", 4)});
   CHECK(current == true);
 }
 
@@ -342,3 +346,46 @@
   CHECK(world.store.ended.front() == LeaseId(9));
   CHECK(world.store.puts.empty());
 }
+
+TEST_CASE("a store that names its life with each answer is not listed for having been out") {
+  WatcherFixture world;
+  world.store.names_its_era = true;
+  world.watcher.start();
+  world.list(10, {make_change("config", "3", 4)});
+  world.advance(2s);
+  take(world.store.changes_calls).done(fail(StoreErrc::kNotDone, "down"));
+  world.advance(1s);
+  REQUIRE(world.store.changes_calls.size() == 1);
+  world.answer({make_change("config", "4", 11)});
+  CHECK(world.store.lists.empty());
+  CHECK(world.version() == 4);
+}
+
+TEST_CASE("a look that meets another change than was known lists the store, with what it missed") {
+  WatcherFixture world;
+  world.watcher.start();
+  world.list(10, {make_change("config", "3", 4), make_change("backends/b", "ready", 10)});
+  world.advance(2s);
+  CHECK(world.store.changes_calls[0].after == StoreRevision(9));
+  world.answer({make_change("other", "x", 10), make_change("other", "y", 11)});
+  REQUIRE(world.store.lists.size() == 1);
+  world.list(11, {make_change("config", "3", 4), make_change("backends/b", "draining", 9),
+                  make_change("other", "y", 11)});
+  CHECK(world.fleet.find(gateway::BackendId("b"))->draining);
+  CHECK(world.watcher.statistics().lives_found == 1);
+}
+
+TEST_CASE("a place that the store has forgotten is not asked for again and again") {
+  WatcherFixture world;
+  world.watcher.start();
+  world.list(10, {make_change("config", "3", 10)});
+  world.advance(2s);
+  take(world.store.changes_calls).done(gone());
+  REQUIRE(world.store.changes_calls.size() == 1);
+  CHECK(world.store.changes_calls[0].after == StoreRevision(10));
+  world.answer({});
+  world.advance(2s);
+  REQUIRE(world.store.changes_calls.size() == 1);
+  CHECK(world.store.changes_calls[0].after == StoreRevision(10));
+  CHECK(world.store.lists.empty());
+}
--- a/src/discovery/tests/played_store.h
+++ b/src/discovery/tests/played_store.h
@@ -77,7 +77,10 @@
     }
   }
 
+  bool names_era() const override { return names_its_era; }
+
   bool answers_ends = true;  ///< Of leases: these are answered at once.
+  bool names_its_era = false;
   std::deque<Callback<shared_store::Listing>> lists;
   std::deque<ChangesCall> changes_calls;
   std::deque<PutCall> puts;
--- a/src/discovery/tests/shared_looks_test.cc
+++ b/src/discovery/tests/shared_looks_test.cc
@@ -705,6 +705,7 @@
   // 30 tries at the pace of the first would take 9 s at most.
   CHECK(tries.back() - tries.front() > 12s);
   take(world.store.changes_calls).done(Changes{});
+  take(world.store.lists)(Listing{{}, StoreRevision(10)});
   world.advance(1500ms);
   REQUIRE(world.store.changes_calls.size() == 1);
   take(world.store.changes_calls).done(fail(StoreErrc::kNotDone, "down"));
--- a/src/discovery/view_update.h
+++ b/src/discovery/view_update.h
@@ -10,6 +10,7 @@
 #include "discovery/node_record.h"
 #include "gateway/types.h"
 #include "shared_store/store.h"
+#include "shared_store/store_position.h"
 
 namespace ochrespring::discovery {
 
@@ -75,4 +76,15 @@
   }
 };
 
+/// What stands where a look's updates end: whoever has seen the store up to there can find out with
+/// its own next look whether the store has begun another life since.
+struct PositionNews {
+  shared_store::StorePosition position;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& position;
+  }
+};
+
 }  // namespace ochrespring::discovery
--- a/src/discovery/view_writer.cc
+++ b/src/discovery/view_writer.cc
@@ -37,6 +37,9 @@
     return false;
   }
   const bool newer_life = begin_life(listing.revision);
+  if (!behind) {
+    position_ = shared_store::newest_position(listing.items);
+  }
   const std::vector<ViewChange> changes = compare(listing);
   take_other_keys(listing);
   for (const ViewChange& change : changes) {
@@ -90,6 +93,7 @@
   fleet_.replace(std::move(backends));
   fingerprint_.reset();
   seen_ = listing.revision;
+  position_ = shared_store::newest_position(listing.items);
   // Of the keys of later pages only the newest state is known.
   log_.restart(listed_through_);
 }
@@ -167,10 +171,38 @@
       seen_ = std::max(*seen_, change.revision);
     }
   }
+  if (*seen_ > known) {
+    position_ = shared_store::newest_position(changes.changes);
+  }
   log_.advance(*seen_);
   log_added();
 }
 
+std::optional<shared_store::StorePosition> ViewWriter::position() const {
+  for (const auto& known : {position_, told_position_}) {
+    if (seen_ && known && known->revision == *seen_) {
+      return known;
+    }
+  }
+  return std::nullopt;
+}
+
+void ViewWriter::forget_position() {
+  position_.reset();
+  told_position_.reset();
+}
+
+bool ViewWriter::learn_position(const shared_store::StorePosition& told) {
+  const auto known = position();
+  if (known && known->revision == told.revision) {
+    return *known == told;
+  }
+  if (!seen_ || told.revision >= *seen_) {
+    told_position_ = told;
+  }
+  return true;
+}
+
 std::vector<ViewUpdate> ViewWriter::make_updates(Duration age) {
   std::vector<ViewUpdate> updates = log_.make_updates(clock_.now(), age);
   updates.back().fingerprint = fingerprint();
--- a/src/discovery/view_writer.h
+++ b/src/discovery/view_writer.h
@@ -19,6 +19,7 @@
 #include "gateway/fleet_state.h"
 #include "logging/logger.h"
 #include "shared_store/store.h"
+#include "shared_store/store_position.h"
 
 namespace ochrespring::discovery {
 
@@ -71,6 +72,13 @@
 
   /// None: a listing is needed.
   std::optional<shared_store::StoreRevision> seen() const { return seen_; }
+  /// The change that stands at `seen()`, if it is known.
+  std::optional<shared_store::StorePosition> position() const;
+  /// The store no longer tells it.
+  void forget_position();
+  /// Another node knows the change at a position. Returns false if it is another one than this node
+  /// knows: one of the two has seen another life of the store.
+  bool learn_position(const shared_store::StorePosition& told);
   /// What the others are told after a look that began `age` ago, in the order to send it.
   std::vector<ViewUpdate> make_updates(Duration age);
   /// The document in force; empty: none yet.
@@ -110,6 +118,9 @@
   EntryReader entries_;
   ChangeLog log_;
   std::optional<shared_store::StoreRevision> seen_;
+  std::optional<shared_store::StorePosition> position_;
+  /// The newest that another node has told of; the update up to there may come later.
+  std::optional<shared_store::StorePosition> told_position_;
   /// Sum over the back ends, kept up with each change; none: to be made anew.
   std::optional<std::uint64_t> fingerprint_;
   std::uint64_t added_ = 0;  ///< Back ends not logged yet.
--- a/src/gateway_node/node_metrics.cc
+++ b/src/gateway_node/node_metrics.cc
@@ -55,6 +55,8 @@
      &FleetWatcherStatistics::listings_passed},
     {"store_eras_begun", "Times the store was found to have come back from an older copy",
      &FleetWatcherStatistics::eras_begun},
+    {"store_lives_found", "Looks that found another change in the store than was known there",
+     &FleetWatcherStatistics::lives_found},
     {"view_updates_outdated", "Looks of other nodes from before the store came back",
      &FleetWatcherStatistics::updates_outdated},
     {"view_updates_differed", "Looks of other nodes that showed a listing to be needed",
--- a/src/gateway_node/peer_channel.cc
+++ b/src/gateway_node/peer_channel.cc
@@ -107,12 +107,12 @@
   send_to(relays_here() ? relays_.zone_members() : own_relays(), offer);
 }
 
-void PeerChannel::tell_usage(const usage::UsageReport& report) {
+void PeerChannel::tell_every_relay(const PeerMessage& message) {
   if (!relays_.in_use()) {
-    send_to_others(report);
+    send_to_others(message);
     return;
   }
-  send_to_relays(report);
+  send_to_relays(message);
 }
 
 void PeerChannel::take(const NodeLeavingToRelay& told) {
--- a/src/gateway_node/peer_channel.h
+++ b/src/gateway_node/peer_channel.h
@@ -32,6 +32,7 @@
   std::function<void(const peer_load::WorkReport&)> work_to_relay;
   /// `covered`, if given, is to be called once this node has seen as much as the update tells.
   std::function<void(const discovery::ViewUpdate&, std::function<void()> covered)> update;
+  std::function<void(const discovery::PositionNews&)> position{};
   std::function<void(const peer_load::PartsRequest&)> parts_request;
   std::function<void(const ViewOffer&)> offer;
   std::function<void(const usage::UsageReport&)> usage;
@@ -80,9 +81,11 @@
   void tell_relayed_work(const peer_load::WorkReport& sums);
   /// This node has looked at the store.
   void tell_update(discovery::ViewUpdate update);
+  /// To all that look at the store: every node, or in a large fleet every relay.
+  void tell_position(const discovery::PositionNews& news) { tell_every_relay(news); }
   void tell_offer(const ViewOffer& offer);
   /// To all that may come to hold the duties: every node, or in a large fleet every relay.
-  void tell_usage(const usage::UsageReport& report);
+  void tell_usage(const usage::UsageReport& report) { tell_every_relay(report); }
   /// To every node, in a large fleet by its relays.
   void tell_leaving(const NodeLeaving& leaving);
   /// To every node, in a large fleet by its relays.
@@ -114,6 +117,7 @@
 
   void take(const peer_load::WorkReport& report) { handlers_.work(report); }
   void take(const discovery::ViewUpdate& update) { handlers_.update(update, {}); }
+  void take(const discovery::PositionNews& news) { handlers_.position(news); }
   void take(const peer_load::PartsRequest& request) { handlers_.parts_request(request); }
   void take(const ViewOffer& offer) { handlers_.offer(offer); }
   void take(const usage::UsageReport& report) { handlers_.usage(report); }
@@ -145,6 +149,8 @@
   void send_to(const Nodes& nodes, const PeerMessage& message);
   /// To the relays of all zones but this node itself.
   void send_to_relays(const PeerMessage& message);
+  /// To every node, or in a large fleet to the relays alone.
+  void tell_every_relay(const PeerMessage& message);
   /// In a large fleet by relays, which take `to_relay` and pass `message` on to their zones.
   template <class Message, class ToRelay>
   void tell_every_node(const Message& message, const ToRelay& to_relay);
--- a/src/gateway_node/peer_message.h
+++ b/src/gateway_node/peer_message.h
@@ -74,7 +74,7 @@
                  discovery::ViewUpdate, UpdateToRelay, NodeLeaving, NodeLeavingToRelay,
                  rate_limit::LimitNews, rate_limit::LimitNewsToRelay, rate_limit::PermitRequest,
                  rate_limit::PermitReply, admission::BackendNotice, admission::BackendNoticeToRelay,
-                 quarantine::HorizonRequest, quarantine::HorizonReport>;
+                 quarantine::HorizonRequest, quarantine::HorizonReport, discovery::PositionNews>;
 
 /// Names of the alternatives, in order, for metrics.
 constexpr std::array<const char*, std::variant_size_v<PeerMessage>> kPeerMessageNames{
@@ -99,6 +99,7 @@
     "backend_notice",
     "backend_notice_to_relay",
     "horizon_request",
-    "horizon_report"};
+    "horizon_report",
+    "position_news"};
 
 }  // namespace ochrespring::gateway_node
--- a/src/gateway_node/peer_news.cc
+++ b/src/gateway_node/peer_news.cc
@@ -51,6 +51,8 @@
   listen_to_loads();
   world_.watcher.on_look(
       [this](const discovery::ViewUpdate& update) { channel_.tell_update(update); });
+  world_.watcher.on_position(
+      [this](const discovery::PositionNews& news) { channel_.tell_position(news); });
 }
 
 void PeerNews::listen_to_loads() {
@@ -86,6 +88,8 @@
           [this](const discovery::ViewUpdate& update, std::function<void()> covered) {
             world_.watcher.take_update(update, std::move(covered));
           },
+      .position =
+          [this](const discovery::PositionNews& news) { world_.watcher.take_position(news); },
       .parts_request = [this](const peer_load::PartsRequest& request) { tell_parts(request); },
       .offer = [this](const ViewOffer& offer) { on_offer_(offer.view_address); },
       .usage = [this](const usage::UsageReport& report) { call_if_set(usage_, report); },
--- a/src/gateway_node/tests/compatibility_test.cc
+++ b/src/gateway_node/tests/compatibility_test.cc
@@ -106,10 +106,10 @@
         std::chrono::milliseconds(3500));
 }
 
-TEST_CASE("horizons are read and written as when they were new") {
+TEST_CASE("horizons and positions are read and written as when they were new") {
   const auto corpus = read_corpus(HORIZONS_AND_POSITIONS);
-  REQUIRE(corpus.size() == 2);
-  for (const char* name : {"horizon_request", "horizon_report"}) {
+  REQUIRE(corpus.size() == 3);
+  for (const char* name : {"horizon_request", "horizon_report", "position_news"}) {
     CAPTURE(name);
     CHECK(is_same<PeerMessage>(corpus.at(name)));
   }
@@ -140,6 +140,7 @@
   CHECK(PeerMessage(admission::BackendNotice()).index() == kKindsBeforeNotices);
   constexpr std::size_t kKindsBeforeHorizons = 20;
   CHECK(PeerMessage(quarantine::HorizonRequest()).index() == kKindsBeforeHorizons);
+  CHECK(PeerMessage(discovery::PositionNews()).index() == kKindsBeforeHorizons + 2);
 }
 
 TEST_CASE("kinds of builds to come, and bytes behind a known one, are left alone") {
--- a/src/gateway_node/tests/large_fleet.h
+++ b/src/gateway_node/tests/large_fleet.h
@@ -18,6 +18,7 @@
 #include "discovery/fleet_watcher.h"
 #include "gateway_node/peer_news.h"
 #include "logging/logger.h"
+#include "shared_store/era_tracker.h"
 #include "simulation/virtual_time.h"
 #include "tests/plain_codec.h"
 #include "wire/codec.h"
@@ -48,15 +49,17 @@
   discovery::testing::PlainCodec plain_;
 };
 
-/// Keys of the store, their last changes, and how often it was read.
+/// Keys of the store, their changes, and how often it was read.
 struct StoreState {
   void put(const std::string& key, std::optional<std::string> value) {
     ++revision;
     items[key] = {key, std::move(value), now()};
+    history.push_back(items[key]);
   }
   /// Changes up to now are told no more.
   void forget_history() {
     forgotten_through = now();
+    history.clear();
     std::erase_if(items, [](const auto& item) { return !item.second.value; });
   }
 
@@ -68,7 +71,7 @@
   Copy copy() const { return {revision, items}; }
   /// Comes back as it was when the copy was made: revisions are given out again from there on.
   void set_back_to(const Copy& copy) {
-    era = era.next();
+    era = names_era ? era.next() : era;
     revision = copy.revision;
     items = copy.items;
     for (auto& [key, item] : items) {
@@ -82,9 +85,20 @@
     return after >= forgotten_through && after <= now();
   }
 
+  /// As they were written, after a revision.
+  shared_store::Changes changes_after(shared_store::StoreRevision after) const {
+    const auto first = std::upper_bound(history.begin(), history.end(), after,
+                                        [](shared_store::StoreRevision bound, const auto& change) {
+                                          return bound < change.revision;
+                                        });
+    return {.changes = {first, history.end()}};
+  }
+
   shared_store::StoreEra era;
+  bool names_era = true;  ///< In its answers. Without, each node infers it.
   std::uint64_t revision = 0;
   std::map<std::string, shared_store::Change> items;  ///< Without a value: removed.
+  std::vector<shared_store::Change> history;          ///< In the order of revisions.
   shared_store::StoreRevision forgotten_through;
   bool down = false;
   std::uint64_t reads = 0;    ///< Answered.
@@ -128,20 +142,8 @@
   void changes(const std::string& /*prefix*/, shared_store::StoreRevision after, Duration /*wait*/,
                shared_store::StoreCallback<shared_store::Changes> done) override {
     answer<shared_store::Changes>(
-        std::move(done),
-        [this, after] {
-          shared_store::Changes changes;
-          for (const auto& [key, change] : state_.items) {
-            if (change.revision > after) {
-              changes.changes.push_back(change);
-            }
-          }
-          std::sort(
-              changes.changes.begin(), changes.changes.end(),
-              [](const auto& left, const auto& right) { return left.revision < right.revision; });
-          return changes;
-        },
-        [this, after] { return !state_.tells_changes_after(after); });
+        std::move(done), [this, after] { return state_.changes_after(stored(after)); },
+        [this, after] { return !state_.tells_changes_after(stored(after)); }, after);
   }
   void put(const std::string&, const std::string&, std::optional<shared_store::LeaseId>,
            shared_store::StoreCallback<shared_store::StoreRevision>) override {}
@@ -156,24 +158,32 @@
                    shared_store::StoreCallback<shared_store::LeaseId>) override {}
   void end_lease(shared_store::LeaseId,
                  shared_store::StoreCallback<shared_store::LeaseId>) override {}
+  void hear_of(shared_store::StoreRevision revision) override { eras_.hear_of(revision); }
+  void begin_life_after(shared_store::StoreEra ended) override { eras_.begin_life_after(ended); }
 
  private:
+  using Revision = shared_store::StoreRevision;
+
   static constexpr std::size_t kPageItems = 200;
   static constexpr double kItemBytes = 350;  ///< As the store writes an item.
   static constexpr Duration kAnswerTime{4ms};
   static constexpr Duration kTimeout{1s};
 
-  /// `gone`: whether the history that was asked for is, by the time of the answer.
+  /// `gone`: whether the history that was asked for is, by the time of the answer. `after`: of the
+  /// changes that were asked for.
   template <class T>
   void answer(
       shared_store::StoreCallback<T> done, std::function<T()> make,
-      std::function<bool()> gone = [] { return false; }) {
+      std::function<bool()> gone = [] { return false; }, std::optional<Revision> after = {}) {
     if (cut_off_) {
       time_.schedule_after(
           kTimeout, [done] { done(fail(shared_store::StoreErrc::kUnknownEffect, "no answer")); });
       return;
     }
-    time_.schedule_after(kAnswerTime, [this, done, make, gone] {
+    if (after) {
+      eras_.hear_of(*after);
+    }
+    time_.schedule_after(kAnswerTime, [this, done, make, gone, after, sent = eras_.on_send()] {
       if (state_.down || turned_away_) {
         ++state_.refused;
         done(fail(shared_store::StoreErrc::kNotDone, "down"));
@@ -185,12 +195,46 @@
         return;
       }
       T answer = make();
+      if (!state_.names_era) {
+        const shared_store::StoreEra era = eras_.on_answer(sent, {{}, revision_of(answer)});
+        if (after && era != after->era()) {
+          done(fail(shared_store::StoreErrc::kHistoryGone, "another era"));
+          return;
+        }
+        name_era(answer, era);
+      }
       const Duration transfer =
           from_seconds(items_of(answer) * kItemBytes * 8 / (1e6 * link_mbps_));
       time_.schedule_after(
           transfer, [done, answer = std::move(answer)]() mutable { done(std::move(answer)); });
     });
   }
+  /// As the store itself counts, which knows no era where it names none.
+  Revision stored(Revision revision) const {
+    return state_.names_era ? revision : Revision(revision.value(), state_.era);
+  }
+  static std::optional<std::uint64_t> revision_of(const shared_store::ListPage& page) {
+    return page.revision.value();
+  }
+  template <class T>
+  static std::optional<std::uint64_t> revision_of(const T& /*answer*/) {
+    return std::nullopt;
+  }
+  static void name_era(shared_store::Change& change, shared_store::StoreEra era) {
+    change.revision = Revision(change.revision.value(), era);
+  }
+  static void name_era(shared_store::Listing& /*listing*/, shared_store::StoreEra /*era*/) {}
+  static void name_era(shared_store::ListPage& page, shared_store::StoreEra era) {
+    page.revision = Revision(page.revision.value(), era);
+    for (shared_store::Change& item : page.items) {
+      name_era(item, era);
+    }
+  }
+  static void name_era(shared_store::Changes& changes, shared_store::StoreEra era) {
+    for (shared_store::Change& change : changes.changes) {
+      name_era(change, era);
+    }
+  }
   static double items_of(const shared_store::Listing& listing) {
     return static_cast<double>(listing.items.size());
   }
@@ -207,6 +251,7 @@
   const bool& cut_off_;
   const bool& turned_away_;
   std::uint32_t link_mbps_;
+  shared_store::EraTracker eras_;  ///< Of a store that names none.
 };
 
 class LargeFleet;
--- a/src/shared_store/era_tracker.cc
+++ b/src/shared_store/era_tracker.cc
@@ -6,6 +6,7 @@
 
 StoreEra EraTracker::on_answer(const Sent& sent, const Answer& answer) {
   StoreEra era = sent.era;
+  named_last_ = answer.era.has_value();
   if (answer.era) {
     named_ = true;
     era = std::max(era, *answer.era);
--- a/src/shared_store/era_tracker.h
+++ b/src/shared_store/era_tracker.h
@@ -11,7 +11,7 @@
 /// For the client of a store that names its era with each answer, or of one that does not. Where it
 /// does not, a revision lower than one that was known before the call left proves a new life, since
 /// reads are linearizable. A life that nobody read from before it had counted past what was known
-/// goes unnoticed then. Pure; one loop.
+/// is noticed by what stands at a number that was known (StorePosition). Pure; one loop.
 class EraTracker {
  public:
   /// What was known when a call left.
@@ -30,6 +30,10 @@
   StoreEra on_answer(const Sent& sent, const Answer& answer);
   /// Another node has seen the store at `revision`.
   void hear_of(StoreRevision revision) { note(revision.era(), revision.value()); }
+  /// What the store holds has shown that it has begun another life since `ended`.
+  void begin_life_after(StoreEra ended) { note(ended.next(), 0); }
+  /// Whether the newest answer named its era.
+  bool names_era() const { return named_last_; }
   /// None before the first answer.
   std::optional<StoreEra> known() const { return known_ ? std::optional(era_) : std::nullopt; }
 
@@ -40,7 +44,8 @@
   bool known_ = false;
   StoreEra era_;
   std::uint64_t newest_ = 0;
-  bool named_ = false;  ///< The store names its era.
+  bool named_ = false;       ///< The store names its era.
+  bool named_last_ = false;  ///< The newest answer did.
 };
 
 }  // namespace ochrespring::shared_store
--- a/src/shared_store/store.h
+++ b/src/shared_store/store.h
@@ -94,6 +94,12 @@
   /// Another node has seen the store at `revision`: answers to calls that leave from now on are of
   /// that life or a later one.
   virtual void hear_of(StoreRevision /*revision*/) {}
+  /// The store has turned out to have begun another life after `ended`, though its answers did not
+  /// say so: those to calls that leave from now on are of the next one. For a store that names its
+  /// lives there is nothing to do.
+  virtual void begin_life_after(StoreEra /*ended*/) {}
+  /// Whether the newest answer named its life: what the store has told since is of that life then.
+  virtual bool names_era() const { return false; }
   /// The newest life of the store that is known of; none before the first answer.
   virtual std::optional<StoreEra> era() const { return StoreEra(); }
 };
--- a/src/shared_store/tests/store_revision_test.cc
+++ b/src/shared_store/tests/store_revision_test.cc
@@ -27,6 +27,10 @@
   CHECK(eras.on_answer(eras.on_send(), {.era = StoreEra(4), .revision = 24}) == StoreEra(4));
   CHECK(eras.on_answer(eras.on_send(), {.era = StoreEra(5), .revision = 24}) == StoreEra(5));
   CHECK(eras.known() == StoreEra(5));
+  CHECK(eras.names_era());
+  // Something in between left the name out.
+  CHECK(eras.on_answer(eras.on_send(), {.era = {}, .revision = 25}) == StoreEra(5));
+  CHECK_FALSE(eras.names_era());
 }
 
 TEST_CASE("an answer to a call that left in a life before is of that life, unless it says more") {
@@ -58,3 +62,22 @@
   eras.hear_of(StoreRevision(50));
   CHECK(eras.on_answer(eras.on_send(), {.era = {}, .revision = 45}) == StoreEra(1));
 }
+
+TEST_CASE("a life that its contents have shown is the next one, for whoever finds it first") {
+  EraTracker eras;
+  CHECK(eras.on_answer(eras.on_send(), {.era = {}, .revision = 26}) == StoreEra());
+  const EraTracker::Sent early = eras.on_send();
+  eras.begin_life_after(StoreEra());
+  eras.begin_life_after(StoreEra());  // Found by two looks.
+  CHECK(eras.known() == StoreEra(1));
+  CHECK(eras.on_answer(eras.on_send(), {.era = {}, .revision = 24}) == StoreEra(1));
+  CHECK(eras.on_answer(early, {.era = {}, .revision = 27}) == StoreEra());
+}
+
+TEST_CASE("a life found by its contents stays ahead of the name that the store goes on giving") {
+  EraTracker eras;
+  CHECK(eras.on_answer(eras.on_send(), {.era = StoreEra(4), .revision = 26}) == StoreEra(4));
+  eras.begin_life_after(StoreEra(4));
+  CHECK(eras.on_answer(eras.on_send(), {.era = StoreEra(4), .revision = 28}) == StoreEra(5));
+  CHECK(eras.on_answer(eras.on_send(), {.era = StoreEra(6), .revision = 3}) == StoreEra(6));
+}
