--- a/src/admission/types.h
+++ b/src/admission/types.h
@@ -22,14 +22,4 @@
   }
 };
 
-/// For a relay to pass on to the nodes of its zone as it stands.
-struct BackendNoticeToRelay {
-  BackendNotice notice;
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& notice;
-  }
-};
-
 }  // namespace ochrespring::admission
--- a/src/discovery/fleet_watcher.cc
+++ b/src/discovery/fleet_watcher.cc
@@ -5,8 +5,6 @@
 
 namespace ochrespring::discovery {
 
-using shared_store::PositionCheck;
-
 namespace {
 
 constexpr std::string_view kComponent = "discovery";
@@ -197,10 +195,7 @@
 }
 
 void FleetWatcher::read_changes() {
-  if (lost_at_ && lost_at_->revision.era() != writer_.seen()->era()) {
-    lost_at_.reset();
-  }
-  ask_for_changes(lost_at_ ? lost_at_ : writer_.position());
+  ask_for_changes(life_.place_to_ask(writer_.position(), writer_.seen()->era()));
 }
 
 void FleetWatcher::ask_for_changes(const std::optional<shared_store::StorePosition>& known) {
@@ -221,21 +216,16 @@
 }
 
 void FleetWatcher::forget_position() {
-  lost_at_.reset();
+  life_.forget_place();
   writer_.forget_position();
 }
 
 void FleetWatcher::take_changes(const std::optional<shared_store::StorePosition>& known,
                                 const shared_store::Changes& changes) {
-  const auto found = known ? check_position(*known, changes.changes) : PositionCheck::kUnknown;
-  if (found == PositionCheck::kOther) {
+  if (life_.check(known, changes.changes) == shared_store::PositionCheck::kOther) {
     begin_life(*known);
     return;
   }
-  lost_at_.reset();
-  if (found == PositionCheck::kSame) {
-    unverified_since_.reset();
-  }
   if (relist_ || may_be_another_life()) {
     // The view lacks something, or nothing tells whether it does.
     list_all();
@@ -335,8 +325,7 @@
   if (writer_.learn_position(told.position)) {
     return;
   }
-  unverified_since_ = world_.clock.now();
-  lost_at_ = writer_.position();
+  life_.note_conflict(world_.clock.now(), writer_.position());
   if (!looking_) {
     timer_.arm(world_.random.part_of(settings_.relist_spread), [this] { look(); });
   }
@@ -401,8 +390,7 @@
   const MonotonicTime now = world_.clock.now();
   const bool success = result == LookResult::kCurrent;
   if (result == LookResult::kStoreLost && writer_.seen()) {
-    unverified_since_ = now;
-    lost_at_ = lost_at_ ? lost_at_ : writer_.position();
+    life_.note_failed(now, writer_.position());
   }
   if (success) {
     failed_in_row_ = 0;
@@ -514,9 +502,7 @@
 }
 
 void FleetWatcher::note_current(MonotonicTime at) {
-  if (unverified_since_ && at > *unverified_since_) {
-    unverified_since_.reset();
-  }
+  life_.note_current(at);
   const auto known = fleet_.current_at();
   if (!known || at > *known) {
     fleet_.note_current(at);
--- a/src/discovery/fleet_watcher.h
+++ b/src/discovery/fleet_watcher.h
@@ -11,6 +11,7 @@
 #include "base/timer.h"
 #include "discovery/fleet_codec.h"
 #include "discovery/fleet_lister.h"
+#include "discovery/life_check.h"
 #include "discovery/look_schedule.h"
 #include "discovery/node_directory.h"
 #include "discovery/refresh_waiters.h"
@@ -146,7 +147,7 @@
   void begin_life(const shared_store::StorePosition& known);
   void forget_position();
   /// Whether nothing tells that the store which answers is the one that the view is of.
-  bool may_be_another_life() const { return unverified_since_ && !world_.store.names_era(); }
+  bool may_be_another_life() const { return life_.is_pending() && !world_.store.names_era(); }
   void recover_history();
   void read_configuration_later();
   void read_configuration();
@@ -193,11 +194,7 @@
   bool looking_ = false;
   bool look_is_slow_ = false;  ///< Somebody has waited for it for as long as anybody does.
   bool relist_ = false;        ///< The view is wrong: the next look lists.
-  /// When a look failed, unless the view has been known to be the store's since.
-  std::optional<MonotonicTime> unverified_since_;
-  /// What was known when a look failed. The next look that is answered asks for it, although
-  /// another node, which may know no place to ask for, has told of newer changes since.
-  std::optional<shared_store::StorePosition> lost_at_;
+  LifeCheck life_;
   std::optional<shared_store::StorePosition>
       shared_position_;  ///< The last that was told or heard.
   bool asking_peer_ = false;
--- a/src/gateway_node/peer_channel.cc
+++ b/src/gateway_node/peer_channel.cc
@@ -37,7 +37,7 @@
   if (auto* update = std::get_if<discovery::ViewUpdate>(&message.value())) {
     update->age += waited;
   } else if (auto* relayed = std::get_if<UpdateToRelay>(&message.value())) {
-    relayed->update.age += waited;
+    relayed->message.age += waited;
   }
   const bool leaving = std::holds_alternative<NodeLeaving>(message.value()) ||
                        std::holds_alternative<NodeLeavingToRelay>(message.value());
@@ -47,14 +47,14 @@
   std::visit([this](const auto& told) { take(told); }, message.value());
 }
 
-void PeerChannel::take(const peer_load::ReportToRelay& told) {
-  handlers_.work(told.report);
-  handlers_.work_to_relay(told.report);
+void PeerChannel::take(const ReportToRelay& told) {
+  handlers_.work(told.message);
+  handlers_.work_to_relay(told.message);
 }
 
 void PeerChannel::take(const UpdateToRelay& told) {
   // The nodes of the zone that cannot join the update fetch the view here: it has to be as new.
-  handlers_.update(told.update, [this, update = told.update]() mutable {
+  handlers_.update(told.message, [this, update = told.message]() mutable {
     update.view_address = view_address_;
     send_to(relays_.zone_members(), update);
   });
@@ -66,9 +66,9 @@
     return;
   }
   const peer_load::WorkReport plain = without_ends(report);
-  const std::string whole_bytes = wire::encode(PeerMessage(peer_load::ReportToRelay{report}));
-  const std::string plain_bytes = wire::encode(PeerMessage(peer_load::ReportToRelay{plain}));
-  const std::size_t kind = PeerMessage(peer_load::ReportToRelay{}).index();
+  const std::string whole_bytes = wire::encode(PeerMessage(ReportToRelay{report}));
+  const std::string plain_bytes = wire::encode(PeerMessage(ReportToRelay{plain}));
+  const std::size_t kind = PeerMessage(ReportToRelay{}).index();
   for (const Nodes& ranked : relays_.relays()) {
     for (std::size_t rank = 0; rank != ranked.size(); ++rank) {
       const bool whole = report.sequence % ranked.size() == rank;
@@ -116,46 +116,46 @@
 }
 
 void PeerChannel::take(const NodeLeavingToRelay& told) {
-  handlers_.leaving(told.leaving);
-  send_to(relays_.zone_members(), told.leaving);
+  handlers_.leaving(told.message);
+  send_to(relays_.zone_members(), told.message);
 }
 
-template <class Message, class ToRelay>
-void PeerChannel::tell_every_node(const Message& message, const ToRelay& to_relay) {
+template <class Message>
+void PeerChannel::tell_every_node(const Message& message) {
   if (!relays_.in_use()) {
     send_to_others(message);
     return;
   }
-  send_to_relays(to_relay);
+  send_to_relays(ToRelay<Message>{message});
   if (relays_here()) {
     send_to(relays_.zone_members(), message);
   }
 }
 
 void PeerChannel::tell_leaving(const NodeLeaving& leaving) {
-  tell_every_node(leaving, NodeLeavingToRelay{leaving});
+  tell_every_node(leaving);
 }
 
 void PeerChannel::tell_crashes(const quarantine::CrashNews& news) {
-  tell_every_node(news, quarantine::CrashNewsToRelay{news});
+  tell_every_node(news);
 }
 
 void PeerChannel::tell_limits(const rate_limit::LimitNews& news) {
-  tell_every_node(news, rate_limit::LimitNewsToRelay{news});
+  tell_every_node(news);
 }
 
-void PeerChannel::take(const rate_limit::LimitNewsToRelay& told) {
-  handlers_.limits(told.news);
-  send_to(relays_.zone_members(), told.news);
+void PeerChannel::take(const LimitNewsToRelay& told) {
+  handlers_.limits(told.message);
+  send_to(relays_.zone_members(), told.message);
 }
 
 void PeerChannel::tell_notice(const admission::BackendNotice& notice) {
-  tell_every_node(notice, admission::BackendNoticeToRelay{notice});
+  tell_every_node(notice);
 }
 
-void PeerChannel::take(const admission::BackendNoticeToRelay& told) {
-  handlers_.notice(told.notice);
-  send_to(relays_.zone_members(), told.notice);
+void PeerChannel::take(const BackendNoticeToRelay& told) {
+  handlers_.notice(told.message);
+  send_to(relays_.zone_members(), told.message);
 }
 
 void PeerChannel::tell_zone_crashes(const quarantine::CrashNews& news) {
--- a/src/gateway_node/peer_channel.h
+++ b/src/gateway_node/peer_channel.h
@@ -122,20 +122,20 @@
   void take(const ViewOffer& offer) { handlers_.offer(offer); }
   void take(const usage::UsageReport& report) { handlers_.usage(report); }
   void take(const quarantine::CrashNews& news) { handlers_.crashes(news); }
-  void take(const quarantine::CrashNewsToRelay& told) { handlers_.crashes_to_relay(told.news); }
+  void take(const CrashNewsToRelay& told) { handlers_.crashes_to_relay(told.message); }
   void take(const quarantine::HorizonRequest& told) { handlers_.horizon_request(told); }
   void take(const quarantine::HorizonReport& told) { handlers_.horizon_report(told); }
-  void take(const peer_load::ReportToRelay& told);
+  void take(const ReportToRelay& told);
   void take(const peer_load::RelayedReport& told) { handlers_.relayed_work(told.sums); }
   void take(const UpdateToRelay& told);
   void take(const NodeLeaving& told) { handlers_.leaving(told); }
   void take(const NodeLeavingToRelay& told);
   void take(const rate_limit::LimitNews& told) { handlers_.limits(told); }
-  void take(const rate_limit::LimitNewsToRelay& told);
+  void take(const LimitNewsToRelay& told);
   void take(const rate_limit::PermitRequest& told) { handlers_.permit_request(told); }
   void take(const rate_limit::PermitReply& told) { handlers_.permit_reply(told); }
   void take(const admission::BackendNotice& told) { handlers_.notice(told); }
-  void take(const admission::BackendNoticeToRelay& told);
+  void take(const BackendNoticeToRelay& told);
   template <int kPlace>
   void take(const FormerMessage<kPlace>& /*told*/) {}
 
@@ -152,8 +152,8 @@
   /// To every node, or in a large fleet to the relays alone.
   void tell_every_relay(const PeerMessage& message);
   /// In a large fleet by relays, which take `to_relay` and pass `message` on to their zones.
-  template <class Message, class ToRelay>
-  void tell_every_node(const Message& message, const ToRelay& to_relay);
+  template <class Message>
+  void tell_every_node(const Message& message);
   void send_encoded(const Nodes& nodes, std::size_t kind, std::string_view bytes);
   void send_bytes(const discovery::NodeRecord& to, std::size_t kind, std::string_view bytes);
 
--- a/src/gateway_node/peer_message.h
+++ b/src/gateway_node/peer_message.h
@@ -36,25 +36,23 @@
   }
 };
 
-/// For a relay to pass on to the nodes of its zone as it stands.
-struct NodeLeavingToRelay {
-  NodeLeaving leaving;
+/// For a relay to pass on to the nodes of its zone.
+template <class Message>
+struct ToRelay {
+  Message message;
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& leaving;
+    archive& message;
   }
 };
 
-/// For a relay to pass on to the nodes of its zone as it stands.
-struct UpdateToRelay {
-  discovery::ViewUpdate update;
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& update;
-  }
-};
+using ReportToRelay = ToRelay<peer_load::WorkReport>;
+using CrashNewsToRelay = ToRelay<quarantine::CrashNews>;
+using UpdateToRelay = ToRelay<discovery::ViewUpdate>;
+using NodeLeavingToRelay = ToRelay<NodeLeaving>;
+using LimitNewsToRelay = ToRelay<rate_limit::LimitNews>;
+using BackendNoticeToRelay = ToRelay<admission::BackendNotice>;
 
 /// In the place of a message that nodes of earlier builds send and this build does not read: their
 /// revisions name no life of the store. It is never sent, and taken for no message when it comes.
@@ -69,12 +67,12 @@
 /// form changes gets a new place at the end.
 using PeerMessage =
     std::variant<peer_load::WorkReport, FormerMessage<1>, peer_load::PartsRequest, ViewOffer,
-                 peer_load::ReportToRelay, peer_load::RelayedReport, FormerMessage<6>,
-                 usage::UsageReport, quarantine::CrashNews, quarantine::CrashNewsToRelay,
-                 discovery::ViewUpdate, UpdateToRelay, NodeLeaving, NodeLeavingToRelay,
-                 rate_limit::LimitNews, rate_limit::LimitNewsToRelay, rate_limit::PermitRequest,
-                 rate_limit::PermitReply, admission::BackendNotice, admission::BackendNoticeToRelay,
-                 quarantine::HorizonRequest, quarantine::HorizonReport, discovery::PositionNews>;
+                 ReportToRelay, peer_load::RelayedReport, FormerMessage<6>, usage::UsageReport,
+                 quarantine::CrashNews, CrashNewsToRelay, discovery::ViewUpdate, UpdateToRelay,
+                 NodeLeaving, NodeLeavingToRelay, rate_limit::LimitNews, LimitNewsToRelay,
+                 rate_limit::PermitRequest, rate_limit::PermitReply, admission::BackendNotice,
+                 BackendNoticeToRelay, quarantine::HorizonRequest, quarantine::HorizonReport,
+                 discovery::PositionNews>;
 
 /// Names of the alternatives, in order, for metrics.
 constexpr std::array<const char*, std::variant_size_v<PeerMessage>> kPeerMessageNames{
--- a/src/peer_load/types.h
+++ b/src/peer_load/types.h
@@ -60,16 +60,6 @@
   }
 };
 
-/// A node's own work, for a relay to pass on.
-struct ReportToRelay {
-  WorkReport report;
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& report;
-  }
-};
-
 /// Sums over all nodes that have reported to a relay, and what else they told since its last.
 struct RelayedReport {
   WorkReport sums;
--- a/src/quarantine/types.h
+++ b/src/quarantine/types.h
@@ -84,14 +84,4 @@
   }
 };
 
-/// For a relay, which tells the nodes of its zone.
-struct CrashNewsToRelay {
-  CrashNews news;
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& news;
-  }
-};
-
 }  // namespace ochrespring::quarantine
--- a/src/rate_limit/types.h
+++ b/src/rate_limit/types.h
@@ -39,16 +39,6 @@
   }
 };
 
-/// For a relay to pass on to the nodes of its zone as it stands.
-struct LimitNewsToRelay {
-  LimitNews news;
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& news;
-  }
-};
-
 /// Asks the coordinator of a limited back end for leave to send one request there.
 struct PermitRequest {
   NodeId node;
