A node that starts is not told of servers that the store shows as draining

Test: "a node that starts is not told of what the store itself shows" fails before (2 notices in place of 1) and passes.

--- a/src/admission/admission_control.cc
+++ b/src/admission/admission_control.cc
@@ -152,7 +152,9 @@
 
 void AdmissionControl::tell_all(const std::function<void(const BackendNotice&)>& send) const {
   for (const gateway::BackendId& backend : world_.fleet.leaving()) {
-    if (world_.fleet.find(backend) != nullptr) {
+    const gateway::Backend* known = world_.fleet.find(backend);
+    // The store tells of those that are draining there.
+    if (known != nullptr && !known->draining) {
       send({.backend = backend, .leaving = true, .backoff = {}});
     }
   }
--- a/src/admission/tests/admission_control_test.cc
+++ b/src/admission/tests/admission_control_test.cc
@@ -189,3 +189,16 @@
   CHECK_FALSE(fleet.is_leaving(gateway::BackendId("a@1")));
   CHECK(admission.statistics().backoffs_unreadable == 1);
 }
+
+// In a large release each node that started was sent a notice for every server that drained.
+TEST_CASE("a node that starts is not told of what the store itself shows") {
+  AdmissionFixture world;
+  world.hear_leaving("a@1");
+  gateway::Backend draining = *world.fleet.find(gateway::BackendId("b@1"));
+  draining.draining = true;
+  world.fleet.put(draining);
+  std::vector<BackendNotice> sent;
+  world.admission.tell_all([&](const BackendNotice& notice) { sent.push_back(notice); });
+  REQUIRE(sent.size() == 1);
+  CHECK(sent[0].backend.value() == "a@1");
+}
