The log tells why a request was not sent once more

Change: `not_sent_again` on that line: attempts of the route, retry budget, no time left, nobody else with room, may have run, trial. Nothing else changes. Test: "the log tells why a request was not sent once more", new.

--- a/src/gateway/request_log.cc
+++ b/src/gateway/request_log.cc
@@ -41,6 +41,7 @@
                           {"service", end.service},
                           {"tenant", tenant_name()},
                           {"outcome", end.outcome},
+                          {"not_sent_again", end.not_sent_again},
                           {"attempts", end.attempts},
                           {"configuration", end.configuration},
                           {"most_output_tokens", end.most_output_tokens},
--- a/src/gateway/request_log.h
+++ b/src/gateway/request_log.h
@@ -44,6 +44,7 @@
     std::string fingerprint;  ///< Empty: nobody needed it.
     std::string service;
     std::string outcome;
+    std::string not_sent_again;  ///< What stood against one more send; empty: nothing did.
     std::uint64_t attempts = 0;
     std::uint64_t configuration = 0;
     std::uint64_t most_output_tokens = 0;
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -571,8 +571,12 @@
 void RequestSession::retry_or_give_up(FailureReason reason) {
   const bool allowed = reason == FailureReason::kRefused ? !may_have_run_ || route_.repeatable()
                                                          : route_.repeatable();
+  if (!allowed) {
+    not_sent_again_ = "may have run";
+  }
   // A repeat that could go nowhere would be taken out of the budget for nothing.
   if (allowed && is_closed_everywhere(false)) {
+    not_sent_again_ = "nobody else has room";
     give_up(reason == FailureReason::kRefused ? reason_of_no_backend(environment_.clock.now())
                                               : reason);
     return;
@@ -589,7 +593,21 @@
 
 /// Takes one more send out of the route's attempts and the budget.
 bool RequestSession::may_send_again() {
-  return !trial_ && sends_ < route_.most_attempts && time_left() >= kLeastTime && spend_repeat();
+  not_sent_again_ = obstacle_to_repeat();
+  return not_sent_again_.empty();
+}
+
+std::string_view RequestSession::obstacle_to_repeat() {
+  if (trial_) {
+    return "trial";
+  }
+  if (sends_ >= route_.most_attempts) {
+    return "attempts of the route";
+  }
+  if (time_left() < kLeastTime) {
+    return "no time left";
+  }
+  return spend_repeat() ? "" : "retry budget";
 }
 
 bool RequestSession::spend_repeat() {
@@ -771,6 +789,7 @@
   log_.note_end({.fingerprint = fingerprint_ ? fingerprint_->to_hex() : "",
                  .service = service_.value(),
                  .outcome = std::string(outcome),
+                 .not_sent_again = std::string(not_sent_again_),
                  .attempts = static_cast<std::uint64_t>(sends_ + unreachable_),
                  .configuration = routes_->configuration().version.value(),
                  .most_output_tokens = prompt_ ? prompt_->output_tokens : 0},
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -95,6 +95,8 @@
   void note_run(Duration ago);
   void release_cache();
   bool may_send_again();
+  /// What stands against one more send; empty: nothing. Takes it out of the budget.
+  std::string_view obstacle_to_repeat();
   bool spend_repeat();
   void on_withdrawn();
   void retry_or_give_up(FailureReason reason);
@@ -148,6 +150,7 @@
   bool read_apart_ = false;        ///< A prefill engine was asked; once is enough.
   bool trial_ = false;             ///< In quarantine, but granted one send.
   bool may_have_run_ = false;
+  std::string_view not_sent_again_;  ///< Why not, after the last attempt; empty: no need.
   bool run_noted_ = false;
   bool answer_open_ = false;  ///< The caller has the head.
   /// A back end's own failure, for a caller who would get none of a server's answers otherwise.
--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -130,6 +130,23 @@
   }
 };
 
+/// Keeps how requests ended.
+class EndLogger final : public logging::Logger {
+ public:
+  void write(const logging::Record& record) override {
+    if (record.message != "request ended") {
+      return;
+    }
+    for (const logging::Field& field : record.fields) {
+      if (field.name == "not_sent_again") {
+        not_sent_again.push_back(std::get<std::string>(field.value));
+      }
+    }
+  }
+
+  std::vector<std::string> not_sent_again;
+};
+
 /// One gateway with routes `/idempotent/`, `/once/`, `/stream/` and `/resumable/` of host `h`, and
 /// an engine service `llm` beside the ordinary service `relay`.
 struct GatewayFixture {
@@ -144,7 +161,7 @@
   HeaderNames names;
   PlayedEngineCalls engines;
   GatewayStatistics statistics;
-  logging::NullLogger logger;
+  EndLogger logger;
   bool store_answers = true;
   Gateway gateway{environment(), [this](auto done) { done(store_answers); }};
 
--- a/src/gateway/tests/request_session_test.cc
+++ b/src/gateway/tests/request_session_test.cc
@@ -430,3 +430,24 @@
     last().answer(200, {signature()}, "ok");
   }
 }
+
+// Refusals beside servers with room could not be explained from the log.
+TEST_CASE("the log tells why a request was not sent once more") {
+  GatewayFixture world;
+  world.add_backend("b1", "relay");
+  world.add_backend("b2", "relay");
+  const auto refuse = [&] { world.last().answer(503, {{world.names.not_run, "1"}}, ""); };
+  world.send("/once/x");
+  refuse();
+  CHECK(world.logger.not_sent_again.back() == "attempts of the route");
+  world.send("/once-twice/x");
+  world.last().fail(http::HttpErrc::kReset, true);
+  CHECK(world.logger.not_sent_again.back() == "may have run");
+  world.budget.set({0.0, 0, std::chrono::seconds(10)});
+  world.send("/once-twice/x");
+  refuse();
+  CHECK(world.logger.not_sent_again.back() == "retry budget");
+  world.send("/idempotent/x");
+  world.last().answer(200, {world.signature()}, "answer");
+  CHECK(world.logger.not_sent_again.back().empty());
+}
