Nodes ask any zone how far back the fleet's knowledge reaches

What callers would see: after a zone's nodes were all killed while the store was out, that zone's nodes knew of no request that ends its servers, and held their ledgers for incomplete for 10 min. Cause: a node asks those of its own zone, who had all started with it. Change: the question that is repeated every 5 s goes to any node. Besides, from reading the change: an age below zero counts as none, and a position of revision zero, before which nothing is, is passed over.

--- a/src/discovery/view_writer.cc
+++ b/src/discovery/view_writer.cc
@@ -197,7 +197,8 @@
   if (known && known->revision == told.revision) {
     return *known == told;
   }
-  if (!seen_ || told.revision >= *seen_) {
+  const bool is_place = told.revision.value() != 0;
+  if (is_place && (!seen_ || told.revision >= *seen_)) {
     told_position_ = told;
   }
   return true;
--- a/src/gateway_node/peer_news.cc
+++ b/src/gateway_node/peer_news.cc
@@ -1,5 +1,6 @@
 #include "gateway_node/peer_news.h"
 
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -181,12 +182,15 @@
   }
 }
 
+/// Of any zone: all nodes of one may have started at once.
 void PeerNews::ask_for_horizon() {
-  const std::vector<discovery::NodeRecord> peers = channel_.near_nodes();
-  if (!peers.empty()) {
-    const std::size_t chosen = world_.random.below(peers.size());
-    channel_.send(peers[chosen].peer_address, quarantine::HorizonRequest{options_.peer_address});
+  const auto& others = world_.nodes.others();
+  if (others.empty()) {
+    return;
   }
+  const auto chosen =
+      std::next(others.begin(), static_cast<std::ptrdiff_t>(world_.random.below(others.size())));
+  channel_.send(chosen->second.peer_address, quarantine::HorizonRequest{options_.peer_address});
 }
 
 void PeerNews::ask_for_parts() {
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -55,7 +55,6 @@
 
   /// Nothing is held against any request.
   bool empty() const { return entries_.empty(); }
-  std::size_t size() const { return entries_.size(); }
   bool knows(const Request& request) const { return entries_.contains(request); }
   std::size_t count(Standing standing) const;
   /// Requests of a standing.
--- a/src/quarantine/ledger_horizon.cc
+++ b/src/quarantine/ledger_horizon.cc
@@ -3,7 +3,7 @@
 namespace ochrespring::quarantine {
 
 void LedgerHorizon::take(const HorizonReport& told, MonotonicTime now) {
-  const MonotonicTime since = now - std::min(told.age, needed_);
+  const MonotonicTime since = now - std::clamp(told.age, Duration::zero(), needed_);
   const bool reaches_far_enough = told.age >= needed_;
   if (!told_ || reaches_far_enough || since < told_->since) {
     told_ = Told{.since = since, .requests = told.requests};
