--- /dev/null
+++ b/src/gateway_node/tests/http2_caller.h
@@ -0,0 +1,124 @@
+// A caller that speaks HTTP/2 without TLS, frame by frame.
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "gateway_node/tests/stopping_node.h"
+
+namespace ochrespring::gateway_node::testing {
+
+/// One connection with one request on it. Takes answers of any size at once, but reads only when
+/// asked.
+class Http2Caller {
+ public:
+  explicit Http2Caller(const Endpoint& address) : connection_(address) {
+    connection_.send("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + frame(kSettings, 0, 0, largest_window()) +
+                     frame(kWindowUpdate, 0, 0, number(kWindow, 4)));
+  }
+
+  /// `body` empty: a whole request, else its head and the first bytes of its body.
+  void send(std::string_view method, std::string_view path, std::string_view body = {}) {
+    std::string block;
+    for (const auto& [name, value] :
+         std::initializer_list<std::pair<std::string, std::string_view>>{{":method", method},
+                                                                         {":scheme", "http"},
+                                                                         {":path", path},
+                                                                         {":authority", "h"},
+                                                                         {"x-request-id", "r1"}}) {
+      block += '\0' + text(name) + text(value);
+    }
+    connection_.send(
+        frame(kHeaders, kEndHeaders | (body.empty() ? kEndStream : 0), kStream, block));
+    if (!body.empty()) {
+      connection_.send(frame(kData, 0, kStream, body));
+    }
+  }
+  void send_rest(std::string_view body) {
+    connection_.send(frame(kData, kEndStream, kStream, body));
+  }
+
+  /// Reads what has come.
+  struct Answer {
+    std::string body;
+    bool head = false;      ///< Has come.
+    bool success = false;   ///< With the status 200.
+    bool complete = false;  ///< Its end has come, and was no reset.
+  };
+  Answer receive() {
+    Answer answer;
+    std::string_view bytes = connection_.receive();
+    while (bytes.size() >= kHeadBytes && bytes.size() >= kHeadBytes + size_of(bytes)) {
+      take(bytes, answer);
+      bytes.remove_prefix(kHeadBytes + size_of(bytes));
+    }
+    return answer;
+  }
+
+ private:
+  static constexpr std::size_t kHeadBytes = 9;
+  static constexpr std::uint8_t kData = 0;
+  static constexpr std::uint8_t kHeaders = 1;
+  static constexpr std::uint8_t kSettings = 4;
+  static constexpr std::uint8_t kWindowUpdate = 8;
+  static constexpr std::uint8_t kEndStream = 1;
+  static constexpr std::uint8_t kEndHeaders = 4;
+  static constexpr std::uint32_t kStream = 1;
+  static constexpr std::uint32_t kWindow = 1U << 30U;
+  /// ":status: 200" of HPACK's static table.
+  static constexpr char kStatus200 = '\x88';
+
+  static std::string number(std::uint32_t value, int bytes) {
+    std::string written;
+    while (bytes-- > 0) {
+      written += static_cast<char>(value >> static_cast<unsigned>(8 * bytes));
+    }
+    return written;
+  }
+  static std::string frame(std::uint8_t type, int flags, std::uint32_t stream,
+                           std::string_view payload) {
+    std::string written = number(static_cast<std::uint32_t>(payload.size()), 3);
+    written += static_cast<char>(type);
+    written += static_cast<char>(flags);
+    written += number(stream, 4);
+    written += payload;
+    return written;
+  }
+  static std::string largest_window() {
+    constexpr std::uint32_t kInitialWindowSize = 4;
+    return number(kInitialWindowSize, 2) + number(kWindow, 4);
+  }
+  /// Without Huffman coding; shorter than 127 bytes.
+  static std::string text(std::string_view value) {
+    return static_cast<char>(value.size()) + std::string(value);
+  }
+  static std::size_t size_of(std::string_view frame) {
+    std::size_t size = 0;
+    for (const char byte : frame.substr(0, 3)) {
+      size = size << 8U | static_cast<std::uint8_t>(byte);
+    }
+    return size;
+  }
+  static void take(std::string_view bytes, Answer& answer) {
+    const auto type = static_cast<std::uint8_t>(bytes[3]);
+    const auto flags = static_cast<std::uint8_t>(bytes[4]);
+    const std::string_view payload = bytes.substr(kHeadBytes, size_of(bytes));
+    if (type != kData && type != kHeaders) {
+      return;
+    }
+    if (type == kHeaders) {
+      answer.head = true;
+      answer.success = payload.starts_with(kStatus200);
+    } else {
+      answer.body += payload;
+    }
+    answer.complete = answer.complete || (flags & kEndStream) != 0;
+  }
+
+  RawCaller connection_;
+};
+
+}  // namespace ochrespring::gateway_node::testing
