A node is told of a horizon only if it reaches farther back than its own

What operators would see: after all nodes of a large fleet were killed, each told another everything it held against requests every 5 s for 10 min, up to some hundred KB a time, and nobody learnt anything. Cause: the question did not say what the asker knew. Change: it names how far back the asker's ledger reaches, and is answered only if the other's reaches 1 s farther. Test: "nodes that have all been killed do not tell each other everything again and again", new in lost_memory.

--- a/src/gateway_node/peer_news.cc
+++ b/src/gateway_node/peer_news.cc
@@ -16,6 +16,9 @@
 constexpr Duration kLeavingPause = std::chrono::milliseconds(300);
 /// How many others a node that starts asks what engines keep; any of them may be starting, too.
 constexpr std::size_t kPeersAsked = 3;
+/// A horizon that reaches back by less than this farther is not told: nodes that were all killed
+/// start within a moment, and would tell each other all they know again and again.
+constexpr Duration kHorizonGain = std::chrono::seconds(1);
 
 /// Whoever takes a kind of news says so once it is there; until then it is left alone.
 template <class Message>
@@ -97,8 +100,7 @@
       .crashes = [this](const quarantine::CrashNews& news) { call_if_set(crashes_.take, news); },
       .crashes_to_relay =
           [this](const quarantine::CrashNews& news) { call_if_set(crashes_.take_to_relay, news); },
-      .horizon_request =
-          [this](const quarantine::HorizonRequest& request) { tell_all_crashes(request.reply_to); },
+      .horizon_request = [this](const quarantine::HorizonRequest& request) { answer(request); },
       .horizon_report =
           [this](const quarantine::HorizonReport& told) {
             call_if_set(crashes_.take_horizon, told);
@@ -182,6 +184,12 @@
   }
 }
 
+void PeerNews::answer(const quarantine::HorizonRequest& request) {
+  if (crashes_.horizon && crashes_.horizon().age - kHorizonGain > request.age) {
+    tell_all_crashes(request.reply_to);
+  }
+}
+
 /// Of any zone: all nodes of one may have started at once.
 void PeerNews::ask_for_horizon() {
   const auto& others = world_.nodes.others();
@@ -190,7 +198,8 @@
   }
   const auto chosen =
       std::next(others.begin(), static_cast<std::ptrdiff_t>(world_.random.below(others.size())));
-  channel_.send(chosen->second.peer_address, quarantine::HorizonRequest{options_.peer_address});
+  channel_.send(chosen->second.peer_address,
+                quarantine::HorizonRequest{options_.peer_address, crashes_.horizon().age});
 }
 
 void PeerNews::ask_for_parts() {
--- a/src/gateway_node/peer_news.h
+++ b/src/gateway_node/peer_news.h
@@ -117,6 +117,7 @@
   void take_observations(const peer_load::WorkReport& report, MonotonicTime now);
   void tell_parts(const peer_load::PartsRequest& request);
   void tell_all_crashes(const Endpoint& to);
+  void answer(const quarantine::HorizonRequest& request);
   void offer_view();
   /// Work of all nodes, this one included, that have told this one.
   gateway::EngineWorkload work_of_all(const gateway::BackendId& engine) const;
--- a/src/gateway_node/tests/lost_memory_test.cc
+++ b/src/gateway_node/tests/lost_memory_test.cc
@@ -6,6 +6,7 @@
 #include "gateway_node/tests/crash_fleet.h"
 
 using namespace ochrespring;
+using namespace ochrespring::gateway_node;
 using namespace ochrespring::gateway_node::testing;
 using namespace std::chrono_literals;
 
@@ -67,6 +68,27 @@
   }
 }
 
+// Each node asks another every few seconds while it is incomplete; where none can help, all would
+// be told over and over what they know.
+TEST_CASE("nodes that have all been killed do not tell each other everything again and again") {
+  CrashFleet fleet({});
+  restart_all(fleet);
+  fleet.guilty = {"guilty"};
+  fleet.repeat("/once/x", "guilty", 700ms, 1s);
+  fleet.advance(10s);
+  const std::size_t reports = PeerMessage(quarantine::HorizonReport()).index();
+  const auto told = [&] {
+    std::uint64_t sum = 0;
+    for (const auto& node : fleet.nodes) {
+      sum += node->news.channel().traffic(reports).datagrams;
+    }
+    return sum;
+  };
+  const std::uint64_t before = told();
+  fleet.advance(60s);
+  CHECK(told() == before);
+}
+
 // Nodes asked only those of their own zone, who had all started with them.
 TEST_CASE("a zone that was killed as a whole learns it from the others") {
   CrashFleet fleet({});
--- a/src/quarantine/types.h
+++ b/src/quarantine/types.h
@@ -61,13 +61,15 @@
   }
 };
 
-/// Asks a node for all that it knows, and how far back that reaches.
+/// Asks a node for all that it knows, if that reaches farther back than what the asker knows.
 struct HorizonRequest {
   Endpoint reply_to;
+  Duration age{};  ///< Of the asker's horizon.
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
     archive& reply_to;
+    archive& age;
   }
 };
 
