--- a/src/quarantine/crash_announcer.cc
+++ b/src/quarantine/crash_announcer.cc
@@ -25,7 +25,7 @@
                                CrashAnnouncerOptions options, Send send)
     : clock_(clock),
       ledger_(ledger),
-      options_(options),
+      options_(std::move(options)),
       send_(std::move(send)),
       gather_timer_(timers),
       repeat_timer_(timers),
