After a failed look all recent changes are compared, not the newest alone

Cause: a store that names no era was recognized by the newest change known. Change: nodes keep spans of the store's history (first and last number, digest of the changes between), their own and those others tell. If the newest change still stands after a failed look, the look asks once more from the oldest span of the last 15 s and compares. Nothing is kept or told where the store names its era.

--- a/src/discovery/fleet_watcher.cc
+++ b/src/discovery/fleet_watcher.cc
@@ -200,9 +200,9 @@
 
 void FleetWatcher::ask_for_changes(const std::optional<shared_store::StorePosition>& known) {
   const shared_store::StoreRevision after = known ? known->before() : *writer_.seen();
-  world_.store.changes(kEverything, after, Duration::zero(), [this, known](auto result) {
+  world_.store.changes(kEverything, after, Duration::zero(), [this, known, after](auto result) {
     if (result) {
-      take_changes(known, result.value());
+      take_changes(known, after, result.value());
     } else if (result.error().code != shared_store::StoreErrc::kHistoryGone) {
       look_ended(LookResult::kStoreLost, look_began_, result.error().message);
     } else if (known && !may_be_another_life()) {
@@ -221,30 +221,75 @@
 }
 
 void FleetWatcher::take_changes(const std::optional<shared_store::StorePosition>& known,
+                                shared_store::StoreRevision after,
                                 const shared_store::Changes& changes) {
-  if (life_.check(known, changes.changes) == shared_store::PositionCheck::kOther) {
-    begin_life(*known);
+  const bool unsure = may_be_another_life();
+  const shared_store::PositionCheck newest = life_.check(known, changes.changes);
+  history_.trim(world_.clock.now(), *writer_.seen());
+  if (newest == shared_store::PositionCheck::kOther ||
+      history_.contradicts(after, changes.changes)) {
+    begin_life();
     return;
   }
+  const auto begin = history_.begin();
+  if (unsure && newest == shared_store::PositionCheck::kSame && begin && *begin < after) {
+    compare_history(*begin);
+    return;
+  }
+  take_known_life(after, changes);
+}
+
+/// A store that has counted on may hold just the newest change again behind others than before.
+void FleetWatcher::compare_history(shared_store::StoreRevision begin) {
+  world_.store.changes(kEverything, begin, Duration::zero(), [this, begin](auto result) {
+    if (result) {
+      if (history_.contradicts(begin, result.value().changes)) {
+        begin_life();
+      } else {
+        take_known_life(begin, result.value());
+      }
+    } else if (result.error().code == shared_store::StoreErrc::kHistoryGone) {
+      list_all();
+    } else {
+      look_ended(LookResult::kStoreLost, look_began_, result.error().message);
+    }
+  });
+}
+
+void FleetWatcher::take_known_life(shared_store::StoreRevision after,
+                                   const shared_store::Changes& changes) {
   if (relist_ || may_be_another_life()) {
     // The view lacks something, or nothing tells whether it does.
     list_all();
     return;
   }
+  note_history(after, changes);
   writer_.take_changes(changes);
   share_look();
   look_ended(LookResult::kCurrent, look_began_, "");
 }
 
+/// An answer without new changes covers nothing that an earlier span does not, and a store that
+/// names its era is known by that.
+void FleetWatcher::note_history(shared_store::StoreRevision after,
+                                const shared_store::Changes& changes) {
+  found_ = shared_store::span_of(after, changes.changes);
+  if (found_ && found_->through > *writer_.seen() && !world_.store.names_era()) {
+    history_.note(*found_, world_.clock.now());
+  } else {
+    found_.reset();
+  }
+}
+
 /// The store has come back from an older copy and counted past what was known, without saying so.
-void FleetWatcher::begin_life(const shared_store::StorePosition& known) {
+void FleetWatcher::begin_life() {
+  const shared_store::StoreRevision seen = *writer_.seen();
   ++statistics_.lives_found;
-  world_.logger.write(
-      {logging::Level::kWarning,
-       kComponent,
-       "store holds another change than was known",
-       {{"era", known.revision.era().value()}, {"revision", known.revision.value()}}});
-  world_.store.begin_life_after(known.revision.era());
+  world_.logger.write({logging::Level::kWarning,
+                       kComponent,
+                       "store holds another change than was known",
+                       {{"era", seen.era().value()}, {"revision", seen.value()}}});
+  world_.store.begin_life_after(seen.era());
   list_all();
 }
 
@@ -316,6 +361,9 @@
     shared_position_ = known;
     share_position_({*known});
   }
+  if (share_history_ && found_) {
+    share_history_({*std::exchange(found_, std::nullopt)});
+  }
 }
 
 /// Where two nodes know different changes at one place one of them has seen another life of the
--- a/src/discovery/fleet_watcher.h
+++ b/src/discovery/fleet_watcher.h
@@ -11,6 +11,7 @@
 #include "base/timer.h"
 #include "discovery/fleet_codec.h"
 #include "discovery/fleet_lister.h"
+#include "discovery/known_history.h"
 #include "discovery/life_check.h"
 #include "discovery/look_schedule.h"
 #include "discovery/node_directory.h"
@@ -56,7 +57,9 @@
 ///
 /// A look asks for the newest change that is known, too: if another one stands in its place, the
 /// store has come back from an older copy and counted on. Where that change is not known, or has
-/// been forgotten, a store that was out meanwhile is listed anew.
+/// been forgotten, a store that was out meanwhile is listed anew. After a look that failed all
+/// changes known of the last seconds are asked for and compared, unless the store names its era:
+/// one that has counted on may hold just the newest change again.
 ///
 /// The configuration is small and read alone where the rest takes long. One loop.
 class FleetWatcher {
@@ -112,6 +115,12 @@
   }
   /// Another node has told of the place up to which its look has come.
   void take_position(const PositionNews& told);
+  /// Called, behind on_position(), with the changes that this node's look has found.
+  void on_history(std::function<void(const HistoryNews&)> callback) {
+    share_history_ = std::move(callback);
+  }
+  /// Another node has told of the changes that its look has found.
+  void take_history(const HistoryNews& told) { history_.note(told.span, world_.clock.now()); }
   /// Called when the view is the first one of a later life of the store: what this node wrote there
   /// may be lost.
   void on_new_era(std::function<void()> callback) { new_era_ = std::move(callback); }
@@ -143,8 +152,12 @@
   void read_changes();
   void ask_for_changes(const std::optional<shared_store::StorePosition>& known);
   void take_changes(const std::optional<shared_store::StorePosition>& known,
-                    const shared_store::Changes& changes);
-  void begin_life(const shared_store::StorePosition& known);
+                    shared_store::StoreRevision after, const shared_store::Changes& changes);
+  void compare_history(shared_store::StoreRevision begin);
+  /// `changes`: all after `after`, of the life that the view is of as far as anything tells.
+  void take_known_life(shared_store::StoreRevision after, const shared_store::Changes& changes);
+  void note_history(shared_store::StoreRevision after, const shared_store::Changes& changes);
+  void begin_life();
   void forget_position();
   /// Whether nothing tells that the store which answers is the one that the view is of.
   bool may_be_another_life() const { return life_.is_pending() && !world_.store.names_era(); }
@@ -195,6 +208,8 @@
   bool look_is_slow_ = false;  ///< Somebody has waited for it for as long as anybody does.
   bool relist_ = false;        ///< The view is wrong: the next look lists.
   LifeCheck life_;
+  KnownHistory history_;
+  std::optional<shared_store::HistorySpan> found_;  ///< By the last look, until it is told.
   std::optional<shared_store::StorePosition>
       shared_position_;  ///< The last that was told or heard.
   bool asking_peer_ = false;
@@ -209,6 +224,7 @@
   std::function<void()> first_listing_;
   std::function<void(const ViewUpdate&)> share_;
   std::function<void(const PositionNews&)> share_position_;
+  std::function<void(const HistoryNews&)> share_history_;
   std::function<void(bool)> store_state_;
   std::function<void(TransferCallback)> ask_peer_;
   std::function<void(const ViewRequest&, TransferCallback)> fetch_view_;
--- /dev/null
+++ b/src/discovery/tests/known_history_test.cc
@@ -0,0 +1,82 @@
+// A look after an outage asks for enough to notice lost changes, and for no more than is bounded.
+#include "discovery/known_history.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+
+using namespace ochrespring;
+using namespace ochrespring::discovery;
+using namespace std::chrono_literals;
+using shared_store::Change;
+using shared_store::HistorySpan;
+using shared_store::StoreEra;
+using shared_store::StoreRevision;
+
+namespace {
+
+MonotonicTime at(Duration since_start) {
+  return MonotonicTime(since_start);
+}
+
+Change change_at(std::uint64_t revision, const std::string& value) {
+  return {.key = "k", .value = value, .revision = StoreRevision(revision)};
+}
+
+HistorySpan span(std::uint64_t after, std::uint64_t through) {
+  std::vector<Change> changes;
+  for (std::uint64_t i = after + 1; i <= through; ++i) {
+    changes.push_back(change_at(i, "v"));
+  }
+  return *shared_store::span_of(StoreRevision(after), changes);
+}
+
+}  // namespace
+
+TEST_CASE("a look begins where the oldest span does, and finds a change replaced in any of them") {
+  KnownHistory history;
+  CHECK_FALSE(history.begin());
+  history.note(span(6, 7), at(1s));
+  history.note(span(4, 6), at(2s));
+  CHECK(history.begin() == StoreRevision(4));
+  CHECK_FALSE(history.contradicts(StoreRevision(4),
+                                  {change_at(5, "v"), change_at(6, "v"), change_at(7, "v")}));
+  CHECK(history.contradicts(StoreRevision(4),
+                            {change_at(5, "w"), change_at(6, "v"), change_at(7, "v")}));
+}
+
+TEST_CASE("a span that begins before the look cannot be compared") {
+  KnownHistory history;
+  history.note(span(4, 6), at(1s));
+  CHECK_FALSE(history.contradicts(StoreRevision(5), {change_at(6, "v")}));
+}
+
+TEST_CASE("the store is not asked for more than it keeps, nor for more than an answer may hold") {
+  KnownHistory history;
+  history.note(span(4, 6), at(1s));
+  history.note(span(6, 8), at(10s));
+  history.trim(at(17s), StoreRevision(8));
+  CHECK(history.begin() == StoreRevision(6));
+  history.trim(at(17s), StoreRevision(5000));
+  CHECK_FALSE(history.begin());
+  for (std::uint64_t i = 0; i != 1000; ++i) {
+    history.note(span(i, i + 1), at(20s));
+  }
+  CHECK(history.begin() == StoreRevision(936));
+}
+
+TEST_CASE("spans of another life, and spans that cannot be, are not compared") {
+  KnownHistory history;
+  history.note({.after = StoreRevision(9), .through = StoreRevision(9), .digest = 1}, at(1s));
+  history.note({.after = StoreRevision(9), .through = StoreRevision(4), .digest = 1}, at(1s));
+  history.note({.after = StoreRevision(9), .through = StoreRevision(4, StoreEra(1)), .digest = 1},
+               at(1s));
+  CHECK_FALSE(history.begin());
+  history.note({.after = StoreRevision(1, StoreEra(1)),
+                .through = StoreRevision(3, StoreEra(1)),
+                .digest = 1},
+               at(1s));
+  CHECK_FALSE(history.contradicts(StoreRevision(0), {change_at(5, "v")}));
+  history.trim(at(1s), StoreRevision(5));
+  CHECK_FALSE(history.begin());
+}
--- a/src/discovery/view_update.h
+++ b/src/discovery/view_update.h
@@ -9,6 +9,7 @@
 #include "base/time.h"
 #include "discovery/node_record.h"
 #include "gateway/types.h"
+#include "shared_store/history_span.h"
 #include "shared_store/store.h"
 #include "shared_store/store_position.h"
 
@@ -87,4 +88,15 @@
   }
 };
 
+/// All that changed in the store between two looks of a node, by its digest: whoever has seen it
+/// can find out after an outage whether the store has lost any of it.
+struct HistoryNews {
+  shared_store::HistorySpan span;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& span;
+  }
+};
+
 }  // namespace ochrespring::discovery
--- a/src/gateway_node/peer_channel.h
+++ b/src/gateway_node/peer_channel.h
@@ -33,6 +33,7 @@
   /// `covered`, if given, is to be called once this node has seen as much as the update tells.
   std::function<void(const discovery::ViewUpdate&, std::function<void()> covered)> update;
   std::function<void(const discovery::PositionNews&)> position{};
+  std::function<void(const discovery::HistoryNews&)> history{};
   std::function<void(const peer_load::PartsRequest&)> parts_request;
   std::function<void(const ViewOffer&)> offer;
   std::function<void(const usage::UsageReport&)> usage;
@@ -83,6 +84,7 @@
   void tell_update(discovery::ViewUpdate update);
   /// To all that look at the store: every node, or in a large fleet every relay.
   void tell_position(const discovery::PositionNews& news) { tell_every_relay(news); }
+  void tell_history(const discovery::HistoryNews& news) { tell_every_relay(news); }
   void tell_offer(const ViewOffer& offer);
   /// To all that may come to hold the duties: every node, or in a large fleet every relay.
   void tell_usage(const usage::UsageReport& report) { tell_every_relay(report); }
@@ -118,6 +120,7 @@
   void take(const peer_load::WorkReport& report) { handlers_.work(report); }
   void take(const discovery::ViewUpdate& update) { handlers_.update(update, {}); }
   void take(const discovery::PositionNews& news) { handlers_.position(news); }
+  void take(const discovery::HistoryNews& news) { handlers_.history(news); }
   void take(const peer_load::PartsRequest& request) { handlers_.parts_request(request); }
   void take(const ViewOffer& offer) { handlers_.offer(offer); }
   void take(const usage::UsageReport& report) { handlers_.usage(report); }
--- a/src/gateway_node/peer_message.h
+++ b/src/gateway_node/peer_message.h
@@ -72,7 +72,7 @@
                  NodeLeaving, NodeLeavingToRelay, rate_limit::LimitNews, LimitNewsToRelay,
                  rate_limit::PermitRequest, rate_limit::PermitReply, admission::BackendNotice,
                  BackendNoticeToRelay, quarantine::HorizonRequest, quarantine::HorizonReport,
-                 discovery::PositionNews>;
+                 discovery::PositionNews, discovery::HistoryNews>;
 
 /// Names of the alternatives, in order, for metrics.
 constexpr std::array<const char*, std::variant_size_v<PeerMessage>> kPeerMessageNames{
@@ -98,6 +98,7 @@
     "backend_notice_to_relay",
     "horizon_request",
     "horizon_report",
-    "position_news"};
+    "position_news",
+    "history_news"};
 
 }  // namespace ochrespring::gateway_node
--- a/src/gateway_node/peer_news.cc
+++ b/src/gateway_node/peer_news.cc
@@ -57,6 +57,8 @@
       [this](const discovery::ViewUpdate& update) { channel_.tell_update(update); });
   world_.watcher.on_position(
       [this](const discovery::PositionNews& news) { channel_.tell_position(news); });
+  world_.watcher.on_history(
+      [this](const discovery::HistoryNews& news) { channel_.tell_history(news); });
 }
 
 void PeerNews::listen_to_loads() {
@@ -94,6 +96,7 @@
           },
       .position =
           [this](const discovery::PositionNews& news) { world_.watcher.take_position(news); },
+      .history = [this](const discovery::HistoryNews& news) { world_.watcher.take_history(news); },
       .parts_request = [this](const peer_load::PartsRequest& request) { tell_parts(request); },
       .offer = [this](const ViewOffer& offer) { on_offer_(offer.view_address); },
       .usage = [this](const usage::UsageReport& report) { call_if_set(usage_, report); },
--- a/src/gateway_node/tests/compatibility_test.cc
+++ b/src/gateway_node/tests/compatibility_test.cc
@@ -118,6 +118,18 @@
   CHECK(std::get<quarantine::HorizonReport>(report.value()).age == std::chrono::seconds(600));
 }
 
+TEST_CASE("history news is read and written as when it was new") {
+  const auto corpus = read_corpus(HISTORY_NEWS);
+  REQUIRE(corpus.size() == 1);
+  CHECK(is_same<PeerMessage>(corpus.at("history_news")));
+  const auto news = wire::decode<PeerMessage>(corpus.at("history_news"));
+  REQUIRE(news);
+  CHECK(std::get<discovery::HistoryNews>(news.value()).span ==
+        shared_store::HistorySpan{.after = shared_store::StoreRevision(510),
+                                  .through = shared_store::StoreRevision(514),
+                                  .digest = 77});
+}
+
 TEST_CASE("records in the store are read and written as the build before has them") {
   const auto corpus = read_corpus();
   CHECK(is_same<discovery::NodeRecord>(corpus.at("node_record")));
@@ -141,6 +153,8 @@
   constexpr std::size_t kKindsBeforeHorizons = 20;
   CHECK(PeerMessage(quarantine::HorizonRequest()).index() == kKindsBeforeHorizons);
   CHECK(PeerMessage(discovery::PositionNews()).index() == kKindsBeforeHorizons + 2);
+  constexpr std::size_t kKindsBeforeHistory = 23;
+  CHECK(PeerMessage(discovery::HistoryNews()).index() == kKindsBeforeHistory);
 }
 
 TEST_CASE("kinds of builds to come, and bytes behind a known one, are left alone") {
--- a/src/gateway_node/tests/large_fleet.h
+++ b/src/gateway_node/tests/large_fleet.h
@@ -160,6 +160,7 @@
                  shared_store::StoreCallback<shared_store::LeaseId>) override {}
   void hear_of(shared_store::StoreRevision revision) override { eras_.hear_of(revision); }
   void begin_life_after(shared_store::StoreEra ended) override { eras_.begin_life_after(ended); }
+  bool names_era() const override { return state_.names_era; }
 
  private:
   using Revision = shared_store::StoreRevision;
