--- a/src/gateway/header_names.h
+++ b/src/gateway/header_names.h
@@ -21,12 +21,16 @@
   std::string leaving = "x-ochrespring-leaving";            ///< `1`: the back end ends soon.
   std::string prompt_parts = "x-ochrespring-prompt-parts";  ///< ID:TOKENS, joined by commas.
   std::string token_counts = "x-ochrespring-token-counts";  ///< Prompt and most output.
-  std::string priority = "x-ochrespring-priority";          ///< 0 to 9, 0 first.
+  /// The caller's estimate of the output in tokens, right at the median and often far off.
+  std::string output_estimate = "x-ochrespring-output-estimate";
+  std::string priority = "x-ochrespring-priority";  ///< 0 to 9, 0 first.
   std::string phase = "x-ochrespring-phase";
   std::string phase_prefill = "prefill";  ///< Value of `phase`: read the prompt, do not run.
   std::string cache_source = "x-ochrespring-cache-source";  ///< IP:PORT/HANDLE.
   /// IP:PORT of an engine to take cached parts from before reading.
   std::string cache_fetch = "x-ochrespring-cache-fetch";
+  /// IP:PORT of an engine that a run's memory is copied to as it grows.
+  std::string cache_backup = "x-ochrespring-cache-backup";
   std::string last_event = "last-event-id";
   std::string credentials = "authorization";
   std::string tenant = "x-ochrespring-tenant";  ///< Whose request a back end runs.
--- a/src/gateway/prompt.cc
+++ b/src/gateway/prompt.cc
@@ -38,7 +38,7 @@
   return std::min(sum, tokens);
 }
 
-Prompt parse_prompt(std::string_view parts, std::string_view counts) {
+Prompt parse_prompt(std::string_view parts, std::string_view counts, std::string_view estimate) {
   Prompt prompt;
   std::uint64_t sum = 0;
   while (!parts.empty()) {
@@ -53,6 +53,8 @@
   }
   prompt.tokens = read_number(take_until(counts, ','));
   prompt.output_tokens = read_number(counts);
+  const std::uint64_t expected = std::min(read_number(estimate), prompt.output_tokens);
+  prompt.expected_output_tokens = expected == 0 ? prompt.output_tokens : expected;
   if (prompt.tokens == 0) {
     prompt.tokens = sum;
   }
--- a/src/gateway/prompt.h
+++ b/src/gateway/prompt.h
@@ -19,6 +19,8 @@
   std::vector<PromptPart> parts;
   std::uint64_t tokens = 0;         ///< All of the prompt.
   std::uint64_t output_tokens = 0;  ///< At most.
+  /// The caller's estimate, no more than `output_tokens`; `output_tokens` without one.
+  std::uint64_t expected_output_tokens = 0;
 
   /// Key of what the prompt shares with others: the last part before its own, or empty.
   std::string_view shared_key() const;
@@ -27,6 +29,8 @@
 };
 
 /// Reads `ID:TOKENS,...` and `PROMPT,OUTPUT`; what cannot be read is left out.
-Prompt parse_prompt(std::string_view parts, std::string_view counts);
+/// `estimate`: of the output in tokens; may be empty.
+Prompt parse_prompt(std::string_view parts, std::string_view counts,
+                    std::string_view estimate = {});
 
 }  // namespace ochrespring::gateway
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -69,7 +69,8 @@
   const Service* service = routes_->configuration().find_service(service_);
   if (service != nullptr && service->engine) {
     prompt_ = parse_prompt(http::find_header(request_.headers, names.prompt_parts),
-                           http::find_header(request_.headers, names.token_counts));
+                           http::find_header(request_.headers, names.token_counts),
+                           http::find_header(request_.headers, names.output_estimate));
   }
   const std::string_view last = http::find_header(request_.headers, names.last_event);
   if (!last.empty()) {
--- a/src/gateway/tests/policies_test.cc
+++ b/src/gateway/tests/policies_test.cc
@@ -142,6 +142,10 @@
   CHECK(prompt.output_tokens == 80);
   CHECK(parse_prompt("", "").shared_key().empty());
   CHECK(parse_prompt("a:5", "").tokens == 5);
+  CHECK(parse_prompt("a:5", "5,80").expected_output_tokens == 80);
+  CHECK(parse_prompt("a:5", "5,80", "30").expected_output_tokens == 30);
+  CHECK(parse_prompt("a:5", "5,80", "900").expected_output_tokens == 80);
+  CHECK(parse_prompt("a:5", "5,80", "many").expected_output_tokens == 80);
 }
 
 TEST_CASE(
--- a/src/gateway/types.h
+++ b/src/gateway/types.h
@@ -57,6 +57,9 @@
   std::uint32_t slots = 1;
   std::uint64_t cache_tokens = 0;
   std::uint64_t bytes_per_token = 0;
+  std::uint32_t tokens_per_event = 0;  ///< Of a stream; 0: not known.
+  /// Whether an engine sends the memory of a run to another one as it grows.
+  bool backs_up_streams = false;
   Duration role_change{std::chrono::seconds(2)};
 };
 
