--- a/src/gateway/engine_profiles.h
+++ b/src/gateway/engine_profiles.h
@@ -27,6 +27,9 @@
   /// An engine that nothing is known of has the median of its service; none: nothing is known of
   /// any.
   virtual std::optional<EngineProfile> find(const Backend& engine, MonotonicTime now) const = 0;
+  /// The median of the service's engines; none: nothing is known of any. Without streams.
+  virtual std::optional<EngineProfile> usual(const ServiceName& service,
+                                             MonotonicTime now) const = 0;
   /// Share of recent time, 0 to 1, in which engines of the service took longer than `factor` times
   /// as long as usual.
   virtual double share_slower_than(const ServiceName& service, double factor,
