Streams are placed by their predicted pauses and ends

Cause: 275 of 599 long streams ran late though their first events came early: slow or disturbed engines, and prompts read beside them, stretched their pauses; nothing looked at an engine's pace or at its slots. Change: PauseForecast predicts pauses and ends from an engine's profile, its reported pace and what it has to read. Placement charges a stream for its own lateness, a prompt for the long streams that it would push over their gap, and both for the wait for a slot. Without profiles, and where gaps are far off, the choice is as before.

--- a/src/gateway/load_table.cc
+++ b/src/gateway/load_table.cc
@@ -143,13 +143,18 @@
   return reported_at_ ? reported_.waiting * halved(now - *reported_at_, kReportHalfLife) : 0.0;
 }
 
-double BackendLoad::slowness(MonotonicTime now) const {
+ReportedPace BackendLoad::pace(MonotonicTime now) const {
   if (!reported_at_) {
-    return 1;
+    return {};
   }
-  const double told = std::clamp(static_cast<double>(reported_.pace_percent) / kUsualPacePercent,
-                                 kLeastSlowness, kMostSlowness);
-  return 1 + (told - 1) * halved(now - *reported_at_, kReportHalfLife);
+  return {.factor = std::clamp(static_cast<double>(reported_.pace_percent) / kUsualPacePercent,
+                               kLeastSlowness, kMostSlowness),
+          .weight = halved(now - *reported_at_, kReportHalfLife)};
+}
+
+double BackendLoad::slowness(MonotonicTime now) const {
+  const ReportedPace told = pace(now);
+  return 1 + (told.factor - 1) * told.weight;
 }
 
 double BackendLoad::failure_share(MonotonicTime now) const {
--- a/src/gateway/load_table.h
+++ b/src/gateway/load_table.h
@@ -31,6 +31,13 @@
 /// Reads `RUNNING,WAITING,SLOTS` or `RUNNING,WAITING,SLOTS,PACE`.
 std::optional<ReportedLoad> parse_load(std::string_view text);
 
+/// How many times as long as usual work took at the last report, and how much that still says, 0 to
+/// 1.
+struct ReportedPace {
+  double factor = 1;
+  double weight = 0;
+};
+
 /// How an attempt ended, as far as the back end's health goes.
 enum class AttemptVerdict : std::uint8_t {
   kGood,
@@ -60,6 +67,7 @@
   double reported_waiting(MonotonicTime now) const;
   /// How many times as long as usual work takes, by the last report, fading to 1 with its age.
   double slowness(MonotonicTime now) const;
+  ReportedPace pace(MonotonicTime now) const;
   /// Share of recent attempts that failed, fading with time, 0 to 1.
   double failure_share(MonotonicTime now) const;
   /// Other nodes' attempts ended, so many of them in failure; counted like this node's own.
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -1,6 +1,7 @@
 #include "gateway/placement.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "base/hash.h"
 
@@ -21,6 +22,13 @@
 constexpr double kTokensPerWaiting = 3'000;
 /// Cost in tokens of certain failure.
 constexpr double kTokensPerFailure = 60'000;
+/// Cost in tokens of a stream that is certainly late: less than that of one that fails, since a
+/// late answer is of some use to most callers.
+constexpr double kTokensPerLateStream = 40'000;
+/// Events that a long stream has still to come, on average, as far as is known.
+constexpr double kEventsOfLongStream = 36;
+/// Engines that differ by less are taken for alike: so much is noise of what was learned.
+constexpr double kSpeedNoise = 0.2;
 /// Cost in tokens of a request that is certainly turned away: it needs another send, for which the
 /// budget may have nothing left.
 constexpr double kTokensPerRefusal = 40'000;
@@ -157,9 +165,11 @@
     choice.cache_source = reading.cache_source;
     choice.cost = fetch_cost(reading.fetched_tokens) +
                   kRunnerReadingCost * load.slowness(now) *
+                      reading_speed(backend, view.request, now) *
                       (static_cast<double>(reading.unread_tokens) + work.unread_tokens) *
                       (1 + kHarmPerStream * work.requests);
   }
+  choice.cost += stream_cost(backend, view.request, work, choice.unread_tokens, now);
   choice.cost += connection_cost(backend, view.request) + kTokensPerRunning * work.requests +
                  kTokensPerWaiting * load.reported_waiting(now) +
                  kTokensPerFailure * load.failure_share(now) +
@@ -178,12 +188,64 @@
   choice.cost =
       connection_cost(backend, view.request) + fetch_cost(reading.fetched_tokens) +
       view.cold_cost * missing +
-      load.slowness(now) *
+      load.slowness(now) * reading_speed(backend, view.request, now) *
           (static_cast<double>(choice.unread_tokens) + work_at(backend, now).unread_tokens) +
       kTokensPerFailure * load.failure_share(now) + kTokensPerRefusal * load.refusal_share(now);
   return choice;
 }
 
+double Placement::reading_speed(const Backend& backend, const PlacementRequest& request,
+                                MonotonicTime now) const {
+  if (profiles_ == nullptr || !request.stream) {
+    return 1;
+  }
+  const auto own = profiles_->find(backend, now);
+  const auto usual = profiles_->usual(request.service, now);
+  if (!own || !usual || own->prompt_token.count() == 0 || usual->prompt_token.count() == 0) {
+    return 1;
+  }
+  const double speed = to_seconds(own->prompt_token) / to_seconds(usual->prompt_token);
+  return std::abs(speed - 1) < kSpeedNoise ? 1 : speed;
+}
+
+double Placement::stream_cost(const Backend& backend, const PlacementRequest& request,
+                              const Work& work, std::uint64_t unread_tokens,
+                              MonotonicTime now) const {
+  const auto profile =
+      profiles_ != nullptr && request.stream ? profiles_->find(backend, now) : std::nullopt;
+  if (!profile) {
+    return 0;
+  }
+  const StreamNeeds& needs = *request.stream;
+  const PauseForecast forecast(
+      *profiles_,
+      {.service = request.service, .profile = *profile, .pace = load_of(backend).pace(now)},
+      needs.tokens_per_event, now);
+  const double unread = work.unread_tokens;
+  const double made_late =
+      unread_tokens == 0
+          ? 0
+          : forecast.late_pause(needs.shortest_gap, unread + static_cast<double>(unread_tokens)) -
+                forecast.late_pause(needs.shortest_gap, unread);
+  return kTokensPerLateStream * forecast.late_stream(needs, unread) +
+         kTokensPerFailure * forecast.unfinished_stream(needs) +
+         kTokensPerLateStream * profile->long_streams * std::max(0.0, made_late) +
+         slot_cost(backend, work, *profile, forecast);
+}
+
+/// Long streams keep their slots for seconds.
+double Placement::slot_cost(const Backend& backend, const Work& work, const EngineProfile& profile,
+                            const PauseForecast& forecast) const {
+  const double over = work.requests + 1 - std::max<double>(backend.slots, 1);
+  if (over <= 0 || profile.prompt_token.count() == 0) {
+    return 0;
+  }
+  const double long_part = std::min(1.0, profile.long_streams / work.requests);
+  const double events = long_part * kEventsOfLongStream + (1 - long_part);
+  const double wait = over * events * to_seconds(forecast.event_time(0)) / backend.slots;
+  return wait / to_seconds(profile.prompt_token);
+}
+
 Placement::Reading Placement::reading_at(const Backend& backend, const PromptView& view,
                                          MonotonicTime now) const {
   const BackendLoad& load = load_of(backend);
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -12,8 +13,10 @@
 #include "base/time.h"
 #include "gateway/cache_sources.h"
 #include "gateway/candidates.h"
+#include "gateway/engine_profiles.h"
 #include "gateway/fleet_state.h"
 #include "gateway/load_table.h"
+#include "gateway/pause_forecast.h"
 #include "gateway/prompt.h"
 #include "gateway/types.h"
 
@@ -26,7 +29,10 @@
   bool may_read_apart = true;      ///< Whether a prefill engine may read the prompt first.
   std::set<BackendId> avoid;       ///< Already tried.
   const SendGate* gate = nullptr;  ///< Null: all back ends have room.
-  bool where_least_runs = false;   ///< Whatever it costs: the back end may end under the request.
+  /// Of a stream at engines whose events are known to hold some tokens; none: pauses and ends are
+  /// not predicted.
+  std::optional<StreamNeeds> stream;
+  bool where_least_runs = false;  ///< Whatever it costs: the back end may end under the request.
   /// Whether a back end is reached without a new connection; null: all are.
   std::function<bool(const Backend&)> connected;
 };
@@ -49,11 +55,14 @@
 /// alike by rendezvous hashing, so that without a word between them its requests meet one cache.
 class Placement {
  public:
-  Placement(const FleetState& fleet, const LoadTable& loads, RandomSource& random, ZoneName zone)
+  /// `profiles` may be null: all engines are taken for alike.
+  Placement(const FleetState& fleet, const LoadTable& loads, RandomSource& random, ZoneName zone,
+            const EngineProfiles* profiles = nullptr)
       : fleet_(fleet),
         loads_(loads),
         random_(random),
         zone_(std::move(zone)),
+        profiles_(profiles),
         finder_(fleet, loads, random) {}
 
   PlacementPlan choose(const PlacementRequest& request, MonotonicTime now) const;
@@ -94,6 +103,16 @@
     double unread_tokens = 0;
   };
   Work work_at(const Backend& backend, MonotonicTime now) const;
+  /// Time that an engine takes to read a token, in parts of what engines of its service usually
+  /// take.
+  double reading_speed(const Backend& backend, const PlacementRequest& request,
+                       MonotonicTime now) const;
+  /// What is predicted of a stream at an engine, in tokens to read: its own lateness, that of
+  /// streams beside which its prompt is read, and its wait for a slot.
+  double stream_cost(const Backend& backend, const PlacementRequest& request, const Work& work,
+                     std::uint64_t unread_tokens, MonotonicTime now) const;
+  double slot_cost(const Backend& backend, const Work& work, const EngineProfile& profile,
+                   const PauseForecast& forecast) const;
 
   template <class Estimate>
   PlacementChoice cheapest(const Backends& backends, const Estimate& estimate) const;
@@ -102,6 +121,7 @@
   const LoadTable& loads_;
   RandomSource& random_;
   ZoneName zone_;
+  const EngineProfiles* profiles_;
   CandidateFinder finder_;
 };
 
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <string>
 #include <utility>
 
@@ -137,6 +138,24 @@
   });
 }
 
+std::optional<StreamNeeds> RequestSession::stream_needs() const {
+  const Service* service = routes_->configuration().find_service(service_);
+  if (!is_stream() || !prompt_ || service == nullptr || !service->engine ||
+      service->engine->tokens_per_event == 0) {
+    return std::nullopt;
+  }
+  const std::uint32_t tokens = service->engine->tokens_per_event;
+  const auto events = [&](std::uint64_t output) {
+    return std::ceil(static_cast<double>(output) / tokens);
+  };
+  return StreamNeeds{.target_gap = route_.target_gap,
+                     .shortest_gap = routes_->shortest_gap(service_),
+                     .time_left = time_left(),
+                     .tokens_per_event = tokens,
+                     .expected_events = events(prompt_->expected_output_tokens),
+                     .most_events = events(prompt_->output_tokens)};
+}
+
 PlacementRequest RequestSession::placement_request() const {
   PlacementRequest wanted;
   wanted.service = service_;
@@ -144,6 +163,7 @@
   wanted.may_read_apart = !read_apart_;
   wanted.avoid = tried_;
   wanted.gate = environment_.gate;
+  wanted.stream = stream_needs();
   wanted.where_least_runs = trial_;
   wanted.connected = [this](const Backend& backend) {
     return environment_.transport.has_idle_connection(backend.address);
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -65,6 +65,8 @@
   void dispatch();
   bool passes_guard();
   void claim_trial(RequestGuard& guard);
+  /// None where nothing is known of the events of the service's streams.
+  std::optional<StreamNeeds> stream_needs() const;
   PlacementRequest placement_request() const;
   void place();
   /// A choice that waits for leave to be sent; back ends may go meanwhile.
--- a/src/gateway/route_table.cc
+++ b/src/gateway/route_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <chrono>
 #include <utility>
 
 namespace ochrespring::gateway {
@@ -20,6 +21,13 @@
 RouteTable::RouteTable(Configuration configuration) : configuration_(std::move(configuration)) {
   for (const Route& route : configuration_.routes) {
     by_host_[normalise_host(route.host)].push_back(&route);
+    if (route.kind != RequestKind::kStreaming) {
+      continue;
+    }
+    for (const TrafficShare& share : route.shares) {
+      const auto [gap, fresh] = shortest_gaps_.try_emplace(share.service, route.target_gap);
+      gap->second = std::min(gap->second, route.target_gap);
+    }
   }
   for (const Tenant& tenant : configuration_.tenants) {
     for (const KeyDigest& key : tenant.keys) {
@@ -34,6 +42,11 @@
   }
 }
 
+Duration RouteTable::shortest_gap(const ServiceName& service) const {
+  const auto found = shortest_gaps_.find(service);
+  return found == shortest_gaps_.end() ? std::chrono::hours(24) : found->second;
+}
+
 KeyCheck RouteTable::check_key(const Route& route, std::string_view authorization) const {
   if (!has_tenants()) {
     return {.allowed = true};
--- a/src/gateway/route_table.h
+++ b/src/gateway/route_table.h
@@ -1,6 +1,7 @@
 // Finds the route and the tenant of a request in one configuration.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -31,12 +32,15 @@
   /// Whether callers' credentials are this system's, and no back end's.
   bool has_tenants() const { return !configuration_.tenants.empty(); }
   const Configuration& configuration() const { return configuration_; }
+  /// The shortest target gap of all streams that may run at the service; a day without any.
+  Duration shortest_gap(const ServiceName& service) const;
 
  private:
   Configuration configuration_;
   /// Routes of each host, longest prefix first.
   std::unordered_map<std::string, std::vector<const Route*>> by_host_;
   std::unordered_map<KeyDigest, const Tenant*> by_key_;
+  std::map<ServiceName, Duration> shortest_gaps_;
 };
 
 }  // namespace ochrespring::gateway
--- /dev/null
+++ b/src/gateway/tests/pause_forecast_test.cc
@@ -0,0 +1,161 @@
+// Streams ran late on engines that were slow, disturbed, or read prompts beside them, though their
+// first events came early.
+#include "gateway/pause_forecast.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+
+#include "gateway/placement.h"
+#include "tests/played_profiles.h"
+
+using namespace ochrespring;
+using namespace ochrespring::gateway;
+using namespace std::chrono_literals;
+using gateway::testing::PlayedProfiles;
+
+namespace {
+
+const ServiceName kService("llm");
+
+EngineProfile make_profile(Duration output_token, Duration prompt_token,
+                           std::uint32_t long_streams = 0) {
+  return {.output_token = output_token, .prompt_token = prompt_token, .long_streams = long_streams};
+}
+
+/// An event of a usual engine takes 40 ms, and 10,000 tokens are read beside in 50 ms.
+const EngineProfile kUsual = make_profile(533us, 2500ns);
+const EngineProfile kSlow = make_profile(1200us, 5600ns);
+
+StreamNeeds long_stream() {
+  return {.target_gap = 150ms,
+          .shortest_gap = 150ms,
+          .time_left = 15s,
+          .tokens_per_event = 75,
+          .expected_events = 72,
+          .most_events = 170};
+}
+
+StreamNeeds short_stream() {
+  StreamNeeds needs = long_stream();
+  needs.expected_events = 2;
+  needs.most_events = 6;
+  needs.time_left = 2s;
+  return needs;
+}
+
+struct World {
+  World() {
+    profiles.usual_profile = kUsual;
+    profiles.disturbed_share = 0.15;
+    profiles.disturbed_factor = 2.5;
+  }
+  PauseForecast forecast(const EngineProfile& profile, const ReportedPace& pace = {}) const {
+    return {profiles, {.service = kService, .profile = profile, .pace = pace}, 75, {}};
+  }
+  void put(const std::string& id, const EngineProfile& profile) {
+    Backend engine;
+    engine.id = BackendId(id);
+    engine.service = kService;
+    engine.role = EngineRole::kDecode;
+    engine.slots = 6;
+    fleet.put(engine);
+    profiles.own_profiles[engine.id] = profile;
+  }
+  std::string choose(const StreamNeeds& needs, std::uint64_t tokens) {
+    const Prompt prompt = parse_prompt("own:" + std::to_string(tokens), "");
+    const Placement placement(fleet, loads, random, ZoneName("z"), &profiles);
+    PlacementRequest request;
+    request.service = kService;
+    request.prompt = &prompt;
+    request.stream = needs;
+    return placement.choose(request, {}).runner.backend->id.value();
+  }
+
+  PlayedProfiles profiles;
+  FleetState fleet;
+  LoadTable loads;
+  SeededRandom random{7};
+};
+
+}  // namespace
+
+TEST_CASE(
+    "a slow engine that is disturbed now and then makes long streams late, a usual one none") {
+  const World world;
+  CHECK(world.forecast(kUsual).late_stream(long_stream(), 0) == 0);
+  CHECK(world.forecast(kSlow).late_stream(long_stream(), 0) > 0.9);
+  CHECK(world.forecast(kSlow).late_stream(short_stream(), 0) < 0.3);
+}
+
+TEST_CASE("prompts that are read beside make the next pause late, sooner while disturbed") {
+  const World world;
+  const ReportedPace disturbed{.factor = 2.5, .weight = 1};
+  const ReportedPace usual{.factor = 1, .weight = 1};
+  CHECK(world.forecast(kUsual, usual).late_pause(150ms, 10'000) == 0);
+  CHECK(world.forecast(kUsual, usual).late_pause(150ms, 30'000) == 1);
+  CHECK(world.forecast(kUsual, disturbed).late_pause(150ms, 0) == 0);
+  CHECK(world.forecast(kUsual, disturbed).late_pause(150ms, 10'000) == 1);
+  // Nothing is known of now: what holds for all time.
+  CHECK(world.forecast(kUsual).late_pause(150ms, 10'000) == doctest::Approx(0.15));
+}
+
+TEST_CASE("a stream that is not expected to end in time is told from one that is") {
+  const World world;
+  CHECK(world.forecast(kUsual).unfinished_stream(long_stream()) == 0);
+  StreamNeeds longest = long_stream();
+  longest.expected_events = 170;
+  CHECK(world.forecast(kSlow).unfinished_stream(longest) > 0.4);
+  longest.time_left = -1s;
+  CHECK(world.forecast(kSlow).unfinished_stream(longest) == doctest::Approx(1));
+}
+
+TEST_CASE("long streams go to engines where they stay in time, short ones need not") {
+  World world;
+  world.put("slow", kSlow);
+  world.put("usual", kUsual);
+  world.loads.begin(BackendId("usual"), 4'000);
+  CHECK(world.choose(long_stream(), 200) == "usual");
+  CHECK(world.choose(short_stream(), 200) == "slow");
+}
+
+TEST_CASE("a long prompt goes where it pushes no stream over its gap") {
+  World world;
+  world.put("streams", make_profile(kUsual.output_token, kUsual.prompt_token, 3));
+  world.put("busy", kUsual);
+  BackendLoad& streams = world.loads.of(BackendId("streams"));
+  streams.note_report({.running = 3, .slots = 6, .pace_percent = 250}, {});
+  for (std::uint32_t i = 0; i != 3; ++i) {
+    world.loads.begin(BackendId("busy"), 3'000);
+  }
+  CHECK(world.choose(short_stream(), 9'000) == "busy");
+  streams.note_report({.running = 3, .slots = 6}, {});
+  CHECK(world.choose(short_stream(), 9'000) == "streams");
+}
+
+TEST_CASE("an engine whose slots are all taken by long streams is left to others") {
+  World world;
+  world.put("full", make_profile(kUsual.output_token, kUsual.prompt_token, 6));
+  world.put("reading", kUsual);
+  for (std::uint32_t i = 0; i != 6; ++i) {
+    world.loads.begin(BackendId("full"), 0);
+  }
+  world.loads.begin(BackendId("reading"), 8'000);
+  CHECK(world.choose(short_stream(), 200) == "reading");
+}
+
+TEST_CASE("without profiles, and where gaps are far off, the choice is the one of tokens alone") {
+  World world;
+  world.put("a", kSlow);
+  world.put("b", kUsual);
+  world.loads.begin(BackendId("b"), 0);
+  StreamNeeds easy = long_stream();
+  easy.target_gap = 10s;
+  easy.shortest_gap = 10s;
+  easy.time_left = 100s;
+  CHECK(world.choose(easy, 200) == "b");
+  world.profiles.own_profiles.clear();
+  CHECK(world.choose(easy, 200) == "a");
+  world.profiles.usual_profile.reset();
+  CHECK(world.choose(long_stream(), 200) == "a");
+}
--- /dev/null
+++ b/src/gateway/tests/played_profiles.h
@@ -0,0 +1,34 @@
+// Engine profiles that a test sets.
+#pragma once
+
+#include <map>
+#include <optional>
+
+#include "gateway/engine_profiles.h"
+
+namespace ochrespring::gateway::testing {
+
+/// Engines without a profile of their own have the usual one.
+class PlayedProfiles final : public EngineProfiles {
+ public:
+  std::optional<EngineProfile> find(const Backend& engine, MonotonicTime now) const override {
+    const auto own = own_profiles.find(engine.id);
+    return own == own_profiles.end() ? usual(engine.service, now) : own->second;
+  }
+  std::optional<EngineProfile> usual(const ServiceName& /*service*/,
+                                     MonotonicTime /*now*/) const override {
+    return usual_profile;
+  }
+  /// For a part of the time work takes `disturbed_factor` times as long as usual.
+  double share_slower_than(const ServiceName& /*service*/, double factor,
+                           MonotonicTime /*now*/) const override {
+    return factor < 1 ? 1 : (factor < disturbed_factor ? disturbed_share : 0);
+  }
+
+  std::optional<EngineProfile> usual_profile;
+  std::map<BackendId, EngineProfile> own_profiles;
+  double disturbed_share = 0;
+  double disturbed_factor = 1;
+};
+
+}  // namespace ochrespring::gateway::testing
