Each node learns how fast engines work

Placement cannot tell a slow engine from a fast one: all engines of a service are taken to be alike, so long streams run on engines whose gaps are over the target.

EngineProfileTable implements EngineProfiles from what this node's requests observe through Environment::observer: windows of eight gaps of streams, prefills of prompts of which only the own part was unread, and reported paces. Each value is a low quantile of recent samples, drawn towards the median of the service the less is known. Streams that are paused by their caller, and the time between the attempts of a resumed stream, are not observed. Placement takes the profiles and does not use them yet; placement and queueing decide as before.

In the test with slowdowns of 2.5 times in 15% of the time, engines that are alike stay within 20% of the median, and engines at 0.46 of the usual speed are told as 2.18 times slower within 15%.

--- /dev/null
+++ b/src/engine_profiles/engine_profile_table.h
@@ -0,0 +1,112 @@
+// What this node has learned of the speed of engines.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "engine_profiles/estimate.h"
+#include "engine_profiles/pace_history.h"
+#include "engine_profiles/recent_samples.h"
+#include "engine_profiles/service_paces.h"
+#include "gateway/engine_observer.h"
+#include "gateway/engine_profiles.h"
+#include "gateway/fleet_state.h"
+#include "logging/logger.h"
+#include "metrics/metrics.h"
+
+namespace ochrespring::engine_profiles {
+
+/// What is measured of an engine.
+enum class Quantity : std::uint8_t { kOutputToken, kPromptToken };
+inline constexpr std::size_t kQuantities = 2;
+
+struct ProfileStatistics {
+  std::uint64_t output_samples = 0;  ///< Of the time per output token.
+  std::uint64_t prompt_samples = 0;  ///< Of the prefill time per token.
+  std::uint64_t skipped = 0;         ///< Observations that say nothing of undisturbed work.
+  std::uint64_t rejected = 0;        ///< Values that cannot be true.
+};
+
+/// Learns from observations of this node's own requests. Answers a lookup in constant time: the
+/// medians of services are renewed while observations come in, so that it takes a small, constant
+/// share of time.
+///
+/// Pure but for the log; one loop.
+class EngineProfileTable final : public gateway::EngineProfiles, public gateway::EngineObserver {
+ public:
+  /// Both outlive the table.
+  EngineProfileTable(const gateway::FleetState& fleet, logging::Logger& logger)
+      : fleet_(fleet), logger_(logger) {}
+
+  std::optional<gateway::EngineProfile> find(const gateway::Backend& engine,
+                                             MonotonicTime now) const override;
+  std::optional<gateway::EngineProfile> usual(const ServiceName& service,
+                                              MonotonicTime now) const override;
+  double share_slower_than(const ServiceName& service, double factor,
+                           MonotonicTime now) const override;
+
+  std::optional<std::uint64_t> events_of(const gateway::BackendId& engine,
+                                         std::uint64_t tokens) const override;
+  void note_gaps(const gateway::GapObservation& observation, MonotonicTime now) override;
+  void note_prefill(const gateway::PrefillObservation& observation, MonotonicTime now) override;
+  void note_pace(const gateway::BackendId& engine, std::uint32_t percent,
+                 MonotonicTime now) override;
+  void begin_long_stream(const gateway::BackendId& engine, MonotonicTime now) override;
+  void end_long_stream(const gateway::BackendId& engine, MonotonicTime now) override;
+
+  /// The engine has ended.
+  void forget(const gateway::BackendId& engine) { engines_.erase(engine); }
+
+  const ProfileStatistics& statistics() const { return statistics_; }
+  std::size_t size() const { return engines_.size(); }
+  void add_metrics(metrics::SampleSink& sink) const;
+
+ private:
+  struct Engine {
+    std::array<RecentSamples, kQuantities> own;
+    PaceHistory paces;
+    std::uint32_t own_long_streams = 0;
+  };
+  /// Of the engines that have been measured, each with its own value.
+  struct Spread {
+    double median = 0;  ///< Nanoseconds per token; 0: none has been measured.
+    double median_logarithm = 0;
+    double fastest = 0;
+    double slowest = 0;
+    std::size_t engines = 0;
+  };
+  struct Service {
+    ServicePaces paces;
+    std::array<Spread, kQuantities> spreads;
+    gateway::EngineProfile usual;  ///< The medians.
+  };
+
+  /// Null: not registered, or no engine.
+  const gateway::Backend* find_engine(const gateway::BackendId& id) const;
+  const gateway::EngineShape* shape_of(const ServiceName& service) const;
+  const Service* find_service(const ServiceName& service) const;
+  /// What is known of the engine itself; a weight of 0: nothing.
+  Estimate measured(const Engine& engine, Quantity quantity, MonotonicTime now) const;
+  Duration blend(const Engine& engine, Quantity quantity, const Spread& spread,
+                 MonotonicTime now) const;
+  bool is_plausible(double value, const ServiceName& service, Quantity quantity) const;
+  void add_sample(const gateway::Backend& engine, Quantity quantity, double value,
+                  MonotonicTime now);
+  Duration renewal_period() const;
+  void renew_medians(MonotonicTime now);
+  void log_medians(MonotonicTime now);
+
+  const gateway::FleetState& fleet_;
+  logging::Logger& logger_;
+  std::unordered_map<gateway::BackendId, Engine> engines_;
+  std::map<ServiceName, Service> services_;
+  MonotonicTime renewed_at_{};
+  MonotonicTime logged_at_{};
+  ProfileStatistics statistics_;
+};
+
+}  // namespace ochrespring::engine_profiles
--- /dev/null
+++ b/src/engine_profiles/service_paces.cc
@@ -0,0 +1,35 @@
+#include "engine_profiles/service_paces.h"
+
+#include <algorithm>
+
+#include "engine_profiles/half_life.h"
+
+namespace ochrespring::engine_profiles {
+
+ServicePaces::ServicePaces() : counts_(std::make_tuple(Axis(kBins, kLeastPace, kMostPace))) {}
+
+void ServicePaces::note(double pace, MonotonicTime now) {
+  const auto left = static_cast<float>(weight_at_age(now - faded_at_));
+  for (float& count : boost::histogram::unsafe_access::storage(counts_)) {
+    count *= left;
+  }
+  faded_at_ = now;
+  counts_(pace);
+}
+
+double ServicePaces::share_slower_than(double factor, MonotonicTime now) const {
+  const Axis& axis = counts_.axis();
+  double all = 0;
+  double slower = 0;
+  for (int bin = -1; bin <= axis.size(); ++bin) {
+    const double low = bin < 0 ? 0 : axis.value(bin);
+    const double high = bin < axis.size() ? axis.value(bin + 1) : std::max(factor, low) * 2;
+    all += counts_.at(bin);
+    // The bin that holds the factor counts by the part of it that lies above.
+    slower += counts_.at(bin) * std::clamp((high - factor) / (high - low), 0.0, 1.0);
+  }
+  const double left = weight_at_age(now - faded_at_);
+  return slower * left / (all * left + kPriorReports);
+}
+
+}  // namespace ochrespring::engine_profiles
--- /dev/null
+++ b/src/engine_profiles/tests/engine_profile_table_test.cc
@@ -0,0 +1,222 @@
+#include "engine_profiles/engine_profile_table.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+
+#include "base/random.h"
+
+using namespace ochrespring;
+using namespace ochrespring::engine_profiles;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const ServiceName kChat("chat");
+constexpr std::uint32_t kTokensPerEvent = 75;
+constexpr std::uint32_t kGaps = 8;
+/// 0.54 ms per token: the workload's engine at 1.2 times the nominal speed.
+constexpr Duration kToken = microseconds(540);
+
+/// A table for a service with engines `e0`, `e1` and so on, each fourth a prefill engine.
+struct Fixture {
+  gateway::FleetState fleet;
+  logging::NullLogger logger;
+  EngineProfileTable table{fleet, logger};
+  SeededRandom random{1};
+  MonotonicTime now{seconds(1000)};
+
+  explicit Fixture(int engines) {
+    gateway::Service service{.name = kChat};
+    service.engine = gateway::EngineShape{.slots = 6, .tokens_per_event = kTokensPerEvent};
+    gateway::Configuration configuration;
+    configuration.version = gateway::ConfigurationVersion(1);
+    configuration.services.push_back(service);
+    fleet.apply(configuration);
+    for (int i = 0; i != engines; ++i) {
+      gateway::Backend engine;
+      engine.id = id(i);
+      engine.service = kChat;
+      engine.address = Endpoint("10.0.0.1:" + std::to_string(i));
+      engine.role = i % 4 == 3 ? gateway::EngineRole::kPrefill : gateway::EngineRole::kDecode;
+      fleet.put(engine);
+    }
+  }
+
+  static gateway::BackendId id(int i) { return gateway::BackendId("e" + std::to_string(i)); }
+  void gaps(int engine, Duration token) {
+    table.note_gaps({.engine = id(engine), .gaps = kGaps, .took = token * kTokensPerEvent * kGaps},
+                    now);
+  }
+  gateway::EngineProfile profile(int engine) {
+    const auto found = table.find(*fleet.find(id(engine)), now);
+    REQUIRE(found);
+    return *found;
+  }
+  double output(int engine) {
+    return to_seconds(profile(engine).output_token) / to_seconds(kToken);
+  }
+};
+
+}  // namespace
+
+TEST_CASE(
+    "nothing is told before anything has been measured, so that placement decides as before") {
+  Fixture fixture(4);
+  fixture.table.note_pace(Fixture::id(0), 250, fixture.now);
+  CHECK_FALSE(fixture.table.find(*fixture.fleet.find(Fixture::id(0)), fixture.now));
+  CHECK_FALSE(fixture.table.usual(kChat, fixture.now));
+  CHECK(fixture.table.share_slower_than(ServiceName("other"), 1.5, fixture.now) == 0);
+}
+
+TEST_CASE("slow engines are told from others in spite of slowdowns and concurrent prefills") {
+  Fixture fixture(12);
+  for (int round = 0; round != 60; ++round) {
+    for (int engine = 0; engine != 12; ++engine) {
+      const double speed = engine % 3 == 0 ? 0.55 / 1.2 : 1;
+      const double slowdown = fixture.random.chance(0.15) ? 2.5 : 1;
+      const double prefill = fixture.random.chance(0.3) ? 1.2 : 1;
+      fixture.gaps(engine, from_seconds(to_seconds(kToken) / speed * slowdown * prefill));
+    }
+    fixture.now += milliseconds(700);
+  }
+  for (int engine = 0; engine != 12; ++engine) {
+    CAPTURE(engine);
+    CHECK(fixture.output(engine) == doctest::Approx(engine % 3 == 0 ? 2.18 : 1).epsilon(0.15));
+  }
+  CHECK(to_seconds(fixture.table.usual(kChat, fixture.now)->output_token) ==
+        doctest::Approx(to_seconds(kToken)).epsilon(0.1));
+}
+
+TEST_CASE(
+    "engines that are alike are not taken for different ones, however unevenly they are used") {
+  Fixture fixture(32);
+  double fastest = 10;
+  double slowest = 0;
+  for (int round = 0; round != 200; ++round) {
+    // Some engines get one sample in 20 rounds, others one in each.
+    for (int engine = 0; engine != 32; ++engine) {
+      if (round % (1 + engine % 20) == 0) {
+        const double slowdown = fixture.random.chance(0.15) ? 2.5 : 1;
+        const double late = 0.85 + 0.3 * fixture.random.unit();
+        fixture.gaps(engine, from_seconds(to_seconds(kToken) * slowdown * late));
+      }
+    }
+    fixture.now += milliseconds(500);
+    if (round > 40) {
+      for (int engine = 0; engine != 32; ++engine) {
+        fastest = std::min(fastest, fixture.output(engine));
+        slowest = std::max(slowest, fixture.output(engine));
+      }
+    }
+  }
+  const double median =
+      to_seconds(fixture.table.usual(kChat, fixture.now)->output_token) / to_seconds(kToken);
+  CHECK(slowest / median < 1.2);
+  CHECK(median / fastest < 1.2);
+}
+
+TEST_CASE("an engine that is reported slow for a moment is not taken for a fast one afterwards") {
+  Fixture fixture(3);
+  for (int round = 0; round != 40; ++round) {
+    // A slowdown ends right after its report: dividing by it would show 0.4 of the true time.
+    fixture.table.note_pace(Fixture::id(0), round % 6 == 0 ? 250 : 100, fixture.now);
+    fixture.now += milliseconds(400);
+    fixture.gaps(0, kToken);
+    fixture.gaps(1, kToken);
+    fixture.now += milliseconds(400);
+  }
+  CHECK(fixture.output(0) == doctest::Approx(1).epsilon(0.05));
+  CHECK(fixture.table.statistics().skipped == 7);
+}
+
+TEST_CASE("an engine that always reports the same pace is measured without it") {
+  Fixture fixture(3);
+  for (int round = 0; round != 40; ++round) {
+    fixture.table.note_pace(Fixture::id(0), 182, fixture.now);
+    fixture.gaps(0, from_seconds(1.82 * to_seconds(kToken)));
+    fixture.gaps(1, kToken);
+    fixture.now += milliseconds(1000);
+  }
+  CHECK(fixture.output(0) == doctest::Approx(1).epsilon(0.05));
+}
+
+TEST_CASE("an engine without recent samples is taken for a usual one") {
+  Fixture fixture(6);
+  for (int round = 0; round != 20; ++round) {
+    fixture.gaps(0, 2 * kToken);
+    fixture.gaps(1, kToken);
+    fixture.gaps(2, kToken);
+    fixture.now += milliseconds(100);
+  }
+  CHECK(fixture.output(0) > 1.7);
+  CHECK(fixture.output(4) == doctest::Approx(1).epsilon(0.02));
+  fixture.now += seconds(60);
+  CHECK(fixture.output(0) == doctest::Approx(1).epsilon(0.1));
+}
+
+TEST_CASE("prefill time is that of a prefill engine, whichever engine was measured") {
+  Fixture fixture(4);
+  const Duration token = microseconds(2);
+  for (int round = 0; round != 10; ++round) {
+    fixture.gaps(0, kToken);
+    fixture.table.note_prefill({.engine = Fixture::id(3), .took = token * 10'000, .tokens = 10'000},
+                               fixture.now);
+    fixture.table.note_prefill({.engine = Fixture::id(0),
+                                .took = 2 * token * 30'000 + kToken * kTokensPerEvent,
+                                .tokens = 30'000,
+                                .with_first_event = true},
+                               fixture.now);
+    fixture.now += milliseconds(100);
+  }
+  CHECK(to_seconds(fixture.profile(3).prompt_token) == doctest::Approx(2e-6).epsilon(0.02));
+  CHECK(to_seconds(fixture.profile(0).prompt_token) == doctest::Approx(2e-6).epsilon(0.02));
+  // Of these nothing can be learned of undisturbed work.
+  const auto skipped = fixture.table.statistics().skipped;
+  fixture.table.note_prefill({.engine = Fixture::id(3), .took = token * 100, .tokens = 100},
+                             fixture.now);
+  fixture.table.note_prefill(
+      {.engine = Fixture::id(3), .took = token, .tokens = 10'000, .tokens_ahead = 9'000},
+      fixture.now);
+  CHECK(fixture.table.statistics().skipped == skipped + 2);
+}
+
+TEST_CASE("the share of slow time follows the reports and fades without them") {
+  Fixture fixture(4);
+  for (int i = 0; i != 400; ++i) {
+    fixture.table.note_pace(Fixture::id(i % 4), i % 5 == 0 ? 250 : 100, fixture.now);
+    fixture.now += milliseconds(50);
+  }
+  CHECK(fixture.table.share_slower_than(kChat, 1.5, fixture.now) ==
+        doctest::Approx(0.2).epsilon(0.1));
+  CHECK(fixture.table.share_slower_than(kChat, 3, fixture.now) == doctest::Approx(0));
+  CHECK(fixture.table.share_slower_than(kChat, 1.5, fixture.now + seconds(120)) < 0.02);
+}
+
+TEST_CASE("long streams are counted, and an engine that has ended is forgotten with them") {
+  Fixture fixture(2);
+  fixture.gaps(0, kToken);
+  fixture.table.begin_long_stream(Fixture::id(0), fixture.now);
+  fixture.table.begin_long_stream(Fixture::id(0), fixture.now);
+  fixture.table.end_long_stream(Fixture::id(0), fixture.now);
+  CHECK(fixture.profile(0).long_streams == 1);
+  fixture.fleet.remove(Fixture::id(0));
+  fixture.table.forget(Fixture::id(0));
+  fixture.table.end_long_stream(Fixture::id(0), fixture.now);
+  fixture.gaps(0, kToken);
+  CHECK(fixture.table.size() == 0);
+}
+
+TEST_CASE("values that cannot be true are rejected") {
+  Fixture fixture(2);
+  fixture.gaps(0, kToken);
+  fixture.gaps(1, Duration::zero());
+  fixture.gaps(1, -kToken);
+  fixture.gaps(1, 101 * kToken);
+  fixture.table.note_pace(Fixture::id(1), 0, fixture.now);
+  CHECK(fixture.table.statistics().rejected == 4);
+  CHECK(fixture.output(1) == doctest::Approx(1).epsilon(0.01));
+}
--- a/src/gateway/environment.h
+++ b/src/gateway/environment.h
@@ -10,6 +10,7 @@
 #include "base/timer.h"
 #include "gateway/backend_transport.h"
 #include "gateway/engine_calls.h"
+#include "gateway/engine_observer.h"
 #include "gateway/fleet_state.h"
 #include "gateway/header_names.h"
 #include "gateway/load_table.h"
@@ -43,6 +44,7 @@
   std::function<void(const TenantName& tenant, Duration ago)> note_run{};
   RequestGuard* guard = nullptr;  ///< Null: requests that end back ends are not kept from others.
   SendGate* gate = nullptr;       ///< Null: what back ends ask for is not kept to.
+  EngineObserver* observer = nullptr;  ///< Null: nothing is learned of engines' speed.
   /// The process ends then, whatever runs; none: not before long.
   std::optional<MonotonicTime> ends_at{};
 };
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -12,6 +12,7 @@
 #include "base/time.h"
 #include "gateway/cache_sources.h"
 #include "gateway/candidates.h"
+#include "gateway/engine_profiles.h"
 #include "gateway/fleet_state.h"
 #include "gateway/load_table.h"
 #include "gateway/prompt.h"
@@ -49,12 +50,14 @@
 /// alike by rendezvous hashing, so that without a word between them its requests meet one cache.
 class Placement {
  public:
-  Placement(const FleetState& fleet, const LoadTable& loads, RandomSource& random, ZoneName zone)
+  Placement(const FleetState& fleet, const LoadTable& loads, RandomSource& random, ZoneName zone,
+            const EngineProfiles* profiles = nullptr)
       : fleet_(fleet),
         loads_(loads),
         random_(random),
         zone_(std::move(zone)),
-        finder_(fleet, loads, random) {}
+        finder_(fleet, loads, random),
+        profiles_(profiles) {}
 
   PlacementPlan choose(const PlacementRequest& request, MonotonicTime now) const;
 
@@ -103,6 +106,7 @@
   RandomSource& random_;
   ZoneName zone_;
   CandidateFinder finder_;
+  const EngineProfiles* profiles_;  ///< Null: nothing is known of engines' speed.
 };
 
 }  // namespace ochrespring::gateway
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -263,6 +263,8 @@
   if (!prefill) {
     tried_.insert(backend.id);
   }
+  attempt_->tokens_ahead = environment_.loads.own(backend.id).unread_tokens +
+                           environment_.loads.others(backend.id, now).unread_tokens;
   environment_.loads.begin(backend.id, attempt_->unread_tokens);
   if (prompt_) {
     environment_.loads.note_prompt(backend.id, *prompt_, now);
@@ -336,6 +338,10 @@
 void RequestSession::note_statement(const BackendStatement& statement) {
   if (statement.load) {
     environment_.loads.note_report(attempt_->backend, *statement.load, environment_.clock.now());
+    if (environment_.observer != nullptr && !statement.misdirected) {
+      environment_.observer->note_pace(attempt_->backend, statement.load->pace_percent,
+                                       environment_.clock.now());
+    }
   }
   if (environment_.gate != nullptr && !statement.misdirected) {
     environment_.gate->note_answer(
@@ -371,6 +377,9 @@
   if (handle && backend != nullptr) {
     cache_ = CacheHandle{backend->id, backend->address, *handle};
   }
+  if (handle) {
+    observe_prefill();
+  }
   note(handle ? "prefill done" : "prefill refused", handle.value_or(""));
   end_attempt(handle ? AttemptVerdict::kGood : verdict_of_failed_prefill());
   if (!handle && !spend_repeat()) {
@@ -380,6 +389,31 @@
   dispatch();
 }
 
+/// Only of prompts of which just the part of their own was unread: whether an engine still keeps a
+/// shared part is an estimate, and one that it kept after all would make it look fast.
+void RequestSession::observe_prefill() {
+  const bool certain = prompt_ && !attempt_->uses_cache && !attempt_->cache_source &&
+                       attempt_->unread_tokens == prompt_->own_tokens();
+  if (environment_.observer == nullptr || !certain) {
+    return;
+  }
+  const MonotonicTime now = environment_.clock.now();
+  environment_.observer->note_prefill({.engine = attempt_->backend,
+                                       .took = now - attempt_->started,
+                                       .tokens = attempt_->unread_tokens,
+                                       .tokens_ahead = attempt_->tokens_ahead,
+                                       .with_first_event = !attempt_->prefill},
+                                      now);
+}
+
+/// How much of a stream is to come is not known where its caller resumes it.
+void RequestSession::observe_stream() {
+  const bool known = prompt_ && (timing_.events() != 0 || !last_event_);
+  attempt_->observed.emplace(environment_.observer, attempt_->backend,
+                             known ? std::optional(prompt_->expected_output_tokens) : std::nullopt,
+                             timing_.events());
+}
+
 /// An engine that turns a request away is not ill.
 AttemptVerdict RequestSession::verdict_of_failed_prefill() const {
   const BackendStatement& statement = attempt_->statement;
@@ -480,6 +514,8 @@
       note("first event", "");
       note_run(Duration::zero());
       environment_.loads.note_read(attempt_->backend, attempt_->unread_tokens);
+      observe_prefill();
+      observe_stream();
     }
     passed = pass_event(*event) || passed;
   }
@@ -498,8 +534,10 @@
     last_event_ = event.id;
   }
   timing_.note_event(environment_.clock.now());
+  attempt_->observed->note_event(environment_.clock.now());
   writer_->send_body(event.bytes);
   if (writer_->buffered_bytes() > kCallerBufferBytes) {
+    attempt_->observed->note_not_read();
     attempt_->exchange->set_reading(false);
   }
   return true;
@@ -627,6 +665,9 @@
   if (!std::exchange(attempt_->prompt_read, true)) {
     environment_.loads.note_read(attempt_->backend, attempt_->unread_tokens);
   }
+  if (attempt_->observed) {
+    attempt_->observed->end(environment_.clock.now());
+  }
   environment_.loads.end(attempt_->backend, verdict, environment_.clock.now());
   if (prompt_ && is_certainly_unread(verdict)) {
     environment_.loads.forget_prompt(attempt_->backend, *prompt_, attempt_->started);
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -91,6 +91,8 @@
   void note_break(BreakKind kind);
   void note_answer();
   void end_prefill(bool refused);
+  void observe_prefill();
+  void observe_stream();
   AttemptVerdict verdict_of_failed_prefill() const;
   void note_run(Duration ago);
   void release_cache();
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -48,7 +48,8 @@
       settings_(std::move(settings)),
       adapter_(std::move(adapter)),
       client_(client),
-      placement_(fleet_, loads_, random, settings_.zone),
+      profiles_(fleet_, logger),
+      placement_(fleet_, loads_, random, settings_.zone, &profiles_),
       budget_(settings_.retry_budget, clock.now()),
       shares_(random),
       transport_(client),
@@ -115,7 +116,7 @@
           {clock, loop, transport_, fleet_, loads_, placement_, budget_, shares_, adapter_.names,
            adapter_.engines, statistics_, logger, [this] { return nodes_.cautious_count(); },
            [this](const TenantName& tenant, Duration ago) { duties_.note_run(tenant, ago); },
-           &quarantine_, &admission_},
+           &quarantine_, &admission_, &profiles_},
           [this](auto done) { watcher_.refresh(std::move(done)); }),
       callers_(loop, server_at(settings_.listen)),
       ready_(loop, server_at(settings_.ready_listen)),
@@ -155,6 +156,7 @@
   fleet_.on_removed([this](const gateway::Backend& backend) {
     loads_.forget(backend.id);
     peer_news_.forget(backend.id);
+    profiles_.forget(backend.id);
     client_.forget(backend.address);
     quarantine_.note_gone(backend);
     rate_limiter_.forget(backend.id);
@@ -332,6 +334,7 @@
   quarantine_.add_metrics(sink);
   rate_limiter_.add_metrics(sink);
   admission_.add_metrics(sink);
+  profiles_.add_metrics(sink);
   sink.counter({"backend_connections", "Connections opened"},
                static_cast<double>(client_.statistics().connections_opened));
   sink.gauge({"requests_running", "Requests running"}, static_cast<double>(gateway_.running()));
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -10,6 +10,7 @@
 #include "base/timer.h"
 #include "discovery/fleet_watcher.h"
 #include "discovery/node_registration.h"
+#include "engine_profiles/engine_profile_table.h"
 #include "gateway/cache_survey.h"
 #include "gateway/gateway.h"
 #include "gateway_node/adapter.h"
@@ -71,6 +72,7 @@
   http::Client& client_;
   gateway::FleetState fleet_;
   gateway::LoadTable loads_;
+  engine_profiles::EngineProfileTable profiles_;
   gateway::Placement placement_;
   gateway::RetryBudget budget_;
   gateway::SharePicker shares_;
