Nodes tell each other how fast engines work

A node of 66 sees a long stream at a given engine once in some minutes: by its own requests alone it knows the speed of almost no engine.

ProfileExchange tells once a second what has changed, in one datagram of at most 1,200 bytes: the node's own low quantile, the number of samples since the last datagram, and its long streams at the engine. In a large fleet relays gather the news of several nodes for 200 ms and pass them on together (RelayedProfileNews): passing each on by itself would be some 1,400 datagrams a second for a relay of 66 nodes. News that come twice are told by the sender's life and sequence. A node that asks for parts is told the speeds as well. The ratio to the median is checked once the median rests on three engines, before that fixed limits hold; the test of rejected values measures three engines first for that reason.

--- a/src/engine_profiles/engine_profile_table.cc
+++ b/src/engine_profiles/engine_profile_table.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <limits>
 
 #include "metrics/counter_table.h"
 
@@ -24,8 +25,17 @@
 constexpr double kUncountedSamples = 2;
 /// An engine with fewer samples left does not count in the median of its service.
 constexpr double kLeastMedianWeight = 0.5;
-/// Values this many times above or below the median of the service are rejected.
+/// Values this many times above or below the median of the service are rejected...
 constexpr double kMostRatio = 100;
+/// ...once the median rests on so many engines: a false first value would keep out all true ones.
+constexpr std::size_t kLeastEnginesForRatio = 3;
+/// Nanoseconds per token that no engine has, by quantity: one token in 10 us or 10 s, one prompt
+/// token in 1 ns or 1 s.
+constexpr std::array<double, kQuantities> kLeastValue{1e4, 1};
+constexpr std::array<double, kQuantities> kMostValue{1e10, 1e9};
+/// Samples and streams of one engine that another node is believed to have at most.
+constexpr std::uint32_t kMostToldSamples = 32;
+constexpr std::uint32_t kMostToldStreams = 10'000;
 /// Shorter prompts are mostly waiting and network.
 constexpr std::uint64_t kLeastPrefillTokens = 1'000;
 /// Observations with more than this part of the prompt's own tokens ahead are skipped: how much of
@@ -78,7 +88,7 @@
   if (spreads[1].median != 0) {
     profile.prompt_token = blend(known->second, Quantity::kPromptToken, spreads[1], now);
   }
-  profile.long_streams = known->second.own_long_streams;
+  profile.long_streams = known->second.long_streams.all(now);
   return profile;
 }
 
@@ -171,7 +181,8 @@
 void EngineProfileTable::begin_long_stream(const gateway::BackendId& engine,
                                            MonotonicTime /*now*/) {
   if (find_engine(engine) != nullptr) {
-    ++engines_[engine].own_long_streams;
+    engines_[engine].long_streams.begin();
+    changed(engine);
   }
 }
 
@@ -179,7 +190,8 @@
 void EngineProfileTable::end_long_stream(const gateway::BackendId& engine, MonotonicTime /*now*/) {
   const auto known = engines_.find(engine);
   if (known != engines_.end()) {
-    known->second.own_long_streams -= std::min(known->second.own_long_streams, 1U);
+    known->second.long_streams.end();
+    changed(engine);
   }
 }
 
@@ -204,7 +216,7 @@
 Estimate EngineProfileTable::measured(const Engine& engine, Quantity quantity,
                                       MonotonicTime now) const {
   const RecentSamples& own = engine.own[index_of(quantity)];
-  Estimate estimate;
+  Estimate estimate = engine.told[index_of(quantity)];
   if (!own.empty()) {
     estimate.merge(own.low_quantile_logarithm(), own.weight(now), now);
   }
@@ -223,12 +235,17 @@
 
 bool EngineProfileTable::is_plausible(double value, const ServiceName& service,
                                       Quantity quantity) const {
-  if (!std::isfinite(value) || value <= 0) {
+  // No number is neither above nor below.
+  const std::size_t i = index_of(quantity);
+  if (!(value >= kLeastValue[i] && value <= kMostValue[i])) {
     return false;
   }
   const Service* known = find_service(service);
-  const double median = known == nullptr ? 0 : known->spreads[index_of(quantity)].median;
-  return median == 0 || (value < kMostRatio * median && value > median / kMostRatio);
+  if (known == nullptr || known->spreads[i].engines < kLeastEnginesForRatio) {
+    return true;
+  }
+  const double median = known->spreads[i].median;
+  return value < kMostRatio * median && value > median / kMostRatio;
 }
 
 void EngineProfileTable::add_sample(const gateway::Backend& engine, Quantity quantity, double value,
@@ -238,14 +255,108 @@
     return;
   }
   ++(quantity == Quantity::kOutputToken ? statistics_.output_samples : statistics_.prompt_samples);
-  engines_[engine.id].own[index_of(quantity)].add(static_cast<float>(value), now);
-  const Service& service = services_[engine.service];
-  const bool first = service.spreads[index_of(quantity)].engines == 0;
+  Engine& known = engines_[engine.id];
+  known.own[index_of(quantity)].add(static_cast<float>(value), now);
+  std::uint8_t& untold = known.untold[index_of(quantity)];
+  untold = std::min<std::uint8_t>(untold, std::numeric_limits<std::uint8_t>::max() - 1) + 1;
+  note_measured(engine.service, quantity, now);
+  changed(engine.id);
+}
+
+void EngineProfileTable::note_measured(const ServiceName& service, Quantity quantity,
+                                       MonotonicTime now) {
+  const bool first = services_[service].spreads[index_of(quantity)].engines == 0;
   if (first || now - renewed_at_ >= renewal_period()) {
     renew_medians(now);
   }
 }
 
+void EngineProfileTable::changed(const gateway::BackendId& engine) const {
+  if (changed_) {
+    changed_(engine);
+  }
+}
+
+EngineNews EngineProfileTable::own_news(const gateway::BackendId& id) const {
+  EngineNews news{.engine = id};
+  const auto found = engines_.find(id);
+  if (found == engines_.end()) {
+    return news;
+  }
+  const Engine& engine = found->second;
+  const auto told = [&](Quantity quantity) {
+    const std::size_t i = index_of(quantity);
+    return engine.untold[i] == 0
+               ? ToldSpeed()
+               : ToldSpeed{from_nanoseconds(std::exp(engine.own[i].low_quantile_logarithm())),
+                           engine.untold[i]};
+  };
+  news.output = told(Quantity::kOutputToken);
+  news.prompt = told(Quantity::kPromptToken);
+  news.long_streams = engine.long_streams.own();
+  return news;
+}
+
+void EngineProfileTable::note_told(const gateway::BackendId& engine) {
+  const auto found = engines_.find(engine);
+  if (found != engines_.end()) {
+    found->second.untold = {};
+  }
+}
+
+void EngineProfileTable::take(const EngineNews& news, NodeIndex node, MonotonicTime now) {
+  const gateway::Backend* engine = find_engine(news.engine);
+  if (engine == nullptr) {
+    return;
+  }
+  take(*engine, Quantity::kOutputToken, news.output, now);
+  take(*engine, Quantity::kPromptToken, news.prompt, now);
+  if (news.long_streams > kMostToldStreams) {
+    ++statistics_.rejected;
+    return;
+  }
+  const auto known = engines_.find(engine->id);
+  if (known != engines_.end()) {
+    known->second.long_streams.take(node, news.long_streams, now);
+  } else if (news.long_streams != 0) {
+    engines_[engine->id].long_streams.take(node, news.long_streams, now);
+  }
+}
+
+void EngineProfileTable::take(const gateway::Backend& engine, Quantity quantity,
+                              const ToldSpeed& told, MonotonicTime now) {
+  if (told.samples == 0) {
+    return;
+  }
+  const double value = to_nanoseconds(told.token);
+  if (!is_plausible(value, engine.service, quantity)) {
+    ++statistics_.rejected;
+    return;
+  }
+  engines_[engine.id].told[index_of(quantity)].merge(std::log(value),
+                                                     std::min(told.samples, kMostToldSamples), now);
+  note_measured(engine.service, quantity, now);
+}
+
+void EngineProfileTable::for_each_known(MonotonicTime now,
+                                        const std::function<bool(EngineNews)>& visit) const {
+  const auto speed = [&](const Engine& engine, Quantity quantity) {
+    const Estimate estimate = measured(engine, quantity, now);
+    const auto samples = static_cast<std::uint32_t>(std::lround(estimate.weight_at(now)));
+    return samples == 0 ? ToldSpeed() : ToldSpeed{from_nanoseconds(estimate.value()), samples};
+  };
+  for (const auto& [id, engine] : engines_) {
+    EngineNews news{.engine = id,
+                    .output = speed(engine, Quantity::kOutputToken),
+                    .prompt = speed(engine, Quantity::kPromptToken),
+                    .long_streams = engine.long_streams.own()};
+    const bool known = news.output.samples + news.prompt.samples + news.long_streams != 0;
+    if (known && !visit(std::move(news))) {
+      return;
+    }
+  }
+}
+
 Duration EngineProfileTable::renewal_period() const {
   const auto engines = static_cast<std::int64_t>(engines_.size());
   return std::max(kLeastRenewalPeriod, kRenewalPerEngine * engines);
@@ -253,27 +364,29 @@
 
 /// Services of which no engine has been measured lately keep what they had.
 void EngineProfileTable::renew_medians(MonotonicTime now) {
-  std::map<ServiceName, std::array<std::vector<double>, kQuantities>> values;
+  using Measurements = std::vector<std::pair<double, const gateway::BackendId*>>;
+  std::map<ServiceName, std::array<Measurements, kQuantities>> values;
   for (const auto& [id, engine] : engines_) {
     const gateway::Backend* backend = find_engine(id);
     for (const Quantity quantity : {Quantity::kOutputToken, Quantity::kPromptToken}) {
       const Estimate estimate = measured(engine, quantity, now);
       if (backend != nullptr && estimate.weight_at(now) >= kLeastMedianWeight) {
-        values[backend->service][index_of(quantity)].push_back(estimate.value());
+        values[backend->service][index_of(quantity)].emplace_back(estimate.value(), &id);
       }
     }
   }
   for (auto& [name, measurements] : values) {
     Service& service = services_[name];
     for (std::size_t i = 0; i != kQuantities; ++i) {
-      std::vector<double>& of_engines = measurements[i];
+      Measurements& of_engines = measurements[i];
       if (!of_engines.empty()) {
         std::sort(of_engines.begin(), of_engines.end());
-        const double median = of_engines[of_engines.size() / 2];
+        const double median = of_engines[of_engines.size() / 2].first;
         service.spreads[i] = {.median = median,
                               .median_logarithm = std::log(median),
-                              .fastest = of_engines.front(),
-                              .slowest = of_engines.back(),
+                              .fastest = of_engines.front().first,
+                              .slowest = of_engines.back().first,
+                              .slowest_engine = *of_engines.back().second,
                               .engines = of_engines.size()};
       }
     }
@@ -298,6 +411,7 @@
                     {"output_token_median_us", output.median * 1e-3},
                     {"output_token_fastest_us", output.fastest * 1e-3},
                     {"output_token_slowest_us", output.slowest * 1e-3},
+                    {"slowest_engine", output.slowest_engine.value()},
                     {"prompt_token_median_us", service.spreads[1].median * 1e-3}}});
   }
 }
--- a/src/engine_profiles/engine_profile_table.h
+++ b/src/engine_profiles/engine_profile_table.h
@@ -3,15 +3,19 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "engine_profiles/estimate.h"
+#include "engine_profiles/long_streams.h"
 #include "engine_profiles/pace_history.h"
 #include "engine_profiles/recent_samples.h"
 #include "engine_profiles/service_paces.h"
+#include "engine_profiles/types.h"
 #include "gateway/engine_observer.h"
 #include "gateway/engine_profiles.h"
 #include "gateway/fleet_state.h"
@@ -31,9 +35,9 @@
   std::uint64_t rejected = 0;        ///< Values that cannot be true.
 };
 
-/// Learns from observations of this node's own requests. Answers a lookup in constant time: the
-/// medians of services are renewed while observations come in, so that it takes a small, constant
-/// share of time.
+/// Learns from observations of this node's own requests and from what other nodes tell. Answers a
+/// lookup in constant time: the medians of services are renewed while observations come in, so that
+/// it takes a small, constant share of time.
 ///
 /// Pure but for the log; one loop.
 class EngineProfileTable final : public gateway::EngineProfiles, public gateway::EngineObserver {
@@ -58,6 +62,19 @@
   void begin_long_stream(const gateway::BackendId& engine, MonotonicTime now) override;
   void end_long_stream(const gateway::BackendId& engine, MonotonicTime now) override;
 
+  /// Called when this node has something new to tell of an engine.
+  void on_change(std::function<void(const gateway::BackendId&)> callback) {
+    changed_ = std::move(callback);
+  }
+  /// What this node itself has measured since note_told(), and its long streams.
+  EngineNews own_news(const gateway::BackendId& engine) const;
+  /// The engine's news has been told.
+  void note_told(const gateway::BackendId& engine);
+  /// Another node's news; values that cannot be true are ignored.
+  void take(const EngineNews& news, NodeIndex node, MonotonicTime now);
+  /// Calls `visit` with all that is known of each engine, by whomever it was measured, until it
+  /// returns false.
+  void for_each_known(MonotonicTime now, const std::function<bool(EngineNews)>& visit) const;
   /// The engine has ended.
   void forget(const gateway::BackendId& engine) { engines_.erase(engine); }
 
@@ -68,8 +85,10 @@
  private:
   struct Engine {
     std::array<RecentSamples, kQuantities> own;
+    std::array<Estimate, kQuantities> told;  ///< By other nodes.
     PaceHistory paces;
-    std::uint32_t own_long_streams = 0;
+    std::array<std::uint8_t, kQuantities> untold{};  ///< Own samples that no node was told of.
+    LongStreams long_streams;
   };
   /// Of the engines that have been measured, each with its own value.
   struct Spread {
@@ -77,6 +96,7 @@
     double median_logarithm = 0;
     double fastest = 0;
     double slowest = 0;
+    gateway::BackendId slowest_engine;
     std::size_t engines = 0;
   };
   struct Service {
@@ -96,6 +116,11 @@
   bool is_plausible(double value, const ServiceName& service, Quantity quantity) const;
   void add_sample(const gateway::Backend& engine, Quantity quantity, double value,
                   MonotonicTime now);
+  void take(const gateway::Backend& engine, Quantity quantity, const ToldSpeed& told,
+            MonotonicTime now);
+  void changed(const gateway::BackendId& engine) const;
+  /// Renews the medians if that is due, or nothing was known of the service.
+  void note_measured(const ServiceName& service, Quantity quantity, MonotonicTime now);
   Duration renewal_period() const;
   void renew_medians(MonotonicTime now);
   void log_medians(MonotonicTime now);
@@ -104,6 +129,7 @@
   logging::Logger& logger_;
   std::unordered_map<gateway::BackendId, Engine> engines_;
   std::map<ServiceName, Service> services_;
+  std::function<void(const gateway::BackendId&)> changed_;
   MonotonicTime renewed_at_{};
   MonotonicTime logged_at_{};
   ProfileStatistics statistics_;
--- a/src/engine_profiles/recent_samples.h
+++ b/src/engine_profiles/recent_samples.h
@@ -24,7 +24,7 @@
  private:
   double low_quantile() const;
 
-  static constexpr std::size_t kMostSamples = 12;
+  static constexpr std::size_t kMostSamples = 10;
   static constexpr double kQuantile = 0.25;
   /// Samples that weigh less than this together are dropped when the next one comes.
   static constexpr double kLeastWeight = 0.25;
--- a/src/engine_profiles/tests/engine_profile_table_test.cc
+++ b/src/engine_profiles/tests/engine_profile_table_test.cc
@@ -211,7 +211,11 @@
 }
 
 TEST_CASE("values that cannot be true are rejected") {
-  Fixture fixture(2);
+  Fixture fixture(5);
+  for (const int engine : {0, 2, 4}) {
+    fixture.gaps(engine, kToken);
+  }
+  fixture.now += seconds(1);
   fixture.gaps(0, kToken);
   fixture.gaps(1, Duration::zero());
   fixture.gaps(1, -kToken);
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -107,6 +107,10 @@
            .reply = [this](const Endpoint& to, const auto& told) { peer_news_.send(to, told); }}),
       admission_({clock, random, logger, fleet_, loads_, rate_limiter_},
                  [this](const auto& notice) { peer_news_.tell_notice(notice); }),
+      profile_exchange_(
+          {clock, loop, random, profiles_}, settings_.node,
+          {.tell_all = [this](const auto& news) { peer_news_.tell_profiles(news); },
+           .tell_zone = [this](const auto& relayed) { peer_news_.tell_zone_profiles(relayed); }}),
       survey_(clock, adapter_.engines, fleet_, loads_,
               [this](const gateway::BackendId& engine, http::ClientRequest request,
                      std::function<void(std::string)> done) {
@@ -156,7 +160,7 @@
   fleet_.on_removed([this](const gateway::Backend& backend) {
     loads_.forget(backend.id);
     peer_news_.forget(backend.id);
-    profiles_.forget(backend.id);
+    profile_exchange_.forget(backend.id);
     client_.forget(backend.address);
     quarantine_.note_gone(backend);
     rate_limiter_.forget(backend.id);
@@ -172,6 +176,7 @@
   peer_news_.on_usage([this](const usage::UsageReport& report) { duties_.take_usage(report); });
   connect_quarantine();
   connect_admission();
+  connect_profiles();
   watcher_.start();
   registration_.start();
   duties_.start();
@@ -225,6 +230,15 @@
                          .tell_all = [this](const auto& send) { admission_.tell_all(send); }});
 }
 
+void GatewayNode::connect_profiles() {
+  peer_news_.on_profiles(
+      {.take = [this](const auto& news) { profile_exchange_.take(news); },
+       .take_to_relay = [this](const auto& news) { profile_exchange_.take_to_relay(news); },
+       .take_relayed = [this](const auto& relayed) { profile_exchange_.take(relayed); },
+       .tell_all = [this](const auto& send) { profile_exchange_.tell_all(send); }});
+  profile_exchange_.start();
+}
+
 Result<void, http::HttpError> GatewayNode::listen_to_peers() {
   BOOST_OUTCOME_TRY(socket, peer_load::DatagramSocket::bind(
                                 loop_, settings_.peer_listen, [this](std::string_view bytes) {
@@ -335,6 +349,7 @@
   rate_limiter_.add_metrics(sink);
   admission_.add_metrics(sink);
   profiles_.add_metrics(sink);
+  profile_exchange_.add_metrics(sink);
   sink.counter({"backend_connections", "Connections opened"},
                static_cast<double>(client_.statistics().connections_opened));
   sink.gauge({"requests_running", "Requests running"}, static_cast<double>(gateway_.running()));
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -11,6 +11,7 @@
 #include "discovery/fleet_watcher.h"
 #include "discovery/node_registration.h"
 #include "engine_profiles/engine_profile_table.h"
+#include "engine_profiles/profile_exchange.h"
 #include "gateway/cache_survey.h"
 #include "gateway/gateway.h"
 #include "gateway_node/adapter.h"
@@ -51,6 +52,7 @@
   void write_again();
   void connect_quarantine();
   void connect_admission();
+  void connect_profiles();
   /// Of the nodes known so far.
   std::vector<Endpoint> known_view_addresses() const;
   /// Once, when this node first knows the fleet: learns what engines keep.
@@ -89,6 +91,7 @@
   quarantine::Quarantine quarantine_;
   rate_limit::RateLimiter rate_limiter_;
   admission::AdmissionControl admission_;
+  engine_profiles::ProfileExchange profile_exchange_;
   gateway::CacheSurvey survey_;
   bool asked_peers_ = false;
   gateway::Gateway gateway_;
--- a/src/gateway_node/peer_channel.cc
+++ b/src/gateway_node/peer_channel.cc
@@ -158,6 +158,11 @@
   send_to(relays_.zone_members(), told.message);
 }
 
+/// A relay's own news need not be gathered: it is one of the nodes that tell.
+void PeerChannel::tell_profiles(const engine_profiles::ProfileNews& news) {
+  tell_every_node(news);
+}
+
 void PeerChannel::tell_zone_crashes(const quarantine::CrashNews& news) {
   send_to(relays_.zone_members(), news);
 }
--- a/src/gateway_node/peer_channel.h
+++ b/src/gateway_node/peer_channel.h
@@ -47,6 +47,10 @@
   std::function<void(const rate_limit::PermitRequest&)> permit_request{};
   std::function<void(const rate_limit::PermitReply&)> permit_reply{};
   std::function<void(const admission::BackendNotice&)> notice{};
+  std::function<void(const engine_profiles::ProfileNews&)> profiles{};
+  /// As a relay: to be told to the nodes of its zone as well.
+  std::function<void(const engine_profiles::ProfileNews&)> profiles_to_relay{};
+  std::function<void(const engine_profiles::RelayedProfileNews&)> relayed_profiles{};
 };
 
 struct PeerChannelOptions {
@@ -96,6 +100,12 @@
   void tell_limits(const rate_limit::LimitNews& news);
   /// To every node, in a large fleet by its relays.
   void tell_notice(const admission::BackendNotice& notice);
+  /// To every node, in a large fleet by its relays, which gather what they pass on.
+  void tell_profiles(const engine_profiles::ProfileNews& news);
+  /// As a relay: to the nodes of the zone.
+  void tell_zone_profiles(const engine_profiles::RelayedProfileNews& relayed) {
+    send_to(relays_.zone_members(), relayed);
+  }
   /// As a relay: to the nodes of the zone.
   void tell_zone_crashes(const quarantine::CrashNews& news);
   /// To one node, which need not be known to this one.
@@ -139,6 +149,9 @@
   void take(const rate_limit::PermitReply& told) { handlers_.permit_reply(told); }
   void take(const admission::BackendNotice& told) { handlers_.notice(told); }
   void take(const BackendNoticeToRelay& told);
+  void take(const engine_profiles::ProfileNews& told) { handlers_.profiles(told); }
+  void take(const ProfileNewsToRelay& told) { handlers_.profiles_to_relay(told.message); }
+  void take(const engine_profiles::RelayedProfileNews& told) { handlers_.relayed_profiles(told); }
   template <int kPlace>
   void take(const FormerMessage<kPlace>& /*told*/) {}
 
--- a/src/gateway_node/peer_message.h
+++ b/src/gateway_node/peer_message.h
@@ -7,6 +7,7 @@
 
 #include "admission/types.h"
 #include "discovery/view_update.h"
+#include "engine_profiles/types.h"
 #include "peer_load/types.h"
 #include "quarantine/types.h"
 #include "rate_limit/types.h"
@@ -53,6 +54,7 @@
 using NodeLeavingToRelay = ToRelay<NodeLeaving>;
 using LimitNewsToRelay = ToRelay<rate_limit::LimitNews>;
 using BackendNoticeToRelay = ToRelay<admission::BackendNotice>;
+using ProfileNewsToRelay = ToRelay<engine_profiles::ProfileNews>;
 
 /// In the place of a message that nodes of earlier builds send and this build does not read: their
 /// revisions name no life of the store. It is never sent, and taken for no message when it comes.
@@ -72,7 +74,8 @@
                  NodeLeaving, NodeLeavingToRelay, rate_limit::LimitNews, LimitNewsToRelay,
                  rate_limit::PermitRequest, rate_limit::PermitReply, admission::BackendNotice,
                  BackendNoticeToRelay, quarantine::HorizonRequest, quarantine::HorizonReport,
-                 discovery::PositionNews, discovery::HistoryNews>;
+                 discovery::PositionNews, discovery::HistoryNews, engine_profiles::ProfileNews,
+                 ProfileNewsToRelay, engine_profiles::RelayedProfileNews>;
 
 /// Names of the alternatives, in order, for metrics.
 constexpr std::array<const char*, std::variant_size_v<PeerMessage>> kPeerMessageNames{
@@ -99,6 +102,9 @@
     "horizon_request",
     "horizon_report",
     "position_news",
-    "history_news"};
+    "history_news",
+    "profile_news",
+    "profile_news_to_relay",
+    "relayed_profile_news"};
 
 }  // namespace ochrespring::gateway_node
--- a/src/gateway_node/peer_news.cc
+++ b/src/gateway_node/peer_news.cc
@@ -120,7 +120,17 @@
       .permit_reply =
           [this](const rate_limit::PermitReply& reply) { call_if_set(limits_.take_reply, reply); },
       .notice =
-          [this](const admission::BackendNotice& notice) { call_if_set(notices_.take, notice); }};
+          [this](const admission::BackendNotice& notice) { call_if_set(notices_.take, notice); },
+      .profiles =
+          [this](const engine_profiles::ProfileNews& news) { call_if_set(profiles_.take, news); },
+      .profiles_to_relay =
+          [this](const engine_profiles::ProfileNews& news) {
+            call_if_set(profiles_.take_to_relay, news);
+          },
+      .relayed_profiles =
+          [this](const engine_profiles::RelayedProfileNews& relayed) {
+            call_if_set(profiles_.take_relayed, relayed);
+          }};
 }
 
 void PeerNews::take_work(const peer_load::WorkReport& report) {
@@ -176,6 +186,10 @@
     notices_.tell_all(
         [&](const admission::BackendNotice& notice) { channel_.send(request.reply_to, notice); });
   }
+  if (profiles_.tell_all) {
+    profiles_.tell_all(
+        [&](const engine_profiles::ProfileNews& news) { channel_.send(request.reply_to, news); });
+  }
 }
 
 void PeerNews::tell_all_crashes(const Endpoint& to) {
--- a/src/gateway_node/peer_news.h
+++ b/src/gateway_node/peer_news.h
@@ -101,6 +101,20 @@
   };
   void on_notices(NoticeHandlers handlers) { notices_ = std::move(handlers); }
   void tell_notice(const admission::BackendNotice& notice) { channel_.tell_notice(notice); }
+  /// News of how fast engines work.
+  struct ProfileHandlers {
+    std::function<void(const engine_profiles::ProfileNews&)> take;
+    std::function<void(const engine_profiles::ProfileNews&)> take_to_relay;
+    std::function<void(const engine_profiles::RelayedProfileNews&)> take_relayed;
+    /// A node that has started is to be told all, by calls of `send`.
+    std::function<void(const std::function<void(const engine_profiles::ProfileNews&)>& send)>
+        tell_all;
+  };
+  void on_profiles(ProfileHandlers handlers) { profiles_ = std::move(handlers); }
+  void tell_profiles(const engine_profiles::ProfileNews& news) { channel_.tell_profiles(news); }
+  void tell_zone_profiles(const engine_profiles::RelayedProfileNews& relayed) {
+    channel_.tell_zone_profiles(relayed);
+  }
   /// To one node.
   void send(const Endpoint& to, const PeerMessage& message) { channel_.send(to, message); }
   const PeerChannel& channel() const { return channel_; }
@@ -129,6 +143,7 @@
   CrashHandlers crashes_;
   LimitHandlers limits_;
   NoticeHandlers notices_;
+  ProfileHandlers profiles_;
   PeerChannel channel_;
   peer_load::PeerWork peer_work_;
   peer_load::WorkAnnouncer announcer_;
--- a/src/gateway_node/tests/compatibility_test.cc
+++ b/src/gateway_node/tests/compatibility_test.cc
@@ -130,6 +130,21 @@
                                   .digest = 77});
 }
 
+TEST_CASE("news of engines' speed are read and written as when they were new") {
+  const auto corpus = read_corpus(PROFILE_NEWS);
+  REQUIRE(corpus.size() == 3);
+  for (const char* name : {"profile_news", "profile_news_to_relay", "relayed_profile_news"}) {
+    CAPTURE(name);
+    CHECK(is_same<PeerMessage>(corpus.at(name)));
+  }
+  const auto news = wire::decode<PeerMessage>(corpus.at("profile_news"));
+  REQUIRE(news);
+  const auto& told = std::get<engine_profiles::ProfileNews>(news.value());
+  REQUIRE(told.engines.size() == 1);
+  CHECK(told.engines[0].output == engine_profiles::ToldSpeed{std::chrono::microseconds(540), 12});
+  CHECK(told.engines[0].long_streams == 2);
+}
+
 TEST_CASE("records in the store are read and written as the build before has them") {
   const auto corpus = read_corpus();
   CHECK(is_same<discovery::NodeRecord>(corpus.at("node_record")));
@@ -155,6 +170,9 @@
   CHECK(PeerMessage(discovery::PositionNews()).index() == kKindsBeforeHorizons + 2);
   constexpr std::size_t kKindsBeforeHistory = 23;
   CHECK(PeerMessage(discovery::HistoryNews()).index() == kKindsBeforeHistory);
+  constexpr std::size_t kKindsBeforeProfiles = 24;
+  CHECK(PeerMessage(engine_profiles::ProfileNews()).index() == kKindsBeforeProfiles);
+  CHECK(PeerMessage(engine_profiles::RelayedProfileNews()).index() == kKindsBeforeProfiles + 2);
 }
 
 TEST_CASE("kinds of builds to come, and bytes behind a known one, are left alone") {
--- a/src/gateway_node/tests/peer_channel_test.cc
+++ b/src/gateway_node/tests/peer_channel_test.cc
@@ -53,7 +53,14 @@
                        ++crash_news;
                        channel.tell_zone_crashes(news);
                      },
-                 .leaving = [this](const auto&) { ++leaving_words; }},
+                 .leaving = [this](const auto&) { ++leaving_words; },
+                 .profiles = [this](const auto&) { ++profile_news; },
+                 .profiles_to_relay =
+                     [this](const engine_profiles::ProfileNews& news) {
+                       ++profile_news;
+                       channel.tell_zone_profiles({{news}});
+                     },
+                 .relayed_profiles = [this](const auto&) { ++profile_news; }},
                 std::move(send)) {}
 
   discovery::NodeRecord record;
@@ -65,6 +72,7 @@
   int usage_reports = 0;
   int crash_news = 0;
   int leaving_words = 0;
+  int profile_news = 0;
   std::uint32_t ended = 0;
   std::uint32_t ended_to_relay = 0;
   bool covers = true;          ///< Whether updates can be joined.
@@ -241,6 +249,23 @@
   }
 }
 
+// A node that is left out by the relays would take slow engines for usual ones.
+TEST_CASE("news of engines' speed reach every other node, with relays and without") {
+  for (const std::uint32_t from_nodes : {11U, 10U}) {
+    ChannelFleet fleet(from_nodes);
+    for (const auto& sender : fleet.nodes) {
+      for (const auto& node : fleet.nodes) {
+        node->profile_news = 0;
+      }
+      sender->channel.tell_profiles({});
+      fleet.deliver();
+      for (const auto& node : fleet.nodes) {
+        CHECK((node == sender || node->profile_news > 0));
+      }
+    }
+  }
+}
+
 TEST_CASE("a word of leaving that waited until a suspended node woke is left alone") {
   simulation::VirtualTime time;
   ChannelNode node(time, "a1", "a", 48, [](const Endpoint&, std::string_view) {});
