Streams continue at the engine that holds a copy of their run

Cause: a stream whose server crashes ended broken unless its route was resumable, and then its whole prompt was read again.

--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "gateway/backend_request.h"
 #include "gateway/backend_statement.h"
 #include "gateway/event_splitter.h"
 #include "gateway/types.h"
@@ -14,12 +15,21 @@
 
 namespace ochrespring::gateway {
 
+/// What is asked of a server.
+enum class SendKind : std::uint8_t {
+  kRun,
+  kPrefill,       ///< Read the prompt only.
+  kContinuation,  ///< Go on with a run of another server, whose copy this one holds.
+};
+
 /// Owned by its session; without a back end once it has been accounted for.
 struct Attempt {
   BackendId backend;
   MonotonicTime started{};
   std::uint64_t unread_tokens = 0;
-  std::optional<Endpoint> cache_source;  ///< Engine that shared parts are fetched from.
+  std::optional<Endpoint> cache_source;   ///< Engine that shared parts are fetched from.
+  std::optional<Endpoint> cache_backup;   ///< Engine that the run is replicated to.
+  std::optional<RunReference> continues;  ///< The run of another server that this one goes on with.
   bool prompt_read = false;
   std::unique_ptr<http::Exchange> exchange;
   std::optional<http::ResponseHead> head;
@@ -31,4 +41,18 @@
   bool uses_cache = false;  ///< Takes the cache handle.
 };
 
+/// Whether the back end has not read the prompt, whatever else became of the attempt.
+inline bool is_certainly_unread(AttemptVerdict verdict) {
+  return verdict == AttemptVerdict::kRefused || verdict == AttemptVerdict::kNotSent ||
+         verdict == AttemptVerdict::kUnreachable;
+}
+
+/// Of a prefill call that gave no handle: an engine that turns a request away is not ill.
+inline AttemptVerdict verdict_of_failed_prefill(const BackendStatement& statement) {
+  if (statement.misdirected) {
+    return AttemptVerdict::kReplaced;
+  }
+  return statement.not_run ? AttemptVerdict::kRefused : AttemptVerdict::kFailed;
+}
+
 }  // namespace ochrespring::gateway
--- a/src/gateway/backend_request.cc
+++ b/src/gateway/backend_request.cc
@@ -60,13 +60,19 @@
   if (call.prefill) {
     set_header(sent.headers, names.phase, names.phase_prefill);
   }
-  if (call.cache) {
+  if (call.continues) {
+    set_header(sent.headers, names.cache_source,
+               call.continues->runner.value() + "/" + call.continues->request_id);
+  } else if (call.cache) {
     set_header(sent.headers, names.cache_source,
                call.cache->address.value() + "/" + call.cache->handle);
   }
   if (call.cache_source) {
     set_header(sent.headers, names.cache_fetch, call.cache_source->value());
   }
+  if (call.cache_backup) {
+    set_header(sent.headers, names.cache_backup, call.cache_backup->value());
+  }
   if (call.resumes_after) {
     set_header(sent.headers, names.last_event, std::to_string(*call.resumes_after));
   }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -110,6 +110,12 @@
   }
 }
 
+void Gateway::on_backend_gone(const BackendId& backend) {
+  for (const auto& session : sessions_) {
+    session->on_backend_gone(backend);
+  }
+}
+
 void Gateway::end_all() {
   for (const auto& [number, waiting] : std::exchange(waiting_, {})) {
     waiting.writer->on_closed(nullptr);
--- a/src/gateway/request_log.cc
+++ b/src/gateway/request_log.cc
@@ -5,11 +5,15 @@
 void RequestLog::note_attempt(std::string_view message, std::string_view detail,
                               const Attempt* attempt) const {
   const bool fetches = attempt != nullptr && attempt->cache_source;
+  const bool replicates = attempt != nullptr && attempt->cache_backup;
+  const bool continues = attempt != nullptr && attempt->continues;
   write(message, {{"request_id", id_},
                   {"backend", attempt != nullptr ? attempt->backend.value() : ""},
                   {"detail", std::string(detail)},
                   {"unread_tokens", attempt != nullptr ? attempt->unread_tokens : 0},
                   {"cache_source", fetches ? attempt->cache_source->value() : ""},
+                  {"cache_backup", replicates ? attempt->cache_backup->value() : ""},
+                  {"continued_from", continues ? attempt->continues->runner.value() : ""},
                   {"age_milliseconds", age()}});
 }
 
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -14,9 +14,6 @@
 
 using std::chrono::milliseconds;
 
-/// Less time than this is not worth an attempt.
-constexpr Duration kLeastTime = milliseconds(3);
-constexpr Duration kReleaseTimeout = milliseconds(1000);
 constexpr std::uint32_t kMostUnreachable = 4;
 /// When a request that did not run may come back, in parts of its objective.
 constexpr double kRetryAfterObjectives = 0.15;
@@ -27,12 +24,6 @@
   return std::chrono::duration_cast<milliseconds>(span).count();
 }
 
-/// Whether the back end has not read the prompt, whatever else became of the attempt.
-bool is_certainly_unread(AttemptVerdict verdict) {
-  return verdict == AttemptVerdict::kRefused || verdict == AttemptVerdict::kNotSent ||
-         verdict == AttemptVerdict::kUnreachable;
-}
-
 bool is_success(std::uint16_t status) {
   return status >= 200 && status < 300;
 }
@@ -50,7 +41,12 @@
       request_(std::move(request)),
       writer_(std::move(writer)),
       deadline_timer_(environment.timers),
-      progress_timer_(environment.timers) {}
+      progress_timer_(environment.timers),
+      cache_(environment),
+      backup_(environment.fleet, environment.loads),
+      starter_(environment, cache_, backup_),
+      repeats_(environment, route_),
+      reports_(environment, request_, tenant_) {}
 
 void RequestSession::begin(std::function<void()> on_end) {
   on_end_ = std::move(on_end);
@@ -71,6 +67,9 @@
     prompt_ = parse_prompt(http::find_header(request_.headers, names.prompt_parts),
                            http::find_header(request_.headers, names.token_counts),
                            http::find_header(request_.headers, names.output_estimate));
+    if (wants_backup(route_, &*service->engine, &*prompt_, id_)) {
+      backup_.enable(id_, environment_.gate);
+    }
   }
   const std::string_view last = http::find_header(request_.headers, names.last_event);
   if (!last.empty()) {
@@ -114,7 +113,7 @@
   if (verdict == SendVerdict::kAllowed) {
     return true;
   }
-  if (verdict == SendVerdict::kTrialDue && sends_ == 0 && !read_apart_) {
+  if (verdict == SendVerdict::kTrialDue && repeats_.sends() == 0 && !read_apart_) {
     claim_trial(*guard);
   } else {
     give_up(FailureReason::kQuarantined);
@@ -163,7 +162,8 @@
       return;
     }
     const bool prefill = plan.reader.backend != nullptr;
-    denied = !claim_and_start(prefill ? plan.reader : plan.runner, prefill);
+    denied = !claim_and_start(prefill ? plan.reader : plan.runner,
+                              prefill ? SendKind::kPrefill : SendKind::kRun);
   }
 }
 
@@ -194,13 +194,13 @@
 }
 
 /// Sends the request once the back end's rate limit allows it. False: it does not, now.
-bool RequestSession::claim_and_start(const PlacementChoice& choice, bool prefill) {
+bool RequestSession::claim_and_start(const PlacementChoice& choice, SendKind kind) {
   ClaimResult result = ClaimResult::kGranted;
   if (environment_.gate != nullptr) {
-    const bool begun = answer_open_ || last_event_.has_value();
+    const bool begun = answer_open_ || last_event_.has_value() || kind == SendKind::kContinuation;
     result = environment_.gate->claim(
         choice.backend->id, begun ? kBegunStreamRank : kBegunStreamRank + 1 + priority(),
-        [weak = weak_from_this(), claimed = ClaimedSend::of(choice, prefill)](bool granted) {
+        [weak = weak_from_this(), claimed = ClaimedSend::of(choice, kind)](bool granted) {
           const auto self = weak.lock();
           if (self && !self->ended_) {
             self->on_claim(claimed, granted);
@@ -208,7 +208,7 @@
         });
   }
   if (result == ClaimResult::kGranted) {
-    start_attempt(choice, prefill);
+    start_attempt(choice, kind);
   } else if (result == ClaimResult::kDenied) {
     log_.note_denied(choice.backend->id);
   }
@@ -225,7 +225,7 @@
   }
   const bool open = environment_.gate->may_send(claimed.backend, environment_.clock.now());
   if (!granted || backend == nullptr || !open || fleet.is_leaving(*backend)) {
-    dispatch();
+    dispatch_unsent(claimed.kind);
     return;
   }
   if (time_left() < kLeastTime) {
@@ -234,91 +234,41 @@
     start_attempt({.backend = backend,
                    .unread_tokens = claimed.unread_tokens,
                    .cache_source = fleet.find(claimed.cache_source)},
-                  claimed.prefill);
+                  claimed.kind);
   }
 }
 
-RequestSession::ClaimedSend RequestSession::ClaimedSend::of(const PlacementChoice& choice,
-                                                            bool prefill) {
-  return {.backend = choice.backend->id,
-          .unread_tokens = choice.unread_tokens,
-          .cache_source = choice.cache_source != nullptr ? choice.cache_source->id : BackendId(),
-          .prefill = prefill};
-}
-
-void RequestSession::start_attempt(const PlacementChoice& choice, bool prefill) {
-  const MonotonicTime now = environment_.clock.now();
+void RequestSession::start_attempt(const PlacementChoice& choice, SendKind kind) {
   const Backend& backend = *choice.backend;
-  attempt_.emplace();
-  attempt_->backend = backend.id;
-  attempt_->started = now;
-  attempt_->prefill = prefill;
-  read_apart_ = read_apart_ || prefill;
-  attempt_->uses_cache = !prefill && cache_.has_value();
-  attempt_->unread_tokens = attempt_->uses_cache ? 0 : choice.unread_tokens;
-  if (!attempt_->uses_cache && choice.cache_source != nullptr) {
-    attempt_->cache_source = choice.cache_source->address;
-    ++environment_.statistics.cache_fetches;
-  }
-  if (!prefill) {
+  const AttemptInput input = attempt_input();
+  attempt_.emplace(starter_.make(choice, kind, input));
+  if (attempt_->prefill) {
+    read_apart_ = true;
+  } else {
     tried_.insert(backend.id);
   }
-  environment_.loads.begin(backend.id, attempt_->unread_tokens);
-  if (prompt_) {
-    environment_.loads.note_prompt(backend.id, *prompt_, now);
-  }
-  ++environment_.statistics.attempts;
-  note(prefill ? "prefill started" : "attempt started", backend.address.value());
-  http::ClientRequest sent = make_backend_request(request_, environment_.names, make_call(backend));
-  if (SendGate* gate = environment_.gate) {
-    gate->note_send(backend.id, now);
-    sent.may_leave = [gate, &clock = environment_.clock, id = backend.id] {
-      return gate->may_send(id, clock.now());
-    };
-  }
-  attempt_->exchange = environment_.transport.start(std::move(sent), *this);
+  note(attempt_->prefill ? "prefill started" : "attempt started", backend.address.value());
+  starter_.send(*attempt_, backend, input, *this);
   watch_progress();
 }
 
-BackendCall RequestSession::make_call(const Backend& backend) const {
-  BackendCall call;
-  call.backend = &backend;
-  call.left = time_left();
-  call.tenant = tenant_;
-  call.prefill = attempt_->prefill;
-  if (prompt_) {
-    call.priority = engine_priority(priority(), attempt_->unread_tokens);
-  }
-  if (attempt_->uses_cache) {
-    call.cache = cache_;
-  }
-  call.cache_source = attempt_->cache_source;
-  if (answer_open_) {
-    call.resumes_after = last_event_;
-  }
-  call.most_idle = connection_share();
-  return call;
+AttemptInput RequestSession::attempt_input() const {
+  return {.request = request_,
+          .service = routes_->configuration().find_service(service_),
+          .tenant = tenant_,
+          .prompt = prompt_ ? &*prompt_ : nullptr,
+          .tried = tried_,
+          .priority = priority(),
+          .left = time_left(),
+          .last_event = last_event_,
+          .answer_open = answer_open_,
+          .trial = trial_};
 }
 
 std::uint32_t RequestSession::priority() const {
   return tenant_ != nullptr ? tenant_->priority.value_or(route_.priority) : route_.priority;
 }
 
-const RequestFingerprint& RequestSession::fingerprint() {
-  if (!fingerprint_) {
-    fingerprint_ = fingerprint_of(request_, tenant_ != nullptr ? tenant_->name.value() : "");
-  }
-  return *fingerprint_;
-}
-
-/// This node's part of the connections that a back end takes from all callers. Where there are more
-/// nodes than connections none is kept: one for each node would be more than the back end takes.
-std::size_t RequestSession::connection_share() const {
-  const Service* service = routes_->configuration().find_service(service_);
-  const std::uint32_t all = service == nullptr ? 1 : service->most_connections;
-  return all / std::max(1U, environment_.node_count());
-}
-
 void RequestSession::on_head(const http::ResponseHead& head) {
   attempt_->head = head;
   attempt_->statement = read_statement(head, environment_.names);
@@ -326,6 +276,11 @@
   note_statement(statement);
   const bool ran = !attempt_->prefill && statement.is_signed && !statement.not_run;
   attempt_->streams = ran && is_stream() && is_success(head.status);
+  if (attempt_->streams && attempt_->continues && backup_.head()) {
+    attempt_->head = backup_.head();
+  } else if (attempt_->streams && attempt_->cache_backup) {
+    backup_.note_head(head);
+  }
   if (ran && !attempt_->streams) {
     // Ordinary servers begin when they are sent a request, as a rule.
     note_run(environment_.clock.now() - attempt_->started);
@@ -359,7 +314,7 @@
     end_prefill(attempt_->head->status != 200);
     return;
   }
-  ++sends_;
+  repeats_.note_send();
   judge_complete();
 }
 
@@ -369,26 +324,17 @@
   const auto handle =
       refused ? std::nullopt : environment_.engines.read_cache_handle(attempt_->body);
   if (handle && backend != nullptr) {
-    cache_ = CacheHandle{backend->id, backend->address, *handle};
+    cache_.hold({backend->id, backend->address, *handle});
   }
   note(handle ? "prefill done" : "prefill refused", handle.value_or(""));
-  end_attempt(handle ? AttemptVerdict::kGood : verdict_of_failed_prefill());
-  if (!handle && !spend_repeat()) {
+  end_attempt(handle ? AttemptVerdict::kGood : verdict_of_failed_prefill(attempt_->statement));
+  if (!handle && !repeats_.spend(service_)) {
     give_up(FailureReason::kRefused);
     return;
   }
   dispatch();
 }
 
-/// An engine that turns a request away is not ill.
-AttemptVerdict RequestSession::verdict_of_failed_prefill() const {
-  const BackendStatement& statement = attempt_->statement;
-  if (statement.misdirected) {
-    return AttemptVerdict::kReplaced;
-  }
-  return statement.not_run ? AttemptVerdict::kRefused : AttemptVerdict::kFailed;
-}
-
 /// A request counts once, however often it runs.
 void RequestSession::note_run(Duration ago) {
   if (std::exchange(run_noted_, true) || tenant_ == nullptr || !environment_.note_run) {
@@ -397,30 +343,20 @@
   environment_.note_run(tenant_->name, ago);
 }
 
-/// Frees a cache that nobody will take.
-void RequestSession::release_cache() {
-  if (!cache_) {
-    return;
-  }
-  if (environment_.gate != nullptr &&
-      environment_.gate->is_paused(cache_->engine, environment_.clock.now())) {
-    // It lapses by itself.
-    cache_.reset();
-    return;
-  }
-  http::ClientRequest request = environment_.engines.release_cache(cache_->handle);
-  request.endpoint = cache_->address;
-  request.timeout = kReleaseTimeout;
-  cache_.reset();
-  environment_.transport.send_and_forget(std::move(request));
-}
-
 void RequestSession::judge_complete() {
   const http::ResponseHead& head = *attempt_->head;
   const BackendStatement& statement = attempt_->statement;
   if (statement.not_run) {
     note("attempt refused", std::to_string(head.status));
-    end_attempt(statement.misdirected ? AttemptVerdict::kReplaced : AttemptVerdict::kRefused);
+    if (attempt_->continues) {
+      // A server that has not run the request is none of the route's attempts.
+      repeats_.allow_one_more();
+      ++environment_.statistics.copies_missing;
+    }
+    // An engine without the copy is neither ill nor full.
+    const AttemptVerdict refused =
+        attempt_->continues ? AttemptVerdict::kAbandoned : AttemptVerdict::kRefused;
+    end_attempt(statement.misdirected ? AttemptVerdict::kReplaced : refused);
     retry_or_give_up(FailureReason::kRefused);
     return;
   }
@@ -432,7 +368,7 @@
     retry_or_give_up(FailureReason::kBroken);
     return;
   }
-  note_answer();
+  reports_.note_answer(*attempt_);
   if (attempt_->streams) {
     relay_whole();
     return;
@@ -462,6 +398,7 @@
     answer_whole(*attempt_->head, attempt_->body);
   }
   ++environment_.statistics.answered;
+  environment_.statistics.continued_whole += attempt_->streams && attempt_->continues ? 1 : 0;
   end_attempt(is_success(attempt_->head->status) ? AttemptVerdict::kGood : AttemptVerdict::kFailed);
   finish("answered");
 }
@@ -497,6 +434,7 @@
   if (event.id) {
     last_event_ = event.id;
   }
+  backup_.note_event(event);
   timing_.note_event(environment_.clock.now());
   writer_->send_body(event.bytes);
   if (writer_->buffered_bytes() > kCallerBufferBytes) {
@@ -526,7 +464,7 @@
     ++unreachable_;
     end_attempt(AttemptVerdict::kUnreachable);
     if (unreachable_ < kMostUnreachable) {
-      dispatch();
+      dispatch_unsent(attempt_->continues ? SendKind::kContinuation : SendKind::kRun);
     } else {
       give_up(FailureReason::kUnreachable);
     }
@@ -534,7 +472,7 @@
   }
   log_.note_break(error, *attempt_, fingerprint().to_hex());
   const bool silent = error.code == http::HttpErrc::kTimeout;
-  note_break(silent ? BreakKind::kSilent : BreakKind::kClosed);
+  reports_.note_break(service_, *attempt_, silent ? BreakKind::kSilent : BreakKind::kClosed);
   if (silent) {
     environment_.loads.note_silence(attempt_->backend, environment_.clock.now());
   }
@@ -542,7 +480,7 @@
     end_prefill(true);
     return;
   }
-  ++sends_;
+  repeats_.note_send();
   may_have_run_ = true;
   // A kept connection that had died says nothing of the back end.
   const bool stale = error.code == http::HttpErrc::kStaleConnection;
@@ -553,8 +491,53 @@
   if (stale) {
     tried_.erase(attempt_->backend);
   }
+  const BrokenRun run = broken_run(error.code);
   end_attempt(stale ? AttemptVerdict::kAbandoned : AttemptVerdict::kFailed);
-  retry_or_give_up(FailureReason::kBroken);
+  continue_or_retry(run);
+}
+
+/// Of the current attempt, which is still at work.
+BrokenRun RequestSession::broken_run(http::HttpErrc error) const {
+  return {.error = error,
+          .runner_gone = backup_.is_runner_gone(attempt_->backend, environment_.clock.now()),
+          .repeatable = route_.repeatable(),
+          .has_time = time_left() >= kLeastTime};
+}
+
+/// Sends a stream whose attempt has ended on to the engine that holds its copy: the same run,
+/// whatever the route. Where it may not continue there, what the route allows follows.
+void RequestSession::continue_or_retry(const BrokenRun& run) {
+  const BackupObstacle obstacle = backup_.obstacle(run, environment_.clock.now());
+  if (obstacle != BackupObstacle::kNone) {
+    if (attempt_->cache_backup) {
+      ++environment_.statistics.not_continued;
+      note("stream not continued at its backup", describe(obstacle));
+    }
+    retry_or_give_up(FailureReason::kBroken);
+    return;
+  }
+  if (!passes_guard()) {
+    return;
+  }
+  if (!repeats_.spend(service_)) {
+    not_sent_again_ = "retry budget";
+    give_up(FailureReason::kBroken);
+    return;
+  }
+  const PlacementChoice choice{.backend = backup_.engine()};
+  note("stream continues at its backup", choice.backend->address.value());
+  if (!claim_and_start(choice, SendKind::kContinuation)) {
+    retry_or_give_up(FailureReason::kBroken);
+  }
+}
+
+/// Only the run that was begun may go on at a backup: elsewhere the request would run anew.
+void RequestSession::dispatch_unsent(SendKind kind) {
+  if (kind == SendKind::kContinuation) {
+    retry_or_give_up(FailureReason::kBroken);
+  } else {
+    dispatch();
+  }
 }
 
 /// The back end has asked for nothing more while the request waited for a connection.
@@ -566,7 +549,7 @@
     read_apart_ = false;
   }
   end_attempt(AttemptVerdict::kNotSent);
-  dispatch();
+  dispatch_unsent(attempt_->continues ? SendKind::kContinuation : SendKind::kRun);
 }
 
 void RequestSession::retry_or_give_up(FailureReason reason) {
@@ -594,30 +577,10 @@
 
 /// Takes one more send out of the route's attempts and the budget.
 bool RequestSession::may_send_again() {
-  not_sent_again_ = obstacle_to_repeat();
+  not_sent_again_ = repeats_.obstacle(service_, trial_, time_left());
   return not_sent_again_.empty();
 }
 
-std::string_view RequestSession::obstacle_to_repeat() {
-  if (trial_) {
-    return "trial";
-  }
-  if (sends_ >= route_.most_attempts) {
-    return "attempts of the route";
-  }
-  if (time_left() < kLeastTime) {
-    return "no time left";
-  }
-  return spend_repeat() ? "" : "retry budget";
-}
-
-bool RequestSession::spend_repeat() {
-  const bool granted =
-      environment_.budget.spend(service_, environment_.node_count(), environment_.clock.now());
-  ++(granted ? environment_.statistics.repeats : environment_.statistics.budget_denied);
-  return granted;
-}
-
 /// Closes the attempt's connection, if it still runs, and accounts for it.
 void RequestSession::end_attempt(AttemptVerdict verdict) {
   progress_timer_.disarm();
@@ -631,12 +594,8 @@
   if (prompt_ && is_certainly_unread(verdict)) {
     environment_.loads.forget_prompt(attempt_->backend, *prompt_, attempt_->started);
   }
-  if (attempt_->uses_cache && verdict == AttemptVerdict::kRefused) {
-    release_cache();
-  } else if (attempt_->uses_cache && verdict != AttemptVerdict::kUnreachable &&
-             verdict != AttemptVerdict::kNotSent && verdict != AttemptVerdict::kReplaced) {
-    // Taken: a handle serves once.
-    cache_.reset();
+  if (attempt_->uses_cache) {
+    cache_.note_end(verdict);
   }
   attempt_->exchange.reset();
   attempt_->backend = BackendId();
@@ -644,7 +603,7 @@
 
 /// A silent back end is left for another one if the request may be repeated.
 void RequestSession::watch_progress() {
-  if (!route_.repeatable()) {
+  if (!route_.repeatable() && !is_runner_gone()) {
     return;
   }
   progress_timer_.arm(patience_with(route_, answer_open_, time_left()),
@@ -652,42 +611,65 @@
 }
 
 void RequestSession::on_no_progress() {
-  if (trial_ || sends_ + 1 >= route_.most_attempts || !at_work() || attempt_->prefill) {
+  const std::shared_ptr<RequestSession> keep = shared_from_this();
+  if (leaves_gone_runner()) {
+    return;
+  }
+  if (!route_.repeatable()) {
+    watch_progress();
+    return;
+  }
+  if (trial_ || !at_work() || attempt_->prefill || repeats_.is_last_attempt(false)) {
     return;
   }
-  const std::shared_ptr<RequestSession> keep = shared_from_this();
   if (is_closed_everywhere(false)) {
     watch_progress();
     return;
   }
-  if (time_left() < kLeastTime || !spend_repeat()) {
+  if (time_left() < kLeastTime || !repeats_.spend(service_)) {
     return;
   }
-  ++sends_;
-  may_have_run_ = true;
   note("attempt made no progress", "");
-  note_break(BreakKind::kSilent);
   if (answer_open_) {
     ++environment_.statistics.resumed;
   }
-  end_attempt(AttemptVerdict::kFailed);
+  abandon_silent_attempt();
   dispatch();
 }
 
-/// Tells what an attempt that ends without an answer may say of the request, or of the back end.
-void RequestSession::note_break(BreakKind kind) {
-  RequestGuard* guard = environment_.guard;
-  // Callers that leave are many, and tell something only of a request that is suspected.
-  const bool tells = guard != nullptr && (kind != BreakKind::kAbandoned || guard->watching());
-  if (tells) {
-    guard->note_break({fingerprint(), service_, attempt_->backend, attempt_->started, kind});
+bool RequestSession::is_runner_gone() const {
+  return at_work() && attempt_->prompt_read &&
+         backup_.is_runner_gone(attempt_->backend, environment_.clock.now());
+}
+
+/// A server that is no longer registered has sent nothing for a while: it has ended, and its
+/// connection cannot tell. Where the backup cannot be used it is waited for, in case it has not: a
+/// store may lose registrations of servers that live.
+bool RequestSession::leaves_gone_runner() {
+  if (!is_runner_gone()) {
+    return false;
+  }
+  const BrokenRun run = broken_run(http::HttpErrc::kTimeout);
+  if (backup_.obstacle(run, environment_.clock.now()) != BackupObstacle::kNone) {
+    return false;
   }
+  note("server gone, and silent", "");
+  abandon_silent_attempt();
+  continue_or_retry(run);
+  return true;
 }
 
-void RequestSession::note_answer() {
-  RequestGuard* guard = environment_.guard;
-  if (guard != nullptr && guard->watching()) {
-    guard->note_answer({fingerprint(), attempt_->backend, attempt_->started});
+void RequestSession::abandon_silent_attempt() {
+  repeats_.note_send();
+  may_have_run_ = true;
+  reports_.note_break(service_, *attempt_, BreakKind::kSilent);
+  end_attempt(AttemptVerdict::kFailed);
+}
+
+void RequestSession::on_backend_gone(const BackendId& backend) {
+  // The timer of a stream that may be repeated runs already.
+  if (!ended_ && !route_.repeatable() && at_work() && attempt_->backend == backend) {
+    watch_progress();
   }
 }
 
@@ -709,7 +691,7 @@
 void RequestSession::abandon(FailureReason reason) {
   const std::shared_ptr<RequestSession> keep = shared_from_this();
   if (at_work()) {
-    note_break(BreakKind::kAbandoned);
+    reports_.note_break(service_, *attempt_, BreakKind::kAbandoned);
     may_have_run_ = may_have_run_ || !attempt_->prefill;
   }
   give_up(reason);
@@ -761,7 +743,7 @@
   }
   const std::shared_ptr<RequestSession> keep = shared_from_this();
   if (at_work()) {
-    note_break(BreakKind::kAbandoned);
+    reports_.note_break(service_, *attempt_, BreakKind::kAbandoned);
   }
   ++environment_.statistics.caller_gone;
   end_attempt(AttemptVerdict::kAbandoned);
@@ -771,7 +753,7 @@
 void RequestSession::on_deadline() {
   const std::shared_ptr<RequestSession> keep = shared_from_this();
   if (at_work() && !attempt_->prompt_read) {
-    note_break(BreakKind::kSilent);
+    reports_.note_break(service_, *attempt_, BreakKind::kSilent);
   }
   may_have_run_ = may_have_run_ || (at_work() && !attempt_->prefill);
   note("deadline", "");
@@ -784,14 +766,15 @@
   }
   deadline_timer_.disarm();
   progress_timer_.disarm();
-  release_cache();
+  cache_.release();
   writer_->on_closed(nullptr);
   writer_->on_drained(nullptr);
-  log_.note_end({.fingerprint = fingerprint_ ? fingerprint_->to_hex() : "",
+  const std::optional<RequestFingerprint>& known = reports_.known_fingerprint();
+  log_.note_end({.fingerprint = known ? known->to_hex() : "",
                  .service = service_.value(),
                  .outcome = std::string(outcome),
                  .not_sent_again = std::string(not_sent_again_),
-                 .attempts = static_cast<std::uint64_t>(sends_ + unreachable_),
+                 .attempts = static_cast<std::uint64_t>(repeats_.sends() + unreachable_),
                  .configuration = routes_->configuration().version.value(),
                  .most_output_tokens = prompt_ ? prompt_->output_tokens : 0},
                 timing_);
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -10,13 +10,19 @@
 
 #include "base/timer.h"
 #include "gateway/attempt.h"
+#include "gateway/attempt_starter.h"
 #include "gateway/backend_request.h"
+#include "gateway/claimed_send.h"
 #include "gateway/environment.h"
 #include "gateway/failure_answer.h"
+#include "gateway/guard_reports.h"
 #include "gateway/prompt.h"
+#include "gateway/prompt_cache.h"
+#include "gateway/repeat_limit.h"
 #include "gateway/request_fingerprint.h"
 #include "gateway/request_log.h"
 #include "gateway/route_table.h"
+#include "gateway/stream_backup.h"
 #include "gateway/stream_timing.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -58,6 +64,8 @@
 
   /// The request has come to be quarantined: where no back end has begun to answer, it ends.
   void on_quarantined(const RequestFingerprint& request);
+  /// A back end is no longer registered. A stream that it is still sending goes on.
+  void on_backend_gone(const BackendId& backend);
   /// The process ends: so does the request, with what is known of it.
   void on_stop();
 
@@ -67,38 +75,29 @@
   void claim_trial(RequestGuard& guard);
   PlacementRequest placement_request() const;
   void place();
-  /// A choice that waits for leave to be sent; back ends may go meanwhile.
-  struct ClaimedSend {
-    BackendId backend;
-    std::uint64_t unread_tokens = 0;
-    BackendId cache_source;  ///< Empty: none.
-    bool prefill = false;
-
-    static ClaimedSend of(const PlacementChoice& choice, bool prefill);
-  };
-  bool claim_and_start(const PlacementChoice& choice, bool prefill);
+  bool claim_and_start(const PlacementChoice& choice, SendKind kind);
   void on_claim(const ClaimedSend& claimed, bool granted);
   FailureReason reason_of_no_backend(MonotonicTime now) const;
   std::optional<RoomForecast> forecast(MonotonicTime now) const;
   bool is_closed_everywhere(bool tried_too) const;
-  void start_attempt(const PlacementChoice& choice, bool prefill);
-  BackendCall make_call(const Backend& backend) const;
-  /// Made when it is first asked for: most requests never need it.
-  const RequestFingerprint& fingerprint();
-  std::size_t connection_share() const;
+  void start_attempt(const PlacementChoice& choice, SendKind kind);
+  AttemptInput attempt_input() const;
+  const RequestFingerprint& fingerprint() { return reports_.fingerprint(); }
   std::uint32_t priority() const;
   void note_statement(const BackendStatement& statement);
-  void note_break(BreakKind kind);
-  void note_answer();
   void end_prefill(bool refused);
-  AttemptVerdict verdict_of_failed_prefill() const;
   void note_run(Duration ago);
-  void release_cache();
   bool may_send_again();
-  /// What stands against one more send; empty: nothing. Takes it out of the budget.
-  std::string_view obstacle_to_repeat();
-  bool spend_repeat();
   void on_withdrawn();
+  BrokenRun broken_run(http::HttpErrc error) const;
+  /// Whether the stream's server is known to have ended, and it has a copy.
+  bool is_runner_gone() const;
+  /// Whether the stream has been taken from a server that is gone and silent.
+  bool leaves_gone_runner();
+  void abandon_silent_attempt();
+  void continue_or_retry(const BrokenRun& run);
+  /// After a send that did not leave: places the request anew, if it is not a continuation.
+  void dispatch_unsent(SendKind kind);
   void retry_or_give_up(FailureReason reason);
   void end_attempt(AttemptVerdict verdict);
   void watch_progress();
@@ -135,7 +134,6 @@
   std::shared_ptr<http::ResponseWriter> writer_;
   std::function<void()> on_end_;
   std::string id_;
-  std::optional<RequestFingerprint> fingerprint_;
   ServiceName service_;
   std::optional<Prompt> prompt_;
   MonotonicTime arrived_{};
@@ -143,9 +141,12 @@
   Timer deadline_timer_;
   Timer progress_timer_;
   std::optional<Attempt> attempt_;
-  std::optional<CacheHandle> cache_;
+  PromptCache cache_;
+  StreamBackup backup_;
+  AttemptStarter starter_;
   std::set<BackendId> tried_;
-  std::uint32_t sends_ = 0;        ///< Attempts of which a byte may have left.
+  RepeatLimit repeats_;
+  GuardReports reports_;
   std::uint32_t unreachable_ = 0;  ///< Attempts without a connection.
   bool read_apart_ = false;        ///< A prefill engine was asked; once is enough.
   bool trial_ = false;             ///< In quarantine, but granted one send.
--- a/src/gateway/statistics.h
+++ b/src/gateway/statistics.h
@@ -52,7 +52,12 @@
   std::uint64_t backing_off = 0;    ///< Ended since back ends had asked this node for a pause.
   std::uint64_t withdrawn = 0;      ///< Sends kept back while they waited for a connection.
   std::uint64_t resumed = 0;        ///< Streams taken up at another back end.
-  LatencyHistogram first_byte;      ///< From arrival to the first byte of the answer.
+  std::uint64_t streams_replicated = 0;  ///< Runs sent with a backup engine.
+  std::uint64_t streams_continued = 0;   ///< Broken streams sent on to their backup engine.
+  std::uint64_t continued_whole = 0;     ///< Of those, answered to their end from there.
+  std::uint64_t copies_missing = 0;      ///< Of those, turned away by the backup engine.
+  std::uint64_t not_continued = 0;       ///< Broken streams whose backup engine could not be used.
+  LatencyHistogram first_byte;           ///< From arrival to the first byte of the answer.
 };
 
 }  // namespace ochrespring::gateway
--- a/src/gateway/stream_backup.h
+++ b/src/gateway/stream_backup.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "base/time.h"
+#include "gateway/backend_request.h"
 #include "gateway/event_splitter.h"
 #include "gateway/fleet_state.h"
 #include "gateway/load_table.h"
@@ -90,12 +91,6 @@
 /// The backup of one request. Decides from memory and sends nothing; one loop.
 class StreamBackup {
  public:
-  /// A run at one server, as the engine that holds its copy knows it.
-  struct Source {
-    Endpoint runner;
-    std::string request_id;
-  };
-
   /// References outlive it.
   StreamBackup(const FleetState& fleet, const LoadTable& loads) : fleet_(fleet), loads_(loads) {}
 
@@ -116,14 +111,10 @@
   BackupObstacle obstacle(const BrokenRun& run, MonotonicTime now) const;
   /// The engine that holds the copy; null: it has gone, or there is none.
   const Backend* engine() const;
-  Source source() const { return {runner_address_, request_id_}; }
+  RunReference source() const { return {runner_address_, request_id_}; }
   bool replicates() const { return !engine_.empty(); }
   /// The stream is about to continue at the backup.
   void note_used() { used_ = true; }
-  /// The backup engine had no copy: it has not run the request.
-  void note_missing() { missing_ = true; }
-  /// Sends that do not count as attempts of the route.
-  std::uint32_t uncounted_sends() const { return missing_ ? 1 : 0; }
 
  private:
   BackupObstacle engine_obstacle(MonotonicTime now) const;
@@ -138,7 +129,6 @@
   BackendId engine_;  ///< Empty: the current run is not replicated.
   std::optional<http::ResponseHead> head_;
   bool used_ = false;
-  bool missing_ = false;
   bool unnumbered_ = false;  ///< An event without an id was forwarded.
 };
 
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -158,6 +158,7 @@
     client_.forget(backend.address);
     quarantine_.note_gone(backend);
     rate_limiter_.forget(backend.id);
+    gateway_.on_backend_gone(backend.id);
   });
   watcher_.on_current([this] {
     apply_limits();
