--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -100,6 +100,7 @@
 
   http::ResponseHead head;
   std::string body;
+  std::size_t buffered = 0;  ///< Bytes that the caller has not taken.
   bool finished = false;
   bool aborted = false;
   bool gone = false;
