A stale connection is left to a repeat only where the route still allows one

Cause: a resumable stream on its last attempt ended broken after a stale connection, though its copy could be asked for. Change: the route's attempts are asked besides its kind.

--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -500,7 +500,7 @@
 BrokenRun RequestSession::broken_run(http::HttpErrc error) const {
   return {.error = error,
           .runner_gone = backup_.is_runner_gone(attempt_->backend, environment_.clock.now()),
-          .repeatable = route_.repeatable(),
+          .repeatable = route_.repeatable() && !repeats_.is_last_attempt(true),
           .has_time = time_left() >= kLeastTime};
 }
 
--- a/src/gateway/stream_backup.h
+++ b/src/gateway/stream_backup.h
@@ -80,7 +80,7 @@
 struct BrokenRun {
   http::HttpErrc error = http::HttpErrc::kReset;
   bool runner_gone = false;  ///< The server is known to have ended.
-  bool repeatable = false;   ///< The route allows the request to be sent anew.
+  bool repeatable = false;   ///< The route still allows the request to be sent anew.
   bool has_time = true;
 };
 
--- a/src/gateway/tests/continued_stream_test.cc
+++ b/src/gateway/tests/continued_stream_test.cc
@@ -35,8 +35,8 @@
   std::vector<BreakKind> kinds;
 };
 
-/// Engines `e1` to `e4` that replicate; `/stream/` may not be repeated, `/resumable/` once and
-/// `/thrice/` twice.
+/// Engines `e1` to `e4` that replicate; `/stream/` may not be repeated, `/resumable/` once,
+/// `/thrice/` twice, and `/last/` might, but for its attempts.
 struct BackupWorld : GatewayFixture {
   SwitchedGuard guard;
   PlayedGate gate;
@@ -47,6 +47,7 @@
   BackupWorld() {
     Configuration configuration = make_configuration(2);
     configuration.routes.push_back(make_route("/thrice/", RequestKind::kStreaming, "llm", 3, true));
+    configuration.routes.push_back(make_route("/last/", RequestKind::kStreaming, "llm", 1, true));
     configuration.services[1].engine->backs_up_streams = true;
     configuration.services[1].engine->tokens_per_event = 75;
     fleet.apply(std::move(configuration));
@@ -188,6 +189,19 @@
   CHECK(often->aborted);
 }
 
+// A stream would end that neither its route nor its copy was asked to save.
+TEST_CASE_FIXTURE(BackupWorld,
+                  "a stale connection is no break only where the request is sent anew") {
+  ask("/resumable/x");
+  run->fail(HttpErrc::kStaleConnection, true);
+  CHECK(sends() == 2);
+  CHECK(last().header(names.cache_source).empty());
+  transport.started.clear();
+  ask("/last/x");
+  run->fail(HttpErrc::kStaleConnection, true);
+  CHECK(continues());
+}
+
 // The stream would run at two servers at once.
 TEST_CASE_FIXTURE(BackupWorld, "a silent server is left only once it is known to have ended") {
   const auto caller = begin("/stream/x");
