--- a/src/engine_profiles/profile_exchange.cc
+++ b/src/engine_profiles/profile_exchange.cc
@@ -111,8 +111,12 @@
 }
 
 void ProfileExchange::take_to_relay(const ProfileNews& news) {
-  take(news);
   const std::size_t bytes = wire::encode(news).size();
+  if (kEnvelopeBytes + bytes > kMostBytes) {
+    // No node sends this.
+    return;
+  }
+  take(news);
   if (kEnvelopeBytes + to_zone_bytes_ + bytes > kMostBytes) {
     flush_relayed();
   }
--- a/src/fuzzing/targets/node_datagrams.cc
+++ b/src/fuzzing/targets/node_datagrams.cc
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "admission/admission_control.h"
+#include "engine_profiles/profile_exchange.h"
 #include "fuzzing/fuzz_target.h"
 #include "gateway_node/peer_news.h"
 #include "platform/fleet_codec.h"
@@ -64,18 +65,33 @@
   admission::AdmissionControl admission{
       {time, random, logger, fleet, loads, limiter},
       [this](const admission::BackendNotice& notice) { news.tell_notice(notice); }};
+  engine_profiles::EngineProfileTable profiles{fleet, logger};
+  engine_profiles::ProfileExchange exchange{
+      {time, time, random, profiles},
+      NodeId("self"),
+      {.tell_all = [this](const auto& told) { news.tell_profiles(told); },
+       .tell_zone = [this](const auto& told) { news.tell_zone_profiles(told); }}};
 
   Node() {
     nodes.put({NodeId("other"), Endpoint("10.0.0.3:80"), ZoneName("a"), Endpoint("10.0.0.3:81")});
     gateway::Backend server;
     server.id = gateway::BackendId("s");
     fleet.put(server);
+    gateway::Backend engine;
+    engine.id = gateway::BackendId("i-7f3a91c2@1787834510949");
+    engine.role = gateway::EngineRole::kDecode;
+    fleet.put(engine);
     news.on_limits({.take = [this](const auto& told) { limiter.take(told); },
                     .take_request = [this](const auto& told) { limiter.take(told); },
                     .take_reply = [this](const auto& told) { limiter.take(told); },
                     .tell_all = [this](const auto& send) { limiter.tell_all(send); }});
     news.on_notices({.take = [this](const auto& told) { admission.take(told); },
                      .tell_all = [this](const auto& send) { admission.tell_all(send); }});
+    news.on_profiles({.take = [this](const auto& told) { exchange.take(told); },
+                      .take_to_relay = [this](const auto& told) { exchange.take_to_relay(told); },
+                      .take_relayed = [this](const auto& told) { exchange.take(told); },
+                      .tell_all = [this](const auto& send) { exchange.tell_all(send); }});
+    exchange.start();
   }
   /// A request that waits for leave to go to the server while datagrams come.
   void claim() {
