--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -104,7 +104,6 @@
   bool finished = false;
   bool aborted = false;
   bool gone = false;
-  std::size_t buffered = 0;  ///< Bytes that the caller has not taken.
 
  private:
   std::function<void()> closed_;
