Short streams leave the last slots of engines that suit long ones

Change: a short stream is charged for a slot there, the more of them are taken, by the share of engines on which long streams do not stay in time; nothing where all engines are alike.

--- a/src/gateway/pause_forecast.cc
+++ b/src/gateway/pause_forecast.cc
@@ -13,6 +13,8 @@
 /// the second: the rest is for the network, and for what others send meanwhile.
 constexpr double kSurelyInTime = 0.75;
 constexpr double kSurelyLate = 0.95;
+/// Of pauses; a stream of 70 events has one in two chances to be in time then.
+constexpr double kRarelyLate = 0.01;
 /// How fast the chance of a stream to end in time rises with the time that it has, beside the
 /// time that callers' estimates let expect: half of the streams are longer than estimated, one in
 /// nine more than twice as long.
@@ -34,6 +36,10 @@
   return profiles_.share_slower_than(engine_.service, kSurelyLate / to_share(event, gap), now_);
 }
 
+bool PauseForecast::suits_long_streams(Duration gap) const {
+  return usually_late(event_time(0), gap) < kRarelyLate;
+}
+
 double PauseForecast::late_pause(Duration gap, double unread_tokens) const {
   const Duration event = event_time(unread_tokens);
   const double now = engine_.pace.factor * to_share(event, gap);
--- a/src/gateway/pause_forecast.h
+++ b/src/gateway/pause_forecast.h
@@ -35,6 +35,7 @@
                 std::uint32_t tokens_per_event, MonotonicTime now)
       : profiles_(profiles), engine_(engine), tokens_per_event_(tokens_per_event), now_(now) {}
 
+  const EngineProfile& profile() const { return engine_.profile; }
   /// Probability, 0 to 1, that the next pause of a stream is longer than `gap` if the engine has
   /// so many prompt tokens to read.
   double late_pause(Duration gap, double unread_tokens) const;
@@ -42,6 +43,9 @@
   double late_stream(const StreamNeeds& needs, double unread_tokens) const;
   /// Probability that the stream does not end before its deadline.
   double unfinished_stream(const StreamNeeds& needs) const;
+  /// Whether long streams with such a gap stay in time here, as far as engines are usually
+  /// disturbed.
+  bool suits_long_streams(Duration gap) const;
   /// From one event to the next, undisturbed.
   Duration event_time(double unread_tokens) const;
 
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -25,6 +25,8 @@
 /// Cost in tokens of a stream that is certainly late: less than that of one that fails, since a
 /// late answer is of some use to most callers.
 constexpr double kTokensPerLateStream = 40'000;
+/// A stream with fewer events is gone within a fraction of a second.
+constexpr double kLeastLongEvents = 4;
 /// Events that a long stream has still to come, on average, as far as is known.
 constexpr double kEventsOfLongStream = 36;
 /// Engines that differ by less are taken for alike: so much is noise of what was learned.
@@ -106,7 +108,11 @@
                                    ? CacheSources(fleet_, loads_, request.service, prompt, now)
                                    : CacheSources(query.holders, loads_, prompt, now);
   const Candidates runners = finder_.find(query, false, now);
-  const PromptView at_runners{prompt, sources, request, runners.home};
+  const PromptView at_runners{.prompt = prompt,
+                              .sources = sources,
+                              .request = request,
+                              .home = runners.home,
+                              .unsuited_share = unsuited_share(runners.backends, request, now)};
   PlacementPlan direct;
   direct.runner = cheapest(runners.backends, [&](const Backend& backend) {
     return estimate_runner(backend, at_runners, nullptr, now);
@@ -116,7 +122,11 @@
   }
   const Candidates readers = finder_.find(query, true, now);
   const double harm = std::min(1.0, kBusyHarm * busy_share(readers.backends, now));
-  const PromptView at_readers{prompt, sources, request, readers.home, kExtraColdCost * harm};
+  const PromptView at_readers{.prompt = prompt,
+                              .sources = sources,
+                              .request = request,
+                              .home = readers.home,
+                              .cold_cost = kExtraColdCost * harm};
   PlacementPlan apart;
   apart.reader = cheapest(readers.backends, [&](const Backend& backend) {
     return estimate_reader(backend, at_readers, now);
@@ -169,7 +179,7 @@
                       (static_cast<double>(reading.unread_tokens) + work.unread_tokens) *
                       (1 + kHarmPerStream * work.requests);
   }
-  choice.cost += stream_cost(backend, view.request, work, choice.unread_tokens, now);
+  choice.cost += stream_cost(backend, view, work, choice.unread_tokens, now);
   choice.cost += connection_cost(backend, view.request) + kTokensPerRunning * work.requests +
                  kTokensPerWaiting * load.reported_waiting(now) +
                  kTokensPerFailure * load.failure_share(now) +
@@ -208,19 +218,38 @@
   return std::abs(speed - 1) < kSpeedNoise ? 1 : speed;
 }
 
-double Placement::stream_cost(const Backend& backend, const PlacementRequest& request,
-                              const Work& work, std::uint64_t unread_tokens,
-                              MonotonicTime now) const {
+std::optional<PauseForecast> Placement::forecast_at(const Backend& backend,
+                                                    const PlacementRequest& request,
+                                                    MonotonicTime now) const {
   const auto profile =
       profiles_ != nullptr && request.stream ? profiles_->find(backend, now) : std::nullopt;
   if (!profile) {
-    return 0;
+    return std::nullopt;
   }
-  const StreamNeeds& needs = *request.stream;
-  const PauseForecast forecast(
+  return PauseForecast(
       *profiles_,
       {.service = request.service, .profile = *profile, .pace = load_of(backend).pace(now)},
-      needs.tokens_per_event, now);
+      request.stream->tokens_per_event, now);
+}
+
+double Placement::unsuited_share(const Backends& engines, const PlacementRequest& request,
+                                 MonotonicTime now) const {
+  const auto unsuited = std::count_if(engines.begin(), engines.end(), [&](const Backend* engine) {
+    const auto forecast = forecast_at(*engine, request, now);
+    return forecast && !forecast->suits_long_streams(request.stream->shortest_gap);
+  });
+  return engines.empty() ? 0 : static_cast<double>(unsuited) / static_cast<double>(engines.size());
+}
+
+double Placement::stream_cost(const Backend& backend, const PromptView& view, const Work& work,
+                              std::uint64_t unread_tokens, MonotonicTime now) const {
+  const auto known = forecast_at(backend, view.request, now);
+  if (!known) {
+    return 0;
+  }
+  const PauseForecast& forecast = *known;
+  const EngineProfile& profile = forecast.profile();
+  const StreamNeeds& needs = *view.request.stream;
   const double unread = work.unread_tokens;
   const double made_late =
       unread_tokens == 0
@@ -229,8 +258,21 @@
                 forecast.late_pause(needs.shortest_gap, unread);
   return kTokensPerLateStream * forecast.late_stream(needs, unread) +
          kTokensPerFailure * forecast.unfinished_stream(needs) +
-         kTokensPerLateStream * profile->long_streams * std::max(0.0, made_late) +
-         slot_cost(backend, work, *profile, forecast);
+         kTokensPerLateStream * profile.long_streams * std::max(0.0, made_late) +
+         slot_cost(backend, work, profile, forecast) +
+         scarce_slot_cost(backend, view, work, forecast);
+}
+
+/// While few slots are taken a short stream is gone before they are needed.
+double Placement::scarce_slot_cost(const Backend& backend, const PromptView& view, const Work& work,
+                                   const PauseForecast& forecast) const {
+  const StreamNeeds& needs = *view.request.stream;
+  if (view.unsuited_share == 0 || needs.expected_events >= kLeastLongEvents ||
+      !forecast.suits_long_streams(needs.shortest_gap)) {
+    return 0;
+  }
+  const double taken = std::min(1.0, (work.requests + 1) / std::max<double>(backend.slots, 1));
+  return kTokensPerLateStream * view.unsuited_share * taken * taken;
 }
 
 /// Long streams keep their slots for seconds.
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -81,6 +81,8 @@
     const PlacementRequest& request;
     const Backend* home = nullptr;
     double cold_cost = 0;  ///< Besides its time, of a token of a shared part that is read anew.
+    /// Part of the engines, 0 to 1, on which long streams do not stay in time.
+    double unsuited_share = 0;
   };
   /// Cost of reading the prompt where it then runs, or, with a reader, of taking over its cache and
   /// running it only.
@@ -109,8 +111,15 @@
                        MonotonicTime now) const;
   /// What is predicted of a stream at an engine, in tokens to read: its own lateness, that of
   /// streams beside which its prompt is read, and its wait for a slot.
-  double stream_cost(const Backend& backend, const PlacementRequest& request, const Work& work,
+  double stream_cost(const Backend& backend, const PromptView& view, const Work& work,
                      std::uint64_t unread_tokens, MonotonicTime now) const;
+  /// What a short stream takes from long ones by a slot where these would stay in time.
+  double scarce_slot_cost(const Backend& backend, const PromptView& view, const Work& work,
+                          const PauseForecast& forecast) const;
+  std::optional<PauseForecast> forecast_at(const Backend& backend, const PlacementRequest& request,
+                                           MonotonicTime now) const;
+  double unsuited_share(const Backends& engines, const PlacementRequest& request,
+                        MonotonicTime now) const;
   double slot_cost(const Backend& backend, const Work& work, const EngineProfile& profile,
                    const PauseForecast& forecast) const;
 
--- a/src/gateway/tests/pause_forecast_test.cc
+++ b/src/gateway/tests/pause_forecast_test.cc
@@ -119,6 +119,23 @@
   CHECK(world.choose(short_stream(), 200) == "slow");
 }
 
+TEST_CASE("short streams leave the last slots to long ones where few engines keep these in time") {
+  World world;
+  world.put("slow", kSlow);
+  world.put("usual", kUsual);
+  CHECK(world.choose(short_stream(), 200) == "usual");
+  for (std::uint32_t i = 0; i != 4; ++i) {
+    world.loads.begin(BackendId("usual"), 0);
+  }
+  CHECK(world.choose(short_stream(), 200) == "slow");
+  CHECK(world.choose(long_stream(), 200) == "usual");
+  world.profiles.own_profiles[BackendId("slow")] = kUsual;
+  for (std::uint32_t i = 0; i != 5; ++i) {
+    world.loads.begin(BackendId("slow"), 0);
+  }
+  CHECK(world.choose(short_stream(), 200) == "usual");
+}
+
 TEST_CASE("a long prompt goes where it pushes no stream over its gap") {
   World world;
   world.put("streams", make_profile(kUsual.output_token, kUsual.prompt_token, 3));
