Pure module of queueing and admission control

Cause: requests beyond a service's capacity wait in the servers' own queues, where their order can no longer be chosen. Change: src/admission_queue decides the order (begun streams, on time by priority, late by deadline; stride scheduling between tenants, a share for each class), predicts waits from this node's own completions while requests wait, rejects early with probes, and gives rejected callers times of their own. src/gateway/request_queue.h is the interface towards requests. Not wired yet. Result: test admission_queue passes.

--- /dev/null
+++ b/src/admission_queue/completion_rate.h
@@ -0,0 +1,58 @@
+// How fast this node's requests of one service complete while others of them wait. Pure; one loop.
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <optional>
+
+#include "base/time.h"
+
+namespace ochrespring::admission_queue {
+
+/// Counts only while requests wait: at other times completions tell the demand, not the capacity.
+/// All of it fades with time, so that an old overload decides nothing.
+class CompletionRate {
+ public:
+  void set_waiting(bool waiting, MonotonicTime now) {
+    fade(now);
+    waiting_ = waiting;
+  }
+  void note_completion(MonotonicTime now) {
+    fade(now);
+    completions_ += waiting_ ? 1 : 0;
+  }
+  /// None: too little was seen. Never zero: one completion more than was seen is assumed.
+  std::optional<double> per_second(MonotonicTime now) const {
+    CompletionRate current = *this;
+    current.fade(now);
+    if (current.busy_seconds_ < to_seconds(kLeastSeen)) {
+      return std::nullopt;
+    }
+    return (current.completions_ + 1) / current.busy_seconds_;
+  }
+
+ private:
+  static constexpr Duration kHalfLife = std::chrono::seconds(2);
+  static constexpr Duration kLeastSeen = std::chrono::milliseconds(250);
+
+  /// A clock that stands still or goes back adds nothing.
+  void fade(MonotonicTime now) {
+    const Duration since = std::max(Duration::zero(), now - at_);
+    const double lives = to_seconds(since) / to_seconds(kHalfLife);
+    const double left = std::exp2(-lives);
+    completions_ *= left;
+    busy_seconds_ *= left;
+    if (waiting_) {
+      busy_seconds_ += to_seconds(kHalfLife) * (1 - left) / std::log(2.0);
+    }
+    at_ = std::max(at_, now);
+  }
+
+  double completions_ = 0;
+  double busy_seconds_ = 0;
+  bool waiting_ = false;
+  MonotonicTime at_{};
+};
+
+}  // namespace ochrespring::admission_queue
--- /dev/null
+++ b/src/admission_queue/retry_schedule.cc
@@ -0,0 +1,44 @@
+#include "admission_queue/retry_schedule.h"
+
+#include <algorithm>
+
+namespace ochrespring::admission_queue {
+
+Duration RetrySchedule::reserve(const Rejected& rejected, RandomSource& random, MonotonicTime now) {
+  if (const auto found = due_.find(rejected.key); found != due_.end() && found->second > now) {
+    return std::max(found->second - now, kLeastWait);
+  }
+  const MonotonicTime end = now + kLongestWait;
+  const MonotonicTime first = now + std::clamp(rejected.drain, kLeastWait, kLongestWait);
+  MonotonicTime due = std::max(first, last_ + std::min(rejected.interval, kLongestWait));
+  if (due > end) {
+    // More were rejected than places become free within the longest wait.
+    const Duration least = std::min<Duration>(first - now, kLongestWait / 2);
+    due = now + least + random.part_of(kLongestWait - least);
+  } else {
+    last_ = due;
+  }
+  if (due_.size() >= kMostKept) {
+    forget_old(now);
+  }
+  if (due_.size() < kMostKept) {
+    due_[rejected.key] = due;
+  }
+  return due - now;
+}
+
+bool RetrySchedule::take(std::uint64_t key, MonotonicTime now) {
+  const auto found = due_.find(key);
+  if (found == due_.end() || now < found->second - kEarly) {
+    return false;
+  }
+  const bool in_time = now <= found->second + kLate;
+  due_.erase(found);
+  return in_time;
+}
+
+void RetrySchedule::forget_old(MonotonicTime now) {
+  std::erase_if(due_, [&](const auto& entry) { return entry.second + kLate < now; });
+}
+
+}  // namespace ochrespring::admission_queue
