A queued request is a state outside of RequestSession

Change: RequestDispatch takes over the way from a request to its next send: the guard's leave, a place in the queue, the choice and its rate limit. Placement::has_room tells whether a choice is predicted to serve a request within its target. With no queue (null) nothing changes.

--- a/src/admission_queue/tests/service_queue_test.cc
+++ b/src/admission_queue/tests/service_queue_test.cc
@@ -95,6 +95,7 @@
   world.limits.requests = 10;
   QueueRequest begun = world.make_request();
   begun.begun = true;
+  begun.sent_before = true;
   CHECK(world.join(begun).admitted);
   QueueRequest repeat = world.make_request();
   repeat.sent_before = true;
--- a/src/admission_queue/waiting_line.h
+++ b/src/admission_queue/waiting_line.h
@@ -50,6 +50,8 @@
   /// Of one request that waits here.
   std::size_t bytes_of(Handle handle) const { return items_.at(handle).request.bytes; }
   /// Of one request that waits here.
+  bool may_be_rejected(Handle handle) const { return items_.at(handle).request.may_be_rejected(); }
+  /// Of one request that waits here.
   MonotonicTime joined(Handle handle) const { return items_.at(handle).joined; }
   /// When the oldest request joined.
   std::optional<MonotonicTime> oldest() const;
--- a/src/gateway/environment.h
+++ b/src/gateway/environment.h
@@ -10,11 +10,13 @@
 #include "base/timer.h"
 #include "gateway/backend_transport.h"
 #include "gateway/engine_calls.h"
+#include "gateway/engine_profiles.h"
 #include "gateway/fleet_state.h"
 #include "gateway/header_names.h"
 #include "gateway/load_table.h"
 #include "gateway/placement.h"
 #include "gateway/request_guard.h"
+#include "gateway/request_queue.h"
 #include "gateway/retry_budget.h"
 #include "gateway/send_gate.h"
 #include "gateway/share_picker.h"
@@ -43,6 +45,8 @@
   std::function<void(const TenantName& tenant, Duration ago)> note_run{};
   RequestGuard* guard = nullptr;  ///< Null: requests that end back ends are not kept from others.
   SendGate* gate = nullptr;       ///< Null: what back ends ask for is not kept to.
+  RequestQueue* queue = nullptr;  ///< Null: no request waits for full back ends.
+  const EngineProfiles* profiles = nullptr;  ///< Null: nothing is known of how fast engines work.
   /// The process ends then, whatever runs; none: not before long.
   std::optional<MonotonicTime> ends_at{};
 };
--- a/src/gateway/failure_answer.cc
+++ b/src/gateway/failure_answer.cc
@@ -51,6 +51,8 @@
       return "backing-off";
     case FailureReason::kStopping:
       return "stopping";
+    case FailureReason::kOverloaded:
+      return "overloaded";
   }
   return "";
 }
--- a/src/gateway/failure_answer.h
+++ b/src/gateway/failure_answer.h
@@ -25,6 +25,7 @@
   kRateLimited,  ///< All back ends that could take it have named gate, and have had as much.
   kBackingOff,   ///< All back ends that could take it have asked this node for a pause.
   kStopping,     ///< This node ends before the request may.
+  kOverloaded,   ///< All back ends are full, and none is expected to have room in time.
 };
 
 /// Name of a reason in logs and answers.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -79,6 +79,11 @@
   }
 }
 
+HeldRequests Gateway::held() const {
+  const std::size_t queued = environment_.queue != nullptr ? environment_.queue->waiting() : 0;
+  return {waiting_.size(), sessions_.size() - queued, queued};
+}
+
 /// By the configuration in force.
 Admission Gateway::look_up(const http::Request& request) const {
   const std::shared_ptr<const RouteTable>& routes = environment_.fleet.routes();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -22,7 +22,9 @@
   std::size_t at_configuration = 0;  ///< Whether there is a newer one.
   std::size_t at_back_ends = 0;      ///< An answer, or the rest of one; or leave to be sent.
 
-  std::size_t total() const { return at_configuration + at_back_ends; }
+  std::size_t queued = 0;  ///< A back end that is not full.
+
+  std::size_t total() const { return at_configuration + at_back_ends + queued; }
 };
 
 /// Used on one loop; outlives its requests only if destroyed after the loop has stopped.
@@ -32,7 +34,7 @@
 
   void handle(http::Request request, std::shared_ptr<http::ResponseWriter> writer);
   /// All that have been handed over and have no final answer yet.
-  HeldRequests held() const { return {waiting_.size(), sessions_.size()}; }
+  HeldRequests held() const;
   std::size_t running() const { return held().total(); }
   /// The request has come to be quarantined; of those running, it ends where it still waits.
   void on_quarantined(const RequestFingerprint& request);
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -55,6 +55,9 @@
 /// Cost of a request that is certainly turned away, in requests per slot.
 constexpr double kOrdinaryRefusalCost = 3;
 constexpr double kTieBreak = 0.02;
+/// Requests that may wait at a server of an ordinary service, in parts of its slots: it has work
+/// while the news of a free slot is on its way.
+constexpr double kOrdinaryWindow = 0.5;
 
 double fetch_cost(std::uint64_t tokens) {
   return tokens == 0 ? 0 : kFetchTokens + kFetchTokenCost * static_cast<double>(tokens);
@@ -121,6 +124,64 @@
   return quicker ? apart : direct;
 }
 
+bool Placement::has_room(const RoomQuery& query, const PlacementPlan& plan,
+                         MonotonicTime now) const {
+  const PlacementRequest& request = query.request;
+  const bool engine = request.prompt != nullptr;
+  const auto has_slot = [&](const Backend* backend) {
+    return has_free_slot(*backend, engine, now);
+  };
+  const auto is_read = [&](const Backend* backend) {
+    const std::uint64_t tokens =
+        plan.reader.backend != nullptr ? plan.reader.unread_tokens : plan.runner.unread_tokens;
+    return reads_in_time(*backend, tokens, query, now);
+  };
+  const Backend* reader =
+      plan.reader.backend != nullptr ? plan.reader.backend : plan.runner.backend;
+  if (has_slot(plan.runner.backend) && (!engine || is_read(reader))) {
+    return true;
+  }
+  const CandidateFinder::Query candidates{.service = request.service,
+                                          .prompt = request.prompt,
+                                          .avoid = &request.avoid,
+                                          .gate = request.gate};
+  const Backends runners = finder_.find(candidates, false, now).backends;
+  if (!engine) {
+    return std::any_of(runners.begin(), runners.end(), has_slot);
+  }
+  if (std::any_of(runners.begin(), runners.end(),
+                  [&](const Backend* backend) { return has_slot(backend) && is_read(backend); })) {
+    return true;
+  }
+  const Backends readers =
+      request.may_read_apart ? finder_.find(candidates, true, now).backends : Backends();
+  return std::any_of(runners.begin(), runners.end(), has_slot) &&
+         std::any_of(readers.begin(), readers.end(), is_read);
+}
+
+bool Placement::has_free_slot(const Backend& backend, bool engine, MonotonicTime now) const {
+  const double slots = std::max<double>(backend.slots, 1);
+  const double window = engine ? 0 : std::max(1.0, kOrdinaryWindow * slots);
+  return work_at(backend, now).requests < slots + window;
+}
+
+/// A prompt that takes most of its target by itself would never find an engine idle enough: up to
+/// half of the target may always pass before it is read.
+bool Placement::reads_in_time(const Backend& engine, std::uint64_t tokens, const RoomQuery& query,
+                              MonotonicTime now) const {
+  const auto profile = query.profiles != nullptr ? query.profiles->find(engine, now) : std::nullopt;
+  const double ahead = work_at(engine, now).unread_tokens;
+  if (!profile || ahead <= 0) {
+    return true;
+  }
+  const double reading_cost = engine.role == EngineRole::kPrefill ? 1 : kRunnerReadingCost;
+  const double seconds_per_token =
+      reading_cost * load_of(engine).slowness(now) * to_seconds(profile->prompt_token);
+  const double target = to_seconds(query.target_latency);
+  const double left = target - seconds_per_token * static_cast<double>(tokens);
+  return seconds_per_token * ahead <= std::max(left, target / 2);
+}
+
 template <class Estimate>
 PlacementChoice Placement::cheapest(const Backends& backends, const Estimate& estimate) const {
   PlacementChoice best;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -12,6 +12,7 @@
 #include "base/time.h"
 #include "gateway/cache_sources.h"
 #include "gateway/candidates.h"
+#include "gateway/engine_profiles.h"
 #include "gateway/fleet_state.h"
 #include "gateway/load_table.h"
 #include "gateway/prompt.h"
@@ -58,7 +59,21 @@
 
   PlacementPlan choose(const PlacementRequest& request, MonotonicTime now) const;
 
+  /// What is asked of a choice before its request is sent.
+  struct RoomQuery {
+    const PlacementRequest& request;
+    Duration target_latency{};                 ///< To the first event of a stream.
+    const EngineProfiles* profiles = nullptr;  ///< Null: only slots count.
+  };
+  /// Whether the chosen back ends, or else any others, are predicted to serve the request within
+  /// its target. Draws random numbers only where the chosen ones are not.
+  bool has_room(const RoomQuery& query, const PlacementPlan& plan, MonotonicTime now) const;
+
  private:
+  bool has_free_slot(const Backend& backend, bool engine, MonotonicTime now) const;
+  /// Whether an engine is predicted to have read so many more tokens within the target.
+  bool reads_in_time(const Backend& engine, std::uint64_t tokens, const RoomQuery& query,
+                     MonotonicTime now) const;
   using Backends = std::vector<const Backend*>;
 
   PlacementPlan choose_engines(const PlacementRequest& request, const CandidateFinder::Query& query,
--- a/src/gateway/request_queue.h
+++ b/src/gateway/request_queue.h
@@ -19,8 +19,8 @@
   RouteName route;             ///< With the priority: the request class.
   TenantName tenant;           ///< Empty: nobody's.
   std::uint32_t priority = 0;  ///< 0 is the most urgent.
-  bool begun = false;          ///< The caller has the beginning of the stream; never rejected.
-  bool sent_before = false;    ///< An attempt was made: a rejection could not promise "not run".
+  bool begun = false;          ///< The caller has the beginning of the stream.
+  bool sent_before = false;    ///< A rejection could not promise that the request has not run.
   bool returned = false;       ///< Came back when it was told to.
   bool room_seen = false;      ///< Some back end has room now; never rejected.
   double cost = 1;             ///< Expected work, in one unit for all requests of the service.
@@ -29,7 +29,7 @@
   MonotonicTime deadline{};
 
   /// Whether a queue may end the request by a decision of its own.
-  bool may_be_rejected() const { return !begun && !sent_before; }
+  bool may_be_rejected() const { return !sent_before; }
 };
 
 /// Why a queue turns a request away.
@@ -88,8 +88,9 @@
   virtual std::size_t waiting() const = 0;
   /// `waiter` outlives the place. Neither of its members is called inside, but for the fingerprint.
   virtual JoinResult join(QueueRequest request, QueueWaiter& waiter) = 0;
-  /// An attempt of this node has ended, so that its back end may have room.
-  virtual void note_attempt_ended(const ServiceName& service) = 0;
+  /// An attempt of this node has ended, so that its back end may have room. `completed`: the back
+  /// end worked on the request, so that this tells how fast the service completes requests.
+  virtual void note_attempt_ended(const ServiceName& service, bool completed) = 0;
 };
 
 }  // namespace ochrespring::gateway
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -14,8 +14,6 @@
 
 using std::chrono::milliseconds;
 
-/// Less time than this is not worth an attempt.
-constexpr Duration kLeastTime = milliseconds(3);
 constexpr Duration kReleaseTimeout = milliseconds(1000);
 constexpr std::uint32_t kMostUnreachable = 4;
 /// When a request that did not run may come back, in parts of its objective.
@@ -50,7 +48,8 @@
       request_(std::move(request)),
       writer_(std::move(writer)),
       deadline_timer_(environment.timers),
-      progress_timer_(environment.timers) {}
+      progress_timer_(environment.timers),
+      dispatch_(std::make_shared<RequestDispatch>(environment, *this)) {}
 
 void RequestSession::begin(std::function<void()> on_end) {
   on_end_ = std::move(on_end);
@@ -93,48 +92,7 @@
     return;
   }
   deadline_timer_.arm(deadline_ - arrived_, [this] { on_deadline(); });
-  dispatch();
-}
-
-void RequestSession::dispatch() {
-  if (time_left() < kLeastTime) {
-    give_up(FailureReason::kTimeout);
-  } else if (passes_guard()) {
-    place();
-  }
-}
-
-/// Whether the request may be sent on now; if not, it has ended or waits for a trial.
-bool RequestSession::passes_guard() {
-  RequestGuard* guard = environment_.guard;
-  if (guard == nullptr || !guard->watching() || trial_) {
-    return true;
-  }
-  const SendVerdict verdict = guard->judge(fingerprint());
-  if (verdict == SendVerdict::kAllowed) {
-    return true;
-  }
-  if (verdict == SendVerdict::kTrialDue && sends_ == 0 && !read_apart_) {
-    claim_trial(*guard);
-  } else {
-    give_up(FailureReason::kQuarantined);
-  }
-  return false;
-}
-
-void RequestSession::claim_trial(RequestGuard& guard) {
-  guard.claim_trial(fingerprint(), [weak = weak_from_this()](bool granted) {
-    const auto self = weak.lock();
-    if (!self || self->ended_) {
-      return;
-    }
-    self->trial_ = granted;
-    if (granted) {
-      self->dispatch();
-    } else {
-      self->give_up(FailureReason::kQuarantined);
-    }
-  });
+  dispatch_->begin();
 }
 
 PlacementRequest RequestSession::placement_request() const {
@@ -144,106 +102,26 @@
   wanted.may_read_apart = !read_apart_;
   wanted.avoid = tried_;
   wanted.gate = environment_.gate;
-  wanted.where_least_runs = trial_;
+  wanted.where_least_runs = dispatch_->trial();
   wanted.connected = [this](const Backend& backend) {
     return environment_.transport.has_idle_connection(backend.address);
   };
   return wanted;
 }
 
-void RequestSession::place() {
-  const MonotonicTime now = environment_.clock.now();
-  const PlacementRequest wanted = placement_request();
-  // Each denial takes a back end out of the candidates.
-  bool denied = true;
-  while (denied) {
-    const PlacementPlan plan = environment_.placement.choose(wanted, now);
-    if (plan.runner.backend == nullptr) {
-      give_up(reason_of_no_backend(now));
-      return;
-    }
-    const bool prefill = plan.reader.backend != nullptr;
-    denied = !claim_and_start(prefill ? plan.reader : plan.runner, prefill);
-  }
-}
-
-std::optional<RoomForecast> RequestSession::forecast(MonotonicTime now) const {
-  return environment_.gate != nullptr ? environment_.gate->forecast(service_, now) : std::nullopt;
-}
-
-FailureReason RequestSession::reason_of_no_backend(MonotonicTime now) const {
-  const auto room = forecast(now);
-  if (!room) {
-    return FailureReason::kNoBackend;
-  }
-  return room->backing_off ? FailureReason::kBackingOff : FailureReason::kRateLimited;
-}
-
-/// Whether some back ends are closed to this node, and none that is not may take the request.
-/// `tried_too`: also none of those that it was sent to.
-bool RequestSession::is_closed_everywhere(bool tried_too) const {
-  const MonotonicTime now = environment_.clock.now();
-  if (!forecast(now)) {
-    return false;
-  }
-  PlacementRequest wanted = placement_request();
-  if (tried_too) {
-    wanted.avoid.clear();
-  }
-  return environment_.placement.choose(wanted, now).runner.backend == nullptr;
-}
-
-/// Sends the request once the back end's rate limit allows it. False: it does not, now.
-bool RequestSession::claim_and_start(const PlacementChoice& choice, bool prefill) {
-  ClaimResult result = ClaimResult::kGranted;
-  if (environment_.gate != nullptr) {
-    const bool begun = answer_open_ || last_event_.has_value();
-    result = environment_.gate->claim(
-        choice.backend->id, begun ? kBegunStreamRank : kBegunStreamRank + 1 + priority(),
-        [weak = weak_from_this(), claimed = ClaimedSend::of(choice, prefill)](bool granted) {
-          const auto self = weak.lock();
-          if (self && !self->ended_) {
-            self->on_claim(claimed, granted);
-          }
-        });
-  }
-  if (result == ClaimResult::kGranted) {
-    start_attempt(choice, prefill);
-  } else if (result == ClaimResult::kDenied) {
-    log_.note_denied(choice.backend->id);
-  }
-  return result != ClaimResult::kDenied;
-}
-
-/// What was chosen may have gone, and the request become guilty, while the claim was out.
-void RequestSession::on_claim(const ClaimedSend& claimed, bool granted) {
-  const std::shared_ptr<RequestSession> keep = shared_from_this();
-  const FleetState& fleet = environment_.fleet;
-  const Backend* backend = fleet.find(claimed.backend);
-  if (!granted) {
-    log_.note_denied(claimed.backend);
-  }
-  const bool open = environment_.gate->may_send(claimed.backend, environment_.clock.now());
-  if (!granted || backend == nullptr || !open || fleet.is_leaving(*backend)) {
-    dispatch();
-    return;
-  }
-  if (time_left() < kLeastTime) {
-    give_up(FailureReason::kTimeout);
-  } else if (passes_guard()) {
-    start_attempt({.backend = backend,
-                   .unread_tokens = claimed.unread_tokens,
-                   .cache_source = fleet.find(claimed.cache_source)},
-                  claimed.prefill);
-  }
-}
-
-RequestSession::ClaimedSend RequestSession::ClaimedSend::of(const PlacementChoice& choice,
-                                                            bool prefill) {
-  return {.backend = choice.backend->id,
-          .unread_tokens = choice.unread_tokens,
-          .cache_source = choice.cache_source != nullptr ? choice.cache_source->id : BackendId(),
-          .prefill = prefill};
+QueueRequest RequestSession::queue_request() const {
+  const std::uint64_t tokens =
+      prompt_ ? prompt_->own_tokens() + prompt_->expected_output_tokens : 1;
+  return {.service = service_,
+          .route = route_.name,
+          .tenant = tenant_ != nullptr ? tenant_->name : TenantName(),
+          .priority = priority(),
+          .begun = is_begun(),
+          .sent_before = sends_ != 0,
+          .cost = static_cast<double>(tokens),
+          .bytes = request_.body.size(),
+          .target = arrived_ + route_.target_latency,
+          .deadline = deadline_};
 }
 
 void RequestSession::start_attempt(const PlacementChoice& choice, bool prefill) {
@@ -377,7 +255,7 @@
     give_up(FailureReason::kRefused);
     return;
   }
-  dispatch();
+  dispatch_->begin();
 }
 
 /// An engine that turns a request away is not ill.
@@ -441,7 +319,7 @@
     note("attempt failed at the back end", std::to_string(head.status));
     failed_answer_ = FailedAnswer{head, std::move(attempt_->body)};
     end_attempt(AttemptVerdict::kFailed);
-    dispatch();
+    dispatch_->begin();
     return;
   }
   relay_whole();
@@ -526,7 +404,7 @@
     ++unreachable_;
     end_attempt(AttemptVerdict::kUnreachable);
     if (unreachable_ < kMostUnreachable) {
-      dispatch();
+      dispatch_->begin();
     } else {
       give_up(FailureReason::kUnreachable);
     }
@@ -566,7 +444,7 @@
     read_apart_ = false;
   }
   end_attempt(AttemptVerdict::kNotSent);
-  dispatch();
+  dispatch_->begin();
 }
 
 void RequestSession::retry_or_give_up(FailureReason reason) {
@@ -576,17 +454,16 @@
     not_sent_again_ = "may have run";
   }
   // A repeat that could go nowhere would be taken out of the budget for nothing.
-  if (allowed && is_closed_everywhere(false)) {
+  if (allowed && dispatch_->is_closed_everywhere(false)) {
     not_sent_again_ = "nobody else has room";
-    give_up(reason == FailureReason::kRefused ? reason_of_no_backend(environment_.clock.now())
-                                              : reason);
+    give_up(reason == FailureReason::kRefused ? dispatch_->reason_of_no_backend() : reason);
     return;
   }
   if (allowed && may_send_again()) {
     if (answer_open_) {
       ++environment_.statistics.resumed;
     }
-    dispatch();
+    dispatch_->begin();
     return;
   }
   give_up(reason);
@@ -599,7 +476,7 @@
 }
 
 std::string_view RequestSession::obstacle_to_repeat() {
-  if (trial_) {
+  if (dispatch_->trial()) {
     return "trial";
   }
   if (sends_ >= route_.most_attempts) {
@@ -628,6 +505,10 @@
     environment_.loads.note_read(attempt_->backend, attempt_->unread_tokens);
   }
   environment_.loads.end(attempt_->backend, verdict, environment_.clock.now());
+  if (environment_.queue != nullptr) {
+    environment_.queue->note_attempt_ended(service_,
+                                           !attempt_->prefill && !is_certainly_unread(verdict));
+  }
   if (prompt_ && is_certainly_unread(verdict)) {
     environment_.loads.forget_prompt(attempt_->backend, *prompt_, attempt_->started);
   }
@@ -652,11 +533,11 @@
 }
 
 void RequestSession::on_no_progress() {
-  if (trial_ || sends_ + 1 >= route_.most_attempts || !at_work() || attempt_->prefill) {
+  if (dispatch_->trial() || sends_ + 1 >= route_.most_attempts || !at_work() || attempt_->prefill) {
     return;
   }
   const std::shared_ptr<RequestSession> keep = shared_from_this();
-  if (is_closed_everywhere(false)) {
+  if (dispatch_->is_closed_everywhere(false)) {
     watch_progress();
     return;
   }
@@ -671,7 +552,7 @@
     ++environment_.statistics.resumed;
   }
   end_attempt(AttemptVerdict::kFailed);
-  dispatch();
+  dispatch_->begin();
 }
 
 /// Tells what an attempt that ends without an answer may say of the request, or of the back end.
@@ -692,7 +573,7 @@
 }
 
 void RequestSession::on_quarantined(const RequestFingerprint& request) {
-  const bool begun = trial_ || (at_work() && (attempt_->head || attempt_->prompt_read));
+  const bool begun = dispatch_->trial() || (at_work() && (attempt_->head || attempt_->prompt_read));
   if (ended_ || begun || fingerprint() != request) {
     return;
   }
@@ -733,28 +614,15 @@
     return;
   }
   ++(may_have_run_ ? environment_.statistics.unknown : environment_.statistics.refused);
-  FailureAnswer answer = make_failure_answer(reason, may_have_run_, retry_after(reason),
-                                             {environment_.names.request_id, id_});
+  FailureAnswer answer = make_failure_answer(
+      reason, may_have_run_,
+      dispatch_->retry_after(
+          reason, from_seconds(kRetryAfterObjectives * to_seconds(route_.target_latency))),
+      {environment_.names.request_id, id_});
   writer_->respond(answer.status, std::move(answer.headers), answer.body);
   finish(describe(reason));
 }
 
-/// When a request that surely has not run may come back.
-Duration RequestSession::retry_after(FailureReason reason) {
-  if (reason == FailureReason::kQuarantined) {
-    return environment_.guard->retry_after(fingerprint());
-  }
-  if (reason == FailureReason::kStopping) {
-    // Other nodes serve it now.
-    return {};
-  }
-  const auto room = forecast(environment_.clock.now());
-  if (room && is_closed_everywhere(true)) {
-    return room->wait;
-  }
-  return from_seconds(kRetryAfterObjectives * to_seconds(route_.target_latency));
-}
-
 void RequestSession::caller_gone() {
   if (ended_) {
     return;
@@ -782,6 +650,7 @@
   if (std::exchange(ended_, true)) {
     return;
   }
+  dispatch_->cancel();
   deadline_timer_.disarm();
   progress_timer_.disarm();
   release_cache();
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -14,6 +14,7 @@
 #include "gateway/environment.h"
 #include "gateway/failure_answer.h"
 #include "gateway/prompt.h"
+#include "gateway/request_dispatch.h"
 #include "gateway/request_fingerprint.h"
 #include "gateway/request_log.h"
 #include "gateway/route_table.h"
@@ -42,6 +43,7 @@
 /// to have run is answered as such (503); after anything else a request that may not be repeated
 /// ends as unknown (502 or 504) at once.
 class RequestSession final : public http::ResponseObserver,
+                             public DispatchOwner,
                              public std::enable_shared_from_this<RequestSession> {
  public:
   RequestSession(Environment& environment, std::shared_ptr<const RouteTable> routes,
@@ -62,29 +64,24 @@
   void on_stop();
 
  private:
-  void dispatch();
-  bool passes_guard();
-  void claim_trial(RequestGuard& guard);
-  PlacementRequest placement_request() const;
-  void place();
-  /// A choice that waits for leave to be sent; back ends may go meanwhile.
-  struct ClaimedSend {
-    BackendId backend;
-    std::uint64_t unread_tokens = 0;
-    BackendId cache_source;  ///< Empty: none.
-    bool prefill = false;
-
-    static ClaimedSend of(const PlacementChoice& choice, bool prefill);
-  };
-  bool claim_and_start(const PlacementChoice& choice, bool prefill);
-  void on_claim(const ClaimedSend& claimed, bool granted);
-  FailureReason reason_of_no_backend(MonotonicTime now) const;
-  std::optional<RoomForecast> forecast(MonotonicTime now) const;
-  bool is_closed_everywhere(bool tried_too) const;
-  void start_attempt(const PlacementChoice& choice, bool prefill);
-  BackendCall make_call(const Backend& backend) const;
+  // What its dispatch asks for.
+  std::shared_ptr<void> keep_alive() override { return shared_from_this(); }
+  PlacementRequest placement_request() const override;
+  QueueRequest queue_request() const override;
   /// Made when it is first asked for: most requests never need it.
-  const RequestFingerprint& fingerprint();
+  const RequestFingerprint& fingerprint() override;
+  Duration time_left() const override { return deadline_ - environment_.clock.now(); }
+  Duration target_latency() const override { return route_.target_latency; }
+  std::uint32_t sends() const override { return sends_; }
+  bool may_claim_trial() const override { return sends_ == 0 && !read_apart_; }
+  SendRank send_rank() const override {
+    return is_begun() ? kBegunStreamRank : kBegunStreamRank + 1 + priority();
+  }
+  void note_denied(const BackendId& backend) override { log_.note_denied(backend); }
+  void start_attempt(const PlacementChoice& choice, bool prefill) override;
+  void give_up(FailureReason reason) override;
+
+  BackendCall make_call(const Backend& backend) const;
   std::size_t connection_share() const;
   std::uint32_t priority() const;
   void note_statement(const BackendStatement& statement);
@@ -111,9 +108,7 @@
   bool pass_event(const StreamEvent& event);
   void open_answer(const http::ResponseHead& head);
 
-  void give_up(FailureReason reason);
   void abandon(FailureReason reason);
-  Duration retry_after(FailureReason reason);
   void caller_gone();
   void on_deadline();
   void finish(std::string_view outcome);
@@ -124,7 +119,8 @@
   bool is_stream() const { return route_.kind == RequestKind::kStreaming; }
   /// Whether an attempt runs.
   bool at_work() const { return attempt_ && !attempt_->backend.empty(); }
-  Duration time_left() const { return deadline_ - environment_.clock.now(); }
+  /// Whether the caller has the beginning of the stream.
+  bool is_begun() const { return answer_open_ || last_event_.has_value(); }
 
   Environment& environment_;
   std::shared_ptr<const RouteTable> routes_;
@@ -142,13 +138,13 @@
   MonotonicTime deadline_{};
   Timer deadline_timer_;
   Timer progress_timer_;
+  std::shared_ptr<RequestDispatch> dispatch_;
   std::optional<Attempt> attempt_;
   std::optional<CacheHandle> cache_;
   std::set<BackendId> tried_;
   std::uint32_t sends_ = 0;        ///< Attempts of which a byte may have left.
   std::uint32_t unreachable_ = 0;  ///< Attempts without a connection.
   bool read_apart_ = false;        ///< A prefill engine was asked; once is enough.
-  bool trial_ = false;             ///< In quarantine, but granted one send.
   bool may_have_run_ = false;
   std::string_view not_sent_again_;  ///< Why not, after the last attempt; empty: no need.
   bool run_noted_ = false;
