--- a/src/admission_queue/admission_queue.cc
+++ b/src/admission_queue/admission_queue.cc
@@ -181,8 +181,12 @@
   }
   const Duration interval = std::clamp<Duration>(kWakeIntervalPerNode * surroundings_.node_count(),
                                                  kLeastWakeInterval, kLongestWakeInterval);
-  line.timer.arm(surroundings_.random.jitter(interval, kWakeJitter),
-                 [this, service] { on_wake(service); });
+  Duration delay = surroundings_.random.jitter(interval, kWakeJitter);
+  const MonotonicTime now = surroundings_.clock.now();
+  if (const auto due = line.queue.line().next_due_after(now + kExpiryMargin)) {
+    delay = std::min<Duration>(delay, *due - kExpiryMargin - now);
+  }
+  line.timer.arm(delay, [this, service] { on_wake(service); });
 }
 
 void AdmissionQueue::on_wake(const ServiceName& service) {
--- a/src/admission_queue/service_queue.cc
+++ b/src/admission_queue/service_queue.cc
@@ -28,7 +28,14 @@
 }
 
 Duration ServiceQueue::predicted_wait(const QueueRequest& request, MonotonicTime now) const {
-  return wait_behind(line_.ahead_of(request, now), now);
+  const Duration wait = wait_behind(line_.ahead_of(request, now), now);
+  if (request.begun || request.target <= now || now + wait / kOptimism <= request.target) {
+    return wait;
+  }
+  // Its target passes while it waits: from then on others that are late go first, too.
+  QueueRequest late = request;
+  late.target = now;
+  return wait_behind(line_.ahead_of(late, now), now);
 }
 
 JoinDecision ServiceQueue::join(Handle handle, const QueueRequest& request,
--- a/src/admission_queue/waiting_line.cc
+++ b/src/admission_queue/waiting_line.cc
@@ -237,6 +237,11 @@
   return due;
 }
 
+std::optional<MonotonicTime> WaitingLine::next_due_after(MonotonicTime time) const {
+  const auto next = by_deadline_.upper_bound({time, ~Handle{0}});
+  return next == by_deadline_.end() ? std::nullopt : std::optional(next->first);
+}
+
 std::optional<Handle> WaitingLine::displaced_by(const QueueRequest& request) const {
   const RequestClass* largest = nullptr;
   TenantName tenant;
--- a/src/admission_queue/waiting_line.h
+++ b/src/admission_queue/waiting_line.h
@@ -38,6 +38,8 @@
   std::size_t ahead_of(const gateway::QueueRequest& request, MonotonicTime now) const;
   /// Requests whose deadline is at `until` or before, earliest first.
   std::vector<Handle> due_by(MonotonicTime until) const;
+  /// The earliest deadline after `time`.
+  std::optional<MonotonicTime> next_due_after(MonotonicTime time) const;
   /// The last request of the largest group of one class and tenant, where that group is larger by
   /// at least two than that of `request`; none: nobody has to make room for it.
   std::optional<Handle> displaced_by(const gateway::QueueRequest& request) const;
