--- a/src/admission_queue/tests/queued_request_test.cc
+++ b/src/admission_queue/tests/queued_request_test.cc
@@ -2,7 +2,9 @@
 // sent.
 #include <doctest/doctest.h>
 
+#include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "admission_queue/admission_queue.h"
@@ -81,6 +83,47 @@
   CHECK(world.sends() == 1);
 }
 
+TEST_CASE("queues of many nodes do not wake at one time for one free place") {
+  struct Waiter final : QueueWaiter {
+    explicit Waiter(const Clock& its_clock) : clock(its_clock) {}
+    QueueTurn take_turn() override {
+      turn = turn.value_or(clock.now());
+      return QueueTurn::kNoRoom;
+    }
+    void on_rejected(const QueueRejection& /*rejection*/) override {}
+    const RequestFingerprint& queue_fingerprint() override { return fingerprint; }
+    const Clock& clock;
+    RequestFingerprint fingerprint;
+    std::optional<MonotonicTime> turn;
+  };
+  QueueingWorld world;
+  constexpr std::uint32_t kNodes = 40;
+  std::vector<std::unique_ptr<Waiter>> waiters;
+  std::vector<std::unique_ptr<AdmissionQueue>> queues;
+  std::vector<std::unique_ptr<QueuePlace>> places;
+  for (std::uint32_t i = 0; i != kNodes; ++i) {
+    queues.push_back(std::make_unique<AdmissionQueue>(
+        AdmissionQueue::Surroundings{world.time, world.time, world.random, world.logger,
+                                     [] { return kNodes; }},
+        QueueLimits{.requests = 10}));
+    waiters.push_back(std::make_unique<Waiter>(world.time));
+    QueueRequest request;
+    request.deadline = world.time.now() + 2s;
+    places.push_back(queues.back()->join(request, *waiters.back()).place);
+    REQUIRE(places.back());
+  }
+  world.advance(100ms);
+  std::map<std::int64_t, int> woken;
+  for (const auto& waiter : waiters) {
+    REQUIRE(waiter->turn);
+    ++woken[std::chrono::duration_cast<std::chrono::milliseconds>(waiter->turn->time_since_epoch())
+                .count()];
+  }
+  for (const auto& [millisecond, count] : woken) {
+    CHECK(count <= 6);
+  }
+}
+
 TEST_CASE("a caller that leaves frees its place at once and nothing is sent for it") {
   QueueingWorld world;
   world.fill();
--- a/src/admission_queue/waiting_line.cc
+++ b/src/admission_queue/waiting_line.cc
@@ -192,6 +192,7 @@
     std::rotate(found.begin(), least, least + 1);
   }
   std::vector<Handle> handles;
+  handles.reserve(found.size());
   for (const Head& head : found) {
     handles.push_back(head.handle);
   }
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -106,6 +106,8 @@
            .reply = [this](const Endpoint& to, const auto& told) { peer_news_.send(to, told); }}),
       admission_({clock, random, logger, fleet_, loads_, rate_limiter_},
                  [this](const auto& notice) { peer_news_.tell_notice(notice); }),
+      queue_({clock, loop, random, logger, [this] { return nodes_.cautious_count(); }},
+             settings_.queue),
       survey_(clock, adapter_.engines, fleet_, loads_,
               [this](const gateway::BackendId& engine, http::ClientRequest request,
                      std::function<void(std::string)> done) {
@@ -115,7 +117,7 @@
           {clock, loop, transport_, fleet_, loads_, placement_, budget_, shares_, adapter_.names,
            adapter_.engines, statistics_, logger, [this] { return nodes_.cautious_count(); },
            [this](const TenantName& tenant, Duration ago) { duties_.note_run(tenant, ago); },
-           &quarantine_, &admission_},
+           &quarantine_, &admission_, &queue_},
           [this](auto done) { watcher_.refresh(std::move(done)); }),
       callers_(loop, server_at(settings_.listen)),
       ready_(loop, server_at(settings_.ready_listen)),
@@ -261,7 +263,8 @@
   const gateway::HeldRequests requests = gateway_.held();
   return {{"held", static_cast<std::uint64_t>(callers_.held())},
           {"at_configuration", static_cast<std::uint64_t>(requests.at_configuration)},
-          {"at_back_ends", static_cast<std::uint64_t>(requests.at_back_ends)}};
+          {"at_back_ends", static_cast<std::uint64_t>(requests.at_back_ends)},
+          {"queued", static_cast<std::uint64_t>(requests.queued)}};
 }
 
 void GatewayNode::leave() {
@@ -273,6 +276,7 @@
       [this] { return std::max(registration_.registered(), nodes_.own_registered()); });
   registration_.leave();
   callers_.announce_close();
+  queue_.stop();
 }
 
 /// The grace is over.
@@ -290,7 +294,9 @@
 void GatewayNode::reload(const Settings& settings) {
   settings_.retry_budget = settings.retry_budget;
   settings_.stop_grace = settings.stop_grace;
+  settings_.queue = settings.queue;
   budget_.set(settings.retry_budget);
+  queue_.set_limits(settings.queue);
   logger_.write({logging::Level::kInfo, kComponent, "settings reloaded", {}});
 }
 
@@ -332,6 +338,7 @@
   quarantine_.add_metrics(sink);
   rate_limiter_.add_metrics(sink);
   admission_.add_metrics(sink);
+  queue_.add_metrics(sink);
   sink.counter({"backend_connections", "Connections opened"},
                static_cast<double>(client_.statistics().connections_opened));
   sink.gauge({"requests_running", "Requests running"}, static_cast<double>(gateway_.running()));
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "admission/admission_control.h"
+#include "admission_queue/admission_queue.h"
 #include "base/random.h"
 #include "base/timer.h"
 #include "discovery/fleet_watcher.h"
@@ -87,6 +88,7 @@
   quarantine::Quarantine quarantine_;
   rate_limit::RateLimiter rate_limiter_;
   admission::AdmissionControl admission_;
+  admission_queue::AdmissionQueue queue_;
   gateway::CacheSurvey survey_;
   bool asked_peers_ = false;
   gateway::Gateway gateway_;
--- a/src/gateway_node/settings.cc
+++ b/src/gateway_node/settings.cc
@@ -31,6 +31,11 @@
 constexpr const char* kDutiesRule = "names joined by commas: usage_report, autoscale";
 constexpr const char* kHeadRoomRule = "a number from 0 to 10";
 constexpr const char* kPartRule = "a number from 0 to 1";
+/// A node with 120 MB keeps some kilobytes for each request besides its body.
+constexpr NumberRange kQueueRequestsRange{0, 20'000};
+constexpr const char* kQueueRequestsRule = "a whole number from 0 to 20000; 0: none queues";
+constexpr NumberRange kQueueBytesRange{1'024, 1'073'741'824};
+constexpr const char* kQueueBytesRule = "whole bytes from 1024 to 1073741824";
 constexpr const char* kSecondsRule = "seconds from 0.1 to 3600";
 
 struct Specification {
@@ -73,6 +78,15 @@
   return end != text.c_str() && *end == '\0' && value >= least && value <= most;
 }
 
+auto store_queue_limit(std::size_t admission_queue::QueueLimits::*member, NumberRange range) {
+  return [=](const std::string& text, Settings& settings) {
+    std::uint64_t number = 0;
+    const bool allowed = settings::read_number(text, range, number);
+    settings.queue.*member = number;
+    return allowed;
+  };
+}
+
 /// A whole number; a fraction is dropped.
 template <class Member>
 auto store_whole(Member Settings::*member, double least, double most) {
@@ -157,6 +171,12 @@
        [](const std::string& text, Settings& target) {
          return store_seconds(text, target.retry_budget.window);
        }},
+      {"queue-most-requests", "Requests of one service that wait here for full back ends",
+       kQueueRequestsRule, "0", false,
+       store_queue_limit(&admission_queue::QueueLimits::requests, kQueueRequestsRange)},
+      {"queue-most-bytes", "Bytes of the bodies of one service's requests that wait here",
+       kQueueBytesRule, "16777216", false,
+       store_queue_limit(&admission_queue::QueueLimits::bytes, kQueueBytesRange)},
       {"stop-grace-s", "Time from the stop signal to the end", kSecondsRule, "8", false,
        [](const std::string& text, Settings& target) {
          return store_seconds(text, target.stop_grace);
--- a/src/gateway_node/settings.h
+++ b/src/gateway_node/settings.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "admission_queue/service_queue.h"
 #include "base/ids.h"
 #include "base/time.h"
 #include "fleet_control/server_plan.h"
@@ -26,6 +27,8 @@
   std::vector<Endpoint> seeds;  ///< Nodes to ask for their view while the store is out.
   Endpoint store;               ///< The store all nodes share.
   gateway::RetryBudgetSettings retry_budget;
+  /// Of requests that wait at this node for full back ends, for each service.
+  admission_queue::QueueLimits queue;
   Duration stop_grace{std::chrono::seconds(8)};  ///< From the stop signal to the end by force.
   /// A back end that drains gets nothing new after this time.
   Duration drain_bound{std::chrono::milliseconds(2000)};
--- a/src/gateway_node/tests/settings_test.cc
+++ b/src/gateway_node/tests/settings_test.cc
@@ -115,3 +115,24 @@
   CHECK_FALSE(parsed.value().settings.orders_servers);
   CHECK(parsed.value().settings.usage_window == std::chrono::seconds(5));
 }
+
+TEST_CASE(
+    "bounds of the queue are whole numbers within their limits, and by default nothing queues") {
+  CHECK(parse_command_line(kWhole).value().settings.queue.requests == 0);
+  std::vector<std::string> arguments = kWhole;
+  arguments.emplace_back("--queue-most-requests=500");
+  arguments.emplace_back("--queue-most-bytes=4096");
+  const auto parsed = parse_command_line(arguments);
+  REQUIRE(parsed);
+  CHECK(parsed.value().settings.queue.requests == 500);
+  CHECK(parsed.value().settings.queue.bytes == 4096);
+  for (const char* mistake : {"--queue-most-requests=-1", "--queue-most-requests=20001",
+                              "--queue-most-requests=1.5", "--queue-most-requests=many"}) {
+    arguments.back() = mistake;
+    const auto mistaken = parse_command_line(arguments);
+    REQUIRE_FALSE(mistaken);
+    CHECK(names(mistaken.error(), "queue-most-requests"));
+  }
+  arguments.back() = "--queue-most-bytes=0";
+  CHECK(names(parse_command_line(arguments).error(), "queue-most-bytes"));
+}
