Requests too close to their deadline to wait are rejected at once

Cause: one with less than 20 ms left joined the queue, missed its expiry and was held to its deadline. Change: the prediction includes the margin that an answer needs.

--- a/src/admission_queue/admission_queue.cc
+++ b/src/admission_queue/admission_queue.cc
@@ -29,8 +29,6 @@
 constexpr double kWakeJitter = 0.5;
 /// A wake-up that finds room for all it may send doubles what the next one may, up to this.
 constexpr std::uint32_t kMostBatch = 16;
-/// A request is rejected so long before its deadline, so that the answer arrives in time.
-constexpr Duration kExpiryMargin = milliseconds(20);
 
 struct ReasonRow {
   QueueRejectReason reason;
@@ -183,8 +181,8 @@
                                                  kLeastWakeInterval, kLongestWakeInterval);
   Duration delay = surroundings_.random.jitter(interval, kWakeJitter);
   const MonotonicTime now = surroundings_.clock.now();
-  if (const auto due = line.queue.line().next_due_after(now + kExpiryMargin)) {
-    delay = std::min<Duration>(delay, *due - kExpiryMargin - now);
+  if (const auto due = line.queue.line().next_due_after(now + ServiceQueue::kExpiryMargin)) {
+    delay = std::min<Duration>(delay, *due - ServiceQueue::kExpiryMargin - now);
   }
   line.timer.arm(delay, [this, service] { on_wake(service); });
 }
@@ -236,7 +234,7 @@
 }
 
 void AdmissionQueue::reject_expired(const ServiceName& service, Line& line) {
-  const MonotonicTime until = surroundings_.clock.now() + kExpiryMargin;
+  const MonotonicTime until = surroundings_.clock.now() + ServiceQueue::kExpiryMargin;
   for (const Handle handle : line.queue.line().due_by(until)) {
     reject(service, line, handle, QueueRejectReason::kExpired);
   }
--- a/src/admission_queue/service_queue.cc
+++ b/src/admission_queue/service_queue.cc
@@ -43,8 +43,8 @@
   JoinDecision decision;
   decision.predicted_wait = predicted_wait(request, now);
   if (request.may_be_rejected()) {
-    const bool late =
-        !request.room_seen && now + decision.predicted_wait / kOptimism >= request.deadline;
+    const MonotonicTime sent = now + decision.predicted_wait / kOptimism;
+    const bool late = !request.room_seen && sent + kExpiryMargin >= request.deadline;
     decision.probe = late && ++predicted_late_ % kProbeEvery == 0;
     if (late && !decision.probe) {
       return decision;
--- a/src/admission_queue/service_queue.h
+++ b/src/admission_queue/service_queue.h
@@ -2,6 +2,7 @@
 // may not should come back. Pure; one loop.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -34,6 +35,8 @@
  public:
   /// Of the requests that a prediction would reject, one in so many is admitted.
   static constexpr std::uint32_t kProbeEvery = 16;
+  /// A request is rejected so long before its deadline, so that the answer arrives in time.
+  static constexpr Duration kExpiryMargin = std::chrono::milliseconds(20);
 
   JoinDecision join(Handle handle, const gateway::QueueRequest& request, const QueueLimits& limits,
                     MonotonicTime now);
--- a/src/admission_queue/tests/service_queue_test.cc
+++ b/src/admission_queue/tests/service_queue_test.cc
@@ -47,6 +47,8 @@
   for (int i = 0; i != 100; ++i) {
     CHECK(world.join(world.make_request()).admitted);
   }
+  // Its answer could not arrive in time any more after a wait.
+  CHECK_FALSE(world.join(world.make_request("t", 15ms)).admitted);
 }
 
 TEST_CASE("what certainly comes too late is rejected, but for probes") {
