--- a/src/gateway_node/tests/held_requests_test.cc
+++ b/src/gateway_node/tests/held_requests_test.cc
@@ -7,6 +7,9 @@
 // Each case is another holder of a request, from the first byte read to the last one handed on.
 #include <doctest/doctest.h>
 
+#include <memory>
+#include <vector>
+
 #include "gateway_node/tests/stopping_node.h"
 
 using namespace ochrespring;
@@ -158,3 +161,32 @@
   world.advance(500ms);
   CHECK(world.stopped());
 }
+
+TEST_CASE("a queued request is sent when its server has room, and answered at once by a stop") {
+  StoppingNode world;
+  Settings queueing = world.settings();
+  queueing.queue.requests = 10;
+  world.node.reload(queueing);
+  // The slots of the server, and half as many.
+  constexpr std::size_t kRoom = 8 + 4;
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  const auto ask = [&] {
+    callers.push_back(std::make_unique<RawCaller>(world.address()));
+    callers.back()->send(kShort);
+    world.settle();
+  };
+  for (std::size_t i = 0; i != kRoom + 1; ++i) {
+    ask();
+  }
+  CHECK(world.backend.held.size() == kRoom);
+  CHECK(callers.back()->receive().empty());
+  world.backend.answer("done");
+  CHECK(world.comes_about([&] { return world.backend.held.size() == kRoom; }));
+  ask();
+  CHECK(world.backend.held.size() == kRoom);
+  world.node.stop();
+  world.settle();
+  CHECK(callers.back()->receive().starts_with("HTTP/1.1 503"));
+  CHECK(callers.back()->receive().find("stopping") != std::string::npos);
+  CHECK(world.backend.held.size() == kRoom);
+}
