Callers of an overload that is over are forgotten

Cause: a rejected caller that never came back kept the fingerprint of each queued request in use. Change: when the latest time to come back is over, all are dropped.

--- a/src/admission_queue/retry_schedule.cc
+++ b/src/admission_queue/retry_schedule.cc
@@ -23,11 +23,16 @@
   }
   if (due_.size() < kMostKept) {
     due_[rejected.key] = due;
+    latest_ = std::max(latest_, due);
   }
   return due - now;
 }
 
 bool RetrySchedule::take(std::uint64_t key, MonotonicTime now) {
+  if (latest_ + kLate < now) {
+    // Callers of an overload that is over need not be looked for among all new ones.
+    due_.clear();
+  }
   const auto found = due_.find(key);
   if (found == due_.end() || now < found->second - kEarly) {
     return false;
--- a/src/admission_queue/retry_schedule.h
+++ b/src/admission_queue/retry_schedule.h
@@ -39,7 +39,8 @@
   void forget_old(MonotonicTime now);
 
   std::unordered_map<std::uint64_t, MonotonicTime> due_;
-  MonotonicTime last_{};  ///< The latest time that was given away.
+  MonotonicTime last_{};    ///< The latest time that was given away in order.
+  MonotonicTime latest_{};  ///< The latest one that is kept.
 };
 
 }  // namespace ochrespring::admission_queue
--- a/src/admission_queue/tests/service_queue_test.cc
+++ b/src/admission_queue/tests/service_queue_test.cc
@@ -165,7 +165,8 @@
   CHECK_FALSE(schedule.take(1, now + 500ms));
   CHECK(schedule.take(1, now + 1s));
   CHECK_FALSE(schedule.take(1, now + 1s));
-  CHECK_FALSE(schedule.take(2, now + 1h));
   CHECK_FALSE(schedule.take(9, now + 1s));
-  CHECK(schedule.size() == 1);
+  CHECK(schedule.size() == 2);
+  CHECK_FALSE(schedule.take(2, now + 1h));
+  CHECK(schedule.empty());
 }
