--- a/src/gateway/environment.h
+++ b/src/gateway/environment.h
@@ -10,6 +10,7 @@
 #include "base/timer.h"
 #include "gateway/backend_transport.h"
 #include "gateway/engine_calls.h"
+#include "gateway/engine_observer.h"
 #include "gateway/engine_profiles.h"
 #include "gateway/fleet_state.h"
 #include "gateway/header_names.h"
@@ -46,6 +47,7 @@
   RequestGuard* guard = nullptr;  ///< Null: requests that end back ends are not kept from others.
   SendGate* gate = nullptr;       ///< Null: what back ends ask for is not kept to.
   RequestQueue* queue = nullptr;  ///< Null: no request waits for full back ends.
+  EngineObserver* observer = nullptr;        ///< Null: nothing is learned of engines' speed.
   const EngineProfiles* profiles = nullptr;  ///< Null: nothing is known of how fast engines work.
   /// The process ends then, whatever runs; none: not before long.
   std::optional<MonotonicTime> ends_at{};
--- a/src/gateway/request_dispatch.cc
+++ b/src/gateway/request_dispatch.cc
@@ -17,7 +17,6 @@
   place_.reset();
 }
 
-/// Whether the request may be sent on now; if not, it has ended or waits for a trial.
 bool RequestDispatch::passes_guard() {
   RequestGuard* guard = environment_.guard;
   if (guard == nullptr || !guard->watching() || trial_) {
@@ -134,15 +133,15 @@
       return Outcome::kNoRoom;
     }
     const bool prefill = plan.reader.backend != nullptr;
-    denied = !claim_and_start(prefill ? plan.reader : plan.runner, prefill);
+    denied = !claim_and_start(prefill ? plan.reader : plan.runner,
+                              prefill ? SendKind::kPrefill : SendKind::kRun);
   }
   return Outcome::kDone;
 }
 
 std::optional<RoomForecast> RequestDispatch::forecast() const {
   return environment_.gate != nullptr
-             ? environment_.gate->forecast(owner_.placement_request().service,
-                                           environment_.clock.now())
+             ? environment_.gate->forecast(owner_.service(), environment_.clock.now())
              : std::nullopt;
 }
 
@@ -181,12 +180,13 @@
 }
 
 /// Sends the request once the back end's rate limit allows it. False: it does not, now.
-bool RequestDispatch::claim_and_start(const PlacementChoice& choice, bool prefill) {
+bool RequestDispatch::claim_and_start(const PlacementChoice& choice, SendKind kind) {
   ClaimResult result = ClaimResult::kGranted;
   if (environment_.gate != nullptr) {
+    const SendRank rank = kind == SendKind::kContinuation ? kBegunStreamRank : owner_.send_rank();
     result = environment_.gate->claim(
-        choice.backend->id, owner_.send_rank(),
-        [weak = weak_from_this(), claimed = ClaimedSend::of(choice, prefill)](bool granted) {
+        choice.backend->id, rank,
+        [weak = weak_from_this(), claimed = ClaimedSend::of(choice, kind)](bool granted) {
           const auto self = weak.lock();
           if (self && !self->ended_) {
             self->on_claim(claimed, granted);
@@ -197,9 +197,11 @@
     owner_.note_denied(choice.backend->id);
     return false;
   }
-  admitted_at_ = owner_.sends();
+  if (kind != SendKind::kContinuation) {
+    admitted_at_ = owner_.sends();
+  }
   if (result == ClaimResult::kGranted) {
-    owner_.start_attempt(choice, prefill);
+    owner_.start_attempt(choice, kind);
   }
   return true;
 }
@@ -214,7 +216,7 @@
   }
   const bool open = environment_.gate->may_send(claimed.backend, environment_.clock.now());
   if (!granted || backend == nullptr || !open || fleet.is_leaving(*backend)) {
-    begin();
+    owner_.dispatch_unsent(claimed.kind);
     return;
   }
   if (owner_.time_left() < kLeastTime) {
@@ -223,16 +225,8 @@
     owner_.start_attempt({.backend = backend,
                           .unread_tokens = claimed.unread_tokens,
                           .cache_source = fleet.find(claimed.cache_source)},
-                         claimed.prefill);
+                         claimed.kind);
   }
 }
 
-RequestDispatch::ClaimedSend RequestDispatch::ClaimedSend::of(const PlacementChoice& choice,
-                                                              bool prefill) {
-  return {.backend = choice.backend->id,
-          .unread_tokens = choice.unread_tokens,
-          .cache_source = choice.cache_source != nullptr ? choice.cache_source->id : BackendId(),
-          .prefill = prefill};
-}
-
 }  // namespace ochrespring::gateway
--- a/src/gateway/request_dispatch.h
+++ b/src/gateway/request_dispatch.h
@@ -2,26 +2,26 @@
 // end and its rate limit.
 #pragma once
 
-#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
 
+#include "gateway/attempt.h"
+#include "gateway/claimed_send.h"
 #include "gateway/environment.h"
 #include "gateway/failure_answer.h"
+#include "gateway/repeat_limit.h"
 #include "gateway/request_queue.h"
 
 namespace ochrespring::gateway {
 
-/// Less time than this is not worth an attempt.
-inline constexpr Duration kLeastTime = std::chrono::milliseconds(3);
-
 /// The request that a dispatch sends on.
 class DispatchOwner {
  public:
   virtual ~DispatchOwner() = default;
   /// Keeps the owner, and with it the dispatch, while a callback runs.
   virtual std::shared_ptr<void> keep_alive() = 0;
+  virtual const ServiceName& service() const = 0;
   virtual PlacementRequest placement_request() const = 0;
   /// What the queue is told, but for `room_seen` and `returned`.
   virtual QueueRequest queue_request() const = 0;
@@ -33,7 +33,9 @@
   /// Whether a trial may be claimed: it is a request's only send.
   virtual bool may_claim_trial() const = 0;
   virtual SendRank send_rank() const = 0;
-  virtual void start_attempt(const PlacementChoice& choice, bool prefill) = 0;
+  virtual void start_attempt(const PlacementChoice& choice, SendKind kind) = 0;
+  /// After a send that did not leave: places the request anew, if it is not a continuation.
+  virtual void dispatch_unsent(SendKind kind) = 0;
   virtual void note_denied(const BackendId& backend) = 0;
   virtual void give_up(FailureReason reason) = 0;
 };
@@ -47,6 +49,13 @@
 
   /// Ends in a send, in a wait for leave or for a place, or in the end of the request.
   void begin();
+  /// Whether the request may be sent on now; if not, it has ended or waits for a trial.
+  bool passes_guard();
+  /// Sends a begun run on to the engine that holds its copy, without a wait in the queue. False:
+  /// the engine's rate limit does not allow it now.
+  bool start_continuation(const PlacementChoice& choice) {
+    return claim_and_start(choice, SendKind::kContinuation);
+  }
   /// The request has ended: nothing is waited for any more.
   void cancel();
   /// Whether the request is in quarantine, but granted one send.
@@ -63,15 +72,6 @@
   const RequestFingerprint& queue_fingerprint() override { return owner_.fingerprint(); }
 
  private:
-  /// A choice that waits for leave to be sent; back ends may go meanwhile.
-  struct ClaimedSend {
-    BackendId backend;
-    std::uint64_t unread_tokens = 0;
-    BackendId cache_source;  ///< Empty: none.
-    bool prefill = false;
-
-    static ClaimedSend of(const PlacementChoice& choice, bool prefill);
-  };
   /// What is asked of a back end besides that it may take the request.
   enum class Demand : std::uint8_t {
     kNothing,  ///< As where nothing queues.
@@ -80,14 +80,13 @@
   };
   enum class Outcome : std::uint8_t { kDone, kNoRoom };
 
-  bool passes_guard();
   void claim_trial(RequestGuard& guard);
   void send_or_queue();
   void join_behind_others(QueueRequest request);
   bool fits(const PlacementRequest& wanted, const PlacementPlan& plan, MonotonicTime now) const;
   void join_queue(QueueRequest request);
   Outcome place(Demand demand);
-  bool claim_and_start(const PlacementChoice& choice, bool prefill);
+  bool claim_and_start(const PlacementChoice& choice, SendKind kind);
   void on_claim(const ClaimedSend& claimed, bool granted);
   std::optional<RoomForecast> forecast() const;
 
@@ -95,7 +94,8 @@
   DispatchOwner& owner_;
   std::unique_ptr<QueuePlace> place_;
   /// Sends when the request was let through to a back end. It queues again only after another one:
-  /// a connection that fails or a denied claim costs no place.
+  /// a connection that fails or a denied claim costs no place. Continuations do not count: the
+  /// queue has not let them through.
   std::optional<std::uint32_t> admitted_at_;
   std::optional<Duration> queue_retry_after_;  ///< Of the queue that rejected the request.
   bool trial_ = false;
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <string>
 #include <utility>
 
@@ -14,7 +15,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration kReleaseTimeout = milliseconds(1000);
 constexpr std::uint32_t kMostUnreachable = 4;
 /// When a request that did not run may come back, in parts of its objective.
 constexpr double kRetryAfterObjectives = 0.15;
@@ -25,12 +25,6 @@
   return std::chrono::duration_cast<milliseconds>(span).count();
 }
 
-/// Whether the back end has not read the prompt, whatever else became of the attempt.
-bool is_certainly_unread(AttemptVerdict verdict) {
-  return verdict == AttemptVerdict::kRefused || verdict == AttemptVerdict::kNotSent ||
-         verdict == AttemptVerdict::kUnreachable;
-}
-
 bool is_success(std::uint16_t status) {
   return status >= 200 && status < 300;
 }
@@ -49,6 +43,11 @@
       writer_(std::move(writer)),
       deadline_timer_(environment.timers),
       progress_timer_(environment.timers),
+      cache_(environment),
+      backup_(environment.fleet, environment.loads),
+      starter_(environment, cache_, backup_),
+      repeats_(environment, route_),
+      reports_(environment, request_, tenant_),
       dispatch_(std::make_shared<RequestDispatch>(environment, *this)) {}
 
 void RequestSession::begin(std::function<void()> on_end) {
@@ -70,6 +69,9 @@
     prompt_ = parse_prompt(http::find_header(request_.headers, names.prompt_parts),
                            http::find_header(request_.headers, names.token_counts),
                            http::find_header(request_.headers, names.output_estimate));
+    if (wants_backup(route_, &*service->engine, &*prompt_, id_)) {
+      backup_.enable(id_, environment_.gate);
+    }
   }
   const std::string_view last = http::find_header(request_.headers, names.last_event);
   if (!last.empty()) {
@@ -95,6 +97,24 @@
   dispatch_->begin();
 }
 
+std::optional<StreamNeeds> RequestSession::stream_needs() const {
+  const Service* service = routes_->configuration().find_service(service_);
+  if (!is_stream() || !prompt_ || service == nullptr || !service->engine ||
+      service->engine->tokens_per_event == 0) {
+    return std::nullopt;
+  }
+  const std::uint32_t tokens = service->engine->tokens_per_event;
+  const auto events = [&](std::uint64_t output) {
+    return std::ceil(static_cast<double>(output) / tokens);
+  };
+  return StreamNeeds{.target_gap = route_.target_gap,
+                     .shortest_gap = routes_->shortest_gap(service_),
+                     .time_left = time_left(),
+                     .tokens_per_event = tokens,
+                     .expected_events = events(prompt_->expected_output_tokens),
+                     .most_events = events(prompt_->output_tokens)};
+}
+
 PlacementRequest RequestSession::placement_request() const {
   PlacementRequest wanted;
   wanted.service = service_;
@@ -102,6 +122,7 @@
   wanted.may_read_apart = !read_apart_;
   wanted.avoid = tried_;
   wanted.gate = environment_.gate;
+  wanted.stream = stream_needs();
   wanted.where_least_runs = dispatch_->trial();
   wanted.connected = [this](const Backend& backend) {
     return environment_.transport.has_idle_connection(backend.address);
@@ -117,86 +138,44 @@
           .tenant = tenant_ != nullptr ? tenant_->name : TenantName(),
           .priority = priority(),
           .begun = is_begun(),
-          .sent_before = sends_ != 0,
+          .sent_before = repeats_.sends() != 0,
           .cost = static_cast<double>(tokens),
           .bytes = request_.body.size(),
           .target = arrived_ + route_.target_latency,
           .deadline = deadline_};
 }
 
-void RequestSession::start_attempt(const PlacementChoice& choice, bool prefill) {
-  const MonotonicTime now = environment_.clock.now();
+void RequestSession::start_attempt(const PlacementChoice& choice, SendKind kind) {
   const Backend& backend = *choice.backend;
-  attempt_.emplace();
-  attempt_->backend = backend.id;
-  attempt_->started = now;
-  attempt_->prefill = prefill;
-  read_apart_ = read_apart_ || prefill;
-  attempt_->uses_cache = !prefill && cache_.has_value();
-  attempt_->unread_tokens = attempt_->uses_cache ? 0 : choice.unread_tokens;
-  if (!attempt_->uses_cache && choice.cache_source != nullptr) {
-    attempt_->cache_source = choice.cache_source->address;
-    ++environment_.statistics.cache_fetches;
-  }
-  if (!prefill) {
+  const AttemptInput input = attempt_input();
+  attempt_.emplace(starter_.make(choice, kind, input));
+  if (attempt_->prefill) {
+    read_apart_ = true;
+  } else {
     tried_.insert(backend.id);
   }
-  environment_.loads.begin(backend.id, attempt_->unread_tokens);
-  if (prompt_) {
-    environment_.loads.note_prompt(backend.id, *prompt_, now);
-  }
-  ++environment_.statistics.attempts;
-  note(prefill ? "prefill started" : "attempt started", backend.address.value());
-  http::ClientRequest sent = make_backend_request(request_, environment_.names, make_call(backend));
-  if (SendGate* gate = environment_.gate) {
-    gate->note_send(backend.id, now);
-    sent.may_leave = [gate, &clock = environment_.clock, id = backend.id] {
-      return gate->may_send(id, clock.now());
-    };
-  }
-  attempt_->exchange = environment_.transport.start(std::move(sent), *this);
+  note(attempt_->prefill ? "prefill started" : "attempt started", backend.address.value());
+  starter_.send(*attempt_, backend, input, *this);
   watch_progress();
 }
 
-BackendCall RequestSession::make_call(const Backend& backend) const {
-  BackendCall call;
-  call.backend = &backend;
-  call.left = time_left();
-  call.tenant = tenant_;
-  call.prefill = attempt_->prefill;
-  if (prompt_) {
-    call.priority = engine_priority(priority(), attempt_->unread_tokens);
-  }
-  if (attempt_->uses_cache) {
-    call.cache = cache_;
-  }
-  call.cache_source = attempt_->cache_source;
-  if (answer_open_) {
-    call.resumes_after = last_event_;
-  }
-  call.most_idle = connection_share();
-  return call;
+AttemptInput RequestSession::attempt_input() const {
+  return {.request = request_,
+          .service = routes_->configuration().find_service(service_),
+          .tenant = tenant_,
+          .prompt = prompt_ ? &*prompt_ : nullptr,
+          .tried = tried_,
+          .priority = priority(),
+          .left = time_left(),
+          .last_event = last_event_,
+          .answer_open = answer_open_,
+          .trial = dispatch_->trial()};
 }
 
 std::uint32_t RequestSession::priority() const {
   return tenant_ != nullptr ? tenant_->priority.value_or(route_.priority) : route_.priority;
 }
 
-const RequestFingerprint& RequestSession::fingerprint() {
-  if (!fingerprint_) {
-    fingerprint_ = fingerprint_of(request_, tenant_ != nullptr ? tenant_->name.value() : "");
-  }
-  return *fingerprint_;
-}
-
-/// This node's part of the connections that a back end takes from all callers. Where there are more
-/// nodes than connections none is kept: one for each node would be more than the back end takes.
-std::size_t RequestSession::connection_share() const {
-  const Service* service = routes_->configuration().find_service(service_);
-  const std::uint32_t all = service == nullptr ? 1 : service->most_connections;
-  return all / std::max(1U, environment_.node_count());
-}
-
 void RequestSession::on_head(const http::ResponseHead& head) {
   attempt_->head = head;
   attempt_->statement = read_statement(head, environment_.names);
@@ -204,6 +183,11 @@
   note_statement(statement);
   const bool ran = !attempt_->prefill && statement.is_signed && !statement.not_run;
   attempt_->streams = ran && is_stream() && is_success(head.status);
+  if (attempt_->streams && attempt_->continues && backup_.head()) {
+    attempt_->head = backup_.head();
+  } else if (attempt_->streams && attempt_->cache_backup) {
+    backup_.note_head(head);
+  }
   if (ran && !attempt_->streams) {
     // Ordinary servers begin when they are sent a request, as a rule.
     note_run(environment_.clock.now() - attempt_->started);
@@ -214,6 +198,10 @@
 void RequestSession::note_statement(const BackendStatement& statement) {
   if (statement.load) {
     environment_.loads.note_report(attempt_->backend, *statement.load, environment_.clock.now());
+    if (environment_.observer != nullptr && !statement.misdirected) {
+      environment_.observer->note_pace(attempt_->backend, statement.load->pace_percent,
+                                       environment_.clock.now());
+    }
   }
   if (environment_.gate != nullptr && !statement.misdirected) {
     environment_.gate->note_answer(
@@ -237,7 +225,7 @@
     end_prefill(attempt_->head->status != 200);
     return;
   }
-  ++sends_;
+  repeats_.note_send();
   judge_complete();
 }
 
@@ -247,24 +235,43 @@
   const auto handle =
       refused ? std::nullopt : environment_.engines.read_cache_handle(attempt_->body);
   if (handle && backend != nullptr) {
-    cache_ = CacheHandle{backend->id, backend->address, *handle};
+    cache_.hold({backend->id, backend->address, *handle});
+  }
+  if (handle) {
+    observe_prefill();
   }
   note(handle ? "prefill done" : "prefill refused", handle.value_or(""));
-  end_attempt(handle ? AttemptVerdict::kGood : verdict_of_failed_prefill());
-  if (!handle && !spend_repeat()) {
+  end_attempt(handle ? AttemptVerdict::kGood : verdict_of_failed_prefill(attempt_->statement));
+  if (!handle && !repeats_.spend(service_)) {
     give_up(FailureReason::kRefused);
     return;
   }
   dispatch_->begin();
 }
 
-/// An engine that turns a request away is not ill.
-AttemptVerdict RequestSession::verdict_of_failed_prefill() const {
-  const BackendStatement& statement = attempt_->statement;
-  if (statement.misdirected) {
-    return AttemptVerdict::kReplaced;
+/// Only of prompts of which just the part of their own was unread: whether an engine still keeps a
+/// shared part is an estimate, and one that it kept after all would make it look fast.
+void RequestSession::observe_prefill() {
+  const bool certain = prompt_ && !attempt_->uses_cache && !attempt_->cache_source &&
+                       attempt_->unread_tokens == prompt_->own_tokens();
+  if (environment_.observer == nullptr || !certain) {
+    return;
   }
-  return statement.not_run ? AttemptVerdict::kRefused : AttemptVerdict::kFailed;
+  const MonotonicTime now = environment_.clock.now();
+  environment_.observer->note_prefill({.engine = attempt_->backend,
+                                       .took = now - attempt_->started,
+                                       .tokens = attempt_->unread_tokens,
+                                       .tokens_ahead = attempt_->tokens_ahead,
+                                       .with_first_event = !attempt_->prefill},
+                                      now);
+}
+
+/// How much of a stream is to come is not known where its caller resumes it.
+void RequestSession::observe_stream() {
+  const bool known = prompt_ && (timing_.events() != 0 || !last_event_);
+  attempt_->observed = std::make_unique<StreamObservation>(
+      environment_.observer, attempt_->backend,
+      known ? std::optional(prompt_->expected_output_tokens) : std::nullopt, timing_.events());
 }
 
 /// A request counts once, however often it runs.
@@ -275,30 +282,20 @@
   environment_.note_run(tenant_->name, ago);
 }
 
-/// Frees a cache that nobody will take.
-void RequestSession::release_cache() {
-  if (!cache_) {
-    return;
-  }
-  if (environment_.gate != nullptr &&
-      environment_.gate->is_paused(cache_->engine, environment_.clock.now())) {
-    // It lapses by itself.
-    cache_.reset();
-    return;
-  }
-  http::ClientRequest request = environment_.engines.release_cache(cache_->handle);
-  request.endpoint = cache_->address;
-  request.timeout = kReleaseTimeout;
-  cache_.reset();
-  environment_.transport.send_and_forget(std::move(request));
-}
-
 void RequestSession::judge_complete() {
   const http::ResponseHead& head = *attempt_->head;
   const BackendStatement& statement = attempt_->statement;
   if (statement.not_run) {
     note("attempt refused", std::to_string(head.status));
-    end_attempt(statement.misdirected ? AttemptVerdict::kReplaced : AttemptVerdict::kRefused);
+    if (attempt_->continues) {
+      // A server that has not run the request is none of the route's attempts.
+      repeats_.allow_one_more();
+      ++environment_.statistics.copies_missing;
+    }
+    // An engine without the copy is neither ill nor full.
+    const AttemptVerdict refused =
+        attempt_->continues ? AttemptVerdict::kAbandoned : AttemptVerdict::kRefused;
+    end_attempt(statement.misdirected ? AttemptVerdict::kReplaced : refused);
     retry_or_give_up(FailureReason::kRefused);
     return;
   }
@@ -310,7 +307,7 @@
     retry_or_give_up(FailureReason::kBroken);
     return;
   }
-  note_answer();
+  reports_.note_answer(*attempt_);
   if (attempt_->streams) {
     relay_whole();
     return;
@@ -340,6 +337,7 @@
     answer_whole(*attempt_->head, attempt_->body);
   }
   ++environment_.statistics.answered;
+  environment_.statistics.continued_whole += attempt_->streams && attempt_->continues ? 1 : 0;
   end_attempt(is_success(attempt_->head->status) ? AttemptVerdict::kGood : AttemptVerdict::kFailed);
   finish("answered");
 }
@@ -358,6 +356,8 @@
       note("first event", "");
       note_run(Duration::zero());
       environment_.loads.note_read(attempt_->backend, attempt_->unread_tokens);
+      observe_prefill();
+      observe_stream();
     }
     passed = pass_event(*event) || passed;
   }
@@ -375,9 +375,12 @@
   if (event.id) {
     last_event_ = event.id;
   }
+  backup_.note_event(event);
   timing_.note_event(environment_.clock.now());
+  attempt_->observed->note_event(environment_.clock.now());
   writer_->send_body(event.bytes);
   if (writer_->buffered_bytes() > kCallerBufferBytes) {
+    attempt_->observed->note_not_read();
     attempt_->exchange->set_reading(false);
   }
   return true;
@@ -404,7 +407,7 @@
     ++unreachable_;
     end_attempt(AttemptVerdict::kUnreachable);
     if (unreachable_ < kMostUnreachable) {
-      dispatch_->begin();
+      dispatch_unsent(attempt_->continues ? SendKind::kContinuation : SendKind::kRun);
     } else {
       give_up(FailureReason::kUnreachable);
     }
@@ -412,7 +415,7 @@
   }
   log_.note_break(error, *attempt_, fingerprint().to_hex());
   const bool silent = error.code == http::HttpErrc::kTimeout;
-  note_break(silent ? BreakKind::kSilent : BreakKind::kClosed);
+  reports_.note_break(service_, *attempt_, silent ? BreakKind::kSilent : BreakKind::kClosed);
   if (silent) {
     environment_.loads.note_silence(attempt_->backend, environment_.clock.now());
   }
@@ -420,7 +423,7 @@
     end_prefill(true);
     return;
   }
-  ++sends_;
+  repeats_.note_send();
   may_have_run_ = true;
   // A kept connection that had died says nothing of the back end.
   const bool stale = error.code == http::HttpErrc::kStaleConnection;
@@ -431,8 +434,53 @@
   if (stale) {
     tried_.erase(attempt_->backend);
   }
+  const BrokenRun run = broken_run(error.code);
   end_attempt(stale ? AttemptVerdict::kAbandoned : AttemptVerdict::kFailed);
-  retry_or_give_up(FailureReason::kBroken);
+  continue_or_retry(run);
+}
+
+/// Of the current attempt, which is still at work.
+BrokenRun RequestSession::broken_run(http::HttpErrc error) const {
+  return {.error = error,
+          .runner_gone = backup_.is_runner_gone(attempt_->backend, environment_.clock.now()),
+          .repeatable = route_.repeatable() && !repeats_.is_last_attempt(true),
+          .has_time = time_left() >= kLeastTime};
+}
+
+/// Sends a stream whose attempt has ended on to the engine that holds its copy: the same run,
+/// whatever the route. Where it may not continue there, what the route allows follows.
+void RequestSession::continue_or_retry(const BrokenRun& run) {
+  const BackupObstacle obstacle = backup_.obstacle(run, environment_.clock.now());
+  if (obstacle != BackupObstacle::kNone) {
+    if (attempt_->cache_backup) {
+      ++environment_.statistics.not_continued;
+      note("stream not continued at its backup", describe(obstacle));
+    }
+    retry_or_give_up(FailureReason::kBroken);
+    return;
+  }
+  if (!dispatch_->passes_guard()) {
+    return;
+  }
+  if (!repeats_.spend(service_)) {
+    not_sent_again_ = "retry budget";
+    give_up(FailureReason::kBroken);
+    return;
+  }
+  const PlacementChoice choice{.backend = backup_.engine()};
+  note("stream continues at its backup", choice.backend->address.value());
+  if (!dispatch_->start_continuation(choice)) {
+    retry_or_give_up(FailureReason::kBroken);
+  }
+}
+
+/// Only the run that was begun may go on at a backup: elsewhere the request would run anew.
+void RequestSession::dispatch_unsent(SendKind kind) {
+  if (kind == SendKind::kContinuation) {
+    retry_or_give_up(FailureReason::kBroken);
+  } else {
+    dispatch_->begin();
+  }
 }
 
 /// The back end has asked for nothing more while the request waited for a connection.
@@ -444,7 +492,7 @@
     read_apart_ = false;
   }
   end_attempt(AttemptVerdict::kNotSent);
-  dispatch_->begin();
+  dispatch_unsent(attempt_->continues ? SendKind::kContinuation : SendKind::kRun);
 }
 
 void RequestSession::retry_or_give_up(FailureReason reason) {
@@ -471,30 +519,10 @@
 
 /// Takes one more send out of the route's attempts and the budget.
 bool RequestSession::may_send_again() {
-  not_sent_again_ = obstacle_to_repeat();
+  not_sent_again_ = repeats_.obstacle(service_, dispatch_->trial(), time_left());
   return not_sent_again_.empty();
 }
 
-std::string_view RequestSession::obstacle_to_repeat() {
-  if (dispatch_->trial()) {
-    return "trial";
-  }
-  if (sends_ >= route_.most_attempts) {
-    return "attempts of the route";
-  }
-  if (time_left() < kLeastTime) {
-    return "no time left";
-  }
-  return spend_repeat() ? "" : "retry budget";
-}
-
-bool RequestSession::spend_repeat() {
-  const bool granted =
-      environment_.budget.spend(service_, environment_.node_count(), environment_.clock.now());
-  ++(granted ? environment_.statistics.repeats : environment_.statistics.budget_denied);
-  return granted;
-}
-
 /// Closes the attempt's connection, if it still runs, and accounts for it.
 void RequestSession::end_attempt(AttemptVerdict verdict) {
   progress_timer_.disarm();
@@ -504,20 +532,20 @@
   if (!std::exchange(attempt_->prompt_read, true)) {
     environment_.loads.note_read(attempt_->backend, attempt_->unread_tokens);
   }
+  if (attempt_->observed) {
+    attempt_->observed->end(environment_.clock.now());
+  }
   environment_.loads.end(attempt_->backend, verdict, environment_.clock.now());
   if (environment_.queue != nullptr) {
-    environment_.queue->note_attempt_ended(service_,
-                                           !attempt_->prefill && !is_certainly_unread(verdict));
+    const bool worked =
+        !attempt_->prefill && !is_certainly_unread(verdict) && !attempt_->statement.not_run;
+    environment_.queue->note_attempt_ended(service_, worked);
   }
   if (prompt_ && is_certainly_unread(verdict)) {
     environment_.loads.forget_prompt(attempt_->backend, *prompt_, attempt_->started);
   }
-  if (attempt_->uses_cache && verdict == AttemptVerdict::kRefused) {
-    release_cache();
-  } else if (attempt_->uses_cache && verdict != AttemptVerdict::kUnreachable &&
-             verdict != AttemptVerdict::kNotSent && verdict != AttemptVerdict::kReplaced) {
-    // Taken: a handle serves once.
-    cache_.reset();
+  if (attempt_->uses_cache) {
+    cache_.note_end(verdict);
   }
   attempt_->exchange.reset();
   attempt_->backend = BackendId();
@@ -525,7 +553,7 @@
 
 /// A silent back end is left for another one if the request may be repeated.
 void RequestSession::watch_progress() {
-  if (!route_.repeatable()) {
+  if (!route_.repeatable() && !is_runner_gone()) {
     return;
   }
   progress_timer_.arm(patience_with(route_, answer_open_, time_left()),
@@ -533,42 +561,66 @@
 }
 
 void RequestSession::on_no_progress() {
-  if (dispatch_->trial() || sends_ + 1 >= route_.most_attempts || !at_work() || attempt_->prefill) {
+  const std::shared_ptr<RequestSession> keep = shared_from_this();
+  if (leaves_gone_runner()) {
+    return;
+  }
+  if (!route_.repeatable()) {
+    watch_progress();
+    return;
+  }
+  if (dispatch_->trial() || !at_work() || attempt_->prefill || repeats_.is_last_attempt(false)) {
     return;
   }
-  const std::shared_ptr<RequestSession> keep = shared_from_this();
   if (dispatch_->is_closed_everywhere(false)) {
     watch_progress();
     return;
   }
-  if (time_left() < kLeastTime || !spend_repeat()) {
+  if (time_left() < kLeastTime || !repeats_.spend(service_)) {
     return;
   }
-  ++sends_;
-  may_have_run_ = true;
   note("attempt made no progress", "");
-  note_break(BreakKind::kSilent);
   if (answer_open_) {
     ++environment_.statistics.resumed;
   }
-  end_attempt(AttemptVerdict::kFailed);
+  abandon_silent_attempt();
   dispatch_->begin();
 }
 
-/// Tells what an attempt that ends without an answer may say of the request, or of the back end.
-void RequestSession::note_break(BreakKind kind) {
-  RequestGuard* guard = environment_.guard;
-  // Callers that leave are many, and tell something only of a request that is suspected.
-  const bool tells = guard != nullptr && (kind != BreakKind::kAbandoned || guard->watching());
-  if (tells) {
-    guard->note_break({fingerprint(), service_, attempt_->backend, attempt_->started, kind});
+bool RequestSession::is_runner_gone() const {
+  return at_work() && attempt_->prompt_read &&
+         backup_.is_runner_gone(attempt_->backend, environment_.clock.now());
+}
+
+/// A server that is no longer registered has sent nothing for a while: it has ended, and its
+/// connection cannot tell. Where the backup cannot be used it is waited for, in case it has not: a
+/// store may lose registrations of servers that live.
+bool RequestSession::leaves_gone_runner() {
+  // While the caller has bytes to take, reading may be stopped: silence says nothing then.
+  if (!is_runner_gone() || writer_->buffered_bytes() != 0) {
+    return false;
   }
+  const BrokenRun run = broken_run(http::HttpErrc::kTimeout);
+  if (backup_.obstacle(run, environment_.clock.now()) != BackupObstacle::kNone) {
+    return false;
+  }
+  note("server gone, and silent", "");
+  abandon_silent_attempt();
+  continue_or_retry(run);
+  return true;
 }
 
-void RequestSession::note_answer() {
-  RequestGuard* guard = environment_.guard;
-  if (guard != nullptr && guard->watching()) {
-    guard->note_answer({fingerprint(), attempt_->backend, attempt_->started});
+void RequestSession::abandon_silent_attempt() {
+  repeats_.note_send();
+  may_have_run_ = true;
+  reports_.note_break(service_, *attempt_, BreakKind::kSilent);
+  end_attempt(AttemptVerdict::kFailed);
+}
+
+void RequestSession::on_backend_gone(const BackendId& backend) {
+  // The timer of a stream that may be repeated runs already.
+  if (!ended_ && !route_.repeatable() && at_work() && attempt_->backend == backend) {
+    watch_progress();
   }
 }
 
@@ -590,7 +642,7 @@
 void RequestSession::abandon(FailureReason reason) {
   const std::shared_ptr<RequestSession> keep = shared_from_this();
   if (at_work()) {
-    note_break(BreakKind::kAbandoned);
+    reports_.note_break(service_, *attempt_, BreakKind::kAbandoned);
     may_have_run_ = may_have_run_ || !attempt_->prefill;
   }
   give_up(reason);
@@ -629,7 +681,7 @@
   }
   const std::shared_ptr<RequestSession> keep = shared_from_this();
   if (at_work()) {
-    note_break(BreakKind::kAbandoned);
+    reports_.note_break(service_, *attempt_, BreakKind::kAbandoned);
   }
   ++environment_.statistics.caller_gone;
   end_attempt(AttemptVerdict::kAbandoned);
@@ -639,7 +691,7 @@
 void RequestSession::on_deadline() {
   const std::shared_ptr<RequestSession> keep = shared_from_this();
   if (at_work() && !attempt_->prompt_read) {
-    note_break(BreakKind::kSilent);
+    reports_.note_break(service_, *attempt_, BreakKind::kSilent);
   }
   may_have_run_ = may_have_run_ || (at_work() && !attempt_->prefill);
   note("deadline", "");
@@ -653,14 +705,15 @@
   dispatch_->cancel();
   deadline_timer_.disarm();
   progress_timer_.disarm();
-  release_cache();
+  cache_.release();
   writer_->on_closed(nullptr);
   writer_->on_drained(nullptr);
-  log_.note_end({.fingerprint = fingerprint_ ? fingerprint_->to_hex() : "",
+  const std::optional<RequestFingerprint>& known = reports_.known_fingerprint();
+  log_.note_end({.fingerprint = known ? known->to_hex() : "",
                  .service = service_.value(),
                  .outcome = std::string(outcome),
                  .not_sent_again = std::string(not_sent_again_),
-                 .attempts = static_cast<std::uint64_t>(sends_ + unreachable_),
+                 .attempts = static_cast<std::uint64_t>(repeats_.sends() + unreachable_),
                  .configuration = routes_->configuration().version.value(),
                  .most_output_tokens = prompt_ ? prompt_->output_tokens : 0},
                 timing_);
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -10,14 +10,19 @@
 
 #include "base/timer.h"
 #include "gateway/attempt.h"
+#include "gateway/attempt_starter.h"
 #include "gateway/backend_request.h"
 #include "gateway/environment.h"
 #include "gateway/failure_answer.h"
+#include "gateway/guard_reports.h"
 #include "gateway/prompt.h"
+#include "gateway/prompt_cache.h"
+#include "gateway/repeat_limit.h"
 #include "gateway/request_dispatch.h"
 #include "gateway/request_fingerprint.h"
 #include "gateway/request_log.h"
 #include "gateway/route_table.h"
+#include "gateway/stream_backup.h"
 #include "gateway/stream_timing.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -60,42 +65,48 @@
 
   /// The request has come to be quarantined: where no back end has begun to answer, it ends.
   void on_quarantined(const RequestFingerprint& request);
+  /// A back end is no longer registered. A stream that it is still sending goes on.
+  void on_backend_gone(const BackendId& backend);
   /// The process ends: so does the request, with what is known of it.
   void on_stop();
 
  private:
   // What its dispatch asks for.
   std::shared_ptr<void> keep_alive() override { return shared_from_this(); }
+  const ServiceName& service() const override { return service_; }
   PlacementRequest placement_request() const override;
   QueueRequest queue_request() const override;
-  /// Made when it is first asked for: most requests never need it.
-  const RequestFingerprint& fingerprint() override;
+  const RequestFingerprint& fingerprint() override { return reports_.fingerprint(); }
   Duration time_left() const override { return deadline_ - environment_.clock.now(); }
   Duration target_latency() const override { return route_.target_latency; }
-  std::uint32_t sends() const override { return sends_; }
-  bool may_claim_trial() const override { return sends_ == 0 && !read_apart_; }
+  std::uint32_t sends() const override { return repeats_.sends(); }
+  bool may_claim_trial() const override { return repeats_.sends() == 0 && !read_apart_; }
   SendRank send_rank() const override {
     return is_begun() ? kBegunStreamRank : kBegunStreamRank + 1 + priority();
   }
   void note_denied(const BackendId& backend) override { log_.note_denied(backend); }
-  void start_attempt(const PlacementChoice& choice, bool prefill) override;
+  void start_attempt(const PlacementChoice& choice, SendKind kind) override;
+  void dispatch_unsent(SendKind kind) override;
   void give_up(FailureReason reason) override;
 
-  BackendCall make_call(const Backend& backend) const;
-  std::size_t connection_share() const;
+  /// None where nothing is known of the events of the service's streams.
+  std::optional<StreamNeeds> stream_needs() const;
+  AttemptInput attempt_input() const;
   std::uint32_t priority() const;
   void note_statement(const BackendStatement& statement);
-  void note_break(BreakKind kind);
-  void note_answer();
   void end_prefill(bool refused);
-  AttemptVerdict verdict_of_failed_prefill() const;
+  void observe_prefill();
+  void observe_stream();
   void note_run(Duration ago);
-  void release_cache();
   bool may_send_again();
-  /// What stands against one more send; empty: nothing. Takes it out of the budget.
-  std::string_view obstacle_to_repeat();
-  bool spend_repeat();
   void on_withdrawn();
+  BrokenRun broken_run(http::HttpErrc error) const;
+  /// Whether the stream's server is known to have ended, and it has a copy.
+  bool is_runner_gone() const;
+  /// Whether the stream has been taken from a server that is gone and silent.
+  bool leaves_gone_runner();
+  void abandon_silent_attempt();
+  void continue_or_retry(const BrokenRun& run);
   void retry_or_give_up(FailureReason reason);
   void end_attempt(AttemptVerdict verdict);
   void watch_progress();
@@ -131,18 +142,20 @@
   std::shared_ptr<http::ResponseWriter> writer_;
   std::function<void()> on_end_;
   std::string id_;
-  std::optional<RequestFingerprint> fingerprint_;
   ServiceName service_;
   std::optional<Prompt> prompt_;
   MonotonicTime arrived_{};
   MonotonicTime deadline_{};
   Timer deadline_timer_;
   Timer progress_timer_;
-  std::shared_ptr<RequestDispatch> dispatch_;
   std::optional<Attempt> attempt_;
-  std::optional<CacheHandle> cache_;
+  PromptCache cache_;
+  StreamBackup backup_;
+  AttemptStarter starter_;
   std::set<BackendId> tried_;
-  std::uint32_t sends_ = 0;        ///< Attempts of which a byte may have left.
+  RepeatLimit repeats_;
+  GuardReports reports_;
+  std::shared_ptr<RequestDispatch> dispatch_;
   std::uint32_t unreachable_ = 0;  ///< Attempts without a connection.
   bool read_apart_ = false;        ///< A prefill engine was asked; once is enough.
   bool may_have_run_ = false;
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -48,7 +48,8 @@
       settings_(std::move(settings)),
       adapter_(std::move(adapter)),
       client_(client),
-      placement_(fleet_, loads_, random, settings_.zone),
+      profiles_(fleet_, logger),
+      placement_(fleet_, loads_, random, settings_.zone, &profiles_),
       budget_(settings_.retry_budget, clock.now()),
       shares_(random),
       transport_(client),
@@ -108,6 +109,10 @@
                  [this](const auto& notice) { peer_news_.tell_notice(notice); }),
       queue_({clock, loop, random, logger, [this] { return nodes_.cautious_count(); }},
              settings_.queue),
+      profile_exchange_(
+          {clock, loop, random, profiles_}, settings_.node,
+          {.tell_all = [this](const auto& news) { peer_news_.tell_profiles(news); },
+           .tell_zone = [this](const auto& relayed) { peer_news_.tell_zone_profiles(relayed); }}),
       survey_(clock, adapter_.engines, fleet_, loads_,
               [this](const gateway::BackendId& engine, http::ClientRequest request,
                      std::function<void(std::string)> done) {
@@ -117,7 +122,7 @@
           {clock, loop, transport_, fleet_, loads_, placement_, budget_, shares_, adapter_.names,
            adapter_.engines, statistics_, logger, [this] { return nodes_.cautious_count(); },
            [this](const TenantName& tenant, Duration ago) { duties_.note_run(tenant, ago); },
-           &quarantine_, &admission_, &queue_},
+           &quarantine_, &admission_, &queue_, &profiles_, &profiles_},
           [this](auto done) { watcher_.refresh(std::move(done)); }),
       callers_(loop, server_at(settings_.listen)),
       ready_(loop, server_at(settings_.ready_listen)),
@@ -157,9 +162,11 @@
   fleet_.on_removed([this](const gateway::Backend& backend) {
     loads_.forget(backend.id);
     peer_news_.forget(backend.id);
+    profile_exchange_.forget(backend.id);
     client_.forget(backend.address);
     quarantine_.note_gone(backend);
     rate_limiter_.forget(backend.id);
+    gateway_.on_backend_gone(backend.id);
   });
   watcher_.on_current([this] {
     apply_limits();
@@ -172,6 +179,7 @@
   peer_news_.on_usage([this](const usage::UsageReport& report) { duties_.take_usage(report); });
   connect_quarantine();
   connect_admission();
+  connect_profiles();
   watcher_.start();
   registration_.start();
   duties_.start();
@@ -225,6 +233,15 @@
                          .tell_all = [this](const auto& send) { admission_.tell_all(send); }});
 }
 
+void GatewayNode::connect_profiles() {
+  peer_news_.on_profiles(
+      {.take = [this](const auto& news) { profile_exchange_.take(news); },
+       .take_to_relay = [this](const auto& news) { profile_exchange_.take_to_relay(news); },
+       .take_relayed = [this](const auto& relayed) { profile_exchange_.take(relayed); },
+       .tell_all = [this](const auto& send) { profile_exchange_.tell_all(send); }});
+  profile_exchange_.start();
+}
+
 Result<void, http::HttpError> GatewayNode::listen_to_peers() {
   BOOST_OUTCOME_TRY(socket, peer_load::DatagramSocket::bind(
                                 loop_, settings_.peer_listen, [this](std::string_view bytes) {
@@ -339,6 +356,8 @@
   rate_limiter_.add_metrics(sink);
   admission_.add_metrics(sink);
   queue_.add_metrics(sink);
+  profiles_.add_metrics(sink);
+  profile_exchange_.add_metrics(sink);
   sink.counter({"backend_connections", "Connections opened"},
                static_cast<double>(client_.statistics().connections_opened));
   sink.gauge({"requests_running", "Requests running"}, static_cast<double>(gateway_.running()));
