An unsent continuation and the repeat after it take one unit of the budget

A continuation that was denied, withdrawn or found no connection had taken a unit of the retry budget, and the repeat that followed took a second one, though only one send left. Tests also that a continuation does not queue, and that an engine without the copy counts as no completion.

--- a/src/admission_queue/tests/queued_request_test.cc
+++ b/src/admission_queue/tests/queued_request_test.cc
@@ -249,6 +249,88 @@
   CHECK_FALSE(callers.front()->ended());
 }
 
+namespace {
+
+/// Two engines that replicate runs, and one stream that has begun.
+struct ReplicatingWorld : QueueingWorld {
+  ReplicatingWorld() {
+    Configuration configuration = make_configuration(2);
+    configuration.services[1].engine->backs_up_streams = true;
+    configuration.services[1].engine->tokens_per_event = 75;
+    fleet.apply(std::move(configuration));
+    add_backend("d", "llm", EngineRole::kDecode);
+    add_backend("e", "llm", EngineRole::kDecode);
+  }
+  std::shared_ptr<PlayedCaller> begin_stream(Gateway& entry) {
+    auto caller = std::make_shared<PlayedCaller>();
+    entry.handle({"POST",
+                  "/resumable/x",
+                  "",
+                  {{"host", "h"},
+                   {"x-request-id", "r"},
+                   {names.prompt_parts, "aa:100"},
+                   {names.token_counts, "200,6000"}},
+                  "body"},
+                 caller);
+    REQUIRE_FALSE(last().header(names.cache_backup).empty());
+    last().observer->on_head({200, {signature()}});
+    last().observer->on_body("id: 1\ndata: x\n\n");
+    return caller;
+  }
+};
+
+}  // namespace
+
+// The copy would be dropped by its engine while the stream waits, or the queue be bypassed by a run
+// that it never let through.
+TEST_CASE_FIXTURE(ReplicatingWorld, "a continuation does not queue, but a repeat after it does") {
+  const auto caller = begin_stream(queueing);
+  for (std::size_t i = 0; i != 8; ++i) {
+    loads.begin(BackendId("d"), 0);
+    loads.begin(BackendId("e"), 0);
+  }
+  ask("/resumable/waiting");
+  REQUIRE(queue.waiting() == 1);
+  const std::string backup = last().header(names.cache_backup);
+  last().fail(http::HttpErrc::kReset, true);
+  REQUIRE(sends() == 2);
+  CHECK(last().request.endpoint.value() == backup);
+  CHECK(queue.waiting() == 1);
+  fleet.remove(BackendId(backup.substr(0, backup.find(':'))));
+  add_backend("f", "llm", EngineRole::kDecode);
+  for (std::size_t i = 0; i != 8; ++i) {
+    loads.begin(BackendId("f"), 0);
+  }
+  last().fail(http::HttpErrc::kConnect, false);
+  CHECK(sends() == 2);
+  CHECK(queue.waiting() == 2);
+  CHECK_FALSE(caller->ended());
+  caller->leave();
+  CHECK(queue.waiting() == 1);
+}
+
+// The queue would predict too short waits from refusals that cost an engine nothing.
+TEST_CASE_FIXTURE(ReplicatingWorld, "an engine without the copy has completed nothing") {
+  struct RecordingQueue final : RequestQueue {
+    bool enabled() const override { return false; }
+    bool has_waiting(const ServiceName& /*service*/) const override { return false; }
+    std::size_t waiting() const override { return 0; }
+    JoinResult join(QueueRequest /*request*/, QueueWaiter& /*waiter*/) override { return {}; }
+    void note_attempt_ended(const ServiceName& /*service*/, bool completed) override {
+      completions.push_back(completed);
+    }
+    std::vector<bool> completions;
+  } recording;
+  Environment made = environment();
+  made.queue = &recording;
+  Gateway recorded{made, [](auto done) { done(true); }};
+  const auto caller = begin_stream(recorded);
+  last().fail(http::HttpErrc::kReset, true);
+  REQUIRE(sends() == 2);
+  last().answer(503, {{names.not_run, "1"}}, "");
+  CHECK(recording.completions == std::vector<bool>{true, false});
+}
+
 TEST_CASE("requests wait for servers that have all gone only as long as they can") {
   QueueingWorld world;
   world.fill();
--- a/src/gateway/repeat_limit.cc
+++ b/src/gateway/repeat_limit.cc
@@ -16,6 +16,10 @@
 }
 
 bool RepeatLimit::spend(const ServiceName& service) {
+  if (paid_ != 0) {
+    --paid_;
+    return true;
+  }
   const bool granted =
       environment_.budget.spend(service, environment_.node_count(), environment_.clock.now());
   ++(granted ? environment_.statistics.repeats : environment_.statistics.budget_denied);
--- a/src/gateway/repeat_limit.h
+++ b/src/gateway/repeat_limit.h
@@ -32,6 +32,8 @@
 
   /// What stands against one more send; empty: nothing. Takes it out of the budget.
   std::string_view obstacle(const ServiceName& service, bool trial, Duration left);
+  /// A send that was taken out of the budget did not leave: the next one takes nothing.
+  void note_unsent() { ++paid_; }
   /// Takes a send out of the retry budget; false: the budget has none.
   bool spend(const ServiceName& service);
 
@@ -40,6 +42,7 @@
   const Route& route_;
   std::uint32_t sends_ = 0;
   std::uint32_t uncounted_ = 0;
+  std::uint32_t paid_ = 0;  ///< Taken out of the budget, but not sent.
 };
 
 }  // namespace ochrespring::gateway
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -470,13 +470,14 @@
   const PlacementChoice choice{.backend = backup_.engine()};
   note("stream continues at its backup", choice.backend->address.value());
   if (!dispatch_->start_continuation(choice)) {
-    retry_or_give_up(FailureReason::kBroken);
+    dispatch_unsent(SendKind::kContinuation);
   }
 }
 
 /// Only the run that was begun may go on at a backup: elsewhere the request would run anew.
 void RequestSession::dispatch_unsent(SendKind kind) {
   if (kind == SendKind::kContinuation) {
+    repeats_.note_unsent();
     retry_or_give_up(FailureReason::kBroken);
   } else {
     dispatch_->begin();
--- a/src/gateway/tests/continued_stream_test.cc
+++ b/src/gateway/tests/continued_stream_test.cc
@@ -159,6 +159,8 @@
       const bool anew = path == "/resumable/x";
       REQUIRE(world.sends() == (anew ? 3 : 2));
       CHECK(caller->aborted == !anew);
+      // A continuation that did not leave has taken the unit of the budget for the next send.
+      CHECK(world.statistics.repeats == (anew && failure == HttpErrc::kReset ? 2 : 1));
       if (anew) {
         CHECK(world.last().request.endpoint != world.run->request.endpoint);
         CHECK(world.last().header(world.names.cache_source).empty());
@@ -281,6 +283,25 @@
   CHECK_FALSE(caller->finished);
 }
 
+// The retry budget would be charged for a send that its rate limit denied.
+TEST_CASE_FIXTURE(BackupWorld, "a denied continuation and the repeat after it take one unit") {
+  begin("/resumable/x");
+  SUBCASE("at once") {
+    gate.denies.insert(backup_id());
+    run->fail(HttpErrc::kReset, true);
+  }
+  SUBCASE("later") {
+    gate.asks = true;
+    run->fail(HttpErrc::kReset, true);
+    REQUIRE(gate.claims.size() == 1);
+    gate.asks = false;
+    gate.settle(false);
+  }
+  CHECK(sends() == 2);
+  CHECK(last().header(names.cache_source).empty());
+  CHECK(statistics.repeats == 1);
+}
+
 // The wait for leave to send would outlast what allowed it.
 TEST_CASE_FIXTURE(BackupWorld, "what changes while leave is asked for is heeded") {
   const auto caller = begin("/stream/x");
