--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -47,7 +47,8 @@
       backup_(environment.fleet, environment.loads),
       starter_(environment, cache_, backup_),
       repeats_(environment, route_),
-      reports_(environment, request_, tenant_) {}
+      reports_(environment, request_, tenant_),
+      dispatch_(std::make_shared<RequestDispatch>(environment, *this)) {}
 
 void RequestSession::begin(std::function<void()> on_end) {
   on_end_ = std::move(on_end);
@@ -93,48 +94,7 @@
     return;
   }
   deadline_timer_.arm(deadline_ - arrived_, [this] { on_deadline(); });
-  dispatch();
-}
-
-void RequestSession::dispatch() {
-  if (time_left() < kLeastTime) {
-    give_up(FailureReason::kTimeout);
-  } else if (passes_guard()) {
-    place();
-  }
-}
-
-/// Whether the request may be sent on now; if not, it has ended or waits for a trial.
-bool RequestSession::passes_guard() {
-  RequestGuard* guard = environment_.guard;
-  if (guard == nullptr || !guard->watching() || trial_) {
-    return true;
-  }
-  const SendVerdict verdict = guard->judge(fingerprint());
-  if (verdict == SendVerdict::kAllowed) {
-    return true;
-  }
-  if (verdict == SendVerdict::kTrialDue && repeats_.sends() == 0 && !read_apart_) {
-    claim_trial(*guard);
-  } else {
-    give_up(FailureReason::kQuarantined);
-  }
-  return false;
-}
-
-void RequestSession::claim_trial(RequestGuard& guard) {
-  guard.claim_trial(fingerprint(), [weak = weak_from_this()](bool granted) {
-    const auto self = weak.lock();
-    if (!self || self->ended_) {
-      return;
-    }
-    self->trial_ = granted;
-    if (granted) {
-      self->dispatch();
-    } else {
-      self->give_up(FailureReason::kQuarantined);
-    }
-  });
+  dispatch_->begin();
 }
 
 std::optional<StreamNeeds> RequestSession::stream_needs() const {
@@ -163,99 +123,26 @@
   wanted.avoid = tried_;
   wanted.gate = environment_.gate;
   wanted.stream = stream_needs();
-  wanted.where_least_runs = trial_;
+  wanted.where_least_runs = dispatch_->trial();
   wanted.connected = [this](const Backend& backend) {
     return environment_.transport.has_idle_connection(backend.address);
   };
   return wanted;
 }
 
-void RequestSession::place() {
-  const MonotonicTime now = environment_.clock.now();
-  const PlacementRequest wanted = placement_request();
-  // Each denial takes a back end out of the candidates.
-  bool denied = true;
-  while (denied) {
-    const PlacementPlan plan = environment_.placement.choose(wanted, now);
-    if (plan.runner.backend == nullptr) {
-      give_up(reason_of_no_backend(now));
-      return;
-    }
-    const bool prefill = plan.reader.backend != nullptr;
-    denied = !claim_and_start(prefill ? plan.reader : plan.runner,
-                              prefill ? SendKind::kPrefill : SendKind::kRun);
-  }
-}
-
-std::optional<RoomForecast> RequestSession::forecast(MonotonicTime now) const {
-  return environment_.gate != nullptr ? environment_.gate->forecast(service_, now) : std::nullopt;
-}
-
-FailureReason RequestSession::reason_of_no_backend(MonotonicTime now) const {
-  const auto room = forecast(now);
-  if (!room) {
-    return FailureReason::kNoBackend;
-  }
-  return room->backing_off ? FailureReason::kBackingOff : FailureReason::kRateLimited;
-}
-
-/// Whether some back ends are closed to this node, and none that is not may take the request.
-/// `tried_too`: also none of those that it was sent to.
-bool RequestSession::is_closed_everywhere(bool tried_too) const {
-  const MonotonicTime now = environment_.clock.now();
-  if (!forecast(now)) {
-    return false;
-  }
-  PlacementRequest wanted = placement_request();
-  if (tried_too) {
-    wanted.avoid.clear();
-  }
-  return environment_.placement.choose(wanted, now).runner.backend == nullptr;
-}
-
-/// Sends the request once the back end's rate limit allows it. False: it does not, now.
-bool RequestSession::claim_and_start(const PlacementChoice& choice, SendKind kind) {
-  ClaimResult result = ClaimResult::kGranted;
-  if (environment_.gate != nullptr) {
-    const bool begun = answer_open_ || last_event_.has_value() || kind == SendKind::kContinuation;
-    result = environment_.gate->claim(
-        choice.backend->id, begun ? kBegunStreamRank : kBegunStreamRank + 1 + priority(),
-        [weak = weak_from_this(), claimed = ClaimedSend::of(choice, kind)](bool granted) {
-          const auto self = weak.lock();
-          if (self && !self->ended_) {
-            self->on_claim(claimed, granted);
-          }
-        });
-  }
-  if (result == ClaimResult::kGranted) {
-    start_attempt(choice, kind);
-  } else if (result == ClaimResult::kDenied) {
-    log_.note_denied(choice.backend->id);
-  }
-  return result != ClaimResult::kDenied;
-}
-
-/// What was chosen may have gone, and the request become guilty, while the claim was out.
-void RequestSession::on_claim(const ClaimedSend& claimed, bool granted) {
-  const std::shared_ptr<RequestSession> keep = shared_from_this();
-  const FleetState& fleet = environment_.fleet;
-  const Backend* backend = fleet.find(claimed.backend);
-  if (!granted) {
-    log_.note_denied(claimed.backend);
-  }
-  const bool open = environment_.gate->may_send(claimed.backend, environment_.clock.now());
-  if (!granted || backend == nullptr || !open || fleet.is_leaving(*backend)) {
-    dispatch_unsent(claimed.kind);
-    return;
-  }
-  if (time_left() < kLeastTime) {
-    give_up(FailureReason::kTimeout);
-  } else if (passes_guard()) {
-    start_attempt({.backend = backend,
-                   .unread_tokens = claimed.unread_tokens,
-                   .cache_source = fleet.find(claimed.cache_source)},
-                  claimed.kind);
-  }
+QueueRequest RequestSession::queue_request() const {
+  const std::uint64_t tokens =
+      prompt_ ? prompt_->own_tokens() + prompt_->expected_output_tokens : 1;
+  return {.service = service_,
+          .route = route_.name,
+          .tenant = tenant_ != nullptr ? tenant_->name : TenantName(),
+          .priority = priority(),
+          .begun = is_begun(),
+          .sent_before = repeats_.sends() != 0,
+          .cost = static_cast<double>(tokens),
+          .bytes = request_.body.size(),
+          .target = arrived_ + route_.target_latency,
+          .deadline = deadline_};
 }
 
 void RequestSession::start_attempt(const PlacementChoice& choice, SendKind kind) {
@@ -282,7 +169,7 @@
           .left = time_left(),
           .last_event = last_event_,
           .answer_open = answer_open_,
-          .trial = trial_};
+          .trial = dispatch_->trial()};
 }
 
 std::uint32_t RequestSession::priority() const {
@@ -359,7 +246,7 @@
     give_up(FailureReason::kRefused);
     return;
   }
-  dispatch();
+  dispatch_->begin();
 }
 
 /// Only of prompts of which just the part of their own was unread: whether an engine still keeps a
@@ -429,7 +316,7 @@
     note("attempt failed at the back end", std::to_string(head.status));
     failed_answer_ = FailedAnswer{head, std::move(attempt_->body)};
     end_attempt(AttemptVerdict::kFailed);
-    dispatch();
+    dispatch_->begin();
     return;
   }
   relay_whole();
@@ -572,7 +459,7 @@
     retry_or_give_up(FailureReason::kBroken);
     return;
   }
-  if (!passes_guard()) {
+  if (!dispatch_->passes_guard()) {
     return;
   }
   if (!repeats_.spend(service_)) {
@@ -582,17 +469,18 @@
   }
   const PlacementChoice choice{.backend = backup_.engine()};
   note("stream continues at its backup", choice.backend->address.value());
-  if (!claim_and_start(choice, SendKind::kContinuation)) {
-    retry_or_give_up(FailureReason::kBroken);
+  if (!dispatch_->start_continuation(choice)) {
+    dispatch_unsent(SendKind::kContinuation);
   }
 }
 
 /// Only the run that was begun may go on at a backup: elsewhere the request would run anew.
 void RequestSession::dispatch_unsent(SendKind kind) {
   if (kind == SendKind::kContinuation) {
+    repeats_.note_unsent();
     retry_or_give_up(FailureReason::kBroken);
   } else {
-    dispatch();
+    dispatch_->begin();
   }
 }
 
@@ -615,17 +503,16 @@
     not_sent_again_ = "may have run";
   }
   // A repeat that could go nowhere would be taken out of the budget for nothing.
-  if (allowed && is_closed_everywhere(false)) {
+  if (allowed && dispatch_->is_closed_everywhere(false)) {
     not_sent_again_ = "nobody else has room";
-    give_up(reason == FailureReason::kRefused ? reason_of_no_backend(environment_.clock.now())
-                                              : reason);
+    give_up(reason == FailureReason::kRefused ? dispatch_->reason_of_no_backend() : reason);
     return;
   }
   if (allowed && may_send_again()) {
     if (answer_open_) {
       ++environment_.statistics.resumed;
     }
-    dispatch();
+    dispatch_->begin();
     return;
   }
   give_up(reason);
@@ -633,7 +520,7 @@
 
 /// Takes one more send out of the route's attempts and the budget.
 bool RequestSession::may_send_again() {
-  not_sent_again_ = repeats_.obstacle(service_, trial_, time_left());
+  not_sent_again_ = repeats_.obstacle(service_, dispatch_->trial(), time_left());
   return not_sent_again_.empty();
 }
 
@@ -650,6 +537,11 @@
     attempt_->observed->end(environment_.clock.now());
   }
   environment_.loads.end(attempt_->backend, verdict, environment_.clock.now());
+  if (environment_.queue != nullptr) {
+    const bool worked =
+        !attempt_->prefill && !is_certainly_unread(verdict) && !attempt_->statement.not_run;
+    environment_.queue->note_attempt_ended(service_, worked);
+  }
   if (prompt_ && is_certainly_unread(verdict)) {
     environment_.loads.forget_prompt(attempt_->backend, *prompt_, attempt_->started);
   }
@@ -678,10 +570,10 @@
     watch_progress();
     return;
   }
-  if (trial_ || !at_work() || attempt_->prefill || repeats_.is_last_attempt(false)) {
+  if (dispatch_->trial() || !at_work() || attempt_->prefill || repeats_.is_last_attempt(false)) {
     return;
   }
-  if (is_closed_everywhere(false)) {
+  if (dispatch_->is_closed_everywhere(false)) {
     watch_progress();
     return;
   }
@@ -693,7 +585,7 @@
     ++environment_.statistics.resumed;
   }
   abandon_silent_attempt();
-  dispatch();
+  dispatch_->begin();
 }
 
 bool RequestSession::is_runner_gone() const {
@@ -734,7 +626,7 @@
 }
 
 void RequestSession::on_quarantined(const RequestFingerprint& request) {
-  const bool begun = trial_ || (at_work() && (attempt_->head || attempt_->prompt_read));
+  const bool begun = dispatch_->trial() || (at_work() && (attempt_->head || attempt_->prompt_read));
   if (ended_ || begun || fingerprint() != request) {
     return;
   }
@@ -775,28 +667,15 @@
     return;
   }
   ++(may_have_run_ ? environment_.statistics.unknown : environment_.statistics.refused);
-  FailureAnswer answer = make_failure_answer(reason, may_have_run_, retry_after(reason),
-                                             {environment_.names.request_id, id_});
+  FailureAnswer answer = make_failure_answer(
+      reason, may_have_run_,
+      dispatch_->retry_after(
+          reason, from_seconds(kRetryAfterObjectives * to_seconds(route_.target_latency))),
+      {environment_.names.request_id, id_});
   writer_->respond(answer.status, std::move(answer.headers), answer.body);
   finish(describe(reason));
 }
 
-/// When a request that surely has not run may come back.
-Duration RequestSession::retry_after(FailureReason reason) {
-  if (reason == FailureReason::kQuarantined) {
-    return environment_.guard->retry_after(fingerprint());
-  }
-  if (reason == FailureReason::kStopping) {
-    // Other nodes serve it now.
-    return {};
-  }
-  const auto room = forecast(environment_.clock.now());
-  if (room && is_closed_everywhere(true)) {
-    return room->wait;
-  }
-  return from_seconds(kRetryAfterObjectives * to_seconds(route_.target_latency));
-}
-
 void RequestSession::caller_gone() {
   if (ended_) {
     return;
@@ -824,6 +703,7 @@
   if (std::exchange(ended_, true)) {
     return;
   }
+  dispatch_->cancel();
   deadline_timer_.disarm();
   progress_timer_.disarm();
   cache_.release();
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -12,13 +12,13 @@
 #include "gateway/attempt.h"
 #include "gateway/attempt_starter.h"
 #include "gateway/backend_request.h"
-#include "gateway/claimed_send.h"
 #include "gateway/environment.h"
 #include "gateway/failure_answer.h"
 #include "gateway/guard_reports.h"
 #include "gateway/prompt.h"
 #include "gateway/prompt_cache.h"
 #include "gateway/repeat_limit.h"
+#include "gateway/request_dispatch.h"
 #include "gateway/request_fingerprint.h"
 #include "gateway/request_log.h"
 #include "gateway/route_table.h"
@@ -48,6 +48,7 @@
 /// to have run is answered as such (503); after anything else a request that may not be repeated
 /// ends as unknown (502 or 504) at once.
 class RequestSession final : public http::ResponseObserver,
+                             public DispatchOwner,
                              public std::enable_shared_from_this<RequestSession> {
  public:
   RequestSession(Environment& environment, std::shared_ptr<const RouteTable> routes,
@@ -70,21 +71,27 @@
   void on_stop();
 
  private:
-  void dispatch();
-  bool passes_guard();
-  void claim_trial(RequestGuard& guard);
+  // What its dispatch asks for.
+  std::shared_ptr<void> keep_alive() override { return shared_from_this(); }
+  const ServiceName& service() const override { return service_; }
+  PlacementRequest placement_request() const override;
+  QueueRequest queue_request() const override;
+  const RequestFingerprint& fingerprint() override { return reports_.fingerprint(); }
+  Duration time_left() const override { return deadline_ - environment_.clock.now(); }
+  Duration target_latency() const override { return route_.target_latency; }
+  std::uint32_t sends() const override { return repeats_.sends(); }
+  bool may_claim_trial() const override { return repeats_.sends() == 0 && !read_apart_; }
+  SendRank send_rank() const override {
+    return is_begun() ? kBegunStreamRank : kBegunStreamRank + 1 + priority();
+  }
+  void note_denied(const BackendId& backend) override { log_.note_denied(backend); }
+  void start_attempt(const PlacementChoice& choice, SendKind kind) override;
+  void dispatch_unsent(SendKind kind) override;
+  void give_up(FailureReason reason) override;
+
   /// None where nothing is known of the events of the service's streams.
   std::optional<StreamNeeds> stream_needs() const;
-  PlacementRequest placement_request() const;
-  void place();
-  bool claim_and_start(const PlacementChoice& choice, SendKind kind);
-  void on_claim(const ClaimedSend& claimed, bool granted);
-  FailureReason reason_of_no_backend(MonotonicTime now) const;
-  std::optional<RoomForecast> forecast(MonotonicTime now) const;
-  bool is_closed_everywhere(bool tried_too) const;
-  void start_attempt(const PlacementChoice& choice, SendKind kind);
   AttemptInput attempt_input() const;
-  const RequestFingerprint& fingerprint() { return reports_.fingerprint(); }
   std::uint32_t priority() const;
   void note_statement(const BackendStatement& statement);
   void end_prefill(bool refused);
@@ -100,8 +107,6 @@
   bool leaves_gone_runner();
   void abandon_silent_attempt();
   void continue_or_retry(const BrokenRun& run);
-  /// After a send that did not leave: places the request anew, if it is not a continuation.
-  void dispatch_unsent(SendKind kind);
   void retry_or_give_up(FailureReason reason);
   void end_attempt(AttemptVerdict verdict);
   void watch_progress();
@@ -114,9 +119,7 @@
   bool pass_event(const StreamEvent& event);
   void open_answer(const http::ResponseHead& head);
 
-  void give_up(FailureReason reason);
   void abandon(FailureReason reason);
-  Duration retry_after(FailureReason reason);
   void caller_gone();
   void on_deadline();
   void finish(std::string_view outcome);
@@ -127,7 +130,8 @@
   bool is_stream() const { return route_.kind == RequestKind::kStreaming; }
   /// Whether an attempt runs.
   bool at_work() const { return attempt_ && !attempt_->backend.empty(); }
-  Duration time_left() const { return deadline_ - environment_.clock.now(); }
+  /// Whether the caller has the beginning of the stream.
+  bool is_begun() const { return answer_open_ || last_event_.has_value(); }
 
   Environment& environment_;
   std::shared_ptr<const RouteTable> routes_;
@@ -151,9 +155,9 @@
   std::set<BackendId> tried_;
   RepeatLimit repeats_;
   GuardReports reports_;
+  std::shared_ptr<RequestDispatch> dispatch_;
   std::uint32_t unreachable_ = 0;  ///< Attempts without a connection.
   bool read_apart_ = false;        ///< A prefill engine was asked; once is enough.
-  bool trial_ = false;             ///< In quarantine, but granted one send.
   bool may_have_run_ = false;
   std::string_view not_sent_again_;  ///< Why not, after the last attempt; empty: no need.
   bool run_noted_ = false;
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "admission/admission_control.h"
+#include "admission_queue/admission_queue.h"
 #include "base/random.h"
 #include "base/timer.h"
 #include "discovery/fleet_watcher.h"
@@ -91,6 +92,7 @@
   quarantine::Quarantine quarantine_;
   rate_limit::RateLimiter rate_limiter_;
   admission::AdmissionControl admission_;
+  admission_queue::AdmissionQueue queue_;
   engine_profiles::ProfileExchange profile_exchange_;
   gateway::CacheSurvey survey_;
   bool asked_peers_ = false;
