--- a/src/gateway_load/tests/load_fleet.cc
+++ b/src/gateway_load/tests/load_fleet.cc
@@ -23,6 +23,8 @@
 constexpr std::uint64_t kSharedPrompts = 12;
 /// Output tokens of a stream that counts as long: at least so many events to come.
 constexpr std::uint32_t kLongEvents = 4;
+/// After a node's last word, as PeerWork::kBelief.
+constexpr Duration kForgottenAfter = 2500ms;
 constexpr int kSampledCalls = 20'000;
 const ServiceName kService("llm");
 
@@ -34,6 +36,11 @@
   void hear(std::size_t node, const BackendId& engine, gateway::EngineWorkload work) {
     work_[engine][node] = work;
   }
+  void forget(std::size_t node) {
+    for (auto& [engine, work] : work_) {
+      work.erase(node);
+    }
+  }
   gateway::EngineWorkload work_at(const BackendId& engine, MonotonicTime /*now*/) const override {
     gateway::EngineWorkload sum;
     const auto found = work_.find(engine);
@@ -167,6 +174,7 @@
           });
         });
     node.placement = std::make_unique<gateway::Placement>(make_placement(node));
+    living_nodes_.push_back(index);
   }
 }
 
@@ -209,6 +217,40 @@
   engines_.at(engine_order_.at(engine))->set_pace(pace, time_.now());
 }
 
+void LoadFleet::end_engine(std::size_t engine) {
+  const BackendId id = engine_order_.at(engine);
+  engine_order_.erase(engine_order_.begin() + static_cast<std::ptrdiff_t>(engine));
+  for (const auto& node : nodes_) {
+    node->fleet.remove(id);
+  }
+  end_all([&](const Call& call) { return call.at == id || call.runner == id; });
+  engines_.erase(id);
+}
+
+void LoadFleet::end_node(std::size_t node) {
+  std::erase(living_nodes_, node);
+  // The others are not told: they count its work until they forget it.
+  nodes_.at(node)->loads = gateway::LoadTable();
+  end_all([&](const Call& call) { return call.node == node; });
+  at(kForgottenAfter, [this, node] {
+    for (const auto& other : nodes_) {
+      other->peers.forget(node);
+    }
+  });
+}
+
+void LoadFleet::end_all(const std::function<bool(const Call&)>& concerned) {
+  std::vector<CallId> ended;
+  for (const auto& [id, call] : calls_) {
+    if (concerned(call)) {
+      ended.push_back(id);
+    }
+  }
+  for (const CallId id : ended) {
+    end(id, AttemptVerdict::kAbandoned, &Tally::broken);
+  }
+}
+
 void LoadFleet::set_patience(const std::string& name, Duration patience) {
   patience_[name] = patience;
 }
@@ -267,8 +309,9 @@
   const double factor = found == demand_.end() ? 1 : found->second;
   const double rate = request_class.per_second * factor / static_cast<double>(nodes_.size());
   at(from_seconds(random_.exponential(1 / rate)), [this, class_index, node] {
-    if (arriving_) {
-      arrive(class_index, node);
+    if (arriving_ && !living_nodes_.empty()) {
+      const bool lives = std::ranges::find(living_nodes_, node) != living_nodes_.end();
+      arrive(class_index, lives ? node : living_nodes_[random_.below(living_nodes_.size())]);
       schedule_arrival(class_index, node);
     }
   });
@@ -316,7 +359,8 @@
   }
   const bool obeys = !retries->second.has_value();
   at(retries->second.value_or(retry_after), [this, class_index, node, obeys] {
-    if (arriving_) {
+    const bool lives = std::ranges::find(living_nodes_, node) != living_nodes_.end();
+    if (arriving_ && lives) {
       arrive(class_index, node, obeys);
     }
   });
@@ -391,7 +435,7 @@
       end(found->first, AttemptVerdict::kGood, call.on_time ? &Tally::on_time : &Tally::late);
       break;
     case SequenceEventKind::kDropped:
-      end(found->first, AttemptVerdict::kFailed, &Tally::cut_off);
+      end(found->first, AttemptVerdict::kFailed, &Tally::broken);
       break;
   }
 }
--- a/src/gateway_load/tests/load_fleet.h
+++ b/src/gateway_load/tests/load_fleet.h
@@ -59,9 +59,10 @@
   std::uint32_t rejected = 0;     ///< Told that it has not run.
   std::uint32_t cut_off = 0;      ///< At the deadline.
   std::uint32_t disconnects = 0;  ///< Left by their callers.
+  std::uint32_t broken = 0;       ///< Their engine or their node has ended.
 
   double on_time_share() const { return offered == 0 ? 1 : 1.0 * on_time / offered; }
-  std::uint32_t ended() const { return on_time + late + rejected + cut_off + disconnects; }
+  std::uint32_t ended() const { return on_time + late + rejected + cut_off + disconnects + broken; }
 };
 
 using CallId = std::uint64_t;
@@ -108,6 +109,10 @@
   /// Rejected callers of a class come back as new calls: after `wait`, or, with none, when they are
   /// told to.
   void set_retries(const std::string& name, std::optional<Duration> wait) { retries_[name] = wait; }
+  /// The engine ends with all that it works on, and leaves the directory of all nodes.
+  void end_engine(std::size_t engine);
+  /// The node ends: its calls are broken off and its callers go to the other nodes from then on.
+  void end_node(std::size_t node);
   void at(Duration delay, std::function<void()> callback) {
     time_.schedule_after(delay, std::move(callback));
   }
@@ -141,6 +146,7 @@
   void note_output(Call& call, SimulatedEngine& engine, const engine_model::SequenceEvent& event);
   /// Ends a call with the verdict that its engines get and the count of the tally it belongs to.
   void end(CallId id, gateway::AttemptVerdict verdict, std::uint32_t Tally::*count);
+  void end_all(const std::function<bool(const Call&)>& concerned);
   void end_attempt(Call& call, gateway::AttemptVerdict verdict);
   SimulatedEngine& engine_of(const gateway::Backend& backend) { return *engines_.at(backend.id); }
   void tell_peers(std::size_t node, const gateway::BackendId& engine);
@@ -159,6 +165,7 @@
   std::map<std::string, Duration> patience_;
   std::map<std::string, std::optional<Duration>> retries_;
   Admission* admission_ = nullptr;
+  std::vector<std::size_t> living_nodes_;
   bool measuring_ = false;
   bool arriving_ = true;
 };
--- a/src/gateway_load/tests/spare_capacity_test.cc
+++ b/src/gateway_load/tests/spare_capacity_test.cc
@@ -46,3 +46,28 @@
     check_on_time(fleet, "chats");
   }
 }
+
+// Guards against calls sent to an engine that has gone, and against work that stays counted for it.
+// What it works on is lost: there are no repeats here.
+TEST_CASE("when one of six engines ends, calls that come later are on time at the others") {
+  for (const std::uint64_t seed : kSeeds) {
+    CAPTURE(seed);
+    LoadFleet fleet(service_a(equal_engines(6), 0.3, seed));
+    fleet.at(kWarmUp - 1ms, [&] { fleet.end_engine(2); });
+    fleet.run(kWarmUp, kMeasured);
+    check_on_time(fleet, "reviews");
+    check_on_time(fleet, "chats");
+  }
+}
+
+// Guards against nodes that count the work of one that has ended, or do not take over its callers.
+TEST_CASE("when one of six nodes ends, the others serve its callers on time") {
+  for (const std::uint64_t seed : kSeeds) {
+    CAPTURE(seed);
+    LoadFleet fleet(service_a(equal_engines(6), 0.3, seed));
+    fleet.at(kWarmUp - 1ms, [&] { fleet.end_node(3); });
+    fleet.run(kWarmUp, kMeasured);
+    check_on_time(fleet, "reviews");
+    check_on_time(fleet, "chats");
+  }
+}
