Load tests: callers that come back early gain nothing

Change: rejected callers come back until their first deadline, early or when told to; haste_gains_nothing compares them, and is shown to fail where one bound is shared by all.

--- a/src/gateway_load/tests/fixed_admission_test.cc
+++ b/src/gateway_load/tests/fixed_admission_test.cc
@@ -17,9 +17,11 @@
 class FixedAdmission final : public Admission {
  public:
   explicit FixedAdmission(std::map<std::string, std::uint32_t> most) : most_(std::move(most)) {}
+  /// All classes together.
+  explicit FixedAdmission(std::uint32_t most) : most_({{kAll, most}}) {}
 
   void arrived(const Arrival& arrival) override {
-    const std::string& name = arrival.request_class->name;
+    const std::string name = most_.contains(kAll) ? kAll : arrival.request_class->name;
     if (running_[name] >= most_.at(name)) {
       arrival.reject(100ms);
       return;
@@ -35,6 +37,7 @@
   }
 
  private:
+  static constexpr const char* kAll = "all";
   std::map<std::string, std::uint32_t> most_;
   std::map<std::string, std::uint32_t> running_;
   std::map<CallId, std::string> sent_;
@@ -87,3 +90,21 @@
     CHECK(admission.fresh > 0);
   }
 }
+
+// Guards against a check of hasty callers that nothing fails: where calls of all classes compete
+// for the same bound, whoever comes more often gets more.
+TEST_CASE(
+    "hasty callers gain where admission does not tell them apart, and nothing where it does") {
+  const auto gains_nothing = [](FixedAdmission admission, std::uint64_t seed) {
+    LoadFleet fleet(service_a_with_haste(equal_engines(4), 2, seed));
+    fleet.set_admission(&admission);
+    set_haste(fleet);
+    fleet.run(kWarmUp, kMeasured);
+    return haste_gains_nothing(fleet);
+  };
+  for (const std::uint64_t seed : kSeeds) {
+    CAPTURE(seed);
+    CHECK(gains_nothing(FixedAdmission({{"reviews", 3}, {"hasty", 3}, {"chats", 12}}), seed));
+    CHECK_FALSE(gains_nothing(FixedAdmission(18), seed));
+  }
+}
--- a/src/gateway_load/tests/load_fleet.cc
+++ b/src/gateway_load/tests/load_fleet.cc
@@ -98,6 +98,7 @@
   const RequestClass* request_class = nullptr;
   std::size_t node = 0;
   MonotonicTime arrived;
+  MonotonicTime came_first;  ///< The caller, with an earlier call if that was rejected.
   MonotonicTime deadline;
   std::uint32_t events = 1;
   gateway::Prompt prompt;
@@ -317,11 +318,13 @@
   });
 }
 
-void LoadFleet::arrive(std::size_t class_index, std::size_t node, bool came_back) {
+void LoadFleet::arrive(std::size_t class_index, std::size_t node,
+                       std::optional<MonotonicTime> came_first) {
   const RequestClass& request_class = options_.classes[class_index];
   const CallId id = next_call_++;
   Call& call = calls_[id];
   call.id = id;
+  call.came_first = came_first.value_or(time_.now());
   call.request_class = &request_class;
   call.node = node;
   call.arrived = time_.now();
@@ -344,24 +347,30 @@
        .call = id,
        .request_class = &request_class,
        .deadline = call.deadline,
-       .came_back = came_back,
+       .came_back = came_first.has_value() && obeys(request_class),
        .send = [this, id] { send(id); },
        .reject = [this, id,
                   class_index](Duration retry_after) { reject(id, class_index, retry_after); }});
 }
 
+bool LoadFleet::obeys(const RequestClass& request_class) const {
+  const auto retries = retries_.find(request_class.name);
+  return retries != retries_.end() && !retries->second.has_value();
+}
+
 void LoadFleet::reject(CallId id, std::size_t class_index, Duration retry_after) {
   const std::size_t node = calls_.at(id).node;
+  const MonotonicTime came_first = calls_.at(id).came_first;
   end(id, AttemptVerdict::kNotSent, &Tally::rejected);
-  const auto retries = retries_.find(options_.classes[class_index].name);
-  if (retries == retries_.end()) {
+  const RequestClass& request_class = options_.classes[class_index];
+  const auto retries = retries_.find(request_class.name);
+  if (retries == retries_.end() || time_.now() - came_first > request_class.deadline) {
     return;
   }
-  const bool obeys = !retries->second.has_value();
-  at(retries->second.value_or(retry_after), [this, class_index, node, obeys] {
+  at(retries->second.value_or(retry_after), [this, class_index, node, came_first] {
     const bool lives = std::ranges::find(living_nodes_, node) != living_nodes_.end();
     if (arriving_ && lives) {
-      arrive(class_index, node, obeys);
+      arrive(class_index, node, came_first);
     }
   });
 }
--- a/src/gateway_load/tests/load_fleet.h
+++ b/src/gateway_load/tests/load_fleet.h
@@ -106,8 +106,8 @@
   void set_pace(std::size_t engine, double pace);
   /// Callers of a class leave so long after they came.
   void set_patience(const std::string& name, Duration patience);
-  /// Rejected callers of a class come back as new calls: after `wait`, or, with none, when they are
-  /// told to.
+  /// Rejected callers of a class come back as new calls until their first deadline: after `wait`,
+  /// or, with none, when they are told to.
   void set_retries(const std::string& name, std::optional<Duration> wait) { retries_[name] = wait; }
   /// The engine ends with all that it works on, and leaves the directory of all nodes.
   void end_engine(std::size_t engine);
@@ -135,7 +135,9 @@
   std::uint32_t draw_events(const RequestClass& request_class, RandomSource& random) const;
   gateway::Prompt make_prompt(const RequestClass& request_class, std::uint32_t events, CallId id);
   void schedule_arrival(std::size_t class_index, std::size_t node);
-  void arrive(std::size_t class_index, std::size_t node, bool came_back = false);
+  void arrive(std::size_t class_index, std::size_t node,
+              std::optional<MonotonicTime> came_first = std::nullopt);
+  bool obeys(const RequestClass& request_class) const;
   void reject(CallId id, std::size_t class_index, Duration retry_after);
   void send(CallId id);
   void submit(Call& call, engine_model::SequenceKind kind, SimulatedEngine& engine,
--- a/src/gateway_load/tests/workload.h
+++ b/src/gateway_load/tests/workload.h
@@ -59,6 +59,32 @@
   return options;
 }
 
+/// As service_a, but half of the reviews come from callers that come back after 20 ms whatever they
+/// are told: the class `hasty`. The other rejected callers come back when they are told to.
+inline FleetOptions service_a_with_haste(std::vector<EngineOptions> engines, double load,
+                                         std::uint64_t seed) {
+  FleetOptions options = service_a(std::move(engines), load, seed);
+  options.classes[0].per_second /= 2;
+  RequestClass hasty = options.classes[0];
+  hasty.name = "hasty";
+  options.classes.push_back(hasty);
+  return options;
+}
+
+inline void set_haste(LoadFleet& fleet) {
+  fleet.set_retries("hasty", std::chrono::milliseconds(20));
+  fleet.set_retries("reviews", std::nullopt);
+}
+
+/// Excess of calls on time that may be due to chance.
+inline constexpr double kByChance = 1.1;
+
+/// Whether as many callers that come back when they are told to are served on time as of those that
+/// come back at once; demand of both is the same.
+inline bool haste_gains_nothing(const LoadFleet& fleet) {
+  return fleet.of("hasty").on_time <= kByChance * fleet.of("reviews").on_time;
+}
+
 /// So many engines that prefill and decode, alike, in three zones.
 inline std::vector<EngineOptions> equal_engines(int count, double speed = 1) {
   std::vector<EngineOptions> engines;
