--- a/src/engine_profiles/engine_profile_table.cc
+++ b/src/engine_profiles/engine_profile_table.cc
@@ -403,6 +403,9 @@
   logged_at_ = now;
   for (const auto& [name, service] : services_) {
     const Spread& output = service.spreads[0];
+    if (output.engines == 0) {
+      continue;
+    }
     logger_.write({logging::Level::kInfo,
                    kComponent,
                    "engine speeds",
