--- a/src/gateway/environment.h
+++ b/src/gateway/environment.h
@@ -49,6 +49,8 @@
   RequestQueue* queue = nullptr;  ///< Null: no request waits for full back ends.
   EngineObserver* observer = nullptr;        ///< Null: nothing is learned of engines' speed.
   const EngineProfiles* profiles = nullptr;  ///< Null: nothing is known of how fast engines work.
+  /// Whether streams that their routes let be sent anew are replicated, too.
+  bool replicates_resumable = false;
   /// The process ends then, whatever runs; none: not before long.
   std::optional<MonotonicTime> ends_at{};
 };
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -69,7 +69,8 @@
     prompt_ = parse_prompt(http::find_header(request_.headers, names.prompt_parts),
                            http::find_header(request_.headers, names.token_counts),
                            http::find_header(request_.headers, names.output_estimate));
-    if (wants_backup(route_, &*service->engine, &*prompt_, id_)) {
+    if (wants_backup(route_, &*service->engine, &*prompt_, id_,
+                     environment_.replicates_resumable)) {
       backup_.enable(id_, environment_.gate);
     }
   }
--- a/src/gateway/stream_backup.cc
+++ b/src/gateway/stream_backup.cc
@@ -39,7 +39,11 @@
 }  // namespace
 
 bool wants_backup(const Route& route, const EngineShape* shape, const Prompt* prompt,
-                  std::string_view request_id) {
+                  std::string_view request_id, bool replicates_resumable) {
+  const bool may_be_sent_anew = route.repeatable() && route.most_attempts > 1;
+  if (may_be_sent_anew && !replicates_resumable) {
+    return false;
+  }
   if (route.kind != RequestKind::kStreaming || shape == nullptr || !shape->backs_up_streams ||
       shape->tokens_per_event == 0 || prompt == nullptr || request_id.empty()) {
     return false;
--- a/src/gateway/stream_backup.h
+++ b/src/gateway/stream_backup.h
@@ -23,9 +23,10 @@
 
 /// Whether the runs of a request are replicated: its service's engines can do that, and the output
 /// is expected to have at least kLeastBackedUpEvents events. `shape` and `prompt` may be null. A
-/// request without an id cannot be named to the backup engine.
+/// request without an id cannot be named to the backup engine. A stream that its route lets be sent
+/// anew loses only the time to prefill again what it has made, mostly less than copies cost.
 bool wants_backup(const Route& route, const EngineShape* shape, const Prompt* prompt,
-                  std::string_view request_id);
+                  std::string_view request_id, bool replicates_resumable);
 
 /// Events from which on a copy is worth the memory that it occupies at a second engine;
 /// docs/design/load-decisions.md, part 4.
--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -175,6 +175,7 @@
     Environment made = environment();
     made.guard = guard;
     made.gate = gate;
+    made.replicates_resumable = true;
     return made;
   }
 
--- a/src/gateway/tests/stream_backup_test.cc
+++ b/src/gateway/tests/stream_backup_test.cc
@@ -58,14 +58,21 @@
   const EngineShape unknown{.backs_up_streams = true};
   const Prompt lengthy = parse_prompt("", "200,5000", "600");
   const Prompt brief = parse_prompt("", "200,5000", "599");
-  CHECK(wants_backup(stream, &shape, &lengthy, "r1"));
-  CHECK_FALSE(wants_backup(stream, &shape, &brief, "r1"));
-  CHECK_FALSE(wants_backup(stream, &shape, &lengthy, ""));
-  CHECK_FALSE(wants_backup(stream, &shape, nullptr, "r1"));
-  CHECK_FALSE(wants_backup(stream, &silent, &lengthy, "r1"));
-  CHECK_FALSE(wants_backup(stream, &unknown, &lengthy, "r1"));
-  CHECK_FALSE(wants_backup(stream, nullptr, &lengthy, "r1"));
-  CHECK_FALSE(wants_backup(plain, &shape, &lengthy, "r1"));
+  CHECK(wants_backup(stream, &shape, &lengthy, "r1", true));
+  CHECK_FALSE(wants_backup(stream, &shape, &brief, "r1", true));
+  Route resumable = stream;
+  resumable.resumable = true;
+  resumable.most_attempts = 2;
+  CHECK(wants_backup(resumable, &shape, &lengthy, "r1", true));
+  CHECK_FALSE(wants_backup(resumable, &shape, &lengthy, "r1", false));
+  resumable.most_attempts = 1;
+  CHECK(wants_backup(resumable, &shape, &lengthy, "r1", false));
+  CHECK_FALSE(wants_backup(stream, &shape, &lengthy, "", true));
+  CHECK_FALSE(wants_backup(stream, &shape, nullptr, "r1", true));
+  CHECK_FALSE(wants_backup(stream, &silent, &lengthy, "r1", true));
+  CHECK_FALSE(wants_backup(stream, &unknown, &lengthy, "r1", true));
+  CHECK_FALSE(wants_backup(stream, nullptr, &lengthy, "r1", true));
+  CHECK_FALSE(wants_backup(plain, &shape, &lengthy, "r1", true));
 }
 
 // A copy at an engine that ends, refuses or reads prompts only would be lost when it is needed.
--- a/src/gateway_load/tests/load_fleet.cc
+++ b/src/gateway_load/tests/load_fleet.cc
@@ -183,13 +183,27 @@
 
 // The two functions below are the only ones that know what placement is given.
 gateway::Placement LoadFleet::make_placement(Node& node) {
-  return {node.fleet, node.loads, node.random, ZoneName(node.zone)};
+  return {node.fleet, node.loads, node.random, ZoneName(node.zone), profiles_.get()};
 }
 
 gateway::PlacementRequest LoadFleet::placement_request(const Call& call) const {
   gateway::PlacementRequest request;
   request.service = kService;
   request.prompt = &call.prompt;
+  const RequestClass& request_class = *call.request_class;
+  Duration shortest_gap = request_class.gap;
+  for (const RequestClass& other : options_.classes) {
+    shortest_gap = std::min(shortest_gap, other.gap);
+  }
+  const std::uint32_t tokens = options_.performance.tokens_per_event;
+  request.stream = gateway::StreamNeeds{
+      .target_gap = request_class.gap,
+      .shortest_gap = shortest_gap,
+      .time_left = call.deadline - time_.now(),
+      .tokens_per_event = tokens,
+      .expected_events =
+          std::ceil(static_cast<double>(call.prompt.expected_output_tokens) / tokens),
+      .most_events = std::ceil(static_cast<double>(call.prompt.output_tokens) / tokens)};
   return request;
 }
 
--- a/src/gateway_node/settings.cc
+++ b/src/gateway_node/settings.cc
@@ -27,6 +27,7 @@
 constexpr const char* kSlackRule = "a number from 0 to 1000000";
 constexpr const char* kSeedsRule = "addresses IP:PORT joined by commas";
 constexpr const char* kMegabitRule = "megabits a second from 0 to 10000000";
+constexpr const char* kSwitchRule = "0 or 1";
 constexpr const char* kNodesRule = "a number from 2 to 1000000";
 constexpr const char* kDutiesRule = "names joined by commas: usage_report, autoscale";
 constexpr const char* kHeadRoomRule = "a number from 0 to 10";
@@ -177,6 +178,9 @@
       {"queue-most-bytes", "Bytes of the bodies of one service's requests that wait here",
        kQueueBytesRule, "16777216", false,
        store_queue_limit(&admission_queue::QueueLimits::bytes, kQueueBytesRange)},
+      {"replicate-resumable-streams",
+       "1: also streams that may be sent anew are copied to a second engine as they grow",
+       kSwitchRule, "0", false, store_whole(&Settings::replicate_resumable_streams, 0, 1)},
       {"stop-grace-s", "Time from the stop signal to the end", kSecondsRule, "8", false,
        [](const std::string& text, Settings& target) {
          return store_seconds(text, target.stop_grace);
--- a/src/gateway_node/settings.h
+++ b/src/gateway_node/settings.h
@@ -38,6 +38,7 @@
   std::uint32_t link_mbps = 0;  ///< Of this machine's network link; 0: not known.
   /// From this many nodes on, news between nodes goes by relays.
   std::uint32_t relay_from_nodes = 48;
+  std::uint32_t replicate_resumable_streams = 0;  ///< 0 or 1.
   /// How long a relay gathers what it is told before it tells its zone.
   Duration relay_gather{std::chrono::milliseconds(10)};
   Endpoint cloud;  ///< Takes the calls of duties; empty: there are none.
