--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -29,9 +29,9 @@
 constexpr double kLeastLongEvents = 4;
 /// Events that a long stream has still to come, on average, as far as is known.
 constexpr double kEventsOfLongStream = 36;
-/// Engines whose prefill times differ by less are taken for alike: what else an engine does while
-/// it reads a prompt changes the measured time by as much.
-constexpr double kSpeedNoise = 0.5;
+/// Engines whose prefill times differ by less are taken for alike: what is learned of engines that
+/// are alike stays within a fifth of their median nearly always.
+constexpr double kSpeedNoise = 0.3;
 /// Cost in tokens of a request that is certainly turned away: it needs another send, for which the
 /// budget may have nothing left.
 constexpr double kTokensPerRefusal = 40'000;
