--- a/src/admission_queue/tests/queued_request_test.cc
+++ b/src/admission_queue/tests/queued_request_test.cc
@@ -28,6 +28,7 @@
 
   Environment environment_with_queue() {
     Environment made = environment();
+    made.replicates_resumable = true;
     made.queue = &queue;
     return made;
   }
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -237,7 +237,6 @@
     choice.cache_source = reading.cache_source;
     choice.cost = fetch_cost(reading.fetched_tokens) +
                   kRunnerReadingCost * load.slowness(now) *
-                      reading_speed(backend, view.request, now) *
                       (static_cast<double>(reading.unread_tokens) + work.unread_tokens) *
                       (1 + kHarmPerStream * work.requests);
   }
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -119,8 +119,9 @@
     double unread_tokens = 0;
   };
   Work work_at(const Backend& backend, MonotonicTime now) const;
-  /// Time that an engine takes to read a token, in parts of what engines of its service usually
-  /// take.
+  /// Time that a prefill engine takes to read a token, in parts of what engines of its service
+  /// usually take. Not used of engines that also decode: it drew prompts to the fast ones, which
+  /// long streams need.
   double reading_speed(const Backend& backend, const PlacementRequest& request,
                        MonotonicTime now) const;
   /// What is predicted of a stream at an engine, in tokens to read: its own lateness, that of
