--- a/src/admission_queue/tests/queued_request_test.cc
+++ b/src/admission_queue/tests/queued_request_test.cc
@@ -323,6 +323,7 @@
     std::vector<bool> completions;
   } recording;
   Environment made = environment();
+  made.replicates_resumable = true;
   made.queue = &recording;
   Gateway recorded{made, [](auto done) { done(true); }};
   const auto caller = begin_stream(recorded);
--- a/src/gateway/tests/pause_forecast_test.cc
+++ b/src/gateway/tests/pause_forecast_test.cc
@@ -170,7 +170,8 @@
   easy.target_gap = 10s;
   easy.shortest_gap = 10s;
   easy.time_left = 100s;
-  CHECK(world.choose(easy, 200) == "b");
+  CHECK(world.choose(long_stream(), 200) == "b");
+  CHECK(world.choose(easy, 200) == "a");
   world.profiles.own_profiles.clear();
   CHECK(world.choose(easy, 200) == "a");
   world.profiles.usual_profile.reset();
