A stream continues at its backup only after its first event

Change: a break before the first event ends as before this work. Tests of such breaks now expect that; the others deliver an event first.

--- a/src/gateway/attempt_starter.cc
+++ b/src/gateway/attempt_starter.cc
@@ -76,8 +76,7 @@
   call.cache_backup = attempt.cache_backup;
   call.continues = attempt.continues;
   if (call.continues) {
-    // This header tells the engine that a run is named, and not a cache handle: it is sent also
-    // where no event has come, as 0.
+    // This header tells the engine that a run is named, and not a cache handle.
     call.resumes_after = input.last_event.value_or(0);
   } else if (input.answer_open) {
     call.resumes_after = input.last_event;
--- a/src/gateway/stream_backup.cc
+++ b/src/gateway/stream_backup.cc
@@ -20,11 +20,12 @@
 /// Engines drawn from a larger group; half of them remain to choose from.
 constexpr std::size_t kSample = 16;
 
-constexpr std::array<std::string_view, 10> kObstacleNames{"",
+constexpr std::array<std::string_view, 11> kObstacleNames{"",
                                                           "no backup engine",
                                                           "has continued before",
                                                           "server may still work on it",
                                                           "sent anew instead",
+                                                          "no event has come",
                                                           "event without id",
                                                           "backup engine gone",
                                                           "backup engine leaves",
@@ -122,6 +123,7 @@
                                                 MonotonicTime now) {
   engine_ = BackendId();
   head_.reset();
+  begun_ = false;
   if (request_id_.empty() || used_) {
     return std::nullopt;
   }
@@ -138,6 +140,7 @@
 }
 
 void StreamBackup::note_event(const StreamEvent& event) {
+  begun_ = begun_ || event.id.has_value();
   unnumbered_ = unnumbered_ || (!event.id && has_data(event.bytes));
 }
 
@@ -166,6 +169,11 @@
   if (run.error == http::HttpErrc::kStaleConnection && run.repeatable && !run.runner_gone) {
     return BackupObstacle::kUnsent;
   }
+  // An engine that took the request without a copy would run it a second time: one that crashed
+  // under its prompt was seen to have made none.
+  if (!begun_) {
+    return BackupObstacle::kNotBegun;
+  }
   if (unnumbered_) {
     return BackupObstacle::kUnknownPosition;
   }
--- a/src/gateway/stream_backup.h
+++ b/src/gateway/stream_backup.h
@@ -67,6 +67,7 @@
   kUsed,             ///< It has continued, or tried to, before.
   kRunnerMayWork,    ///< Its server is silent, but is not known to have ended.
   kUnsent,           ///< The server most likely never read it, and it may be sent anew.
+  kNotBegun,         ///< No event has come: whether its run had begun, and was copied, is unknown.
   kUnknownPosition,  ///< An event without an id was forwarded: nothing tells where to go on.
   kGone,             ///< The backup engine is not registered, or another has its address.
   kLeaving,          ///< The backup engine has said that it leaves.
@@ -130,6 +131,7 @@
   BackendId engine_;  ///< Empty: the current run is not replicated.
   std::optional<http::ResponseHead> head_;
   bool used_ = false;
+  bool begun_ = false;       ///< An event of the run has come.
   bool unnumbered_ = false;  ///< An event without an id was forwarded.
 };
 
--- a/src/gateway/tests/stream_backup_test.cc
+++ b/src/gateway/tests/stream_backup_test.cc
@@ -146,6 +146,8 @@
   add("copy", "a");
   StreamBackup backup = begun();
   using http::HttpErrc;
+  CHECK(backup.obstacle({.error = HttpErrc::kReset}, now) == BackupObstacle::kNotBegun);
+  backup.note_event({"id: 1\n\n", 1});
   CHECK(backup.obstacle({.error = HttpErrc::kReset}, now) == BackupObstacle::kNone);
   CHECK(backup.obstacle({.error = HttpErrc::kTruncated}, now) == BackupObstacle::kNone);
   CHECK(backup.obstacle({.error = HttpErrc::kStaleConnection}, now) == BackupObstacle::kNone);
@@ -169,6 +171,7 @@
   add("copy", "a");
   StreamBackup backup = begun();
   CHECK(backup.source().runner == Endpoint("run:1"));
+  backup.note_event({"id: 1\n\n", 1});
   loads.of(BackendId("copy")).end(AttemptVerdict::kReplaced, now);
   CHECK(backup.obstacle({}, now) == BackupObstacle::kGone);
   backup.note_used();
