--- a/src/gateway_node/tests/http2_caller.h
+++ b/src/gateway_node/tests/http2_caller.h
@@ -42,6 +42,20 @@
     connection_.send(frame(kData, kEndStream, kStream, body));
   }
 
+  /// Cancels the request.
+  void reset_stream() {
+    constexpr std::uint32_t kCancel = 8;
+    connection_.send(frame(kResetStream, 0, kStream, big_endian(kCancel, 4)));
+  }
+  /// Announces that no further request follows; the request sent before is still to be answered.
+  void go_away() {
+    constexpr std::uint32_t kLastPeerStream = 0;
+    constexpr std::uint32_t kNoError = 0;
+    connection_.send(
+        frame(kGoAway, 0, 0, big_endian(kLastPeerStream, 4) + big_endian(kNoError, 4)));
+  }
+  RawCaller& connection() { return connection_; }
+
   struct Answer {
     std::string body;
     bool head = false;      ///< The response headers have arrived.
@@ -64,7 +78,9 @@
   static constexpr std::size_t kFrameHeaderBytes = 9;
   static constexpr std::uint8_t kData = 0;
   static constexpr std::uint8_t kHeaders = 1;
+  static constexpr std::uint8_t kResetStream = 3;
   static constexpr std::uint8_t kSettings = 4;
+  static constexpr std::uint8_t kGoAway = 7;
   static constexpr std::uint8_t kWindowUpdate = 8;
   static constexpr std::uint8_t kEndStream = 1;
   static constexpr std::uint8_t kEndHeaders = 4;
--- a/src/gateway_node/tests/stopping_node.h
+++ b/src/gateway_node/tests/stopping_node.h
@@ -170,6 +170,15 @@
     held.erase(held.begin());
   }
 
+  /// Sends the head of a signed event stream for the oldest request.
+  void begin_stream() {
+    const gateway::HeaderNames names;
+    held.front()->send_head({200,
+                             {{"content-type", "text/event-stream"},
+                              {names.request_id, "r1"},
+                              {names.signature, "sig"}}});
+  }
+
   http::Server server;
   std::vector<std::shared_ptr<http::ResponseWriter>> held;
 };
@@ -185,10 +194,24 @@
     REQUIRE(address);
     REQUIRE(::connect(descriptor_, address.value().get(), address.value().length) == 0);
   }
-  ~RawCaller() { ::close(descriptor_); }
+  ~RawCaller() { close(); }
   RawCaller(const RawCaller&) = delete;
   RawCaller& operator=(const RawCaller&) = delete;
 
+  void close() {
+    if (descriptor_ >= 0) {
+      ::close(std::exchange(descriptor_, -1));
+    }
+  }
+  /// Closes the connection with a reset instead of an orderly close.
+  void reset() {
+    const linger discard{1, 0};
+    ::setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+    close();
+  }
+  /// Closes the sending direction only.
+  void shut_down_sending() const { ::shutdown(descriptor_, SHUT_WR); }
+
   void send(std::string_view bytes) const {
     REQUIRE(::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
             static_cast<ssize_t>(bytes.size()));
