--- /dev/null
+++ b/src/http/tcp_state.cc
@@ -0,0 +1,35 @@
+#include "http/tcp_state.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <chrono>
+#include <optional>
+
+namespace ochrespring::http {
+
+namespace {
+
+std::optional<tcp_info> read_tcp_info(int descriptor) {
+  tcp_info info{};
+  socklen_t length = sizeof(info);
+  if (::getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &length) != 0) {
+    return std::nullopt;
+  }
+  return info;
+}
+
+}  // namespace
+
+bool has_peer_closed(int descriptor) {
+  const std::optional<tcp_info> info = read_tcp_info(descriptor);
+  return !info || info->tcpi_state != TCP_ESTABLISHED;
+}
+
+Duration time_since_last_input(int descriptor) {
+  const std::optional<tcp_info> info = read_tcp_info(descriptor);
+  return std::chrono::milliseconds(info ? info->tcpi_last_data_recv : 0);
+}
+
+}  // namespace ochrespring::http
--- /dev/null
+++ b/src/http/tcp_state.h
@@ -0,0 +1,15 @@
+// What the kernel knows about a TCP connection. Private to src/http.
+#pragma once
+
+#include "base/time.h"
+
+namespace ochrespring::http {
+
+/// Whether the peer has closed the connection or its sending direction, even if unread input
+/// precedes the close. An invalid descriptor counts as closed. Costs a system call.
+bool has_peer_closed(int descriptor);
+
+/// Time since the last data arrived, in milliseconds; zero if it is unknown. Costs a system call.
+Duration time_since_last_input(int descriptor);
+
+}  // namespace ochrespring::http
