How long requests wait to be read: metric and log field

Whether a node is behind with its work could not be told from logs or metrics, so a deadline that is counted too late looked like a close that is seen too late. Each request now tells how long its last bytes had waited in the kernel (tcpi_last_data_recv, a lower bound): histogram read_delay_seconds, field read_delay_milliseconds of "request ended". The functions that ask the kernel about a connection have a file of their own.

--- a/src/gateway/request_log.cc
+++ b/src/gateway/request_log.cc
@@ -49,6 +49,7 @@
                           {"attempts", end.attempts},
                           {"configuration", end.configuration},
                           {"most_output_tokens", end.most_output_tokens},
+                          {"read_delay_milliseconds", to_milliseconds(end.read_delay)},
                           {"events", timing.events()},
                           {"longest_gap_milliseconds", to_milliseconds(timing.longest_gap())},
                           {"last_event_milliseconds",
--- a/src/gateway/request_log.h
+++ b/src/gateway/request_log.h
@@ -50,6 +50,7 @@
     std::uint64_t attempts = 0;
     std::uint64_t configuration = 0;
     std::uint64_t most_output_tokens = 0;
+    Duration read_delay{};
   };
   void note_end(const End& end, const StreamTiming& timing) const;
 
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -79,6 +79,7 @@
   if (!last_event.empty()) {
     last_event_ = http::parse_number(last_event).value_or(0);
   }
+  environment_.statistics.read_delay.note(request_.read_delay);
   environment_.budget.note_request(service_, arrived_);
   writer_->on_closed([weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
@@ -729,7 +730,8 @@
                  .not_sent_again = std::string(retry_denied_reason_),
                  .attempts = static_cast<std::uint64_t>(retry_limit_.sends() + unreachable_),
                  .configuration = routes_->configuration().version.value(),
-                 .most_output_tokens = prompt_ ? prompt_->output_tokens : 0},
+                 .most_output_tokens = prompt_ ? prompt_->output_tokens : 0,
+                 .read_delay = request_.read_delay},
                 timing_);
   if (const auto on_end = std::exchange(on_end_, nullptr)) {
     on_end();
--- a/src/gateway/statistics.h
+++ b/src/gateway/statistics.h
@@ -58,6 +58,7 @@
   std::uint64_t resumes_refused = 0;          ///< Resumes that the backup engine refused.
   std::uint64_t streams_not_resumed = 0;  ///< Failed replicated streams that could not be resumed.
   LatencyHistogram first_byte;            ///< From arrival to the first byte of the answer.
+  LatencyHistogram read_delay;            ///< How long requests waited to be read.
 };
 
 }  // namespace ochrespring::gateway
--- a/src/gateway_node/node_metrics.cc
+++ b/src/gateway_node/node_metrics.cc
@@ -81,24 +81,38 @@
      &FleetWatcherStatistics::updates_mismatched},
 };
 
-void add_histogram(const gateway::LatencyHistogram& latency, metrics::SampleSink& sink) {
+/// Names and HELP texts of the samples of a histogram.
+struct HistogramRow {
+  metrics::MetricName bucket;
+  metrics::MetricName count;
+  metrics::MetricName sum;
+};
+
+const HistogramRow kFirstByte{
+    {"first_byte_seconds_bucket", "Answers whose first byte took at most `le` seconds"},
+    {"first_byte_seconds_count", "Answers whose time to the first byte was measured"},
+    {"first_byte_seconds_sum", "Total time to the first byte of answers, in seconds"}};
+const HistogramRow kReadDelay{
+    {"read_delay_seconds_bucket", "Requests that waited at most `le` seconds to be read"},
+    {"read_delay_seconds_count", "Requests whose time until they were read was measured"},
+    {"read_delay_seconds_sum", "Total time until requests were read, in seconds"}};
+
+void add_histogram(const HistogramRow& row, const gateway::LatencyHistogram& latency,
+                   metrics::SampleSink& sink) {
   for (std::size_t i = 0; i != gateway::LatencyHistogram::kBounds.size(); ++i) {
-    sink.counter(
-        {"first_byte_seconds_bucket", "Answers whose first byte took at most `le` seconds"},
-        static_cast<double>(latency.counts()[i]),
-        {{"le", std::to_string(gateway::LatencyHistogram::kBounds[i])}});
+    sink.counter(row.bucket, static_cast<double>(latency.counts()[i]),
+                 {{"le", std::to_string(gateway::LatencyHistogram::kBounds[i])}});
   }
-  sink.counter({"first_byte_seconds_count", "Answers whose time to the first byte was measured"},
-               static_cast<double>(latency.count()));
-  sink.counter({"first_byte_seconds_sum", "Total time to the first byte of answers, in seconds"},
-               latency.sum());
+  sink.counter(row.count, static_cast<double>(latency.count()));
+  sink.counter(row.sum, latency.sum());
 }
 
 }  // namespace
 
 void add_gateway_metrics(const GatewayStatistics& statistics, metrics::SampleSink& sink) {
   metrics::add_counters(kGatewayCounters, statistics, sink);
-  add_histogram(statistics.first_byte, sink);
+  add_histogram(kFirstByte, statistics.first_byte, sink);
+  add_histogram(kReadDelay, statistics.read_delay, sink);
 }
 
 void add_watcher_metrics(const discovery::FleetWatcher& watcher, metrics::SampleSink& sink) {
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/ids.h"
+#include "base/time.h"
 
 namespace ochrespring::http {
 
@@ -29,6 +30,9 @@
   std::string query;  ///< Without the question mark.
   std::vector<Header> headers;
   std::string body;
+  /// How long its last bytes had waited in the kernel when it was read; a lower bound, in
+  /// milliseconds. Zero on a connection whose delay is unknown.
+  Duration read_delay{};
 };
 
 struct ResponseHead {
--- a/src/http/response_stream.cc
+++ b/src/http/response_stream.cc
@@ -1,13 +1,13 @@
 #include "http/response_stream.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <charconv>
 #include <chrono>
 #include <utility>
 
+#include "http/tcp_state.h"
+
 namespace ochrespring::http {
 
 namespace {
@@ -17,16 +17,6 @@
 constexpr int kHttp11Version = 0x101;
 constexpr std::string_view kContentLength = "content-length";
 
-/// Whether the peer has closed the TCP connection or its sending direction.
-bool peer_has_closed(int descriptor) {
-  tcp_info info{};
-  socklen_t length = sizeof(info);
-  if (::getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &length) != 0) {
-    return true;
-  }
-  return info.tcpi_state != TCP_ESTABLISHED;
-}
-
 std::size_t parse_length(std::string_view text) {
   std::size_t length = SIZE_MAX;
   std::from_chars(text.data(), text.data() + text.size(), length);
@@ -244,7 +234,7 @@
   if (watching_) {
     stop_watching();
   }
-  if (!peer_has_closed(h2o_socket_get_fd(socket))) {
+  if (!has_peer_closed(h2o_socket_get_fd(socket))) {
     // Pipelined input is pending; polling for readability would busy-loop.
     pipelined_check_.arm(kPipelinedCheckPeriod, [this] { check_for_disconnect(); });
     return;
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -14,6 +14,7 @@
 #include "http/h2o_api.h"
 #include "http/response_stream.h"
 #include "http/socket_address.h"
+#include "http/tcp_state.h"
 #include "http/tls.h"
 
 namespace ochrespring::http {
@@ -62,6 +63,10 @@
   }
   request.headers = copy_headers(source);
   request.body = to_view(source.entity);
+  if (const h2o_socket_t* socket = source.conn->callbacks->get_socket(source.conn)) {
+    request.read_delay =
+        time_since_last_input(h2o_socket_get_fd(const_cast<h2o_socket_t*>(socket)));
+  }
   return request;
 }
 
--- a/src/http/tests/server_client_test.cc
+++ b/src/http/tests/server_client_test.cc
@@ -1,7 +1,12 @@
 // Tests the server and the client against each other on real sockets.
 #include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <chrono>
 #include <string>
+#include <string_view>
+#include <thread>
 
 #include "http/client.h"
 #include "http/server.h"
@@ -99,6 +104,29 @@
   }
 }
 
+// A caller's deadline counts from when its request arrived. A busy process reads requests late.
+TEST_CASE("a request tells how long its bytes waited to be read") {
+  constexpr Duration kBusy = 60ms;
+  constexpr Duration kClockResolution = 20ms;
+  Fixture fixture;
+  Duration read_delay{};
+  fixture.server.route("/", [&](const http::Request& request, auto response) {
+    read_delay = request.read_delay;
+    response->respond(200, {}, "");
+  });
+  REQUIRE(fixture.server.listen());
+  const SocketAddress address = http::parse_endpoint(fixture.server.bound()).value();
+  const int caller = ::socket(AF_INET, SOCK_STREAM, 0);
+  REQUIRE(::connect(caller, address.get(), address.length) == 0);
+  const std::string_view bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  REQUIRE(::send(caller, bytes.data(), bytes.size(), 0) == static_cast<ssize_t>(bytes.size()));
+  std::this_thread::sleep_for(kBusy);
+  fixture.loop.schedule_after(20ms, [&] { fixture.loop.stop(); });
+  fixture.loop.run();
+  CHECK(read_delay >= kBusy - kClockResolution);
+  ::close(caller);
+}
+
 TEST_CASE("an empty response is complete and its connection is reused") {
   Fixture fixture;
   fixture.server.route("/", [](auto, auto response) { response->respond(200, {}, ""); });
