A caller that closes behind unread input is noticed within 0.1 s

Callers saw: servers worked on, and idempotent requests were even sent to another server, for up to a second after the caller had left, if any byte stood behind its request (a pipelined request, an empty line). Cause: unread input hides the close from the event loop, so the state of the connection was polled, once a second, while half a second is the bound. It is now polled each 100 ms.

--- a/src/http/response_stream.cc
+++ b/src/http/response_stream.cc
@@ -13,7 +13,7 @@
 namespace {
 
 /// Interval at which a caller with pipelined input is checked for disconnection.
-constexpr Duration kPipelinedCheckPeriod = std::chrono::seconds(1);
+constexpr Duration kPipelinedCheckPeriod = std::chrono::milliseconds(100);
 constexpr int kHttp11Version = 0x101;
 constexpr std::string_view kContentLength = "content-length";
 
