A request is not sent once its caller has left

Callers saw: servers got requests whose caller had closed before the node read them, and retries for callers that had left. Cause: a close is seen when the event loop gets to it, and a node that is behind with its work, or that stood still, reads the request first and sends it before. Each send now asks the state of the caller's connection right before the first byte goes out. All kinds of sends pass there: first sends, retries, prefill calls, runs after a prefill, resumed streams. New counter sends_without_caller.

--- a/src/gateway/attempt_starter.cc
+++ b/src/gateway/attempt_starter.cc
@@ -50,12 +50,14 @@
                           http::ResponseObserver& observer) const {
   http::ClientRequest outgoing =
       make_backend_request(input.request, environment_.names, make_call(attempt, backend, input));
-  if (SendGate* gate = environment_.gate) {
+  SendGate* gate = environment_.gate;
+  if (gate != nullptr) {
     gate->note_send(backend.id, attempt.started);
-    outgoing.may_send = [gate, &clock = environment_.clock, id = backend.id] {
-      return gate->may_send(id, clock.now());
-    };
   }
+  outgoing.may_send = [caller = input.caller, gate, &clock = environment_.clock, id = backend.id] {
+    const bool open = gate == nullptr || gate->may_send(id, clock.now());
+    return open && !caller->poll_closed();
+  };
   attempt.exchange = environment_.transport.start(std::move(outgoing), observer);
 }
 
--- a/src/gateway/attempt_starter.h
+++ b/src/gateway/attempt_starter.h
@@ -13,12 +13,14 @@
 #include "gateway/stream_backup.h"
 #include "http/client.h"
 #include "http/message.h"
+#include "http/server.h"
 
 namespace ochrespring::gateway {
 
 /// The parts of a request that an attempt depends on.
 struct AttemptInput {
   const http::Request& request;
+  const std::shared_ptr<http::ResponseWriter>& caller;
   const Service* service = nullptr;  ///< Null if the configuration has no such service.
   const Tenant* tenant = nullptr;    ///< Null for a request without a tenant.
   const Prompt* prompt = nullptr;    ///< Null for a request that is not for an engine.
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -164,6 +164,7 @@
 
 AttemptInput RequestSession::attempt_input() const {
   return {.request = request_,
+          .caller = writer_,
           .service = routes_->configuration().find_service(service_),
           .tenant = tenant_,
           .prompt = prompt_ ? &*prompt_ : nullptr,
@@ -496,8 +497,16 @@
   }
 }
 
-/// The back end began a backoff period while the request waited for a connection.
+/// While the request waited for a connection, its caller disconnected or the back end began a
+/// backoff period.
 void RequestSession::on_send_withdrawn() {
+  if (writer_->poll_closed()) {
+    note("request not sent: caller disconnected", "");
+    ++environment_.statistics.sends_without_caller;
+    end_attempt(AttemptOutcome::kNotSent);
+    on_caller_disconnected();
+    return;
+  }
   note("request not sent: back end is backing off", "");
   ++environment_.statistics.withdrawn;
   tried_.erase(attempt_->backend);
--- a/src/gateway/statistics.h
+++ b/src/gateway/statistics.h
@@ -51,6 +51,8 @@
   std::uint64_t rate_limited = 0;   ///< Ended because the rate limits of back ends were used up.
   std::uint64_t backing_off = 0;    ///< Ended because back ends had asked this node to back off.
   std::uint64_t withdrawn = 0;      ///< Sends cancelled by a backoff before connecting.
+  /// Sends cancelled before connecting because the caller had disconnected.
+  std::uint64_t sends_without_caller = 0;
   std::uint64_t started_streams_retried = 0;  ///< Started streams retried after their last event.
   std::uint64_t streams_replicated = 0;       ///< Runs sent with a backup engine.
   std::uint64_t resume_attempts = 0;          ///< Attempts to resume a failed stream, sent or not.
--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -85,6 +85,7 @@
   void abort() override { aborted = true; }
   std::size_t buffered_bytes() const override { return buffered; }
   bool closed() const override { return disconnected; }
+  bool poll_closed() const override { return disconnected || unnoticed_disconnect; }
   void on_closed(std::function<void()> callback) override { closed_ = std::move(callback); }
   void on_drained(std::function<void()> /*callback*/) override {}
 
@@ -105,6 +106,7 @@
   bool finished = false;
   bool aborted = false;
   bool disconnected = false;
+  bool unnoticed_disconnect = false;  ///< Disconnected, but the event loop has not processed it.
 
  private:
   std::function<void()> closed_;
--- a/src/gateway/tests/resumed_stream_test.cc
+++ b/src/gateway/tests/resumed_stream_test.cc
@@ -350,6 +350,19 @@
   CHECK((caller->aborted || caller->disconnected));
 }
 
+// Guards against work at the backup engine for a caller that has left.
+TEST_CASE_FIXTURE(ResumeFixture, "a resumed stream is not sent once its caller has left") {
+  const auto caller = begin("/stream/x");
+  run->fail(HttpErrc::kReset, true);
+  REQUIRE(resumed_at_backup());
+  caller->unnoticed_disconnect = true;
+  CHECK_FALSE(last().request.may_send());
+  last().fail(HttpErrc::kWithdrawn, false);
+  CHECK(sends() == 2);
+  CHECK(gateway_under_test.running() == 0);
+  CHECK(statistics.sends_without_caller == 1);
+}
+
 // Guards against giving a second engine to a request that crashes its engines.
 TEST_CASE_FIXTURE(ResumeFixture, "the trial of a quarantined request has no backup") {
   guard.verdict = SendVerdict::kTrialDue;
--- a/src/gateway_node/node_metrics.cc
+++ b/src/gateway_node/node_metrics.cc
@@ -37,6 +37,8 @@
      &GatewayStatistics::backing_off},
     {"sends_withdrawn", "Sends cancelled by a back-off of the back end before connecting",
      &GatewayStatistics::withdrawn},
+    {"sends_without_caller", "Sends cancelled because the caller had disconnected",
+     &GatewayStatistics::sends_without_caller},
     {"streams_resumed", "Started streams resumed at another back end",
      &GatewayStatistics::started_streams_retried},
     {"streams_replicated", "Attempts sent with a backup engine for their stream",
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -36,8 +36,8 @@
   bool close_ends_answer = false;
   /// Checked once the connection is established: at or after this time, nothing is sent (kExpired).
   MonotonicTime send_before = MonotonicTime::max();
-  /// Called once the connection is established: if it returns false, nothing is sent (kWithdrawn).
-  /// May be null.
+  /// Called once the connection is established, right before the first byte is sent: if it returns
+  /// false, nothing is sent (kWithdrawn). May be null.
   std::function<bool()> may_send{};
 };
 
--- a/src/http/response_stream.cc
+++ b/src/http/response_stream.cc
@@ -90,6 +90,14 @@
   }
 }
 
+bool ResponseStream::poll_closed() const {
+  if (closed()) {
+    return true;
+  }
+  h2o_socket_t* socket = request_->conn->callbacks->get_socket(request_->conn);
+  return socket != nullptr && has_peer_closed(h2o_socket_get_fd(socket));
+}
+
 void ResponseStream::send_head(const ResponseHead& head) {
   if (closed() || head_sent_) {
     return;
--- a/src/http/response_stream.h
+++ b/src/http/response_stream.h
@@ -30,6 +30,7 @@
   void abort() override;
   std::size_t buffered_bytes() const override { return queued_.size() + in_flight_.size(); }
   bool closed() const override { return request_ == nullptr || caller_disconnected_; }
+  bool poll_closed() const override;
   void on_closed(std::function<void()> callback) override { on_closed_ = std::move(callback); }
   void on_drained(std::function<void()> callback) override { on_drained_ = std::move(callback); }
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -46,6 +46,9 @@
   virtual std::size_t buffered_bytes() const = 0;
   /// Whether the connection or stream of the caller is closed.
   virtual bool closed() const = 0;
+  /// Like closed(), but also detects a close that the loop has not processed yet. Runs no callback;
+  /// costs a system call.
+  virtual bool poll_closed() const = 0;
   /// Sets the callback for a caller that disconnects before the response is finished; called once.
   virtual void on_closed(std::function<void()> callback) = 0;
   /// Sets the callback for each time buffered_bytes() becomes zero.
--- a/src/standin/faulty_writer.h
+++ b/src/standin/faulty_writer.h
@@ -26,6 +26,7 @@
   void abort() override;
   std::size_t buffered_bytes() const override;
   bool closed() const override;
+  bool poll_closed() const override { return inner_->poll_closed(); }
   void on_closed(std::function<void()> callback) override;
   void on_drained(std::function<void()> callback) override;
 
@@ -55,6 +56,7 @@
   void abort() override { end(); }
   std::size_t buffered_bytes() const override { return 0; }
   bool closed() const override { return false; }
+  bool poll_closed() const override { return false; }
   void on_closed(std::function<void()> /*callback*/) override {}
   void on_drained(std::function<void()> /*callback*/) override {}
 
