Bytes of a cancelled request that its server has not acknowledged are discarded

Servers saw: requests that were given up, delivered later. Cause: a cancelled exchange closed its connection in order, and the kernel still delivers what waits in the send buffer (a slow link, loss, a server that stands still). The connection is now reset if anything is unacknowledged. Otherwise the close stays orderly, since the kernel repeats it until it arrives, while a reset is sent once.

--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -12,6 +12,8 @@
 #include <string>
 #include <system_error>
 
+#include "http/tcp_state.h"
+
 namespace ochrespring::http {
 
 namespace {
@@ -105,6 +107,13 @@
   h2o_socket_notify_write(socket_, on_write_event);
 }
 
+void ClientConnection::discard_unacknowledged() {
+  const int descriptor = h2o_socket_get_fd(socket_);
+  if (has_unacknowledged_output(descriptor)) {
+    reset_on_close(descriptor);
+  }
+}
+
 bool ClientConnection::has_pending_input() const {
   char byte = 0;
   const ssize_t count =
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -58,6 +58,10 @@
   void set_reading(bool reading);
   /// Requests one call of on_writable().
   void await_writable();
+  /// Makes the destructor reset the connection if the peer has not acknowledged all written bytes.
+  /// An orderly close would still deliver them. Otherwise the close stays orderly, because the
+  /// kernel sends a reset only once, and it may be lost.
+  void discard_unacknowledged();
   /// Whether there is unread data or an unread close from the peer.
   bool has_pending_input() const;
 
--- a/src/http/client_exchange.cc
+++ b/src/http/client_exchange.cc
@@ -123,10 +123,17 @@
   observer_ = nullptr;
   timeout_.disarm();
   connect_timeout_.disarm();
-  connection_.reset();
+  abandon_connection();
   self_.reset();
 }
 
+void ClientExchange::abandon_connection() {
+  if (connection_ && sent_) {
+    connection_->discard_unacknowledged();
+  }
+  connection_.reset();
+}
+
 void ClientExchange::set_reading(bool reading) {
   reading_ = reading;
   if (connection_ && head_received_) {
@@ -363,7 +370,7 @@
   const std::shared_ptr<ClientExchange> keep = std::move(self_);
   timeout_.disarm();
   connect_timeout_.disarm();
-  connection_.reset();
+  abandon_connection();
   if (ResponseObserver* observer = std::exchange(observer_, nullptr)) {
     observer->on_failure({code, std::move(message)}, sent_);
   }
--- a/src/http/client_exchange.h
+++ b/src/http/client_exchange.h
@@ -47,6 +47,8 @@
   void complete(bool trailing);
   void fail_with(HttpErrc code, std::string message);
   void return_to_pool(bool trailing);
+  /// Closes the connection. The peer gets nothing of the request that it has not received yet.
+  void abandon_connection();
   bool all_written() const { return written_ == head_.size() + request_.body.size(); }
 
   EventLoop& loop_;
--- a/src/http/response_stream.cc
+++ b/src/http/response_stream.cc
@@ -276,8 +276,7 @@
   if (socket == nullptr) {
     return;
   }
-  const linger reset{1, 0};
-  ::setsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+  http::reset_on_close(h2o_socket_get_fd(socket));
 }
 
 /// Closes an HTTP/1 connection before h2o marks the response as broken. h2o's mark is an invalid
--- a/src/http/tcp_state.cc
+++ b/src/http/tcp_state.cc
@@ -1,7 +1,9 @@
 #include "http/tcp_state.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <chrono>
@@ -27,6 +29,16 @@
   return !info || info->tcpi_state != TCP_ESTABLISHED;
 }
 
+bool has_unacknowledged_output(int descriptor) {
+  int bytes = 0;
+  return ::ioctl(descriptor, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
+void reset_on_close(int descriptor) {
+  const linger discard{1, 0};
+  ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+}
+
 Duration time_since_last_input(int descriptor) {
   const std::optional<tcp_info> info = read_tcp_info(descriptor);
   return std::chrono::milliseconds(info ? info->tcpi_last_data_recv : 0);
--- a/src/http/tcp_state.h
+++ b/src/http/tcp_state.h
@@ -9,6 +9,12 @@
 /// precedes the close. An invalid descriptor counts as closed. Costs a system call.
 bool has_peer_closed(int descriptor);
 
+/// Whether the peer has not acknowledged all bytes that were written. Costs a system call.
+bool has_unacknowledged_output(int descriptor);
+
+/// Makes the close of the connection a reset, which discards what the kernel has not delivered yet.
+void reset_on_close(int descriptor);
+
 /// Time since the last data arrived, in milliseconds; zero if it is unknown. Costs a system call.
 Duration time_since_last_input(int descriptor);
 
