Deadlines count from when a request arrived, not from when it was read

A request that is read after its deadline is now refused at once and not sent. Gateway and session share one type for a request with its writer and arrival.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -30,29 +30,31 @@
 
 void Gateway::handle(http::Request request, std::shared_ptr<http::ResponseWriter> writer) {
   ++environment_.statistics.requests;
-  if (const Admission admission = look_up(request); admission.allowed()) {
-    start(admission, std::move(request), std::move(writer));
+  environment_.statistics.read_delay.note(request.read_delay);
+  const MonotonicTime arrived = environment_.clock.now() - request.read_delay;
+  IncomingRequest incoming{std::move(request), std::move(writer), arrived};
+  if (const Admission admission = look_up(incoming.request); admission.allowed()) {
+    start(admission, std::move(incoming));
     return;
   }
   if (environment_.shutdown_time) {
-    refuse(request, *writer, FailureReason::kStopping);
+    refuse(incoming, FailureReason::kStopping);
     return;
   }
-  await_configuration(std::move(request), std::move(writer));
+  await_configuration(std::move(incoming));
 }
 
 /// Only the newest configuration proves that a route or key does not exist. `refresh_` polls the
 /// shared store at most once per three quarters of the time within which a configuration must be
 /// applied, however many requests wait.
-void Gateway::await_configuration(http::Request request,
-                                  std::shared_ptr<http::ResponseWriter> writer) {
+void Gateway::await_configuration(IncomingRequest incoming) {
   const std::uint64_t number = next_waiting_++;
-  writer->on_closed([this, number] {
+  incoming.writer->on_closed([this, number] {
     ++environment_.statistics.caller_gone;
     waiting_.erase(number);
     notify_if_idle();
   });
-  waiting_.emplace(number, WaitingRequest{std::move(request), std::move(writer)});
+  waiting_.emplace(number, std::move(incoming));
   refresh_([this, number](bool current) { on_refreshed(number, current); });
 }
 
@@ -61,16 +63,15 @@
   if (found.empty()) {
     return;
   }
-  WaitingRequest& waited = found.mapped();
+  IncomingRequest& waited = found.mapped();
   waited.writer->on_closed(nullptr);
   const Admission admission = look_up(waited.request);
   if (admission.allowed()) {
-    start(admission, std::move(waited.request), std::move(waited.writer));
+    start(admission, std::move(waited));
     return;
   }
   const bool known = current && environment_.fleet.routes() != nullptr;
-  refuse(waited.request, *waited.writer,
-         known ? admission.refusal() : FailureReason::kNoConfiguration);
+  refuse(waited, known ? admission.refusal() : FailureReason::kNoConfiguration);
   notify_if_idle();
 }
 
@@ -99,10 +100,9 @@
                      *route, http::find_header(request.headers, environment_.names.credentials))};
 }
 
-void Gateway::start(const Admission& admission, http::Request request,
-                    std::shared_ptr<http::ResponseWriter> writer) {
+void Gateway::start(const Admission& admission, IncomingRequest incoming) {
   auto session = std::make_shared<RequestSession>(environment_, environment_.fleet.routes(),
-                                                  admission, std::move(request), std::move(writer));
+                                                  admission, std::move(incoming));
   sessions_.insert(session);
   session->begin([this, raw = session.get()] {
     sessions_.erase(raw->shared_from_this());
@@ -125,7 +125,7 @@
 void Gateway::finish_all() {
   for (const auto& [number, waiting] : std::exchange(waiting_, {})) {
     waiting.writer->on_closed(nullptr);
-    refuse(waiting.request, *waiting.writer, FailureReason::kStopping);
+    refuse(waiting, FailureReason::kStopping);
   }
   for (const auto& session : running_sessions()) {
     session->on_stop();
@@ -137,8 +137,8 @@
   return {sessions_.begin(), sessions_.end()};
 }
 
-void Gateway::refuse(const http::Request& request, http::ResponseWriter& writer,
-                     FailureReason reason) {
+void Gateway::refuse(const IncomingRequest& incoming, FailureReason reason) {
+  const http::Request& request = incoming.request;
   ++counter_of(reason, environment_.statistics);
   const std::string id(http::find_header(request.headers, environment_.names.request_id));
   // Another node can serve the request immediately.
@@ -152,7 +152,7 @@
                               {"path", request.path},
                               {"outcome", std::string(describe(reason))},
                               {"status", static_cast<std::uint64_t>(answer.status)}}});
-  writer.respond(answer.status, std::move(answer.headers), answer.body);
+  incoming.writer->respond(answer.status, std::move(answer.headers), answer.body);
 }
 
 }  // namespace ochrespring::gateway
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -54,24 +54,18 @@
   void on_idle(std::function<void()> callback) { idle_ = std::move(callback); }
 
  private:
-  struct WaitingRequest {
-    http::Request request;
-    std::shared_ptr<http::ResponseWriter> writer;
-  };
-
-  void await_configuration(http::Request request, std::shared_ptr<http::ResponseWriter> writer);
+  void await_configuration(IncomingRequest incoming);
   void on_refreshed(std::uint64_t number, bool current);
   void notify_if_idle();
   std::vector<std::shared_ptr<RequestSession>> running_sessions() const;
   Admission look_up(const http::Request& request) const;
-  void start(const Admission& admission, http::Request request,
-             std::shared_ptr<http::ResponseWriter> writer);
-  void refuse(const http::Request& request, http::ResponseWriter& writer, FailureReason reason);
+  void start(const Admission& admission, IncomingRequest incoming);
+  void refuse(const IncomingRequest& incoming, FailureReason reason);
 
   Environment environment_;
   RefreshFunction refresh_;
   /// Requests that wait for a refresh. Kept here so that finish_all() can answer them.
-  std::map<std::uint64_t, WaitingRequest> waiting_;
+  std::map<std::uint64_t, IncomingRequest> waiting_;
   std::uint64_t next_waiting_ = 0;
   std::unordered_set<std::shared_ptr<RequestSession>> sessions_;
   std::function<void()> idle_;
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -32,15 +32,15 @@
 }  // namespace
 
 RequestSession::RequestSession(Environment& environment, std::shared_ptr<const RouteTable> routes,
-                               const Admission& admission, http::Request request,
-                               std::shared_ptr<http::ResponseWriter> writer)
+                               const Admission& admission, IncomingRequest incoming)
     : environment_(environment),
       routes_(std::move(routes)),
       route_(*admission.route),
       tenant_(admission.key.tenant),
       log_(environment.clock, environment.logger, route_, tenant_),
-      request_(std::move(request)),
-      writer_(std::move(writer)),
+      request_(std::move(incoming.request)),
+      writer_(std::move(incoming.writer)),
+      arrived_(incoming.arrived),
       deadline_timer_(environment.timers),
       progress_timer_(environment.timers),
       cache_(environment),
@@ -53,7 +53,7 @@
 void RequestSession::begin(std::function<void()> on_end) {
   on_end_ = std::move(on_end);
   const HeaderNames& names = environment_.names;
-  arrived_ = environment_.clock.now();
+  const MonotonicTime now = environment_.clock.now();
   id_ = http::find_header(request_.headers, names.request_id);
   log_.begin(id_, arrived_);
   const auto max_ms = static_cast<std::uint64_t>(to_milliseconds(route_.timeout));
@@ -79,8 +79,7 @@
   if (!last_event.empty()) {
     last_event_ = http::parse_number(last_event).value_or(0);
   }
-  environment_.statistics.read_delay.note(request_.read_delay);
-  environment_.budget.note_request(service_, arrived_);
+  environment_.budget.note_request(service_, now);
   writer_->on_closed([weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
       self->on_caller_disconnected();
@@ -96,7 +95,7 @@
     end_with_failure(FailureReason::kStopping);
     return;
   }
-  deadline_timer_.arm(deadline_ - arrived_, [this] { on_deadline(); });
+  deadline_timer_.arm(deadline_ - now, [this] { on_deadline(); });
   dispatch_->begin();
 }
 
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -41,6 +41,13 @@
   }
 };
 
+/// A caller's request and the writer of its answer.
+struct IncomingRequest {
+  http::Request request;
+  std::shared_ptr<http::ResponseWriter> writer;
+  MonotonicTime arrived{};  ///< When it reached this machine. Its deadline counts from then.
+};
+
 /// Handles a request from its arrival to the final answer. Callbacks hold a shared pointer while
 /// they run. Used on one event loop.
 ///
@@ -53,8 +60,7 @@
                              public std::enable_shared_from_this<RequestSession> {
  public:
   RequestSession(Environment& environment, std::shared_ptr<const RouteTable> routes,
-                 const Admission& admission, http::Request request,
-                 std::shared_ptr<http::ResponseWriter> writer);
+                 const Admission& admission, IncomingRequest incoming);
 
   /// Starts the request. `on_end` is called once, when the request has ended.
   void begin(std::function<void()> on_end);
--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -231,10 +231,15 @@
 
   std::shared_ptr<FakeCaller> send(const std::string& path,
                                    std::vector<http::Header> headers = {}) {
+    return send_late(path, Duration::zero(), std::move(headers));
+  }
+  /// Sends a request that is read `read_delay` after its arrival.
+  std::shared_ptr<FakeCaller> send_late(const std::string& path, Duration read_delay,
+                                        std::vector<http::Header> headers = {}) {
     headers.push_back({"host", "h"});
     headers.push_back({"x-request-id", "r1"});
     auto caller = std::make_shared<FakeCaller>();
-    gateway.handle({"POST", path, "", std::move(headers), "body"}, caller);
+    gateway.handle({"POST", path, "", std::move(headers), "body", read_delay}, caller);
     return caller;
   }
 
--- a/src/gateway/tests/request_session_test.cc
+++ b/src/gateway/tests/request_session_test.cc
@@ -183,6 +183,25 @@
   CHECK(shorter->head.status == 200);
 }
 
+// A busy node reads requests late. Back ends would then work beyond the caller's deadline.
+TEST_CASE("the time that a request waited to be read counts against its deadline") {
+  GatewayFixture fixture;
+  fixture.add_backend("b", "relay");
+  const auto caller = fixture.send_late("/once/x", 700ms, {{fixture.names.deadline, "1500"}});
+  CHECK(fixture.last().header(fixture.names.deadline) == "800");
+  fixture.advance(801ms);
+  CHECK(caller->head.status == 504);
+}
+
+TEST_CASE("a request that was read after its deadline is refused at once and not sent") {
+  GatewayFixture fixture;
+  fixture.add_backend("b", "relay");
+  const auto caller = fixture.send_late("/once/x", 1600ms, {{fixture.names.deadline, "1500"}});
+  CHECK(caller->head.status == 503);
+  CHECK(fixture.sends() == 0);
+  CHECK(fixture.gateway.running() == 0);
+}
+
 TEST_CASE("a disconnected caller's attempt is cancelled and nothing more is sent") {
   GatewayFixture fixture;
   fixture.add_backend("b1", "relay");
--- a/src/gateway/tests/waiting_requests_test.cc
+++ b/src/gateway/tests/waiting_requests_test.cc
@@ -65,6 +65,20 @@
   CHECK(fixture.idle == 1);
 }
 
+// Back ends would otherwise work beyond the caller's deadline.
+TEST_CASE("the wait for the configuration counts against the deadline") {
+  WaitingRequestFixture fixture;
+  fixture.add_backend("b", "relay");
+  const auto caller = fixture.ask("/newer/1", {{fixture.names.deadline, "1000"}});
+  Configuration newer = GatewayFixture::make_configuration(2);
+  newer.routes.push_back(
+      GatewayFixture::make_route("/newer/", RequestKind::kNonIdempotent, "relay", 1, false));
+  fixture.fleet.apply(std::move(newer));
+  fixture.advance(300ms);
+  fixture.end_refresh(true);
+  CHECK(fixture.last().header(fixture.names.deadline) == "700");
+}
+
 TEST_CASE("a request that waits for the configuration is dropped when its caller disconnects") {
   WaitingRequestFixture fixture;
   const auto caller = fixture.ask("/unknown/1");
