--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -110,7 +110,7 @@
 void ClientConnection::discard_unacknowledged() {
   const int descriptor = h2o_socket_get_fd(socket_);
   if (has_unacknowledged_output(descriptor)) {
-    reset_on_close(descriptor);
+    set_reset_on_close(descriptor);
   }
 }
 
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -30,8 +30,8 @@
   std::string query;  ///< Without the question mark.
   std::vector<Header> headers;
   std::string body;
-  /// How long its last bytes had waited in the kernel when it was read; a lower bound, in
-  /// milliseconds. Zero on a connection whose delay is unknown.
+  /// How long its last bytes had waited in the kernel when it was read: a lower bound, zero if it
+  /// is unknown.
   Duration read_delay{};
 };
 
--- a/src/http/response_stream.cc
+++ b/src/http/response_stream.cc
@@ -276,7 +276,7 @@
   if (socket == nullptr) {
     return;
   }
-  http::reset_on_close(h2o_socket_get_fd(socket));
+  set_reset_on_close(h2o_socket_get_fd(socket));
 }
 
 /// Closes an HTTP/1 connection before h2o marks the response as broken. h2o's mark is an invalid
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -63,9 +63,8 @@
   }
   request.headers = copy_headers(source);
   request.body = to_view(source.entity);
-  if (const h2o_socket_t* socket = source.conn->callbacks->get_socket(source.conn)) {
-    request.read_delay =
-        time_since_last_input(h2o_socket_get_fd(const_cast<h2o_socket_t*>(socket)));
+  if (h2o_socket_t* socket = source.conn->callbacks->get_socket(source.conn)) {
+    request.read_delay = time_since_last_input(h2o_socket_get_fd(socket));
   }
   return request;
 }
--- a/src/http/tcp_state.cc
+++ b/src/http/tcp_state.cc
@@ -34,7 +34,7 @@
   return ::ioctl(descriptor, SIOCOUTQ, &bytes) == 0 && bytes > 0;
 }
 
-void reset_on_close(int descriptor) {
+void set_reset_on_close(int descriptor) {
   const linger discard{1, 0};
   ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
 }
--- a/src/http/tcp_state.h
+++ b/src/http/tcp_state.h
@@ -13,9 +13,10 @@
 bool has_unacknowledged_output(int descriptor);
 
 /// Makes the close of the connection a reset, which discards what the kernel has not delivered yet.
-void reset_on_close(int descriptor);
+void set_reset_on_close(int descriptor);
 
-/// Time since the last data arrived, in milliseconds; zero if it is unknown. Costs a system call.
+/// Time since the last data arrived, with a resolution of milliseconds; zero if it is unknown.
+/// Costs a system call.
 Duration time_since_last_input(int descriptor);
 
 }  // namespace ochrespring::http
