Requests that were given up before they were read are not placed

The gateway now asks the state of the caller's connection before anything else. Tests: a request whose caller has left is not placed; over sockets, nothing is held for it.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -31,6 +31,11 @@
 void Gateway::handle(http::Request request, std::shared_ptr<http::ResponseWriter> writer) {
   ++environment_.statistics.requests;
   environment_.statistics.read_delay.note(request.read_delay);
+  // A node that is behind with its work has no time for requests that their callers have given up.
+  if (writer->poll_closed()) {
+    ++environment_.statistics.caller_gone;
+    return;
+  }
   const MonotonicTime arrived = environment_.clock.now() - request.read_delay;
   IncomingRequest incoming{std::move(request), std::move(writer), arrived};
   if (const Admission admission = look_up(incoming.request); admission.allowed()) {
--- a/src/gateway/tests/caller_disconnect_test.cc
+++ b/src/gateway/tests/caller_disconnect_test.cc
@@ -2,6 +2,7 @@
 // such a request, which a back end would work on for nobody. Each case is a send of another kind.
 #include <doctest/doctest.h>
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,16 @@
 
 }  // namespace
 
+TEST_CASE_FIXTURE(DisconnectFixture, "a request whose caller has left is not even placed") {
+  add_backend("b1", "relay");
+  const auto caller = std::make_shared<FakeCaller>();
+  caller->unnoticed_disconnect = true;
+  gateway.handle({"POST", "/once/x", "", {{"host", "h"}}, "body"}, caller);
+  CHECK(sends() == 0);
+  CHECK(gateway.running() == 0);
+  CHECK(statistics.caller_gone == 1);
+}
+
 TEST_CASE_FIXTURE(DisconnectFixture, "the first send is withdrawn when the caller has left") {
   add_backend("b1", "relay");
   const auto caller = send("/once/x");
--- a/src/gateway_node/tests/caller_disconnect_test.cc
+++ b/src/gateway_node/tests/caller_disconnect_test.cc
@@ -101,6 +101,13 @@
   REQUIRE(fixture.run_until([&] { return caller.receive().ends_with("done"); }));
 }
 
+/// A node that holds no request exits soon after callers have had time to notice its stop.
+void check_holds_nothing(NodeFixture& fixture) {
+  fixture.node.stop();
+  fixture.advance(3650ms);
+  CHECK(fixture.stopped());
+}
+
 }  // namespace
 
 TEST_CASE("a back end's work ends soon after the caller has left") {
@@ -166,6 +173,7 @@
     departure.leave(caller);
     fixture.settle();
     CHECK(fixture.backend.held.empty());
+    check_holds_nothing(fixture);
   }
 }
 
@@ -179,5 +187,6 @@
     departure.leave(caller);
     fixture.settle();
     CHECK(fixture.backend.held.empty());
+    check_holds_nothing(fixture);
   }
 }
