--- a/src/gateway/attempt_starter.h
+++ b/src/gateway/attempt_starter.h
@@ -20,7 +20,7 @@
 /// The parts of a request that an attempt depends on.
 struct AttemptInput {
   const http::Request& request;
-  const std::shared_ptr<http::ResponseWriter>& caller;
+  const std::shared_ptr<http::ResponseWriter>& caller;  ///< Nothing is sent once it has left.
   const Service* service = nullptr;  ///< Null if the configuration has no such service.
   const Tenant* tenant = nullptr;    ///< Null for a request without a tenant.
   const Prompt* prompt = nullptr;    ///< Null for a request that is not for an engine.
--- a/src/gateway_node/tests/caller_disconnect_test.cc
+++ b/src/gateway_node/tests/caller_disconnect_test.cc
@@ -63,10 +63,6 @@
      }},
 };
 
-void await_at_backend(NodeFixture& fixture) {
-  REQUIRE(fixture.run_until([&] { return fixture.backend.held.size() == 1; }));
-}
-
 /// The part of the answer that has been sent when the caller leaves.
 struct AnswerState {
   const char* name;
@@ -96,7 +92,7 @@
 void keep_backend_connection(NodeFixture& fixture) {
   RawCaller caller(fixture.address());
   caller.send(kRequest);
-  await_at_backend(fixture);
+  fixture.await_at_backend();
   fixture.backend.answer("done");
   REQUIRE(fixture.run_until([&] { return caller.receive().ends_with("done"); }));
 }
@@ -118,7 +114,7 @@
       NodeFixture fixture;
       RawCaller caller(fixture.address());
       caller.send(kRequest);
-      await_at_backend(fixture);
+      fixture.await_at_backend();
       state.send(fixture);
       caller.send(departure.bytes);
       fixture.settle();
@@ -139,7 +135,7 @@
       NodeFixture fixture;
       Http2Caller caller(fixture.address());
       caller.send("GET", "/long/1");
-      await_at_backend(fixture);
+      fixture.await_at_backend();
       state.send(fixture);
       departure.leave(caller);
       fixture.settle();
@@ -154,7 +150,7 @@
   NodeFixture fixture;
   Http2Caller caller(fixture.address());
   caller.send("GET", "/long/1");
-  await_at_backend(fixture);
+  fixture.await_at_backend();
   caller.go_away();
   fixture.settle();
   fixture.advance(kReactionBound);
--- a/src/gateway_node/tests/held_http2_requests_test.cc
+++ b/src/gateway_node/tests/held_http2_requests_test.cc
@@ -10,10 +10,6 @@
 
 namespace {
 
-void await_at_backend(NodeFixture& fixture) {
-  REQUIRE(fixture.run_until([&] { return fixture.backend.held.size() == 1; }));
-}
-
 void check_answered(NodeFixture& fixture, Http2Caller& caller) {
   CHECK_FALSE(fixture.stopped());
   fixture.backend.answer("done");
@@ -52,7 +48,7 @@
   fixture.advance(4000ms);
   REQUIRE_FALSE(fixture.stopped());
   caller.send_rest("4567");
-  await_at_backend(fixture);
+  fixture.await_at_backend();
   check_answered(fixture, caller);
 }
 
@@ -60,7 +56,7 @@
   NodeFixture fixture;
   Http2Caller caller(fixture.address());
   caller.send("GET", "/long/1");
-  await_at_backend(fixture);
+  fixture.await_at_backend();
   fixture.node.stop();
   fixture.advance(1000ms);
   fixture.node.reload(fixture.settings());
@@ -76,7 +72,7 @@
   Http2Caller caller(fixture.address());
   caller.send("GET", "/short/1");
   fixture.clock.advance(20ms);
-  await_at_backend(fixture);
+  fixture.await_at_backend();
   check_answered(fixture, caller);
 }
 
@@ -84,7 +80,7 @@
   NodeFixture fixture;
   Http2Caller caller(fixture.address());
   caller.send("GET", "/long/1");
-  await_at_backend(fixture);
+  fixture.await_at_backend();
   const std::string body(16U << 20U, 'x');
   fixture.backend.answer(body);
   fixture.settle();
@@ -101,7 +97,7 @@
   NodeFixture fixture;
   Http2Caller caller(fixture.address());
   caller.send("GET", "/long/1");
-  await_at_backend(fixture);
+  fixture.await_at_backend();
   fixture.node.stop();
   fixture.advance(7400ms);
   CHECK_FALSE(fixture.stopped());
--- a/src/gateway_node/tests/held_requests_test.cc
+++ b/src/gateway_node/tests/held_requests_test.cc
@@ -23,10 +23,6 @@
 const std::string kWithBody =
     "POST /short/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\nContent-Length: 8\r\n\r\n01234567";
 
-void await_at_backend(NodeFixture& fixture) {
-  REQUIRE(fixture.run_until([&] { return fixture.backend.held.size() == 1; }));
-}
-
 /// Checks that the caller receives the back end's answer before the node exits.
 void check_answered(NodeFixture& fixture, RawCaller& caller) {
   CHECK_FALSE(fixture.stopped());
@@ -72,7 +68,7 @@
     fixture.advance(4000ms);
     REQUIRE_FALSE(fixture.stopped());
     caller.send(request.substr(request.size() - 2));
-    await_at_backend(fixture);
+    fixture.await_at_backend();
     check_answered(fixture, caller);
   }
 }
@@ -81,7 +77,7 @@
   NodeFixture fixture;
   RawCaller caller(fixture.address());
   caller.send(kLong);
-  await_at_backend(fixture);
+  fixture.await_at_backend();
   fixture.node.stop();
   fixture.advance(1000ms);
   fixture.node.reload(fixture.settings());
@@ -96,7 +92,7 @@
   RawCaller caller(fixture.address());
   caller.send(kShort);
   fixture.clock.advance(20ms);
-  await_at_backend(fixture);
+  fixture.await_at_backend();
   check_answered(fixture, caller);
 }
 
@@ -104,7 +100,7 @@
   NodeFixture fixture;
   RawCaller caller(fixture.address());
   caller.send(kLong);
-  await_at_backend(fixture);
+  fixture.await_at_backend();
   const std::string body(16U << 20U, 'x');
   fixture.backend.answer(body);
   fixture.settle();
@@ -120,7 +116,7 @@
   NodeFixture fixture;
   RawCaller caller(fixture.address());
   caller.send(kLong);
-  await_at_backend(fixture);
+  fixture.await_at_backend();
   fixture.node.stop();
   fixture.advance(7400ms);
   CHECK_FALSE(fixture.stopped());
@@ -139,7 +135,7 @@
   fixture.advance(2000ms);
   RawCaller early(fixture.address());
   early.send(kLong);
-  await_at_backend(fixture);
+  fixture.await_at_backend();
   fixture.advance(1000ms);
   RawCaller late(fixture.address());
   late.send(kLong);
--- a/src/gateway_node/tests/stopping_node.h
+++ b/src/gateway_node/tests/stopping_node.h
@@ -271,6 +271,10 @@
     }
     return condition();
   }
+  /// Waits until the back end holds one request.
+  void await_at_backend() {
+    REQUIRE(run_until([this] { return backend.held.size() == 1; }));
+  }
   /// Whether the process would have exited and closed all its connections.
   bool stopped() const { return logger.stopped; }
   Endpoint address() const { return node.caller_address(); }
