--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 	  --threads $(JOBS) --output failing-history.json
 
 # Fault soak of the gateway: real processes, faults from outside, a fresh seed each time unless given. CI runs
-# one of 50 s; scripts/soak_seeds.sh runs many. With UPGRADE_FROM=COMMIT the nodes begin with that commit's build and
+# one of 60 s; scripts/soak_seeds.sh runs many. With UPGRADE_FROM=COMMIT the nodes begin with that commit's build and
 # are replaced in both directions.
 SOAK_SECONDS ?= 120
 .PHONY: soak
