Usage counts requests whose caller left while a server ran them

Cause: a request was counted with its server's head, or when its connection broke. An attempt that the gateway itself ends (caller gone, deadline, no progress, stop) was not counted, though the server ran it. Servers other than engines have usually started what they received, so such an attempt counts if any byte of it was sent.

--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -287,6 +287,15 @@
   environment_.note_run(tenant_->name, ago);
 }
 
+/// Called when an attempt ends before its back end has said whether it runs the request. A back end
+/// that is not an engine has usually started a request that it received.
+void RequestSession::note_probable_run() {
+  if (has_active_attempt() && !prompt_ && attempt_->exchange->sent() &&
+      !attempt_->statement.not_run) {
+    note_run(environment_.clock.now() - attempt_->started);
+  }
+}
+
 void RequestSession::handle_complete_answer() {
   const http::ResponseHead& head = *attempt_->head;
   const BackendStatement& statement = attempt_->statement;
@@ -436,10 +445,8 @@
   may_have_run_ = true;
   // A failure on a kept-alive connection that was already closed says nothing about the back end.
   const bool stale = error.code == http::HttpErrc::kStaleConnection;
-  if (!stale && !timed_out && !prompt_) {
-    // A back end that is not an engine has usually started a request when it closes the
-    // connection.
-    note_run(environment_.clock.now() - attempt_->started);
+  if (!stale && !timed_out) {
+    note_probable_run();
   }
   if (stale) {
     tried_.erase(attempt_->backend);
@@ -636,6 +643,7 @@
   retry_limit_.note_send();
   may_have_run_ = true;
   reports_.note_failure(service_, *attempt_, AttemptFailureKind::kUnresponsive);
+  note_probable_run();
   end_attempt(AttemptOutcome::kFailed);
 }
 
@@ -666,6 +674,7 @@
   const std::shared_ptr<RequestSession> keep = shared_from_this();
   if (has_active_attempt()) {
     reports_.note_failure(service_, *attempt_, AttemptFailureKind::kAbandoned);
+    note_probable_run();
     may_have_run_ = may_have_run_ || !attempt_->is_prefill_call;
   }
   end_with_failure(reason);
@@ -707,6 +716,7 @@
     reports_.note_failure(service_, *attempt_, AttemptFailureKind::kAbandoned);
   }
   ++environment_.statistics.caller_gone;
+  note_probable_run();
   end_attempt(AttemptOutcome::kAbandoned);
   finish("caller-gone");
 }
@@ -717,6 +727,7 @@
     reports_.note_failure(service_, *attempt_, AttemptFailureKind::kUnresponsive);
   }
   may_have_run_ = may_have_run_ || (has_active_attempt() && !attempt_->is_prefill_call);
+  note_probable_run();
   note("deadline exceeded", "");
   end_with_failure(FailureReason::kTimeout);
 }
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -107,6 +107,7 @@
   void observe_prefill();
   void observe_stream();
   void note_run(Duration ago);
+  void note_probable_run();
   /// Acquires one more send from the route's attempts and the retry budget. Returns whether it was
   /// granted.
   bool acquire_retry();
--- a/src/gateway/tests/caller_keys_test.cc
+++ b/src/gateway/tests/caller_keys_test.cc
@@ -61,6 +61,30 @@
   CHECK(fixture.sends() == 2);
 }
 
+// Usage reports would miss the runs of callers that leave or whose deadline passes first.
+TEST_CASE(
+    "a request that was sent counts for its tenant when its caller leaves or its time is up") {
+  for (const bool sent : {true, false}) {
+    for (const bool leaves : {true, false}) {
+      KeyedFixture fixture;
+      std::map<std::string, int> runs;
+      Gateway counting(fixture.counting_into(runs), [](auto done) { done(true); });
+      auto caller = std::make_shared<testing::FakeCaller>();
+      counting.handle({"POST", "/once/x", "", {{"host", "h"}, {"authorization", "Token k1"}}, ""},
+                      caller);
+      REQUIRE(fixture.sends() == 1);
+      fixture.last().request_sent = sent;
+      if (leaves) {
+        caller->disconnect();
+      } else {
+        fixture.advance(std::chrono::seconds(3));
+      }
+      CHECK(counting.running() == 0);
+      CHECK(runs["t1"] == (sent ? 1 : 0));
+    }
+  }
+}
+
 TEST_CASE("a request whose signed response breaks off is counted once for its tenant") {
   KeyedFixture fixture;
   std::map<std::string, int> runs;
--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -24,6 +24,7 @@
   http::ClientRequest request;
   http::ResponseObserver* observer = nullptr;
   bool open = true;
+  bool request_sent = true;  ///< The request has left the gateway.
 
   std::string header(std::string_view name) const {
     return std::string(http::find_header(request.headers, name));
@@ -40,6 +41,7 @@
   }
   void fail(http::HttpErrc code, bool sent) {
     REQUIRE(open);
+    request_sent = sent;
     observer->on_failure({code, "injected"}, sent);
   }
 };
@@ -70,6 +72,7 @@
     explicit Handle(std::shared_ptr<FakeExchange> exchange) : exchange_(std::move(exchange)) {}
     ~Handle() override { exchange_->open = false; }
     void set_reading(bool /*reading*/) override {}
+    bool sent() const override { return exchange_->request_sent; }
 
    private:
     std::shared_ptr<FakeExchange> exchange_;
--- a/src/gateway_node/tests/crash_fleet.h
+++ b/src/gateway_node/tests/crash_fleet.h
@@ -129,6 +129,7 @@
     explicit Handle(std::shared_ptr<FleetExchange> exchange) : exchange_(std::move(exchange)) {}
     ~Handle() override { exchange_->open = false; }
     void set_reading(bool /*reading*/) override {}
+    bool sent() const override { return true; }
 
    private:
     std::shared_ptr<FleetExchange> exchange_;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -27,6 +27,7 @@
   ExchangeHandle& operator=(const ExchangeHandle&) = delete;
 
   void set_reading(bool reading) override { exchange_->set_reading(reading); }
+  bool sent() const override { return exchange_->sent(); }
 
  private:
   std::shared_ptr<ClientExchange> exchange_;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -61,6 +61,8 @@
   virtual ~Exchange() = default;
   /// Pauses or resumes reading the response.
   virtual void set_reading(bool reading) = 0;
+  /// Whether any byte of the request may have left this process.
+  virtual bool sent() const = 0;
 };
 
 /// Why a fetch failed, and whether any byte of the request may have been sent.
--- a/src/http/client_exchange.h
+++ b/src/http/client_exchange.h
@@ -23,6 +23,7 @@
   /// Stops all callbacks and closes the connection.
   void cancel();
   void set_reading(bool reading);
+  bool sent() const { return sent_; }
 
   void on_connected(bool success) override;
   void on_readable() override;
