--- a/src/gateway/tests/backed_off_request_test.cc
+++ b/src/gateway/tests/backed_off_request_test.cc
@@ -29,15 +29,6 @@
     const std::string& address = last().request.endpoint.value();
     return address.substr(0, address.find(':'));
   }
-  /// Reports that the connection is established. The send is withdrawn if the back end backs off by
-  /// now; returns whether it takes place.
-  bool connect() {
-    const bool leaves = last().request.may_send();
-    if (!leaves) {
-      last().fail(http::HttpErrc::kWithdrawn, false);
-    }
-    return leaves;
-  }
 };
 
 }  // namespace
--- a/src/gateway/tests/caller_disconnect_test.cc
+++ b/src/gateway/tests/caller_disconnect_test.cc
@@ -23,8 +23,7 @@
   void connect_after_departure(FakeCaller& caller) {
     caller.unnoticed_disconnect = true;
     const std::size_t sends_before = sends();
-    CHECK_FALSE(last().request.may_send());
-    last().fail(http::HttpErrc::kWithdrawn, false);
+    CHECK_FALSE(connect());
     CHECK(sends() == sends_before);
     CHECK(gateway.running() == 0);
     CHECK_FALSE(caller.ended());
--- a/src/gateway/tests/caller_keys_test.cc
+++ b/src/gateway/tests/caller_keys_test.cc
@@ -49,6 +49,19 @@
   }
 };
 
+/// Counts the runs of each tenant.
+struct CountingFixture : KeyedFixture {
+  std::map<std::string, int> runs;
+  Gateway counting{counting_into(runs), [](auto done) { done(true); }};
+
+  /// Sends a request with the key of tenant `t1`.
+  std::shared_ptr<testing::FakeCaller> ask(const std::string& path) {
+    auto caller = std::make_shared<testing::FakeCaller>();
+    counting.handle({"POST", path, "", {{"host", "h"}, {"authorization", "Token k1"}}, ""}, caller);
+    return caller;
+  }
+};
+
 }  // namespace
 
 TEST_CASE("a request with a known key runs for its tenant, and the key is not forwarded") {
@@ -66,12 +79,8 @@
     "a request that was sent counts for its tenant when its caller leaves or its time is up") {
   for (const bool sent : {true, false}) {
     for (const bool leaves : {true, false}) {
-      KeyedFixture fixture;
-      std::map<std::string, int> runs;
-      Gateway counting(fixture.counting_into(runs), [](auto done) { done(true); });
-      auto caller = std::make_shared<testing::FakeCaller>();
-      counting.handle({"POST", "/once/x", "", {{"host", "h"}, {"authorization", "Token k1"}}, ""},
-                      caller);
+      CountingFixture fixture;
+      const auto caller = fixture.ask("/once/x");
       REQUIRE(fixture.sends() == 1);
       fixture.last().request_sent = sent;
       if (leaves) {
@@ -79,26 +88,22 @@
       } else {
         fixture.advance(std::chrono::seconds(3));
       }
-      CHECK(counting.running() == 0);
-      CHECK(runs["t1"] == (sent ? 1 : 0));
+      CHECK(fixture.counting.running() == 0);
+      CHECK(fixture.runs["t1"] == (sent ? 1 : 0));
     }
   }
 }
 
 TEST_CASE("a request whose signed response breaks off is counted once for its tenant") {
-  KeyedFixture fixture;
-  std::map<std::string, int> runs;
-  Gateway counting(fixture.counting_into(runs), [](auto done) { done(true); });
+  CountingFixture fixture;
   fixture.add_backend("b2", "relay");
-  auto caller = std::make_shared<testing::FakeCaller>();
-  counting.handle({"POST", "/idempotent/x", "", {{"host", "h"}, {"authorization", "Token k1"}}, ""},
-                  caller);
+  const auto caller = fixture.ask("/idempotent/x");
   fixture.last().observer->on_head({200, {fixture.signature()}});
   fixture.last().fail(http::HttpErrc::kTruncated, true);
-  CHECK(runs["t1"] == 1);
+  CHECK(fixture.runs["t1"] == 1);
   fixture.last().answer(200, {fixture.signature()}, "ok");
   CHECK(caller->head.status == 200);
-  CHECK(runs["t1"] == 1);
+  CHECK(fixture.runs["t1"] == 1);
 }
 
 TEST_CASE(
@@ -111,14 +116,10 @@
   for (const Row& row : {Row{http::HttpErrc::kReset, 1}, Row{http::HttpErrc::kTimeout, 0},
                          Row{http::HttpErrc::kStaleConnection, 0}}) {
     CAPTURE(http::describe(row.code));
-    KeyedFixture fixture;
-    std::map<std::string, int> runs;
-    Gateway counting(fixture.counting_into(runs), [](auto done) { done(true); });
-    auto caller = std::make_shared<testing::FakeCaller>();
-    counting.handle({"POST", "/once/x", "", {{"host", "h"}, {"authorization", "Token k1"}}, ""},
-                    caller);
+    CountingFixture fixture;
+    fixture.ask("/once/x");
     fixture.last().fail(row.code, true);
-    CHECK(runs["t1"] == row.runs);
+    CHECK(fixture.runs["t1"] == row.runs);
   }
 }
 
--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -248,6 +248,15 @@
 
   /// The latest exchange.
   FakeExchange& last() { return *transport.started.back(); }
+  /// Reports that the connection of the latest exchange is established. Returns whether the send
+  /// takes place; otherwise it is withdrawn.
+  bool connect() {
+    const bool may_send = last().request.may_send();
+    if (!may_send) {
+      last().fail(http::HttpErrc::kWithdrawn, false);
+    }
+    return may_send;
+  }
   std::size_t sends() const { return transport.started.size(); }
   http::Header signature() const { return {names.signature, "sig"}; }
   void advance(Duration span) { time.run_until(time.now() + span); }
--- a/src/gateway/tests/resumed_stream_test.cc
+++ b/src/gateway/tests/resumed_stream_test.cc
@@ -356,8 +356,7 @@
   run->fail(HttpErrc::kReset, true);
   REQUIRE(resumed_at_backup());
   caller->unnoticed_disconnect = true;
-  CHECK_FALSE(last().request.may_send());
-  last().fail(HttpErrc::kWithdrawn, false);
+  CHECK_FALSE(connect());
   CHECK(sends() == 2);
   CHECK(gateway_under_test.running() == 0);
   CHECK(statistics.sends_without_caller == 1);
--- a/src/gateway/tests/waiting_requests_test.cc
+++ b/src/gateway/tests/waiting_requests_test.cc
@@ -32,6 +32,12 @@
     gateway_under_test.handle({"POST", path, "", std::move(headers), "body"}, caller);
     return caller;
   }
+  /// Applies a configuration that adds the route `/newer/`.
+  void add_newer_route() {
+    Configuration newer = make_configuration(2);
+    newer.routes.push_back(make_route("/newer/", RequestKind::kNonIdempotent, "relay", 1, false));
+    fleet.apply(std::move(newer));
+  }
   void end_refresh(bool current) { std::exchange(refreshes, {}).at(0)(current); }
 };
 
@@ -52,10 +58,7 @@
   WaitingRequestFixture fixture;
   fixture.add_backend("b", "relay");
   const auto caller = fixture.ask("/newer/1");
-  Configuration newer = GatewayFixture::make_configuration(2);
-  newer.routes.push_back(
-      GatewayFixture::make_route("/newer/", RequestKind::kNonIdempotent, "relay", 1, false));
-  fixture.fleet.apply(std::move(newer));
+  fixture.add_newer_route();
   fixture.end_refresh(true);
   CHECK(fixture.idle == 0);
   CHECK(fixture.gateway_under_test.held().awaiting_configuration == 0);
@@ -70,10 +73,7 @@
   WaitingRequestFixture fixture;
   fixture.add_backend("b", "relay");
   const auto caller = fixture.ask("/newer/1", {{fixture.names.deadline, "1000"}});
-  Configuration newer = GatewayFixture::make_configuration(2);
-  newer.routes.push_back(
-      GatewayFixture::make_route("/newer/", RequestKind::kNonIdempotent, "relay", 1, false));
-  fixture.fleet.apply(std::move(newer));
+  fixture.add_newer_route();
   fixture.advance(300ms);
   fixture.end_refresh(true);
   CHECK(fixture.last().header(fixture.names.deadline) == "700");
--- a/src/gateway_node/tests/caller_disconnect_test.cc
+++ b/src/gateway_node/tests/caller_disconnect_test.cc
@@ -97,6 +97,14 @@
   REQUIRE(fixture.run_until([&] { return caller.receive().ends_with("done"); }));
 }
 
+/// Checks that the back end's connection ends within the bound after the caller has left.
+void check_backend_released(NodeFixture& fixture) {
+  fixture.settle();
+  fixture.advance(kReactionBound);
+  fixture.settle();
+  CHECK(fixture.backend.held.front()->closed());
+}
+
 /// A node that holds no request exits soon after callers have had time to notice its stop.
 void check_holds_nothing(NodeFixture& fixture) {
   fixture.node.stop();
@@ -119,10 +127,7 @@
       caller.send(departure.bytes);
       fixture.settle();
       departure.leave(caller);
-      fixture.settle();
-      fixture.advance(kReactionBound);
-      fixture.settle();
-      CHECK(fixture.backend.held.front()->closed());
+      check_backend_released(fixture);
     }
   }
 }
@@ -138,10 +143,7 @@
       fixture.await_at_backend();
       state.send(fixture);
       departure.leave(caller);
-      fixture.settle();
-      fixture.advance(kReactionBound);
-      fixture.settle();
-      CHECK(fixture.backend.held.front()->closed());
+      check_backend_released(fixture);
     }
   }
 }
