Log how an answer ended: framing, rest of an event, the caller's protocol

Change: fields ends_with_connection, incomplete_event_bytes and caller_protocol on the line of each request's end; metric answers_ended_by_close. The client tells in the head whether only the close of the connection ends the body. No decision changes.

--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -37,8 +37,9 @@
   bool prefill_ended = false;
   std::unique_ptr<http::Exchange> exchange;
   std::optional<http::ResponseHead> head;
-  BackendStatement statement;  ///< Read from the head; empty before the head has arrived.
-  std::string body;            ///< Body of an answer that is sent to the caller when complete.
+  bool ends_with_connection = false;  ///< Only the close of the connection ends the answer.
+  BackendStatement statement;         ///< Read from the head; empty before the head has arrived.
+  std::string body;  ///< Body of an answer that is sent to the caller when complete.
   EventSplitter events;
   std::unique_ptr<StreamObservation> observation;  ///< Set once the first event has arrived.
   bool forwards_events = false;                    ///< Events are forwarded as they arrive.
--- a/src/gateway/request_log.h
+++ b/src/gateway/request_log.h
@@ -50,6 +50,9 @@
     std::uint64_t attempts = 0;
     std::uint64_t configuration = 0;
     std::uint64_t most_output_tokens = 0;
+    std::string caller_protocol;
+    bool ends_with_connection = false;         ///< Of the last attempt's answer.
+    std::uint64_t incomplete_event_bytes = 0;  ///< Received behind its last complete event.
     Duration read_delay{};
   };
   void note_end(const End& end, const StreamTiming& timing) const;
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -181,6 +181,7 @@
 
 void RequestSession::on_head(const http::ResponseHead& head) {
   attempt_->head = head;
+  attempt_->ends_with_connection = head.ends_with_connection;
   attempt_->statement = parse_statement(head, environment_.names);
   const BackendStatement& statement = attempt_->statement;
   note_statement(statement);
@@ -351,6 +352,7 @@
     send_complete_answer(*attempt_->head, attempt_->body);
   }
   ++environment_.statistics.answered;
+  environment_.statistics.answers_ended_by_close += attempt_->ends_with_connection ? 1 : 0;
   environment_.statistics.resumes_completed +=
       attempt_->forwards_events && attempt_->resumed_run ? 1 : 0;
   end_attempt(is_success(attempt_->head->status) ? AttemptOutcome::kSucceeded
@@ -750,6 +752,9 @@
                  .attempts = static_cast<std::uint64_t>(retry_limit_.sends() + unreachable_),
                  .configuration = routes_->configuration().version.value(),
                  .most_output_tokens = prompt_ ? prompt_->output_tokens : 0,
+                 .caller_protocol = request_.protocol,
+                 .ends_with_connection = attempt_ && attempt_->ends_with_connection,
+                 .incomplete_event_bytes = attempt_ ? attempt_->events.rest().size() : 0,
                  .read_delay = request_.read_delay},
                 timing_);
   if (const auto on_end = std::exchange(on_end_, nullptr)) {
--- a/src/gateway/statistics.h
+++ b/src/gateway/statistics.h
@@ -37,9 +37,11 @@
 struct GatewayStatistics {
   std::uint64_t requests = 0;
   std::uint64_t answered = 0;  ///< Ended with a complete answer of a back end, whatever its status.
-  std::uint64_t refused = 0;   ///< Ended as not run.
-  std::uint64_t unknown = 0;   ///< Ended without knowing whether it ran.
-  std::uint64_t broken = 0;    ///< Streams aborted after their head was sent.
+  /// Complete answers with neither a length nor chunks, ended by the close of their connection.
+  std::uint64_t answers_ended_by_close = 0;
+  std::uint64_t refused = 0;  ///< Ended as not run.
+  std::uint64_t unknown = 0;  ///< Ended without knowing whether it ran.
+  std::uint64_t broken = 0;   ///< Streams aborted after their head was sent.
   std::uint64_t caller_gone = 0;
   std::uint64_t no_route = 0;  ///< Refused: no such route, or this node has no configuration.
   std::uint64_t unknown_key = 0;
--- a/src/http/client_exchange.cc
+++ b/src/http/client_exchange.cc
@@ -283,6 +283,7 @@
     const bool read = error == std::errc() && end == length.data() + length.size();
     body_end_ = read ? BodyEnd::kLength : BodyEnd::kClose;
   }
+  parsed_.head.ends_with_connection = body_end_ == BodyEnd::kClose && length.empty();
   const bool closes = contains_ignore_case(find_header(headers, "connection"), "close") ||
                       parsed_.minor_version == 0 || body_end_ == BodyEnd::kClose;
   idle_lifetime_ = closes || request_.fresh_connection
@@ -335,9 +336,8 @@
               "connection closed before a response");
     return;
   }
-  const bool whole = body_end_ == BodyEnd::kClose && status == IoStatus::kClosed &&
-                     request_.close_ends_answer &&
-                     find_header(parsed_.head.headers, "content-length").empty();
+  const bool whole = parsed_.head.ends_with_connection && status == IoStatus::kClosed &&
+                     request_.close_ends_answer;
   if (whole) {
     complete(false);
     return;
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -33,11 +33,15 @@
   /// How long its last bytes had waited in the kernel when it was read: a lower bound, zero if it
   /// is unknown.
   Duration read_delay{};
+  std::string protocol{};  ///< Of the caller, for example "HTTP/1.1".
 };
 
 struct ResponseHead {
   std::uint16_t status = 0;
   std::vector<Header> headers;
+  /// The body has neither a length nor chunks, so only the close of the connection ends it. Set by
+  /// the client.
+  bool ends_with_connection = false;
 };
 
 /// A complete response.
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -52,6 +52,12 @@
   return headers;
 }
 
+/// `version` holds the major version in its upper byte and the minor version in its lower byte.
+std::string describe_protocol(int version) {
+  const auto digits = static_cast<unsigned>(version);
+  return "HTTP/" + std::to_string(digits >> 8U) + "." + std::to_string(digits & 0xffU);
+}
+
 Request copy_request(const h2o_req_t& source) {
   Request request;
   request.method = to_view(source.input.method);
@@ -62,6 +68,7 @@
     request.query = path.substr(query_at + 1);
   }
   request.headers = copy_headers(source);
+  request.protocol = describe_protocol(source.version);
   request.body = to_view(source.entity);
   if (h2o_socket_t* socket = source.conn->callbacks->get_socket(source.conn)) {
     request.read_delay = time_since_last_input(h2o_socket_get_fd(socket));
