--- /dev/null
+++ b/src/gateway_node/tests/broken_answer_test.cc
@@ -0,0 +1,329 @@
+// Answers that their back end breaks off. Guards against a node that passes on part of an event, or
+// ends the answer to its caller as if it were complete. Each case combines one framing of the back
+// end's answer, one place and manner of the break, and one protocol of the caller.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cctype>
+#include <string>
+#include <string_view>
+
+#include "gateway_node/tests/http2_caller.h"
+
+using namespace ochrespring;
+using namespace ochrespring::gateway_node;
+using namespace ochrespring::gateway_node::testing;
+
+namespace {
+
+/// A back end that sends raw bytes on one connection.
+class RawBackend {
+ public:
+  RawBackend() : listener_(http::open_listener(Endpoint("127.0.0.1:0"), false).value()) {}
+  ~RawBackend() {
+    close();
+    ::close(listener_);
+  }
+  RawBackend(const RawBackend&) = delete;
+  RawBackend& operator=(const RawBackend&) = delete;
+
+  Endpoint address() const { return bound_endpoint(listener_); }
+
+  /// Runs the node until a request has arrived completely.
+  void await_request(NodeFixture& fixture) {
+    REQUIRE(fixture.run_until([&] {
+      connection_ = connection_ >= 0 ? connection_ : ::accept(listener_, nullptr, nullptr);
+      std::array<char, 4096> buffer{};
+      const ssize_t count = ::recv(connection_, buffer.data(), buffer.size(), MSG_DONTWAIT);
+      request_.append(buffer.data(), static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+      return request_.find("\r\n\r\n") != std::string::npos;
+    }));
+  }
+  void send(std::string_view bytes) const {
+    REQUIRE(::send(connection_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+            static_cast<ssize_t>(bytes.size()));
+  }
+  void close() {
+    if (connection_ >= 0) {
+      ::close(std::exchange(connection_, -1));
+    }
+  }
+  void reset() {
+    const linger discard{1, 0};
+    ::setsockopt(connection_, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+    close();
+  }
+
+ private:
+  int listener_;
+  int connection_ = -1;
+  std::string request_;
+};
+
+/// Encodes an answer with `body`. If `complete` is false, `body` is only its beginning.
+struct Framing {
+  const char* name;
+  bool marks_end;  ///< A close in order before the end shows that the answer is incomplete.
+  std::string (*encode)(std::string_view type, std::string_view body, bool complete);
+};
+
+std::string make_head(std::string_view version, std::string_view type, std::string_view framing) {
+  const gateway::HeaderNames names;
+  return std::string(version) + " 200 OK\r\ncontent-type: " + std::string(type) + "\r\n" +
+         names.request_id + ": r1\r\n" + names.signature + ": sig\r\n" + std::string(framing) +
+         "\r\n";
+}
+
+std::string encode_with_length(std::string_view type, std::string_view body, bool complete) {
+  constexpr std::size_t kMissing = 100;
+  const std::size_t length = body.size() + (complete ? 0 : kMissing);
+  return make_head("HTTP/1.1", type, "content-length: " + std::to_string(length) + "\r\n") +
+         std::string(body);
+}
+
+std::string encode_in_chunks(std::string_view type, std::string_view body, bool complete) {
+  std::string answer = make_head("HTTP/1.1", type, "transfer-encoding: chunked\r\n");
+  if (!body.empty()) {
+    constexpr std::string_view kHexDigits = "0123456789abcdef";
+    REQUIRE(body.size() < 256);
+    answer += {kHexDigits[body.size() / 16], kHexDigits[body.size() % 16]};
+    answer += "\r\n" + std::string(body) + "\r\n";
+  }
+  return answer + (complete ? "0\r\n\r\n" : "");
+}
+
+std::string encode_unframed(std::string_view type, std::string_view body, bool /*complete*/) {
+  return make_head("HTTP/1.1", type, "") + std::string(body);
+}
+
+std::string encode_unframed_http10(std::string_view type, std::string_view body,
+                                   bool /*complete*/) {
+  return make_head("HTTP/1.0", type, "") + std::string(body);
+}
+
+constexpr Framing kFramings[] = {
+    {"length", true, encode_with_length},
+    {"chunks", true, encode_in_chunks},
+    {"neither length nor chunks", false, encode_unframed},
+    {"neither length nor chunks, HTTP/1.0", false, encode_unframed_http10},
+};
+
+/// How a back end breaks off.
+struct Manner {
+  const char* name;
+  bool orderly;
+  void (RawBackend::*end)();
+};
+
+constexpr Manner kManners[] = {
+    {"close", true, &RawBackend::close},
+    {"reset", false, &RawBackend::reset},
+};
+
+const std::string kEvent = "id: 1\ndata: a\n\n";
+const std::string kEvents = kEvent + "id: 2\ndata: b\n\n";
+
+/// A stream cut off inside an event, or before the first one.
+struct Cut {
+  const char* name;
+  std::string body;
+  std::string whole_events;
+};
+
+const Cut kCuts[] = {
+    {"before the first event", "", ""},
+    {"inside the first event", "id: 1\nda", ""},
+    {"inside a later event", kEvent + "id: 2\nda", kEvent},
+    {"before the blank line", kEvent + "id: 2\ndata: b\n", kEvent},
+    {"inside a line end", kEvent + "id: 2\r\ndata: b\r", kEvent},
+    {"inside the blank line", kEvent + "id: 2\r\ndata: b\r\n\r", kEvent},
+    {"behind a comment line", kEvent + ": comment\n", kEvent},
+};
+
+/// What a caller got.
+struct Received {
+  std::string body;
+  bool success = false;   ///< The status is 200.
+  bool complete = false;  ///< The answer looks complete to its caller.
+  bool ended = false;     ///< Nothing more will follow.
+};
+
+std::size_t read_chunk(std::string_view chunks, std::string& body) {
+  const std::size_t line = chunks.find("\r\n");
+  if (line == std::string_view::npos) {
+    return 0;
+  }
+  const std::size_t size = std::stoul(std::string(chunks.substr(0, line)), nullptr, 16);
+  if (chunks.size() < line + 2 + size + 2) {
+    return 0;
+  }
+  body += chunks.substr(line + 2, size);
+  return line + 2 + size + 2;
+}
+
+/// Parses an answer to an HTTP/1 caller.
+Received parse_answer(const std::string& bytes, ConnectionEnd end) {
+  Received received;
+  const std::size_t head = bytes.find("\r\n\r\n");
+  received.ended = end != ConnectionEnd::kOpen;
+  if (head == std::string::npos) {
+    return received;
+  }
+  received.success = bytes.find(" 200 ") < bytes.find("\r\n");
+  std::string fields = bytes.substr(0, head + 2);
+  std::transform(fields.begin(), fields.end(), fields.begin(),
+                 [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+  std::string_view rest = std::string_view(bytes).substr(head + 4);
+  const std::size_t length = fields.find("\r\ncontent-length: ");
+  if (fields.find("\r\ntransfer-encoding: chunked\r\n") != std::string::npos) {
+    while (const std::size_t used = read_chunk(rest, received.body)) {
+      received.complete = rest.starts_with("0\r\n");
+      rest.remove_prefix(used);
+    }
+  } else {
+    received.body = rest;
+    received.complete =
+        length != std::string::npos
+            ? rest.size() == std::stoul(fields.substr(length + sizeof("\r\ncontent-length:")))
+            : end == ConnectionEnd::kClosed;
+  }
+  received.ended = received.ended || received.complete;
+  return received;
+}
+
+/// Callers of one protocol. Each sends one request.
+class Http11Caller {
+ public:
+  explicit Http11Caller(const Endpoint& node) : connection_(node) {}
+  void send(std::string_view path) {
+    connection_.send("GET " + std::string(path) +
+                     " HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n\r\n");
+  }
+  Received receive() { return parse_answer(connection_.receive(), connection_.end()); }
+
+ private:
+  RawCaller connection_;
+};
+
+class Http10Caller {
+ public:
+  explicit Http10Caller(const Endpoint& node) : connection_(node) {}
+  void send(std::string_view path) {
+    connection_.send("GET " + std::string(path) +
+                     " HTTP/1.0\r\nHost: h\r\nX-Request-Id: r1\r\n\r\n");
+  }
+  Received receive() {
+    const std::string& bytes = connection_.receive();
+    return parse_answer(bytes, connection_.end());
+  }
+
+ private:
+  RawCaller connection_;
+};
+
+class FrameCaller {
+ public:
+  explicit FrameCaller(const Endpoint& node) : caller_(node) {}
+  void send(std::string_view path) { caller_.send("GET", path); }
+  Received receive() {
+    const Http2Caller::Answer answer = caller_.receive();
+    return {answer.body, answer.success, answer.complete, answer.complete || answer.was_reset};
+  }
+
+ private:
+  Http2Caller caller_;
+};
+
+/// Has the back end answer a request of a caller with `bytes` and end its connection; returns what
+/// the caller got.
+template <class Caller>
+Received exchange(std::string_view path, const std::string& bytes, const Manner& manner) {
+  RawBackend backend;
+  NodeFixture fixture(backend.address());
+  Caller caller(fixture.address());
+  caller.send(path);
+  backend.await_request(fixture);
+  backend.send(bytes);
+  fixture.settle();
+  (backend.*manner.end)();
+  Received received;
+  REQUIRE(fixture.run_until([&] {
+    received = caller.receive();
+    return received.ended;
+  }));
+  return received;
+}
+
+template <class Caller>
+void check_cut_streams() {
+  for (const Framing& framing : kFramings) {
+    for (const Manner& manner : kManners) {
+      for (const Cut& cut : kCuts) {
+        CAPTURE(std::string(framing.name));
+        CAPTURE(std::string(manner.name));
+        CAPTURE(std::string(cut.name));
+        const Received received = exchange<Caller>(
+            "/stream/1", framing.encode("text/event-stream", cut.body, false), manner);
+        CHECK_FALSE((received.success && received.complete));
+        CHECK((!received.success || cut.whole_events.starts_with(received.body)));
+      }
+    }
+  }
+}
+
+template <class Caller>
+void check_whole_streams() {
+  for (const Framing& framing : kFramings) {
+    CAPTURE(std::string(framing.name));
+    const Received received = exchange<Caller>(
+        "/stream/1", framing.encode("text/event-stream", kEvents, true), kManners[0]);
+    CHECK(received.success);
+    CHECK(received.complete);
+    CHECK(received.body == kEvents);
+  }
+}
+
+template <class Caller>
+void check_ordinary_answers() {
+  for (const Framing& framing : kFramings) {
+    CAPTURE(std::string(framing.name));
+    const Received whole =
+        exchange<Caller>("/short/1", framing.encode("text/plain", "whole", true), kManners[0]);
+    CHECK((whole.success && whole.complete && whole.body == "whole"));
+    for (const Manner& manner : kManners) {
+      if (manner.orderly && !framing.marks_end) {
+        continue;  // Nothing distinguishes such an answer from a complete one.
+      }
+      CAPTURE(std::string(manner.name));
+      const Received cut =
+          exchange<Caller>("/short/1", framing.encode("text/plain", "who", false), manner);
+      CHECK_FALSE(cut.success);
+    }
+  }
+}
+
+}  // namespace
+
+TEST_CASE("HTTP/1.1: a stream cut off inside an event never looks complete") {
+  check_cut_streams<Http11Caller>();
+}
+
+TEST_CASE("HTTP/1.0: a stream cut off inside an event never looks complete") {
+  check_cut_streams<Http10Caller>();
+}
+
+TEST_CASE("HTTP/2: a stream cut off inside an event never looks complete") {
+  check_cut_streams<FrameCaller>();
+}
+
+TEST_CASE("a whole stream is delivered whole in any framing") {
+  check_whole_streams<Http11Caller>();
+  check_whole_streams<Http10Caller>();
+  check_whole_streams<FrameCaller>();
+}
+
+TEST_CASE("an ordinary answer is delivered whole or not at all") {
+  check_ordinary_answers<Http11Caller>();
+  check_ordinary_answers<Http10Caller>();
+  check_ordinary_answers<FrameCaller>();
+}
--- a/src/gateway_node/tests/http2_caller.h
+++ b/src/gateway_node/tests/http2_caller.h
@@ -58,9 +58,10 @@
 
   struct Answer {
     std::string body;
-    bool head = false;      ///< The response headers have arrived.
-    bool success = false;   ///< The status is 200.
-    bool complete = false;  ///< The end of the stream has arrived, not by a reset.
+    bool head = false;       ///< The response headers have arrived.
+    bool success = false;    ///< The status is 200.
+    bool complete = false;   ///< The end of the stream has arrived, not by a reset.
+    bool was_reset = false;  ///< The node has reset the stream.
   };
   /// Parses everything received so far.
   Answer receive() {
@@ -124,6 +125,7 @@
     const auto type = static_cast<std::uint8_t>(bytes[3]);
     const auto flags = static_cast<std::uint8_t>(bytes[4]);
     const std::string_view payload = bytes.substr(kFrameHeaderBytes, payload_size(bytes));
+    answer.was_reset = answer.was_reset || type == kResetStream;
     if (type != kData && type != kHeaders) {
       return;
     }
--- a/src/gateway_node/tests/stopping_node.h
+++ b/src/gateway_node/tests/stopping_node.h
@@ -14,6 +14,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -39,16 +40,18 @@
   std::atomic<MonotonicTime> now_{MonotonicTime(std::chrono::hours(1))};
 };
 
-/// Routes `/short/` (timeout 2 s) and `/long/` (timeout 20 s) of host `h` to a service with one
-/// back end.
-class TwoRoutesCodec final : public discovery::FleetCodec {
+/// Routes `/short/` (timeout 2 s), `/long/` (timeout 20 s) and `/stream/` (event streams, timeout
+/// 20 s) of host `h` to a service with one back end.
+class RoutesCodec final : public discovery::FleetCodec {
  public:
   const discovery::StoreLayout& layout() const override { return layout_; }
   Result<gateway::Configuration, discovery::CodecError> read_configuration(
       std::string_view /*value*/) const override {
     gateway::Configuration configuration;
     configuration.version = gateway::ConfigurationVersion(1);
-    configuration.routes = {make_route("/short/", 2s), make_route("/long/", 20s)};
+    gateway::Route stream = make_route("/stream/", 20s);
+    stream.kind = gateway::RequestKind::kStreaming;
+    configuration.routes = {make_route("/short/", 2s), make_route("/long/", 20s), stream};
     configuration.services = {{ServiceName("relay"), 100, std::nullopt}};
     return configuration;
   }
@@ -183,6 +186,9 @@
   std::vector<std::shared_ptr<http::ResponseWriter>> held;
 };
 
+/// How a connection stands, as its peer sees it.
+enum class ConnectionEnd : std::uint8_t { kOpen, kClosed, kReset };
+
 /// A caller's TCP connection.
 class RawCaller {
  public:
@@ -223,18 +229,28 @@
     while ((count = ::recv(descriptor_, buffer.data(), buffer.size(), MSG_DONTWAIT)) > 0) {
       received_.append(buffer.data(), static_cast<std::size_t>(count));
     }
+    if (end_ == ConnectionEnd::kOpen && count == 0) {
+      end_ = ConnectionEnd::kClosed;
+    } else if (end_ == ConnectionEnd::kOpen && errno != EAGAIN) {
+      end_ = ConnectionEnd::kReset;
+    }
     return received_;
   }
+  /// As seen by the last receive().
+  ConnectionEnd end() const { return end_; }
 
  private:
   int descriptor_;
   std::string received_;
+  ConnectionEnd end_ = ConnectionEnd::kOpen;
 };
 
 /// Runs the node and everything around it in one event loop.
 class NodeFixture {
  public:
-  NodeFixture() {
+  /// With `backend_address`, the store names the back end there instead of `backend`.
+  explicit NodeFixture(std::optional<Endpoint> backend_address = std::nullopt)
+      : store(loop, backend_address.value_or(backend.server.bound()).value()) {
     REQUIRE(node.start());
     advance(1s);
   }
@@ -317,11 +333,11 @@
   http::EventLoop loop{clock};
   http::Client client{loop};
   HoldingBackend backend{loop};
-  FakeStore store{loop, backend.server.bound().value()};
+  FakeStore store;
   SeededRandom random{5};
   gateway::HeaderNames names;
   StubEngineCalls engines;
-  TwoRoutesCodec codec;
+  RoutesCodec codec;
   GatewayNode node{loop,
                    client,
                    clock,
