A stream that ends inside an event was broken off by its back end

Callers saw: a success framed as complete that ends in the middle of an event, after any number of events; no retry or resume where the route allows one.

Cause: an answer with neither a length nor chunks ends with its connection, so for HTTP an orderly close is its proper end wherever it comes. Only what knows the events can tell that it came too early; RequestSession sent what was left of an event on and finished the answer.

The new case of resumed_stream_test failed before (not resumed at its backup engine).

Fix: missing_part() looks at what is left of an event before the attempt is counted, reported as answered or passed on; the attempt then fails as truncated, in whatever framing, and is resumed, retried or ended as broken like any other. fail_attempt() is the part of on_failure() that both use.

--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "gateway/backend_request.h"
 #include "gateway/backend_statement.h"
@@ -47,6 +48,13 @@
   bool uses_cache = false;       ///< Uses the cache handle of a prefill engine.
 };
 
+/// Why the answer of an attempt that forwards events is incomplete although its body has ended;
+/// empty if it is complete. Without a length or chunks, a back end that fails may end the body
+/// anywhere.
+inline std::string_view missing_part(const Attempt& attempt) {
+  return attempt.events.rest().empty() ? "" : "stream ended inside an event";
+}
+
 /// Whether an attempt with this verdict certainly did not prefill the prompt.
 inline bool is_certainly_not_prefilled(AttemptOutcome verdict) {
   return verdict == AttemptOutcome::kRefused || verdict == AttemptOutcome::kNotSent ||
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -230,6 +230,11 @@
     end_prefill(attempt_->head->status != 200);
     return;
   }
+  const std::string_view missing = attempt_->forwards_events ? missing_part(*attempt_) : "";
+  if (!missing.empty()) {
+    fail_attempt({http::HttpErrc::kTruncated, std::string(missing)});
+    return;
+  }
   retry_limit_.note_send();
   handle_complete_answer();
 }
@@ -338,10 +343,8 @@
 }
 
 void RequestSession::relay_complete_answer() {
-  const std::string_view rest = attempt_->events.rest();
   if (attempt_->forwards_events) {
     send_answer_head(*attempt_->head);
-    writer_->send_body(rest);
     writer_->finish();
   } else if (head_sent_) {
     // The caller already has the head of a stream, but this answer is not one.
@@ -431,6 +434,11 @@
     }
     return;
   }
+  fail_attempt(error);
+}
+
+/// Ends the current attempt, of which a byte may have been sent, as failed.
+void RequestSession::fail_attempt(const http::HttpError& error) {
   log_.note_failure(error, *attempt_, fingerprint().to_hex());
   const bool timed_out = error.code == http::HttpErrc::kTimeout;
   reports_.note_failure(
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -112,6 +112,7 @@
   /// granted.
   bool acquire_retry();
   void on_send_withdrawn();
+  void fail_attempt(const http::HttpError& error);
   FailedRun failed_run(http::HttpErrc error) const;
   /// Whether the stream is replicated and its engine is known to have terminated.
   bool has_runner_terminated() const;
--- a/src/gateway/tests/resumed_stream_test.cc
+++ b/src/gateway/tests/resumed_stream_test.cc
@@ -404,3 +404,40 @@
   CHECK(caller->aborted);
   CHECK(statistics.streams_not_resumed == 1);
 }
+
+// Guards against a stream that its back end broke off and that is taken for complete, because the
+// answer has neither a length nor chunks or its framing ended inside an event.
+TEST_CASE_FIXTURE(ResumeFixture, "a stream whose answer ends inside an event was broken off") {
+  SUBCASE("resumed at its backup engine") {
+    const auto caller = begin("/stream/x");
+    run->observer->on_complete();
+    REQUIRE(resumed_at_backup());
+    CHECK(last().header("last-event-id") == "1");
+    CHECK(caller->body == "id: 1\ndata: a\n\n");
+    last().answer(200, {{names.signature, "other"}}, "id: 2\ndata: b\n\n");
+    CHECK(caller->finished);
+    CHECK(caller->body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  }
+  SUBCASE("retried") {
+    const auto caller = ask("/resumable/x", "200,75");
+    REQUIRE(backup.empty());
+    run->observer->on_head({200, {signature()}});
+    run->observer->on_body("id: 1\ndata: a\n\nid: 2\nda");
+    run->observer->on_complete();
+    REQUIRE(sends() == 2);
+    CHECK(last().header("last-event-id") == "1");
+  }
+  SUBCASE("ended as incomplete") {
+    const auto caller = ask("/stream/x", "200,75");
+    run->observer->on_head({200, {signature()}});
+    run->observer->on_body("id: 1\ndata: a\n\nid: 2\nda");
+    run->observer->on_complete();
+    CHECK(sends() == 1);
+    CHECK(caller->aborted);
+    CHECK_FALSE(caller->finished);
+    CHECK(caller->body == "id: 1\ndata: a\n\n");
+    CHECK(statistics.broken == 1);
+    CHECK(statistics.answered == 0);
+  }
+  CHECK(guard.kinds == std::vector{AttemptFailureKind::kClosed});
+}
