An event stream that ends with its connection before any event is no success

Callers saw: a 200 framed as complete and empty, where the engine had failed right after its head.

Cause: with neither a length nor chunks an orderly close was the end of the answer also before the first event. A run that succeeds yields an event; an engine that has none to send can say so by a length or the last chunk. A close says as little as nothing: taken for an end it cannot be mended by the caller, taken for a break it can be asked again.

--- a/src/gateway/tests/resumed_stream_test.cc
+++ b/src/gateway/tests/resumed_stream_test.cc
@@ -441,3 +441,33 @@
   }
   CHECK(guard.kinds == std::vector{AttemptFailureKind::kClosed});
 }
+
+// Guards against a back end that fails after the head of its answer: the caller would get an empty
+// stream as a success.
+TEST_CASE_FIXTURE(ResumeFixture,
+                  "a stream without an event is complete only if its answer says so") {
+  http::ResponseHead head{200, {signature()}};
+  SUBCASE("ended by the connection") {
+    head.ends_with_connection = true;
+    const auto caller = ask("/stream/x");
+    run->observer->on_head(head);
+    run->observer->on_complete();
+    CHECK(caller->head.status == 502);
+    CHECK(guard.kinds == std::vector{AttemptFailureKind::kClosed});
+  }
+  SUBCASE("ended by the connection, retryable") {
+    head.ends_with_connection = true;
+    ask("/resumable/x", "200,75");
+    run->observer->on_head(head);
+    run->observer->on_complete();
+    CHECK(sends() == 2);
+  }
+  SUBCASE("ended by its length or last chunk") {
+    const auto caller = ask("/stream/x");
+    run->observer->on_head(head);
+    run->observer->on_complete();
+    CHECK(caller->head.status == 200);
+    CHECK(caller->finished);
+    CHECK(guard.kinds.empty());
+  }
+}
