An aborted response to an HTTP/1.0 caller ends with a reset in every state

Callers saw: HTTP/1.0 callers took any stream that the gateway broke off behind its first event for complete, in every framing of the back end's answer; so also streams cut off by the end of the node's process.

Cause: for such a caller the close of the connection is the end of the body. The reset was only armed when the abort was written, and the connection was shut down before, which sends an orderly end first (pump(), reset_connection(), the server's destruction). A process that is killed closes its connections in order.

Fix: from the start of the response until its last byte is with the kernel each close of the connection is a reset; an abort closes without a shutdown, and where h2o waits for the caller to read, the connection is dissolved at once (connect() to no address), so that nothing orderly can go out between shutdown and close.

--- a/src/http/response_stream.cc
+++ b/src/http/response_stream.cc
@@ -40,6 +40,20 @@
 
 }  // namespace
 
+void shut_down_connection(const h2o_req_t& request) {
+  h2o_socket_t* socket = request.conn->callbacks->get_socket(request.conn);
+  if (socket == nullptr) {
+    return;
+  }
+  const int descriptor = h2o_socket_get_fd(socket);
+  // The kernel would deliver the end that a shutdown sends behind the data that it still holds, and
+  // a caller older than HTTP/1.1 takes that for the end of the response.
+  const bool was_reset = request.version < kHttp11Version && http::reset_connection(descriptor);
+  if (!was_reset) {
+    ::shutdown(descriptor, SHUT_RDWR);
+  }
+}
+
 void ResponseWriter::respond(std::uint16_t status, std::vector<Header> headers,
                              std::string_view body) {
   headers.push_back({std::string(kContentLength), std::to_string(body.size())});
@@ -71,9 +85,12 @@
 
 void ResponseStream::on_request_disposed() {
   stop_watching();
+  const bool whole = final_sent_ && end_ == End::kFinished && !writing_;
+  if (whole && close_ends_response()) {
+    clear_reset_on_close(h2o_socket_get_fd(http1_socket()));
+  }
   request_ = nullptr;
   const std::shared_ptr<ResponseStream> keep = std::move(self_);
-  const bool whole = final_sent_ && end_ == End::kFinished && !writing_;
   in_flight_.clear();
   queued_.clear();
   if (!whole && end_ == End::kNone) {
@@ -104,10 +121,19 @@
   }
   head_sent_ = true;
   copy_head(head, *request_);
-  h2o_start_response(request_, &generator_.super);
+  start_response();
   schedule_pump();
 }
 
+/// Until an HTTP/1.0 response has been sent to its end, each close of the connection is a reset,
+/// also one by the kernel when the process ends.
+void ResponseStream::start_response() {
+  if (close_ends_response()) {
+    set_reset_on_close(h2o_socket_get_fd(http1_socket()));
+  }
+  h2o_start_response(request_, &generator_.super);
+}
+
 void ResponseStream::send_body(std::string_view bytes) {
   if (closed() || end_ != End::kNone || bytes.empty()) {
     return;
@@ -166,12 +192,13 @@
       head_sent_ = true;
       request_->res.status = 500;
       request_->res.reason = "";
-      h2o_start_response(request_, &generator_.super);
+      start_response();
     }
-    if (request_->version < kHttp11Version) {
-      reset_on_close();
+    // h2o would mark a broken HTTP/1.1 response by an invalid chunk; the caller must receive
+    // complete chunks followed by the end of the connection.
+    if (http1_socket() != nullptr && !close_ends_response()) {
+      shut_down_connection(*request_);
     }
-    shut_down_connection();
     send(H2O_SEND_STATE_ERROR);
     return;
   }
@@ -269,33 +296,17 @@
   h2o_socket_dont_read(socket, 0);
 }
 
-/// Makes the close of an HTTP/1 connection a reset: an HTTP/1.0 caller would take an orderly close
-/// for the end of the response.
-void ResponseStream::reset_on_close() {
-  h2o_socket_t* socket = http1_socket();
-  if (socket == nullptr) {
-    return;
-  }
-  set_reset_on_close(h2o_socket_get_fd(socket));
-}
-
-/// Closes an HTTP/1 connection before h2o marks the response as broken. h2o's mark is an invalid
-/// chunk; the caller must receive complete chunks followed by the end of the connection.
-void ResponseStream::shut_down_connection() {
-  h2o_socket_t* socket = http1_socket();
-  if (socket != nullptr) {
-    ::shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
-  }
+/// Whether the caller takes an orderly close for the end of the response, as in HTTP/1.0.
+bool ResponseStream::close_ends_response() const {
+  return http1_socket() != nullptr && request_->version < kHttp11Version;
 }
 
 /// Resets an HTTP/1 connection whose caller does not read the bytes being written.
 void ResponseStream::reset_connection() {
-  h2o_socket_t* socket = http1_socket();
-  if (socket == nullptr) {
-    return;
+  if (h2o_socket_t* socket = http1_socket()) {
+    set_reset_on_close(h2o_socket_get_fd(socket));
+    shut_down_connection(*request_);
   }
-  reset_on_close();
-  ::shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
 }
 
 }  // namespace ochrespring::http
--- a/src/http/response_stream.h
+++ b/src/http/response_stream.h
@@ -11,6 +11,10 @@
 
 namespace ochrespring::http {
 
+/// Shuts down the connection of an unfinished request, so that h2o closes it. The caller sees that
+/// the response is incomplete.
+void shut_down_connection(const h2o_req_t& request);
+
 /// Buffers the response for h2o's generator interface, which accepts one write at a time. Writes
 /// made in one loop iteration are merged. May outlive the h2o request, whose disposal it detects
 /// through the request's memory pool: this is the only notification that h2o gives in all cases
@@ -59,8 +63,8 @@
   void watch_for_disconnect();
   void check_for_disconnect();
   void stop_watching();
-  void reset_on_close();
-  void shut_down_connection();
+  void start_response();
+  bool close_ends_response() const;
   void reset_connection();
 
   EventLoop& loop_;
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -214,19 +214,16 @@
     listener = nullptr;
   }
 
-  static int shut_down_connection(h2o_req_t* request, void* /*data*/) {
-    h2o_socket_t* socket = request->conn->callbacks->get_socket(request->conn);
-    if (socket != nullptr) {
-      ::shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
-    }
+  static int on_open_request(h2o_req_t* request, void* /*data*/) {
+    shut_down_connection(*request);
     return 0;
   }
 
   /// Closes the open connections and lets h2o free them; the loop no longer runs by itself.
   void close_connections() {
     h2o_context_request_shutdown(&context);
-    config.http1.callbacks.foreach_request(&context, shut_down_connection, nullptr);
-    config.http2.callbacks.foreach_request(&context, shut_down_connection, nullptr);
+    config.http1.callbacks.foreach_request(&context, on_open_request, nullptr);
+    config.http2.callbacks.foreach_request(&context, on_open_request, nullptr);
     for (int i = 0; i != kClosingIterations; ++i) {
       h2o_evloop_run(loop.native(), 0);
     }
--- a/src/http/tcp_state.cc
+++ b/src/http/tcp_state.cc
@@ -22,6 +22,10 @@
   return info;
 }
 
+void set_linger(int descriptor, const linger& option) {
+  ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
 }  // namespace
 
 bool has_peer_closed(int descriptor) {
@@ -35,8 +39,18 @@
 }
 
 void set_reset_on_close(int descriptor) {
-  const linger discard{1, 0};
-  ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+  set_linger(descriptor, {1, 0});
+}
+
+void clear_reset_on_close(int descriptor) {
+  set_linger(descriptor, {0, 0});
+}
+
+bool reset_connection(int descriptor) {
+  // Dissolves the association of a TCP socket with its peer.
+  sockaddr unspecified{};
+  unspecified.sa_family = AF_UNSPEC;
+  return ::connect(descriptor, &unspecified, sizeof(unspecified)) == 0;
 }
 
 Duration time_since_last_input(int descriptor) {
--- a/src/http/tcp_state.h
+++ b/src/http/tcp_state.h
@@ -15,6 +15,13 @@
 /// Makes the close of the connection a reset, which discards what the kernel has not delivered yet.
 void set_reset_on_close(int descriptor);
 
+/// Makes the close of the connection orderly again.
+void clear_reset_on_close(int descriptor);
+
+/// Resets the connection at once: the peer gets nothing more of what was written, and reading and
+/// writing fail from now on. Returns false if the system does not support that.
+bool reset_connection(int descriptor);
+
 /// Time since the last data arrived, with a resolution of milliseconds; zero if it is unknown.
 /// Costs a system call.
 Duration time_since_last_input(int descriptor);
--- a/src/http/tests/broken_answer_test.cc
+++ b/src/http/tests/broken_answer_test.cc
@@ -6,7 +6,9 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <cerrno>
 #include <string>
+#include <string_view>
 #include <thread>
 
 #include "http/server.h"
@@ -17,29 +19,57 @@
 
 namespace {
 
+/// A caller's connection on which one request has been sent.
+class RawCaller {
+ public:
+  RawCaller(const Endpoint& endpoint, const std::string& request)
+      : descriptor_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    auto address = http::parse_endpoint(endpoint).value();
+    REQUIRE(::connect(descriptor_, address.get(), address.length) == 0);
+    REQUIRE(::send(descriptor_, request.data(), request.size(), 0) > 0);
+  }
+  ~RawCaller() { ::close(descriptor_); }
+  RawCaller(const RawCaller&) = delete;
+  RawCaller& operator=(const RawCaller&) = delete;
+
+  /// Reads until the connection ends.
+  std::string read_to_end() {
+    std::string received;
+    std::array<char, 4096> buffer{};
+    ssize_t count = 0;
+    while ((count = ::recv(descriptor_, buffer.data(), buffer.size(), 0)) > 0) {
+      received.append(buffer.data(), static_cast<std::size_t>(count));
+    }
+    was_reset_ = count < 0 && errno == ECONNRESET;
+    return received;
+  }
+  /// Whether read_to_end() found a reset instead of an orderly close.
+  bool was_reset() const { return was_reset_; }
+
+ private:
+  int descriptor_;
+  bool was_reset_ = false;
+};
+
 /// Sends `request` and reads until the connection closes.
 std::string read_raw(const Endpoint& endpoint, const std::string& request) {
-  auto address = http::parse_endpoint(endpoint).value();
-  const int caller = ::socket(AF_INET, SOCK_STREAM, 0);
-  REQUIRE(::connect(caller, address.get(), address.length) == 0);
-  REQUIRE(::send(caller, request.data(), request.size(), 0) > 0);
-  std::string received;
-  std::array<char, 4096> buffer{};
-  ssize_t count = 0;
-  while ((count = ::recv(caller, buffer.data(), buffer.size(), 0)) > 0) {
-    received.append(buffer.data(), static_cast<std::size_t>(count));
-  }
-  ::close(caller);
-  return received;
+  return RawCaller(endpoint, request).read_to_end();
+}
+
+const std::string kHttp10Request = "GET / HTTP/1.0\r\nhost: a\r\n\r\n";
+constexpr std::string_view kEvent = "id: 1\n\n";
+
+http::ServerSettings any_port() {
+  http::ServerSettings settings;
+  settings.listen = Endpoint("127.0.0.1:0");
+  return settings;
 }
 
 }  // namespace
 
 TEST_CASE("an aborted stream ends after its last complete chunk without further bytes") {
   http::EventLoop loop;
-  http::ServerSettings settings;
-  settings.listen = Endpoint("127.0.0.1:0");
-  http::Server server(loop, settings);
+  http::Server server(loop, any_port());
   server.route("/", [&loop](const http::Request&, std::shared_ptr<http::ResponseWriter> response) {
     response->send_head({200, {{"content-type", "text/event-stream"}}});
     response->send_body("id: 1\n\n");
@@ -60,9 +90,7 @@
 
 TEST_CASE("after announce_close(), responses close their connections and new ones are accepted") {
   http::EventLoop loop;
-  http::ServerSettings settings;
-  settings.listen = Endpoint("127.0.0.1:0");
-  http::Server server(loop, settings);
+  http::Server server(loop, any_port());
   server.route("/",
                [](const http::Request&, const std::shared_ptr<http::ResponseWriter>& response) {
                  response->respond(200, {}, "whole");
@@ -83,3 +111,96 @@
                  [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
   CHECK(head.find("connection: close") != std::string::npos);
 }
+
+// Guards against an orderly close, which an HTTP/1.0 caller takes for the end of the answer.
+TEST_CASE("HTTP/1.0: an aborted stream ends with a reset") {
+  http::EventLoop loop;
+  http::Server server(loop, any_port());
+  server.route("/", [&loop](const http::Request&, std::shared_ptr<http::ResponseWriter> response) {
+    response->send_head({200, {{"content-type", "text/event-stream"}}});
+    response->send_body(kEvent);
+    loop.schedule_after(20ms, [response] { response->abort(); });
+  });
+  REQUIRE(server.listen());
+  RawCaller caller(server.bound(), kHttp10Request);
+  std::string received;
+  std::thread reader([&] {
+    received = caller.read_to_end();
+    loop.stop();
+  });
+  loop.run();
+  reader.join();
+  CHECK(caller.was_reset());
+  CHECK(received.ends_with(kEvent));
+}
+
+// Guards against a close that the kernel delivers behind the data before the connection is reset.
+TEST_CASE("HTTP/1.0: a stream aborted while its caller does not read ends with a reset") {
+  constexpr std::size_t kMoreThanBuffersTake = 32U << 20U;
+  http::EventLoop loop;
+  http::Server server(loop, any_port());
+  std::shared_ptr<http::ResponseWriter> stream;
+  server.route("/",
+               [&](const http::Request&, const std::shared_ptr<http::ResponseWriter>& response) {
+                 stream = response;
+                 response->send_head({200, {{"content-type", "text/event-stream"}}});
+                 response->send_body(std::string(kMoreThanBuffersTake, 'a'));
+               });
+  REQUIRE(server.listen());
+  RawCaller caller(server.bound(), kHttp10Request);
+  loop.schedule_after(200ms, [&] {
+    REQUIRE(stream);
+    stream->abort();
+    // The caller reads everything that the kernel delivers before the loop continues.
+    std::thread reader([&] { caller.read_to_end(); });
+    reader.join();
+    loop.stop();
+  });
+  loop.run();
+  CHECK(caller.was_reset());
+}
+
+// Guards against an orderly close by the kernel when the process is killed.
+TEST_CASE("HTTP/1.0: the connection of an unfinished stream is reset whenever it closes") {
+  http::EventLoop loop;
+  auto server = std::make_unique<http::Server>(loop, any_port());
+  std::shared_ptr<http::ResponseWriter> stream;
+  server->route("/",
+                [&](const http::Request&, const std::shared_ptr<http::ResponseWriter>& response) {
+                  stream = response;
+                  response->send_head({200, {{"content-type", "text/event-stream"}}});
+                  response->send_body(kEvent);
+                });
+  REQUIRE(server->listen());
+  RawCaller caller(server->bound(), kHttp10Request);
+  loop.schedule_after(50ms, [&] { loop.stop(); });
+  loop.run();
+  REQUIRE(stream);
+  server.reset();
+  const std::string received = caller.read_to_end();
+  CHECK(caller.was_reset());
+  CHECK(received.ends_with(kEvent));
+}
+
+TEST_CASE("HTTP/1.0: a finished stream ends with an orderly close") {
+  constexpr std::size_t kMoreThanOneWrite = 1U << 20U;
+  http::EventLoop loop;
+  http::Server server(loop, any_port());
+  server.route("/",
+               [](const http::Request&, const std::shared_ptr<http::ResponseWriter>& response) {
+                 response->send_head({200, {{"content-type", "text/event-stream"}}});
+                 response->send_body(std::string(kMoreThanOneWrite, 'a'));
+                 response->finish();
+               });
+  REQUIRE(server.listen());
+  RawCaller caller(server.bound(), kHttp10Request);
+  std::string received;
+  std::thread reader([&] {
+    received = caller.read_to_end();
+    loop.stop();
+  });
+  loop.run();
+  reader.join();
+  CHECK_FALSE(caller.was_reset());
+  CHECK(received.substr(received.find("\r\n\r\n") + 4) == std::string(kMoreThanOneWrite, 'a'));
+}
