The survey of cached parts accepts a listing that ends with its connection

Cause: an engine may answer with neither a length nor chunks; the survey took such a listing for cut short, and the node did not know what that engine keeps. A listing that was cut short does not parse.

--- a/src/gateway/cache_survey.cc
+++ b/src/gateway/cache_survey.cc
@@ -44,6 +44,8 @@
   request.endpoint = engine.address;
   request.timeout = kTimeout;
   request.connect_timeout = kTimeout;
+  // A listing that was cut short cannot be parsed, so a close is accepted as its end.
+  request.close_ends_answer = true;
   fetch_(engine.id, std::move(request), [this, id = engine.id](const std::string& body) {
     if (fleet_.find(id) == nullptr) {
       return;
--- a/src/gateway/tests/policies_test.cc
+++ b/src/gateway/tests/policies_test.cc
@@ -297,6 +297,9 @@
   survey.begin(NodeId("n1"), {NodeId("n1")});
   survey.begin(NodeId("n1"), {NodeId("n1")});
   CHECK(asked.size() == 3);
+  for (const http::ClientRequest& request : asked) {
+    CHECK(request.close_ends_answer);
+  }
   CHECK(loads.find_or_create(BackendId("b")).holds(stable_hash("k1"), time.now()));
   CHECK_FALSE(loads.find_or_create(BackendId("a")).holds(stable_hash("k1"), time.now()));
 }
