CallerAnswer: what the caller receives, apart from the session that decides it

RequestSession held the writer, whether a head was sent, and the kept error answer, each written at several places. No behaviour changes.

--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -6,7 +6,6 @@
 #include <string>
 #include <utility>
 
-#include "gateway/header_rules.h"
 #include "gateway/progress_timeout.h"
 
 namespace ochrespring::gateway {
@@ -39,7 +38,8 @@
       tenant_(admission.key.tenant),
       log_(environment.clock, environment.logger, route_, tenant_),
       request_(std::move(incoming.request)),
-      writer_(std::move(incoming.writer)),
+      answer_(environment.clock, environment.statistics, std::move(incoming.writer),
+              incoming.arrived),
       arrived_(incoming.arrived),
       deadline_timer_(environment.timers),
       progress_timer_(environment.timers),
@@ -80,12 +80,12 @@
     last_event_ = http::parse_number(last_event).value_or(0);
   }
   environment_.budget.note_request(service_, now);
-  writer_->on_closed([weak = weak_from_this()] {
+  answer_.writer()->on_closed([weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
       self->on_caller_disconnected();
     }
   });
-  writer_->on_drained([weak = weak_from_this()] {
+  answer_.writer()->on_drained([weak = weak_from_this()] {
     const auto self = weak.lock();
     if (self && self->attempt_ && self->attempt_->exchange) {
       self->attempt_->exchange->set_reading(true);
@@ -163,7 +163,7 @@
 
 AttemptInput RequestSession::attempt_input() const {
   return {.request = request_,
-          .caller = writer_,
+          .caller = answer_.writer(),
           .service = routes_->configuration().find_service(service_),
           .tenant = tenant_,
           .prompt = prompt_ ? &*prompt_ : nullptr,
@@ -171,7 +171,7 @@
           .priority = priority(),
           .time_left = time_left(),
           .last_event = last_event_,
-          .head_sent = head_sent_,
+          .head_sent = answer_.has_begun(),
           .trial = dispatch_->trial()};
 }
 
@@ -332,9 +332,9 @@
     relay_complete_answer();
     return;
   }
-  if (!is_success(head.status) && !head_sent_ && route_.repeatable() && acquire_retry()) {
+  if (!is_success(head.status) && !answer_.has_begun() && route_.repeatable() && acquire_retry()) {
     note("back end answered with an error", std::to_string(head.status));
-    failed_answer_ = FailedAnswer{head, std::move(attempt_->body)};
+    answer_.keep_error(head, std::move(attempt_->body));
     end_attempt(AttemptOutcome::kFailed);
     dispatch_->begin();
     return;
@@ -344,15 +344,15 @@
 
 void RequestSession::relay_complete_answer() {
   if (attempt_->forwards_events) {
-    send_answer_head(*attempt_->head);
-    writer_->finish();
-  } else if (head_sent_) {
+    answer_.begin_stream(*attempt_->head);
+    answer_.finish_stream();
+  } else if (answer_.has_begun()) {
     // The caller already has the head of a stream, but this answer is not one.
     end_attempt(AttemptOutcome::kFailed);
     retry_or_fail(FailureReason::kBroken);
     return;
   } else {
-    send_complete_answer(*attempt_->head, attempt_->body);
+    answer_.send(*attempt_->head, attempt_->body);
   }
   ++environment_.statistics.answered;
   environment_.statistics.answers_ended_by_close += attempt_->ends_with_connection ? 1 : 0;
@@ -363,12 +363,6 @@
   finish("answered");
 }
 
-void RequestSession::send_complete_answer(const http::ResponseHead& head, std::string_view body) {
-  head_sent_ = true;
-  environment_.statistics.first_byte.note(environment_.clock.now() - arrived_);
-  writer_->respond(head.status, headers_for_caller(head.headers), body);
-}
-
 void RequestSession::forward_events() {
   bool forwarded = false;
   while (const auto event = attempt_->events.next()) {
@@ -392,31 +386,21 @@
   if (event.id && last_event_ && *event.id <= *last_event_) {
     return false;
   }
-  send_answer_head(*attempt_->head);
+  answer_.begin_stream(*attempt_->head);
   if (event.id) {
     last_event_ = event.id;
   }
   backup_.note_event(event);
   timing_.note_event(environment_.clock.now());
   attempt_->observation->note_event(environment_.clock.now());
-  writer_->send_body(event.bytes);
-  if (writer_->buffered_bytes() > kMaxCallerBufferBytes) {
+  answer_.send_event(event.bytes);
+  if (answer_.buffered_bytes() > kMaxCallerBufferBytes) {
     attempt_->observation->note_reading_stopped();
     attempt_->exchange->set_reading(false);
   }
   return true;
 }
 
-/// Sends the head of the first back end that answers with events to the caller.
-void RequestSession::send_answer_head(const http::ResponseHead& head) {
-  if (head_sent_) {
-    return;
-  }
-  head_sent_ = true;
-  environment_.statistics.first_byte.note(environment_.clock.now() - arrived_);
-  writer_->send_head({head.status, headers_for_caller(head.headers)});
-}
-
 void RequestSession::on_failure(const http::HttpError& error, bool sent) {
   const std::shared_ptr<RequestSession> keep = shared_from_this();
   if (error.code == http::HttpErrc::kWithdrawn) {
@@ -516,7 +500,7 @@
 /// While the request waited for a connection, its caller disconnected or the back end began a
 /// backoff period.
 void RequestSession::on_send_withdrawn() {
-  if (writer_->poll_closed()) {
+  if (answer_.writer()->poll_closed()) {
     note("request not sent: caller disconnected", "");
     ++environment_.statistics.sends_without_caller;
     end_attempt(AttemptOutcome::kNotSent);
@@ -546,7 +530,7 @@
     return;
   }
   if (allowed && acquire_retry()) {
-    if (head_sent_) {
+    if (answer_.has_begun()) {
       ++environment_.statistics.started_streams_retried;
     }
     dispatch_->begin();
@@ -594,7 +578,7 @@
   if (!route_.repeatable() && !has_runner_terminated()) {
     return;
   }
-  progress_timer_.arm(progress_timeout(route_, head_sent_, time_left()),
+  progress_timer_.arm(progress_timeout(route_, answer_.has_begun(), time_left()),
                       [this] { on_no_progress(); });
 }
 
@@ -619,7 +603,7 @@
     return;
   }
   note("attempt timed out without progress", "");
-  if (head_sent_) {
+  if (answer_.has_begun()) {
     ++environment_.statistics.started_streams_retried;
   }
   abandon_unresponsive_attempt();
@@ -636,7 +620,7 @@
 /// because the shared store may lose the registration of an engine that is still running.
 bool RequestSession::resume_if_runner_terminated() {
   // While bytes wait for the caller, reading may be stopped, so missing events prove nothing.
-  if (!has_runner_terminated() || writer_->buffered_bytes() != 0) {
+  if (!has_runner_terminated() || answer_.buffered_bytes() != 0) {
     return false;
   }
   const FailedRun run = failed_run(http::HttpErrc::kTimeout);
@@ -695,25 +679,23 @@
   environment_.statistics.quarantined += reason == FailureReason::kQuarantined ? 1 : 0;
   environment_.statistics.rate_limited += reason == FailureReason::kRateLimited ? 1 : 0;
   environment_.statistics.backing_off += reason == FailureReason::kBackingOff ? 1 : 0;
-  if (head_sent_) {
+  if (answer_.has_begun()) {
     ++environment_.statistics.broken;
-    writer_->abort();
+    answer_.abort_stream();
     finish("broken");
     return;
   }
-  if (failed_answer_) {
-    send_complete_answer(failed_answer_->head, failed_answer_->body);
+  if (answer_.send_kept_error()) {
     ++environment_.statistics.answered;
     finish("answered");
     return;
   }
   ++(may_have_run_ ? environment_.statistics.unknown : environment_.statistics.refused);
-  FailureAnswer answer = make_failure_answer(
-      reason, may_have_run_,
-      dispatch_->retry_after(
-          reason, from_seconds(kRetryAfterLatencyRatio * to_seconds(route_.target_latency))),
-      {environment_.names.request_id, id_});
-  writer_->respond(answer.status, std::move(answer.headers), answer.body);
+  const Duration latency_part =
+      from_seconds(kRetryAfterLatencyRatio * to_seconds(route_.target_latency));
+  answer_.send(make_failure_answer(reason, may_have_run_,
+                                   dispatch_->retry_after(reason, latency_part),
+                                   {environment_.names.request_id, id_}));
   finish(describe(reason));
 }
 
@@ -750,8 +732,8 @@
   deadline_timer_.disarm();
   progress_timer_.disarm();
   cache_.release();
-  writer_->on_closed(nullptr);
-  writer_->on_drained(nullptr);
+  answer_.writer()->on_closed(nullptr);
+  answer_.writer()->on_drained(nullptr);
   const std::optional<RequestFingerprint>& known = reports_.known_fingerprint();
   log_.note_end({.fingerprint = known ? known->to_hex() : "",
                  .service = service_.value(),
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -12,6 +12,7 @@
 #include "gateway/attempt.h"
 #include "gateway/attempt_starter.h"
 #include "gateway/backend_request.h"
+#include "gateway/caller_answer.h"
 #include "gateway/environment.h"
 #include "gateway/failure_answer.h"
 #include "gateway/guard_reports.h"
@@ -127,10 +128,8 @@
 
   void handle_complete_answer();
   void relay_complete_answer();
-  void send_complete_answer(const http::ResponseHead& head, std::string_view body);
   void forward_events();
   bool forward_event(const StreamEvent& event);
-  void send_answer_head(const http::ResponseHead& head);
 
   void abandon(FailureReason reason);
   void on_caller_disconnected();
@@ -144,7 +143,7 @@
   /// Whether an attempt is in progress.
   bool has_active_attempt() const { return attempt_ && !attempt_->backend.empty(); }
   /// Whether the caller has received the start of the stream.
-  bool has_stream_started() const { return head_sent_ || last_event_.has_value(); }
+  bool has_stream_started() const { return answer_.has_begun() || last_event_.has_value(); }
 
   Environment& environment_;
   std::shared_ptr<const RouteTable> routes_;
@@ -152,7 +151,7 @@
   const Tenant* tenant_;  ///< Owned by `routes_`; null for a request without a tenant.
   RequestLog log_;
   http::Request request_;
-  std::shared_ptr<http::ResponseWriter> writer_;
+  CallerAnswer answer_;
   std::function<void()> on_end_;
   std::string id_;
   ServiceName service_;
@@ -176,13 +175,6 @@
   /// denied the run after a failed prefill call.
   std::string_view retry_denied_reason_;
   bool run_noted_ = false;
-  bool head_sent_ = false;  ///< The caller has received the response head.
-  /// Error answer of a back end. The caller gets it if no later attempt yields an answer.
-  struct FailedAnswer {
-    http::ResponseHead head;
-    std::string body;
-  };
-  std::optional<FailedAnswer> failed_answer_;
   std::optional<std::uint64_t> last_event_;
   StreamTiming timing_;
   bool ended_ = false;
