Tests of broken answers: callers that do not read; one caller and one loop for all cases

A stream that is aborted at its deadline while its caller does not read, or keeps its HTTP/2 window closed, never looks complete (HTTP/1.1, 1.0, 2).

--- a/src/gateway/tests/resumed_stream_test.cc
+++ b/src/gateway/tests/resumed_stream_test.cc
@@ -426,6 +426,7 @@
     run->observer->on_complete();
     REQUIRE(sends() == 2);
     CHECK(last().header("last-event-id") == "1");
+    CHECK(statistics.retries == 1);
   }
   SUBCASE("ended as incomplete") {
     const auto caller = ask("/stream/x", "200,75");
--- a/src/gateway_node/tests/broken_answer_test.cc
+++ b/src/gateway_node/tests/broken_answer_test.cc
@@ -39,9 +39,17 @@
       return request_.find("\r\n\r\n") != std::string::npos;
     }));
   }
-  void send(std::string_view bytes) const {
-    REQUIRE(::send(connection_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
-            static_cast<ssize_t>(bytes.size()));
+  /// Sends what the connection accepts while the node runs; returns the number of bytes.
+  std::size_t send(NodeFixture& fixture, std::string_view bytes) const {
+    std::size_t sent = 0;
+    ssize_t count = 0;
+    while (count >= 0 && sent != bytes.size()) {
+      count = ::send(connection_, bytes.data() + sent, bytes.size() - sent,
+                     MSG_NOSIGNAL | MSG_DONTWAIT);
+      sent += static_cast<std::size_t>(std::max<ssize_t>(count, 0));
+      fixture.settle();
+    }
+    return sent;
   }
   void close() {
     if (connection_ >= 0) {
@@ -49,8 +57,7 @@
     }
   }
   void reset() {
-    const linger discard{1, 0};
-    ::setsockopt(connection_, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+    set_reset_on_close(connection_);
     close();
   }
 
@@ -192,25 +199,13 @@
 }
 
 /// Callers of one protocol. Each sends one request.
-class Http11Caller {
+template <int kMinorVersion>
+class Http1Caller {
  public:
-  explicit Http11Caller(const Endpoint& node) : connection_(node) {}
+  explicit Http1Caller(const Endpoint& node) : connection_(node) {}
   void send(std::string_view path) {
-    connection_.send("GET " + std::string(path) +
-                     " HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n\r\n");
-  }
-  Received receive() { return parse_answer(connection_.receive(), connection_.end()); }
-
- private:
-  RawCaller connection_;
-};
-
-class Http10Caller {
- public:
-  explicit Http10Caller(const Endpoint& node) : connection_(node) {}
-  void send(std::string_view path) {
-    connection_.send("GET " + std::string(path) +
-                     " HTTP/1.0\r\nHost: h\r\nX-Request-Id: r1\r\n\r\n");
+    connection_.send("GET " + std::string(path) + " HTTP/1." + std::to_string(kMinorVersion) +
+                     "\r\nHost: h\r\nX-Request-Id: r1\r\n\r\n");
   }
   Received receive() {
     const std::string& bytes = connection_.receive();
@@ -221,6 +216,9 @@
   RawCaller connection_;
 };
 
+using Http10Caller = Http1Caller<0>;
+using Http11Caller = Http1Caller<1>;
+
 class FrameCaller {
  public:
   explicit FrameCaller(const Endpoint& node) : caller_(node) {}
@@ -230,10 +228,21 @@
     return {answer.body, answer.success, answer.complete, answer.complete || answer.was_reset};
   }
 
+ protected:
+  FrameCaller(const Endpoint& node, std::uint32_t window) : caller_(node, window) {}
+  Http2Caller& caller() { return caller_; }
+
  private:
   Http2Caller caller_;
 };
 
+/// Its flow-control window is smaller than an event until open_window().
+class SmallWindowCaller : public FrameCaller {
+ public:
+  explicit SmallWindowCaller(const Endpoint& node) : FrameCaller(node, 1000) {}
+  void open_window() { caller().open_window(); }
+};
+
 /// Has the back end answer a request of a caller with `bytes` and end its connection; returns what
 /// the caller got.
 template <class Caller>
@@ -243,8 +252,7 @@
   Caller caller(fixture.address());
   caller.send(path);
   backend.await_request(fixture);
-  backend.send(bytes);
-  fixture.settle();
+  REQUIRE(backend.send(fixture, bytes) == bytes.size());
   (backend.*manner.end)();
   Received received;
   REQUIRE(fixture.run_until([&] {
@@ -254,6 +262,35 @@
   return received;
 }
 
+/// Has a caller read nothing of a long stream until the node ends it at its deadline, and then,
+/// after `unblock`, everything. Checks that the stream does not look complete.
+template <class Caller>
+void check_aborted_while_blocked(void (*unblock)(Caller& caller)) {
+  constexpr std::size_t kMoreThanBuffersTake = 32U << 20U;
+  constexpr std::size_t kEventBytes = 16U << 10U;
+  std::string events;
+  while (events.size() < kMoreThanBuffersTake) {
+    events += "data: " + std::string(kEventBytes, 'a') + "\n\n";
+  }
+  RawBackend backend;
+  NodeFixture fixture(backend.address());
+  Caller caller(fixture.address());
+  caller.send("/stream/1");
+  backend.await_request(fixture);
+  backend.send(fixture, encode_unframed("text/event-stream", "", false));
+  REQUIRE(backend.send(fixture, events) < events.size());
+  fixture.advance(21s);
+  unblock(caller);
+  Received received;
+  REQUIRE(fixture.run_until([&] {
+    received = caller.receive();
+    return received.ended;
+  }));
+  CHECK(received.success);
+  CHECK_FALSE(received.complete);
+  CHECK(events.starts_with(received.body));
+}
+
 template <class Caller>
 void check_cut_streams() {
   for (const Framing& framing : kFramings) {
@@ -316,6 +353,13 @@
   check_cut_streams<FrameCaller>();
 }
 
+TEST_CASE("a stream aborted while its caller does not read never looks complete") {
+  check_aborted_while_blocked<Http11Caller>([](auto& /*caller*/) {});
+  check_aborted_while_blocked<Http10Caller>([](auto& /*caller*/) {});
+  check_aborted_while_blocked<FrameCaller>([](auto& /*caller*/) {});
+  check_aborted_while_blocked<SmallWindowCaller>([](auto& caller) { caller.open_window(); });
+}
+
 TEST_CASE("a whole stream is delivered whole in any framing") {
   check_whole_streams<Http11Caller>();
   check_whole_streams<Http10Caller>();
--- a/src/gateway_node/tests/http2_caller.h
+++ b/src/gateway_node/tests/http2_caller.h
@@ -11,13 +11,14 @@
 
 namespace ochrespring::gateway_node::testing {
 
-/// One connection with one request. Its flow-control windows admit large answers, but it reads
-/// from the socket only in receive().
+/// One connection with one request. Its flow-control windows admit large answers unless one is
+/// given, but it reads from the socket only in receive().
 class Http2Caller {
  public:
-  explicit Http2Caller(const Endpoint& address) : connection_(address) {
+  explicit Http2Caller(const Endpoint& address, std::uint32_t window = kWindow)
+      : connection_(address) {
     connection_.send("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" +
-                     frame(kSettings, 0, 0, max_window_settings()) +
+                     frame(kSettings, 0, 0, window_settings(window)) +
                      frame(kWindowUpdate, 0, 0, big_endian(kWindow, 4)));
   }
 
@@ -54,6 +55,8 @@
     connection_.send(
         frame(kGoAway, 0, 0, big_endian(kLastPeerStream, 4) + big_endian(kNoError, 4)));
   }
+  /// Admits large answers on the connection's stream, whatever its window was.
+  void open_window() { connection_.send(frame(kWindowUpdate, 0, kStream, big_endian(kWindow, 4))); }
   RawCaller& connection() { return connection_; }
 
   struct Answer {
@@ -106,9 +109,9 @@
     written += payload;
     return written;
   }
-  static std::string max_window_settings() {
+  static std::string window_settings(std::uint32_t window) {
     constexpr std::uint32_t kInitialWindowSize = 4;
-    return big_endian(kInitialWindowSize, 2) + big_endian(kWindow, 4);
+    return big_endian(kInitialWindowSize, 2) + big_endian(window, 4);
   }
   /// Encodes a string shorter than 127 bytes without Huffman coding.
   static std::string hpack_string(std::string_view value) {
--- a/src/gateway_node/tests/stopping_node.h
+++ b/src/gateway_node/tests/stopping_node.h
@@ -186,6 +186,11 @@
   std::vector<std::shared_ptr<http::ResponseWriter>> held;
 };
 
+inline void set_reset_on_close(int descriptor) {
+  const linger discard{1, 0};
+  ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+}
+
 /// How a connection stands, as its peer sees it.
 enum class ConnectionEnd : std::uint8_t { kOpen, kClosed, kReset };
 
@@ -211,8 +216,7 @@
   }
   /// Closes the connection with a reset instead of an orderly close.
   void reset() {
-    const linger discard{1, 0};
-    ::setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+    set_reset_on_close(descriptor_);
     close();
   }
   /// Closes the sending direction only.
--- a/src/http/tests/broken_answer_test.cc
+++ b/src/http/tests/broken_answer_test.cc
@@ -51,11 +51,19 @@
   bool was_reset_ = false;
 };
 
-/// Sends `request` and reads until the connection closes.
-std::string read_raw(const Endpoint& endpoint, const std::string& request) {
-  return RawCaller(endpoint, request).read_to_end();
+/// Runs the loop until the connection of the caller ends; returns what it received.
+std::string run_to_end(http::EventLoop& loop, RawCaller& caller) {
+  std::string received;
+  std::thread reader([&] {
+    received = caller.read_to_end();
+    loop.stop();
+  });
+  loop.run();
+  reader.join();
+  return received;
 }
 
+const std::string kHttp11Request = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
 const std::string kHttp10Request = "GET / HTTP/1.0\r\nhost: a\r\n\r\n";
 constexpr std::string_view kEvent = "id: 1\n\n";
 
@@ -76,13 +84,8 @@
     loop.schedule_after(20ms, [response] { response->abort(); });
   });
   REQUIRE(server.listen());
-  std::string received;
-  std::thread caller([&] {
-    received = read_raw(server.bound(), "GET / HTTP/1.1\r\nhost: a\r\n\r\n");
-    loop.stop();
-  });
-  loop.run();
-  caller.join();
+  RawCaller caller(server.bound(), kHttp11Request);
+  const std::string received = run_to_end(loop, caller);
   const std::size_t body = received.find("\r\n\r\n");
   REQUIRE(body != std::string::npos);
   CHECK(received.substr(body + 4) == "7\r\nid: 1\n\n\r\n");
@@ -97,14 +100,9 @@
                });
   REQUIRE(server.listen());
   server.announce_close();
-  std::string received;
-  std::thread caller([&] {
-    // Reads until the connection closes; would not return if the server kept it open.
-    received = read_raw(server.bound(), "GET / HTTP/1.1\r\nhost: a\r\n\r\n");
-    loop.stop();
-  });
-  loop.run();
-  caller.join();
+  RawCaller caller(server.bound(), kHttp11Request);
+  // Would not return if the server kept the connection open.
+  const std::string received = run_to_end(loop, caller);
   CHECK(received.ends_with("\r\n\r\nwhole"));
   std::string head = received.substr(0, received.find("\r\n\r\n"));
   std::transform(head.begin(), head.end(), head.begin(),
@@ -123,13 +121,7 @@
   });
   REQUIRE(server.listen());
   RawCaller caller(server.bound(), kHttp10Request);
-  std::string received;
-  std::thread reader([&] {
-    received = caller.read_to_end();
-    loop.stop();
-  });
-  loop.run();
-  reader.join();
+  const std::string received = run_to_end(loop, caller);
   CHECK(caller.was_reset());
   CHECK(received.ends_with(kEvent));
 }
@@ -194,13 +186,7 @@
                });
   REQUIRE(server.listen());
   RawCaller caller(server.bound(), kHttp10Request);
-  std::string received;
-  std::thread reader([&] {
-    received = caller.read_to_end();
-    loop.stop();
-  });
-  loop.run();
-  reader.join();
+  const std::string received = run_to_end(loop, caller);
   CHECK_FALSE(caller.was_reset());
   CHECK(received.substr(received.find("\r\n\r\n") + 4) == std::string(kMoreThanOneWrite, 'a'));
 }
