--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -24,8 +24,7 @@
   kResume,   ///< Resume another engine's run, of which this one holds a copy.
 };
 
-/// State of one attempt, owned by its session. `backend` is empty once the
-/// attempt has ended.
+/// State of one attempt, owned by its session. `backend` is empty once the attempt has ended.
 struct Attempt {
   BackendId backend;
   MonotonicTime started{};
@@ -34,8 +33,8 @@
   std::optional<Endpoint> cache_source;     ///< Engine to fetch shared prompt parts from.
   std::optional<Endpoint> cache_backup;     ///< Engine to replicate the run to.
   std::optional<RunReference> resumed_run;  ///< Run of another engine that this attempt resumes.
-  /// The prefill no longer counts in the load table: the first event has
-  /// arrived or the attempt has ended.
+  /// The prefill no longer counts in the load table: the first event has arrived or the attempt has
+  /// ended.
   bool prefill_ended = false;
   std::unique_ptr<http::Exchange> exchange;
   std::optional<http::ResponseHead> head;
@@ -49,10 +48,10 @@
   bool uses_cache = false;       ///< Uses the cache handle of a prefill engine.
 };
 
-/// Why the answer of an attempt that forwards events is incomplete although its
-/// body has ended; empty if it is complete. Without a length or chunks, a back
-/// end that fails may end the body anywhere.
-inline std::string_view missing_part(const Attempt& attempt) {
+/// Why the answer of an attempt that forwards events is incomplete although its body has ended;
+/// empty if it is complete. Without a length or chunks, a back end that fails may end the body
+/// anywhere.
+inline std::string_view describe_missing_part(const Attempt& attempt) {
   if (!attempt.events.rest().empty()) {
     return "stream ended inside an event";
   }
@@ -66,8 +65,8 @@
          verdict == AttemptOutcome::kUnreachable;
 }
 
-/// Verdict on a prefill call that returned no cache handle. An engine that
-/// refuses a request is not treated as failed.
+/// Verdict on a prefill call that returned no cache handle. An engine that refuses a request is not
+/// treated as failed.
 inline AttemptOutcome failed_prefill_verdict(const BackendStatement& statement) {
   if (statement.misdirected) {
     return AttemptOutcome::kReplaced;
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -230,7 +230,8 @@
     end_prefill(attempt_->head->status != 200);
     return;
   }
-  const std::string_view missing = attempt_->forwards_events ? missing_part(*attempt_) : "";
+  const std::string_view missing =
+      attempt_->forwards_events ? describe_missing_part(*attempt_) : "";
   if (!missing.empty()) {
     fail_attempt({http::HttpErrc::kTruncated, std::string(missing)});
     return;
--- a/src/http/response_stream.cc
+++ b/src/http/response_stream.cc
@@ -48,7 +48,7 @@
   const int descriptor = h2o_socket_get_fd(socket);
   // The kernel would deliver the end that a shutdown sends behind the data that it still holds, and
   // a caller older than HTTP/1.1 takes that for the end of the response.
-  const bool was_reset = request.version < kHttp11Version && http::reset_connection(descriptor);
+  const bool was_reset = request.version < kHttp11Version && reset_connection(descriptor);
   if (!was_reset) {
     ::shutdown(descriptor, SHUT_RDWR);
   }
@@ -161,7 +161,7 @@
   end_ = End::kAborted;
   if (writing_) {
     queued_.clear();
-    reset_connection();
+    reset_blocked_connection();
   }
   schedule_pump();
 }
@@ -302,7 +302,7 @@
 }
 
 /// Resets an HTTP/1 connection whose caller does not read the bytes being written.
-void ResponseStream::reset_connection() {
+void ResponseStream::reset_blocked_connection() {
   if (h2o_socket_t* socket = http1_socket()) {
     set_reset_on_close(h2o_socket_get_fd(socket));
     shut_down_connection(*request_);
--- a/src/http/response_stream.h
+++ b/src/http/response_stream.h
@@ -65,7 +65,7 @@
   void stop_watching();
   void start_response();
   bool close_ends_response() const;
-  void reset_connection();
+  void reset_blocked_connection();
 
   EventLoop& loop_;
   h2o_req_t* request_;
