A response that closes its connection is not reset because of input behind its request

Callers saw: a reset in place of the end of a whole answer, when anything came in behind their request (an empty line, a next request) and the connection closes after the answer: HTTP/1.0, HTTP/1.1 with Connection: close, a node that stops. The reset also discards what of the answer has not arrived; an HTTP/1.0 caller takes the answer for incomplete.

Cause: the kernel resets a connection that is closed with unread input.

Fix: the input that has arrived is discarded once the response is with the kernel and before its connection closes. Input that arrives after the close still causes a reset.

--- a/src/http/response_stream.cc
+++ b/src/http/response_stream.cc
@@ -86,8 +86,8 @@
 void ResponseStream::on_request_disposed() {
   stop_watching();
   const bool whole = final_sent_ && end_ == End::kFinished && !writing_;
-  if (whole && close_ends_response()) {
-    clear_reset_on_close(h2o_socket_get_fd(http1_socket()));
+  if (whole) {
+    prepare_orderly_close();
   }
   request_ = nullptr;
   const std::shared_ptr<ResponseStream> keep = std::move(self_);
@@ -100,6 +100,21 @@
   on_drained_ = nullptr;
 }
 
+/// Makes the close of an HTTP/1 connection after this response orderly, if it closes.
+void ResponseStream::prepare_orderly_close() {
+  h2o_socket_t* socket = http1_socket();
+  if (socket == nullptr) {
+    return;
+  }
+  const int descriptor = h2o_socket_get_fd(socket);
+  if (close_ends_response()) {
+    clear_reset_on_close(descriptor);
+  }
+  if (request_->http1_is_persistent == 0) {
+    discard_input(descriptor);
+  }
+}
+
 void ResponseStream::on_caller_disconnected() {
   caller_disconnected_ = true;
   if (const auto callback = std::exchange(on_closed_, nullptr)) {
--- a/src/http/response_stream.h
+++ b/src/http/response_stream.h
@@ -58,6 +58,7 @@
   void pump();
   void send(h2o_send_state_t state);
   void on_request_disposed();
+  void prepare_orderly_close();
   void on_caller_disconnected();
   h2o_socket_t* http1_socket() const;
   void watch_for_disconnect();
--- a/src/http/tcp_state.cc
+++ b/src/http/tcp_state.cc
@@ -6,6 +6,7 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <array>
 #include <chrono>
 #include <optional>
 
@@ -53,6 +54,16 @@
   return ::connect(descriptor, &unspecified, sizeof(unspecified)) == 0;
 }
 
+void discard_input(int descriptor) {
+  std::array<char, 4096> buffer;
+  std::size_t discarded = 0;
+  ssize_t count = 0;
+  while (discarded < kMaxDiscardedBytes &&
+         (count = ::recv(descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT)) > 0) {
+    discarded += static_cast<std::size_t>(count);
+  }
+}
+
 Duration time_since_last_input(int descriptor) {
   const std::optional<tcp_info> info = read_tcp_info(descriptor);
   return std::chrono::milliseconds(info ? info->tcpi_last_data_recv : 0);
--- a/src/http/tcp_state.h
+++ b/src/http/tcp_state.h
@@ -1,6 +1,8 @@
 // What the kernel knows about a TCP connection. Private to src/http.
 #pragma once
 
+#include <cstddef>
+
 #include "base/time.h"
 
 namespace ochrespring::http {
@@ -22,6 +24,11 @@
 /// writing fail from now on. Returns false if the system does not support that.
 bool reset_connection(int descriptor);
 
+/// Discards up to `kMaxDiscardedBytes` of input that has arrived. The close of a connection with
+/// unread input is a reset, which also discards output that the peer has not received.
+void discard_input(int descriptor);
+inline constexpr std::size_t kMaxDiscardedBytes = 256U << 10U;
+
 /// Time since the last data arrived, with a resolution of milliseconds; zero if it is unknown.
 /// Costs a system call.
 Duration time_since_last_input(int descriptor);
--- a/src/http/tests/broken_answer_test.cc
+++ b/src/http/tests/broken_answer_test.cc
@@ -7,6 +7,7 @@
 #include <array>
 #include <cctype>
 #include <cerrno>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -26,12 +27,16 @@
       : descriptor_(::socket(AF_INET, SOCK_STREAM, 0)) {
     auto address = http::parse_endpoint(endpoint).value();
     REQUIRE(::connect(descriptor_, address.get(), address.length) == 0);
-    REQUIRE(::send(descriptor_, request.data(), request.size(), 0) > 0);
+    send(request);
   }
   ~RawCaller() { ::close(descriptor_); }
   RawCaller(const RawCaller&) = delete;
   RawCaller& operator=(const RawCaller&) = delete;
 
+  void send(std::string_view bytes) const {
+    REQUIRE(::send(descriptor_, bytes.data(), bytes.size(), 0) ==
+            static_cast<ssize_t>(bytes.size()));
+  }
   /// Reads until the connection ends.
   std::string read_to_end() {
     std::string received;
@@ -190,3 +195,27 @@
   CHECK_FALSE(caller.was_reset());
   CHECK(received.substr(received.find("\r\n\r\n") + 4) == std::string(kMoreThanOneWrite, 'a'));
 }
+
+// Guards against the reset that the kernel sends when a connection with unread input is closed: it
+// discards what the caller has not received yet.
+TEST_CASE("a finished response ends with an orderly close although input follows its request") {
+  std::string request = kHttp10Request;
+  SUBCASE("HTTP/1.0") {}
+  SUBCASE("HTTP/1.1 with Connection: close") {
+    request = "GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+  }
+  http::EventLoop loop;
+  http::Server server(loop, any_port());
+  std::unique_ptr<RawCaller> caller;
+  server.route("/", [&](const http::Request&, const auto& response) {
+    caller->send("\r\n");
+    response->send_head({200, {{"content-type", "text/event-stream"}}});
+    response->send_body(kEvent);
+    response->finish();
+  });
+  REQUIRE(server.listen());
+  caller = std::make_unique<RawCaller>(server.bound(), request);
+  const std::string received = run_to_end(loop, *caller);
+  CHECK_FALSE(caller->was_reset());
+  CHECK(received.find(kEvent) != std::string::npos);
+}
