A stream to an HTTP/1.0 caller that asked to keep its connection ends with it

Callers saw: a whole stream never ends, and the next answer on the connection would follow it without a mark: an answer without length was sent on a connection that h2o kept, as HTTP/1.0 callers may ask with Connection: keep-alive.

Cause: HTTP/1.0 has no chunks, so a response without a length is ended by the close alone; h2o leaves that to the application.

Evidence: found when broken_answer got such callers: a whole stream in any framing did not end (REQUIRE failed).

Fix: the connection of an HTTP/1.0 response without a length is not kept.

--- a/src/gateway_node/tests/broken_answer_test.cc
+++ b/src/gateway_node/tests/broken_answer_test.cc
@@ -199,13 +199,14 @@
 }
 
 /// Callers of one protocol. Each sends one request.
-template <int kMinorVersion>
+template <int kMinorVersion, bool kAsksToKeepConnection = false>
 class Http1Caller {
  public:
   explicit Http1Caller(const Endpoint& node) : connection_(node) {}
   void send(std::string_view path) {
     connection_.send("GET " + std::string(path) + " HTTP/1." + std::to_string(kMinorVersion) +
-                     "\r\nHost: h\r\nX-Request-Id: r1\r\n\r\n");
+                     "\r\nHost: h\r\nX-Request-Id: r1\r\n" +
+                     (kAsksToKeepConnection ? "Connection: keep-alive\r\n\r\n" : "\r\n"));
   }
   Received receive() {
     const std::string& bytes = connection_.receive();
@@ -217,6 +218,7 @@
 };
 
 using Http10Caller = Http1Caller<0>;
+using Http10KeepAliveCaller = Http1Caller<0, true>;
 using Http11Caller = Http1Caller<1>;
 
 class FrameCaller {
@@ -347,6 +349,7 @@
 
 TEST_CASE("HTTP/1.0: a stream cut off inside an event never looks complete") {
   check_cut_streams<Http10Caller>();
+  check_cut_streams<Http10KeepAliveCaller>();
 }
 
 TEST_CASE("HTTP/2: a stream cut off inside an event never looks complete") {
@@ -363,11 +366,13 @@
 TEST_CASE("a whole stream is delivered whole in any framing") {
   check_whole_streams<Http11Caller>();
   check_whole_streams<Http10Caller>();
+  check_whole_streams<Http10KeepAliveCaller>();
   check_whole_streams<FrameCaller>();
 }
 
 TEST_CASE("an ordinary answer is delivered whole or not at all") {
   check_ordinary_answers<Http11Caller>();
   check_ordinary_answers<Http10Caller>();
+  check_ordinary_answers<Http10KeepAliveCaller>();
   check_ordinary_answers<FrameCaller>();
 }
--- a/src/http/response_stream.cc
+++ b/src/http/response_stream.cc
@@ -145,6 +145,10 @@
 void ResponseStream::start_response() {
   if (close_ends_response()) {
     set_reset_on_close(h2o_socket_get_fd(http1_socket()));
+    if (request_->res.content_length == SIZE_MAX) {
+      // Without chunks nothing else ends the body, also if the caller asked to keep the connection.
+      request_->http1_is_persistent = 0;
+    }
   }
   h2o_start_response(request_, &generator_.super);
 }
