A refusal whose answer is cut short is still a refusal

Callers saw: 502 for a request that its back end had stated not to run, where the body of that statement was broken off, or 504 where it never came; not sent to another back end if it may run once only.

Cause: only complete answers were looked at for the statement; any break counted as a run that may have happened.

Evidence: the new case of request_session_test failed before (one send where the route allows two).

Fix: the head decides: handle_refusal() serves complete and broken answers alike, and an attempt whose back end has refused does not count as one that may run at a deadline, a stop or a change of back end.

--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -236,7 +236,10 @@
     fail_attempt({http::HttpErrc::kTruncated, std::string(missing)});
     return;
   }
-  retry_limit_.note_send();
+  if (attempt_->statement.not_run) {
+    handle_refusal();
+    return;
+  }
   handle_complete_answer();
 }
 
@@ -303,23 +306,26 @@
   }
 }
 
+/// Ends an attempt whose back end has stated that it does not run the request.
+void RequestSession::handle_refusal() {
+  note("attempt refused", std::to_string(attempt_->head->status));
+  retry_limit_.note_send();
+  if (attempt_->resumed_run) {
+    // A resume that the backup engine refused does not count as one of the route's attempts.
+    retry_limit_.exclude_send();
+    ++environment_.statistics.resumes_refused;
+  }
+  // A missing copy does not mean that the engine is unhealthy or full.
+  const AttemptOutcome refused =
+      attempt_->resumed_run ? AttemptOutcome::kAbandoned : AttemptOutcome::kRefused;
+  end_attempt(attempt_->statement.misdirected ? AttemptOutcome::kReplaced : refused);
+  retry_or_fail(FailureReason::kRefused);
+}
+
 void RequestSession::handle_complete_answer() {
   const http::ResponseHead& head = *attempt_->head;
   const BackendStatement& statement = attempt_->statement;
-  if (statement.not_run) {
-    note("attempt refused", std::to_string(head.status));
-    if (attempt_->resumed_run) {
-      // A resume that the backup engine refused does not count as one of the route's attempts.
-      retry_limit_.exclude_send();
-      ++environment_.statistics.resumes_refused;
-    }
-    // A missing copy does not mean that the engine is unhealthy or full.
-    const AttemptOutcome refused =
-        attempt_->resumed_run ? AttemptOutcome::kAbandoned : AttemptOutcome::kRefused;
-    end_attempt(statement.misdirected ? AttemptOutcome::kReplaced : refused);
-    retry_or_fail(FailureReason::kRefused);
-    return;
-  }
+  retry_limit_.note_send();
   may_have_run_ = true;
   note_run(environment_.clock.now() - attempt_->started);
   if (!statement.is_signed) {
@@ -419,6 +425,11 @@
     }
     return;
   }
+  if (attempt_->statement.not_run && !attempt_->is_prefill_call) {
+    // The head of a refusal says all that matters.
+    handle_refusal();
+    return;
+  }
   fail_attempt(error);
 }
 
@@ -636,7 +647,7 @@
 
 void RequestSession::abandon_unresponsive_attempt() {
   retry_limit_.note_send();
-  may_have_run_ = true;
+  may_have_run_ = may_have_run_ || attempt_may_run();
   reports_.note_failure(service_, *attempt_, AttemptFailureKind::kUnresponsive);
   note_probable_run();
   end_attempt(AttemptOutcome::kFailed);
@@ -670,7 +681,7 @@
   if (has_active_attempt()) {
     reports_.note_failure(service_, *attempt_, AttemptFailureKind::kAbandoned);
     note_probable_run();
-    may_have_run_ = may_have_run_ || !attempt_->is_prefill_call;
+    may_have_run_ = may_have_run_ || attempt_may_run();
   }
   end_with_failure(reason);
 }
@@ -719,7 +730,7 @@
   if (has_active_attempt() && !attempt_->prefill_ended) {
     reports_.note_failure(service_, *attempt_, AttemptFailureKind::kUnresponsive);
   }
-  may_have_run_ = may_have_run_ || (has_active_attempt() && !attempt_->is_prefill_call);
+  may_have_run_ = may_have_run_ || attempt_may_run();
   note_probable_run();
   note("deadline exceeded", "");
   end_with_failure(FailureReason::kTimeout);
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -126,6 +126,7 @@
   void watch_progress();
   void on_no_progress();
 
+  void handle_refusal();
   void handle_complete_answer();
   void relay_complete_answer();
   void forward_events();
@@ -142,6 +143,10 @@
   bool is_stream() const { return route_.kind == RequestKind::kStreaming; }
   /// Whether an attempt is in progress.
   bool has_active_attempt() const { return attempt_ && !attempt_->backend.empty(); }
+  /// Whether the back end of an attempt in progress may run the request.
+  bool attempt_may_run() const {
+    return has_active_attempt() && !attempt_->is_prefill_call && !attempt_->statement.not_run;
+  }
   /// Whether the caller has received the start of the stream.
   bool has_stream_started() const { return answer_.has_begun() || last_event_.has_value(); }
 
--- a/src/gateway/tests/request_session_test.cc
+++ b/src/gateway/tests/request_session_test.cc
@@ -75,6 +75,34 @@
   CHECK(fixture.sends() == 1);
 }
 
+// Guards against losing a request that its back end has stated not to run.
+TEST_CASE("a refusal whose answer is cut short is still a refusal") {
+  GatewayFixture fixture;
+  fixture.add_backend("b1", "relay");
+  fixture.add_backend("b2", "relay");
+  SUBCASE("sent to another back end") {
+    const auto caller = fixture.send("/once-twice/x");
+    fixture.last().observer->on_head({503, {{fixture.names.not_run, "1"}}});
+    fixture.last().fail(http::HttpErrc::kTruncated, true);
+    REQUIRE(fixture.sends() == 2);
+    fixture.last().answer(200, {fixture.signature()}, "ok");
+    CHECK(caller->body == "ok");
+  }
+  SUBCASE("answered as not run") {
+    const auto caller = fixture.send("/once/x");
+    fixture.last().observer->on_head({503, {{fixture.names.not_run, "1"}}});
+    fixture.last().fail(http::HttpErrc::kTruncated, true);
+    CHECK(caller->head.status == 503);
+    CHECK(fixture.statistics.refused == 1);
+  }
+  SUBCASE("answered as not run at the deadline") {
+    const auto caller = fixture.send("/once/x");
+    fixture.last().observer->on_head({503, {{fixture.names.not_run, "1"}}});
+    fixture.advance(3s);
+    CHECK(caller->head.status == 503);
+  }
+}
+
 TEST_CASE("a refused request is sent to another back end if the route allows two attempts") {
   GatewayFixture fixture;
   fixture.add_backend("b1", "relay");
