--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -214,7 +214,7 @@
     listener = nullptr;
   }
 
-  static int on_open_request(h2o_req_t* request, void* /*data*/) {
+  static int close_request(h2o_req_t* request, void* /*data*/) {
     shut_down_connection(*request);
     return 0;
   }
@@ -222,8 +222,8 @@
   /// Closes the open connections and lets h2o free them; the loop no longer runs by itself.
   void close_connections() {
     h2o_context_request_shutdown(&context);
-    config.http1.callbacks.foreach_request(&context, on_open_request, nullptr);
-    config.http2.callbacks.foreach_request(&context, on_open_request, nullptr);
+    config.http1.callbacks.foreach_request(&context, close_request, nullptr);
+    config.http2.callbacks.foreach_request(&context, close_request, nullptr);
     for (int i = 0; i != kClosingIterations; ++i) {
       h2o_evloop_run(loop.native(), 0);
     }
--- a/src/http/tcp_state.h
+++ b/src/http/tcp_state.h
@@ -1,4 +1,4 @@
-// What the kernel knows about a TCP connection. Private to src/http.
+// What the kernel knows about a TCP connection, and how it closes one. Private to src/http.
 #pragma once
 
 #include <cstddef>
--- a/src/http/tests/broken_answer_test.cc
+++ b/src/http/tests/broken_answer_test.cc
@@ -157,7 +157,7 @@
   CHECK(caller.was_reset());
 }
 
-// Guards against an orderly close by the kernel when the process is killed.
+// Guards against an orderly close where the server ends before the stream.
 TEST_CASE("HTTP/1.0: the connection of an unfinished stream is reset whenever it closes") {
   http::EventLoop loop;
   auto server = std::make_unique<http::Server>(loop, any_port());
