Log each retry that is charged to the budget or denied by it

Logs did not tell whether too many retries were charged, charged ones arrived late, or arrivals were not charged at all. The lines 'retry charged' and 'retry denied by the budget' hold what this node had charged in the window, what it allowed itself and how many nodes shared the slack.

--- a/src/gateway/request_log.cc
+++ b/src/gateway/request_log.cc
@@ -38,6 +38,17 @@
         {{"request_id", id_}, {"backend", backend.value()}, {"age_milliseconds", age()}});
 }
 
+void RequestLog::note_retry_charge(bool granted, const ServiceName& service,
+                                   const RetryBudgetUse& use, std::uint32_t nodes) const {
+  write(granted ? "retry charged" : "retry denied by the budget",
+        {{"request_id", id_},
+         {"service", service.value()},
+         {"charged", std::uint64_t{use.charged}},
+         {"allowed", use.allowed},
+         {"sharing_nodes", std::uint64_t{nodes}},
+         {"age_milliseconds", age()}});
+}
+
 void RequestLog::note_end(const End& end, const StreamTiming& timing) const {
   write("request ended", {{"request_id", id_},
                           {"fingerprint", end.fingerprint},
--- a/src/gateway/request_log.h
+++ b/src/gateway/request_log.h
@@ -11,6 +11,7 @@
 #include "base/time.h"
 #include "gateway/attempt.h"
 #include "gateway/prompt.h"
+#include "gateway/retry_budget.h"
 #include "gateway/stream_timing.h"
 #include "gateway/types.h"
 #include "http/errc.h"
@@ -38,6 +39,10 @@
                     std::string fingerprint) const;
   /// Logs that the claim to send to the chosen back end was denied.
   void note_denied(const BackendId& backend) const;
+  /// Logs that a retry was charged to the budget or denied by it. `use` is what this node had
+  /// charged then, this retry included; `nodes` share the budget's slack.
+  void note_retry_charge(bool granted, const ServiceName& service, const RetryBudgetUse& use,
+                         std::uint32_t nodes) const;
 
   /// How a request ended.
   struct End {
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -46,7 +46,7 @@
       cache_(environment),
       backup_(environment.fleet, environment.loads),
       starter_(environment, cache_, backup_),
-      retry_limit_(environment, route_),
+      retry_limit_(environment, route_, log_),
       reports_(environment, request_, tenant_),
       dispatch_(std::make_shared<RequestDispatch>(environment, *this)) {}
 
--- a/src/gateway/retry_budget.cc
+++ b/src/gateway/retry_budget.cc
@@ -10,17 +10,22 @@
   window.requests.push_back(now);
 }
 
-bool RetryBudget::spend(const ServiceName& service, std::uint32_t nodes, MonotonicTime now) {
+RetryBudgetUse RetryBudget::use(const ServiceName& service, std::uint32_t nodes,
+                                MonotonicTime now) {
   Window& window = windows_[service];
   drop_expired(window, now);
   const bool history_complete = !started_at_ || now - *started_at_ >= settings_.window;
   const double share = history_complete ? settings_.slack / std::max<std::uint32_t>(nodes, 1) : 0;
-  const double allowed =
-      kWindowSkewFactor * (settings_.ratio * static_cast<double>(window.requests.size()) + share);
-  if (static_cast<double>(window.retries.size()) + 1 > allowed) {
+  const double earned = settings_.ratio * static_cast<double>(window.requests.size());
+  return {.charged = window.retries.size(), .allowed = kWindowSkewFactor * (earned + share)};
+}
+
+bool RetryBudget::spend(const ServiceName& service, std::uint32_t nodes, MonotonicTime now) {
+  const RetryBudgetUse before = use(service, nodes, now);
+  if (static_cast<double>(before.charged) + 1 > before.allowed) {
     return false;
   }
-  window.retries.push_back(now);
+  windows_[service].retries.push_back(now);
   return true;
 }
 
--- a/src/gateway/retry_budget.h
+++ b/src/gateway/retry_budget.h
@@ -1,6 +1,7 @@
 // This node's share of the fleet's retry budget, computed without communication between nodes.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -19,6 +20,12 @@
   Duration window{std::chrono::seconds(10)};
 };
 
+/// How much of a node's share of the budget is spent.
+struct RetryBudgetUse {
+  std::size_t charged = 0;  ///< Retries in the window.
+  double allowed = 0;       ///< Retries that this node may charge in it.
+};
+
 /// Limits the retries of each service; times are passed as arguments. A node may spend a share of
 /// its own requests and its part of the slack, both reduced by `kWindowSkewFactor`, because the
 /// windows of nodes are not aligned. A restarted node does not know what it spent before, so it
@@ -34,6 +41,7 @@
   void note_request(const ServiceName& service, MonotonicTime now);
   /// Takes one retry from the budget. Returns false if none is left. `nodes` is at least 1.
   bool spend(const ServiceName& service, std::uint32_t nodes, MonotonicTime now);
+  RetryBudgetUse use(const ServiceName& service, std::uint32_t nodes, MonotonicTime now);
 
  private:
   static constexpr double kWindowSkewFactor = 0.8;
--- a/src/gateway/retry_limit.cc
+++ b/src/gateway/retry_limit.cc
@@ -20,9 +20,11 @@
     --prepaid_;
     return true;
   }
-  const bool granted =
-      environment_.budget.spend(service, environment_.node_count(), environment_.clock.now());
+  const std::uint32_t nodes = environment_.node_count();
+  const MonotonicTime now = environment_.clock.now();
+  const bool granted = environment_.budget.spend(service, nodes, now);
   ++(granted ? environment_.statistics.retries : environment_.statistics.budget_denied);
+  log_.note_retry_charge(granted, service, environment_.budget.use(service, nodes, now), nodes);
   return granted;
 }
 
--- a/src/gateway/retry_limit.h
+++ b/src/gateway/retry_limit.h
@@ -7,6 +7,7 @@
 
 #include "base/time.h"
 #include "gateway/environment.h"
+#include "gateway/request_log.h"
 #include "gateway/types.h"
 
 namespace ochrespring::gateway {
@@ -17,8 +18,8 @@
 /// Serves one request, on one event loop. The referenced objects must outlive it.
 class RetryLimit {
  public:
-  RetryLimit(Environment& environment, const Route& route)
-      : environment_(environment), route_(route) {}
+  RetryLimit(Environment& environment, const Route& route, const RequestLog& log)
+      : environment_(environment), route_(route), log_(log) {}
 
   /// Counts an ended attempt of which a byte may have been sent.
   void note_send() { ++sends_; }
@@ -43,6 +44,7 @@
  private:
   Environment& environment_;
   const Route& route_;
+  const RequestLog& log_;
   std::uint32_t sends_ = 0;
   std::uint32_t excluded_sends_ = 0;
   std::uint32_t prepaid_ = 0;  ///< Sends charged to the budget that did not take place.
