Restarted nodes leave room in the retry budget for what they spent before

A node counts its retries in memory and, restarted, granted 0.8 of the ratio for its requests once more.

During its first window a node now grants at most the 0.2 of the ratio that nodes leave unspent. What all its lives spend in a window is then at most ratio x requests + 0.8 of its part of the slack.

--- a/src/gateway/retry_budget.cc
+++ b/src/gateway/retry_budget.cc
@@ -15,9 +15,11 @@
   Window& window = windows_[service];
   drop_expired(window, now);
   const bool history_complete = !started_at_ || now - *started_at_ >= settings_.window;
-  const double share = history_complete ? settings_.slack / std::max<std::uint32_t>(nodes, 1) : 0;
   const double earned = settings_.ratio * static_cast<double>(window.requests.size());
-  return {.charged = window.retries.size(), .allowed = kWindowSkewFactor * (earned + share)};
+  const double slack_part = settings_.slack / std::max<std::uint32_t>(nodes, 1);
+  const double allowed =
+      history_complete ? kSpendableShare * (earned + slack_part) : (1 - kSpendableShare) * earned;
+  return {.charged = window.retries.size(), .allowed = allowed};
 }
 
 bool RetryBudget::spend(const ServiceName& service, std::uint32_t nodes, MonotonicTime now) {
--- a/src/gateway/retry_budget.h
+++ b/src/gateway/retry_budget.h
@@ -26,10 +26,11 @@
   double allowed = 0;       ///< Retries that this node may charge in it.
 };
 
-/// Limits the retries of each service; times are passed as arguments. A node may spend a share of
-/// its own requests and its part of the slack, both reduced by `kWindowSkewFactor`, because the
-/// windows of nodes are not aligned. A restarted node does not know what it spent before, so it
-/// gets no part of the slack during its first window.
+/// Limits the retries of each service; times are passed as arguments. A node may spend
+/// `kSpendableShare` of the ratio of its own requests and of its part of the slack. The rest is
+/// for restarted nodes: during its first window, a node may already have spent its whole share
+/// before it was restarted, so it may spend only the remaining part of the ratio of the requests
+/// that it receives.
 class RetryBudget {
  public:
   /// `started` is the time at which the node started; none if that is longer ago than a window.
@@ -44,7 +45,7 @@
   RetryBudgetUse use(const ServiceName& service, std::uint32_t nodes, MonotonicTime now);
 
  private:
-  static constexpr double kWindowSkewFactor = 0.8;
+  static constexpr double kSpendableShare = 0.8;
 
   struct Window {
     std::deque<MonotonicTime> requests;
