Retries count until their back ends cannot receive them any more

Servers that stand still and go on read in one moment what was sent to them over seconds, also what the node has given up meanwhile.

A charge now stays open while a back end may still receive any send of its request, and its window begins when that is settled: by the head of an answer, by a disconnect of the back end, and for a send that was given up by an answer of its back end to a later send, or after 10 s. All arrivals of a window are then open or settled within it at the last charge among them, so the bound of the charges holds for the arrivals.

--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -10,6 +10,7 @@
 #include "gateway/backend_request.h"
 #include "gateway/backend_statement.h"
 #include "gateway/event_splitter.h"
+#include "gateway/request_retries.h"
 #include "gateway/stream_observation.h"
 #include "gateway/types.h"
 #include "http/client.h"
@@ -37,6 +38,7 @@
   /// ended.
   bool prefill_ended = false;
   std::unique_ptr<http::Exchange> exchange;
+  std::optional<PendingSend> pending;  ///< None once the back end has answered or disconnected.
   std::optional<http::ResponseHead> head;
   bool ends_with_connection = false;  ///< Only the close of the connection ends the answer.
   BackendStatement statement;         ///< Read from the head; empty before the head has arrived.
--- a/src/gateway/environment.h
+++ b/src/gateway/environment.h
@@ -22,6 +22,7 @@
 #include "gateway/send_gate.h"
 #include "gateway/share_picker.h"
 #include "gateway/statistics.h"
+#include "gateway/unanswered_sends.h"
 #include "logging/logger.h"
 
 namespace ochrespring::gateway {
@@ -35,6 +36,7 @@
   LoadTable& loads;
   const Placement& placement;
   RetryBudget& budget;
+  UnansweredSends& unanswered;
   SharePicker& shares;
   const HeaderNames& names;
   const EngineCalls& engine_calls;
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -80,6 +80,7 @@
     last_event_ = http::parse_number(last_event).value_or(0);
   }
   environment_.budget.note_request(service_, now);
+  retry_limit_.begin(service_);
   answer_.writer()->on_closed([weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
       self->on_caller_disconnected();
@@ -151,6 +152,7 @@
   const Backend& backend = *choice.backend;
   const AttemptInput input = attempt_input();
   attempt_.emplace(starter_.make(choice, kind, input));
+  retry_limit_.begin_send(*attempt_);
   if (attempt_->is_prefill_call) {
     prefill_attempted_ = true;
   } else {
@@ -180,6 +182,7 @@
 }
 
 void RequestSession::on_head(const http::ResponseHead& head) {
+  retry_limit_.note_answer(*attempt_);
   attempt_->head = head;
   attempt_->ends_with_connection = head.ends_with_connection;
   attempt_->statement = parse_statement(head, environment_.names);
@@ -256,7 +259,7 @@
   }
   note(handle ? "prefill done" : "prefill returned no cache handle", handle.value_or(""));
   end_attempt(handle ? AttemptOutcome::kSucceeded : failed_prefill_verdict(attempt_->statement));
-  if (!handle && !retry_limit_.spend(service_)) {
+  if (!handle && !retry_limit_.charge_prefill()) {
     end_with_failure(FailureReason::kRefused);
     return;
   }
@@ -437,6 +440,9 @@
 void RequestSession::fail_attempt(const http::HttpError& error) {
   log_.note_failure(error, *attempt_, fingerprint().to_hex());
   const bool timed_out = error.code == http::HttpErrc::kTimeout;
+  if (!timed_out) {
+    RetryLimit::note_disconnect(*attempt_);
+  }
   reports_.note_failure(
       service_, *attempt_,
       timed_out ? AttemptFailureKind::kUnresponsive : AttemptFailureKind::kClosed);
@@ -487,7 +493,7 @@
   if (!dispatch_->check_guard()) {
     return;
   }
-  if (!retry_limit_.spend(service_)) {
+  if (!retry_limit_.charge_send()) {
     retry_denied_reason_ = "retry budget";
     end_with_failure(FailureReason::kBroken);
     return;
@@ -502,7 +508,6 @@
 /// A run can be resumed only at its backup engine; any other back end would run the request again.
 void RequestSession::on_not_sent(SendKind kind) {
   if (kind == SendKind::kResume) {
-    retry_limit_.refund();
     retry_or_fail(FailureReason::kBroken);
   } else {
     dispatch_->begin();
@@ -552,7 +557,7 @@
 }
 
 bool RequestSession::acquire_retry() {
-  retry_denied_reason_ = retry_limit_.acquire(service_, dispatch_->trial(), time_left());
+  retry_denied_reason_ = retry_limit_.acquire(dispatch_->trial(), time_left());
   return retry_denied_reason_.empty();
 }
 
@@ -580,6 +585,7 @@
   if (attempt_->uses_cache) {
     cache_.note_end(verdict);
   }
+  retry_limit_.end_send(*attempt_, verdict);
   attempt_->exchange.reset();
   attempt_->backend = BackendId();
 }
@@ -611,7 +617,7 @@
     watch_progress();
     return;
   }
-  if (time_left() < kMinAttemptTime || !retry_limit_.spend(service_)) {
+  if (time_left() < kMinAttemptTime || !retry_limit_.charge_send()) {
     return;
   }
   note("attempt timed out without progress", "");
--- a/src/gateway/retry_limit.h
+++ b/src/gateway/retry_limit.h
@@ -3,11 +3,15 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
+#include <optional>
 #include <string_view>
 
 #include "base/time.h"
+#include "gateway/attempt.h"
 #include "gateway/environment.h"
 #include "gateway/request_log.h"
+#include "gateway/request_retries.h"
 #include "gateway/types.h"
 
 namespace ochrespring::gateway {
@@ -33,21 +37,36 @@
     return sends_ + (ended ? 0 : 1) >= route_.max_attempts + excluded_sends_;
   }
 
+  /// Must be called once, before the other functions.
+  void begin(const ServiceName& service);
   /// Acquires one more send, which is charged to the retry budget. Returns why it is denied, or an
   /// empty string.
-  std::string_view acquire(const ServiceName& service, bool trial, Duration left);
-  /// Called when a send that was charged to the budget did not take place. The next one is free.
-  void refund() { ++prepaid_; }
-  /// Takes one send from the retry budget. Returns false if none is left.
-  bool spend(const ServiceName& service);
+  std::string_view acquire(bool trial, Duration left);
+  /// Charges the next send to the retry budget, unless it replaces one that did not take place.
+  /// Returns false if the budget denies it.
+  bool charge_send() { return next_send_ || charge(); }
+  /// Charges a prefill call that returned no cache handle, in addition to the send that follows.
+  bool charge_prefill() { return charge(); }
+  /// Begins the send of an attempt. A prefill call uses up no charge.
+  void begin_send(Attempt& attempt);
+  /// Called when the back end answers.
+  void note_answer(Attempt& attempt);
+  /// Called when the back end has disconnected: it has read the request or never will.
+  static void note_disconnect(Attempt& attempt) { attempt.pending.reset(); }
+  /// Called before the exchange of an attempt is closed. If the send did not take place, the next
+  /// one replaces it. If it was given up without an answer, its back end may still receive it.
+  void end_send(Attempt& attempt, AttemptOutcome verdict);
 
  private:
+  bool charge();
+
   Environment& environment_;
   const Route& route_;
   const RequestLog& log_;
   std::uint32_t sends_ = 0;
   std::uint32_t excluded_sends_ = 0;
-  std::uint32_t prepaid_ = 0;  ///< Sends charged to the budget that did not take place.
+  std::shared_ptr<RequestRetries> retries_;
+  std::optional<PendingSend> next_send_;  ///< Allowed and not yet begun.
 };
 
 }  // namespace ochrespring::gateway
--- a/src/gateway/statistics.h
+++ b/src/gateway/statistics.h
@@ -48,11 +48,12 @@
   std::uint64_t attempts = 0;
   std::uint64_t retries = 0;  ///< Sends charged to the retry budget.
   std::uint64_t budget_denied = 0;
-  std::uint64_t cache_fetches = 0;  ///< Attempts that fetch shared parts of a cache.
-  std::uint64_t quarantined = 0;    ///< Ended by the quarantine of the request.
-  std::uint64_t rate_limited = 0;   ///< Ended because the rate limits of back ends were used up.
-  std::uint64_t backing_off = 0;    ///< Ended because back ends had asked this node to back off.
-  std::uint64_t withdrawn = 0;      ///< Sends cancelled by a backoff before connecting.
+  std::uint64_t sends_unanswered = 0;  ///< Given up, though their back ends may still receive them.
+  std::uint64_t cache_fetches = 0;     ///< Attempts that fetch shared parts of a cache.
+  std::uint64_t quarantined = 0;       ///< Ended by the quarantine of the request.
+  std::uint64_t rate_limited = 0;      ///< Ended because the rate limits of back ends were used up.
+  std::uint64_t backing_off = 0;       ///< Ended because back ends had asked this node to back off.
+  std::uint64_t withdrawn = 0;         ///< Sends cancelled by a backoff before connecting.
   /// Sends cancelled before connecting because the caller had disconnected.
   std::uint64_t sends_without_caller = 0;
   std::uint64_t started_streams_retried = 0;  ///< Started streams retried after their last event.
--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -164,6 +164,7 @@
   LoadTable loads;
   Placement placement{fleet, loads, random, ZoneName("a")};
   RetryBudget budget{{1.0, 1000, std::chrono::seconds(10)}};
+  UnansweredSends unanswered;
   SharePicker shares{random};
   HeaderNames names;
   FakeEngineCalls engines;
@@ -174,8 +175,8 @@
 
   /// The environment of the gateway. Tests may add optional members for a gateway of their own.
   Environment environment() {
-    return {time,   time,  transport, fleet,      loads,  placement,        budget,
-            shares, names, engines,   statistics, logger, [] { return 1U; }};
+    return {time,       time,   transport, fleet,   loads,      placement, budget,
+            unanswered, shares, names,     engines, statistics, logger,    [] { return 1U; }};
   }
   Environment environment_with(RequestGuard* guard, SendGate* gate) {
     Environment made = environment();
--- a/src/gateway/tests/late_arrivals_test.cc
+++ b/src/gateway/tests/late_arrivals_test.cc
@@ -110,3 +110,36 @@
   REQUIRE(backends.use().extra_arrivals() > 100);
   CHECK(backends.use().highest() <= 1.0);
 }
+
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "a retry counts until a window after its back ends are known to have read it") {
+  budget.set({.ratio = 0, .slack = 5, .window = 10s});
+  add_backend("b1", "relay");
+  add_backend("b2", "relay");
+  const auto charged = [this] { return budget.use(ServiceName("relay"), 1, time.now()).charged; };
+  send("/idempotent/x");
+  const std::string silent = last().header(names.expected_instance);
+  advance(400ms);
+  REQUIRE(sends() == 2);
+  last().answer(200, {signature()}, "answer");
+  CHECK(statistics.sends_unanswered == 1);
+
+  SUBCASE("after an answer of the silent back end to a later request") {
+    add_backend(silent == "b1" ? "b2" : "b1", "relay", EngineRole::kNone, /*draining=*/true);
+    send("/once/x");
+    REQUIRE(last().header(names.expected_instance) == silent);
+    last().answer(200, {signature()}, "answer");
+    advance(9s);
+    CHECK(charged() == 1);
+    advance(2s);
+    CHECK(charged() == 0);
+  }
+  SUBCASE("after the time that a back end may stand still") {
+    advance(UnansweredSends::kRetention + 9s);
+    CHECK(charged() == 1);
+    unanswered.drop_expired(time.now());
+    CHECK(charged() == 1);
+    advance(11s);
+    CHECK(charged() == 0);
+  }
+}
--- a/src/gateway/tests/policies_test.cc
+++ b/src/gateway/tests/policies_test.cc
@@ -168,7 +168,8 @@
       node.note_request(service, now);
       requests.push_back(now);
       for (int i = 0; i != 4; ++i) {
-        if (node.spend(service, kNodes, now)) {
+        if (node.open(service, kNodes, now)) {
+          node.settle(service, 1, now);
           retries.push_back(now);
         }
       }
--- a/src/gateway/tests/request_guard_test.cc
+++ b/src/gateway/tests/request_guard_test.cc
@@ -198,6 +198,7 @@
                    fixture.loads,
                    fixture.placement,
                    fixture.budget,
+                   fixture.unanswered,
                    fixture.shares,
                    fixture.names,
                    fixture.engines,
--- a/src/gateway/tests/restarted_node_budget_test.cc
+++ b/src/gateway/tests/restarted_node_budget_test.cc
@@ -32,7 +32,8 @@
       for (RetryBudget& node : nodes_) {
         node.note_request(service_, now_);
         use_.note_request(now_);
-        while (failing && node.spend(service_, kNodes, now_)) {
+        while (failing && node.open(service_, kNodes, now_)) {
+          node.settle(service_, 1, now_);
           use_.note_extra_arrival(now_);
         }
       }
--- a/src/gateway/tests/waiting_requests_test.cc
+++ b/src/gateway/tests/waiting_requests_test.cc
@@ -18,8 +18,8 @@
 struct WaitingRequestFixture : GatewayFixture {
   std::vector<std::function<void(bool)>> refreshes;
   int idle = 0;
-  Gateway gateway_under_test{{time, time, transport, fleet, loads, placement, budget, shares, names,
-                              engines, statistics, logger, [] { return 1U; }},
+  Gateway gateway_under_test{{time, time, transport, fleet, loads, placement, budget, unanswered,
+                              shares, names, engines, statistics, logger, [] { return 1U; }},
                              [this](auto done) { refreshes.push_back(std::move(done)); }};
 
   WaitingRequestFixture() {
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -139,6 +139,7 @@
                 loads_,
                 placement_,
                 retry_budget_,
+                unanswered_sends_,
                 share_picker_,
                 platform_.names,
                 platform_.engines,
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -83,6 +83,7 @@
   engine_profiles::EngineProfileTable profiles_;
   gateway::Placement placement_;
   gateway::RetryBudget retry_budget_;
+  gateway::UnansweredSends unanswered_sends_;
   gateway::SharePicker share_picker_;
   gateway::GatewayStatistics statistics_;
   gateway::HttpBackendTransport transport_;
--- a/src/gateway_node/node_metrics.cc
+++ b/src/gateway_node/node_metrics.cc
@@ -29,6 +29,8 @@
     {"attempts", "Attempts sent to back ends", &GatewayStatistics::attempts},
     {"repeats", "Retries charged to the retry budget", &GatewayStatistics::retries},
     {"repeats_denied", "Retries denied by the retry budget", &GatewayStatistics::budget_denied},
+    {"sends_unanswered", "Sends given up without an answer, which back ends may still receive",
+     &GatewayStatistics::sends_unanswered},
     {"cache_fetches", "Attempts that fetch shared prompt parts from a cache",
      &GatewayStatistics::cache_fetches},
     {"requests_quarantined",
--- a/src/gateway_node/tests/crash_fleet.h
+++ b/src/gateway_node/tests/crash_fleet.h
@@ -160,6 +160,7 @@
   gateway::LoadTable loads;
   gateway::Placement placement;
   gateway::RetryBudget budget{{.ratio = 0.2, .slack = 52, .window = 10s}};
+  gateway::UnansweredSends unanswered;
   gateway::SharePicker shares;
   gateway::HeaderNames names;
   gateway::testing::FakeEngineCalls engines;
@@ -777,6 +778,7 @@
                loads,
                placement,
                budget,
+               unanswered,
                shares,
                names,
                engines,
