--- a/src/gateway/tests/late_arrivals_test.cc
+++ b/src/gateway/tests/late_arrivals_test.cc
@@ -2,8 +2,11 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <cstddef>
 #include <map>
+#include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "tests/gateway_fixture.h"
--- a/src/gateway/tests/restarted_node_budget_test.cc
+++ b/src/gateway/tests/restarted_node_budget_test.cc
@@ -3,8 +3,8 @@
 #include <rapidcheck.h>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
-#include <functional>
 #include <vector>
 
 #include "gateway/retry_budget.h"
