Nodes that are cut off from back ends reach them through other nodes

Cause: a node had no way to a back end but its own link, and took a cut link for a terminated back end. It tried one back end after the other for each request, 400 ms each, ejected all of them, charged repeats and suspected requests of crashing servers (13 reports for living servers, a request quarantined on all nodes).

Change: nodes relay connections for each other (http::ConnectionRelay). The node that took the request keeps all decisions; another way is tried only while no byte of the request has been sent. ClientConnection is now TcpConnection, since the relay accepts connections as well.

--- a/src/gateway/backend_transport.h
+++ b/src/gateway/backend_transport.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <memory>
-#include <utility>
 
 #include "http/client.h"
 
@@ -21,23 +20,4 @@
   virtual void send_and_forget(http::ClientRequest request) = 0;
 };
 
-/// Uses the HTTP client of the event loop.
-class HttpBackendTransport final : public BackendTransport {
- public:
-  explicit HttpBackendTransport(http::Client& client) : client_(client) {}
-  std::unique_ptr<http::Exchange> start(http::ClientRequest request,
-                                        http::ResponseObserver& observer) override {
-    return client_.start(std::move(request), observer);
-  }
-  bool has_idle_connection(const Endpoint& endpoint) const override {
-    return client_.has_idle_connection(endpoint);
-  }
-  void send_and_forget(http::ClientRequest request) override {
-    client_.fetch(std::move(request), [](const auto&) {});
-  }
-
- private:
-  http::Client& client_;
-};
-
 }  // namespace ochrespring::gateway
--- a/src/gateway/load_table.cc
+++ b/src/gateway/load_table.cc
@@ -377,6 +377,12 @@
   }
 }
 
+void LoadTable::end_ejection(const BackendId& id) {
+  if (BackendLoad* load = known(id)) {
+    load->end_ejection();
+  }
+}
+
 EngineWorkload LoadTable::own(const BackendId& id) const {
   const BackendLoad* load = find(id);
   return load == nullptr ? EngineWorkload()
--- a/src/gateway/load_table.h
+++ b/src/gateway/load_table.h
@@ -62,6 +62,11 @@
   void end(AttemptOutcome outcome, MonotonicTime now);
   /// The back end has stopped acknowledging what is sent to it; ejects it for a while.
   void note_unresponsive(MonotonicTime now);
+  /// What made it seem unresponsive was a cut link of this node; ends the ejection.
+  void end_ejection() {
+    unreachable_in_row_ = 0;
+    ejected_until_ = {};
+  }
   void note_report(const ReportedLoad& load, MonotonicTime now);
 
   /// Estimated number of requests of other nodes, from the last load report; decreases with the age
@@ -161,9 +166,9 @@
   const std::map<BackendId, BackendLoad>& all() const { return loads_; }
   void forget(const BackendId& id) { loads_.erase(id); }
 
-  // begin(), note_prefilled(), end(), note_report() and note_unresponsive() update the back end's
-  // BackendLoad. All but begin() ignore a back end that is not in the table, such as one removed
-  // while a request was running.
+  // begin(), note_prefilled(), end(), end_ejection(), note_report() and note_unresponsive() update
+  // the back end's BackendLoad. All but begin() ignore a back end that is not in the table, such as
+  // one removed while a request was running.
 
   /// Calls the callback of on_change().
   void begin(const BackendId& id, std::uint64_t prefill_tokens);
@@ -176,6 +181,8 @@
   void note_report(const BackendId& id, const ReportedLoad& load, MonotonicTime now);
   /// Calls the callback of on_unresponsive().
   void note_unresponsive(const BackendId& id, MonotonicTime now);
+  /// Calls no callback.
+  void end_ejection(const BackendId& id);
   /// Sets the callback for a back end that has become unresponsive, unreachable or replaced.
   void on_unresponsive(std::function<void(const BackendId&)> callback) {
     unresponsive_callback_ = std::move(callback);
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -420,7 +420,9 @@
   if (!sent) {
     note("connection failed", error.message);
     ++unreachable_;
-    end_attempt(AttemptOutcome::kUnreachable);
+    // Without a path from this node, nothing is known about the back end.
+    end_attempt(error.code == http::HttpErrc::kRelayFailed ? AttemptOutcome::kNotSent
+                                                           : AttemptOutcome::kUnreachable);
     if (unreachable_ < kMaxUnreachableAttempts) {
       on_not_sent(attempt_->resumed_run ? SendKind::kResume : SendKind::kRun);
     } else {
@@ -439,14 +441,17 @@
 /// Ends the current attempt, of which a byte may have been sent, as failed.
 void RequestSession::fail_attempt(const http::HttpError& error) {
   log_.note_failure(error, *attempt_, fingerprint().to_hex());
-  const bool timed_out = error.code == http::HttpErrc::kTimeout;
+  const bool link_cut = error.code == http::HttpErrc::kLinkCut;
+  const bool timed_out = link_cut || error.code == http::HttpErrc::kTimeout;
   if (!timed_out) {
     RetryLimit::note_disconnect(*attempt_);
   }
-  reports_.note_failure(
-      service_, *attempt_,
-      timed_out ? AttemptFailureKind::kUnresponsive : AttemptFailureKind::kClosed);
-  if (timed_out) {
+  if (!link_cut) {
+    reports_.note_failure(
+        service_, *attempt_,
+        timed_out ? AttemptFailureKind::kUnresponsive : AttemptFailureKind::kClosed);
+  }
+  if (timed_out && !link_cut) {
     environment_.loads.note_unresponsive(attempt_->backend, environment_.clock.now());
   }
   if (attempt_->is_prefill_call) {
@@ -464,7 +469,7 @@
     tried_.erase(attempt_->backend);
   }
   const FailedRun run = failed_run(error.code);
-  end_attempt(stale ? AttemptOutcome::kAbandoned : AttemptOutcome::kFailed);
+  end_attempt(stale || link_cut ? AttemptOutcome::kAbandoned : AttemptOutcome::kFailed);
   resume_or_retry(run);
 }
 
--- a/src/gateway_node/node_metrics.cc
+++ b/src/gateway_node/node_metrics.cc
@@ -88,6 +88,31 @@
      &FleetWatcherStatistics::updates_mismatched},
 };
 
+using links::LinkStatistics;
+constexpr metrics::CounterRow<LinkStatistics> kLinkCounters[] = {
+    {"link_probes", "Connections opened to check links to back ends", &LinkStatistics::probes},
+    {"links_cut", "Links to back ends found to be cut", &LinkStatistics::links_cut},
+    {"partitions", "Times at which no back end could be reached", &LinkStatistics::partitions},
+};
+
+using links::RelayingStatistics;
+constexpr metrics::CounterRow<RelayingStatistics> kRelayingCounters[] = {
+    {"exchanges_relayed", "Exchanges with back ends through other nodes",
+     &RelayingStatistics::relayed},
+    {"exchanges_without_path", "Exchanges that no other node could relay",
+     &RelayingStatistics::without_path},
+};
+
+using http::RelayStatistics;
+constexpr metrics::CounterRow<RelayStatistics> kRelayCounters[] = {
+    {"relayed_connections", "Connections relayed for other nodes", &RelayStatistics::connected},
+    {"relayed_connections_unreachable", "Back ends that could not be reached for other nodes",
+     &RelayStatistics::unreachable},
+    {"relayed_connections_refused", "Connections not relayed for other nodes",
+     &RelayStatistics::refused},
+    {"relayed_bytes", "Bytes passed on for other nodes", &RelayStatistics::bytes},
+};
+
 /// Names and HELP texts of the samples of a histogram.
 struct HistogramRow {
   metrics::MetricName bucket;
@@ -122,6 +147,15 @@
   add_histogram(kReadDelay, statistics.read_delay, sink);
 }
 
+void add_link_metrics(const links::LinkMonitor& links, const links::RelayingStatistics& transport,
+                      const http::ConnectionRelay& relay, metrics::SampleSink& sink) {
+  metrics::add_counters(kLinkCounters, links.statistics(), sink);
+  metrics::add_counters(kRelayingCounters, transport, sink);
+  metrics::add_counters(kRelayCounters, relay.statistics(), sink);
+  sink.gauge({"links_cut_now", "Back ends whose links count as cut"},
+             static_cast<double>(links.cut_count()));
+}
+
 void add_watcher_metrics(const discovery::FleetWatcher& watcher, metrics::SampleSink& sink) {
   metrics::add_counters(kWatcherCounters, watcher.statistics(), sink);
   sink.counter({"store_values_rejected", "Values from the store that could not be parsed"},
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -5,18 +5,15 @@
 #include <unordered_set>
 #include <utility>
 
-#include "http/client_connection.h"
 #include "http/client_exchange.h"
 #include "http/connection_pool.h"
 #include "http/socket_address.h"
+#include "http/tcp_connection.h"
 
 namespace ochrespring::http {
 
 namespace {
 
-/// How long a probed connection must stay open: several round trips within a local network.
-constexpr Duration kProbeOpenTime = std::chrono::milliseconds(150);
-
 /// Handle given to the user of the client.
 class ExchangeHandle final : public Exchange {
  public:
@@ -91,20 +88,25 @@
 using RunningProbes = std::unordered_set<std::shared_ptr<ConnectionProbe>>;
 
 /// Opens and closes one connection; owned by its client until done.
-class ConnectionProbe final : public ClientConnection::Listener,
+class ConnectionProbe final : public TcpConnection::Listener,
                               public std::enable_shared_from_this<ConnectionProbe> {
  public:
   using Done = std::function<void(ProbeResult)>;
 
-  ConnectionProbe(EventLoop& loop, RunningProbes& running, Done done)
-      : loop_(loop), running_(running), done_(std::move(done)), timeout_(loop) {}
+  ConnectionProbe(EventLoop& loop, RunningProbes& running, Duration open_time, Done done)
+      : loop_(loop),
+        running_(running),
+        open_time_(open_time),
+        done_(std::move(done)),
+        timeout_(loop) {}
 
   void start(const Endpoint& endpoint, Duration timeout) {
     running_.insert(shared_from_this());
     const auto address = http::parse_endpoint(endpoint);
-    auto opened = address ? ClientConnection::open(loop_, address.value(), timeout)
-                          : Result<std::unique_ptr<ClientConnection>, HttpError>(
-                                outcome::failure(address.error()));
+    auto opened =
+        address
+            ? TcpConnection::open(loop_, address.value(), timeout)
+            : Result<std::unique_ptr<TcpConnection>, HttpError>(outcome::failure(address.error()));
     if (!opened) {
       loop_.post([self = shared_from_this()] { self->finish(ProbeResult::kRefused); });
       return;
@@ -119,7 +121,7 @@
       finish(ProbeResult::kRefused);
       return;
     }
-    timeout_.arm(kProbeOpenTime, [this] { finish(ProbeResult::kAccepted); });
+    timeout_.arm(open_time_, [this] { finish(ProbeResult::kAccepted); });
     connection_->set_reading(true);
   }
   void on_readable() override {
@@ -145,9 +147,10 @@
 
   EventLoop& loop_;
   RunningProbes& running_;
+  Duration open_time_;
   Done done_;
   Timer timeout_;
-  std::unique_ptr<ClientConnection> connection_;
+  std::unique_ptr<TcpConnection> connection_;
 };
 
 }  // namespace
@@ -187,14 +190,18 @@
 }
 
 void Client::probe(const Endpoint& endpoint, Duration timeout,
-                   std::function<void(ProbeResult)> done) {
+                   std::function<void(ProbeResult)> done, Duration open_time) {
   ++state_->statistics.connections_opened;
-  std::make_shared<ConnectionProbe>(state_->loop, state_->probes, std::move(done))
+  std::make_shared<ConnectionProbe>(state_->loop, state_->probes, open_time, std::move(done))
       ->start(endpoint, timeout);
 }
 
-bool Client::has_idle_connection(const Endpoint& endpoint) const {
-  return state_->pool.has(endpoint.value());
+bool Client::has_idle_connection(const Endpoint& endpoint, bool relayed) const {
+  return state_->pool.has(endpoint.value(), relayed);
+}
+
+void Client::close_idle_direct_connections(const Endpoint& endpoint) {
+  state_->pool.close(endpoint.value(), false);
 }
 
 void Client::close_idle_connections(const Endpoint& endpoint) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -18,8 +18,16 @@
 
 namespace ochrespring::http {
 
+/// A node that passes the bytes of a connection on to the endpoint, see ConnectionRelay.
+struct RelayHop {
+  Endpoint address;  ///< Of the node's ConnectionRelay.
+};
+
 struct ClientRequest {
   Endpoint endpoint;
+  /// If set, a relayed connection is used: an idle one through any node, or a new one through this
+  /// node.
+  std::optional<RelayHop> relay{};
   std::string method = "GET";
   std::string path = "/";  ///< Includes the query, if any.
   std::vector<Header> headers;
@@ -81,7 +89,7 @@
 enum class ProbeResult : std::uint8_t {
   kAccepted,  ///< Sent data or kept the connection open, as a server that waits for a request.
   kRefused,   ///< Refused, unreachable, or closed immediately, as by a proxy without a back end.
-  kNoAnswer,  ///< No answer in time.
+  kNoAnswer,  ///< No answer in time, neither an acceptance nor a refusal.
 };
 
 /// HTTP client on one loop.
@@ -98,11 +106,14 @@
   void fetch(ClientRequest request, std::function<void(Result<Response, FetchFailure>)> done,
              std::uint64_t max_body_bytes = 8U << 20U);
   /// Opens a connection and closes it without sending anything. The peer counts as accepting if it
-  /// sends data or keeps the connection open for 150 ms.
-  void probe(const Endpoint& endpoint, Duration timeout, std::function<void(ProbeResult)> done);
-  /// Closes the idle connections to an endpoint.
+  /// sends data or keeps the connection open for `open_time`; by default several round trips within
+  /// a local network.
+  void probe(const Endpoint& endpoint, Duration timeout, std::function<void(ProbeResult)> done,
+             Duration open_time = std::chrono::milliseconds(150));
+  /// Closes the idle connections to an endpoint, direct and relayed ones.
   void close_idle_connections(const Endpoint& endpoint);
-  bool has_idle_connection(const Endpoint& endpoint) const;
+  void close_idle_direct_connections(const Endpoint& endpoint);
+  bool has_idle_connection(const Endpoint& endpoint, bool relayed = false) const;
   const ClientStatistics& statistics() const;
 
  private:
--- a/src/http/client_exchange.cc
+++ b/src/http/client_exchange.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <utility>
 
+#include "http/connection_relay.h"
 #include "http/socket_address.h"
 
 namespace ochrespring::http {
@@ -80,18 +81,13 @@
 
 void ClientExchange::start() {
   self_ = shared_from_this();
-  const auto address = http::parse_endpoint(request_.endpoint);
-  if (!address) {
-    fail_later(address.error().code, address.error().message);
-    return;
-  }
   timeout_.arm(request_.timeout, [this] {
     fail_with(sent_ ? HttpErrc::kTimeout : HttpErrc::kConnect,
               sent_ ? "no complete response before the timeout"
                     : "connection not established before the timeout");
   });
   if (!request_.fresh_connection) {
-    connection_ = pool_.take(request_.endpoint.value());
+    connection_ = pool_.take(request_.endpoint.value(), request_.relay.has_value());
   }
   if (connection_) {
     reused_ = true;
@@ -100,19 +96,27 @@
     loop_.post([self = self_] { self->send_request(); });
     return;
   }
-  auto opened = ClientConnection::open(loop_, address.value(), kMaxUnacknowledgedTime);
+  const auto opened = open_connection();
   if (!opened) {
     fail_later(opened.error().code, opened.error().message);
     return;
   }
   ++statistics_.connections_opened;
-  connection_ = std::move(opened.value());
   connection_->set_listener(this);
   connect_timeout_.arm(request_.connect_timeout, [this] {
-    fail_with(HttpErrc::kConnect, "connection not established before the timeout");
+    fail_with(request_.relay ? HttpErrc::kRelayFailed : HttpErrc::kConnect,
+              "connection not established before the timeout");
   });
 }
 
+Result<void, HttpError> ClientExchange::open_connection() {
+  BOOST_OUTCOME_TRY(
+      address, http::parse_endpoint(request_.relay ? request_.relay->address : request_.endpoint));
+  BOOST_OUTCOME_TRY(opened, TcpConnection::open(loop_, address, kMaxUnacknowledgedTime));
+  connection_ = std::move(opened);
+  return outcome::success();
+}
+
 void ClientExchange::fail_later(HttpErrc code, std::string message) {
   loop_.post([self = self_, code, text = std::move(message)]() mutable {
     self->fail_with(code, std::move(text));
@@ -142,11 +146,46 @@
 }
 
 void ClientExchange::on_connected(bool success) {
-  connect_timeout_.disarm();
   if (!success) {
-    fail_with(HttpErrc::kConnect, "connect to " + request_.endpoint.value() + " failed");
+    const Endpoint& peer = request_.relay ? request_.relay->address : request_.endpoint;
+    fail_with(request_.relay ? HttpErrc::kRelayFailed : HttpErrc::kConnect,
+              "connect to " + peer.value() + " failed");
+    return;
+  }
+  if (request_.relay) {
+    request_relaying();
+    return;
+  }
+  connect_timeout_.disarm();
+  send_request();
+}
+
+void ClientExchange::request_relaying() {
+  const std::string preface = make_relay_preface(request_.endpoint);
+  const IoResult result = connection_->write(preface, {});
+  if (result.status != IoStatus::kDone || result.bytes != preface.size()) {
+    fail_with(HttpErrc::kRelayFailed, "the relay does not accept the preface");
+    return;
+  }
+  awaiting_relay_ = true;
+  connection_->set_reading(true);
+}
+
+void ClientExchange::read_relay_status() {
+  char status = 0;
+  const IoResult result = connection_->read(&status, 1);
+  if (result.status == IoStatus::kAgain) {
+    return;
+  }
+  awaiting_relay_ = false;
+  const bool stated = result.status == IoStatus::kDone;
+  if (!stated || status != static_cast<char>(RelayStatus::kConnected)) {
+    const bool unreachable = stated && status == static_cast<char>(RelayStatus::kUnreachable);
+    fail_with(unreachable ? HttpErrc::kConnect : HttpErrc::kRelayFailed,
+              unreachable ? "the relay cannot connect either" : "the relay refused");
     return;
   }
+  connect_timeout_.disarm();
   send_request();
 }
 
@@ -190,6 +229,10 @@
 }
 
 void ClientExchange::on_readable() {
+  if (awaiting_relay_) {
+    read_relay_status();
+    return;
+  }
   std::array<char, kReadBytes> buffer;
   const IoResult result = connection_->read(buffer.data(), buffer.size());
   if (result.status == IoStatus::kAgain) {
@@ -357,13 +400,13 @@
 /// Closes connections that cannot be reused: unexpected bytes after the response belong to no
 /// request, and a partially sent request would be continued by the next one.
 void ClientExchange::return_to_pool(bool trailing) {
-  std::unique_ptr<ClientConnection> connection = std::move(connection_);
+  std::unique_ptr<TcpConnection> connection = std::move(connection_);
   if (!connection || trailing || skipped_response_ || !all_written() ||
       idle_lifetime_ == Duration::zero()) {
     return;
   }
-  pool_.put(request_.endpoint.value(), std::move(connection), idle_lifetime_,
-            request_.max_idle_connections);
+  pool_.put(request_.endpoint.value(), request_.relay.has_value(), std::move(connection),
+            idle_lifetime_, request_.max_idle_connections);
 }
 
 void ClientExchange::fail_with(HttpErrc code, std::string message) {
--- a/src/http/client_exchange.h
+++ b/src/http/client_exchange.h
@@ -6,14 +6,14 @@
 
 #include "base/timer.h"
 #include "http/client.h"
-#include "http/client_connection.h"
 #include "http/connection_pool.h"
 #include "http/message_parser.h"
+#include "http/tcp_connection.h"
 
 namespace ochrespring::http {
 
 /// Runs an exchange. Owned by the caller's handle and, while it runs, by itself.
-class ClientExchange final : public ClientConnection::Listener,
+class ClientExchange final : public TcpConnection::Listener,
                              public std::enable_shared_from_this<ClientExchange> {
  public:
   ClientExchange(EventLoop& loop, ConnectionPool& pool, ClientStatistics& statistics,
@@ -33,6 +33,9 @@
   /// How the end of the response body is determined.
   enum class BodyEnd : std::uint8_t { kNone, kLength, kChunked, kClose };
 
+  Result<void, HttpError> open_connection();
+  void request_relaying();
+  void read_relay_status();
   void send_request();
   void fail_later(HttpErrc code, std::string message);
   void write_more();
@@ -61,7 +64,7 @@
   Timer timeout_;
   Timer connect_timeout_;
   std::shared_ptr<ClientExchange> self_;
-  std::unique_ptr<ClientConnection> connection_;
+  std::unique_ptr<TcpConnection> connection_;
   std::string input_;  ///< Received but not yet processed.
   ParsedHead parsed_;
   ChunkDecoder chunks_;
@@ -73,6 +76,7 @@
   bool head_received_ = false;
   bool skipping_ = false;          ///< The current response belongs to another request.
   bool skipped_response_ = false;  ///< Such a response was received on this connection.
+  bool awaiting_relay_ = false;    ///< The relay has not stated yet whether it is connected.
   bool reused_ = false;
   bool sent_ = false;
   bool reading_ = true;
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "base/time.h"
-#include "http/client_connection.h"
 #include "http/event_loop.h"
+#include "http/tcp_connection.h"
 
 namespace ochrespring::http {
 
@@ -17,29 +17,33 @@
  public:
   explicit ConnectionPool(EventLoop& loop) : loop_(loop) {}
 
-  /// Returns the most recently used connection, or null.
-  std::unique_ptr<ClientConnection> take(const std::string& endpoint);
+  /// Returns the most recently used direct or relayed connection, or null.
+  std::unique_ptr<TcpConnection> take(const std::string& endpoint, bool relayed);
   /// Keeps a connection for `keep`, or closes it if `max_idle` connections are already kept.
-  void put(const std::string& endpoint, std::unique_ptr<ClientConnection> connection, Duration keep,
-           std::size_t max_idle);
-  bool has(const std::string& endpoint) const;
+  void put(const std::string& endpoint, bool relayed, std::unique_ptr<TcpConnection> connection,
+           Duration keep, std::size_t max_idle);
+  bool has(const std::string& endpoint, bool relayed) const;
   void close_all(const std::string& endpoint) { idle_.erase(endpoint); }
+  /// Closes the direct connections, or the relayed ones.
+  void close(const std::string& endpoint, bool relayed);
 
  private:
   /// An idle connection. Any event on it removes it from the pool.
-  class Idle final : public ClientConnection::Listener {
+  class Idle final : public TcpConnection::Listener {
    public:
-    Idle(ConnectionPool& pool, std::string endpoint, std::unique_ptr<ClientConnection> connection,
-         Duration keep);
+    Idle(ConnectionPool& pool, std::string endpoint, bool relayed,
+         std::unique_ptr<TcpConnection> connection, Duration keep);
     void on_connected(bool /*success*/) override {}
     void on_writable() override {}
     void on_readable() override { pool_.drop(endpoint_, this); }
-    std::unique_ptr<ClientConnection> release();
+    std::unique_ptr<TcpConnection> release();
+    bool relayed() const { return relayed_; }
 
    private:
     ConnectionPool& pool_;
     std::string endpoint_;
-    std::unique_ptr<ClientConnection> connection_;
+    bool relayed_;
+    std::unique_ptr<TcpConnection> connection_;
     Timer expiry_;
   };
 
--- /dev/null
+++ b/src/http/connection_relay.cc
@@ -0,0 +1,349 @@
+#include "http/connection_relay.h"
+
+#include <sys/socket.h>
+
+#include <array>
+#include <chrono>
+#include <string_view>
+#include <unordered_set>
+#include <utility>
+
+#include "base/socket_address.h"
+#include "base/timer.h"
+#include "http/h2o_api.h"
+#include "http/socket_address.h"
+#include "http/tcp_connection.h"
+
+namespace ochrespring::http {
+
+namespace {
+
+constexpr std::string_view kPrefaceBegin = "ochrespring-relay/1 ";
+constexpr char kPrefaceEnd = '\n';
+constexpr std::size_t kMaxPrefaceBytes = 128;
+/// Time until the preface must have arrived.
+constexpr Duration kPrefaceTimeout = std::chrono::milliseconds(500);
+/// How long sent bytes may stay unacknowledged.
+constexpr Duration kMaxUnacknowledgedTime = std::chrono::milliseconds(800);
+/// Bytes held at most for each direction of a connection.
+constexpr std::size_t kBufferBytes = 16U << 10U;
+
+/// One direction of a relayed connection.
+class Direction {
+ public:
+  enum class Step : std::uint8_t { kOpen, kClosed, kFailed };
+
+  Direction(TcpConnection& from, TcpConnection& to, std::uint64_t& total)
+      : from_(from), to_(to), total_(total) {}
+
+  /// Reads from the source unless bytes wait for the destination. Returns how the source stands.
+  Step receive() {
+    if (!buffer_.empty()) {
+      return Step::kOpen;
+    }
+    std::array<char, kBufferBytes> bytes;
+    const IoResult result = from_.read(bytes.data(), bytes.size());
+    if (result.status == IoStatus::kDone) {
+      buffer_.assign(bytes.data(), result.bytes);
+      return send();
+    }
+    if (result.status == IoStatus::kAgain) {
+      return Step::kOpen;
+    }
+    return result.status == IoStatus::kClosed ? Step::kClosed : Step::kFailed;
+  }
+
+  /// Writes what waits for the destination; the source is read only while nothing waits.
+  Step send() {
+    const IoResult result = to_.write(buffer_, {});
+    if (result.status != IoStatus::kDone && result.status != IoStatus::kAgain) {
+      return Step::kFailed;
+    }
+    total_ += result.bytes;
+    buffer_.erase(0, result.bytes);
+    from_.set_reading(buffer_.empty());
+    if (!buffer_.empty()) {
+      to_.await_writable();
+    }
+    return Step::kOpen;
+  }
+
+ private:
+  TcpConnection& from_;
+  TcpConnection& to_;
+  std::uint64_t& total_;
+  std::string buffer_;  ///< Read but not yet written.
+};
+
+/// Returns the server named by a complete preface line without its end; empty if it is malformed.
+Endpoint parse_preface(std::string_view line) {
+  return line.starts_with(kPrefaceBegin) ? Endpoint(std::string(line.substr(kPrefaceBegin.size())))
+                                         : Endpoint();
+}
+
+Endpoint peer_of(int descriptor) {
+  SocketAddress address;
+  address.length = sizeof(address.storage);
+  const bool known = ::getpeername(descriptor, address.get(), &address.length) == 0;
+  return known ? format_endpoint(address.get()) : Endpoint();
+}
+
+}  // namespace
+
+std::string make_relay_preface(const Endpoint& server) {
+  return std::string(kPrefaceBegin).append(server.value()).append(1, kPrefaceEnd);
+}
+
+struct ConnectionRelay::State {
+  class Relayed;
+
+  EventLoop& loop;
+  Options options;
+  Callbacks callbacks;
+  h2o_socket_t* listener = nullptr;
+  std::unordered_set<std::shared_ptr<Relayed>> connections;
+  RelayStatistics statistics;
+
+  State(EventLoop& event_loop, Options relay_options, Callbacks relay_callbacks)
+      : loop(event_loop),
+        options(std::move(relay_options)),
+        callbacks(std::move(relay_callbacks)) {}
+  ~State() {
+    close_listener();
+    std::unordered_set<std::shared_ptr<Relayed>>().swap(connections);
+  }
+  State(const State&) = delete;
+  State& operator=(const State&) = delete;
+
+  void close_listener() {
+    if (listener != nullptr) {
+      h2o_socket_close(std::exchange(listener, nullptr));
+    }
+  }
+  void accept_connections();
+};
+
+/// One relayed connection, from the preface to its end. Owned by the relay's state.
+class ConnectionRelay::State::Relayed final : public std::enable_shared_from_this<Relayed> {
+ public:
+  Relayed(State& relay, int accepted)
+      : relay_(relay),
+        node_(peer_of(accepted)),
+        inner_(TcpConnection::adopt(relay.loop, accepted, kMaxUnacknowledgedTime)),
+        timeout_(relay.loop) {
+    inner_->set_listener(&inner_events_);
+  }
+
+  void start() {
+    timeout_.arm(kPrefaceTimeout, [this] { end(); });
+    inner_->set_reading(true);
+  }
+
+ private:
+  /// Passes the events of one of the two connections on to the relayed connection.
+  class Events final : public TcpConnection::Listener {
+   public:
+    using Handler = void (Relayed::*)();
+    Events(Relayed& owner, Handler readable, Handler writable)
+        : owner_(owner), readable_(readable), writable_(writable) {}
+    void on_connected(bool success) override {
+      call([&] { owner_.on_connected(success); });
+    }
+    void on_readable() override {
+      call([&] { (owner_.*readable_)(); });
+    }
+    void on_writable() override {
+      call([&] { (owner_.*writable_)(); });
+    }
+
+   private:
+    template <class Call>
+    void call(const Call& handler) {
+      const std::shared_ptr<Relayed> keep = owner_.shared_from_this();
+      handler();
+    }
+
+    Relayed& owner_;
+    Handler readable_;
+    Handler writable_;
+  };
+
+  void on_inner_readable() {
+    if (to_server_) {
+      check_node(to_server_->receive());
+    } else if (!outer_) {
+      read_preface();
+    } else {
+      // Nothing is expected before the status: the node has given up.
+      end();
+    }
+  }
+  void on_inner_writable() { check_server(to_node_->send()); }
+  void on_outer_readable() { check_server(to_node_->receive()); }
+  void on_outer_writable() { check_node(to_server_->send()); }
+
+  void read_preface() {
+    std::array<char, kMaxPrefaceBytes> bytes;
+    const IoResult result = inner_->read(bytes.data(), bytes.size() - preface_.size());
+    if (result.status == IoStatus::kAgain) {
+      return;
+    }
+    if (result.status != IoStatus::kDone) {
+      end();
+      return;
+    }
+    preface_.append(bytes.data(), result.bytes);
+    const std::size_t line = preface_.find(kPrefaceEnd);
+    if (line != std::string::npos) {
+      // The node sends nothing more before the status.
+      const bool only_line = line + 1 == preface_.size();
+      connect(only_line ? parse_preface(std::string_view(preface_).substr(0, line)) : Endpoint());
+    } else if (preface_.size() == kMaxPrefaceBytes) {
+      refuse();
+    }
+  }
+
+  void connect(const Endpoint& server) {
+    const auto address = http::parse_endpoint(server);
+    const bool has_room = relay_.connections.size() <= relay_.options.max_connections;
+    if (!address || !has_room || !relay_.callbacks.admit(node_, server)) {
+      refuse();
+      return;
+    }
+    server_ = server;
+    auto opened = TcpConnection::open(relay_.loop, address.value(), kMaxUnacknowledgedTime);
+    if (!opened) {
+      on_connected(false);
+      return;
+    }
+    outer_ = std::move(opened.value());
+    outer_->set_listener(&outer_events_);
+    timeout_.arm(relay_.options.connect_timeout, [this] {
+      const std::shared_ptr<Relayed> keep = shared_from_this();
+      on_connected(false);
+    });
+  }
+
+  void on_connected(bool success) {
+    timeout_.disarm();
+    relay_.callbacks.on_result(server_, success);
+    ++(success ? relay_.statistics.connected : relay_.statistics.unreachable);
+    if (!success) {
+      state_and_end(RelayStatus::kUnreachable);
+      return;
+    }
+    if (!send_status(RelayStatus::kConnected)) {
+      end();
+      return;
+    }
+    to_server_.emplace(*inner_, *outer_, relay_.statistics.bytes);
+    to_node_.emplace(*outer_, *inner_, relay_.statistics.bytes);
+    outer_->set_reading(true);
+  }
+
+  void refuse() {
+    ++relay_.statistics.refused;
+    state_and_end(RelayStatus::kRefused);
+  }
+
+  bool send_status(RelayStatus status) {
+    const char byte = static_cast<char>(status);
+    const IoResult result = inner_->write({&byte, 1}, {});
+    return result.status == IoStatus::kDone && result.bytes == 1;
+  }
+
+  void state_and_end(RelayStatus status) {
+    send_status(status);
+    inner_->close_in_order();
+    end();
+  }
+
+  void check_node(Direction::Step step) {
+    if (step != Direction::Step::kOpen) {
+      // The server must not receive more of a request that the node has given up.
+      outer_->discard_unacknowledged();
+      end();
+    }
+  }
+
+  void check_server(Direction::Step step) {
+    if (step == Direction::Step::kClosed) {
+      inner_->close_in_order();
+    }
+    if (step != Direction::Step::kOpen) {
+      end();
+    }
+  }
+
+  /// Closes both connections; the node's one by a reset unless an orderly close was requested.
+  void end() {
+    const std::shared_ptr<Relayed> keep = shared_from_this();
+    timeout_.disarm();
+    to_server_.reset();
+    to_node_.reset();
+    inner_.reset();
+    outer_.reset();
+    if (relay_.connections.erase(keep) != 0 && relay_.connections.empty()) {
+      relay_.callbacks.on_idle();
+    }
+  }
+
+  State& relay_;
+  Endpoint node_;
+  Endpoint server_;
+  std::string preface_;
+  Events inner_events_{*this, &Relayed::on_inner_readable, &Relayed::on_inner_writable};
+  Events outer_events_{*this, &Relayed::on_outer_readable, &Relayed::on_outer_writable};
+  std::unique_ptr<TcpConnection> inner_;  ///< To the node that asked.
+  std::unique_ptr<TcpConnection> outer_;  ///< To the server.
+  std::optional<Direction> to_server_;    ///< Set once the server is connected.
+  std::optional<Direction> to_node_;
+  Timer timeout_;
+};
+
+void ConnectionRelay::State::accept_connections() {
+  const int descriptor = h2o_socket_get_fd(listener);
+  for (int accepted = 0;
+       (accepted = ::accept4(descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;) {
+    const auto relayed = std::make_shared<Relayed>(*this, accepted);
+    connections.insert(relayed);
+    relayed->start();
+  }
+}
+
+ConnectionRelay::ConnectionRelay(EventLoop& loop, Options options, Callbacks callbacks)
+    : state_(std::make_unique<State>(loop, std::move(options), std::move(callbacks))) {}
+
+ConnectionRelay::~ConnectionRelay() = default;
+
+Result<void, HttpError> ConnectionRelay::listen() {
+  BOOST_OUTCOME_TRY(descriptor, open_listener(state_->options.listen, false));
+  state_->listener =
+      h2o_evloop_socket_create(state_->loop.native(), descriptor, H2O_SOCKET_FLAG_DONT_READ);
+  state_->listener->data = state_.get();
+  h2o_socket_read_start(state_->listener, [](h2o_socket_t* listener, const char* error) {
+    if (error == nullptr) {
+      static_cast<State*>(listener->data)->accept_connections();
+    }
+  });
+  return outcome::success();
+}
+
+void ConnectionRelay::stop_accepting() {
+  state_->close_listener();
+}
+
+Endpoint ConnectionRelay::bound() const {
+  return state_->listener == nullptr ? Endpoint()
+                                     : bound_endpoint(h2o_socket_get_fd(state_->listener));
+}
+
+std::size_t ConnectionRelay::open_connections() const {
+  return state_->connections.size();
+}
+
+const RelayStatistics& ConnectionRelay::statistics() const {
+  return state_->statistics;
+}
+
+}  // namespace ochrespring::http
--- a/src/http/errc.cc
+++ b/src/http/errc.cc
@@ -12,6 +12,10 @@
       return "tls-invalid";
     case HttpErrc::kConnect:
       return "connect";
+    case HttpErrc::kRelayFailed:
+      return "relay-failed";
+    case HttpErrc::kLinkCut:
+      return "link-cut";
     case HttpErrc::kReset:
       return "reset";
     case HttpErrc::kStaleConnection:
--- a/src/http/client_connection.cc
+++ b/src/http/tcp_connection.cc
@@ -1,4 +1,4 @@
-#include "http/client_connection.h"
+#include "http/tcp_connection.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -25,30 +25,35 @@
   ::setsockopt(descriptor, IPPROTO_TCP, option, &value, sizeof(value));
 }
 
+/// Keep-alive probes detect a peer behind a network partition, which sends nothing.
+void set_options(int descriptor, Duration max_unacknowledged) {
+  set_option(descriptor, TCP_NODELAY, 1);
+  const int on = 1;
+  ::setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  set_option(descriptor, TCP_KEEPIDLE, kKeepAliveProbeSeconds);
+  set_option(descriptor, TCP_KEEPINTVL, kKeepAliveProbeSeconds);
+  set_option(descriptor, TCP_KEEPCNT, kKeepAliveProbes);
+  set_option(
+      descriptor, TCP_USER_TIMEOUT,
+      static_cast<int>(
+          std::chrono::duration_cast<std::chrono::milliseconds>(max_unacknowledged).count()));
+}
+
 bool is_retry(int error) {
   return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
 }
 
 }  // namespace
 
-Result<std::unique_ptr<ClientConnection>, HttpError> ClientConnection::open(
-    EventLoop& loop, const SocketAddress& address, Duration max_unacknowledged) {
+Result<std::unique_ptr<TcpConnection>, HttpError> TcpConnection::open(EventLoop& loop,
+                                                                      const SocketAddress& address,
+                                                                      Duration max_unacknowledged) {
   const int descriptor =
       ::socket(address.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (descriptor < 0) {
     return fail(HttpErrc::kConnect, "open a socket: " + std::generic_category().message(errno));
   }
-  set_option(descriptor, TCP_NODELAY, 1);
-  // Keep-alive probes detect a peer behind a network partition, which sends nothing.
-  const int on = 1;
-  ::setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-  set_option(descriptor, TCP_KEEPIDLE, kKeepAliveProbeSeconds);
-  set_option(descriptor, TCP_KEEPINTVL, kKeepAliveProbeSeconds);
-  set_option(descriptor, TCP_KEEPCNT, kKeepAliveProbes);
-  set_option(
-      descriptor, TCP_USER_TIMEOUT,
-      static_cast<int>(
-          std::chrono::duration_cast<std::chrono::milliseconds>(max_unacknowledged).count()));
+  set_options(descriptor, max_unacknowledged);
   if (::connect(descriptor, address.get(), address.length) != 0 && errno != EINPROGRESS) {
     const int error = errno;
     ::close(descriptor);
@@ -56,18 +61,29 @@
   }
   h2o_socket_t* socket =
       h2o_evloop_socket_create(loop.native(), descriptor, H2O_SOCKET_FLAG_DONT_READ);
-  std::unique_ptr<ClientConnection> connection(new ClientConnection(socket));
+  std::unique_ptr<TcpConnection> connection(new TcpConnection(socket));
   socket->data = connection.get();
   h2o_socket_notify_write(socket, on_connect_event);
   return connection;
 }
 
-ClientConnection::~ClientConnection() {
+std::unique_ptr<TcpConnection> TcpConnection::adopt(EventLoop& loop, int accepted,
+                                                    Duration max_unacknowledged) {
+  set_options(accepted, max_unacknowledged);
+  h2o_socket_t* socket =
+      h2o_evloop_socket_create(loop.native(), accepted, H2O_SOCKET_FLAG_DONT_READ);
+  std::unique_ptr<TcpConnection> connection(new TcpConnection(socket));
+  socket->data = connection.get();
+  connection->reset_on_close();
+  return connection;
+}
+
+TcpConnection::~TcpConnection() {
   socket_->data = nullptr;
   h2o_socket_close(socket_);
 }
 
-IoResult ClientConnection::read(char* buffer, std::size_t size) {
+IoResult TcpConnection::read(char* buffer, std::size_t size) {
   const ssize_t count = ::recv(h2o_socket_get_fd(socket_), buffer, size, 0);
   if (count > 0) {
     return {IoStatus::kDone, static_cast<std::size_t>(count)};
@@ -81,7 +97,7 @@
   return {is_retry(errno) ? IoStatus::kAgain : IoStatus::kFailed, 0};
 }
 
-IoResult ClientConnection::write(std::string_view head, std::string_view body) {
+IoResult TcpConnection::write(std::string_view head, std::string_view body) {
   iovec parts[2] = {{const_cast<char*>(head.data()), head.size()},
                     {const_cast<char*>(body.data()), body.size()}};
   msghdr message{};
@@ -94,7 +110,7 @@
   return {is_retry(errno) ? IoStatus::kAgain : IoStatus::kFailed, 0};
 }
 
-void ClientConnection::set_reading(bool reading) {
+void TcpConnection::set_reading(bool reading) {
   const bool active = h2o_socket_is_reading(socket_) != 0;
   if (reading && !active) {
     h2o_socket_read_start(socket_, on_read_event);
@@ -103,26 +119,34 @@
   }
 }
 
-void ClientConnection::await_writable() {
+void TcpConnection::await_writable() {
   h2o_socket_notify_write(socket_, on_write_event);
 }
 
-void ClientConnection::discard_unacknowledged() {
+void TcpConnection::discard_unacknowledged() {
   const int descriptor = h2o_socket_get_fd(socket_);
   if (has_unacknowledged_output(descriptor)) {
     set_reset_on_close(descriptor);
   }
 }
 
-bool ClientConnection::has_pending_input() const {
+void TcpConnection::reset_on_close() {
+  set_reset_on_close(h2o_socket_get_fd(socket_));
+}
+
+void TcpConnection::close_in_order() {
+  clear_reset_on_close(h2o_socket_get_fd(socket_));
+}
+
+bool TcpConnection::has_pending_input() const {
   char byte = 0;
   const ssize_t count =
       ::recv(h2o_socket_get_fd(socket_), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
   return count >= 0 || !is_retry(errno);
 }
 
-void ClientConnection::on_connect_event(h2o_socket_t* socket, const char* /*error*/) {
-  auto* connection = static_cast<ClientConnection*>(socket->data);
+void TcpConnection::on_connect_event(h2o_socket_t* socket, const char* /*error*/) {
+  auto* connection = static_cast<TcpConnection*>(socket->data);
   if (connection == nullptr || connection->listener_ == nullptr) {
     return;
   }
@@ -133,15 +157,15 @@
   connection->listener_->on_connected(outcome == 0 && error == 0);
 }
 
-void ClientConnection::on_read_event(h2o_socket_t* socket, const char* /*error*/) {
-  auto* connection = static_cast<ClientConnection*>(socket->data);
+void TcpConnection::on_read_event(h2o_socket_t* socket, const char* /*error*/) {
+  auto* connection = static_cast<TcpConnection*>(socket->data);
   if (connection != nullptr && connection->listener_ != nullptr) {
     connection->listener_->on_readable();
   }
 }
 
-void ClientConnection::on_write_event(h2o_socket_t* socket, const char* /*error*/) {
-  auto* connection = static_cast<ClientConnection*>(socket->data);
+void TcpConnection::on_write_event(h2o_socket_t* socket, const char* /*error*/) {
+  auto* connection = static_cast<TcpConnection*>(socket->data);
   if (connection != nullptr && connection->listener_ != nullptr) {
     connection->listener_->on_writable();
   }
--- a/src/http/client_connection.h
+++ b/src/http/tcp_connection.h
@@ -1,4 +1,4 @@
-// One outgoing TCP connection on a loop. Uses its own reads and writes, because h2o's socket does
+// One TCP connection on a loop. Uses its own reads and writes, because h2o's socket does
 // not distinguish a reset from an orderly close, and a response without a length is complete only
 // after the latter. Private to src/http.
 #pragma once
@@ -30,8 +30,8 @@
   std::size_t bytes = 0;
 };
 
-/// Owned by an exchange or by the pool. Destruction closes the connection.
-class ClientConnection {
+/// Owned by an exchange, the pool or a relayed connection. Destruction closes the connection.
+class TcpConnection {
  public:
   /// Receives the events on the loop; may destroy the connection from within.
   class Listener {
@@ -44,12 +44,16 @@
   };
 
   /// Starts connecting. `max_unacknowledged` limits how long sent bytes may stay unacknowledged.
-  static Result<std::unique_ptr<ClientConnection>, HttpError> open(EventLoop& loop,
-                                                                   const SocketAddress& address,
-                                                                   Duration max_unacknowledged);
-  ~ClientConnection();
-  ClientConnection(const ClientConnection&) = delete;
-  ClientConnection& operator=(const ClientConnection&) = delete;
+  static Result<std::unique_ptr<TcpConnection>, HttpError> open(EventLoop& loop,
+                                                                const SocketAddress& address,
+                                                                Duration max_unacknowledged);
+  /// Takes over a connection that a listener has accepted. Its end is a reset unless
+  /// close_in_order() is called, also if the process is killed.
+  static std::unique_ptr<TcpConnection> adopt(EventLoop& loop, int accepted,
+                                              Duration max_unacknowledged);
+  ~TcpConnection();
+  TcpConnection(const TcpConnection&) = delete;
+  TcpConnection& operator=(const TcpConnection&) = delete;
 
   void set_listener(Listener* listener) { listener_ = listener; }
   IoResult read(char* buffer, std::size_t size);
@@ -62,11 +66,15 @@
   /// An orderly close would still deliver them. Otherwise the close stays orderly, because the
   /// kernel sends a reset only once, and it may be lost.
   void discard_unacknowledged();
+  /// Makes the destructor reset the connection.
+  void reset_on_close();
+  /// Makes the destructor close the connection in order, after the bytes written so far.
+  void close_in_order();
   /// Whether there is unread data or an unread close from the peer.
   bool has_pending_input() const;
 
  private:
-  explicit ClientConnection(h2o_socket_t* socket) : socket_(socket) {}
+  explicit TcpConnection(h2o_socket_t* socket) : socket_(socket) {}
 
   static void on_connect_event(h2o_socket_t* socket, const char* error);
   static void on_read_event(h2o_socket_t* socket, const char* error);
--- /dev/null
+++ b/src/links/relay_chooser.cc
@@ -0,0 +1,58 @@
+#include "links/relay_chooser.h"
+
+#include <algorithm>
+#include <chrono>
+#include <string_view>
+#include <vector>
+
+namespace ochrespring::links {
+
+namespace {
+
+/// How long a node that has refused is not asked again.
+constexpr Duration kRefusalTime = std::chrono::milliseconds(500);
+
+/// The address without its port.
+std::string_view host_of(const Endpoint& endpoint) {
+  const std::string_view text = endpoint.value();
+  return text.substr(0, text.rfind(':'));
+}
+
+}  // namespace
+
+bool RelayChooser::has_refused(const Endpoint& node) const {
+  const auto found = refused_at_.find(node);
+  return found != refused_at_.end() && clock_.now() - found->second < kRefusalTime;
+}
+
+std::optional<Endpoint> RelayChooser::choose(const std::set<Endpoint>& asked) {
+  std::erase_if(refused_at_, [&](const auto& entry) { return !has_refused(entry.first); });
+  std::vector<Endpoint> near;
+  std::vector<Endpoint> far;
+  for (const auto& [id, record] : nodes_.others()) {
+    const Endpoint& address = record.peer_address;
+    if (!address.empty() && !asked.contains(address) && !has_refused(address)) {
+      (record.zone == nodes_.self().zone ? near : far).push_back(address);
+    }
+  }
+  const std::vector<Endpoint>& candidates = near.empty() ? far : near;
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  return candidates[random_.below(candidates.size())];
+}
+
+bool RelayChooser::is_node(const Endpoint& address) const {
+  const auto matches = [&](const discovery::NodeRecord& record) {
+    return host_of(record.peer_address) == host_of(address);
+  };
+  const auto& others = nodes_.others();
+  if (std::any_of(others.begin(), others.end(),
+                  [&](const auto& entry) { return matches(entry.second); })) {
+    return true;
+  }
+  const std::vector<discovery::NodeRecord> removed = nodes_.recently_removed();
+  return std::any_of(removed.begin(), removed.end(), matches);
+}
+
+}  // namespace ochrespring::links
--- /dev/null
+++ b/src/links/tests/relay_chooser_test.cc
@@ -0,0 +1,77 @@
+// Guards against all partitioned nodes choosing one relay, and against relays for strangers.
+#include "links/relay_chooser.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+
+#include "simulation/virtual_time.h"
+
+using namespace ochrespring;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Fixture {
+  simulation::VirtualTime time;
+  SeededRandom random{3};
+  discovery::NodeDirectory nodes{time, record(0, "z1")};
+  links::RelayChooser relays{nodes, time, random};
+
+  static discovery::NodeRecord record(int number, const std::string& zone) {
+    discovery::NodeRecord made;
+    made.node = NodeId("n" + std::to_string(number));
+    made.zone = ZoneName(zone);
+    made.peer_address = peer(number);
+    return made;
+  }
+  static Endpoint peer(int number) {
+    return Endpoint("10.0.1." + std::to_string(number) + ":7380");
+  }
+  std::map<Endpoint, int> choose_often() {
+    std::map<Endpoint, int> chosen;
+    for (int i = 0; i != 600; ++i) {
+      ++chosen[relays.choose({}).value()];
+    }
+    return chosen;
+  }
+};
+
+}  // namespace
+
+TEST_CASE("relays are nodes of the own zone in even shares, others only if there is none") {
+  Fixture f;
+  CHECK_FALSE(f.relays.has_peers());
+  CHECK_FALSE(f.relays.choose({}));
+  f.nodes.put(Fixture::record(1, "z1"));
+  f.nodes.put(Fixture::record(2, "z1"));
+  f.nodes.put(Fixture::record(3, "z2"));
+  const auto chosen = f.choose_often();
+  CHECK(chosen.size() == 2);
+  CHECK(chosen.at(Fixture::peer(1)) > 200);
+  CHECK(chosen.at(Fixture::peer(2)) > 200);
+  CHECK(f.relays.choose({Fixture::peer(1), Fixture::peer(2)}) == Fixture::peer(3));
+  CHECK_FALSE(f.relays.choose({Fixture::peer(1), Fixture::peer(2), Fixture::peer(3)}));
+}
+
+TEST_CASE("a node that refused is left out for half a second") {
+  Fixture f;
+  f.nodes.put(Fixture::record(1, "z1"));
+  f.nodes.put(Fixture::record(2, "z2"));
+  f.relays.note_refused(Fixture::peer(1));
+  CHECK(f.choose_often().size() == 1);
+  CHECK(f.relays.choose({}) == Fixture::peer(2));
+  f.time.run_until(f.time.now() + 500ms);
+  CHECK(f.relays.choose({}) == Fixture::peer(1));
+}
+
+TEST_CASE("only nodes of the fleet count as nodes, also shortly after their removal") {
+  Fixture f;
+  f.nodes.put(Fixture::record(1, "z1"));
+  CHECK(f.relays.is_node(Endpoint("10.0.1.1:50123")));
+  CHECK_FALSE(f.relays.is_node(Endpoint("10.0.1.10:50123")));
+  CHECK_FALSE(f.relays.is_node(Endpoint("10.0.1.2:7380")));
+  f.nodes.remove(NodeId("n1"));
+  CHECK(f.relays.is_node(Endpoint("10.0.1.1:50123")));
+}
--- a/src/proxy/http_backend_client.cc
+++ b/src/proxy/http_backend_client.cc
@@ -19,11 +19,13 @@
     case http::HttpErrc::kAddressInvalid:
     case http::HttpErrc::kAddressInUse:
     case http::HttpErrc::kTlsInvalid:
+    case http::HttpErrc::kRelayFailed:
       return AttemptFailure::kConnect;
     case http::HttpErrc::kTruncated:
     case http::HttpErrc::kTooLarge:
       return AttemptFailure::kTruncated;
     case http::HttpErrc::kTimeout:
+    case http::HttpErrc::kLinkCut:
       return AttemptFailure::kTimeout;
     case http::HttpErrc::kCancelled:
     case http::HttpErrc::kWithdrawn:
