Relays are left out for the back end that they refused; NodeLinks holds a node's links

A node whose links to one service are cut refuses to relay there. Refusals are kept by node and back end; an unreachable node is left out for all. Cut links of a node that is not partitioned are probed each 500 ms instead of each second, because such a node refuses to relay until it knows that they are back.

The relay pauses accepting when no descriptors are left, as the server does. The wiring of links moves from GatewayNode to a class of its own.

--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -421,8 +421,8 @@
     note("connection failed", error.message);
     ++unreachable_;
     // Without a path from this node, nothing is known about the back end.
-    end_attempt(error.code == http::HttpErrc::kRelayFailed ? AttemptOutcome::kNotSent
-                                                           : AttemptOutcome::kUnreachable);
+    end_attempt(error.code == http::HttpErrc::kNoPath ? AttemptOutcome::kNotSent
+                                                      : AttemptOutcome::kUnreachable);
     if (unreachable_ < kMaxUnreachableAttempts) {
       on_not_sent(attempt_->resumed_run ? SendKind::kResume : SendKind::kRun);
     } else {
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -15,8 +15,6 @@
 /// Subtracted from the grace period of the settings, so that the process ends before the platform
 /// kills it. Also the shortest grace period that is used.
 constexpr Duration kGraceMargin = milliseconds(500);
-/// A link on which a connection takes longer counts as cut.
-constexpr Duration kLinkProbeTimeout = milliseconds(150);
 /// Fraction of its lease after which a node's registration is renewed, so that two retries fit into
 /// the rest of the default lease.
 constexpr double kRenewalFraction = 0.4;
@@ -58,19 +56,8 @@
       self_{settings_.node,        settings_.listen,    settings_.zone,
             settings_.peer_listen, settings_.link_mbps, settings_.view_listen},
       nodes_(clock, self_),
-      connections_(client),
-      links_({clock, loop, random, logger, fleet_},
-             [this](const Endpoint& backend, std::function<void(bool)> done) {
-               client_.probe(
-                   backend, kLinkProbeTimeout,
-                   [done = std::move(done)](http::ProbeResult result) {
-                     done(result == http::ProbeResult::kAccepted);
-                   },
-                   Duration::zero());
-             }),
-      relays_(nodes_, clock, random),
-      transport_({clock, loop, random, connections_, links_, relays_}),
-      connection_relay_(loop, {.listen = settings_.peer_listen}, relay_callbacks()),
+      links_({loop, client, clock, random, logger, fleet_, loads_, nodes_}, settings_.peer_listen,
+             [this] { stop_sequence_.on_idle(); }),
       watcher_({clock, loop, random, platform_.store, platform_.codec, logger},
                watcher_settings(settings_), fleet_, nodes_),
       registration_(loop, platform_.store, logger, random,
@@ -111,7 +98,7 @@
           {.key_prefix = platform_.codec.layout().quarantine_prefix, .node = settings_.node},
           {.probe =
                [this](const Endpoint& address, std::function<void(http::ProbeResult)> done) {
-                 transport_.probe(address, std::move(done));
+                 links_.probe(address, std::move(done));
                },
            .broadcast = [this](const auto& batch) { peer_exchange_.broadcast_crashes(batch); },
            .broadcast_to_zone =
@@ -145,7 +132,7 @@
                     }),
       gateway_({clock,
                 loop,
-                transport_,
+                links_.transport(),
                 fleet_,
                 loads_,
                 placement_,
@@ -171,9 +158,7 @@
       stop_sequence_(
           loop,
           {[this] { leave(); }, [this] { caller_server_.stop_accepting(); }, [this] { finish(); },
-           [this] {
-             return caller_server_.requests_in_progress() + connection_relay_.open_connections();
-           },
+           [this] { return caller_server_.requests_in_progress() + links_.relayed_connections(); },
            [this] { gateway_.set_shutdown_time(shutdown_time_); }, [this] { end_requests(); }}) {}
 
 Result<void, http::HttpError> GatewayNode::start() {
@@ -211,8 +196,7 @@
     loads_.forget(backend.id);
     peer_exchange_.forget(backend.id);
     profile_exchange_.forget(backend.id);
-    client_.close_idle_connections(backend.address);
-    links_.forget(backend.address);
+    links_.forget(backend);
     quarantine_.note_backend_removed(backend);
     rate_limiter_.forget(backend.id);
     gateway_.on_backend_unregistered(backend.id);
@@ -230,7 +214,6 @@
   connect_quarantine();
   connect_admission();
   connect_profiles();
-  connect_links();
   watcher_.start();
   registration_.start();
   duties_.start();
@@ -294,47 +277,13 @@
   profile_exchange_.start();
 }
 
-void GatewayNode::connect_links() {
-  links_.on_cut(
-      [this](const Endpoint& address) { client_.close_idle_direct_connections(address); });
-  links_.on_absolved([this](const Endpoint& address) {
-    if (const gateway::Backend* backend = find_backend(address)) {
-      loads_.end_ejection(backend->id);
-    }
-  });
-}
-
-/// Relays only between nodes of the fleet and registered back ends that this node reaches itself.
-http::ConnectionRelay::Callbacks GatewayNode::relay_callbacks() {
-  return {.admit =
-              [this](const Endpoint& node, const Endpoint& backend) {
-                return relays_.is_node(node) && find_backend(backend) != nullptr &&
-                       !links_.is_cut(backend);
-              },
-          .on_result =
-              [this](const Endpoint& backend, bool connected) {
-                if (!connected) {
-                  links_.note_unreachable(backend);
-                }
-              },
-          .on_idle = [this] { stop_sequence_.on_idle(); }};
-}
-
-const gateway::Backend* GatewayNode::find_backend(const Endpoint& address) const {
-  const auto& backends = fleet_.backends();
-  const auto found = std::find_if(backends.begin(), backends.end(), [&](const auto& entry) {
-    return entry.second.address == address;
-  });
-  return found == backends.end() ? nullptr : &found->second;
-}
-
 Result<void, http::HttpError> GatewayNode::listen_to_peers() {
   BOOST_OUTCOME_TRY(socket, peer_load::DatagramSocket::bind(
                                 loop_, settings_.peer_listen, [this](std::string_view bytes) {
                                   peer_exchange_.receive(bytes, loop_.stall_duration());
                                 }));
   peer_socket_ = std::move(socket);
-  return connection_relay_.listen();
+  return links_.listen();
 }
 
 void GatewayNode::request_initial_state() {
@@ -374,7 +323,7 @@
   logger_.write({logging::Level::kInfo, kComponent, "stop requested", request_count_fields()});
   duties_.leave();
   nodes_.leave();
-  connection_relay_.stop_accepting();
+  links_.leave();
   // The answer to this node's own write may have been lost, so other nodes may know a newer
   // revision.
   peer_exchange_.announce_leaving([this] {
@@ -449,7 +398,7 @@
   queue_.add_metrics(sink);
   profiles_.add_metrics(sink);
   profile_exchange_.add_metrics(sink);
-  add_link_metrics(links_, transport_.statistics(), connection_relay_, sink);
+  links_.add_metrics(sink);
   sink.counter({"backend_connections", "Connections opened to back ends"},
                static_cast<double>(client_.statistics().connections_opened));
   sink.gauge({"requests_running", "Requests in progress"}, static_cast<double>(gateway_.running()));
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -16,18 +16,15 @@
 #include "gateway/cache_survey.h"
 #include "gateway/gateway.h"
 #include "gateway_node/node_duties.h"
+#include "gateway_node/node_links.h"
 #include "gateway_node/peer_exchange.h"
 #include "gateway_node/platform_interfaces.h"
 #include "gateway_node/settings.h"
 #include "gateway_node/stop_sequence.h"
 #include "gateway_node/view_exchange.h"
 #include "http/client.h"
-#include "http/connection_relay.h"
 #include "http/event_loop.h"
 #include "http/server.h"
-#include "links/link_monitor.h"
-#include "links/relay_chooser.h"
-#include "links/relaying_transport.h"
 #include "logging/logger.h"
 #include "metrics/metrics.h"
 #include "peer_load/datagram_socket.h"
@@ -62,9 +59,6 @@
   void connect_quarantine();
   void connect_admission();
   void connect_profiles();
-  void connect_links();
-  http::ConnectionRelay::Callbacks relay_callbacks();
-  const gateway::Backend* find_backend(const Endpoint& address) const;
   /// Returns the view addresses of the nodes known so far.
   std::vector<Endpoint> known_view_addresses() const;
   /// Starts the survey of cached prompt parts and requests the state of other nodes, once this node
@@ -95,11 +89,7 @@
   gateway::GatewayStatistics statistics_;
   discovery::NodeRecord self_;
   discovery::NodeDirectory nodes_;
-  links::ClientConnections connections_;
-  links::LinkMonitor links_;
-  links::RelayChooser relays_;
-  links::RelayingTransport transport_;
-  http::ConnectionRelay connection_relay_;
+  NodeLinks links_;
   discovery::FleetWatcher watcher_;
   discovery::NodeRegistration registration_;
   ViewExchange view_exchange_;
--- a/src/gateway_node/node_metrics.cc
+++ b/src/gateway_node/node_metrics.cc
@@ -148,10 +148,10 @@
 }
 
 void add_link_metrics(const links::LinkMonitor& links, const links::RelayingStatistics& transport,
-                      const http::ConnectionRelay& relay, metrics::SampleSink& sink) {
+                      const http::RelayStatistics& relay, metrics::SampleSink& sink) {
   metrics::add_counters(kLinkCounters, links.statistics(), sink);
   metrics::add_counters(kRelayingCounters, transport, sink);
-  metrics::add_counters(kRelayCounters, relay.statistics(), sink);
+  metrics::add_counters(kRelayCounters, relay, sink);
   sink.gauge({"links_cut_now", "Back ends whose links count as cut"},
              static_cast<double>(links.cut_count()));
 }
--- a/src/gateway_node/node_metrics.h
+++ b/src/gateway_node/node_metrics.h
@@ -13,6 +13,6 @@
 void add_gateway_metrics(const gateway::GatewayStatistics& statistics, metrics::SampleSink& sink);
 void add_watcher_metrics(const discovery::FleetWatcher& watcher, metrics::SampleSink& sink);
 void add_link_metrics(const links::LinkMonitor& links, const links::RelayingStatistics& transport,
-                      const http::ConnectionRelay& relay, metrics::SampleSink& sink);
+                      const http::RelayStatistics& relay, metrics::SampleSink& sink);
 
 }  // namespace ochrespring::gateway_node
--- a/src/http/client_exchange.cc
+++ b/src/http/client_exchange.cc
@@ -178,11 +178,16 @@
     return;
   }
   awaiting_relay_ = false;
-  const bool stated = result.status == IoStatus::kDone;
-  if (!stated || status != static_cast<char>(RelayStatus::kConnected)) {
-    const bool unreachable = stated && status == static_cast<char>(RelayStatus::kUnreachable);
-    fail_with(unreachable ? HttpErrc::kConnect : HttpErrc::kRelayFailed,
-              unreachable ? "the relay cannot connect either" : "the relay refused");
+  if (result.status != IoStatus::kDone) {
+    fail_with(HttpErrc::kRelayFailed, "the relay closed the connection");
+    return;
+  }
+  if (status == static_cast<char>(RelayStatus::kUnreachable)) {
+    fail_with(HttpErrc::kConnect, "the relay cannot connect either");
+    return;
+  }
+  if (status != static_cast<char>(RelayStatus::kConnected)) {
+    fail_with(HttpErrc::kRelayRefused, "the relay refused");
     return;
   }
   connect_timeout_.disarm();
--- a/src/http/connection_relay.cc
+++ b/src/http/connection_relay.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
 #include <chrono>
 #include <string_view>
 #include <unordered_set>
@@ -27,6 +28,8 @@
 constexpr Duration kMaxUnacknowledgedTime = std::chrono::milliseconds(800);
 /// Bytes held at most for each direction of a connection.
 constexpr std::size_t kBufferBytes = 16U << 10U;
+/// How long accepting is suspended when the process has no file descriptors left.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
 
 /// One direction of a relayed connection.
 class Direction {
@@ -101,13 +104,15 @@
   Options options;
   Callbacks callbacks;
   h2o_socket_t* listener = nullptr;
+  Timer accept_pause;
   std::unordered_set<std::shared_ptr<Relayed>> connections;
   RelayStatistics statistics;
 
   State(EventLoop& event_loop, Options relay_options, Callbacks relay_callbacks)
       : loop(event_loop),
         options(std::move(relay_options)),
-        callbacks(std::move(relay_callbacks)) {}
+        callbacks(std::move(relay_callbacks)),
+        accept_pause(event_loop) {}
   ~State() {
     close_listener();
     std::unordered_set<std::shared_ptr<Relayed>>().swap(connections);
@@ -116,10 +121,12 @@
   State& operator=(const State&) = delete;
 
   void close_listener() {
+    accept_pause.disarm();
     if (listener != nullptr) {
       h2o_socket_close(std::exchange(listener, nullptr));
     }
   }
+  void await_connections();
   void accept_connections();
 };
 
@@ -301,6 +308,14 @@
   Timer timeout_;
 };
 
+void ConnectionRelay::State::await_connections() {
+  h2o_socket_read_start(listener, [](h2o_socket_t* socket, const char* error) {
+    if (error == nullptr) {
+      static_cast<State*>(socket->data)->accept_connections();
+    }
+  });
+}
+
 void ConnectionRelay::State::accept_connections() {
   const int descriptor = h2o_socket_get_fd(listener);
   for (int accepted = 0;
@@ -309,6 +324,10 @@
     connections.insert(relayed);
     relayed->start();
   }
+  if (errno == EMFILE || errno == ENFILE) {
+    h2o_socket_read_stop(listener);
+    accept_pause.arm(kAcceptPause, [this] { await_connections(); });
+  }
 }
 
 ConnectionRelay::ConnectionRelay(EventLoop& loop, Options options, Callbacks callbacks)
@@ -321,11 +340,7 @@
   state_->listener =
       h2o_evloop_socket_create(state_->loop.native(), descriptor, H2O_SOCKET_FLAG_DONT_READ);
   state_->listener->data = state_.get();
-  h2o_socket_read_start(state_->listener, [](h2o_socket_t* listener, const char* error) {
-    if (error == nullptr) {
-      static_cast<State*>(listener->data)->accept_connections();
-    }
-  });
+  state_->await_connections();
   return outcome::success();
 }
 
--- a/src/http/errc.cc
+++ b/src/http/errc.cc
@@ -14,6 +14,10 @@
       return "connect";
     case HttpErrc::kRelayFailed:
       return "relay-failed";
+    case HttpErrc::kRelayRefused:
+      return "relay-refused";
+    case HttpErrc::kNoPath:
+      return "no-path";
     case HttpErrc::kLinkCut:
       return "link-cut";
     case HttpErrc::kReset:
--- a/src/http/errc.h
+++ b/src/http/errc.h
@@ -10,12 +10,14 @@
 enum class HttpErrc {
   kAddressInvalid,
   kAddressInUse,
-  kTlsInvalid,   ///< The certificate, key or authority is unusable.
-  kConnect,      ///< No connection; no byte of the request was sent.
-  kRelayFailed,  ///< The relay is unreachable or did not try; no byte of the request was sent.
-  kLinkCut,      ///< As kTimeout, but this node's link to the peer is known to be cut.
-  kReset,        ///< The connection failed after bytes of the request may have been sent, or the
-                 ///< response head is malformed or too large.
+  kTlsInvalid,    ///< The certificate, key or authority is unusable.
+  kConnect,       ///< No connection; no byte of the request was sent.
+  kRelayFailed,   ///< The relay is unreachable; no byte of the request was sent.
+  kRelayRefused,  ///< The relay did not try to connect; no byte of the request was sent.
+  kNoPath,        ///< No connection, neither direct nor relayed; no byte of the request was sent.
+  kLinkCut,       ///< As kTimeout, but this node's link to the peer is known to be cut.
+  kReset,         ///< The connection failed after bytes of the request may have been sent, or the
+                  ///< response head is malformed or too large.
   kStaleConnection,  ///< A reused connection failed before the response; bytes may have been sent.
   kTruncated,  ///< The connection ended before the end of the response, or the chunked encoding
                ///< of the response is malformed.
--- a/src/links/link_monitor.cc
+++ b/src/links/link_monitor.cc
@@ -17,10 +17,10 @@
 constexpr std::size_t kSurveyProbes = 8;
 constexpr Duration kMinSurveyInterval = milliseconds(500);
 constexpr Duration kMinCheckInterval = milliseconds(500);
-/// Interval between probes of cut links. A partitioned node probes more often, because most of its
+/// Interval between probes of cut links. A partitioned node probes more often, because all of its
 /// requests cost a second hop.
 constexpr Duration kPartitionRecoveryInterval = milliseconds(250);
-constexpr Duration kLinkRecoveryInterval = milliseconds(1000);
+constexpr Duration kLinkRecoveryInterval = milliseconds(500);
 /// Cut links probed per interval.
 constexpr std::size_t kRecoveryProbes = 2;
 
--- a/src/links/relay_chooser.cc
+++ b/src/links/relay_chooser.cc
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// How long a node that has refused is not asked again.
-constexpr Duration kRefusalTime = std::chrono::milliseconds(500);
+/// How long a node that did not relay is not asked again.
+constexpr Duration kFailureTime = std::chrono::milliseconds(500);
 
 /// The address without its port.
 std::string_view host_of(const Endpoint& endpoint) {
@@ -20,18 +20,20 @@
 
 }  // namespace
 
-bool RelayChooser::has_refused(const Endpoint& node) const {
-  const auto found = refused_at_.find(node);
-  return found != refused_at_.end() && clock_.now() - found->second < kRefusalTime;
+bool RelayChooser::has_failed(const Failure& failure) const {
+  const auto found = failed_at_.find(failure);
+  return found != failed_at_.end() && clock_.now() - found->second < kFailureTime;
 }
 
-std::optional<Endpoint> RelayChooser::choose(const std::set<Endpoint>& asked) {
-  std::erase_if(refused_at_, [&](const auto& entry) { return !has_refused(entry.first); });
+std::optional<Endpoint> RelayChooser::choose(const Endpoint& backend,
+                                             const std::set<Endpoint>& asked) {
+  std::erase_if(failed_at_, [&](const auto& entry) { return !has_failed(entry.first); });
   std::vector<Endpoint> near;
   std::vector<Endpoint> far;
   for (const auto& [id, record] : nodes_.others()) {
     const Endpoint& address = record.peer_address;
-    if (!address.empty() && !asked.contains(address) && !has_refused(address)) {
+    if (!address.empty() && !asked.contains(address) && !has_failed({address, backend}) &&
+        !has_failed({address, Endpoint()})) {
       (record.zone == nodes_.self().zone ? near : far).push_back(address);
     }
   }
--- a/src/links/relaying_transport.cc
+++ b/src/links/relaying_transport.cc
@@ -90,9 +90,11 @@
     waiting_ = transport_.silence_.begin(request_.endpoint);
   }
 
-  /// Asks the next relay, or ends the exchange if there is none.
+  /// Tries the next relay, or ends the exchange if there is none.
   void start_relayed() {
-    const auto relay = asked_.size() < kMaxRelaysAsked ? deps_.relays.choose(asked_) : std::nullopt;
+    const auto relay = asked_.size() < kMaxRelaysAsked
+                           ? deps_.relays.choose(request_.endpoint, asked_)
+                           : std::nullopt;
     if (!relay || deps_.clock.now() >= opening_deadline_) {
       // The observer must not be called from within start().
       later_.arm(Duration::zero(), [this] { end_without_path(); });
@@ -136,8 +138,10 @@
       observer_.on_failure(error, false);
       return;
     }
-    if (error.code == http::HttpErrc::kRelayFailed) {
-      deps_.relays.note_refused(relay_);
+    if (error.code == http::HttpErrc::kRelayRefused) {
+      deps_.relays.note_refused(relay_, request_.endpoint);
+    } else if (error.code == http::HttpErrc::kRelayFailed) {
+      deps_.relays.note_unreachable(relay_);
     }
     start_relayed();
   }
@@ -149,7 +153,7 @@
   void end_without_path() {
     ++transport_.statistics_.without_path;
     const http::HttpErrc code =
-        deps_.links.is_partitioned() ? http::HttpErrc::kRelayFailed : http::HttpErrc::kConnect;
+        deps_.links.is_partitioned() ? http::HttpErrc::kNoPath : http::HttpErrc::kConnect;
     observer_.on_failure({code, "the link is cut and no other node relays"}, false);
   }
 
@@ -207,7 +211,7 @@
 
 void RelayingTransport::send_and_forget(http::ClientRequest request) {
   if (deps_.links.is_cut(request.endpoint)) {
-    if (const auto relay = deps_.relays.choose({})) {
+    if (const auto relay = deps_.relays.choose(request.endpoint)) {
       request.relay = http::RelayHop{*relay};
     }
   }
@@ -233,7 +237,7 @@
 /// Opens a relayed connection and withdraws the request before it is sent.
 void RelayingTransport::probe_relayed(const Endpoint& backend,
                                       std::function<void(http::ProbeResult)> done) {
-  const auto relay = deps_.relays.choose({});
+  const auto relay = deps_.relays.choose(backend);
   if (!relay) {
     done(http::ProbeResult::kNoAnswer);
     return;
--- a/src/proxy/http_backend_client.cc
+++ b/src/proxy/http_backend_client.cc
@@ -19,7 +19,9 @@
     case http::HttpErrc::kAddressInvalid:
     case http::HttpErrc::kAddressInUse:
     case http::HttpErrc::kTlsInvalid:
+    case http::HttpErrc::kNoPath:
     case http::HttpErrc::kRelayFailed:
+    case http::HttpErrc::kRelayRefused:
       return AttemptFailure::kConnect;
     case http::HttpErrc::kTruncated:
     case http::HttpErrc::kTooLarge:
