--- a/src/links/link_monitor.cc
+++ b/src/links/link_monitor.cc
@@ -102,6 +102,17 @@
   if (!recovery_timer_.armed()) {
     schedule_recovery();
   }
+  if (!partitioned_ && are_all_cut()) {
+    assume_partition();
+  }
+}
+
+/// With a single back end, nothing tells a partition from its termination.
+bool LinkMonitor::are_all_cut() const {
+  const auto& backends = deps_.fleet.backends();
+  return backends.size() > 1 &&
+         std::all_of(backends.begin(), backends.end(),
+                     [&](const auto& entry) { return is_cut(entry.second.address); });
 }
 
 void LinkMonitor::restore(const Endpoint& backend) {
@@ -130,7 +141,7 @@
 }
 
 void LinkMonitor::finish_survey() {
-  if (!survey_.any_connected && !cut_.empty()) {
+  if (!survey_.any_connected && !cut_.empty() && !partitioned_) {
     assume_partition();
   }
 }
--- a/src/links/link_monitor.h
+++ b/src/links/link_monitor.h
@@ -95,6 +95,7 @@
       on_absolved_(backend);
     }
   }
+  bool are_all_cut() const;
   void start_survey();
   void finish_survey();
   void assume_partition();
--- a/src/links/relaying_transport.cc
+++ b/src/links/relaying_transport.cc
@@ -18,6 +18,8 @@
 /// first way was tried.
 constexpr Duration kMaxOpeningTime = milliseconds(450);
 constexpr std::size_t kMaxRelaysAsked = 3;
+/// A relay is asked only if it has time to state that it cannot connect either.
+constexpr Duration kMinRelayTime = milliseconds(200);
 
 }  // namespace
 
@@ -32,7 +34,7 @@
         request_(std::move(request)),
         observer_(observer),
         deadline_(deps_.clock.now() + request_.timeout),
-        opening_deadline_(deps_.clock.now() + kMaxOpeningTime),
+        opening_deadline_(deps_.clock.now() + std::min(kMaxOpeningTime, request_.timeout)),
         later_(deps_.timers) {}
   ~RoutedExchange() override { stop_waiting(); }
   RoutedExchange(const RoutedExchange&) = delete;
@@ -92,10 +94,10 @@
 
   /// Tries the next relay, or ends the exchange if there is none.
   void start_relayed() {
-    const auto relay = asked_.size() < kMaxRelaysAsked
-                           ? deps_.relays.choose(request_.endpoint, asked_)
-                           : std::nullopt;
-    if (!relay || deps_.clock.now() >= opening_deadline_) {
+    const bool may_ask =
+        asked_.size() < kMaxRelaysAsked && opening_deadline_ - deps_.clock.now() >= kMinRelayTime;
+    const auto relay = may_ask ? deps_.relays.choose(request_.endpoint, asked_) : std::nullopt;
+    if (!relay) {
       // The observer must not be called from within start().
       later_.arm(Duration::zero(), [this] { end_without_path(); });
       return;
@@ -110,7 +112,10 @@
     http::ClientRequest request = request_;
     request.fresh_connection = request.fresh_connection || (relay_.empty() && retried_stale_);
     request.timeout = deadline_ - now;
-    request.connect_timeout = std::min({request.connect_timeout, connect_timeout, request.timeout});
+    request.connect_timeout = std::min(request.connect_timeout, connect_timeout);
+    if (deps_.relays.has_peers()) {
+      request.connect_timeout = std::min(request.connect_timeout, opening_deadline_ - now);
+    }
     if (!relay_.empty()) {
       request.relay = http::RelayHop{relay_};
     }
--- a/src/links/tests/link_monitor_test.cc
+++ b/src/links/tests/link_monitor_test.cc
@@ -85,6 +85,19 @@
   CHECK(f.links.is_cut(f.address(1)));
 }
 
+TEST_CASE("a node whose links were found to be cut one by one is partitioned") {
+  LinksFixture f(3);
+  f.unreachable = {f.address(0)};
+  f.links.note_unreachable(f.address(0));
+  f.run(100ms);
+  REQUIRE(f.links.cut_count() == 1);
+  f.cut_all();
+  f.links.note_unreachable(f.address(1));
+  CHECK_FALSE(f.links.is_partitioned());
+  f.links.note_unreachable(f.address(2));
+  CHECK(f.links.is_partitioned());
+}
+
 TEST_CASE("a check marks a link only if the probe fails, and is not repeated at once") {
   LinksFixture f;
   f.links.check(f.address(0));
