--- a/src/links/relay_chooser.cc
+++ b/src/links/relay_chooser.cc
@@ -9,8 +9,11 @@
 
 namespace {
 
-/// How long a node that did not relay is not asked again.
-constexpr Duration kFailureTime = std::chrono::milliseconds(500);
+/// How long a node that has refused is not asked again. Refusals take a round trip, and the node
+/// may be the only one that reaches the back end as soon as its own link is back.
+constexpr Duration kRefusalTime = std::chrono::milliseconds(100);
+/// How long a node that was unreachable is not asked again.
+constexpr Duration kUnreachableTime = std::chrono::milliseconds(500);
 
 /// The address without its port.
 std::string_view host_of(const Endpoint& endpoint) {
@@ -22,7 +25,8 @@
 
 bool RelayChooser::has_failed(const Failure& failure) const {
   const auto found = failed_at_.find(failure);
-  return found != failed_at_.end() && clock_.now() - found->second < kFailureTime;
+  const Duration lasts = failure.second.empty() ? kUnreachableTime : kRefusalTime;
+  return found != failed_at_.end() && clock_.now() - found->second < lasts;
 }
 
 std::optional<Endpoint> RelayChooser::choose(const Endpoint& backend,
