Nodes that relayed are asked first, nodes that refused last

A cut node keeps for a second which nodes relayed and which refused, so that it finds the few that help within some requests and stays with them.

--- a/src/links/relaying_transport.cc
+++ b/src/links/relaying_transport.cc
@@ -176,6 +176,7 @@
       transport_.silence_.note_heard();
     } else if (!std::exchange(heard_, true)) {
       ++transport_.statistics_.relayed;
+      deps_.relays.note_relayed(relay_);
       deps_.links.note_answered_relay(request_.endpoint);
     }
   }
--- a/src/links/tests/relay_chooser_test.cc
+++ b/src/links/tests/relay_chooser_test.cc
@@ -60,15 +60,28 @@
 TEST_CASE("a node that refused is left out for that back end alone, for a moment") {
   Fixture f;
   f.nodes.put(Fixture::record(1, "z1"));
-  f.nodes.put(Fixture::record(2, "z2"));
   f.relays.note_refused(Fixture::peer(1), kBackend);
-  CHECK(f.choose_often().size() == 1);
-  CHECK(f.relays.choose(kBackend) == Fixture::peer(2));
+  CHECK_FALSE(f.relays.choose(kBackend));
   CHECK(f.relays.choose(Endpoint("10.0.0.2:80")) == Fixture::peer(1));
   f.time.run_until(f.time.now() + 100ms);
   CHECK(f.relays.choose(kBackend) == Fixture::peer(1));
 }
 
+TEST_CASE("nodes that relayed are preferred for a second, and nodes that refused are asked last") {
+  Fixture f;
+  f.nodes.put(Fixture::record(1, "z1"));
+  f.nodes.put(Fixture::record(2, "z2"));
+  f.nodes.put(Fixture::record(3, "z2"));
+  f.relays.note_refused(Fixture::peer(1), Endpoint("10.0.0.2:80"));
+  CHECK(f.choose_often().size() == 2);
+  CHECK(f.relays.choose(kBackend, {Fixture::peer(2), Fixture::peer(3)}) == Fixture::peer(1));
+  f.relays.note_relayed(Fixture::peer(3));
+  CHECK(f.choose_often().size() == 1);
+  CHECK(f.relays.choose(kBackend) == Fixture::peer(3));
+  f.time.run_until(f.time.now() + 1000ms);
+  CHECK(f.relays.choose(kBackend) == Fixture::peer(1));
+}
+
 TEST_CASE("an unreachable node is left out for all back ends, for half a second") {
   Fixture f;
   f.nodes.put(Fixture::record(1, "z1"));
@@ -79,6 +92,32 @@
   CHECK(f.relays.choose(kBackend) == Fixture::peer(1));
 }
 
+TEST_CASE("the only node that reaches back ends is found although all others refuse") {
+  Fixture f;
+  constexpr int kNodes = 40;
+  const Endpoint helper = Fixture::peer(kNodes);
+  for (int i = 1; i <= kNodes; ++i) {
+    // All nodes of the own zone refuse; the helper is in another one.
+    f.nodes.put(Fixture::record(i, i <= 13 ? "z1" : "z2"));
+  }
+  int served = 0;
+  for (int request = 0; request != 50; ++request) {
+    std::set<Endpoint> asked;
+    for (int i = 0; i != 3; ++i) {
+      const Endpoint node = f.relays.choose(kBackend, asked).value();
+      asked.insert(node);
+      if (node == helper) {
+        f.relays.note_relayed(node);
+        ++served;
+        break;
+      }
+      f.relays.note_refused(node, kBackend);
+    }
+    f.time.run_until(f.time.now() + 20ms);
+  }
+  CHECK(served >= 50 - kNodes / 3);
+}
+
 TEST_CASE("only nodes of the fleet count as nodes, also shortly after their removal") {
   Fixture f;
   f.nodes.put(Fixture::record(1, "z1"));
