--- a/src/http/client_exchange.cc
+++ b/src/http/client_exchange.cc
@@ -21,8 +21,6 @@
 constexpr Duration kDefaultKeepAlive = seconds(4);
 /// Subtracted from the lifetime that the peer announces, so that the client closes first.
 constexpr Duration kKeepAliveMargin = milliseconds(700);
-/// How long sent bytes may stay unacknowledged.
-constexpr Duration kMaxUnacknowledgedTime = milliseconds(800);
 constexpr std::size_t kReadBytes = 32U << 10U;
 constexpr std::size_t kMaxHeadBytes = 64U << 10U;
 
--- a/src/http/connection_relay.cc
+++ b/src/http/connection_relay.cc
@@ -5,6 +5,7 @@
 #include <array>
 #include <cerrno>
 #include <chrono>
+#include <optional>
 #include <string_view>
 #include <unordered_set>
 #include <utility>
@@ -24,8 +25,6 @@
 constexpr std::size_t kMaxPrefaceBytes = 128;
 /// Time until the preface must have arrived.
 constexpr Duration kPrefaceTimeout = std::chrono::milliseconds(500);
-/// How long sent bytes may stay unacknowledged.
-constexpr Duration kMaxUnacknowledgedTime = std::chrono::milliseconds(800);
 /// Bytes held at most for each direction of a connection.
 constexpr std::size_t kBufferBytes = 16U << 10U;
 /// How long accepting is suspended when the process has no file descriptors left.
--- a/src/http/connection_relay.h
+++ b/src/http/connection_relay.h
@@ -7,6 +7,7 @@
 // its process is killed, so that a response that only a close ends never looks complete.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
--- a/src/http/tcp_connection.h
+++ b/src/http/tcp_connection.h
@@ -3,8 +3,10 @@
 // after the latter. Private to src/http.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string_view>
 
 #include "base/result.h"
@@ -16,6 +18,9 @@
 
 namespace ochrespring::http {
 
+/// How long sent bytes may stay unacknowledged on connections that carry requests.
+inline constexpr Duration kMaxUnacknowledgedTime = std::chrono::milliseconds(800);
+
 /// Result of one read or write.
 enum class IoStatus : std::uint8_t {
   kDone,          ///< Bytes were transferred.
--- a/src/links/link_monitor.h
+++ b/src/links/link_monitor.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
