Back ends have a software version; logs name it and the stream that a request takes up

The log could not tell whether a stream changed the version within one answer or when its caller took it up, nor whether a node's view was out of date. No decision uses it yet.

--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -28,6 +28,7 @@
 /// State of one attempt, owned by its session. `backend` is empty once the attempt has ended.
 struct Attempt {
   BackendId backend;
+  SoftwareVersion version;  ///< Of the back end, when the attempt started.
   MonotonicTime started{};
   std::uint64_t prefill_tokens = 0;         ///< Prompt tokens to prefill, without cached ones.
   std::uint64_t tokens_ahead = 0;           ///< Of other prompts, when it started.
--- a/src/gateway/attempt_starter.cc
+++ b/src/gateway/attempt_starter.cc
@@ -11,6 +11,7 @@
   const BackendId& id = choice.backend->id;
   Attempt attempt;
   attempt.backend = id;
+  attempt.version = choice.backend->version;
   attempt.started = now;
   attempt.is_prefill_call = kind == SendKind::kPrefill;
   assign_caches(attempt, choice, kind, input);
--- a/src/gateway/header_names.h
+++ b/src/gateway/header_names.h
@@ -40,6 +40,8 @@
   /// IP:PORT of an engine to which the KV cache of a stream is replicated as it grows.
   std::string cache_backup = "x-ochrespring-cache-backup";
   std::string last_event = "last-event-id";
+  /// Id of the caller's attempt that brought the first event of the stream that a request takes up.
+  std::string resumed_attempt = "x-ochrespring-resumed-attempt";
   std::string credentials = "authorization";
   std::string tenant = "x-ochrespring-tenant";  ///< Tenant whose request the back end runs.
   /// Headers that only the gateway may set; they are removed from callers' requests.
--- a/src/gateway/request_log.h
+++ b/src/gateway/request_log.h
@@ -49,6 +49,7 @@
     std::string fingerprint;  ///< Empty if it was never computed.
     std::string service;
     std::string outcome;
+    std::string resumed_attempt;  ///< As named by the caller; empty: it takes up no stream.
     /// Why the last attempt was not retried; empty if no retry was needed, and if the retry budget
     /// denied the run after a failed prefill call.
     std::string not_sent_again;
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -761,6 +761,8 @@
   log_.note_end({.fingerprint = known ? known->to_hex() : "",
                  .service = service_.value(),
                  .outcome = std::string(outcome),
+                 .resumed_attempt = std::string(
+                     http::find_header(request_.headers, environment_.names.resumed_attempt)),
                  .not_sent_again = std::string(retry_denied_reason_),
                  .attempts = static_cast<std::uint64_t>(retry_limit_.sends() + unreachable_),
                  .configuration = routes_->configuration().version.value(),
--- a/src/gateway/types.h
+++ b/src/gateway/types.h
@@ -15,6 +15,8 @@
 
 using BackendId = StrongString<struct BackendIdTag>;  ///< Identifies one incarnation of a back end.
 using RouteName = StrongString<struct RouteNameTag>;
+/// Version of the software that a back end runs. Empty: unknown.
+using SoftwareVersion = StrongString<struct SoftwareVersionTag>;
 /// Version of the configuration; only increases.
 using ConfigurationVersion = StrongNumber<struct ConfigurationVersionTag>;
 
@@ -120,6 +122,7 @@
   bool cold = false;      ///< Recently started, and slow for a while.
   EngineRole role = EngineRole::kNone;
   bool preemptible = false;  ///< May be terminated by the platform at short notice.
+  SoftwareVersion version;
 
   bool operator==(const Backend&) const = default;
 
@@ -134,6 +137,7 @@
     archive& cold;
     archive& role;
     archive& preemptible;
+    archive& version;
   }
 };
 
--- a/src/gateway_node/peer_message.h
+++ b/src/gateway_node/peer_message.h
@@ -60,7 +60,7 @@
 using ProfileReportToRelay = ToRelay<engine_profiles::ProfileReport>;
 
 /// Holds the index of a message that earlier builds send and this build ignores, because its
-/// revisions contain no store era. Never sent.
+/// revisions contain no store era or its back ends no software version. Never sent.
 template <int kIndex>
 struct RetiredMessage {
   template <class Archive>
@@ -73,13 +73,13 @@
 using PeerMessage =
     std::variant<peer_load::WorkReport, RetiredMessage<1>, peer_load::PartsRequest, ViewOffer,
                  WorkReportToRelay, peer_load::RelayedReport, RetiredMessage<6>, usage::UsageReport,
-                 quarantine::CrashReportBatch, CrashReportBatchToRelay, discovery::ViewUpdate,
-                 ViewUpdateToRelay, NodeLeaving, NodeLeavingToRelay, rate_limit::LimitReport,
+                 quarantine::CrashReportBatch, CrashReportBatchToRelay, RetiredMessage<10>,
+                 RetiredMessage<11>, NodeLeaving, NodeLeavingToRelay, rate_limit::LimitReport,
                  LimitReportToRelay, rate_limit::PermitRequest, rate_limit::PermitReply,
                  admission::BackendNotice, BackendNoticeToRelay, quarantine::HorizonRequest,
                  quarantine::HorizonReport, discovery::PositionReport, discovery::HistoryReport,
                  engine_profiles::ProfileReport, ProfileReportToRelay,
-                 engine_profiles::RelayedProfileReports>;
+                 engine_profiles::RelayedProfileReports, discovery::ViewUpdate, ViewUpdateToRelay>;
 
 /// Metric labels of the alternatives of PeerMessage, in order.
 constexpr std::array<const char*, std::variant_size_v<PeerMessage>> kPeerMessageNames{
@@ -93,8 +93,8 @@
     "usage_report",
     "crash_news",
     "crash_news_to_relay",
-    "view_update",
-    "update_to_relay",
+    "view_update_without_versions",
+    "update_to_relay_without_versions",
     "node_leaving",
     "node_leaving_to_relay",
     "limit_news",
@@ -109,6 +109,8 @@
     "history_news",
     "profile_news",
     "profile_news_to_relay",
-    "relayed_profile_news"};
+    "relayed_profile_news",
+    "view_update",
+    "update_to_relay"};
 
 }  // namespace ochrespring::gateway_node
--- a/src/gateway_node/tests/compatibility_test.cc
+++ b/src/gateway_node/tests/compatibility_test.cc
@@ -68,17 +68,34 @@
 TEST_CASE("messages, views and records of the build that introduced store eras round-trip") {
   const auto corpus = read_corpus(LAST_MESSAGES);
   REQUIRE(corpus.size() == 8);
-  for (const char* name :
-       {"view_update", "update_to_relay", "node_leaving", "node_leaving_to_relay"}) {
+  for (const char* name : {"node_leaving", "node_leaving_to_relay"}) {
     CAPTURE(name);
     CHECK(round_trips<PeerMessage>(corpus.at(name)));
   }
-  CHECK(round_trips<discovery::ViewTransfer>(corpus.at("view_snapshot")));
-  CHECK(round_trips<discovery::ViewTransfer>(corpus.at("view_delta")));
+  // Their back ends have no software version. Views are requested at a path of their own.
+  CHECK_FALSE(wire::decode<PeerMessage>(corpus.at("view_update")));
+  CHECK_FALSE(wire::decode<PeerMessage>(corpus.at("update_to_relay")));
+  CHECK_FALSE(wire::decode<discovery::ViewTransfer>(corpus.at("view_snapshot")));
+  CHECK_FALSE(wire::decode<discovery::ViewTransfer>(corpus.at("view_delta")));
   CHECK(round_trips<discovery::NodeRecord>(corpus.at("node_record")));
   CHECK(round_trips<duties::FenceOffset>(corpus.at("fence_offset")));
 }
 
+TEST_CASE("views and their updates round-trip with software versions as first released") {
+  const auto corpus = read_corpus(BACKEND_VERSIONS);
+  REQUIRE(corpus.size() == 4);
+  for (const char* name : {"view_update", "update_to_relay"}) {
+    CAPTURE(name);
+    CHECK(round_trips<PeerMessage>(corpus.at(name)));
+  }
+  CHECK(round_trips<discovery::ViewTransfer>(corpus.at("view_delta")));
+  const auto view = wire::decode<discovery::ViewTransfer>(corpus.at("view_snapshot"));
+  REQUIRE(view);
+  CHECK(round_trips<discovery::ViewTransfer>(corpus.at("view_snapshot")));
+  CHECK(std::get<discovery::ViewSnapshot>(view.value()).backends.at(0).version ==
+        gateway::SoftwareVersion("v1.1"));
+}
+
 TEST_CASE("rate limit reports and permits round-trip as first released") {
   const auto corpus = read_corpus(RATE_LIMIT_MESSAGES);
   REQUIRE(corpus.size() == 4);
@@ -157,8 +174,6 @@
 
 TEST_CASE("messages unknown to the previous build start with a kind unknown to it") {
   constexpr std::size_t kKindsBeforeStoreEras = 10;
-  CHECK(PeerMessage(discovery::ViewUpdate()).index() >= kKindsBeforeStoreEras);
-  CHECK(PeerMessage(ViewUpdateToRelay()).index() >= kKindsBeforeStoreEras);
   CHECK(PeerMessage(NodeLeaving()).index() >= kKindsBeforeStoreEras);
   CHECK(PeerMessage(NodeLeavingToRelay()).index() >= kKindsBeforeStoreEras);
   constexpr std::size_t kKindsBeforeRateLimits = 14;
@@ -174,6 +189,9 @@
   constexpr std::size_t kKindsBeforeProfiles = 24;
   CHECK(PeerMessage(engine_profiles::ProfileReport()).index() == kKindsBeforeProfiles);
   CHECK(PeerMessage(engine_profiles::RelayedProfileReports()).index() == kKindsBeforeProfiles + 2);
+  constexpr std::size_t kKindsBeforeSoftwareVersions = 27;
+  CHECK(PeerMessage(discovery::ViewUpdate()).index() == kKindsBeforeSoftwareVersions);
+  CHECK(PeerMessage(ViewUpdateToRelay()).index() == kKindsBeforeSoftwareVersions + 1);
 }
 
 TEST_CASE("unknown kinds, and known ones with trailing bytes, are ignored") {
--- a/src/gateway_node/view_exchange.cc
+++ b/src/gateway_node/view_exchange.cc
@@ -19,7 +19,7 @@
 
 /// Identifies the format of a view. Earlier builds serve theirs at another path, because neither
 /// can read the other's format.
-constexpr const char* kViewPath = "/view/2";
+constexpr const char* kViewPath = "/view/3";
 constexpr const char* kContentType = "application/octet-stream";
 /// Headers of a request: the revision after which changes are requested, its store era, and the
 /// address at which the requesting node will serve its own view.
