A broken stream goes on only at the software version that began it

What callers saw: events of two versions in one answer, as in the record at 9.54 s, when a crashed server of v1.1 was followed by one of v1. Cause: the version was no part of placing, so a retry behind the last event and the engine that holds a copy were chosen among all servers of the service. Change: the first event that is forwarded fixes the software, a hash of service and version kept from the start of the attempt; later sends have only back ends of that software as candidates, and copies go only to these. A retry that no back end may take is not charged to the retry budget.

--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -11,6 +11,7 @@
 #include "gateway/backend_statement.h"
 #include "gateway/event_splitter.h"
 #include "gateway/request_retries.h"
+#include "gateway/software_id.h"
 #include "gateway/stream_observation.h"
 #include "gateway/types.h"
 #include "http/client.h"
@@ -29,6 +30,7 @@
 struct Attempt {
   BackendId backend;
   SoftwareVersion version;  ///< Of the back end, when the attempt started.
+  SoftwareId software;      ///< As `version`.
   MonotonicTime started{};
   std::uint64_t prefill_tokens = 0;         ///< Prompt tokens to prefill, without cached ones.
   std::uint64_t tokens_ahead = 0;           ///< Of other prompts, when it started.
--- a/src/gateway/attempt_starter.cc
+++ b/src/gateway/attempt_starter.cc
@@ -12,6 +12,7 @@
   Attempt attempt;
   attempt.backend = id;
   attempt.version = choice.backend->version;
+  attempt.software = software_of(*choice.backend);
   attempt.started = now;
   attempt.is_prefill_call = kind == SendKind::kPrefill;
   assign_caches(attempt, choice, kind, input);
--- a/src/gateway/candidates.cc
+++ b/src/gateway/candidates.cc
@@ -35,7 +35,10 @@
                                   MonotonicTime now) const {
   const BackendLoad* load = loads_.find(backend.id);
   const bool replaced = load != nullptr && load->replaced(now);
-  return !replaced && !fleet_.is_leaving(backend) && !query.avoid->contains(backend.id) &&
+  const bool runs_other_software = query.software && backend.role != EngineRole::kPrefill &&
+                                   software_of(backend) != *query.software;
+  return !replaced && !runs_other_software && !fleet_.is_leaving(backend) &&
+         !query.avoid->contains(backend.id) &&
          (query.gate == nullptr || query.gate->has_room(backend.id, now));
 }
 
--- a/src/gateway/candidates.h
+++ b/src/gateway/candidates.h
@@ -1,6 +1,7 @@
 // Selects the back ends for which the cost of a request is estimated.
 #pragma once
 
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -10,6 +11,7 @@
 #include "gateway/load_table.h"
 #include "gateway/prompt.h"
 #include "gateway/send_gate.h"
+#include "gateway/software_id.h"
 #include "gateway/types.h"
 
 namespace ochrespring::gateway {
@@ -38,6 +40,9 @@
     /// Engines that have parts of the prompt cached, unless considers_all(); see holders().
     std::vector<const Backend*> holders{};
     const SendGate* gate = nullptr;  ///< Null: all back ends accept requests.
+    /// The only software that may run the request; none: any. Prefill engines write no events, so
+    /// theirs does not matter.
+    std::optional<SoftwareId> software{};
   };
 
   CandidateFinder(const FleetState& fleet, const LoadTable& loads, RandomSource& random)
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -91,7 +91,8 @@
   CandidateFinder::Query query{.service = request.service,
                                .prompt = request.prompt,
                                .avoid = &request.avoid,
-                               .gate = request.gate};
+                               .gate = request.gate,
+                               .software = request.software};
   if (request.prompt != nullptr && !finder_.considers_all()) {
     query.holders = finder_.holders(*request.prompt, now);
   }
@@ -171,7 +172,8 @@
   const CandidateFinder::Query candidates{.service = request.service,
                                           .prompt = request.prompt,
                                           .avoid = &request.avoid,
-                                          .gate = request.gate};
+                                          .gate = request.gate,
+                                          .software = request.software};
   const Backends runners = finder_.find(candidates, false, now).backends;
   if (!engine) {
     return std::any_of(runners.begin(), runners.end(), has_slot);
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -18,6 +18,7 @@
 #include "gateway/gap_forecast.h"
 #include "gateway/load_table.h"
 #include "gateway/prompt.h"
+#include "gateway/software_id.h"
 #include "gateway/types.h"
 
 namespace ochrespring::gateway {
@@ -29,6 +30,7 @@
   bool allow_separate_prefill = true;  ///< Whether a prefill engine may prefill the prompt first.
   std::set<BackendId> avoid;           ///< Back ends already tried; never chosen.
   const SendGate* gate = nullptr;      ///< Null: all back ends accept requests.
+  std::optional<SoftwareId> software;  ///< Which began the stream; none: it has not begun.
   /// For a stream at engines whose number of tokens per event is known; none: gaps between events
   /// and stream ends are not predicted.
   std::optional<StreamRequirements> stream;
--- a/src/gateway/request_dispatch.cc
+++ b/src/gateway/request_dispatch.cc
@@ -157,10 +157,10 @@
 }
 
 bool RequestDispatch::no_backend_accepts(bool include_tried) const {
-  if (!forecast()) {
+  PlacementRequest wanted = owner_.placement_request();
+  if (!wanted.software && !forecast()) {
     return false;
   }
-  PlacementRequest wanted = owner_.placement_request();
   if (include_tried) {
     wanted.avoid.clear();
   }
@@ -220,7 +220,9 @@
     owner_.note_denied(claimed.backend);
   }
   const bool open = environment_.gate->may_send(claimed.backend, environment_.clock.now());
-  if (!granted || backend == nullptr || !open || fleet.is_leaving(*backend)) {
+  const bool may_run =
+      backend != nullptr && (claimed.kind == SendKind::kPrefill || owner_.may_run_at(*backend));
+  if (!granted || !may_run || !open || fleet.is_leaving(*backend)) {
     owner_.on_not_sent(claimed.kind);
     return;
   }
--- a/src/gateway/request_dispatch.h
+++ b/src/gateway/request_dispatch.h
@@ -23,6 +23,8 @@
   virtual std::shared_ptr<void> keep_alive() = 0;
   virtual const ServiceName& service() const = 0;
   virtual PlacementRequest placement_request() const = 0;
+  /// Whether the back end runs the software that began the request's stream, if it has begun.
+  virtual bool may_run_at(const Backend& backend) const = 0;
   /// Describes the request for the queue. `room_seen` and `returned` are left false; the dispatch
   /// and the queue set them.
   virtual QueueRequest queue_request() const = 0;
@@ -66,7 +68,8 @@
   void cancel();
   /// Whether the request is quarantined but was granted one send.
   bool trial() const { return trial_; }
-  /// Whether no back end can take the request now and rate limits or backoff exclude at least one.
+  /// Whether no back end can take the request now and rate limits, backoff or the software that
+  /// began its stream exclude at least one.
   /// With `include_tried`, the back ends that it was sent to are considered, too.
   bool no_backend_accepts(bool include_tried) const;
   FailureReason no_backend_reason() const;
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -125,6 +125,7 @@
   wanted.allow_separate_prefill = !prefill_attempted_;
   wanted.avoid = tried_;
   wanted.gate = environment_.gate;
+  wanted.software = software_;
   wanted.stream = stream_needs();
   wanted.fewest_requests_only = dispatch_->trial();
   wanted.connected = [this](const Backend& backend) {
@@ -396,6 +397,9 @@
   if (event.id && last_event_ && *event.id <= *last_event_) {
     return false;
   }
+  if (!software_) {
+    software_ = attempt_->software;
+  }
   answer_.begin_stream(*attempt_->head);
   if (event.id) {
     last_event_ = event.id;
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -85,6 +85,9 @@
   std::shared_ptr<void> keep_alive() override { return shared_from_this(); }
   const ServiceName& service() const override { return service_; }
   PlacementRequest placement_request() const override;
+  bool may_run_at(const Backend& backend) const override {
+    return !software_ || software_of(backend) == *software_;
+  }
   QueueRequest queue_request() const override;
   const RequestFingerprint& fingerprint() override { return reports_.fingerprint(); }
   Duration time_left() const override { return deadline_ - environment_.clock.now(); }
@@ -181,6 +184,7 @@
   std::string_view retry_denied_reason_;
   bool run_noted_ = false;
   std::optional<std::uint64_t> last_event_;
+  std::optional<SoftwareId> software_;  ///< Which began the stream.
   StreamTiming timing_;
   bool ended_ = false;
 };
--- a/src/gateway/stream_backup.cc
+++ b/src/gateway/stream_backup.cc
@@ -9,6 +9,7 @@
 #include "base/hash.h"
 #include "base/random.h"
 #include "gateway/backend_index.h"
+#include "gateway/software_id.h"
 
 namespace ochrespring::gateway {
 
@@ -91,8 +92,9 @@
 
 bool BackupChooser::can_hold_copy(const Backend& engine, const Query& query,
                                   MonotonicTime now) const {
-  if (engine.id == query.runner->id || query.avoid->contains(engine.id) ||
-      fleet_.is_leaving(engine) || fleet_.is_distrusted(engine.id, now)) {
+  if (engine.id == query.runner->id || !run_same_software(engine, *query.runner) ||
+      query.avoid->contains(engine.id) || fleet_.is_leaving(engine) ||
+      fleet_.is_distrusted(engine.id, now)) {
     return false;
   }
   const BackendLoad* load = loads_.find(engine.id);
@@ -144,6 +146,7 @@
   runner_ = runner.id;
   runner_address_ = runner.address;
   engine_ = chosen->id;
+  software_ = software_of(runner);
   return chosen->address;
 }
 
@@ -192,7 +195,7 @@
 
 BackupObstacle StreamBackup::engine_obstacle(MonotonicTime now) const {
   const Backend* backup = engine();
-  if (backup == nullptr || is_replaced(engine_, now)) {
+  if (backup == nullptr || is_replaced(engine_, now) || software_of(*backup) != software_) {
     return BackupObstacle::kNotRegistered;
   }
   if (fleet_.is_leaving(*backup)) {
--- a/src/gateway/stream_backup.h
+++ b/src/gateway/stream_backup.h
@@ -15,6 +15,7 @@
 #include "gateway/load_table.h"
 #include "gateway/prompt.h"
 #include "gateway/send_gate.h"
+#include "gateway/software_id.h"
 #include "gateway/types.h"
 #include "http/errc.h"
 #include "http/message.h"
@@ -48,8 +49,9 @@
       : fleet_(fleet), loads_(loads), gate_(gate) {}
 
   /// Returns the engine with the highest rendezvous weight among the less loaded half of those that
-  /// can hold the copy, if possible in the runner's zone; null if there is none. Does not draw from
-  /// the node's random source, so that the placement of other requests does not change.
+  /// run the runner's software and can hold the copy, if possible in the runner's zone; null if
+  /// there is none. Does not draw from the node's random source, so that the placement of other
+  /// requests does not change.
   const Backend* choose(const Query& query, MonotonicTime now) const;
 
  private:
@@ -134,7 +136,8 @@
   std::string request_id_;  ///< Empty if runs are not replicated.
   BackendId runner_;
   Endpoint runner_address_;
-  BackendId engine_;  ///< Empty if the current run is not replicated.
+  SoftwareId software_;  ///< Of the runner and the backup engine.
+  BackendId engine_;     ///< Empty if the current run is not replicated.
   std::optional<http::ResponseHead> head_;
   bool used_ = false;
   bool event_with_id_forwarded_ = false;  ///< Since begin_run().
--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -221,7 +221,8 @@
   }
 
   void add_backend(const std::string& id, const std::string& service,
-                   EngineRole role = EngineRole::kNone, bool draining = false) {
+                   EngineRole role = EngineRole::kNone, bool draining = false,
+                   const std::string& version = "v1") {
     Backend backend;
     backend.id = BackendId(id);
     backend.service = ServiceName(service);
@@ -230,6 +231,7 @@
     backend.slots = 8;
     backend.draining = draining;
     backend.role = role;
+    backend.version = SoftwareVersion(version);
     fleet.put(backend);
   }
 
--- a/src/gateway/tests/stream_backup_test.cc
+++ b/src/gateway/tests/stream_backup_test.cc
@@ -32,6 +32,7 @@
     engine.zone = ZoneName(zone);
     engine.slots = 4;
     engine.role = role;
+    engine.version = SoftwareVersion("v1");
     fleet.put(engine);
   }
   std::string choose(const std::string& key = "r1") const {
--- a/src/gateway_load/tests/load_fleet.cc
+++ b/src/gateway_load/tests/load_fleet.cc
@@ -149,6 +149,7 @@
     backend.service = kService;
     backend.zone = ZoneName(engine.zone);
     backend.slots = options_.performance.slots;
+    backend.version = gateway::SoftwareVersion("v1");
     backend.role = engine.role;
     engine_order_.push_back(backend.id);
     engines_[backend.id] =
--- a/src/gateway_node/tests/crash_fleet.h
+++ b/src/gateway_node/tests/crash_fleet.h
@@ -544,6 +544,7 @@
       server->backend.zone = ZoneName("a");
       server->backend.slots = 64;
       server->backend.role = role;
+      server->backend.version = gateway::SoftwareVersion("v1");
       servers.push_back(std::move(server));
       assign_id(*servers.back());
       register_server(*servers.back());
