Nodes know the software of streams that callers take up at them

Cause: only the node that began a stream knew its version, and Resumes was read nowhere. Change: before the caller gets the first event of a stream that may be taken up, the node sends a record of it to five others, chosen by rendezvous hash from the zones in turn; the node that takes it up asks eight. What is not known for certain is refused unread: 503, and 400 where no attempt is named. A version without servers in service is refused at once.

profile_news counted all kinds of datagrams behind those of profiles, which were the last; views and records stand there now. It counts its own three kinds.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build/release}
-clean='platform|src/(admission|admission_queue|discovery|duties|engine_profiles|fleet_control|gateway|gateway_node|http|links|logging|peer_load|process|quarantine|rate_limit|settings|usage)'
+clean='platform|src/(admission|admission_queue|discovery|duties|engine_profiles|fleet_control|gateway|gateway_node|http|links|logging|peer_load|process|quarantine|rate_limit|settings|stream_records|usage)'
 pattern='^(platform|src)/'
 if [ "${2:-}" = "--gate" ]; then
   pattern="^($clean)/[a-z_]+[.]cc\$"
--- a/src/gateway/environment.h
+++ b/src/gateway/environment.h
@@ -22,6 +22,7 @@
 #include "gateway/send_gate.h"
 #include "gateway/share_picker.h"
 #include "gateway/statistics.h"
+#include "gateway/stream_registry.h"
 #include "gateway/unanswered_sends.h"
 #include "logging/logger.h"
 
@@ -52,6 +53,7 @@
   RequestQueue* queue = nullptr;             ///< Null: requests do not queue for full back ends.
   EngineObserver* observer = nullptr;        ///< Null: engine speeds are not measured.
   const EngineProfiles* profiles = nullptr;  ///< Null: engine speeds are unknown.
+  StreamRegistry* streams = nullptr;         ///< Null: no stream that a caller takes up is known.
   /// Whether retryable streams are replicated as well.
   bool replicate_retryable_streams = false;
   /// When the process stops, even if requests are still running; none if no stop is scheduled.
--- a/src/gateway/failure_answer.cc
+++ b/src/gateway/failure_answer.cc
@@ -18,6 +18,9 @@
   if (reason == FailureReason::kUnknownKey) {
     return 401;
   }
+  if (reason == FailureReason::kResumedAttemptNotNamed) {
+    return 400;
+  }
   if (!may_have_run) {
     return 503;
   }
@@ -54,6 +57,12 @@
       return "stopping";
     case FailureReason::kOverloaded:
       return "overloaded";
+    case FailureReason::kResumedAttemptNotNamed:
+      return "resumed-attempt-not-named";
+    case FailureReason::kResumedAttemptUnknown:
+      return "resumed-attempt-unknown";
+    case FailureReason::kVersionUnavailable:
+      return "version-unavailable";
   }
   return "";
 }
--- a/src/gateway/failure_answer.h
+++ b/src/gateway/failure_answer.h
@@ -26,14 +26,17 @@
   kBackingOff,   ///< All back ends that could take it are in a backoff period for this node.
   kStopping,     ///< This node stops before the request may end.
   kOverloaded,   ///< All back ends are full and none is expected to have room in time.
+  kResumedAttemptNotNamed,  ///< The caller takes up a stream but does not name its first attempt.
+  kResumedAttemptUnknown,   ///< No node knows for certain which software began the stream.
+  kVersionUnavailable,      ///< No back end with the software that began the stream is in service.
 };
 
 /// Name of a reason in logs and answers.
 std::string_view describe(FailureReason reason);
 
-/// A complete answer. Its status is 404 for an unknown route, 401 for an unknown key, 503 with
-/// Retry-After for a request that has not run and will not run, and 502 or 504 for a request that
-/// may have run.
+/// A complete answer. Its status is 404 for an unknown route, 401 for an unknown key, 400 for a
+/// stream that is taken up without the name of its first attempt, 503 with Retry-After for a
+/// request that has not run and will not run, and 502 or 504 for a request that may have run.
 struct FailureAnswer {
   std::uint16_t status = 0;
   std::vector<http::Header> headers;
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -45,6 +45,7 @@
       progress_timer_(environment.timers),
       cache_(environment),
       backup_(environment.fleet, environment.loads),
+      continuation_(environment, route_, request_, tenant_),
       starter_(environment, cache_, backup_),
       retry_limit_(environment, route_, log_),
       reports_(environment, request_, tenant_),
@@ -64,23 +65,9 @@
     std::erase_if(request_.headers,
                   [&](const http::Header& header) { return header.name == names.credentials; });
   }
-  service_ = environment_.shares.pick(route_);
-  const Service* service = routes_->configuration().find_service(service_);
-  if (service != nullptr && service->engine) {
-    prompt_ = parse_prompt(http::find_header(request_.headers, names.prompt_parts),
-                           http::find_header(request_.headers, names.token_counts),
-                           http::find_header(request_.headers, names.output_estimate));
-    if (wants_backup(route_, &*service->engine, &*prompt_, id_,
-                     environment_.replicate_retryable_streams)) {
-      backup_.enable(id_, environment_.gate);
-    }
+  if (!continuation_.is_taken_up()) {
+    select_service(environment_.shares.pick(route_));
   }
-  const std::string_view last_event = http::find_header(request_.headers, names.last_event);
-  if (!last_event.empty()) {
-    last_event_ = http::parse_number(last_event).value_or(0);
-  }
-  environment_.budget.note_request(service_, now);
-  retry_limit_.begin(service_);
   answer_.writer()->on_closed([weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
       self->on_caller_disconnected();
@@ -97,6 +84,59 @@
     return;
   }
   deadline_timer_.arm(deadline_ - now, [this] { on_deadline(); });
+  if (continuation_.is_taken_up()) {
+    take_up_stream();
+  } else {
+    dispatch_->begin();
+  }
+}
+
+void RequestSession::select_service(ServiceName name) {
+  service_ = std::move(name);
+  const Service* service = routes_->configuration().find_service(service_);
+  if (service != nullptr && service->engine) {
+    prompt_ = parse_prompt(http::find_header(request_.headers, environment_.names.prompt_parts),
+                           http::find_header(request_.headers, environment_.names.token_counts),
+                           http::find_header(request_.headers, environment_.names.output_estimate));
+    if (wants_backup(route_, &*service->engine, &*prompt_, id_,
+                     environment_.replicate_retryable_streams)) {
+      backup_.enable(id_, environment_.gate);
+    }
+  }
+  environment_.budget.note_request(service_, environment_.clock.now());
+  retry_limit_.begin(service_);
+}
+
+void RequestSession::take_up_stream() {
+  ++environment_.statistics.streams_taken_up;
+  last_event_ =
+      http::parse_number(http::find_header(request_.headers, environment_.names.last_event))
+          .value_or(0);
+  if (const auto obstacle = continuation_.lookup_obstacle()) {
+    end_with_failure(*obstacle);
+    return;
+  }
+  environment_.streams->find(continuation_.key(),
+                             [weak = weak_from_this()](std::optional<SoftwareId> software) {
+                               const auto self = weak.lock();
+                               if (self && !self->ended_) {
+                                 self->on_stream_found(software);
+                               }
+                             });
+}
+
+void RequestSession::on_stream_found(std::optional<SoftwareId> software) {
+  if (!software) {
+    end_with_failure(FailureReason::kResumedAttemptUnknown);
+    return;
+  }
+  continuation_.set_software(*software);
+  const std::optional<ServiceName> service = continuation_.find_service();
+  if (!service) {
+    end_with_failure(FailureReason::kVersionUnavailable);
+    return;
+  }
+  select_service(*service);
   dispatch_->begin();
 }
 
@@ -125,7 +165,7 @@
   wanted.allow_separate_prefill = !prefill_attempted_;
   wanted.avoid = tried_;
   wanted.gate = environment_.gate;
-  wanted.software = software_;
+  wanted.software = continuation_.software();
   wanted.stream = stream_needs();
   wanted.fewest_requests_only = dispatch_->trial();
   wanted.connected = [this](const Backend& backend) {
@@ -397,9 +437,7 @@
   if (event.id && last_event_ && *event.id <= *last_event_) {
     return false;
   }
-  if (!software_) {
-    software_ = attempt_->software;
-  }
+  continuation_.note_event(attempt_->software);
   answer_.begin_stream(*attempt_->head);
   if (event.id) {
     last_event_ = event.id;
@@ -706,6 +744,13 @@
   environment_.statistics.quarantined += reason == FailureReason::kQuarantined ? 1 : 0;
   environment_.statistics.rate_limited += reason == FailureReason::kRateLimited ? 1 : 0;
   environment_.statistics.backing_off += reason == FailureReason::kBackingOff ? 1 : 0;
+  environment_.statistics.taken_up_unknown +=
+      reason == FailureReason::kResumedAttemptNotNamed ||
+              reason == FailureReason::kResumedAttemptUnknown
+          ? 1
+          : 0;
+  environment_.statistics.taken_up_unavailable +=
+      reason == FailureReason::kVersionUnavailable ? 1 : 0;
   if (answer_.has_begun()) {
     ++environment_.statistics.broken;
     answer_.abort_stream();
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -24,6 +24,7 @@
 #include "gateway/retry_limit.h"
 #include "gateway/route_table.h"
 #include "gateway/stream_backup.h"
+#include "gateway/stream_continuation.h"
 #include "gateway/stream_timing.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -86,7 +87,7 @@
   const ServiceName& service() const override { return service_; }
   PlacementRequest placement_request() const override;
   bool may_run_at(const Backend& backend) const override {
-    return !software_ || software_of(backend) == *software_;
+    return !continuation_.software() || software_of(backend) == *continuation_.software();
   }
   QueueRequest queue_request() const override;
   const RequestFingerprint& fingerprint() override { return reports_.fingerprint(); }
@@ -102,6 +103,10 @@
   void on_not_sent(SendKind kind) override;
   void end_with_failure(FailureReason reason) override;
 
+  void select_service(ServiceName service);
+  /// Looks up which software began the stream that the caller takes up, and continues it there.
+  void take_up_stream();
+  void on_stream_found(std::optional<SoftwareId> software);
   /// None if the number of tokens per event is not known for the service.
   std::optional<StreamRequirements> stream_needs() const;
   AttemptInput attempt_input() const;
@@ -171,6 +176,7 @@
   std::optional<Attempt> attempt_;
   PrefillCacheHolder cache_;
   StreamBackup backup_;
+  StreamContinuation continuation_;
   AttemptStarter starter_;
   std::set<BackendId> tried_;
   RetryLimit retry_limit_;
@@ -184,7 +190,6 @@
   std::string_view retry_denied_reason_;
   bool run_noted_ = false;
   std::optional<std::uint64_t> last_event_;
-  std::optional<SoftwareId> software_;  ///< Which began the stream.
   StreamTiming timing_;
   bool ended_ = false;
 };
--- a/src/gateway/statistics.h
+++ b/src/gateway/statistics.h
@@ -56,6 +56,11 @@
   std::uint64_t withdrawn = 0;         ///< Sends cancelled by a backoff before connecting.
   /// Sends cancelled before connecting because the caller had disconnected.
   std::uint64_t sends_without_caller = 0;
+  std::uint64_t streams_taken_up = 0;  ///< Requests that take up a stream.
+  /// Of these, ended because it was not known for certain which software began the stream.
+  std::uint64_t taken_up_unknown = 0;
+  /// Of these, ended because no back end with that software was in service.
+  std::uint64_t taken_up_unavailable = 0;
   std::uint64_t started_streams_retried = 0;  ///< Started streams retried after their last event.
   std::uint64_t streams_replicated = 0;       ///< Runs sent with a backup engine.
   std::uint64_t resume_attempts = 0;          ///< Attempts to resume a failed stream, sent or not.
--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -137,6 +138,28 @@
   }
 };
 
+/// Knows the streams that were recorded at it, and records them at once.
+class FakeStreamRegistry final : public StreamRegistry {
+ public:
+  void note_begun(const StreamKey& stream, SoftwareId software, Duration lifetime) override {
+    known[stream.attempt] = software;
+    lifetimes.push_back(lifetime);
+  }
+  void find(const StreamKey& stream, FindCallback done) override {
+    if (lookups_pending) {
+      pending.push_back(std::move(done));
+      return;
+    }
+    const auto found = known.find(stream.attempt);
+    done(found == known.end() ? std::nullopt : std::optional(found->second));
+  }
+
+  std::map<std::uint64_t, SoftwareId> known;
+  std::vector<Duration> lifetimes;  ///< Of the records, in order.
+  bool lookups_pending = false;     ///< Look-ups are answered by the test.
+  std::vector<FindCallback> pending;
+};
+
 /// Records the `not_sent_again` field of each "request ended" line.
 class EndLogger final : public logging::Logger {
  public:
@@ -170,13 +193,17 @@
   FakeEngineCalls engines;
   GatewayStatistics statistics;
   EndLogger logger;
+  FakeStreamRegistry streams;
   bool refresh_succeeds = true;
   Gateway gateway{environment(), [this](auto done) { done(refresh_succeeds); }};
 
   /// The environment of the gateway. Tests may add optional members for a gateway of their own.
   Environment environment() {
-    return {time,       time,   transport, fleet,   loads,      placement, budget,
-            unanswered, shares, names,     engines, statistics, logger,    [] { return 1U; }};
+    Environment made{
+        time,       time,   transport, fleet,   loads,      placement, budget,
+        unanswered, shares, names,     engines, statistics, logger,    [] { return 1U; }};
+    made.streams = &streams;
+    return made;
   }
   Environment environment_with(RequestGuard* guard, SendGate* gate) {
     Environment made = environment();
@@ -249,6 +276,14 @@
     return caller;
   }
 
+  /// Records a stream as begun by the attempt `id`, of no tenant, at back ends of service `llm`.
+  void record_stream(const std::string& id, const std::string& version = "v1") {
+    Backend backend;
+    backend.service = ServiceName("llm");
+    backend.version = SoftwareVersion(version);
+    streams.note_begun(make_stream_key({}, id), software_of(backend), std::chrono::seconds(4));
+  }
+
   /// The latest exchange.
   FakeExchange& last() { return *transport.started.back(); }
   /// Reports that the connection of the latest exchange is established. Returns whether the send
--- a/src/gateway/tests/rate_limited_request_test.cc
+++ b/src/gateway/tests/rate_limited_request_test.cc
@@ -87,7 +87,8 @@
                   "a started stream ranks before new requests, which rank by priority") {
   add_backend("e1", "llm", EngineRole::kDecode);
   request("/once/x");
-  request("/resumable/x", {{names.last_event, "3"}});
+  record_stream("r0");
+  request("/resumable/x", {{names.last_event, "3"}, {names.resumed_attempt, "r0"}});
   REQUIRE(gate.ranks.size() == 2);
   CHECK(gate.ranks[0] > kStartedStreamRank);
   CHECK(gate.ranks[1] == kStartedStreamRank);
--- a/src/gateway/tests/request_session_test.cc
+++ b/src/gateway/tests/request_session_test.cc
@@ -318,7 +318,8 @@
 TEST_CASE("a stream that the caller resumes keeps its Last-Event-Id") {
   GatewayFixture fixture;
   fixture.add_backend("e1", "llm", EngineRole::kDecode);
-  fixture.send("/resumable/x", {{"last-event-id", "12"}});
+  fixture.record_stream("r0");
+  fixture.send("/resumable/x", {{"last-event-id", "12"}, {fixture.names.resumed_attempt, "r0"}});
   CHECK(fixture.last().header("last-event-id") == "12");
 }
 
--- a/src/gateway/tests/stream_software_test.cc
+++ b/src/gateway/tests/stream_software_test.cc
@@ -102,6 +102,156 @@
   CHECK(caller->aborted);
 }
 
+TEST_CASE_FIXTURE(VersionsFixture, "a stream is recorded before its caller gets the first event") {
+  add("e1", "v1");
+  const auto caller = send("/resumable/x");
+  last().observer->on_head({200, {signature()}});
+  CHECK(streams.known.empty());
+  last().observer->on_body("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  REQUIRE(streams.lifetimes.size() == 1);
+  // Callers give up after the route's timeout, and may take a stream up until then.
+  CHECK(streams.lifetimes[0] == 2 * 2000ms);
+  CHECK(streams.known.at(make_stream_key({}, "r1").attempt) ==
+        software_of(*fleet.find(BackendId("e1"))));
+}
+
+namespace {
+
+/// Engines `old-1` and `old-2` of version v1 and `new-1` to `new-4` of v1.1.
+struct TakeUpFixture : VersionsFixture {
+  TakeUpFixture() {
+    for (const char* id : {"old-1", "old-2"}) {
+      add(id, "v1");
+    }
+    for (const char* id : {"new-1", "new-2", "new-3", "new-4"}) {
+      add(id, "v1.1");
+    }
+  }
+  std::shared_ptr<FakeCaller> take_up(const std::string& attempt,
+                                      const std::string& path = "/resumable/x") {
+    return send(path, {{names.last_event, "3"}, {names.resumed_attempt, attempt}});
+  }
+  static bool is_rejected(const FakeCaller& caller, const std::string& reason) {
+    return caller.head.status == 503 && !caller.header("retry-after").empty() &&
+           caller.body.find(reason) != std::string::npos;
+  }
+};
+
+}  // namespace
+
+TEST_CASE_FIXTURE(TakeUpFixture, "a stream that is taken up goes on at the version that began it") {
+  record_stream("r0", "v1");
+  for (int i = 0; i != 20; ++i) {
+    const auto caller = take_up("r0");
+    REQUIRE(last().request.endpoint.value().starts_with("old-"));
+    last().answer(200, {signature()}, "id: 4\ndata: d\n\n");
+    CHECK(caller->finished);
+  }
+  CHECK(statistics.streams_taken_up == 20);
+}
+
+TEST_CASE_FIXTURE(TakeUpFixture, "a stream that is taken up several times remains known") {
+  record_stream("r0", "v1");
+  take_up("r0");
+  last().observer->on_head({200, {signature()}});
+  last().observer->on_body("id: 4\ndata: d\n\n");
+  CHECK(streams.lifetimes.size() == 2);
+  // Callers name the first attempt each time.
+  CHECK(streams.known.size() == 1);
+}
+
+TEST_CASE_FIXTURE(TakeUpFixture, "a stream that nobody recorded is rejected unread") {
+  const auto caller = take_up("r0");
+  CHECK(is_rejected(*caller, "resumed-attempt-unknown"));
+  CHECK(sends() == 0);
+  CHECK(statistics.taken_up_unknown == 1);
+}
+
+TEST_CASE_FIXTURE(TakeUpFixture, "a caller that does not name the attempt it resumes is told so") {
+  record_stream("r0", "v1");
+  const auto caller = send("/resumable/x", {{names.last_event, "3"}});
+  CHECK(caller->head.status == 400);
+  CHECK(caller->body.find("resumed-attempt-not-named") != std::string::npos);
+  CHECK(sends() == 0);
+}
+
+TEST_CASE_FIXTURE(TakeUpFixture, "a stream whose route is not resumable is not taken up") {
+  record_stream("r0", "v1");
+  CHECK(is_rejected(*take_up("r0", "/stream/x"), "resumed-attempt-unknown"));
+  CHECK(sends() == 0);
+}
+
+TEST_CASE_FIXTURE(
+    TakeUpFixture,
+    "a stream whose version has left is rejected at once, not held until its deadline") {
+  record_stream("r0", "v1");
+  for (const char* id : {"old-1", "old-2"}) {
+    fleet.note_leaving(BackendId(id));
+  }
+  const auto caller = take_up("r0");
+  CHECK(is_rejected(*caller, "version-unavailable"));
+  CHECK(sends() == 0);
+  CHECK(statistics.taken_up_unavailable == 1);
+}
+
+TEST_CASE_FIXTURE(TakeUpFixture, "the only back end of a version takes its streams up") {
+  record_stream("r0", "v1");
+  fleet.note_leaving(BackendId("old-2"));
+  take_up("r0");
+  CHECK(last().request.endpoint == Endpoint("old-1:1"));
+}
+
+TEST_CASE_FIXTURE(TakeUpFixture, "ejected back ends of the version take up what no other can") {
+  record_stream("r0", "v1");
+  for (const char* id : {"old-1", "old-2"}) {
+    loads.find_or_create(BackendId(id)).end(AttemptOutcome::kUnreachable, time.now());
+  }
+  take_up("r0");
+  CHECK(sends() == 1);
+}
+
+TEST_CASE_FIXTURE(TakeUpFixture,
+                  "a stream goes on at the service that began it, not at its split") {
+  Configuration split = make_configuration(3);
+  split.routes[4].shares = {{ServiceName("other"), 1000}, {ServiceName("llm"), 1}};
+  split.services.push_back({ServiceName("other"), 100, EngineShape{}});
+  fleet.apply(std::move(split));
+  add_backend("o1", "other", EngineRole::kDecode);
+  record_stream("r0", "v1");
+  for (int i = 0; i != 20; ++i) {
+    take_up("r0");
+    CHECK(last().request.endpoint.value().starts_with("old-"));
+  }
+}
+
+TEST_CASE_FIXTURE(TakeUpFixture, "a caller that leaves during the look-up is forgotten") {
+  streams.lookups_pending = true;
+  const auto caller = take_up("r0");
+  REQUIRE(streams.pending.size() == 1);
+  CHECK(gateway.running() == 1);
+  caller->disconnect();
+  CHECK(gateway.running() == 0);
+  streams.pending[0](SoftwareId(1));
+  CHECK(sends() == 0);
+}
+
+TEST_CASE_FIXTURE(TakeUpFixture, "a look-up that never ends is ended by the deadline") {
+  streams.lookups_pending = true;
+  const auto caller = take_up("r0");
+  advance(2001ms);
+  CHECK(caller->head.status == 503);
+  CHECK(gateway.running() == 0);
+}
+
+TEST_CASE("attempts of different tenants are different streams, whatever their ids") {
+  const StreamKey own = make_stream_key(TenantName("t1"), "r1");
+  CHECK(own == make_stream_key(TenantName("t1"), "r1"));
+  CHECK_FALSE(own == make_stream_key(TenantName("t2"), "r1"));
+  CHECK_FALSE(own == make_stream_key(TenantName(), "r1"));
+  CHECK(make_stream_key(TenantName("ab"), "c").attempt !=
+        make_stream_key(TenantName("a"), "bc").attempt);
+}
+
 TEST_CASE("software is identified by service and version, or by the back end if that is unknown") {
   Backend first;
   first.id = BackendId("i-1");
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -116,6 +116,14 @@
                                 const auto& reply) { peer_exchange_.send(to, reply); }}),
       admission_({clock, random, logger, fleet_, loads_, rate_limiter_},
                  [this](const auto& notice) { peer_exchange_.broadcast_notice(notice); }),
+      stream_records_(
+          {clock, loop, random, logger, nodes_},
+          {.send_record = [this](const Endpoint& to,
+                                 const auto& record) { peer_exchange_.send(to, record); },
+           .send_query = [this](const Endpoint& to,
+                                const auto& query) { peer_exchange_.send(to, query); },
+           .send_reply = [this](const Endpoint& to,
+                                const auto& reply) { peer_exchange_.send(to, reply); }}),
       queue_({clock, loop, random, logger, [this] { return nodes_.conservative_count(); }},
              settings_.queue),
       profile_exchange_(
@@ -150,6 +158,7 @@
                 &queue_,
                 &profiles_,
                 &profiles_,
+                &stream_records_,
                 settings_.replicate_resumable_streams != 0},
                [this](auto done) { watcher_.refresh_configuration(std::move(done)); }),
       caller_server_(loop, server_at(settings_.listen)),
@@ -214,6 +223,7 @@
   connect_quarantine();
   connect_admission();
   connect_profiles();
+  connect_stream_records();
   watcher_.start();
   registration_.start();
   duties_.start();
@@ -277,6 +287,13 @@
   profile_exchange_.start();
 }
 
+void GatewayNode::connect_stream_records() {
+  peer_exchange_.on_stream_records(
+      {.receive = [this](const auto& record) { stream_records_.receive(record); },
+       .receive_query = [this](const auto& query) { stream_records_.receive(query); },
+       .receive_reply = [this](const auto& reply) { stream_records_.receive(reply); }});
+}
+
 Result<void, http::HttpError> GatewayNode::listen_to_peers() {
   BOOST_OUTCOME_TRY(socket, peer_load::DatagramSocket::bind(
                                 loop_, settings_.peer_listen, [this](std::string_view bytes) {
@@ -398,6 +415,7 @@
   queue_.add_metrics(sink);
   profiles_.add_metrics(sink);
   profile_exchange_.add_metrics(sink);
+  stream_records_.add_metrics(sink);
   links_.add_metrics(sink);
   sink.counter({"backend_connections", "Connections opened to back ends"},
                static_cast<double>(client_.statistics().connections_opened));
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -30,6 +30,7 @@
 #include "peer_load/datagram_socket.h"
 #include "quarantine/quarantine.h"
 #include "rate_limit/rate_limiter.h"
+#include "stream_records/stream_records.h"
 
 namespace ochrespring::gateway_node {
 
@@ -59,6 +60,7 @@
   void connect_quarantine();
   void connect_admission();
   void connect_profiles();
+  void connect_stream_records();
   /// Returns the view addresses of the nodes known so far.
   std::vector<Endpoint> known_view_addresses() const;
   /// Starts the survey of cached prompt parts and requests the state of other nodes, once this node
@@ -99,6 +101,7 @@
   quarantine::Quarantine quarantine_;
   rate_limit::RateLimiter rate_limiter_;
   admission::AdmissionControl admission_;
+  stream_records::StreamRecords stream_records_;
   admission_queue::AdmissionQueue queue_;
   engine_profiles::ProfileExchange profile_exchange_;
   gateway::CacheSurvey cache_survey_;
--- a/src/gateway_node/peer_channel.h
+++ b/src/gateway_node/peer_channel.h
@@ -51,6 +51,9 @@
   /// As a relay, also passes the report on to the nodes of its zone.
   std::function<void(const engine_profiles::ProfileReport&)> profiles_to_relay{};
   std::function<void(const engine_profiles::RelayedProfileReports&)> relayed_profiles{};
+  std::function<void(const stream_records::StreamRecord&)> stream_record{};
+  std::function<void(const stream_records::RecordQuery&)> record_query{};
+  std::function<void(const stream_records::RecordReply&)> record_reply{};
 };
 
 struct PeerChannelOptions {
@@ -166,6 +169,9 @@
   void dispatch(const engine_profiles::RelayedProfileReports& message) {
     handlers_.relayed_profiles(message);
   }
+  void dispatch(const stream_records::StreamRecord& message) { handlers_.stream_record(message); }
+  void dispatch(const stream_records::RecordQuery& message) { handlers_.record_query(message); }
+  void dispatch(const stream_records::RecordReply& message) { handlers_.record_reply(message); }
   template <int kIndex>
   void dispatch(const RetiredMessage<kIndex>& /*message*/) {}
 
--- a/src/gateway_node/peer_exchange.cc
+++ b/src/gateway_node/peer_exchange.cc
@@ -148,6 +148,18 @@
       .relayed_profiles =
           [this](const engine_profiles::RelayedProfileReports& reports) {
             call_if_set(profiles_.receive_relayed, reports);
+          },
+      .stream_record =
+          [this](const stream_records::StreamRecord& record) {
+            call_if_set(stream_records_.receive, record);
+          },
+      .record_query =
+          [this](const stream_records::RecordQuery& query) {
+            call_if_set(stream_records_.receive_query, query);
+          },
+      .record_reply =
+          [this](const stream_records::RecordReply& reply) {
+            call_if_set(stream_records_.receive_reply, reply);
           }};
 }
 
--- a/src/gateway_node/peer_exchange.h
+++ b/src/gateway_node/peer_exchange.h
@@ -1,5 +1,5 @@
 // Exchanges reports with other nodes: work at engines, updates of the fleet view, usage, crashes,
-// rate limits, back-off notices, engine profiles, and offers of views.
+// rate limits, back-off notices, engine profiles, records of streams, and offers of views.
 #pragma once
 
 #include <functional>
@@ -134,6 +134,13 @@
   void broadcast_profiles_to_zone(const engine_profiles::RelayedProfileReports& reports) {
     channel_.broadcast_profiles_to_zone(reports);
   }
+  /// Handlers of records of begun streams, and of queries and replies about them.
+  struct StreamRecordHandlers {
+    std::function<void(const stream_records::StreamRecord&)> receive;
+    std::function<void(const stream_records::RecordQuery&)> receive_query;
+    std::function<void(const stream_records::RecordReply&)> receive_reply;
+  };
+  void on_stream_records(StreamRecordHandlers handlers) { stream_records_ = std::move(handlers); }
   /// Sends a message to one node.
   void send(const Endpoint& to, const PeerMessage& message) { channel_.send(to, message); }
   const PeerChannel& channel() const { return channel_; }
@@ -164,6 +171,7 @@
   LimitHandlers limits_;
   NoticeHandlers notices_;
   ProfileHandlers profiles_;
+  StreamRecordHandlers stream_records_;
   PeerChannel channel_;
   peer_load::PeerWork peer_work_;
   peer_load::WorkAnnouncer announcer_;
--- a/src/gateway_node/peer_message.h
+++ b/src/gateway_node/peer_message.h
@@ -11,6 +11,7 @@
 #include "peer_load/types.h"
 #include "quarantine/types.h"
 #include "rate_limit/types.h"
+#include "stream_records/types.h"
 #include "usage/types.h"
 
 namespace ochrespring::gateway_node {
@@ -70,16 +71,16 @@
 /// Any message may be lost, duplicated or delayed, so each is independent of the others. The index
 /// of an alternative identifies it on the wire. Builds that run side by side ignore unknown
 /// indices, so a message whose format changes gets a new index at the end.
-using PeerMessage =
-    std::variant<peer_load::WorkReport, RetiredMessage<1>, peer_load::PartsRequest, ViewOffer,
-                 WorkReportToRelay, peer_load::RelayedReport, RetiredMessage<6>, usage::UsageReport,
-                 quarantine::CrashReportBatch, CrashReportBatchToRelay, RetiredMessage<10>,
-                 RetiredMessage<11>, NodeLeaving, NodeLeavingToRelay, rate_limit::LimitReport,
-                 LimitReportToRelay, rate_limit::PermitRequest, rate_limit::PermitReply,
-                 admission::BackendNotice, BackendNoticeToRelay, quarantine::HorizonRequest,
-                 quarantine::HorizonReport, discovery::PositionReport, discovery::HistoryReport,
-                 engine_profiles::ProfileReport, ProfileReportToRelay,
-                 engine_profiles::RelayedProfileReports, discovery::ViewUpdate, ViewUpdateToRelay>;
+using PeerMessage = std::variant<
+    peer_load::WorkReport, RetiredMessage<1>, peer_load::PartsRequest, ViewOffer, WorkReportToRelay,
+    peer_load::RelayedReport, RetiredMessage<6>, usage::UsageReport, quarantine::CrashReportBatch,
+    CrashReportBatchToRelay, RetiredMessage<10>, RetiredMessage<11>, NodeLeaving,
+    NodeLeavingToRelay, rate_limit::LimitReport, LimitReportToRelay, rate_limit::PermitRequest,
+    rate_limit::PermitReply, admission::BackendNotice, BackendNoticeToRelay,
+    quarantine::HorizonRequest, quarantine::HorizonReport, discovery::PositionReport,
+    discovery::HistoryReport, engine_profiles::ProfileReport, ProfileReportToRelay,
+    engine_profiles::RelayedProfileReports, discovery::ViewUpdate, ViewUpdateToRelay,
+    stream_records::StreamRecord, stream_records::RecordQuery, stream_records::RecordReply>;
 
 /// Metric labels of the alternatives of PeerMessage, in order.
 constexpr std::array<const char*, std::variant_size_v<PeerMessage>> kPeerMessageNames{
@@ -111,6 +112,9 @@
     "profile_news_to_relay",
     "relayed_profile_news",
     "view_update",
-    "update_to_relay"};
+    "update_to_relay",
+    "stream_record",
+    "stream_record_query",
+    "stream_record_reply"};
 
 }  // namespace ochrespring::gateway_node
--- a/src/gateway_node/tests/compatibility_test.cc
+++ b/src/gateway_node/tests/compatibility_test.cc
@@ -96,6 +96,19 @@
         gateway::SoftwareVersion("v1.1"));
 }
 
+TEST_CASE("records of streams and queries about them round-trip as first released") {
+  const auto corpus = read_corpus(STREAM_RECORDS);
+  REQUIRE(corpus.size() == 3);
+  for (const auto& [name, bytes] : corpus) {
+    CAPTURE(name);
+    CHECK(round_trips<PeerMessage>(bytes));
+  }
+  const auto record = wire::decode<PeerMessage>(corpus.at("stream_record"));
+  REQUIRE(record);
+  CHECK(std::get<stream_records::StreamRecord>(record.value()).lifetime ==
+        std::chrono::seconds(10));
+}
+
 TEST_CASE("rate limit reports and permits round-trip as first released") {
   const auto corpus = read_corpus(RATE_LIMIT_MESSAGES);
   REQUIRE(corpus.size() == 4);
@@ -192,6 +205,8 @@
   constexpr std::size_t kKindsBeforeSoftwareVersions = 27;
   CHECK(PeerMessage(discovery::ViewUpdate()).index() == kKindsBeforeSoftwareVersions);
   CHECK(PeerMessage(ViewUpdateToRelay()).index() == kKindsBeforeSoftwareVersions + 1);
+  CHECK(PeerMessage(stream_records::StreamRecord()).index() == kKindsBeforeSoftwareVersions + 2);
+  CHECK(PeerMessage(stream_records::RecordReply()).index() == kKindsBeforeSoftwareVersions + 4);
 }
 
 TEST_CASE("unknown kinds, and known ones with trailing bytes, are ignored") {
--- a/src/gateway_node/tests/profile_news_test.cc
+++ b/src/gateway_node/tests/profile_news_test.cc
@@ -92,7 +92,7 @@
     std::uint64_t datagrams = 0;
     for (const auto& node : fleet.nodes) {
       for (std::size_t kind = PeerMessage(engine_profiles::ProfileReport()).index();
-           kind != kPeerMessageNames.size(); ++kind) {
+           kind <= PeerMessage(engine_profiles::RelayedProfileReports()).index(); ++kind) {
         datagrams += node->news.channel().traffic(kind).datagrams;
       }
     }
--- /dev/null
+++ b/src/stream_records/stream_records.h
@@ -0,0 +1,100 @@
+// Distributes records of the software that began streams over the nodes, and finds them.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+
+#include "base/random.h"
+#include "base/timer.h"
+#include "discovery/node_directory.h"
+#include "gateway/stream_registry.h"
+#include "logging/logger.h"
+#include "metrics/metrics.h"
+#include "stream_records/holder_selector.h"
+#include "stream_records/record_table.h"
+#include "stream_records/types.h"
+
+namespace ochrespring::stream_records {
+
+struct StreamRecordStatistics {
+  std::uint64_t records_sent = 0;        ///< To other nodes, each counted.
+  std::uint64_t found_locally = 0;       ///< Look-ups that this node's own records answered.
+  std::uint64_t found_remotely = 0;      ///< Look-ups that another node answered.
+  std::uint64_t not_found = 0;           ///< Look-ups without a record at any node asked.
+  std::uint64_t conflicting = 0;         ///< Look-ups of streams with conflicting records.
+  std::uint64_t lookups_unanswered = 0;  ///< Look-ups that ended before all nodes had answered.
+  std::uint64_t lookups_rejected = 0;    ///< Too many were in progress.
+};
+
+/// The node that begins a stream sends its record to kHolders other nodes; the node at which its
+/// caller takes it up asks these. Records are sent once and not acknowledged, so a record may be
+/// unknown, but it is never wrong.
+///
+/// Performs no input or output itself; must be used from one event loop.
+class StreamRecords final : public gateway::StreamRegistry {
+ public:
+  /// Nodes that hold a record besides the one that began the stream. If a random half of the nodes
+  /// is killed, one of 32 records is lost.
+  static constexpr std::size_t kHolders = 5;
+  /// More nodes are asked than hold a record, since nodes may know about different fleets.
+  static constexpr std::size_t kNodesAsked = kHolders + 3;
+  static constexpr std::size_t kMaxLookups = 1'024;  ///< In progress.
+
+  /// All references must outlive the records.
+  struct Dependencies {
+    const Clock& clock;
+    TimerService& timers;
+    RandomSource& random;
+    logging::Logger& logger;
+    const discovery::NodeDirectory& nodes;
+  };
+
+  /// Sends messages to other nodes; they may be lost, duplicated or delayed.
+  struct Channel {
+    std::function<void(const Endpoint& to, const StreamRecord&)> send_record;
+    std::function<void(const Endpoint& to, const RecordQuery&)> send_query;
+    std::function<void(const Endpoint& to, const RecordReply&)> send_reply;
+  };
+
+  StreamRecords(Dependencies deps, Channel channel);
+
+  void note_begun(const gateway::StreamKey& stream, gateway::SoftwareId software,
+                  Duration lifetime) override;
+  void find(const gateway::StreamKey& stream, FindCallback done) override;
+
+  void receive(const StreamRecord& record) { table_.put(record, deps_.clock.now()); }
+  void receive(const RecordQuery& query);
+  void receive(const RecordReply& reply);
+
+  const StreamRecordStatistics& statistics() const { return statistics_; }
+  void add_metrics(metrics::SampleSink& sink) const;
+
+ private:
+  struct Lookup {
+    explicit Lookup(TimerService& timers) : timer(timers) {}
+
+    gateway::StreamKey stream;
+    std::map<NodeId, Endpoint> unanswered;  ///< Nodes asked that have not answered yet.
+    MonotonicTime started{};
+    FindCallback done;
+    Timer timer;
+  };
+
+  void send_queries(std::uint64_t sequence);
+  void on_unanswered(std::uint64_t sequence);
+  void complete(std::uint64_t sequence, std::optional<gateway::SoftwareId> software);
+
+  Dependencies deps_;
+  Channel channel_;
+  RecordTable table_;
+  HolderSelector holders_;
+  std::map<std::uint64_t, Lookup> lookups_;  ///< By sequence.
+  std::uint64_t next_sequence_;
+  StreamRecordStatistics statistics_;
+};
+
+}  // namespace ochrespring::stream_records
--- /dev/null
+++ b/src/stream_records/types.h
@@ -0,0 +1,64 @@
+// Messages between nodes on the software that began streams.
+#pragma once
+
+#include <cstdint>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "gateway/stream_registry.h"
+
+namespace ochrespring::stream_records {
+
+/// States which software began a stream. The node that began it sends this to some other nodes
+/// before its caller receives the first event.
+struct StreamRecord {
+  gateway::StreamKey stream;
+  gateway::SoftwareId software;
+  Duration lifetime{};  ///< For how long the receiver keeps it.
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& stream;
+    archive& software;
+    archive& lifetime;
+  }
+};
+
+/// Asks a node for its record of a stream.
+struct RecordQuery {
+  Endpoint reply_to;
+  std::uint64_t sequence = 0;  ///< Identifies the query; not reused by any incarnation of the node.
+  gateway::StreamKey stream;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& reply_to;
+    archive& sequence;
+    archive& stream;
+  }
+};
+
+/// What a node knows of a stream.
+enum class RecordState : std::uint8_t {
+  kNone,
+  kKnown,
+  kConflicting,  ///< Records that name different software: several attempts used the same id.
+};
+
+/// The answer to a RecordQuery.
+struct RecordReply {
+  NodeId node;
+  std::uint64_t sequence = 0;
+  RecordState state = RecordState::kNone;
+  gateway::SoftwareId software;  ///< If `state` is kKnown.
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& node;
+    archive& sequence;
+    archive& state;
+    archive& software;
+  }
+};
+
+}  // namespace ochrespring::stream_records
