Streams without a record go on where the service has had one software version

Change: such a stream, or one whose records are lost, goes on if back ends of its service have run a single software for the lifetime of a stream. A node knows that from its view, from what it has seen leave, and from what other nodes tell it when it starts. Otherwise the answer is 503, as for an unknown attempt. A back end whose version changes under its id is removed and added: it is another process.

--- a/src/gateway/failure_answer.cc
+++ b/src/gateway/failure_answer.cc
@@ -18,9 +18,6 @@
   if (reason == FailureReason::kUnknownKey) {
     return 401;
   }
-  if (reason == FailureReason::kResumedAttemptNotNamed) {
-    return 400;
-  }
   if (!may_have_run) {
     return 503;
   }
--- a/src/gateway/failure_answer.h
+++ b/src/gateway/failure_answer.h
@@ -34,9 +34,9 @@
 /// Name of a reason in logs and answers.
 std::string_view describe(FailureReason reason);
 
-/// A complete answer. Its status is 404 for an unknown route, 401 for an unknown key, 400 for a
-/// stream that is taken up without the name of its first attempt, 503 with Retry-After for a
-/// request that has not run and will not run, and 502 or 504 for a request that may have run.
+/// A complete answer. Its status is 404 for an unknown route, 401 for an unknown key, 503 with
+/// Retry-After for a request that has not run and will not run, and 502 or 504 for a request that
+/// may have run.
 struct FailureAnswer {
   std::uint16_t status = 0;
   std::vector<http::Header> headers;
--- a/src/gateway/fleet_state.cc
+++ b/src/gateway/fleet_state.cc
@@ -19,6 +19,11 @@
 }
 
 bool FleetState::put(Backend backend) {
+  const auto former = backends_.find(backend.id);
+  if (former != backends_.end() && former->second.version != backend.version) {
+    // Another process has started under the id.
+    remove(backend.id);
+  }
   const auto [found, fresh] = backends_.try_emplace(backend.id);
   Backend& known = found->second;
   if (!fresh && known == backend) {
@@ -81,20 +86,26 @@
   backends_.swap(replaced);  // Now `replaced` holds the previous back ends.
   index_.clear();
   for (const auto& [id, backend] : backends_) {
-    removed_ids_.erase(id);
     if (backend.draining) {
       note_leaving(id);
     }
     index_.add(backend);
-    if (!replaced.contains(id)) {
-      note_added(backend);
-    }
   }
+  const auto has = [](const std::map<BackendId, Backend>& backends, const Backend& backend) {
+    const auto found = backends.find(backend.id);
+    return found != backends.end() && found->second.version == backend.version;
+  };
   for (const auto& [id, backend] : replaced) {
-    if (!backends_.contains(id)) {
+    if (!has(backends_, backend)) {
       note_removed(backend);
     }
   }
+  for (const auto& [id, backend] : backends_) {
+    removed_ids_.erase(id);
+    if (!has(replaced, backend)) {
+      note_added(backend);
+    }
+  }
 }
 
 bool FleetState::is_leaving(const BackendId& id) const {
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -25,7 +25,8 @@
   /// the same version: an operator may publish another document of that version after the store was
   /// rolled back. Returns whether it was applied.
   bool apply(Configuration configuration, bool same_version_allowed = false);
-  /// Adds or replaces a back end; returns whether anything changed.
+  /// Adds or replaces a back end; returns whether anything changed. One whose software version has
+  /// changed is removed and added, as it is another process.
   bool put(Backend backend);
   /// Removes a back end; returns whether it was known.
   bool remove(const BackendId& id);
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -112,11 +112,12 @@
   last_event_ =
       http::parse_number(http::find_header(request_.headers, environment_.names.last_event))
           .value_or(0);
-  if (const auto obstacle = continuation_.lookup_obstacle()) {
-    end_with_failure(*obstacle);
+  const std::optional<StreamKey> stream = continuation_.key();
+  if (!stream || environment_.streams == nullptr) {
+    on_stream_found(std::nullopt);
     return;
   }
-  environment_.streams->find(continuation_.key(),
+  environment_.streams->find(*stream,
                              [weak = weak_from_this()](std::optional<SoftwareId> software) {
                                const auto self = weak.lock();
                                if (self && !self->ended_) {
@@ -126,11 +127,12 @@
 }
 
 void RequestSession::on_stream_found(std::optional<SoftwareId> software) {
-  if (!software) {
-    end_with_failure(FailureReason::kResumedAttemptUnknown);
+  const std::optional<SoftwareId> began = software ? software : continuation_.sole_software();
+  if (!began) {
+    end_with_failure(continuation_.unknown_reason());
     return;
   }
-  continuation_.set_software(*software);
+  continuation_.set_software(*began);
   const std::optional<ServiceName> service = continuation_.find_service();
   if (!service) {
     end_with_failure(FailureReason::kVersionUnavailable);
--- a/src/gateway/stream_continuation.cc
+++ b/src/gateway/stream_continuation.cc
@@ -20,24 +20,30 @@
          !http::find_header(request_.headers, environment_.names.last_event).empty();
 }
 
-std::string_view StreamContinuation::resumed_attempt() const {
-  return http::find_header(request_.headers, environment_.names.resumed_attempt);
+std::string_view StreamContinuation::first_attempt() const {
+  const HeaderNames& names = environment_.names;
+  return http::find_header(request_.headers,
+                           is_taken_up() ? names.resumed_attempt : names.request_id);
 }
 
-std::optional<FailureReason> StreamContinuation::lookup_obstacle() const {
-  if (resumed_attempt().empty()) {
-    return FailureReason::kResumedAttemptNotNamed;
+std::optional<StreamKey> StreamContinuation::key() const {
+  if (!route_.resumable || first_attempt().empty()) {
+    return std::nullopt;
   }
-  return environment_.streams == nullptr || !route_.resumable
-             ? std::optional(FailureReason::kResumedAttemptUnknown)
-             : std::nullopt;
+  return make_stream_key(tenant_ != nullptr ? tenant_->name : TenantName(), first_attempt());
 }
 
-StreamKey StreamContinuation::key() const {
-  return make_stream_key(tenant_ != nullptr ? tenant_->name : TenantName(),
-                         is_taken_up()
-                             ? resumed_attempt()
-                             : http::find_header(request_.headers, environment_.names.request_id));
+std::optional<SoftwareId> StreamContinuation::sole_software() const {
+  if (environment_.streams == nullptr || route_.shares.size() != 1) {
+    return std::nullopt;
+  }
+  return environment_.streams->sole_software(route_.shares.front().service,
+                                             kTimeoutsRecorded * route_.timeout);
+}
+
+FailureReason StreamContinuation::unknown_reason() const {
+  return first_attempt().empty() ? FailureReason::kResumedAttemptNotNamed
+                                 : FailureReason::kResumedAttemptUnknown;
 }
 
 std::optional<ServiceName> StreamContinuation::find_service() const {
@@ -58,10 +64,8 @@
     return;
   }
   software_ = software;
-  const bool has_id =
-      is_taken_up() || !http::find_header(request_.headers, environment_.names.request_id).empty();
-  if (environment_.streams != nullptr && route_.resumable && has_id) {
-    environment_.streams->note_begun(key(), software, kTimeoutsRecorded * route_.timeout);
+  if (const auto stream = key(); stream && environment_.streams != nullptr) {
+    environment_.streams->note_begun(*stream, software, kTimeoutsRecorded * route_.timeout);
   }
 }
 
--- a/src/gateway/stream_continuation.h
+++ b/src/gateway/stream_continuation.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <optional>
+#include <string_view>
 
 #include "gateway/environment.h"
 #include "gateway/failure_answer.h"
@@ -24,11 +25,14 @@
 
   /// Whether the caller states that it has received events of the stream.
   bool is_taken_up() const;
-  /// Why the stream that the caller takes up cannot be looked up; none if it can.
-  std::optional<FailureReason> lookup_obstacle() const;
   /// Identifies the stream by the attempt that began it: this one, or the one that the caller
-  /// names.
-  StreamKey key() const;
+  /// names; none if that attempt has no id, or if the route's streams cannot be taken up.
+  std::optional<StreamKey> key() const;
+  /// The software that must have begun the stream, since the route's service has had no other in
+  /// the lifetime of a stream; none if that is not certain.
+  std::optional<SoftwareId> sole_software() const;
+  /// Why a stream that is taken up is rejected if its software is not known.
+  FailureReason unknown_reason() const;
   /// Sets the software that began the stream.
   void set_software(SoftwareId software) { software_ = software; }
   /// None if no event has been sent and the caller takes up no stream.
@@ -40,7 +44,8 @@
   void note_event(SoftwareId software);
 
  private:
-  std::string_view resumed_attempt() const;
+  /// Id of the attempt that began the stream; empty if it is not known.
+  std::string_view first_attempt() const;
 
   const Environment& environment_;
   const Route& route_;
--- a/src/gateway/stream_registry.h
+++ b/src/gateway/stream_registry.h
@@ -43,6 +43,10 @@
   /// Calls `done`, possibly before it returns, with the software that began the stream; with none
   /// if that is not known for certain.
   virtual void find(const StreamKey& stream, FindCallback done) = 0;
+  /// The only software that back ends of the service have run in the last `span`, which therefore
+  /// began every stream of that time; none if there were several, or if that is not known.
+  virtual std::optional<SoftwareId> sole_software(const ServiceName& service,
+                                                  Duration span) const = 0;
 };
 
 }  // namespace ochrespring::gateway
--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -154,7 +154,14 @@
     done(found == known.end() ? std::nullopt : std::optional(found->second));
   }
 
+  std::optional<SoftwareId> sole_software(const ServiceName& /*service*/,
+                                          Duration span) const override {
+    return span <= sole_for ? sole : std::nullopt;
+  }
+
   std::map<std::uint64_t, SoftwareId> known;
+  std::optional<SoftwareId> sole;  ///< Of each service, for the time `sole_for`.
+  Duration sole_for{std::chrono::seconds(4)};
   std::vector<Duration> lifetimes;  ///< Of the records, in order.
   bool lookups_pending = false;     ///< Look-ups are answered by the test.
   std::vector<FindCallback> pending;
--- a/src/gateway/tests/stream_software_test.cc
+++ b/src/gateway/tests/stream_software_test.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "tests/fake_gate.h"
 
@@ -170,17 +171,57 @@
 TEST_CASE_FIXTURE(TakeUpFixture, "a caller that does not name the attempt it resumes is told so") {
   record_stream("r0", "v1");
   const auto caller = send("/resumable/x", {{names.last_event, "3"}});
-  CHECK(caller->head.status == 400);
-  CHECK(caller->body.find("resumed-attempt-not-named") != std::string::npos);
+  CHECK(is_rejected(*caller, "resumed-attempt-not-named"));
   CHECK(sends() == 0);
 }
 
-TEST_CASE_FIXTURE(TakeUpFixture, "a stream whose route is not resumable is not taken up") {
+TEST_CASE_FIXTURE(TakeUpFixture, "a stream whose route is not resumable is not looked up") {
   record_stream("r0", "v1");
   CHECK(is_rejected(*take_up("r0", "/stream/x"), "resumed-attempt-unknown"));
   CHECK(sends() == 0);
 }
 
+TEST_CASE_FIXTURE(TakeUpFixture,
+                  "what is unknown goes on if the service has had one version for two timeouts") {
+  streams.sole = software_of(*fleet.find(BackendId("old-1")));
+  take_up("r0");
+  CHECK(last().request.endpoint.value().starts_with("old-"));
+  send("/resumable/x", {{names.last_event, "3"}});
+  CHECK(sends() == 2);
+  CHECK(last().request.endpoint.value().starts_with("old-"));
+  streams.sole_for = 3999ms;
+  CHECK(is_rejected(*take_up("r0"), "resumed-attempt-unknown"));
+  // The record decides even then.
+  record_stream("r0", "v1.1");
+  take_up("r0");
+  CHECK(last().request.endpoint.value().starts_with("new-"));
+}
+
+TEST_CASE_FIXTURE(TakeUpFixture,
+                  "what is unknown does not go on if a split may have sent it to another service") {
+  streams.sole = software_of(*fleet.find(BackendId("old-1")));
+  Configuration split = make_configuration(3);
+  split.routes[4].shares = {{ServiceName("llm"), 1}, {ServiceName("other"), 1}};
+  fleet.apply(std::move(split));
+  CHECK(is_rejected(*take_up("r0"), "resumed-attempt-unknown"));
+}
+
+TEST_CASE_FIXTURE(TakeUpFixture, "another version under the same id is another back end") {
+  std::vector<std::string> removed;
+  fleet.on_removed([&](const Backend& backend) { removed.push_back(backend.version.value()); });
+  add("old-1", "v1.1");
+  CHECK(removed == std::vector<std::string>{"v1"});
+  std::vector<Backend> listed;
+  for (const auto& [id, backend] : fleet.backends()) {
+    listed.push_back(backend);
+  }
+  listed.front().version = SoftwareVersion("v1.2");
+  const std::string changed = fleet.backends().begin()->second.version.value();
+  fleet.replace(listed);
+  CHECK(removed == std::vector<std::string>{"v1", changed});
+  CHECK(fleet.backends().begin()->second.version == SoftwareVersion("v1.2"));
+}
+
 TEST_CASE_FIXTURE(
     TakeUpFixture,
     "a stream whose version has left is rejected at once, not held until its deadline") {
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -117,7 +117,7 @@
       admission_({clock, random, logger, fleet_, loads_, rate_limiter_},
                  [this](const auto& notice) { peer_exchange_.broadcast_notice(notice); }),
       stream_records_(
-          {clock, loop, random, logger, nodes_},
+          {clock, loop, random, logger, nodes_, fleet_},
           {.send_record = [this](const Endpoint& to,
                                  const auto& record) { peer_exchange_.send(to, record); },
            .send_query = [this](const Endpoint& to,
@@ -208,10 +208,12 @@
     links_.forget(backend);
     quarantine_.note_backend_removed(backend);
     rate_limiter_.forget(backend.id);
+    stream_records_.history().note_removed(backend);
     gateway_.on_backend_unregistered(backend.id);
   });
   watcher_.on_view_current([this] {
     apply_limits();
+    stream_records_.history().note_view_current();
     quarantine_.on_store_available();
     request_initial_state();
     nodes_.add_deferred_nodes();
@@ -291,7 +293,9 @@
   peer_exchange_.on_stream_records(
       {.receive = [this](const auto& record) { stream_records_.receive(record); },
        .receive_query = [this](const auto& query) { stream_records_.receive(query); },
-       .receive_reply = [this](const auto& reply) { stream_records_.receive(reply); }});
+       .receive_reply = [this](const auto& reply) { stream_records_.receive(reply); },
+       .receive_history = [this](const auto& report) { stream_records_.history().receive(report); },
+       .history = [this] { return stream_records_.history().report(); }});
 }
 
 Result<void, http::HttpError> GatewayNode::listen_to_peers() {
--- a/src/gateway_node/peer_channel.h
+++ b/src/gateway_node/peer_channel.h
@@ -54,6 +54,7 @@
   std::function<void(const stream_records::StreamRecord&)> stream_record{};
   std::function<void(const stream_records::RecordQuery&)> record_query{};
   std::function<void(const stream_records::RecordReply&)> record_reply{};
+  std::function<void(const stream_records::SoftwareHistoryReport&)> software_history{};
 };
 
 struct PeerChannelOptions {
@@ -172,6 +173,9 @@
   void dispatch(const stream_records::StreamRecord& message) { handlers_.stream_record(message); }
   void dispatch(const stream_records::RecordQuery& message) { handlers_.record_query(message); }
   void dispatch(const stream_records::RecordReply& message) { handlers_.record_reply(message); }
+  void dispatch(const stream_records::SoftwareHistoryReport& message) {
+    handlers_.software_history(message);
+  }
   template <int kIndex>
   void dispatch(const RetiredMessage<kIndex>& /*message*/) {}
 
--- a/src/gateway_node/peer_exchange.cc
+++ b/src/gateway_node/peer_exchange.cc
@@ -160,6 +160,10 @@
       .record_reply =
           [this](const stream_records::RecordReply& reply) {
             call_if_set(stream_records_.receive_reply, reply);
+          },
+      .software_history =
+          [this](const stream_records::SoftwareHistoryReport& report) {
+            call_if_set(stream_records_.receive_history, report);
           }};
 }
 
@@ -217,6 +221,11 @@
     notices_.send_all(
         [&](const admission::BackendNotice& notice) { channel_.send(request.reply_to, notice); });
   }
+  if (stream_records_.history) {
+    if (const auto history = stream_records_.history()) {
+      channel_.send(request.reply_to, *history);
+    }
+  }
   if (profiles_.send_all) {
     profiles_.send_all([&](const engine_profiles::ProfileReport& report) {
       channel_.send(request.reply_to, report);
--- a/src/gateway_node/peer_exchange.h
+++ b/src/gateway_node/peer_exchange.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string_view>
 
 #include "base/random.h"
@@ -134,11 +135,15 @@
   void broadcast_profiles_to_zone(const engine_profiles::RelayedProfileReports& reports) {
     channel_.broadcast_profiles_to_zone(reports);
   }
-  /// Handlers of records of begun streams, and of queries and replies about them.
+  /// Handlers of records of begun streams, of queries and replies about them, and of the history of
+  /// software versions.
   struct StreamRecordHandlers {
     std::function<void(const stream_records::StreamRecord&)> receive;
     std::function<void(const stream_records::RecordQuery&)> receive_query;
     std::function<void(const stream_records::RecordReply&)> receive_reply;
+    std::function<void(const stream_records::SoftwareHistoryReport&)> receive_history;
+    /// Returns what a node that has just started needs to know.
+    std::function<std::optional<stream_records::SoftwareHistoryReport>()> history;
   };
   void on_stream_records(StreamRecordHandlers handlers) { stream_records_ = std::move(handlers); }
   /// Sends a message to one node.
--- a/src/gateway_node/peer_message.h
+++ b/src/gateway_node/peer_message.h
@@ -71,16 +71,18 @@
 /// Any message may be lost, duplicated or delayed, so each is independent of the others. The index
 /// of an alternative identifies it on the wire. Builds that run side by side ignore unknown
 /// indices, so a message whose format changes gets a new index at the end.
-using PeerMessage = std::variant<
-    peer_load::WorkReport, RetiredMessage<1>, peer_load::PartsRequest, ViewOffer, WorkReportToRelay,
-    peer_load::RelayedReport, RetiredMessage<6>, usage::UsageReport, quarantine::CrashReportBatch,
-    CrashReportBatchToRelay, RetiredMessage<10>, RetiredMessage<11>, NodeLeaving,
-    NodeLeavingToRelay, rate_limit::LimitReport, LimitReportToRelay, rate_limit::PermitRequest,
-    rate_limit::PermitReply, admission::BackendNotice, BackendNoticeToRelay,
-    quarantine::HorizonRequest, quarantine::HorizonReport, discovery::PositionReport,
-    discovery::HistoryReport, engine_profiles::ProfileReport, ProfileReportToRelay,
-    engine_profiles::RelayedProfileReports, discovery::ViewUpdate, ViewUpdateToRelay,
-    stream_records::StreamRecord, stream_records::RecordQuery, stream_records::RecordReply>;
+using PeerMessage =
+    std::variant<peer_load::WorkReport, RetiredMessage<1>, peer_load::PartsRequest, ViewOffer,
+                 WorkReportToRelay, peer_load::RelayedReport, RetiredMessage<6>, usage::UsageReport,
+                 quarantine::CrashReportBatch, CrashReportBatchToRelay, RetiredMessage<10>,
+                 RetiredMessage<11>, NodeLeaving, NodeLeavingToRelay, rate_limit::LimitReport,
+                 LimitReportToRelay, rate_limit::PermitRequest, rate_limit::PermitReply,
+                 admission::BackendNotice, BackendNoticeToRelay, quarantine::HorizonRequest,
+                 quarantine::HorizonReport, discovery::PositionReport, discovery::HistoryReport,
+                 engine_profiles::ProfileReport, ProfileReportToRelay,
+                 engine_profiles::RelayedProfileReports, discovery::ViewUpdate, ViewUpdateToRelay,
+                 stream_records::StreamRecord, stream_records::RecordQuery,
+                 stream_records::RecordReply, stream_records::SoftwareHistoryReport>;
 
 /// Metric labels of the alternatives of PeerMessage, in order.
 constexpr std::array<const char*, std::variant_size_v<PeerMessage>> kPeerMessageNames{
@@ -115,6 +117,7 @@
     "update_to_relay",
     "stream_record",
     "stream_record_query",
-    "stream_record_reply"};
+    "stream_record_reply",
+    "software_history"};
 
 }  // namespace ochrespring::gateway_node
--- a/src/gateway_node/tests/compatibility_test.cc
+++ b/src/gateway_node/tests/compatibility_test.cc
@@ -98,7 +98,7 @@
 
 TEST_CASE("records of streams and queries about them round-trip as first released") {
   const auto corpus = read_corpus(STREAM_RECORDS);
-  REQUIRE(corpus.size() == 3);
+  REQUIRE(corpus.size() == 4);
   for (const auto& [name, bytes] : corpus) {
     CAPTURE(name);
     CHECK(round_trips<PeerMessage>(bytes));
@@ -207,6 +207,8 @@
   CHECK(PeerMessage(ViewUpdateToRelay()).index() == kKindsBeforeSoftwareVersions + 1);
   CHECK(PeerMessage(stream_records::StreamRecord()).index() == kKindsBeforeSoftwareVersions + 2);
   CHECK(PeerMessage(stream_records::RecordReply()).index() == kKindsBeforeSoftwareVersions + 4);
+  CHECK(PeerMessage(stream_records::SoftwareHistoryReport()).index() ==
+        kKindsBeforeSoftwareVersions + 5);
 }
 
 TEST_CASE("unknown kinds, and known ones with trailing bytes, are ignored") {
--- a/src/stream_records/stream_records.cc
+++ b/src/stream_records/stream_records.cc
@@ -44,6 +44,7 @@
     : deps_(deps),
       channel_(std::move(channel)),
       holders_(deps.clock, deps.nodes),
+      history_(deps.clock, deps.fleet),
       next_sequence_(deps.random.next()) {}
 
 void StreamRecords::note_begun(const gateway::StreamKey& stream, gateway::SoftwareId software,
--- a/src/stream_records/stream_records.h
+++ b/src/stream_records/stream_records.h
@@ -16,6 +16,7 @@
 #include "metrics/metrics.h"
 #include "stream_records/holder_selector.h"
 #include "stream_records/record_table.h"
+#include "stream_records/software_history.h"
 #include "stream_records/types.h"
 
 namespace ochrespring::stream_records {
@@ -51,6 +52,7 @@
     RandomSource& random;
     logging::Logger& logger;
     const discovery::NodeDirectory& nodes;
+    const gateway::FleetState& fleet;
   };
 
   /// Sends messages to other nodes; they may be lost, duplicated or delayed.
@@ -65,11 +67,16 @@
   void note_begun(const gateway::StreamKey& stream, gateway::SoftwareId software,
                   Duration lifetime) override;
   void find(const gateway::StreamKey& stream, FindCallback done) override;
+  std::optional<gateway::SoftwareId> sole_software(const ServiceName& service,
+                                                   Duration span) const override {
+    return history_.sole_software(service, span);
+  }
 
   void receive(const StreamRecord& record) { table_.put(record, deps_.clock.now()); }
   void receive(const RecordQuery& query);
   void receive(const RecordReply& reply);
 
+  SoftwareHistory& history() { return history_; }
   const StreamRecordStatistics& statistics() const { return statistics_; }
   void add_metrics(metrics::SampleSink& sink) const;
 
@@ -92,6 +99,7 @@
   Channel channel_;
   RecordTable table_;
   HolderSelector holders_;
+  SoftwareHistory history_;
   std::map<std::uint64_t, Lookup> lookups_;  ///< By sequence.
   std::uint64_t next_sequence_;
   StreamRecordStatistics statistics_;
--- a/src/stream_records/tests/record_fleet.h
+++ b/src/stream_records/tests/record_fleet.h
@@ -51,7 +51,7 @@
     Node& node = *nodes[index];
     node.running = true;
     node.records = std::make_unique<StreamRecords>(
-        StreamRecords::Dependencies{time, time, random, logger, node.directory},
+        StreamRecords::Dependencies{time, time, random, logger, node.directory, backends},
         StreamRecords::Channel{
             [this, index](const Endpoint& to, const auto& message) { send(index, to, message); },
             [this, index](const Endpoint& to, const auto& message) { send(index, to, message); },
@@ -78,6 +78,7 @@
   simulation::VirtualTime time;
   SeededRandom random{5};
   logging::NullLogger logger;
+  gateway::FleetState backends;
   std::vector<std::unique_ptr<Node>> nodes;
   double loss = 0;         ///< Share of messages that are lost.
   Duration lookup_time{};  ///< Of the latest find().
--- a/src/stream_records/types.h
+++ b/src/stream_records/types.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <vector>
 
 #include "base/ids.h"
 #include "base/time.h"
@@ -61,4 +62,30 @@
   }
 };
 
+/// Software that no back end of a service runs any more.
+struct RemovedSoftware {
+  ServiceName service;
+  gateway::SoftwareId software;
+  Duration ago{};  ///< Since the last back end that ran it was removed.
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& service;
+    archive& software;
+    archive& ago;
+  }
+};
+
+/// Tells a node that has just started which software back ends have had besides that in its view.
+struct SoftwareHistoryReport {
+  Duration complete_for{};  ///< How far back the sender knows of all back ends.
+  std::vector<RemovedSoftware> removed;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& complete_for;
+    archive& removed;
+  }
+};
+
 }  // namespace ochrespring::stream_records
