--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -746,11 +746,9 @@
   environment_.statistics.quarantined += reason == FailureReason::kQuarantined ? 1 : 0;
   environment_.statistics.rate_limited += reason == FailureReason::kRateLimited ? 1 : 0;
   environment_.statistics.backing_off += reason == FailureReason::kBackingOff ? 1 : 0;
-  environment_.statistics.taken_up_unknown +=
-      reason == FailureReason::kResumedAttemptNotNamed ||
-              reason == FailureReason::kResumedAttemptUnknown
-          ? 1
-          : 0;
+  const bool unknown = reason == FailureReason::kResumedAttemptNotNamed ||
+                       reason == FailureReason::kResumedAttemptUnknown;
+  environment_.statistics.taken_up_unknown += unknown ? 1 : 0;
   environment_.statistics.taken_up_unavailable +=
       reason == FailureReason::kVersionUnavailable ? 1 : 0;
   if (answer_.has_begun()) {
