--- a/src/gateway/stream_continuation.cc
+++ b/src/gateway/stream_continuation.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <string_view>
 #include <utility>
-#include <vector>
 
 namespace ochrespring::gateway {
 
