Failed attempts name the shared parts of their prompts

Requests that crash back ends may be no two alike and share one part of their prompts. The log named the fingerprint of the whole request only, so nothing showed what the requests at the crashed back ends had in common.

--- a/src/gateway/prompt.cc
+++ b/src/gateway/prompt.cc
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Maximum size of describe_shared_parts() in bytes.
+constexpr std::size_t kMaxDescription = 400;
+
 std::uint64_t read_number(std::string_view text) {
   text.remove_prefix(std::min(text.find_first_not_of(' '), text.size()));
   std::uint64_t number = 0;
@@ -38,6 +41,15 @@
   return std::min(sum, tokens);
 }
 
+std::string describe_shared_parts(const Prompt& prompt) {
+  std::string text;
+  for (std::size_t i = 0; i + 1 < prompt.parts.size() && text.size() < kMaxDescription; ++i) {
+    text.append(text.empty() ? "" : ",").append(prompt.parts[i].id);
+  }
+  text.resize(std::min(text.size(), kMaxDescription));
+  return text;
+}
+
 Prompt parse_prompt(std::string_view parts, std::string_view counts, std::string_view estimate) {
   Prompt prompt;
   std::uint64_t sum = 0;
--- a/src/gateway/prompt.h
+++ b/src/gateway/prompt.h
@@ -28,6 +28,9 @@
   std::uint64_t own_tokens() const { return tokens - shared_tokens(); }
 };
 
+/// The ids of the shared parts, separated by commas, for logs; cut to 400 bytes.
+std::string describe_shared_parts(const Prompt& prompt);
+
 /// Parses `ID:TOKENS,...` and `PROMPT,OUTPUT`. A malformed number counts as 0; parts without an id
 /// are skipped.
 /// `estimate` is the estimated number of output tokens; may be empty.
--- a/src/gateway/request_log.cc
+++ b/src/gateway/request_log.cc
@@ -19,10 +19,11 @@
 }
 
 void RequestLog::note_failure(const http::HttpError& error, const Attempt& attempt,
-                              std::string fingerprint) const {
+                              std::string fingerprint, const Prompt* prompt) const {
   write("attempt failed",
         {{"request_id", id_},
          {"fingerprint", std::move(fingerprint)},
+         {"prompt_parts", prompt != nullptr ? describe_shared_parts(*prompt) : ""},
          {"route", route_.name.value()},
          {"tenant", tenant_name()},
          {"backend", attempt.backend.value()},
--- a/src/gateway/request_log.h
+++ b/src/gateway/request_log.h
@@ -34,9 +34,10 @@
   void note_attempt(std::string_view message, std::string_view detail,
                     const Attempt* attempt) const;
   /// Logs a failed attempt with the fingerprint, which identifies the same request under another id
-  /// or at another node.
-  void note_failure(const http::HttpError& error, const Attempt& attempt,
-                    std::string fingerprint) const;
+  /// or at another node, and the parts of its prompt that other requests may share; `prompt` may be
+  /// null.
+  void note_failure(const http::HttpError& error, const Attempt& attempt, std::string fingerprint,
+                    const Prompt* prompt) const;
   /// Logs that the claim to send to the chosen back end was denied.
   void note_denied(const BackendId& backend) const;
   /// Logs that a retry was charged to the budget or denied by it. `use` is what this node had
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -484,7 +484,7 @@
 
 /// Ends the current attempt, of which a byte may have been sent, as failed.
 void RequestSession::fail_attempt(const http::HttpError& error) {
-  log_.note_failure(error, *attempt_, fingerprint().to_hex());
+  log_.note_failure(error, *attempt_, fingerprint().to_hex(), prompt_ ? &*prompt_ : nullptr);
   const bool link_cut = error.code == http::HttpErrc::kLinkCut;
   const bool timed_out = link_cut || error.code == http::HttpErrc::kTimeout;
   if (!timed_out) {
