--- a/src/gateway_node/tests/crash_fleet.h
+++ b/src/gateway_node/tests/crash_fleet.h
@@ -19,6 +19,7 @@
 #include "discovery/fleet_watcher.h"
 #include "gateway/backend_incarnation.h"
 #include "gateway/gateway.h"
+#include "gateway/prompt.h"
 #include "gateway/tests/gateway_fixture.h"
 #include "gateway_node/peer_exchange.h"
 #include "logging/logger.h"
@@ -190,6 +191,31 @@
   std::uint32_t skipped_draws = 0;    ///< Random numbers each node discards first.
 };
 
+/// A prompt that shares parts with those of other requests.
+struct TestPrompt {
+  std::vector<std::string> shared_parts{"aa"};
+
+  /// Value of the header; `own_part` is the last one.
+  std::string header(const std::string& own_part) const {
+    std::string value;
+    for (const std::string& part : shared_parts) {
+      value += part + ":6300,";
+    }
+    return value + own_part + ":2000";
+  }
+  /// Reads the shared parts of a header.
+  static std::vector<std::string> parse(std::string_view header) {
+    std::vector<std::string> parts;
+    for (const gateway::PromptPart& part : gateway::parse_prompt(header, "").parts) {
+      parts.push_back(part.id);
+    }
+    if (!parts.empty()) {
+      parts.pop_back();
+    }
+    return parts;
+  }
+};
+
 /// Outcomes of requests, by status.
 struct RequestOutcomes {
   std::uint32_t sent = 0;
@@ -256,15 +282,15 @@
   /// Sends one request to a node and returns its caller.
   std::shared_ptr<gateway::testing::FakeCaller> start_request(std::size_t node,
                                                               const std::string& path,
-                                                              const std::string& body) {
+                                                              const std::string& body,
+                                                              const TestPrompt& prompt = {}) {
     auto caller = std::make_shared<gateway::testing::FakeCaller>();
     const gateway::HeaderNames names;
-    std::vector<http::Header> headers{
-        {"host", "h"},
-        {"x-request-id", "r" + std::to_string(++ids_)},
-        {names.deadline, "5000"},
-        {names.prompt_parts, "aa:6300," + std::to_string(ids_) + ":2000"},
-        {names.token_counts, "8300,20"}};
+    std::vector<http::Header> headers{{"host", "h"},
+                                      {"x-request-id", "r" + std::to_string(++ids_)},
+                                      {names.deadline, "5000"},
+                                      {names.prompt_parts, prompt.header(std::to_string(ids_))},
+                                      {names.token_counts, "8300,20"}};
     request_sent_at["r" + std::to_string(ids_)] = time.now();
     nodes[node]->machine.when_awake([gateway = &nodes[node]->gateway, caller, path, body, headers] {
       gateway->handle({"POST", path, "", headers, body}, caller);
@@ -272,6 +298,16 @@
     return caller;
   }
 
+  /// Sends one request to a node, as send(), with a prompt. `done` also gets whether an event or
+  /// the whole answer arrived.
+  void send_prompt(std::size_t node, const std::string& path, const std::string& body,
+                   const TestPrompt& prompt, std::function<void(int status, bool began)> done) {
+    auto caller = start_request(node, path, body, prompt);
+    await_answer(caller, [caller, done = std::move(done)](int status) {
+      done(status, status == 200 || caller->head.status == 200);
+    });
+  }
+
   /// Sends `body` to random nodes for `span`, on average once per `pause`; counts in
   /// `repeated_requests`.
   void send_repeatedly(const std::string& path, const std::string& body, Duration pause,
@@ -358,6 +394,21 @@
         }));
   }
 
+  /// Counts the requests with this prompt part, first attempts and retries, that reached back ends
+  /// later than `kSettlingTime` after the fifth crash it caused. Leaves out those of nodes whose
+  /// last fault ended less than `kSettlingTime` before, and those during an outage of the store.
+  std::size_t count_late_part_sends(const std::string& part) const {
+    const auto found = part_crashes.find(part);
+    if (found == part_crashes.end() || found->second.size() < 5) {
+      return 0;
+    }
+    const MonotonicTime bound = found->second[4] + kSettlingTime;
+    return static_cast<std::size_t>(
+        std::count_if(sends.begin(), sends.end(), [&](const Send& send) {
+          return send.crashing_part == part && send.at > bound && send.settled && !send.store_down;
+        }));
+  }
+
   void probe(CrashNode& node, const Endpoint& address,
              std::function<void(http::ProbeResult)> done) {
     time.schedule_after(2ms, [this, &node, address, done = std::move(done)] {
@@ -441,7 +492,8 @@
         return;
       }
       const bool settled = time.now() - nodes[node]->last_fault_end > kSettlingTime;
-      sends.push_back({time.now(), exchange->request.body, settled, state.down});
+      sends.push_back(
+          {time.now(), exchange->request.body, crashing_part_of(*exchange), settled, state.down});
       arrivals.push_back({.at = time.now(),
                           .node = node,
                           .server = server.backend.address,
@@ -458,7 +510,8 @@
   struct Send {
     MonotonicTime at;
     std::string body;
-    bool settled = true;  ///< The node's last fault ended more than `kSettlingTime` before.
+    std::string crashing_part;  ///< A shared part of its prompt that crashes engines; empty: none.
+    bool settled = true;        ///< The node's last fault ended more than `kSettlingTime` before.
     bool store_down = false;
   };
 
@@ -489,6 +542,9 @@
   std::vector<std::unique_ptr<CrashNode>> nodes;
   std::set<std::string> crashing_bodies;  ///< Crash each engine that starts to run them.
   std::map<std::string, std::vector<MonotonicTime>> crashes;  ///< Of back ends, by body.
+  /// Prompt parts that crash each engine that starts to run a request that shares them.
+  std::set<std::string> crashing_parts;
+  std::map<std::string, std::vector<MonotonicTime>> part_crashes;  ///< Of engines, by part.
   std::vector<Send> sends;
   std::vector<Arrival> arrivals;
   /// When a back end first sent a rate limit to a node, by node and address.
@@ -590,10 +646,12 @@
       });
       return;
     }
-    if (crashing_bodies.contains(exchange->request.body)) {
-      time.schedule_after(random_duration(20ms, 100ms), [this, &server, exchange] {
+    const std::string part = crashing_part_of(*exchange);
+    if (!part.empty() || crashing_bodies.contains(exchange->request.body)) {
+      time.schedule_after(random_duration(20ms, 100ms), [this, &server, exchange, part] {
         if (is_active(server, exchange)) {
-          crashes[exchange->request.body].push_back(time.now());
+          (part.empty() ? crashes[exchange->request.body] : part_crashes[part])
+              .push_back(time.now());
           crash(server);
         }
       });
@@ -608,6 +666,15 @@
       answer(server, exchange, 200, {signature()}, "answer");
     });
   }
+  /// The first shared part of the request's prompt that crashes engines; empty: none.
+  std::string crashing_part_of(const FleetExchange& exchange) const {
+    const std::vector<std::string> parts = TestPrompt::parse(
+        http::find_header(exchange.request.headers, gateway::HeaderNames().prompt_parts));
+    const auto found = std::find_if(parts.begin(), parts.end(), [this](const std::string& part) {
+      return crashing_parts.contains(part);
+    });
+    return found == parts.end() ? "" : *found;
+  }
   static http::Header signature() { return {gateway::HeaderNames().signature, "sig"}; }
   void add_rate_limit(const FakeBackendServer& server, const FleetExchange& exchange,
                       std::vector<http::Header>& headers) {
