Bodies and events of back ends are bounded

The body of an error, an unsigned answer, a prefill call, an event and answers to other requests each have a bound at which the attempt fails and the connection is closed. A signed success of more than 1 MiB is forwarded as it arrives, at the pace of its caller.

--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -45,7 +45,8 @@
   std::optional<http::ResponseHead> head;
   bool ends_with_connection = false;  ///< Only the close of the connection ends the answer.
   BackendStatement statement;         ///< Read from the head; empty before the head has arrived.
-  std::string body;  ///< Body of an answer that is sent to the caller when complete.
+  std::string body;            ///< Body of an answer that is sent to the caller when complete.
+  bool forwards_body = false;  ///< The body is too large to be held and is forwarded as it arrives.
   EventSplitter events;
   std::unique_ptr<StreamObservation> observation;  ///< Set once the first event has arrived.
   bool forwards_events = false;                    ///< Events are forwarded as they arrive.
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -19,6 +19,13 @@
 constexpr double kRetryAfterLatencyRatio = 0.15;
 /// Reading from the back end stops while more bytes than this wait for the caller.
 constexpr std::size_t kMaxCallerBufferBytes = 64U << 10U;
+/// An answer that is larger is not held until it is complete: a success is forwarded as it arrives,
+/// any other fails. A back end may send bytes without end.
+constexpr std::size_t kMaxHeldBody = 1U << 20U;
+/// Maximum size of the answer to a prefill call, which names a cache handle.
+constexpr std::size_t kMaxPrefillAnswer = 64U << 10U;
+/// Maximum size of one event of a stream.
+constexpr std::size_t kMaxEvent = 1U << 20U;
 
 std::int64_t to_milliseconds(Duration span) {
   return std::chrono::duration_cast<milliseconds>(span).count();
@@ -266,12 +273,44 @@
 
 void RequestSession::on_body(std::string_view bytes) {
   const std::shared_ptr<RequestSession> keep = shared_from_this();
+  if (attempt_->forwards_body) {
+    forward_bytes(bytes);
+    return;
+  }
   if (!attempt_->forwards_events) {
     attempt_->body.append(bytes);
+    if (attempt_->body.size() > (attempt_->is_prefill_call ? kMaxPrefillAnswer : kMaxHeldBody)) {
+      handle_large_body();
+    }
     return;
   }
   attempt_->events.append(bytes);
   forward_events();
+  if (has_active_attempt() && attempt_->events.rest().size() > kMaxEvent) {
+    fail_attempt({http::HttpErrc::kTruncated, "event larger than 1 MiB"});
+  }
+}
+
+void RequestSession::handle_large_body() {
+  const bool ran = attempt_->statement.is_signed && !attempt_->statement.not_run;
+  if (attempt_->is_prefill_call) {
+    end_prefill(true);
+  } else if (attempt_->statement.not_run) {
+    handle_refusal();
+  } else if (ran && is_success(attempt_->head->status) && !answer_.has_begun()) {
+    attempt_->forwards_body = true;
+    answer_.begin_stream(*attempt_->head);
+    forward_bytes(std::exchange(attempt_->body, {}));
+  } else {
+    fail_attempt({http::HttpErrc::kTruncated, "answer larger than 1 MiB that is no success"});
+  }
+}
+
+void RequestSession::forward_bytes(std::string_view bytes) {
+  answer_.send_event(bytes);
+  if (answer_.buffered_bytes() > kMaxCallerBufferBytes) {
+    attempt_->exchange->set_reading(false);
+  }
 }
 
 void RequestSession::on_complete() {
@@ -400,7 +439,7 @@
 }
 
 void RequestSession::relay_complete_answer() {
-  if (attempt_->forwards_events) {
+  if (attempt_->forwards_events || attempt_->forwards_body) {
     answer_.begin_stream(*attempt_->head);
     answer_.finish_stream();
   } else if (answer_.has_begun()) {
@@ -451,10 +490,9 @@
   backup_.note_event(event);
   timing_.note_event(environment_.clock.now());
   attempt_->observation->note_event(environment_.clock.now());
-  answer_.send_event(event.bytes);
+  forward_bytes(event.bytes);
   if (answer_.buffered_bytes() > kMaxCallerBufferBytes) {
     attempt_->observation->note_reading_stopped();
-    attempt_->exchange->set_reading(false);
   }
   return true;
 }
@@ -517,6 +555,12 @@
   if (stale) {
     tried_.erase(attempt_->backend);
   }
+  if (attempt_->forwards_body) {
+    // The caller already has part of the answer, which another back end cannot continue.
+    end_attempt(AttemptOutcome::kFailed);
+    end_with_failure(FailureReason::kBroken);
+    return;
+  }
   const FailedRun run = failed_run(error.code);
   end_attempt(stale || link_cut ? AttemptOutcome::kAbandoned : AttemptOutcome::kFailed);
   resume_or_retry(run);
@@ -664,7 +708,7 @@
     return;
   }
   if (dispatch_->trial() || !has_active_attempt() || attempt_->is_prefill_call ||
-      retry_limit_.is_last_attempt(false)) {
+      attempt_->forwards_body || retry_limit_.is_last_attempt(false)) {
     return;
   }
   if (dispatch_->no_backend_accepts(false)) {
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -137,6 +137,9 @@
   void handle_refusal();
   void handle_complete_answer();
   void relay_complete_answer();
+  void handle_large_body();
+  /// Sends part of the answer to the caller; stops reading from the back end while the caller lags.
+  void forward_bytes(std::string_view bytes);
   void forward_events();
   bool forward_event(const StreamEvent& event);
 
--- a/src/http/client_exchange.cc
+++ b/src/http/client_exchange.cc
@@ -23,6 +23,10 @@
 constexpr Duration kKeepAliveMargin = milliseconds(700);
 constexpr std::size_t kReadBytes = 32U << 10U;
 constexpr std::size_t kMaxHeadBytes = 64U << 10U;
+/// Maximum number of interim (1xx) heads before the response.
+constexpr std::uint32_t kMaxInterimHeads = 64;
+/// Maximum size of responses to other requests that are read over.
+constexpr std::size_t kMaxSkippedBytes = 8U << 20U;
 
 std::string make_head(const ClientRequest& request) {
   std::string head;
@@ -274,6 +278,10 @@
     }
     input_.erase(0, parsed_.length);
     head_received_ = parsed_.head.status >= 200;
+    if (!head_received_ && ++interim_heads_ > kMaxInterimHeads) {
+      fail_with(HttpErrc::kReset, "too many interim responses");
+      return false;
+    }
   }
   determine_framing();
   skipping_ = is_response_to_other_request();
@@ -367,6 +375,11 @@
 }
 
 void ClientExchange::deliver(std::string_view bytes) {
+  skipped_bytes_ += skipping_ ? bytes.size() : 0;
+  if (skipped_bytes_ > kMaxSkippedBytes) {
+    fail_with(HttpErrc::kReset, "response to another request does not end");
+    return;
+  }
   if (!bytes.empty() && observer_ != nullptr && !skipping_) {
     observer_->on_body(bytes);
   }
--- a/src/http/client_exchange.h
+++ b/src/http/client_exchange.h
@@ -73,6 +73,8 @@
   std::size_t written_ = 0;
   Duration idle_lifetime_{};  ///< How long the connection may stay idle in the pool; zero: do not
                               ///< keep it.
+  std::uint32_t interim_heads_ = 0;
+  std::size_t skipped_bytes_ = 0;  ///< Of responses that belong to other requests.
   bool head_received_ = false;
   bool skipping_ = false;          ///< The current response belongs to another request.
   bool skipped_response_ = false;  ///< Such a response was received on this connection.
