Prompt parts do not explain each other's crashes; a part is tried twice at least

Causes: which crashes of a part still count depends on when it was last answered, so a sound part with one crash more hid the guilty one. A trial of two parts at once used up the only one that a sound part had after the kill. One quarantined request explained all that was known of the part, and what was forgotten besides.

Parts that were not answered lately are each quarantined after three crashes, and only explain the crashes of those that were. A joint trial waits 2 s longer. After a kill of all nodes parts have two trials, and a request does not explain them.

--- a/src/quarantine/crash_attribution.h
+++ b/src/quarantine/crash_attribution.h
@@ -32,12 +32,13 @@
   Duration min_span{std::chrono::milliseconds(100)};
 };
 
-/// Returns the parts that must have caused terminations, as far as is known.
+/// Returns the parts that may have caused terminations.
 ///
 /// A termination counts against every part of every request that was running there, and popular
-/// parts are part of nearly every batch. A part is returned if at least `min_terminations` are not
-/// explained by a part that is suspected more strongly: one that was not answered lately, and has
-/// more terminations if neither was. Parts that are suspected equally do not explain each other.
+/// parts are part of nearly every batch. A part that was not answered lately is returned if it has
+/// at least `min_terminations`. These parts explain their terminations, and one that was answered
+/// lately is returned only if it has as many others. Parts of one kind do not explain each other:
+/// which of their terminations still count depends on chance.
 ///
 /// A quarantined request explains the terminations of a part only if all happened during that one
 /// request: if several requests with the same part crash back ends and none is answered, the part
@@ -45,7 +46,8 @@
 ///
 /// The result does not depend on the order of the arguments. Pure function.
 std::set<gateway::RequestFingerprint> attribute_terminations(
-    std::vector<PartSuspect> suspects, const std::vector<RequestTerminations>& quarantined_requests,
+    const std::vector<PartSuspect>& suspects,
+    const std::vector<RequestTerminations>& quarantined_requests,
     const AttributionOptions& options = {});
 
 }  // namespace ochrespring::quarantine
--- a/src/quarantine/crash_ledger.cc
+++ b/src/quarantine/crash_ledger.cc
@@ -172,9 +172,11 @@
       for (const auto& [backend, at] : entry.counted_backends()) {
         terminations.insert(backend);
       }
+      // A part's unknown termination may have happened during another request.
+      terminations.erase(kUnknownBackend);
     }
   }
-  quarantined_parts_ = attribute_terminations(std::move(suspects), quarantined_requests,
+  quarantined_parts_ = attribute_terminations(suspects, quarantined_requests,
                                               {.min_terminations = options_.quarantine_threshold});
 }
 
@@ -263,6 +265,9 @@
   if (!entry.has_unknown_termination()) {
     return total;
   }
+  if (request.is_prompt_part()) {
+    return total - 1;
+  }
   const std::size_t observed = entry.counted_terminations() - 1;
   return observed < total ? total - observed : 1;
 }
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -127,7 +127,9 @@
   SuspicionLevel suspicion_level(const Request& request, const BackendIds& additional = {}) const;
   /// Returns the time until the next trial, zero if one is due, or none if no trial is left. If the
   /// request has an unknown termination, each observed termination uses up one of the trials,
-  /// because it may already have followed the third; at least one trial is allowed in total.
+  /// because it may already have followed the third; at least one trial is allowed in total. For a
+  /// prompt part all of them use up one trial together: it is allowed five terminations, of which
+  /// two may have been forgotten.
   std::optional<Duration> time_to_trial(const Request& request, MonotonicTime now) const;
   Duration retry_after(const Request& request, MonotonicTime now) const;
   bool stored(const Request& request) const;
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -45,7 +45,7 @@
 constexpr Duration kAnswerOverlap = seconds(1);
 /// Additional delay of a trial of several quarantined parts at once: trials of one part alone tell
 /// more and come first.
-constexpr Duration kJointTrialDelay = milliseconds(500);
+constexpr Duration kJointTrialDelay = seconds(2);
 constexpr std::uint16_t kFirstServerError = 500;
 /// Interval at which expired requests are dropped.
 constexpr Duration kSweepInterval = seconds(5);
