Log why a request ended, how long its back end was silent, and the configuration by then

Cause: "request ended broken" fits each of the three hypotheses of the incident. It names neither the reason of the last try nor the attempts that the node itself ended, and no counter tells streams that the node ended from those that a back end broke off. Change: fields reason, silence_milliseconds, attempts_stalled and current_configuration; counters attempts_stalled and requests_ended_after_stall. No decision changes.

--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -43,6 +43,7 @@
   std::unique_ptr<http::Exchange> exchange;
   std::optional<PendingSend> pending;  ///< None once the back end has answered or disconnected.
   std::optional<http::ResponseHead> head;
+  MonotonicTime last_heard{};         ///< Last bytes of the answer; before the head, as `started`.
   bool ends_with_connection = false;  ///< Only the close of the connection ends the answer.
   BackendStatement statement;         ///< Read from the head; empty before the head has arrived.
   std::string body;            ///< Body of an answer that is sent to the caller when complete.
--- a/src/gateway/attempt_starter.cc
+++ b/src/gateway/attempt_starter.cc
@@ -14,6 +14,7 @@
   attempt.version = choice.backend->version;
   attempt.software = software_of(*choice.backend);
   attempt.started = now;
+  attempt.last_heard = now;
   attempt.is_prefill_call = kind == SendKind::kPrefill;
   assign_caches(attempt, choice, kind, input);
   attempt.tokens_ahead = environment_.loads.own(id).pending_prefill_tokens +
--- a/src/gateway/request_log.h
+++ b/src/gateway/request_log.h
@@ -50,16 +50,20 @@
     std::string fingerprint;  ///< Empty if it was never computed.
     std::string service;
     std::string outcome;
+    std::string reason;           ///< Why no back end completed the answer; empty if one did.
     std::string resumed_attempt;  ///< As named by the caller; empty: it takes up no stream.
     /// Why the last attempt was not retried; empty if no retry was needed, and if the retry budget
     /// denied the run after a failed prefill call.
     std::string not_sent_again;
     std::uint64_t attempts = 0;
-    std::uint64_t configuration = 0;
+    std::uint64_t attempts_stalled = 0;       ///< Silent for the progress timeout.
+    std::uint64_t configuration = 0;          ///< That the request was routed by.
+    std::uint64_t current_configuration = 0;  ///< When the request ended.
     std::uint64_t most_output_tokens = 0;
     std::string caller_protocol;
     bool ends_with_connection = false;         ///< Of the last attempt's answer.
     std::uint64_t incomplete_event_bytes = 0;  ///< Received behind its last complete event.
+    Duration silence{};                        ///< Since the last bytes of the last attempt.
     Duration read_delay{};
   };
   void note_end(const End& end, const StreamTiming& timing) const;
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -237,6 +237,7 @@
 
 void RequestSession::on_head(const http::ResponseHead& head) {
   retry_limit_.note_answer(*attempt_);
+  attempt_->last_heard = environment_.clock.now();
   attempt_->head = head;
   attempt_->ends_with_connection = head.ends_with_connection;
   attempt_->statement = parse_statement(head, environment_.names);
@@ -273,6 +274,7 @@
 
 void RequestSession::on_body(std::string_view bytes) {
   const std::shared_ptr<RequestSession> keep = shared_from_this();
+  attempt_->last_heard = environment_.clock.now();
   if (attempt_->forwards_body) {
     forward_bytes(bytes);
     return;
@@ -750,6 +752,8 @@
 }
 
 void RequestSession::abandon_unresponsive_attempt() {
+  ++attempts_stalled_;
+  ++environment_.statistics.attempts_stalled;
   retry_limit_.note_send();
   may_have_run_ = may_have_run_ || attempt_may_run();
   reports_.note_failure(service_, *attempt_, AttemptFailureKind::kUnresponsive);
@@ -798,6 +802,9 @@
 
 void RequestSession::end_with_failure(FailureReason reason) {
   end_attempt(AttemptOutcome::kAbandoned);
+  failure_reason_ = describe(reason);
+  const bool stalled = attempts_stalled_ != 0 && environment_.clock.now() < deadline_;
+  environment_.statistics.ended_after_stall += stalled ? 1 : 0;
   environment_.statistics.quarantined += reason == FailureReason::kQuarantined ? 1 : 0;
   environment_.statistics.rate_limited += reason == FailureReason::kRateLimited ? 1 : 0;
   environment_.statistics.backing_off += reason == FailureReason::kBackingOff ? 1 : 0;
@@ -862,20 +869,25 @@
   answer_.writer()->on_closed(nullptr);
   answer_.writer()->on_drained(nullptr);
   const RequestFingerprint* known = reports_.known_fingerprint();
-  log_.note_end({.fingerprint = known != nullptr ? known->to_hex() : "",
-                 .service = service_.value(),
-                 .outcome = std::string(outcome),
-                 .resumed_attempt = std::string(
-                     http::find_header(request_.headers, environment_.names.resumed_attempt)),
-                 .not_sent_again = std::string(retry_denied_reason_),
-                 .attempts = static_cast<std::uint64_t>(retry_limit_.sends() + unreachable_),
-                 .configuration = routes_->configuration().version.value(),
-                 .most_output_tokens = prompt_ ? prompt_->output_tokens : 0,
-                 .caller_protocol = request_.protocol,
-                 .ends_with_connection = attempt_ && attempt_->ends_with_connection,
-                 .incomplete_event_bytes = attempt_ ? attempt_->events.rest().size() : 0,
-                 .read_delay = request_.read_delay},
-                timing_);
+  log_.note_end(
+      {.fingerprint = known != nullptr ? known->to_hex() : "",
+       .service = service_.value(),
+       .outcome = std::string(outcome),
+       .reason = std::string(failure_reason_),
+       .resumed_attempt =
+           std::string(http::find_header(request_.headers, environment_.names.resumed_attempt)),
+       .not_sent_again = std::string(retry_denied_reason_),
+       .attempts = static_cast<std::uint64_t>(retry_limit_.sends() + unreachable_),
+       .attempts_stalled = attempts_stalled_,
+       .configuration = routes_->configuration().version.value(),
+       .current_configuration = environment_.fleet.routes()->configuration().version.value(),
+       .most_output_tokens = prompt_ ? prompt_->output_tokens : 0,
+       .caller_protocol = request_.protocol,
+       .ends_with_connection = attempt_ && attempt_->ends_with_connection,
+       .incomplete_event_bytes = attempt_ ? attempt_->events.rest().size() : 0,
+       .silence = attempt_ ? environment_.clock.now() - attempt_->last_heard : Duration(),
+       .read_delay = request_.read_delay},
+      timing_);
   if (const auto on_end = std::exchange(on_end_, nullptr)) {
     on_end();
   }
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -191,6 +191,8 @@
   /// Why the last attempt was not retried; empty if no retry was needed, and if the retry budget
   /// denied the run after a failed prefill call.
   std::string_view retry_denied_reason_;
+  std::string_view failure_reason_;  ///< Empty unless the request ends without an answer.
+  std::uint64_t attempts_stalled_ = 0;
   bool run_noted_ = false;
   std::optional<std::uint64_t> last_event_;
   StreamTiming timing_;
--- a/src/gateway/statistics.h
+++ b/src/gateway/statistics.h
@@ -42,6 +42,10 @@
   std::uint64_t refused = 0;  ///< Ended as not run.
   std::uint64_t unknown = 0;  ///< Ended without knowing whether it ran.
   std::uint64_t broken = 0;   ///< Streams aborted after their head was sent.
+  /// Attempts whose back ends sent nothing for the progress timeout.
+  std::uint64_t attempts_stalled = 0;
+  /// Requests that ended before their deadline without a complete answer after an attempt stalled.
+  std::uint64_t ended_after_stall = 0;
   std::uint64_t caller_gone = 0;
   std::uint64_t no_route = 0;  ///< Refused: no such route, or this node has no configuration.
   std::uint64_t unknown_key = 0;
--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -170,20 +170,36 @@
   std::vector<FindCallback> pending;
 };
 
-/// Records the `not_sent_again` field of each "request ended" line.
+/// Records the "request ended" lines.
 class EndLogger final : public logging::Logger {
  public:
   void write(const logging::Record& record) override {
     if (record.message != "request ended") {
       return;
     }
-    for (const logging::Field& field : record.fields) {
-      if (field.name == "not_sent_again") {
-        not_sent_again.push_back(std::get<std::string>(field.value));
-      }
+    ends.push_back(record);
+    if (const logging::Field* field = find("not_sent_again")) {
+      not_sent_again.push_back(std::get<std::string>(field->value));
     }
   }
+  /// A field of the latest line.
+  template <class Value>
+  Value last(std::string_view name) const {
+    REQUIRE_FALSE(ends.empty());
+    const logging::Field* field = find(name);
+    REQUIRE(field != nullptr);
+    return std::get<Value>(field->value);
+  }
+  /// A field of the latest line; null if the line lacks it.
+  const logging::Field* find(std::string_view name) const {
+    const auto& fields = ends.back().fields;
+    const auto found = std::find_if(fields.begin(), fields.end(), [&](const logging::Field& field) {
+      return field.name == name;
+    });
+    return found == fields.end() ? nullptr : &*found;
+  }
 
+  std::vector<logging::Record> ends;
   std::vector<std::string> not_sent_again;
 };
 
--- a/src/gateway/tests/request_session_test.cc
+++ b/src/gateway/tests/request_session_test.cc
@@ -508,3 +508,27 @@
   fixture.last().answer(200, {fixture.signature()}, "answer");
   CHECK(fixture.logger.not_sent_again.back().empty());
 }
+
+// Without these fields, a stream that this node ended could not be told from one that its back end
+// broke off, nor a cause in the configuration from silence.
+TEST_CASE(
+    "the log tells why a stream ended, how long its back end was silent, and the "
+    "configuration by then") {
+  GatewayFixture fixture;
+  fixture.add_backend("e1", "llm", EngineRole::kDecode);
+  const auto caller = fixture.send("/stream/x");
+  fixture.last().observer->on_head({200, {fixture.signature()}});
+  fixture.advance(300ms);
+  fixture.last().observer->on_body("id: 1\ndata: a\n\n");
+  fixture.fleet.apply(GatewayFixture::make_configuration(2));
+  fixture.advance(700ms);
+  fixture.last().fail(http::HttpErrc::kReset, true);
+  CHECK(caller->aborted);
+  const auto& log = fixture.logger;
+  CHECK(log.last<std::string>("outcome") == "broken");
+  CHECK(log.last<std::string>("reason") == "broken");
+  CHECK(log.last<std::uint64_t>("configuration") == 1);
+  CHECK(log.last<std::uint64_t>("current_configuration") == 2);
+  CHECK(log.last<std::int64_t>("silence_milliseconds") == 700);
+  CHECK(log.last<std::uint64_t>("attempts_stalled") == 0);
+}
