A silent back end's attempt stays open until another one brings what the caller lacks

What callers saw: streams that ended without their last event, and 502 for repeatable requests, although their back ends were about to go on. Cause: a request whose back end sent nothing for the progress timeout gave that attempt up first and looked for another back end then. If that one refused, could not be reached, was excluded by a limit, a backoff or the quarantine, failed, or was never found, nothing was left to bring the answer. Change: a session may have several attempts open. The one that brings the next event, or the answer, ends the others; one that ends without an answer leaves the others alone; a request that cannot be sent again awaits what is open until its deadline. Sends, budget and the route's attempts count as before, and whether the request may have run is decided when it ends, so one that all back ends refused is answered 503. Events join only within one run or behind Last-Event-Id, as before. Why it works: nothing that works is ended unless something better is in hand.

--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -7,11 +7,13 @@
 #include <string>
 #include <string_view>
 
+#include "gateway/attempt_observer.h"
 #include "gateway/backend_request.h"
 #include "gateway/backend_statement.h"
 #include "gateway/event_splitter.h"
 #include "gateway/request_retries.h"
 #include "gateway/software_id.h"
+#include "gateway/stream_backup.h"
 #include "gateway/stream_observation.h"
 #include "gateway/types.h"
 #include "http/client.h"
@@ -40,6 +42,9 @@
   /// The prefill no longer counts in the load table: the first event has arrived or the attempt has
   /// ended.
   bool prefill_ended = false;
+  bool stalled = false;  ///< Its back end has sent nothing for the progress timeout.
+  bool counted = false;  ///< Counts towards the route's attempts.
+  std::unique_ptr<AttemptObserver> observer;
   std::unique_ptr<http::Exchange> exchange;
   std::optional<PendingSend> pending;  ///< None once the back end has answered or disconnected.
   std::optional<http::ResponseHead> head;
@@ -53,6 +58,7 @@
   bool forwards_events = false;                    ///< Events are forwarded as they arrive.
   bool is_prefill_call = false;  ///< Asks for a prefill only, so it cannot run the request.
   bool uses_cache = false;       ///< Uses the cache handle of a prefill engine.
+  ReplicatedRun replicated;      ///< Set while the session acts on another attempt.
 };
 
 /// Why the answer of an attempt that forwards events is incomplete although its body has ended;
--- a/src/gateway/progress_timeout.h
+++ b/src/gateway/progress_timeout.h
@@ -1,5 +1,4 @@
-// How long a back end may send nothing before the request is retried, or its stream resumed,
-// elsewhere.
+// How long a back end may send nothing before another one is tried as well.
 #pragma once
 
 #include "base/time.h"
--- a/src/gateway/request_dispatch.cc
+++ b/src/gateway/request_dispatch.cc
@@ -6,7 +6,7 @@
 
 void RequestDispatch::begin() {
   if (owner_.time_left() < kMinAttemptTime) {
-    owner_.end_with_failure(FailureReason::kTimeout);
+    owner_.on_unsendable(FailureReason::kTimeout);
   } else if (check_guard()) {
     send_or_queue();
   }
@@ -14,6 +14,13 @@
 
 void RequestDispatch::cancel() {
   ended_ = true;
+  withdraw();
+}
+
+void RequestDispatch::withdraw() {
+  queued_ = false;
+  claim_pending_ = false;
+  ++claims_;
   place_.reset();
 }
 
@@ -30,7 +37,7 @@
   if (verdict == SendVerdict::kTrialDue && owner_.may_claim_trial() && is_trial_possible(*guard)) {
     claim_trial(*guard);
   } else {
-    owner_.end_with_failure(FailureReason::kQuarantined);
+    owner_.on_unsendable(FailureReason::kQuarantined);
   }
   return false;
 }
@@ -52,7 +59,7 @@
     if (granted) {
       self->begin();
     } else {
-      self->owner_.end_with_failure(FailureReason::kQuarantined);
+      self->owner_.on_unsendable(FailureReason::kQuarantined);
     }
   });
 }
@@ -78,7 +85,7 @@
   const PlacementRequest wanted = owner_.placement_request();
   const PlacementPlan plan = environment_.placement.choose(wanted, now);
   if (plan.runner.backend == nullptr) {
-    owner_.end_with_failure(no_backend_reason());
+    owner_.on_unsendable(no_backend_reason());
     return;
   }
   request.room_seen = fits(wanted, plan, now);
@@ -97,6 +104,7 @@
   JoinResult result = environment_.queue->join(std::move(request), *this);
   if (result.place) {
     place_ = std::move(result.place);
+    queued_ = true;
   } else if (result.rejection) {
     on_rejected(*result.rejection);
   } else {
@@ -107,22 +115,23 @@
 DispatchResult RequestDispatch::try_dispatch() {
   const std::shared_ptr<RequestDispatch> self = shared_from_this();
   const std::shared_ptr<void> keep = owner_.keep_alive();
+  queued_ = false;
   if (owner_.time_left() < kMinAttemptTime) {
-    owner_.end_with_failure(FailureReason::kTimeout);
+    owner_.on_unsendable(FailureReason::kTimeout);
     return DispatchResult::kLeftQueue;
   }
-  const bool waits =
-      check_guard() && choose_and_send(Requirement::kRoomWhileQueued) == Outcome::kNoRoom;
-  return waits ? DispatchResult::kNoRoom : DispatchResult::kLeftQueue;
+  queued_ = check_guard() && choose_and_send(Requirement::kRoomWhileQueued) == Outcome::kNoRoom;
+  return queued_ ? DispatchResult::kNoRoom : DispatchResult::kLeftQueue;
 }
 
 void RequestDispatch::on_rejected(const QueueRejection& rejection) {
   const std::shared_ptr<RequestDispatch> self = shared_from_this();
   const std::shared_ptr<void> keep = owner_.keep_alive();
+  queued_ = false;
   queue_retry_after_ = rejection.retry_after;
-  owner_.end_with_failure(rejection.reason == QueueRejectReason::kStopping
-                              ? FailureReason::kStopping
-                              : FailureReason::kOverloaded);
+  owner_.on_unsendable(rejection.reason == QueueRejectReason::kStopping
+                           ? FailureReason::kStopping
+                           : FailureReason::kOverloaded);
 }
 
 RequestDispatch::Outcome RequestDispatch::choose_and_send(Requirement requirement) {
@@ -136,7 +145,7 @@
       if (requirement == Requirement::kRoomWhileQueued && !forecast() && owner_.sends() == 0) {
         return Outcome::kNoRoom;
       }
-      owner_.end_with_failure(no_backend_reason());
+      owner_.on_unsendable(no_backend_reason());
       return Outcome::kDone;
     }
     if (requirement != Requirement::kNone && !fits(wanted, plan, now)) {
@@ -195,14 +204,14 @@
   ClaimResult result = ClaimResult::kGranted;
   if (environment_.gate != nullptr) {
     const SendRank rank = kind == SendKind::kResume ? kStartedStreamRank : owner_.send_rank();
-    result = environment_.gate->claim(
-        choice.backend->id, rank,
-        [weak = weak_from_this(), claimed = ClaimedSend::of(choice, kind)](bool granted) {
-          const auto self = weak.lock();
-          if (self && !self->ended_) {
-            self->on_claim(claimed, granted);
-          }
-        });
+    result = environment_.gate->claim(choice.backend->id, rank,
+                                      [weak = weak_from_this(), claim = ++claims_,
+                                       claimed = ClaimedSend::of(choice, kind)](bool granted) {
+                                        if (const auto self = weak.lock()) {
+                                          self->on_claim_settled(claim, claimed, granted);
+                                        }
+                                      });
+    claim_pending_ = result == ClaimResult::kPending;
   }
   if (result == ClaimResult::kDenied) {
     owner_.note_denied(choice.backend->id);
@@ -217,6 +226,15 @@
   return true;
 }
 
+void RequestDispatch::on_claim_settled(std::uint64_t claim, const ClaimedSend& claimed,
+                                       bool granted) {
+  if (ended_ || claim != claims_) {
+    return;
+  }
+  claim_pending_ = false;
+  on_claim(claimed, granted);
+}
+
 /// While the claim was pending, the back end may have been removed and the request quarantined, so
 /// both are checked again.
 void RequestDispatch::on_claim(const ClaimedSend& claimed, bool granted) {
@@ -234,7 +252,7 @@
     return;
   }
   if (owner_.time_left() < kMinAttemptTime) {
-    owner_.end_with_failure(FailureReason::kTimeout);
+    owner_.on_unsendable(FailureReason::kTimeout);
   } else if (check_guard()) {
     owner_.start_attempt({.backend = backend,
                           .prefill_tokens = claimed.prefill_tokens,
--- a/src/gateway/request_dispatch.h
+++ b/src/gateway/request_dispatch.h
@@ -41,7 +41,8 @@
   /// resume is replaced by a retry if the route allows one.
   virtual void on_not_sent(SendKind kind) = 0;
   virtual void note_denied(const BackendId& backend) = 0;
-  virtual void end_with_failure(FailureReason reason) = 0;
+  /// Called when the request cannot be sent now. Ends it unless an attempt is still open.
+  virtual void on_unsendable(FailureReason reason) = 0;
 };
 
 /// Finds a back end for the next send of one request and starts the attempt there.
@@ -66,6 +67,10 @@
   }
   /// Called when the request has ended. Drops all pending callbacks and the place in the queue.
   void cancel();
+  /// Gives up the send that is being prepared. A later begin() prepares another one.
+  void withdraw();
+  /// Whether a send is being prepared: the request is queued or waits for a claim.
+  bool is_pending() const { return queued_ || claim_pending_; }
   /// Whether the request is quarantined but was granted one send.
   bool trial() const { return trial_; }
   /// Whether no back end can take the request now and rate limits, backoff or the software that
@@ -101,6 +106,7 @@
   Outcome choose_and_send(Requirement requirement);
   bool claim_and_start(const PlacementChoice& choice, SendKind kind);
   void on_claim(const ClaimedSend& claimed, bool granted);
+  void on_claim_settled(std::uint64_t claim, const ClaimedSend& claimed, bool granted);
   std::optional<RoomForecast> forecast() const;
 
   Environment& environment_;
@@ -111,6 +117,9 @@
   /// not count, since they bypass the queue.
   std::optional<std::uint32_t> admitted_at_send_;
   std::optional<Duration> queue_retry_after_;  ///< Set by the queue when it rejects the request.
+  bool queued_ = false;
+  bool claim_pending_ = false;
+  std::uint64_t claims_ = 0;  ///< Number of the latest claim. Results of earlier ones are ignored.
   bool trial_ = false;
   bool ended_ = false;
 };
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -87,7 +87,7 @@
     }
   });
   if (environment_.shutdown_time && deadline_ > *environment_.shutdown_time) {
-    end_with_failure(FailureReason::kStopping);
+    fail(FailureReason::kStopping);
     return;
   }
   deadline_timer_.arm(deadline_ - now, [this] { on_deadline(); });
@@ -137,13 +137,13 @@
 void RequestSession::on_stream_found(std::optional<SoftwareId> software) {
   const std::optional<SoftwareId> began = software ? software : continuation_.sole_software();
   if (!began) {
-    end_with_failure(continuation_.unknown_reason());
+    fail(continuation_.unknown_reason());
     return;
   }
   continuation_.set_software(*began);
   const std::optional<ServiceName> service = continuation_.find_service();
   if (!service) {
-    end_with_failure(FailureReason::kVersionUnavailable);
+    fail(FailureReason::kVersionUnavailable);
     return;
   }
   select_service(*service);
@@ -205,7 +205,9 @@
 void RequestSession::start_attempt(const PlacementChoice& choice, SendKind kind) {
   const Backend& backend = *choice.backend;
   const AttemptInput input = attempt_input();
-  attempt_.emplace(starter_.make(choice, kind, input));
+  keep_current_open();
+  attempt_ = std::make_unique<Attempt>(starter_.make(choice, kind, input));
+  attempt_->observer = std::make_unique<AttemptObserver>(*this, *attempt_);
   retry_limit_.begin_send(*attempt_);
   if (attempt_->is_prefill_call) {
     prefill_attempted_ = true;
@@ -213,7 +215,7 @@
     tried_.insert(backend.id);
   }
   note(attempt_->is_prefill_call ? "prefill started" : "attempt started", backend.address.value());
-  starter_.send(*attempt_, backend, input, *this);
+  starter_.send(*attempt_, backend, input, *attempt_->observer);
   watch_progress();
 }
 
@@ -235,9 +237,10 @@
   return tenant_ != nullptr ? tenant_->priority.value_or(route_.priority) : route_.priority;
 }
 
-void RequestSession::on_head(const http::ResponseHead& head) {
+void RequestSession::on_head(Attempt& attempt, const http::ResponseHead& head) {
+  select(attempt);
   retry_limit_.note_answer(*attempt_);
-  attempt_->last_heard = environment_.clock.now();
+  note_heard();
   attempt_->head = head;
   attempt_->ends_with_connection = head.ends_with_connection;
   attempt_->statement = parse_statement(head, environment_.names);
@@ -256,6 +259,11 @@
   }
 }
 
+void RequestSession::note_heard() {
+  attempt_->last_heard = environment_.clock.now();
+  attempt_->stalled = false;
+}
+
 /// Records the load, pace and limits that an answer reports. Status 421 comes from another back end
 /// that now has the address, so nothing is recorded.
 void RequestSession::note_statement(const BackendStatement& statement) {
@@ -272,9 +280,10 @@
   }
 }
 
-void RequestSession::on_body(std::string_view bytes) {
+void RequestSession::on_body(Attempt& attempt, std::string_view bytes) {
   const std::shared_ptr<RequestSession> keep = shared_from_this();
-  attempt_->last_heard = environment_.clock.now();
+  select(attempt);
+  note_heard();
   if (attempt_->forwards_body) {
     forward_bytes(bytes);
     return;
@@ -301,6 +310,7 @@
     handle_refusal();
   } else if (ran && is_success(attempt_->head->status) && !answer_.has_begun()) {
     attempt_->forwards_body = true;
+    end_other_attempts();
     answer_.begin_stream(*attempt_->head);
     forward_bytes(std::exchange(attempt_->body, {}));
   } else {
@@ -315,8 +325,9 @@
   }
 }
 
-void RequestSession::on_complete() {
+void RequestSession::on_complete(Attempt& attempt) {
   const std::shared_ptr<RequestSession> keep = shared_from_this();
+  select(attempt);
   if (attempt_->is_prefill_call) {
     end_prefill(attempt_->head->status != 200);
     return;
@@ -348,7 +359,7 @@
   note(handle ? "prefill done" : "prefill returned no cache handle", handle.value_or(""));
   end_attempt(handle ? AttemptOutcome::kSucceeded : failed_prefill_verdict(attempt_->statement));
   if (!handle && !retry_limit_.charge_prefill()) {
-    end_with_failure(FailureReason::kRefused);
+    on_unsendable(FailureReason::kRefused);
     return;
   }
   dispatch_->begin();
@@ -390,17 +401,16 @@
 
 /// Called when an attempt ends before its back end has said whether it runs the request. A back end
 /// that is not an engine has usually started a request that it received.
-void RequestSession::note_probable_run() {
-  if (has_active_attempt() && !prompt_ && attempt_->exchange->sent() &&
-      !attempt_->statement.not_run) {
-    note_run(environment_.clock.now() - attempt_->started);
+void RequestSession::note_probable_run(const Attempt& attempt) {
+  if (!prompt_ && attempt.exchange->sent() && !attempt.statement.not_run) {
+    note_run(environment_.clock.now() - attempt.started);
   }
 }
 
 /// Ends an attempt whose back end has stated that it does not run the request.
 void RequestSession::handle_refusal() {
   note("attempt refused", std::to_string(attempt_->head->status));
-  retry_limit_.note_send();
+  retry_limit_.note_send(*attempt_);
   if (attempt_->resumed_run) {
     // A resume that the backup engine refused does not count as one of the route's attempts.
     retry_limit_.exclude_send();
@@ -410,19 +420,23 @@
   const AttemptOutcome refused =
       attempt_->resumed_run ? AttemptOutcome::kAbandoned : AttemptOutcome::kRefused;
   end_attempt(attempt_->statement.misdirected ? AttemptOutcome::kReplaced : refused);
-  retry_or_fail(FailureReason::kRefused);
+  if (!continue_with_other()) {
+    retry_or_fail(FailureReason::kRefused);
+  }
 }
 
 void RequestSession::handle_complete_answer() {
   const http::ResponseHead& head = *attempt_->head;
   const BackendStatement& statement = attempt_->statement;
-  retry_limit_.note_send();
+  retry_limit_.note_send(*attempt_);
   may_have_run_ = true;
   note_run(environment_.clock.now() - attempt_->started);
   if (!statement.is_signed) {
     note("answer without signature", std::to_string(head.status));
     end_attempt(AttemptOutcome::kFailed);
-    retry_or_fail(FailureReason::kBroken);
+    if (!continue_with_other()) {
+      retry_or_fail(FailureReason::kBroken);
+    }
     return;
   }
   reports_.note_answer(*attempt_);
@@ -430,12 +444,17 @@
     relay_complete_answer();
     return;
   }
-  if (!is_success(head.status) && !answer_.has_begun() && route_.repeatable() && acquire_retry()) {
-    note("back end answered with an error", std::to_string(head.status));
-    answer_.keep_error(head, std::move(attempt_->body));
-    end_attempt(AttemptOutcome::kFailed);
-    dispatch_->begin();
-    return;
+  if (!is_success(head.status) && !answer_.has_begun() && route_.repeatable()) {
+    const bool expects_other = dispatch_->is_pending() || others_.expected_to_answer() != nullptr;
+    if (expects_other || acquire_retry()) {
+      note("back end answered with an error", std::to_string(head.status));
+      answer_.keep_error(head, std::move(attempt_->body));
+      end_attempt(AttemptOutcome::kFailed);
+      if (!continue_with_other()) {
+        dispatch_->begin();
+      }
+      return;
+    }
   }
   relay_complete_answer();
 }
@@ -447,7 +466,9 @@
   } else if (answer_.has_begun()) {
     // The caller already has the head of a stream, but this answer is not one.
     end_attempt(AttemptOutcome::kFailed);
-    retry_or_fail(FailureReason::kBroken);
+    if (!continue_with_other()) {
+      retry_or_fail(FailureReason::kBroken);
+    }
     return;
   } else {
     answer_.send(*attempt_->head, attempt_->body);
@@ -484,6 +505,7 @@
   if (event.id && last_event_ && *event.id <= *last_event_) {
     return false;
   }
+  end_other_attempts();
   continuation_.note_event(service_, attempt_->software);
   answer_.begin_stream(*attempt_->head);
   if (event.id) {
@@ -499,8 +521,9 @@
   return true;
 }
 
-void RequestSession::on_failure(const http::HttpError& error, bool sent) {
+void RequestSession::on_failure(Attempt& attempt, const http::HttpError& error, bool sent) {
   const std::shared_ptr<RequestSession> keep = shared_from_this();
+  select(attempt);
   if (error.code == http::HttpErrc::kWithdrawn) {
     on_send_withdrawn();
     return;
@@ -508,13 +531,17 @@
   if (!sent) {
     note("connection failed", error.message);
     ++unreachable_;
+    retry_limit_.drop_send(*attempt_);
     // Without a path from this node, nothing is known about the back end.
     end_attempt(error.code == http::HttpErrc::kNoPath ? AttemptOutcome::kNotSent
                                                       : AttemptOutcome::kUnreachable);
+    if (continue_with_other()) {
+      return;
+    }
     if (unreachable_ < kMaxUnreachableAttempts) {
       on_not_sent(attempt_->resumed_run ? SendKind::kResume : SendKind::kRun);
     } else {
-      end_with_failure(FailureReason::kUnreachable);
+      on_unsendable(FailureReason::kUnreachable);
     }
     return;
   }
@@ -547,12 +574,12 @@
     end_prefill(true);
     return;
   }
-  retry_limit_.note_send();
+  retry_limit_.note_send(*attempt_);
   may_have_run_ = true;
   // A failure on a kept-alive connection that was already closed says nothing about the back end.
   const bool stale = error.code == http::HttpErrc::kStaleConnection;
   if (!stale && !timed_out) {
-    note_probable_run();
+    note_probable_run(*attempt_);
   }
   if (stale) {
     tried_.erase(attempt_->backend);
@@ -560,12 +587,14 @@
   if (attempt_->forwards_body) {
     // The caller already has part of the answer, which another back end cannot continue.
     end_attempt(AttemptOutcome::kFailed);
-    end_with_failure(FailureReason::kBroken);
+    fail(FailureReason::kBroken);
     return;
   }
   const FailedRun run = failed_run(error.code);
   end_attempt(stale || link_cut ? AttemptOutcome::kAbandoned : AttemptOutcome::kFailed);
-  resume_or_retry(run);
+  if (!continue_with_other()) {
+    resume_or_retry(run);
+  }
 }
 
 /// Describes the current attempt, which must still be in progress.
@@ -573,7 +602,7 @@
   return {.error = error,
           .runner_terminated =
               backup_.has_runner_terminated(attempt_->backend, environment_.clock.now()),
-          .retry_allowed = route_.repeatable() && !retry_limit_.is_last_attempt(true),
+          .retry_allowed = route_.repeatable() && !retry_limit_.is_last_attempt(nullptr),
           .has_time = time_left() >= kMinAttemptTime};
 }
 
@@ -590,12 +619,16 @@
     retry_or_fail(FailureReason::kBroken);
     return;
   }
+  resume_at_backup();
+}
+
+void RequestSession::resume_at_backup() {
   if (!dispatch_->check_guard()) {
     return;
   }
   if (!retry_limit_.charge_send()) {
     retry_denied_reason_ = "retry budget";
-    end_with_failure(FailureReason::kBroken);
+    on_unsendable(FailureReason::kBroken);
     return;
   }
   const PlacementChoice choice{.backend = backup_.engine()};
@@ -626,12 +659,15 @@
   }
   note("request not sent: back end is backing off", "");
   ++environment_.statistics.withdrawn;
+  retry_limit_.drop_send(*attempt_);
   tried_.erase(attempt_->backend);
   if (attempt_->is_prefill_call) {
     prefill_attempted_ = false;
   }
   end_attempt(AttemptOutcome::kNotSent);
-  on_not_sent(attempt_->resumed_run ? SendKind::kResume : SendKind::kRun);
+  if (!continue_with_other()) {
+    on_not_sent(attempt_->resumed_run ? SendKind::kResume : SendKind::kRun);
+  }
 }
 
 void RequestSession::retry_or_fail(FailureReason reason) {
@@ -643,7 +679,7 @@
   // A retry that no back end accepts would be charged to the retry budget without being sent.
   if (allowed && dispatch_->no_backend_accepts(false)) {
     retry_denied_reason_ = "no other back end has room";
-    end_with_failure(reason == FailureReason::kRefused ? dispatch_->no_backend_reason() : reason);
+    on_unsendable(reason == FailureReason::kRefused ? dispatch_->no_backend_reason() : reason);
     return;
   }
   if (allowed && acquire_retry()) {
@@ -653,7 +689,7 @@
     dispatch_->begin();
     return;
   }
-  end_with_failure(reason);
+  on_unsendable(reason);
 }
 
 bool RequestSession::acquire_retry() {
@@ -661,33 +697,123 @@
   return retry_denied_reason_.empty();
 }
 
-/// Ends the attempt, if it is in progress: closes its exchange and updates the load table.
+/// Ends the current attempt, if it is in progress.
 void RequestSession::end_attempt(AttemptOutcome verdict) {
   progress_timer_.disarm();
-  if (!has_active_attempt()) {
-    return;
+  if (has_active_attempt()) {
+    close_attempt(*attempt_, verdict);
   }
-  if (!std::exchange(attempt_->prefill_ended, true)) {
-    environment_.loads.note_prefilled(attempt_->backend, attempt_->prefill_tokens);
+}
+
+/// Closes the exchange of an attempt in progress and updates the load table.
+void RequestSession::close_attempt(Attempt& attempt, AttemptOutcome verdict) {
+  if (!std::exchange(attempt.prefill_ended, true)) {
+    environment_.loads.note_prefilled(attempt.backend, attempt.prefill_tokens);
   }
-  if (attempt_->observation) {
-    attempt_->observation->end(environment_.clock.now());
+  if (attempt.observation) {
+    attempt.observation->end(environment_.clock.now());
   }
-  environment_.loads.end(attempt_->backend, verdict, environment_.clock.now());
+  environment_.loads.end(attempt.backend, verdict, environment_.clock.now());
   if (environment_.queue != nullptr) {
-    const bool worked = !attempt_->is_prefill_call && !is_certainly_not_prefilled(verdict) &&
-                        !attempt_->statement.not_run;
+    const bool worked = !attempt.is_prefill_call && !is_certainly_not_prefilled(verdict) &&
+                        !attempt.statement.not_run;
     environment_.queue->note_attempt_ended(service_, worked);
   }
   if (prompt_ && is_certainly_not_prefilled(verdict)) {
-    environment_.loads.forget_prompt(attempt_->backend, *prompt_, attempt_->started);
+    environment_.loads.forget_prompt(attempt.backend, *prompt_, attempt.started);
   }
-  if (attempt_->uses_cache) {
+  if (attempt.uses_cache) {
     cache_.note_end(verdict);
   }
-  retry_limit_.end_send(*attempt_, verdict);
-  attempt_->exchange.reset();
-  attempt_->backend = BackendId();
+  retry_limit_.end_send(attempt, verdict);
+  attempt.exchange.reset();
+  attempt.backend = BackendId();
+}
+
+void RequestSession::select(Attempt& attempt) {
+  if (&attempt == attempt_.get()) {
+    return;
+  }
+  std::unique_ptr<Attempt> selected = others_.take(attempt);
+  keep_current_open();
+  attempt_ = std::move(selected);
+  backup_.restore_run(std::move(attempt_->replicated));
+}
+
+void RequestSession::keep_current_open() {
+  if (!has_active_attempt()) {
+    return;
+  }
+  if (!attempt_->is_prefill_call) {
+    retry_limit_.note_send(*attempt_);
+  }
+  attempt_->replicated = backup_.run();
+  others_.add(std::move(attempt_));
+}
+
+void RequestSession::note_stalled() {
+  ++attempts_stalled_;
+  ++environment_.statistics.attempts_stalled;
+  reports_.note_failure(service_, *attempt_, AttemptFailureKind::kUnresponsive);
+  note_probable_run(*attempt_);
+  attempt_->stalled = true;
+  if (attempt_->uses_cache) {
+    // Another attempt must not use the cache handle, which may have been taken.
+    cache_.note_end(AttemptOutcome::kFailed);
+  }
+  keep_current_open();
+}
+
+bool RequestSession::continue_with_other() {
+  if (dispatch_->is_pending()) {
+    return true;
+  }
+  Attempt* other = others_.expected_to_answer();
+  if (other == nullptr) {
+    return false;
+  }
+  select(*other);
+  watch_progress();
+  return true;
+}
+
+void RequestSession::end_other_attempts() {
+  if (others_.empty() && !dispatch_->is_pending()) {
+    return;
+  }
+  dispatch_->withdraw();
+  for (const auto& other : others_.take_all()) {
+    log_.note_attempt("attempt ended: no longer needed", "", other.get());
+    close_attempt(*other, other->stalled ? AttemptOutcome::kFailed : AttemptOutcome::kAbandoned);
+  }
+}
+
+void RequestSession::report_open_attempts(AttemptFailureKind kind) {
+  for_each_open_attempt(
+      [&](const Attempt& attempt) { reports_.note_failure(service_, attempt, kind); });
+}
+
+bool RequestSession::open_attempt_may_run() const {
+  bool may_run = false;
+  for_each_open_attempt([&](const Attempt& attempt) {
+    may_run = may_run || (!attempt.is_prefill_call && !attempt.statement.not_run);
+  });
+  return may_run;
+}
+
+/// Without another send, an open attempt is the only one that can still bring the answer.
+void RequestSession::on_unsendable(FailureReason reason) {
+  if (!has_active_attempt()) {
+    Attempt* open = others_.heard_last();
+    if (open == nullptr) {
+      fail(reason);
+      return;
+    }
+    select(*open);
+  }
+  dispatch_->withdraw();
+  note("request not sent again: awaiting the open attempt", describe(reason));
+  watch_progress();
 }
 
 /// Starts the timer that detects a back end that sends nothing: for retryable requests, and for
@@ -710,7 +836,7 @@
     return;
   }
   if (dispatch_->trial() || !has_active_attempt() || attempt_->is_prefill_call ||
-      attempt_->forwards_body || retry_limit_.is_last_attempt(false)) {
+      attempt_->forwards_body || retry_limit_.is_last_attempt(attempt_.get())) {
     return;
   }
   if (dispatch_->no_backend_accepts(false)) {
@@ -724,7 +850,7 @@
   if (answer_.has_begun()) {
     ++environment_.statistics.started_streams_retried;
   }
-  abandon_unresponsive_attempt();
+  note_stalled();
   dispatch_->begin();
 }
 
@@ -746,19 +872,14 @@
     return false;
   }
   note("engine is unregistered and sends nothing; treated as terminated", "");
-  abandon_unresponsive_attempt();
-  resume_or_retry(run);
-  return true;
-}
-
-void RequestSession::abandon_unresponsive_attempt() {
+  may_have_run_ = true;
+  retry_limit_.note_send(*attempt_);
   ++attempts_stalled_;
   ++environment_.statistics.attempts_stalled;
-  retry_limit_.note_send();
-  may_have_run_ = may_have_run_ || attempt_may_run();
   reports_.note_failure(service_, *attempt_, AttemptFailureKind::kUnresponsive);
-  note_probable_run();
   end_attempt(AttemptOutcome::kFailed);
+  resume_at_backup();
+  return true;
 }
 
 void RequestSession::on_backend_unregistered(const BackendId& backend) {
@@ -769,8 +890,10 @@
 }
 
 void RequestSession::on_quarantined(const RequestFingerprint& quarantined) {
-  const bool begun =
-      dispatch_->trial() || (has_active_attempt() && (attempt_->head || attempt_->prefill_ended));
+  bool begun = dispatch_->trial();
+  for_each_open_attempt([&](const Attempt& attempt) {
+    begun = begun || attempt.head.has_value() || attempt.prefill_ended;
+  });
   if (ended_ || begun) {
     return;
   }
@@ -792,16 +915,15 @@
 /// Ends the request by a decision of this node, even if a back end is working on it.
 void RequestSession::abandon(FailureReason reason) {
   const std::shared_ptr<RequestSession> keep = shared_from_this();
-  if (has_active_attempt()) {
-    reports_.note_failure(service_, *attempt_, AttemptFailureKind::kAbandoned);
-    note_probable_run();
-    may_have_run_ = may_have_run_ || attempt_may_run();
-  }
-  end_with_failure(reason);
+  report_open_attempts(AttemptFailureKind::kAbandoned);
+  fail(reason);
 }
 
-void RequestSession::end_with_failure(FailureReason reason) {
+void RequestSession::fail(FailureReason reason) {
+  for_each_open_attempt([this](const Attempt& attempt) { note_probable_run(attempt); });
+  may_have_run_ = may_have_run_ || open_attempt_may_run();
   end_attempt(AttemptOutcome::kAbandoned);
+  end_other_attempts();
   failure_reason_ = describe(reason);
   const bool stalled = attempts_stalled_ != 0 && environment_.clock.now() < deadline_;
   environment_.statistics.ended_after_stall += stalled ? 1 : 0;
@@ -838,11 +960,9 @@
     return;
   }
   const std::shared_ptr<RequestSession> keep = shared_from_this();
-  if (has_active_attempt()) {
-    reports_.note_failure(service_, *attempt_, AttemptFailureKind::kAbandoned);
-  }
+  report_open_attempts(AttemptFailureKind::kAbandoned);
   ++environment_.statistics.caller_gone;
-  note_probable_run();
+  for_each_open_attempt([this](const Attempt& attempt) { note_probable_run(attempt); });
   end_attempt(AttemptOutcome::kAbandoned);
   finish("caller-gone");
 }
@@ -852,16 +972,15 @@
   if (has_active_attempt() && !attempt_->prefill_ended) {
     reports_.note_failure(service_, *attempt_, AttemptFailureKind::kUnresponsive);
   }
-  may_have_run_ = may_have_run_ || attempt_may_run();
-  note_probable_run();
   note("deadline exceeded", "");
-  end_with_failure(FailureReason::kTimeout);
+  fail(FailureReason::kTimeout);
 }
 
 void RequestSession::finish(std::string_view outcome) {
   if (std::exchange(ended_, true)) {
     return;
   }
+  end_other_attempts();
   dispatch_->cancel();
   deadline_timer_.disarm();
   progress_timer_.disarm();
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -16,6 +16,7 @@
 #include "gateway/environment.h"
 #include "gateway/failure_answer.h"
 #include "gateway/guard_reports.h"
+#include "gateway/other_attempts.h"
 #include "gateway/prompt.h"
 #include "gateway/prompt_cache.h"
 #include "gateway/request_dispatch.h"
@@ -57,7 +58,11 @@
 /// back end states that it did not run the request. Only a request of which no attempt can have run
 /// is answered as not run (503). Otherwise, a request that must not be retried ends immediately
 /// with an unknown outcome (502 or 504).
-class RequestSession final : public http::ResponseObserver,
+///
+/// A silent back end may still be working, and nothing else is certain to bring the answer. So its
+/// attempt stays open while another back end is tried, until one of them brings what the caller
+/// lacks. `attempt_` is the attempt that was started or heard last, `others_` holds the others.
+class RequestSession final : public AttemptEvents,
                              public DispatchOwner,
                              public std::enable_shared_from_this<RequestSession> {
  public:
@@ -67,10 +72,10 @@
   /// Starts the request. `on_end` is called once, when the request has ended.
   void begin(std::function<void()> on_end);
 
-  void on_head(const http::ResponseHead& head) override;
-  void on_body(std::string_view bytes) override;
-  void on_complete() override;
-  void on_failure(const http::HttpError& error, bool sent) override;
+  void on_head(Attempt& attempt, const http::ResponseHead& head) override;
+  void on_body(Attempt& attempt, std::string_view bytes) override;
+  void on_complete(Attempt& attempt) override;
+  void on_failure(Attempt& attempt, const http::HttpError& error, bool sent) override;
 
   /// Called when a request or a prompt part becomes quarantined. Ends this request if it is that
   /// one or has that part, is not a trial, and no back end has started to answer it.
@@ -101,7 +106,7 @@
   void note_denied(const BackendId& backend) override { log_.note_denied(backend); }
   void start_attempt(const PlacementChoice& choice, SendKind kind) override;
   void on_not_sent(SendKind kind) override;
-  void end_with_failure(FailureReason reason) override;
+  void on_unsendable(FailureReason reason) override;
 
   void select_service(ServiceName service);
   /// Looks up which software began the stream that the caller takes up, and continues it there.
@@ -111,12 +116,14 @@
   std::optional<StreamRequirements> stream_needs() const;
   AttemptInput attempt_input() const;
   std::uint32_t priority() const;
+  /// The back end of the current attempt has sent something.
+  void note_heard();
   void note_statement(const BackendStatement& statement);
   void end_prefill(bool failed);
   void observe_prefill();
   void observe_stream();
   void note_run(Duration ago);
-  void note_probable_run();
+  void note_probable_run(const Attempt& attempt);
   /// Acquires one more send from the route's attempts and the retry budget. Returns whether it was
   /// granted.
   bool acquire_retry();
@@ -127,10 +134,24 @@
   bool has_runner_terminated() const;
   /// Resumes the stream if its engine has terminated and sends nothing. Returns whether it did.
   bool resume_if_runner_terminated();
-  void abandon_unresponsive_attempt();
   void resume_or_retry(const FailedRun& run);
+  void resume_at_backup();
   void retry_or_fail(FailureReason reason);
   void end_attempt(AttemptOutcome verdict);
+  void close_attempt(Attempt& attempt, AttemptOutcome verdict);
+
+  /// Makes an open attempt the current one.
+  void select(Attempt& attempt);
+  /// Keeps the current attempt open, if it is, while another one becomes the current one.
+  void keep_current_open();
+  /// Records that the current attempt's back end is silent, and keeps the attempt open.
+  void note_stalled();
+  /// After an attempt has ended: whether another one, or a send that is being prepared, may bring
+  /// the answer without a further send.
+  bool continue_with_other();
+  void end_other_attempts();
+  void report_open_attempts(AttemptFailureKind kind);
+
   void watch_progress();
   void on_no_progress();
 
@@ -144,20 +165,28 @@
   bool forward_event(const StreamEvent& event);
 
   void abandon(FailureReason reason);
+  /// Ends the request without an answer of a back end, whatever attempts are open.
+  void fail(FailureReason reason);
   void on_caller_disconnected();
   void on_deadline();
   void finish(std::string_view outcome);
   void note(std::string_view message, std::string_view detail) {
-    log_.note_attempt(message, detail, attempt_ ? &*attempt_ : nullptr);
+    log_.note_attempt(message, detail, attempt_.get());
   }
 
   bool is_stream() const { return route_.kind == RequestKind::kStreaming; }
-  /// Whether an attempt is in progress.
+  /// Whether the current attempt is in progress.
   bool has_active_attempt() const { return attempt_ && !attempt_->backend.empty(); }
-  /// Whether the back end of an attempt in progress may run the request.
-  bool attempt_may_run() const {
-    return has_active_attempt() && !attempt_->is_prefill_call && !attempt_->statement.not_run;
+  /// Calls `function` with each attempt in progress.
+  template <class Function>
+  void for_each_open_attempt(Function function) const {
+    if (has_active_attempt()) {
+      function(*attempt_);
+    }
+    others_.for_each(function);
   }
+  /// Whether a back end of an attempt in progress may run the request.
+  bool open_attempt_may_run() const;
   /// Whether the caller has received the start of the stream.
   bool has_stream_started() const { return answer_.has_begun() || last_event_.has_value(); }
 
@@ -176,7 +205,8 @@
   MonotonicTime deadline_{};
   Timer deadline_timer_;
   Timer progress_timer_;
-  std::optional<Attempt> attempt_;
+  std::unique_ptr<Attempt> attempt_;  ///< The current attempt; null before the first one.
+  OtherAttempts others_;              ///< Open; each is counted by `retry_limit_`.
   PrefillCacheHolder cache_;
   StreamBackup backup_;
   StreamContinuation continuation_;
--- a/src/gateway/retry_limit.cc
+++ b/src/gateway/retry_limit.cc
@@ -12,7 +12,7 @@
   if (trial) {
     return "trial";
   }
-  if (is_last_attempt(true)) {
+  if (is_last_attempt(nullptr)) {
     return "attempts of the route";
   }
   if (left < kMinAttemptTime) {
--- a/src/gateway/retry_limit.h
+++ b/src/gateway/retry_limit.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string_view>
+#include <utility>
 
 #include "base/time.h"
 #include "gateway/attempt.h"
@@ -25,16 +26,20 @@
   RetryLimit(Environment& environment, const Route& route, const RequestLog& log)
       : environment_(environment), route_(route), log_(log) {}
 
-  /// Counts an ended attempt of which a byte may have been sent.
-  void note_send() { ++sends_; }
+  /// Counts an attempt of which a byte may have been sent, once.
+  void note_send(Attempt& attempt) { sends_ += std::exchange(attempt.counted, true) ? 0 : 1; }
+  /// Takes back note_send() for an attempt of which no byte was sent.
+  void drop_send(Attempt& attempt) { sends_ -= std::exchange(attempt.counted, false) ? 1 : 0; }
+  /// Number of attempts counted by note_send().
   std::uint32_t sends() const { return sends_; }
   /// Called when a backup engine refused to resume: that send does not count towards the route's
   /// attempts.
   void exclude_send() { ++excluded_sends_; }
-  /// Whether the current attempt is the last one that the route allows. With `ended`, the attempt
-  /// has already been counted by note_send().
-  bool is_last_attempt(bool ended) const {
-    return sends_ + (ended ? 0 : 1) >= route_.max_attempts + excluded_sends_;
+  /// Whether the route allows no further attempt. `open` is an attempt that may not be counted yet,
+  /// or null.
+  bool is_last_attempt(const Attempt* open) const {
+    const std::uint32_t uncounted = open != nullptr && !open->counted ? 1 : 0;
+    return sends_ + uncounted >= route_.max_attempts + excluded_sends_;
   }
 
   /// Must be called once, before the other functions.
--- a/src/gateway/stream_backup.cc
+++ b/src/gateway/stream_backup.cc
@@ -131,9 +131,7 @@
 std::optional<Endpoint> StreamBackup::begin_run(const Backend& runner,
                                                 const std::set<BackendId>& tried,
                                                 MonotonicTime now) {
-  engine_ = BackendId();
-  head_.reset();
-  event_with_id_forwarded_ = false;
+  run_ = {};
   if (request_id_.empty() || used_) {
     return std::nullopt;
   }
@@ -143,15 +141,15 @@
   if (chosen == nullptr) {
     return std::nullopt;
   }
-  runner_ = runner.id;
-  runner_address_ = runner.address;
-  engine_ = chosen->id;
-  software_ = software_of(runner);
+  run_.runner = runner.id;
+  run_.runner_address = runner.address;
+  run_.engine = chosen->id;
+  run_.software = software_of(runner);
   return chosen->address;
 }
 
 void StreamBackup::note_event(const StreamEvent& event) {
-  event_with_id_forwarded_ = event_with_id_forwarded_ || event.id.has_value();
+  run_.event_with_id_forwarded = run_.event_with_id_forwarded || event.id.has_value();
   saw_event_without_id_ = saw_event_without_id_ || (!event.id && has_data(event.bytes));
 }
 
@@ -161,7 +159,7 @@
 }
 
 bool StreamBackup::has_runner_terminated(const BackendId& runner, MonotonicTime now) const {
-  return is_replicated() && !used_ && runner == runner_ &&
+  return is_replicated() && !used_ && runner == run_.runner &&
          (fleet_.find(runner) == nullptr || is_replaced(runner, now));
 }
 
@@ -184,7 +182,7 @@
   }
   // An engine that accepts the request without having a copy would run it a second time. An engine
   // that crashed during prefill was observed to have made no copy.
-  if (!event_with_id_forwarded_) {
+  if (!run_.event_with_id_forwarded) {
     return BackupObstacle::kNoEventReceived;
   }
   if (saw_event_without_id_) {
@@ -195,19 +193,19 @@
 
 BackupObstacle StreamBackup::engine_obstacle(MonotonicTime now) const {
   const Backend* backup = engine();
-  if (backup == nullptr || is_replaced(engine_, now) || software_of(*backup) != software_) {
+  if (backup == nullptr || is_replaced(run_.engine, now) || software_of(*backup) != run_.software) {
     return BackupObstacle::kNotRegistered;
   }
   if (fleet_.is_leaving(*backup)) {
     return BackupObstacle::kLeaving;
   }
   const bool open =
-      gate_ == nullptr || (gate_->has_room(engine_, now) && gate_->may_send(engine_, now));
+      gate_ == nullptr || (gate_->has_room(run_.engine, now) && gate_->may_send(run_.engine, now));
   return open ? BackupObstacle::kNone : BackupObstacle::kNotAccepting;
 }
 
 const Backend* StreamBackup::engine() const {
-  return is_replicated() ? fleet_.find(engine_) : nullptr;
+  return is_replicated() ? fleet_.find(run_.engine) : nullptr;
 }
 
 }  // namespace ochrespring::gateway
--- a/src/gateway/stream_backup.h
+++ b/src/gateway/stream_backup.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "base/time.h"
 #include "gateway/backend_request.h"
@@ -94,6 +95,16 @@
 /// works on the request. A timeout does not show that.
 bool is_connection_break(http::HttpErrc error);
 
+/// A run and the engine that holds its copy.
+struct ReplicatedRun {
+  BackendId runner;
+  Endpoint runner_address;
+  SoftwareId software;  ///< Of the runner and the backup engine.
+  BackendId engine;     ///< Empty if the run is not replicated.
+  std::optional<http::ResponseHead> head;
+  bool event_with_id_forwarded = false;
+};
+
 /// The backup of one request. Decides from this node's state and sends nothing. Used on one event
 /// loop.
 class StreamBackup {
@@ -109,10 +120,14 @@
                                     MonotonicTime now);
   void note_event(const StreamEvent& event);
   /// Stores the head with which the runner started the stream.
-  void note_head(const http::ResponseHead& head) { head_ = head; }
+  void note_head(const http::ResponseHead& head) { run_.head = head; }
+  /// The run that the functions of this class refer to, to be restored if the session returns to
+  /// it.
+  const ReplicatedRun& run() const { return run_; }
+  void restore_run(ReplicatedRun run) { run_ = std::move(run); }
   /// Head of the runner's answer, which also applies to the resumed stream; none if the runner had
   /// not answered.
-  const std::optional<http::ResponseHead>& head() const { return head_; }
+  const std::optional<http::ResponseHead>& head() const { return run_.head; }
 
   /// Whether the run at `runner` has a copy and that engine is known to have terminated.
   bool has_runner_terminated(const BackendId& runner, MonotonicTime now) const;
@@ -120,9 +135,9 @@
   /// The engine that holds the copy; null if there is none or it is not registered.
   const Backend* engine() const;
   /// Identifies the replicated run to its backup engine.
-  RunReference run_reference() const { return {runner_address_, request_id_}; }
+  RunReference run_reference() const { return {run_.runner_address, request_id_}; }
   /// Whether the current run has a backup engine.
-  bool is_replicated() const { return !engine_.empty(); }
+  bool is_replicated() const { return !run_.engine.empty(); }
   /// Called when the stream is about to be resumed at the backup.
   void mark_used() { used_ = true; }
 
@@ -134,14 +149,9 @@
   const LoadTable& loads_;
   const SendGate* gate_ = nullptr;
   std::string request_id_;  ///< Empty if runs are not replicated.
-  BackendId runner_;
-  Endpoint runner_address_;
-  SoftwareId software_;  ///< Of the runner and the backup engine.
-  BackendId engine_;     ///< Empty if the current run is not replicated.
-  std::optional<http::ResponseHead> head_;
+  ReplicatedRun run_;
   bool used_ = false;
-  bool event_with_id_forwarded_ = false;  ///< Since begin_run().
-  bool saw_event_without_id_ = false;     ///< An event without an id was forwarded.
+  bool saw_event_without_id_ = false;  ///< An event without an id was forwarded.
 };
 
 }  // namespace ochrespring::gateway
