A caller that reads slowly does not make its back end count as silent

Cause: reading from the back end stops while bytes wait for the caller, and the progress timeout took the missing events for silence. Result: the new case of stalled_attempt failed before (2 sends in place of 1) and passes.

--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -839,7 +839,8 @@
       attempt_->forwards_body || retry_limit_.is_last_attempt(attempt_.get())) {
     return;
   }
-  if (dispatch_->no_backend_accepts(false)) {
+  // While bytes wait for the caller, reading may be stopped, so missing bytes prove nothing.
+  if (answer_.buffered_bytes() != 0 || dispatch_->no_backend_accepts(false)) {
     watch_progress();
     return;
   }
--- a/src/gateway/tests/stalled_attempt_test.cc
+++ b/src/gateway/tests/stalled_attempt_test.cc
@@ -496,6 +496,18 @@
   CHECK(f.statistics.retries == 2);
 }
 
+// While bytes wait for the caller, the node may not read from the back end.
+TEST_CASE("a caller that reads slowly does not make its back end count as silent") {
+  StallFixture f;
+  const auto caller = f.begin_stream();
+  caller->buffered = 1;
+  f.advance(kStreamTimeout);
+  CHECK(f.sends() == 1);
+  caller->buffered = 0;
+  f.advance(kStreamTimeout);
+  CHECK(f.sends() == 2);
+}
+
 // Attempts that are open at once must neither double nor lose events, nor end an answer early.
 TEST_CASE(
     "whatever silent back ends do, a stream has each event once, and ends early only if no "
