A replicated stream goes back to its engine if the backup engine cannot resume it

What callers saw: a stream that may not be repeated ended although its engine worked: the entry of the engine had lapsed, it was silent for the progress timeout, and the backup engine refused, failed, could not be reached, or was never asked because of the budget, a limit or the quarantine. An engine that is unregistered and silent was taken for terminated, and its connection closed before the backup engine had accepted. Change: the connection stays open, unread, until the backup engine's head accepts the resume; otherwise the stream goes on at its engine. Since nothing is read meanwhile, the run never goes on at both.

--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -248,6 +248,10 @@
   note_statement(statement);
   const bool ran = !attempt_->is_prefill_call && statement.is_signed && !statement.not_run;
   attempt_->forwards_events = ran && is_stream() && is_success(head.status);
+  if (attempt_->forwards_events && attempt_->resumed_run) {
+    // The run goes on here. The engine that it was resumed from must not continue it as well.
+    end_other_attempts();
+  }
   if (attempt_->forwards_events && attempt_->resumed_run && backup_.head()) {
     attempt_->head = backup_.head();
   } else if (attempt_->forwards_events && attempt_->cache_backup) {
@@ -738,6 +742,7 @@
   keep_current_open();
   attempt_ = std::move(selected);
   backup_.restore_run(std::move(attempt_->replicated));
+  attempt_->exchange->set_reading(answer_.buffered_bytes() <= kMaxCallerBufferBytes);
 }
 
 void RequestSession::keep_current_open() {
@@ -873,12 +878,10 @@
     return false;
   }
   note("engine is unregistered and sends nothing; treated as terminated", "");
-  may_have_run_ = true;
-  retry_limit_.note_send(*attempt_);
-  ++attempts_stalled_;
-  ++environment_.statistics.attempts_stalled;
-  reports_.note_failure(service_, *attempt_, AttemptFailureKind::kUnresponsive);
-  end_attempt(AttemptOutcome::kFailed);
+  // The engine may be running after all. Its events are not read while the backup engine decides,
+  // so the run never goes on at both.
+  attempt_->exchange->set_reading(false);
+  note_stalled();
   resume_at_backup();
   return true;
 }
