--- a/src/gateway/tests/applied_configuration_test.cc
+++ b/src/gateway/tests/applied_configuration_test.cc
@@ -38,7 +38,7 @@
 
 /// Something that a configuration can change.
 struct Change {
-  const char* name;
+  std::string name;
   void (*apply)(Configuration& configuration, Route& route);
 };
 
@@ -82,7 +82,7 @@
 /// How far a stream has come when the configuration is applied. Returns which exchange completes
 /// it.
 struct Progress {
-  const char* name;
+  std::string name;
   std::size_t (*advance)(ConfigurationFixture& f);
   std::uint64_t events;
 };
--- a/src/gateway/tests/stalled_attempt_test.cc
+++ b/src/gateway/tests/stalled_attempt_test.cc
@@ -150,14 +150,14 @@
 
 /// What a request has received when its back end falls silent.
 struct StallState {
-  const char* name;
+  std::string name;
   const char* path;
   Duration progress_timeout;
   bool head;
   std::uint64_t last_event;  ///< 0: none.
 };
 
-constexpr StallState kStallStates[] = {
+const StallState kStallStates[] = {
     {"no head of a stream", "/resumable/x", kFirstEventTimeout, false, 0},
     {"head of a stream", "/resumable/x", kFirstEventTimeout, true, 0},
     {"events of a stream", "/resumable/x", kStreamTimeout, true, 1},
@@ -168,7 +168,7 @@
 /// Why no other back end takes a request over. `prevent` is called when the back end has fallen
 /// silent, and lets the progress timeout pass.
 struct Obstacle {
-  const char* name;
+  std::string name;
   void (*prevent)(StallFixture& f, const StallState& state);
 };
 
