--- a/src/gateway/tests/stalled_attempt_test.cc
+++ b/src/gateway/tests/stalled_attempt_test.cc
@@ -110,7 +110,7 @@
   }
   /// Starts a stream of which event 1 has arrived.
   std::shared_ptr<FakeCaller> begin_stream(const std::string& path = "/resumable/x") {
-    const auto caller = ask(path);
+    auto caller = ask(path);
     start_answer(0, 1);
     return caller;
   }
