The open attempts of a request become a module of their own

RequestSession held the attempts, chose among them and closed them beside all else. OpenAttempts does that now; no behaviour changes.

--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -55,6 +55,11 @@
       continuation_(environment, route_, request_, tenant_),
       starter_(environment, cache_, backup_),
       retry_limit_(environment, route_, log_),
+      attempts_({.environment = environment,
+                 .log = log_,
+                 .retry_limit = retry_limit_,
+                 .cache = cache_,
+                 .backup = backup_}),
       reports_(environment, request_, tenant_),
       dispatch_(std::make_shared<RequestDispatch>(environment, *this)) {}
 
@@ -82,8 +87,8 @@
   });
   answer_.writer()->on_drained([weak = weak_from_this()] {
     const auto self = weak.lock();
-    if (self && self->attempt_ && self->attempt_->exchange) {
-      self->attempt_->exchange->set_reading(true);
+    if (self && self->attempts_.is_current_open()) {
+      self->current().exchange->set_reading(true);
     }
   });
   if (environment_.shutdown_time && deadline_ > *environment_.shutdown_time) {
@@ -112,6 +117,7 @@
     }
   }
   environment_.budget.note_request(service_, environment_.clock.now());
+  attempts_.set_request(service_, prompt_ ? &*prompt_ : nullptr);
   retry_limit_.begin(service_);
 }
 
@@ -205,17 +211,15 @@
 void RequestSession::start_attempt(const PlacementChoice& choice, SendKind kind) {
   const Backend& backend = *choice.backend;
   const AttemptInput input = attempt_input();
-  keep_current_open();
-  attempt_ = std::make_unique<Attempt>(starter_.make(choice, kind, input));
-  attempt_->observer = std::make_unique<AttemptObserver>(*this, *attempt_);
-  retry_limit_.begin_send(*attempt_);
-  if (attempt_->is_prefill_call) {
+  attempts_.start(starter_.make(choice, kind, input), *this);
+  retry_limit_.begin_send(current());
+  if (current().is_prefill_call) {
     prefill_attempted_ = true;
   } else {
     tried_.insert(backend.id);
   }
-  note(attempt_->is_prefill_call ? "prefill started" : "attempt started", backend.address.value());
-  starter_.send(*attempt_, backend, input, *attempt_->observer);
+  note(current().is_prefill_call ? "prefill started" : "attempt started", backend.address.value());
+  starter_.send(current(), backend, input, *current().observer);
   watch_progress();
 }
 
@@ -239,48 +243,48 @@
 
 void RequestSession::on_head(Attempt& attempt, const http::ResponseHead& head) {
   select(attempt);
-  retry_limit_.note_answer(*attempt_);
+  retry_limit_.note_answer(current());
   note_heard();
-  attempt_->head = head;
-  attempt_->ends_with_connection = head.ends_with_connection;
-  attempt_->statement = parse_statement(head, environment_.names);
-  const BackendStatement& statement = attempt_->statement;
+  current().head = head;
+  current().ends_with_connection = head.ends_with_connection;
+  current().statement = parse_statement(head, environment_.names);
+  const BackendStatement& statement = current().statement;
   note_statement(statement);
-  const bool ran = !attempt_->is_prefill_call && statement.is_signed && !statement.not_run;
-  attempt_->forwards_events = ran && is_stream() && is_success(head.status);
-  if (attempt_->forwards_events && attempt_->resumed_run) {
+  const bool ran = !current().is_prefill_call && statement.is_signed && !statement.not_run;
+  current().forwards_events = ran && is_stream() && is_success(head.status);
+  if (current().forwards_events && current().resumed_run) {
     // The run goes on here. The engine that it was resumed from must not continue it as well.
     end_other_attempts();
   }
-  if (attempt_->forwards_events && attempt_->resumed_run && backup_.head()) {
-    attempt_->head = backup_.head();
-  } else if (attempt_->forwards_events && attempt_->cache_backup) {
+  if (current().forwards_events && current().resumed_run && backup_.head()) {
+    current().head = backup_.head();
+  } else if (current().forwards_events && current().cache_backup) {
     backup_.note_head(head);
   }
-  if (ran && !attempt_->forwards_events) {
+  if (ran && !current().forwards_events) {
     // Back ends that are not engines usually start a request when they receive it.
-    note_run(environment_.clock.now() - attempt_->started);
+    note_run(environment_.clock.now() - current().started);
   }
 }
 
 void RequestSession::note_heard() {
-  attempt_->last_heard = environment_.clock.now();
-  attempt_->stalled = false;
+  current().last_heard = environment_.clock.now();
+  current().stalled = false;
 }
 
 /// Records the load, pace and limits that an answer reports. Status 421 comes from another back end
 /// that now has the address, so nothing is recorded.
 void RequestSession::note_statement(const BackendStatement& statement) {
   if (statement.load) {
-    environment_.loads.note_report(attempt_->backend, *statement.load, environment_.clock.now());
+    environment_.loads.note_report(current().backend, *statement.load, environment_.clock.now());
     if (environment_.observer != nullptr && !statement.misdirected) {
-      environment_.observer->note_pace(attempt_->backend, statement.load->pace_percent,
+      environment_.observer->note_pace(current().backend, statement.load->pace_percent,
                                        environment_.clock.now());
     }
   }
   if (environment_.gate != nullptr && !statement.misdirected) {
     environment_.gate->note_answer(
-        {.backend = attempt_->backend, .sent = attempt_->started, .statement = statement});
+        {.backend = current().backend, .sent = current().started, .statement = statement});
   }
 }
 
@@ -288,35 +292,35 @@
   const std::shared_ptr<RequestSession> keep = shared_from_this();
   select(attempt);
   note_heard();
-  if (attempt_->forwards_body) {
+  if (current().forwards_body) {
     forward_bytes(bytes);
     return;
   }
-  if (!attempt_->forwards_events) {
-    attempt_->body.append(bytes);
-    if (attempt_->body.size() > (attempt_->is_prefill_call ? kMaxPrefillAnswer : kMaxHeldBody)) {
+  if (!current().forwards_events) {
+    current().body.append(bytes);
+    if (current().body.size() > (current().is_prefill_call ? kMaxPrefillAnswer : kMaxHeldBody)) {
       handle_large_body();
     }
     return;
   }
-  attempt_->events.append(bytes);
+  current().events.append(bytes);
   forward_events();
-  if (has_active_attempt() && attempt_->events.rest().size() > kMaxEvent) {
+  if (attempts_.is_current_open() && current().events.rest().size() > kMaxEvent) {
     fail_attempt({http::HttpErrc::kTruncated, "event larger than 1 MiB"});
   }
 }
 
 void RequestSession::handle_large_body() {
-  const bool ran = attempt_->statement.is_signed && !attempt_->statement.not_run;
-  if (attempt_->is_prefill_call) {
+  const bool ran = current().statement.is_signed && !current().statement.not_run;
+  if (current().is_prefill_call) {
     end_prefill(true);
-  } else if (attempt_->statement.not_run) {
+  } else if (current().statement.not_run) {
     handle_refusal();
-  } else if (ran && is_success(attempt_->head->status) && !answer_.has_begun()) {
-    attempt_->forwards_body = true;
+  } else if (ran && is_success(current().head->status) && !answer_.has_begun()) {
+    current().forwards_body = true;
     end_other_attempts();
-    answer_.begin_stream(*attempt_->head);
-    forward_bytes(std::exchange(attempt_->body, {}));
+    answer_.begin_stream(*current().head);
+    forward_bytes(std::exchange(current().body, {}));
   } else {
     fail_attempt({http::HttpErrc::kTruncated, "answer larger than 1 MiB that is no success"});
   }
@@ -325,24 +329,24 @@
 void RequestSession::forward_bytes(std::string_view bytes) {
   answer_.send_event(bytes);
   if (answer_.buffered_bytes() > kMaxCallerBufferBytes) {
-    attempt_->exchange->set_reading(false);
+    current().exchange->set_reading(false);
   }
 }
 
 void RequestSession::on_complete(Attempt& attempt) {
   const std::shared_ptr<RequestSession> keep = shared_from_this();
   select(attempt);
-  if (attempt_->is_prefill_call) {
-    end_prefill(attempt_->head->status != 200);
+  if (current().is_prefill_call) {
+    end_prefill(current().head->status != 200);
     return;
   }
   const std::string_view missing =
-      attempt_->forwards_events ? describe_missing_part(*attempt_) : "";
+      current().forwards_events ? describe_missing_part(current()) : "";
   if (!missing.empty()) {
     fail_attempt({http::HttpErrc::kTruncated, std::string(missing)});
     return;
   }
-  if (attempt_->statement.not_run) {
+  if (current().statement.not_run) {
     handle_refusal();
     return;
   }
@@ -351,9 +355,9 @@
 
 /// A prefill call cannot run the request, so a run may follow whatever its result.
 void RequestSession::end_prefill(bool failed) {
-  const Backend* backend = environment_.fleet.find(attempt_->backend);
+  const Backend* backend = environment_.fleet.find(current().backend);
   const auto handle =
-      failed ? std::nullopt : environment_.engine_calls.parse_cache_handle(attempt_->body);
+      failed ? std::nullopt : environment_.engine_calls.parse_cache_handle(current().body);
   if (handle && backend != nullptr) {
     cache_.hold({backend->id, backend->address, *handle});
   }
@@ -361,7 +365,7 @@
     observe_prefill();
   }
   note(handle ? "prefill done" : "prefill returned no cache handle", handle.value_or(""));
-  end_attempt(handle ? AttemptOutcome::kSucceeded : failed_prefill_verdict(attempt_->statement));
+  end_attempt(handle ? AttemptOutcome::kSucceeded : failed_prefill_verdict(current().statement));
   if (!handle && !retry_limit_.charge_prefill()) {
     on_unsendable(FailureReason::kRefused);
     return;
@@ -373,25 +377,25 @@
 /// caches a shared part is an estimate; a part that was cached after all would make the engine
 /// appear too fast.
 void RequestSession::observe_prefill() {
-  const bool certain = prompt_ && !attempt_->uses_cache && !attempt_->cache_source &&
-                       attempt_->prefill_tokens == prompt_->own_tokens();
+  const bool certain = prompt_ && !current().uses_cache && !current().cache_source &&
+                       current().prefill_tokens == prompt_->own_tokens();
   if (environment_.observer == nullptr || !certain) {
     return;
   }
   const MonotonicTime now = environment_.clock.now();
-  environment_.observer->note_prefill({.engine = attempt_->backend,
-                                       .took = now - attempt_->started,
-                                       .tokens = attempt_->prefill_tokens,
-                                       .tokens_ahead = attempt_->tokens_ahead,
-                                       .includes_first_event = !attempt_->is_prefill_call},
+  environment_.observer->note_prefill({.engine = current().backend,
+                                       .took = now - current().started,
+                                       .tokens = current().prefill_tokens,
+                                       .tokens_ahead = current().tokens_ahead,
+                                       .includes_first_event = !current().is_prefill_call},
                                       now);
 }
 
 /// The remaining length of the stream is unknown if the caller resumed it.
 void RequestSession::observe_stream() {
   const bool known = prompt_ && (timing_.events() != 0 || !last_event_);
-  attempt_->observation = std::make_unique<StreamObservation>(
-      environment_.observer, attempt_->backend,
+  current().observation = std::make_unique<StreamObservation>(
+      environment_.observer, current().backend,
       known ? std::optional(prompt_->expected_output_tokens) : std::nullopt, timing_.events());
 }
 
@@ -413,28 +417,28 @@
 
 /// Ends an attempt whose back end has stated that it does not run the request.
 void RequestSession::handle_refusal() {
-  note("attempt refused", std::to_string(attempt_->head->status));
-  retry_limit_.note_send(*attempt_);
-  if (attempt_->resumed_run) {
+  note("attempt refused", std::to_string(current().head->status));
+  retry_limit_.note_send(current());
+  if (current().resumed_run) {
     // A resume that the backup engine refused does not count as one of the route's attempts.
     retry_limit_.exclude_send();
     ++environment_.statistics.resumes_refused;
   }
   // A missing copy does not mean that the engine is unhealthy or full.
   const AttemptOutcome refused =
-      attempt_->resumed_run ? AttemptOutcome::kAbandoned : AttemptOutcome::kRefused;
-  end_attempt(attempt_->statement.misdirected ? AttemptOutcome::kReplaced : refused);
+      current().resumed_run ? AttemptOutcome::kAbandoned : AttemptOutcome::kRefused;
+  end_attempt(current().statement.misdirected ? AttemptOutcome::kReplaced : refused);
   if (!continue_with_other()) {
     retry_or_fail(FailureReason::kRefused);
   }
 }
 
 void RequestSession::handle_complete_answer() {
-  const http::ResponseHead& head = *attempt_->head;
-  const BackendStatement& statement = attempt_->statement;
-  retry_limit_.note_send(*attempt_);
+  const http::ResponseHead& head = *current().head;
+  const BackendStatement& statement = current().statement;
+  retry_limit_.note_send(current());
   may_have_run_ = true;
-  note_run(environment_.clock.now() - attempt_->started);
+  note_run(environment_.clock.now() - current().started);
   if (!statement.is_signed) {
     note("answer without signature", std::to_string(head.status));
     end_attempt(AttemptOutcome::kFailed);
@@ -443,16 +447,17 @@
     }
     return;
   }
-  reports_.note_answer(*attempt_);
-  if (attempt_->forwards_events) {
+  reports_.note_answer(current());
+  if (current().forwards_events) {
     relay_complete_answer();
     return;
   }
   if (!is_success(head.status) && !answer_.has_begun() && route_.repeatable()) {
-    const bool expects_other = dispatch_->is_pending() || others_.expected_to_answer() != nullptr;
+    const bool expects_other =
+        dispatch_->is_pending() || attempts_.other_expected_to_answer() != nullptr;
     if (expects_other || acquire_retry()) {
       note("back end answered with an error", std::to_string(head.status));
-      answer_.keep_error(head, std::move(attempt_->body));
+      answer_.keep_error(head, std::move(current().body));
       end_attempt(AttemptOutcome::kFailed);
       if (!continue_with_other()) {
         dispatch_->begin();
@@ -464,8 +469,8 @@
 }
 
 void RequestSession::relay_complete_answer() {
-  if (attempt_->forwards_events || attempt_->forwards_body) {
-    answer_.begin_stream(*attempt_->head);
+  if (current().forwards_events || current().forwards_body) {
+    answer_.begin_stream(*current().head);
     answer_.finish_stream();
   } else if (answer_.has_begun()) {
     // The caller already has the head of a stream, but this answer is not one.
@@ -475,25 +480,25 @@
     }
     return;
   } else {
-    answer_.send(*attempt_->head, attempt_->body);
+    answer_.send(*current().head, current().body);
   }
   ++environment_.statistics.answered;
-  environment_.statistics.answers_ended_by_close += attempt_->ends_with_connection ? 1 : 0;
+  environment_.statistics.answers_ended_by_close += current().ends_with_connection ? 1 : 0;
   environment_.statistics.resumes_completed +=
-      attempt_->forwards_events && attempt_->resumed_run ? 1 : 0;
-  end_attempt(is_success(attempt_->head->status) ? AttemptOutcome::kSucceeded
+      current().forwards_events && current().resumed_run ? 1 : 0;
+  end_attempt(is_success(current().head->status) ? AttemptOutcome::kSucceeded
                                                  : AttemptOutcome::kFailed);
   finish("answered");
 }
 
 void RequestSession::forward_events() {
   bool forwarded = false;
-  while (const auto event = attempt_->events.next()) {
-    if (!attempt_->prefill_ended) {
-      attempt_->prefill_ended = true;
+  while (const auto event = current().events.next()) {
+    if (!current().prefill_ended) {
+      current().prefill_ended = true;
       note("first event", "");
       note_run(Duration::zero());
-      environment_.loads.note_prefilled(attempt_->backend, attempt_->prefill_tokens);
+      environment_.loads.note_prefilled(current().backend, current().prefill_tokens);
       observe_prefill();
       observe_stream();
     }
@@ -510,17 +515,17 @@
     return false;
   }
   end_other_attempts();
-  continuation_.note_event(service_, attempt_->software);
-  answer_.begin_stream(*attempt_->head);
+  continuation_.note_event(service_, current().software);
+  answer_.begin_stream(*current().head);
   if (event.id) {
     last_event_ = event.id;
   }
   backup_.note_event(event);
   timing_.note_event(environment_.clock.now());
-  attempt_->observation->note_event(environment_.clock.now());
+  current().observation->note_event(environment_.clock.now());
   forward_bytes(event.bytes);
   if (answer_.buffered_bytes() > kMaxCallerBufferBytes) {
-    attempt_->observation->note_reading_stopped();
+    current().observation->note_reading_stopped();
   }
   return true;
 }
@@ -535,7 +540,7 @@
   if (!sent) {
     note("connection failed", error.message);
     ++unreachable_;
-    retry_limit_.drop_send(*attempt_);
+    retry_limit_.drop_send(current());
     // Without a path from this node, nothing is known about the back end.
     end_attempt(error.code == http::HttpErrc::kNoPath ? AttemptOutcome::kNotSent
                                                       : AttemptOutcome::kUnreachable);
@@ -543,13 +548,13 @@
       return;
     }
     if (unreachable_ < kMaxUnreachableAttempts) {
-      on_not_sent(attempt_->resumed_run ? SendKind::kResume : SendKind::kRun);
+      on_not_sent(current().resumed_run ? SendKind::kResume : SendKind::kRun);
     } else {
       on_unsendable(FailureReason::kUnreachable);
     }
     return;
   }
-  if (attempt_->statement.not_run && !attempt_->is_prefill_call) {
+  if (current().statement.not_run && !current().is_prefill_call) {
     // The head of a refusal says all that matters.
     handle_refusal();
     return;
@@ -559,36 +564,36 @@
 
 /// Ends the current attempt, of which a byte may have been sent, as failed.
 void RequestSession::fail_attempt(const http::HttpError& error) {
-  log_.note_failure(error, *attempt_, identity().fingerprint.to_hex(),
+  log_.note_failure(error, current(), identity().fingerprint.to_hex(),
                     prompt_ ? &*prompt_ : nullptr);
   const bool link_cut = error.code == http::HttpErrc::kLinkCut;
   const bool timed_out = link_cut || error.code == http::HttpErrc::kTimeout;
   if (!timed_out) {
-    RetryLimit::note_disconnect(*attempt_);
+    RetryLimit::note_disconnect(current());
   }
   if (!link_cut) {
     reports_.note_failure(
-        service_, *attempt_,
+        service_, current(),
         timed_out ? AttemptFailureKind::kUnresponsive : AttemptFailureKind::kClosed);
   }
   if (timed_out && !link_cut) {
-    environment_.loads.note_unresponsive(attempt_->backend, environment_.clock.now());
+    environment_.loads.note_unresponsive(current().backend, environment_.clock.now());
   }
-  if (attempt_->is_prefill_call) {
+  if (current().is_prefill_call) {
     end_prefill(true);
     return;
   }
-  retry_limit_.note_send(*attempt_);
+  retry_limit_.note_send(current());
   may_have_run_ = true;
   // A failure on a kept-alive connection that was already closed says nothing about the back end.
   const bool stale = error.code == http::HttpErrc::kStaleConnection;
   if (!stale && !timed_out) {
-    note_probable_run(*attempt_);
+    note_probable_run(current());
   }
   if (stale) {
-    tried_.erase(attempt_->backend);
+    tried_.erase(current().backend);
   }
-  if (attempt_->forwards_body) {
+  if (current().forwards_body) {
     // The caller already has part of the answer, which another back end cannot continue.
     end_attempt(AttemptOutcome::kFailed);
     fail(FailureReason::kBroken);
@@ -605,7 +610,7 @@
 FailedRun RequestSession::failed_run(http::HttpErrc error) const {
   return {.error = error,
           .runner_terminated =
-              backup_.has_runner_terminated(attempt_->backend, environment_.clock.now()),
+              backup_.has_runner_terminated(current().backend, environment_.clock.now()),
           .retry_allowed = route_.repeatable() && !retry_limit_.is_last_attempt(nullptr),
           .has_time = time_left() >= kMinAttemptTime};
 }
@@ -616,7 +621,7 @@
 void RequestSession::resume_or_retry(const FailedRun& run) {
   const BackupObstacle obstacle = backup_.obstacle(run, environment_.clock.now());
   if (obstacle != BackupObstacle::kNone) {
-    if (attempt_->cache_backup) {
+    if (current().cache_backup) {
       ++environment_.statistics.streams_not_resumed;
       note("stream not resumed at its backup engine", describe(obstacle));
     }
@@ -663,14 +668,14 @@
   }
   note("request not sent: back end is backing off", "");
   ++environment_.statistics.withdrawn;
-  retry_limit_.drop_send(*attempt_);
-  tried_.erase(attempt_->backend);
-  if (attempt_->is_prefill_call) {
+  retry_limit_.drop_send(current());
+  tried_.erase(current().backend);
+  if (current().is_prefill_call) {
     prefill_attempted_ = false;
   }
   end_attempt(AttemptOutcome::kNotSent);
   if (!continue_with_other()) {
-    on_not_sent(attempt_->resumed_run ? SendKind::kResume : SendKind::kRun);
+    on_not_sent(current().resumed_run ? SendKind::kResume : SendKind::kRun);
   }
 }
 
@@ -704,76 +709,28 @@
 /// Ends the current attempt, if it is in progress.
 void RequestSession::end_attempt(AttemptOutcome verdict) {
   progress_timer_.disarm();
-  if (has_active_attempt()) {
-    close_attempt(*attempt_, verdict);
-  }
-}
-
-/// Closes the exchange of an attempt in progress and updates the load table.
-void RequestSession::close_attempt(Attempt& attempt, AttemptOutcome verdict) {
-  if (!std::exchange(attempt.prefill_ended, true)) {
-    environment_.loads.note_prefilled(attempt.backend, attempt.prefill_tokens);
-  }
-  if (attempt.observation) {
-    attempt.observation->end(environment_.clock.now());
-  }
-  environment_.loads.end(attempt.backend, verdict, environment_.clock.now());
-  if (environment_.queue != nullptr) {
-    const bool worked = !attempt.is_prefill_call && !is_certainly_not_prefilled(verdict) &&
-                        !attempt.statement.not_run;
-    environment_.queue->note_attempt_ended(service_, worked);
-  }
-  if (prompt_ && is_certainly_not_prefilled(verdict)) {
-    environment_.loads.forget_prompt(attempt.backend, *prompt_, attempt.started);
-  }
-  if (attempt.uses_cache) {
-    cache_.note_end(verdict);
-  }
-  retry_limit_.end_send(attempt, verdict);
-  attempt.exchange.reset();
-  attempt.backend = BackendId();
+  attempts_.end_current(verdict);
 }
 
 void RequestSession::select(Attempt& attempt) {
-  if (&attempt == attempt_.get()) {
-    return;
+  if (attempts_.select(attempt)) {
+    attempt.exchange->set_reading(answer_.buffered_bytes() <= kMaxCallerBufferBytes);
   }
-  std::unique_ptr<Attempt> selected = others_.take(attempt);
-  keep_current_open();
-  attempt_ = std::move(selected);
-  backup_.restore_run(std::move(attempt_->replicated));
-  attempt_->exchange->set_reading(answer_.buffered_bytes() <= kMaxCallerBufferBytes);
-}
-
-void RequestSession::keep_current_open() {
-  if (!has_active_attempt()) {
-    return;
-  }
-  if (!attempt_->is_prefill_call) {
-    retry_limit_.note_send(*attempt_);
-  }
-  attempt_->replicated = backup_.run();
-  others_.add(std::move(attempt_));
 }
 
 void RequestSession::note_stalled() {
   ++attempts_stalled_;
   ++environment_.statistics.attempts_stalled;
-  reports_.note_failure(service_, *attempt_, AttemptFailureKind::kUnresponsive);
-  note_probable_run(*attempt_);
-  attempt_->stalled = true;
-  if (attempt_->uses_cache) {
-    // Another attempt must not use the cache handle, which may have been taken.
-    cache_.note_end(AttemptOutcome::kFailed);
-  }
-  keep_current_open();
+  reports_.note_failure(service_, current(), AttemptFailureKind::kUnresponsive);
+  note_probable_run(current());
+  attempts_.stall();
 }
 
 bool RequestSession::continue_with_other() {
   if (dispatch_->is_pending()) {
     return true;
   }
-  Attempt* other = others_.expected_to_answer();
+  Attempt* other = attempts_.other_expected_to_answer();
   if (other == nullptr) {
     return false;
   }
@@ -783,33 +740,19 @@
 }
 
 void RequestSession::end_other_attempts() {
-  if (others_.empty() && !dispatch_->is_pending()) {
-    return;
-  }
   dispatch_->withdraw();
-  for (const auto& other : others_.take_all()) {
-    log_.note_attempt("attempt ended: no longer needed", "", other.get());
-    close_attempt(*other, other->stalled ? AttemptOutcome::kFailed : AttemptOutcome::kAbandoned);
-  }
+  attempts_.end_others();
 }
 
 void RequestSession::report_open_attempts(AttemptFailureKind kind) {
-  for_each_open_attempt(
+  attempts_.for_each(
       [&](const Attempt& attempt) { reports_.note_failure(service_, attempt, kind); });
 }
 
-bool RequestSession::open_attempt_may_run() const {
-  bool may_run = false;
-  for_each_open_attempt([&](const Attempt& attempt) {
-    may_run = may_run || (!attempt.is_prefill_call && !attempt.statement.not_run);
-  });
-  return may_run;
-}
-
 /// Without another send, an open attempt is the only one that can still bring the answer.
 void RequestSession::on_unsendable(FailureReason reason) {
-  if (!has_active_attempt()) {
-    Attempt* open = others_.heard_last();
+  if (!attempts_.is_current_open()) {
+    Attempt* open = attempts_.other_heard_last();
     if (open == nullptr) {
       fail(reason);
       return;
@@ -840,8 +783,8 @@
     watch_progress();
     return;
   }
-  if (dispatch_->trial() || !has_active_attempt() || attempt_->is_prefill_call ||
-      attempt_->forwards_body || retry_limit_.is_last_attempt(attempt_.get())) {
+  if (dispatch_->trial() || !attempts_.is_current_open() || current().is_prefill_call ||
+      current().forwards_body || retry_limit_.is_last_attempt(attempts_.current())) {
     return;
   }
   // While bytes wait for the caller, reading may be stopped, so missing bytes prove nothing.
@@ -861,8 +804,8 @@
 }
 
 bool RequestSession::has_runner_terminated() const {
-  return has_active_attempt() && attempt_->prefill_ended &&
-         backup_.has_runner_terminated(attempt_->backend, environment_.clock.now());
+  return attempts_.is_current_open() && current().prefill_ended &&
+         backup_.has_runner_terminated(current().backend, environment_.clock.now());
 }
 
 /// An engine that is no longer registered and sends nothing is treated as terminated, even if its
@@ -880,7 +823,7 @@
   note("engine is unregistered and sends nothing; treated as terminated", "");
   // The engine may be running after all. Its events are not read while the backup engine decides,
   // so the run never goes on at both.
-  attempt_->exchange->set_reading(false);
+  current().exchange->set_reading(false);
   note_stalled();
   resume_at_backup();
   return true;
@@ -888,14 +831,15 @@
 
 void RequestSession::on_backend_unregistered(const BackendId& backend) {
   // For a retryable stream the timer is already running.
-  if (!ended_ && !route_.repeatable() && has_active_attempt() && attempt_->backend == backend) {
+  if (!ended_ && !route_.repeatable() && attempts_.is_current_open() &&
+      current().backend == backend) {
     watch_progress();
   }
 }
 
 void RequestSession::on_quarantined(const RequestFingerprint& quarantined) {
   bool begun = dispatch_->trial();
-  for_each_open_attempt([&](const Attempt& attempt) {
+  attempts_.for_each([&](const Attempt& attempt) {
     begun = begun || attempt.head.has_value() || attempt.prefill_ended;
   });
   if (ended_ || begun) {
@@ -924,8 +868,8 @@
 }
 
 void RequestSession::fail(FailureReason reason) {
-  for_each_open_attempt([this](const Attempt& attempt) { note_probable_run(attempt); });
-  may_have_run_ = may_have_run_ || open_attempt_may_run();
+  attempts_.for_each([this](const Attempt& attempt) { note_probable_run(attempt); });
+  may_have_run_ = may_have_run_ || attempts_.may_run();
   end_attempt(AttemptOutcome::kAbandoned);
   end_other_attempts();
   failure_reason_ = describe(reason);
@@ -966,15 +910,15 @@
   const std::shared_ptr<RequestSession> keep = shared_from_this();
   report_open_attempts(AttemptFailureKind::kAbandoned);
   ++environment_.statistics.caller_gone;
-  for_each_open_attempt([this](const Attempt& attempt) { note_probable_run(attempt); });
+  attempts_.for_each([this](const Attempt& attempt) { note_probable_run(attempt); });
   end_attempt(AttemptOutcome::kAbandoned);
   finish("caller-gone");
 }
 
 void RequestSession::on_deadline() {
   const std::shared_ptr<RequestSession> keep = shared_from_this();
-  if (has_active_attempt() && !attempt_->prefill_ended) {
-    reports_.note_failure(service_, *attempt_, AttemptFailureKind::kUnresponsive);
+  if (attempts_.is_current_open() && !current().prefill_ended) {
+    reports_.note_failure(service_, current(), AttemptFailureKind::kUnresponsive);
   }
   note("deadline exceeded", "");
   fail(FailureReason::kTimeout);
@@ -992,6 +936,7 @@
   answer_.writer()->on_closed(nullptr);
   answer_.writer()->on_drained(nullptr);
   const RequestFingerprint* known = reports_.known_fingerprint();
+  const Attempt* last = attempts_.current();
   log_.note_end(
       {.fingerprint = known != nullptr ? known->to_hex() : "",
        .service = service_.value(),
@@ -1006,9 +951,9 @@
        .current_configuration = environment_.fleet.routes()->configuration().version.value(),
        .most_output_tokens = prompt_ ? prompt_->output_tokens : 0,
        .caller_protocol = request_.protocol,
-       .ends_with_connection = attempt_ && attempt_->ends_with_connection,
-       .incomplete_event_bytes = attempt_ ? attempt_->events.rest().size() : 0,
-       .silence = attempt_ ? environment_.clock.now() - attempt_->last_heard : Duration(),
+       .ends_with_connection = last != nullptr && last->ends_with_connection,
+       .incomplete_event_bytes = last != nullptr ? last->events.rest().size() : 0,
+       .silence = last != nullptr ? environment_.clock.now() - last->last_heard : Duration(),
        .read_delay = request_.read_delay},
       timing_);
   if (const auto on_end = std::exchange(on_end_, nullptr)) {
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -16,7 +16,7 @@
 #include "gateway/environment.h"
 #include "gateway/failure_answer.h"
 #include "gateway/guard_reports.h"
-#include "gateway/other_attempts.h"
+#include "gateway/open_attempts.h"
 #include "gateway/prompt.h"
 #include "gateway/prompt_cache.h"
 #include "gateway/request_dispatch.h"
@@ -61,7 +61,7 @@
 ///
 /// A silent back end may still be working, and nothing else is certain to bring the answer. So its
 /// attempt stays open while another back end is tried, until one of them brings what the caller
-/// lacks. `attempt_` is the attempt that was started or heard last, `others_` holds the others.
+/// lacks.
 class RequestSession final : public AttemptEvents,
                              public DispatchOwner,
                              public std::enable_shared_from_this<RequestSession> {
@@ -138,12 +138,9 @@
   void resume_at_backup();
   void retry_or_fail(FailureReason reason);
   void end_attempt(AttemptOutcome verdict);
-  void close_attempt(Attempt& attempt, AttemptOutcome verdict);
 
   /// Makes an open attempt the current one.
   void select(Attempt& attempt);
-  /// Keeps the current attempt open, if it is, while another one becomes the current one.
-  void keep_current_open();
   /// Records that the current attempt's back end is silent, and keeps the attempt open.
   void note_stalled();
   /// After an attempt has ended: whether another one, or a send that is being prepared, may bring
@@ -171,22 +168,12 @@
   void on_deadline();
   void finish(std::string_view outcome);
   void note(std::string_view message, std::string_view detail) {
-    log_.note_attempt(message, detail, attempt_.get());
+    log_.note_attempt(message, detail, attempts_.current());
   }
 
   bool is_stream() const { return route_.kind == RequestKind::kStreaming; }
-  /// Whether the current attempt is in progress.
-  bool has_active_attempt() const { return attempt_ && !attempt_->backend.empty(); }
-  /// Calls `function` with each attempt in progress.
-  template <class Function>
-  void for_each_open_attempt(Function function) const {
-    if (has_active_attempt()) {
-      function(*attempt_);
-    }
-    others_.for_each(function);
-  }
-  /// Whether a back end of an attempt in progress may run the request.
-  bool open_attempt_may_run() const;
+  /// The current attempt, which may have ended.
+  Attempt& current() const { return *attempts_.current(); }
   /// Whether the caller has received the start of the stream.
   bool has_stream_started() const { return answer_.has_begun() || last_event_.has_value(); }
 
@@ -205,14 +192,13 @@
   MonotonicTime deadline_{};
   Timer deadline_timer_;
   Timer progress_timer_;
-  std::unique_ptr<Attempt> attempt_;  ///< The current attempt; null before the first one.
-  OtherAttempts others_;              ///< Open; each is counted by `retry_limit_`.
   PrefillCacheHolder cache_;
   StreamBackup backup_;
   StreamContinuation continuation_;
   AttemptStarter starter_;
   std::set<BackendId> tried_;
   RetryLimit retry_limit_;
+  OpenAttempts attempts_;
   GuardReports reports_;
   std::shared_ptr<RequestDispatch> dispatch_;
   std::uint32_t unreachable_ = 0;   ///< Attempts that got no connection.
