--- a/src/gateway/caller_answer.h
+++ b/src/gateway/caller_answer.h
@@ -46,6 +46,7 @@
 
   /// Keeps an error answer of a back end, for a caller that gets no better one from later attempts.
   void keep_error(http::ResponseHead head, std::string body);
+  bool has_kept_error() const { return kept_error_.has_value(); }
   /// Returns false if there is none.
   bool send_kept_error();
 
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -13,6 +13,12 @@
 struct StreamEvent {
   std::string bytes;
   std::optional<std::uint64_t> id;  ///< None without an `id` or with one that is not a number.
+
+  bool has_data() const {
+    return bytes.starts_with("data") || bytes.find("\ndata") != std::string::npos;
+  }
+  /// Comments are not part of the answer.
+  bool is_comment() const { return !id && !has_data(); }
 };
 
 /// Buffers the bytes of one attempt's stream until an event is complete.
--- a/src/gateway/open_attempts.cc
+++ b/src/gateway/open_attempts.cc
@@ -30,13 +30,15 @@
   return true;
 }
 
-void OpenAttempts::stall() {
-  current_->stalled = true;
+bool OpenAttempts::stall_current() {
+  if (std::exchange(current_->stalled, true)) {
+    return false;
+  }
   if (current_->uses_cache) {
     // Another attempt must not use the cache handle, which may have been taken.
     deps_.cache.note_end(AttemptOutcome::kFailed);
   }
-  keep_current_open();
+  return true;
 }
 
 void OpenAttempts::keep_current_open() {
@@ -59,12 +61,27 @@
 void OpenAttempts::end_others() {
   for (const auto& other : std::exchange(others_, {})) {
     deps_.log.note_attempt("attempt ended: no longer needed", "", other.get());
-    close(*other, other->stalled ? AttemptOutcome::kFailed : AttemptOutcome::kAbandoned);
+    if (other->exchange->sent()) {
+      close(*other, AttemptOutcome::kAbandoned);
+    } else {
+      deps_.retry_limit.drop_send(*other);
+      close(*other, AttemptOutcome::kNotSent);
+    }
   }
 }
 
-/// Closes the exchange of an open attempt and updates the load table.
+void OpenAttempts::read_others() const {
+  for (const auto& other : others_) {
+    other->exchange->set_reading(true);
+  }
+}
+
+/// Closes the exchange of an open attempt and updates the load table. A back end that was silent to
+/// the end has failed.
 void OpenAttempts::close(Attempt& attempt, AttemptOutcome verdict) {
+  if (attempt.stalled && verdict == AttemptOutcome::kAbandoned) {
+    verdict = AttemptOutcome::kFailed;
+  }
   Environment& environment = deps_.environment;
   const MonotonicTime now = environment.clock.now();
   if (!std::exchange(attempt.prefill_ended, true)) {
--- a/src/gateway/open_attempts.h
+++ b/src/gateway/open_attempts.h
@@ -36,17 +36,22 @@
   void set_request(const ServiceName& service, const Prompt* prompt);
   /// Makes a new attempt the current one. `events` must outlive its exchange.
   void start(Attempt attempt, AttemptEvents& events);
-  /// The current attempt, which may have ended; null before the first one and after stall().
+  /// The current attempt, which may have ended; null before the first one and after
+  /// keep_current_open().
   Attempt* current() const { return current_.get(); }
   bool is_current_open() const { return current_ && !current_->backend.empty(); }
   /// Makes an open attempt the current one. Returns false if it already is.
   bool select(Attempt& attempt);
-  /// Marks the current attempt as stalled and keeps it open, with none as the current one.
-  void stall();
+  /// Marks the current attempt as stalled. Returns false if it already is.
+  bool stall_current();
+  /// Makes no attempt the current one. If the current one is open, it stays open.
+  void keep_current_open();
   /// Ends the current attempt if it is open.
   void end_current(AttemptOutcome verdict);
   /// Ends all attempts but the current one.
   void end_others();
+  /// Reads the answers of all attempts but the current one again.
+  void read_others() const;
 
   bool has_others() const { return !others_.empty(); }
   /// Of the others, one that is not stalled; null if there is none.
@@ -67,7 +72,6 @@
   }
 
  private:
-  void keep_current_open();
   void close(Attempt& attempt, AttemptOutcome verdict);
 
   Dependencies deps_;
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -514,6 +514,9 @@
   if (event.id && last_event_ && *event.id <= *last_event_) {
     return false;
   }
+  if (event.is_comment() && attempts_.has_others()) {
+    return false;
+  }
   end_other_attempts();
   continuation_.note_event(service_, current().software);
   answer_.begin_stream(*current().head);
@@ -649,6 +652,7 @@
 
 /// A run can be resumed only at its backup engine; any other back end would run the request again.
 void RequestSession::on_not_sent(SendKind kind) {
+  attempts_.read_others();
   if (kind == SendKind::kResume) {
     retry_or_fail(FailureReason::kBroken);
   } else {
@@ -680,8 +684,8 @@
 }
 
 void RequestSession::retry_or_fail(FailureReason reason) {
-  const bool allowed = reason == FailureReason::kRefused ? !may_have_run_ || route_.repeatable()
-                                                         : route_.repeatable();
+  const bool not_run = reason == FailureReason::kRefused && !may_have_run_ && !attempts_.may_run();
+  const bool allowed = not_run || route_.repeatable();
   if (!allowed) {
     retry_denied_reason_ = "may have run";
   }
@@ -710,6 +714,7 @@
 void RequestSession::end_attempt(AttemptOutcome verdict) {
   progress_timer_.disarm();
   attempts_.end_current(verdict);
+  attempts_.read_others();
 }
 
 void RequestSession::select(Attempt& attempt) {
@@ -719,11 +724,13 @@
 }
 
 void RequestSession::note_stalled() {
+  if (!attempts_.stall_current()) {
+    return;
+  }
   ++attempts_stalled_;
   ++environment_.statistics.attempts_stalled;
   reports_.note_failure(service_, current(), AttemptFailureKind::kUnresponsive);
   note_probable_run(current());
-  attempts_.stall();
 }
 
 bool RequestSession::continue_with_other() {
@@ -751,15 +758,15 @@
 
 /// Without another send, an open attempt is the only one that can still bring the answer.
 void RequestSession::on_unsendable(FailureReason reason) {
+  dispatch_->withdraw();
   if (!attempts_.is_current_open()) {
     Attempt* open = attempts_.other_heard_last();
-    if (open == nullptr) {
+    if (open == nullptr || (open->stalled && answer_.has_kept_error())) {
       fail(reason);
       return;
     }
     select(*open);
   }
-  dispatch_->withdraw();
   note("request not sent again: awaiting the open attempt", describe(reason));
   watch_progress();
 }
@@ -767,15 +774,36 @@
 /// Starts the timer that detects a back end that sends nothing: for retryable requests, and for
 /// replicated streams whose engine has terminated.
 void RequestSession::watch_progress() {
-  if (!route_.repeatable() && !has_runner_terminated()) {
+  if (!route_.repeatable() && !has_runner_terminated() && !is_resume_unanswered()) {
     return;
   }
   progress_timer_.arm(progress_timeout(route_, answer_.has_begun(), time_left()),
-                      [this] { on_no_progress(); });
+                      [this] { on_progress_timeout(); });
 }
 
-void RequestSession::on_no_progress() {
+void RequestSession::on_progress_timeout() {
   const std::shared_ptr<RequestSession> keep = shared_from_this();
+  if (!attempts_.is_current_open() || dispatch_->is_pending()) {
+    return;
+  }
+  const Duration timeout = progress_timeout(route_, answer_.has_begun(), time_left());
+  const Duration silence = environment_.clock.now() - current().last_heard;
+  // While bytes wait for the caller, reading may be stopped, so missing bytes prove nothing.
+  if (answer_.buffered_bytes() != 0) {
+    watch_progress();
+  } else if (silence < timeout) {
+    progress_timer_.arm(timeout - silence, [this] { on_progress_timeout(); });
+  } else {
+    on_no_progress();
+  }
+}
+
+/// Called when the back end of the current attempt has been silent for the progress timeout.
+void RequestSession::on_no_progress() {
+  if (is_resume_unanswered()) {
+    give_up_resume();
+    return;
+  }
   if (resume_if_runner_terminated()) {
     return;
   }
@@ -783,16 +811,21 @@
     watch_progress();
     return;
   }
-  if (dispatch_->trial() || !attempts_.is_current_open() || current().is_prefill_call ||
-      current().forwards_body || retry_limit_.is_last_attempt(attempts_.current())) {
+  if (dispatch_->trial() || current().is_prefill_call || current().forwards_body) {
     return;
   }
-  // While bytes wait for the caller, reading may be stopped, so missing bytes prove nothing.
-  if (answer_.buffered_bytes() != 0 || dispatch_->no_backend_accepts(false)) {
+  if (Attempt* other = attempts_.other_expected_to_answer()) {
+    note_stalled();
+    select(*other);
     watch_progress();
     return;
   }
-  if (time_left() < kMinAttemptTime || !retry_limit_.charge_send()) {
+  if (retry_limit_.is_last_attempt(attempts_.current())) {
+    return;
+  }
+  if (dispatch_->no_backend_accepts(false) || time_left() < kMinAttemptTime ||
+      !retry_limit_.charge_send()) {
+    watch_progress();
     return;
   }
   note("attempt timed out without progress", "");
@@ -800,9 +833,24 @@
     ++environment_.statistics.started_streams_retried;
   }
   note_stalled();
+  attempts_.keep_current_open();
   dispatch_->begin();
 }
 
+bool RequestSession::is_resume_unanswered() const {
+  return attempts_.is_current_open() && current().resumed_run && !current().head &&
+         attempts_.has_others();
+}
+
+/// The engine that the run was to be resumed from may be running after all.
+void RequestSession::give_up_resume() {
+  note("backup engine sends nothing", "");
+  retry_limit_.note_send(current());
+  reports_.note_failure(service_, current(), AttemptFailureKind::kUnresponsive);
+  end_attempt(AttemptOutcome::kFailed);
+  retry_or_fail(FailureReason::kBroken);
+}
+
 bool RequestSession::has_runner_terminated() const {
   return attempts_.is_current_open() && current().prefill_ended &&
          backup_.has_runner_terminated(current().backend, environment_.clock.now());
@@ -812,8 +860,7 @@
 /// connection is still open. If the backup engine cannot be used, the session keeps waiting,
 /// because the shared store may lose the registration of an engine that is still running.
 bool RequestSession::resume_if_runner_terminated() {
-  // While bytes wait for the caller, reading may be stopped, so missing events prove nothing.
-  if (!has_runner_terminated() || answer_.buffered_bytes() != 0) {
+  if (!has_runner_terminated()) {
     return false;
   }
   const FailedRun run = failed_run(http::HttpErrc::kTimeout);
@@ -825,6 +872,7 @@
   // so the run never goes on at both.
   current().exchange->set_reading(false);
   note_stalled();
+  attempts_.keep_current_open();
   resume_at_backup();
   return true;
 }
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -141,7 +141,7 @@
 
   /// Makes an open attempt the current one.
   void select(Attempt& attempt);
-  /// Records that the current attempt's back end is silent, and keeps the attempt open.
+  /// Records that the back end of the current attempt is silent.
   void note_stalled();
   /// After an attempt has ended: whether another one, or a send that is being prepared, may bring
   /// the answer without a further send.
@@ -150,7 +150,11 @@
   void report_open_attempts(AttemptFailureKind kind);
 
   void watch_progress();
+  void on_progress_timeout();
   void on_no_progress();
+  /// Whether a backup engine has not said yet whether it resumes the run of a silent engine.
+  bool is_resume_unanswered() const;
+  void give_up_resume();
 
   void handle_refusal();
   void handle_complete_answer();
--- a/src/gateway/stream_backup.cc
+++ b/src/gateway/stream_backup.cc
@@ -33,11 +33,6 @@
                                                           "backup engine accepts no requests now",
                                                           "no time left"};
 
-/// Events without data are comments, which are not part of the answer.
-bool has_data(const std::string& event) {
-  return event.starts_with("data") || event.find("\ndata") != std::string::npos;
-}
-
 }  // namespace
 
 bool wants_backup(const Route& route, const EngineShape* shape, const Prompt* prompt,
@@ -150,7 +145,7 @@
 
 void StreamBackup::note_event(const StreamEvent& event) {
   run_.event_with_id_forwarded = run_.event_with_id_forwarded || event.id.has_value();
-  saw_event_without_id_ = saw_event_without_id_ || (!event.id && has_data(event.bytes));
+  saw_event_without_id_ = saw_event_without_id_ || (!event.id && event.has_data());
 }
 
 bool StreamBackup::is_replaced(const BackendId& id, MonotonicTime now) const {
