Tests of responses whose connection ends inside the head

Operators saw a 200 with an empty or short body, framed as whole, where a server closed inside its response's head. The table cuts the connection at every byte of a head and of the interim heads before it, by a close and by a reset, with a length, with chunks and with neither, directly and through a relay.

No change of the code.

--- /dev/null
+++ b/src/http/tests/head_cut_short_test.cc
@@ -0,0 +1,112 @@
+// Tests responses whose connection ends inside the head.
+// Guards against a response that was cut short and is taken for complete.
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "http/client.h"
+#include "http/connection_relay.h"
+#include "http/tests/cutting_server.h"
+#include "http/tests/recorded_response.h"
+
+using namespace ochrespring;
+using http::HttpErrc;
+using http::testing::CutEnd;
+using http::testing::CutPlan;
+using http::testing::CuttingServer;
+using http::testing::RecordedResponse;
+
+namespace {
+
+const Endpoint kAnyPort("127.0.0.1:0");
+const std::string kWhole = "HTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 2\r\n\r\nok";
+
+/// A client that reaches its servers directly or through a relay.
+struct ClientFixture {
+  ClientFixture() { REQUIRE(relay.listen()); }
+
+  RecordedResponse fetch(const Endpoint& server, bool relayed) {
+    http::ClientRequest request;
+    request.endpoint = server;
+    request.echo = http::Header{"x-id", "mine"};
+    request.close_ends_answer = true;
+    if (relayed) {
+      request.relay = http::RelayHop{relay.bound()};
+    }
+    RecordedResponse response(loop);
+    const auto exchange = client.start(std::move(request), response);
+    loop.run();
+    return response;
+  }
+  /// Returns the response to the last request that the server gets.
+  RecordedResponse play(const CutPlan& plan, bool relayed) {
+    const CuttingServer server(plan);
+    if (!plan.before.empty()) {
+      REQUIRE(fetch(server.endpoint(), relayed).complete);
+    }
+    return fetch(server.endpoint(), relayed);
+  }
+
+  http::EventLoop loop;
+  http::Client client{loop};
+  http::ConnectionRelay relay{loop,
+                              {.listen = kAnyPort},
+                              {.admit = [](const Endpoint&, const Endpoint&) { return true; },
+                               .on_result = [](const Endpoint&, bool) {},
+                               .on_idle = [] {}}};
+};
+
+constexpr std::string_view kFramings[] = {
+    "content-length: 0\r\n",
+    "content-length: 2\r\n",
+    "transfer-encoding: chunked\r\n",
+    "connection: close\r\n",
+};
+constexpr std::string_view kInterimHeads[] = {
+    "",
+    "HTTP/1.1 100 Continue\r\n\r\n",
+    "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n",
+};
+
+/// Checks a response of which only the first bytes came, none of them behind its head.
+void check_cut(ClientFixture& fixture, const CutPlan& plan, bool relayed) {
+  CAPTURE(plan.before);
+  CAPTURE(plan.bytes);
+  CAPTURE((plan.end == CutEnd::kReset));
+  CAPTURE(relayed);
+  const RecordedResponse response = fixture.play(plan, relayed);
+  CHECK_FALSE(response.complete);
+  CHECK(response.status == 0);
+  CHECK(response.body.empty());
+  CHECK(response.sent);
+  const bool may_be_unread = !plan.before.empty() && plan.bytes.empty();
+  CHECK(response.error == (may_be_unread ? HttpErrc::kStaleConnection : HttpErrc::kReset));
+}
+
+void check_all_cuts(bool relayed, bool reused) {
+  ClientFixture fixture;
+  for (const std::string_view interim : kInterimHeads) {
+    for (const std::string_view framing : kFramings) {
+      const std::string head = std::string(interim) + "HTTP/1.1 200 OK\r\nx-id: mine\r\n" +
+                               std::string(framing) + "\r\n";
+      for (std::size_t cut = 0; cut != head.size(); ++cut) {
+        for (const CutEnd end : {CutEnd::kClose, CutEnd::kReset}) {
+          check_cut(fixture, {reused ? kWhole : "", head.substr(0, cut), end}, relayed);
+        }
+      }
+    }
+  }
+}
+
+}  // namespace
+
+TEST_CASE("a connection that ends inside a response head never completes the response") {
+  SUBCASE("direct") {
+    check_all_cuts(false, false);
+  }
+  SUBCASE("relayed") {
+    check_all_cuts(true, false);
+  }
+}
