A reused connection that ends inside a response head is not stale

Cause: ClientExchange reported kStaleConnection for any end of a reused connection before a complete head, also when part of the head or an interim head had arrived. The gateway takes a stale connection for one whose request was probably never read: the run was missing in usage reports, the attempt did not count against its back end, which could be tried again at once, and a stream was retried rather than resumed. HttpBackendClient repeated the request by itself.

Change: once a byte of a head has arrived that does not belong to another request, such an end is kReset.

--- a/src/http/client_exchange.cc
+++ b/src/http/client_exchange.cc
@@ -278,6 +278,7 @@
     }
     input_.erase(0, parsed_.length);
     head_received_ = parsed_.head.status >= 200;
+    interim_received_ = !head_received_;
     if (!head_received_ && ++interim_heads_ > kMaxInterimHeads) {
       fail_with(HttpErrc::kReset, "too many interim responses");
       return false;
@@ -307,6 +308,11 @@
   return !value.empty() && value != request_.echo->value;
 }
 
+/// Whether part of a head, or an interim head, has arrived that does not belong to another request.
+bool ClientExchange::has_begun_head() const {
+  return !head_received_ && (interim_received_ || !input_.empty());
+}
+
 /// Called when the current response is complete; `trailing` holds the bytes after it.
 void ClientExchange::on_response_end(std::string trailing) {
   if (!skipping_) {
@@ -316,6 +322,7 @@
   skipped_response_ = true;
   skipping_ = false;
   head_received_ = false;
+  interim_received_ = false;
   chunks_ = ChunkDecoder();
   body_end_ = BodyEnd::kClose;
   input_ = std::move(trailing);
@@ -391,8 +398,12 @@
     return;
   }
   if (!head_received_ || skipping_) {
-    fail_with(reused_ ? HttpErrc::kStaleConnection : HttpErrc::kReset,
-              "connection closed before a response");
+    if (has_begun_head()) {
+      fail_with(HttpErrc::kReset, "connection closed inside the response head");
+    } else {
+      fail_with(reused_ ? HttpErrc::kStaleConnection : HttpErrc::kReset,
+                "connection closed before a response");
+    }
     return;
   }
   const bool whole = parsed_.head.ends_with_connection && status == IoStatus::kClosed &&
--- a/src/http/client_exchange.h
+++ b/src/http/client_exchange.h
@@ -45,6 +45,7 @@
   void process_body();
   void process_chunks();
   bool is_response_to_other_request() const;
+  bool has_begun_head() const;
   void deliver(std::string_view bytes);
   void on_response_end(std::string trailing);
   void on_peer_closed(IoStatus status);
@@ -76,6 +77,7 @@
   std::uint32_t interim_heads_ = 0;
   std::size_t skipped_bytes_ = 0;  ///< Of responses that belong to other requests.
   bool head_received_ = false;
+  bool interim_received_ = false;  ///< Before the head of the current response.
   bool skipping_ = false;          ///< The current response belongs to another request.
   bool skipped_response_ = false;  ///< Such a response was received on this connection.
   bool awaiting_relay_ = false;    ///< The relay has not stated yet whether it is connected.
--- a/src/http/errc.h
+++ b/src/http/errc.h
@@ -18,7 +18,8 @@
   kLinkCut,       ///< As kTimeout, but this node's link to the peer is known to be cut.
   kReset,         ///< The connection failed after bytes of the request may have been sent, or the
                   ///< response head is malformed or too large.
-  kStaleConnection,  ///< A reused connection failed before the response; bytes may have been sent.
+  kStaleConnection,  ///< A reused connection failed before the first byte of the response; bytes
+                     ///< may have been sent.
   kTruncated,  ///< The connection ended before the end of the response, or the chunked encoding
                ///< of the response is malformed.
   kTimeout,    ///< No complete response before the timeout, or the peer stopped acknowledging
--- a/src/http/tests/head_cut_short_test.cc
+++ b/src/http/tests/head_cut_short_test.cc
@@ -110,3 +110,24 @@
     check_all_cuts(true, false);
   }
 }
+
+// Guards against a request that is taken for unread although its response has begun.
+TEST_CASE("a reused connection that ends inside a response head is not stale") {
+  SUBCASE("direct") {
+    check_all_cuts(false, true);
+  }
+  SUBCASE("relayed") {
+    check_all_cuts(true, true);
+  }
+}
+
+// Guards against a request that counts as read because of an earlier one's surplus response.
+TEST_CASE("a reused connection that ends behind a response to another request is stale") {
+  const std::string surplus = "HTTP/1.1 200 OK\r\nx-id: other\r\ncontent-length: 5\r\n\r\nstray";
+  ClientFixture fixture;
+  for (const std::string& bytes : {surplus, surplus.substr(0, surplus.size() - 1),
+                                   "HTTP/1.1 100 Continue\r\n\r\n" + surplus}) {
+    CAPTURE(bytes);
+    CHECK(fixture.play({kWhole, bytes, CutEnd::kClose}, false).error == HttpErrc::kStaleConnection);
+  }
+}
