A head that states several lengths never ends by the first

Cause: the client took the first Content-Length of a response head and ignored others. A body that was cut short at the first of two differing lengths looked whole and went to its caller with a length of its own.

Change: lengths that differ, or of which one cannot be read, state no length; such a response never completes. The same length stated twice counts as before.

Result: of 13 heads with unusable framing, each directly and through a relay, the two whose first length is that of the body were complete before, none is now.

--- a/src/http/client_exchange.cc
+++ b/src/http/client_exchange.cc
@@ -5,6 +5,7 @@
 #include <cctype>
 #include <charconv>
 #include <chrono>
+#include <optional>
 #include <utility>
 
 #include "http/connection_relay.h"
@@ -64,6 +65,30 @@
   return std::max<Duration>(seconds(value) - kKeepAliveMargin, Duration::zero());
 }
 
+std::optional<std::size_t> parse_length(std::string_view text) {
+  std::size_t length = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), length);
+  const bool read = error == std::errc() && end == text.data() + text.size();
+  return read ? std::optional(length) : std::nullopt;
+}
+
+/// Returns the length of the body that the head states. Empty if it states none, if it states
+/// several, or if one cannot be read.
+std::optional<std::size_t> stated_length(const std::vector<Header>& headers) {
+  std::optional<std::size_t> stated;
+  for (const Header& header : headers) {
+    if (header.name != "content-length") {
+      continue;
+    }
+    const auto length = parse_length(header.value);
+    if (!length || (stated && *stated != *length)) {
+      return std::nullopt;
+    }
+    stated = length;
+  }
+  return stated;
+}
+
 bool has_no_body(std::uint16_t status, const std::string& method) {
   return status == 204 || status == 304 || method == "HEAD";
 }
@@ -333,18 +358,16 @@
 
 void ClientExchange::determine_framing() {
   const std::vector<Header>& headers = parsed_.head.headers;
-  const std::string_view length = find_header(headers, "content-length");
   if (has_no_body(parsed_.head.status, request_.method)) {
     body_end_ = BodyEnd::kNone;
   } else if (contains_ignore_case(find_header(headers, "transfer-encoding"), "chunked")) {
     body_end_ = BodyEnd::kChunked;
-  } else if (!length.empty()) {
-    const auto [end, error] =
-        std::from_chars(length.data(), length.data() + length.size(), body_left_);
-    const bool read = error == std::errc() && end == length.data() + length.size();
-    body_end_ = read ? BodyEnd::kLength : BodyEnd::kClose;
+  } else if (const auto length = stated_length(headers)) {
+    body_end_ = BodyEnd::kLength;
+    body_left_ = *length;
   }
-  parsed_.head.ends_with_connection = body_end_ == BodyEnd::kClose && length.empty();
+  parsed_.head.ends_with_connection =
+      body_end_ == BodyEnd::kClose && find_header(headers, "content-length").empty();
   const bool closes = contains_ignore_case(find_header(headers, "connection"), "close") ||
                       parsed_.minor_version == 0 || body_end_ == BodyEnd::kClose;
   idle_lifetime_ = closes || request_.fresh_connection
--- a/src/http/tests/head_cut_short_test.cc
+++ b/src/http/tests/head_cut_short_test.cc
@@ -1,4 +1,4 @@
-// Tests responses whose connection ends inside the head.
+// Tests responses whose connection ends inside the head, or whose head states no usable framing.
 // Guards against a response that was cut short and is taken for complete.
 #include <doctest/doctest.h>
 
@@ -100,6 +100,28 @@
   }
 }
 
+/// The lines of a head that frame its body, and what the server sends of the body.
+struct FramingRow {
+  const char* framing;
+  const char* body;
+};
+
+constexpr FramingRow kUnusableFramings[] = {
+    {"content-length: -3\r\n", "who"},
+    {"content-length: +3\r\n", "who"},
+    {"content-length: 0x3\r\n", "who"},
+    {"content-length: 3.0\r\n", "who"},
+    {"content-length: 3, 5\r\n", "who"},
+    {"content-length: three\r\n", "who"},
+    {"content-length: 99999999999999999999999\r\n", "who"},
+    {"content-length: 3\r\ncontent-length: 5\r\n", "who"},
+    {"content-length: 5\r\ncontent-length: 3\r\n", "who"},
+    {"content-length: 3\r\ncontent-length: x\r\n", "who"},
+    {"content-length: 3\r\ntransfer-encoding: chunked\r\n", "who"},
+    {"content-length: 8\r\ntransfer-encoding: chunked\r\n", "3\r\nwho\r\n"},
+    {"transfer-encoding: chunked\r\ncontent-length: 8\r\n", "3\r\nwho\r\n"},
+};
+
 }  // namespace
 
 TEST_CASE("a connection that ends inside a response head never completes the response") {
@@ -131,3 +153,29 @@
     CHECK(fixture.play({kWhole, bytes, CutEnd::kClose}, false).error == HttpErrc::kStaleConnection);
   }
 }
+
+TEST_CASE("a close never completes a response whose head states no usable framing") {
+  ClientFixture fixture;
+  for (const FramingRow& row : kUnusableFramings) {
+    CAPTURE(std::string(row.framing));
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nx-id: mine\r\n" + std::string(row.framing) + "\r\n";
+    for (const bool relayed : {false, true}) {
+      CAPTURE(relayed);
+      const RecordedResponse response =
+          fixture.play({"", head + std::string(row.body), CutEnd::kClose}, relayed);
+      CHECK_FALSE(response.complete);
+      CHECK(response.sent);
+    }
+  }
+}
+
+TEST_CASE("a response whose head states its length twice alike is complete") {
+  ClientFixture fixture;
+  const RecordedResponse response = fixture.play(
+      {"", "HTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 5\r\ncontent-length: 5\r\n\r\nwhole",
+       CutEnd::kClose},
+      false);
+  CHECK(response.complete);
+  CHECK(response.body == "whole");
+}
