A close does not end a response whose framing cannot be read

Cause: an empty Content-Length and a Transfer-Encoding other than chunks, or one with chunks in a second header, counted as no framing at all. An orderly close then completed the response wherever it came, with its raw bytes as the body.

Change: only a head that states neither lets the connection end its response. Any Transfer-Encoding header may name chunks; one that does not overrules a length.

Result: seven more heads, directly and through a relay: 14 of 14 were complete before, none is now.

--- a/src/http/client_exchange.cc
+++ b/src/http/client_exchange.cc
@@ -89,6 +89,17 @@
   return stated;
 }
 
+bool has_header(const std::vector<Header>& headers, std::string_view name) {
+  return std::any_of(headers.begin(), headers.end(),
+                     [&](const Header& header) { return header.name == name; });
+}
+
+bool is_chunked(const std::vector<Header>& headers) {
+  return std::any_of(headers.begin(), headers.end(), [](const Header& header) {
+    return header.name == "transfer-encoding" && contains_ignore_case(header.value, "chunked");
+  });
+}
+
 bool has_no_body(std::uint16_t status, const std::string& method) {
   return status == 204 || status == 304 || method == "HEAD";
 }
@@ -358,16 +369,19 @@
 
 void ClientExchange::determine_framing() {
   const std::vector<Header>& headers = parsed_.head.headers;
+  const bool encoded = has_header(headers, "transfer-encoding");
+  const auto length = stated_length(headers);
   if (has_no_body(parsed_.head.status, request_.method)) {
     body_end_ = BodyEnd::kNone;
-  } else if (contains_ignore_case(find_header(headers, "transfer-encoding"), "chunked")) {
+  } else if (is_chunked(headers)) {
     body_end_ = BodyEnd::kChunked;
-  } else if (const auto length = stated_length(headers)) {
+  } else if (length && !encoded) {
     body_end_ = BodyEnd::kLength;
     body_left_ = *length;
   }
+  // A close proves nothing if the head states a framing that the client cannot read.
   parsed_.head.ends_with_connection =
-      body_end_ == BodyEnd::kClose && find_header(headers, "content-length").empty();
+      body_end_ == BodyEnd::kClose && !encoded && !has_header(headers, "content-length");
   const bool closes = contains_ignore_case(find_header(headers, "connection"), "close") ||
                       parsed_.minor_version == 0 || body_end_ == BodyEnd::kClose;
   idle_lifetime_ = closes || request_.fresh_connection
--- a/src/http/tests/head_cut_short_test.cc
+++ b/src/http/tests/head_cut_short_test.cc
@@ -107,6 +107,8 @@
 };
 
 constexpr FramingRow kUnusableFramings[] = {
+    {"content-length:\r\n", "who"},
+    {"content-length: \r\n", "who"},
     {"content-length: -3\r\n", "who"},
     {"content-length: +3\r\n", "who"},
     {"content-length: 0x3\r\n", "who"},
@@ -117,9 +119,14 @@
     {"content-length: 3\r\ncontent-length: 5\r\n", "who"},
     {"content-length: 5\r\ncontent-length: 3\r\n", "who"},
     {"content-length: 3\r\ncontent-length: x\r\n", "who"},
+    {"content-length:\r\ncontent-length: 3\r\n", "who"},
     {"content-length: 3\r\ntransfer-encoding: chunked\r\n", "who"},
     {"content-length: 8\r\ntransfer-encoding: chunked\r\n", "3\r\nwho\r\n"},
     {"transfer-encoding: chunked\r\ncontent-length: 8\r\n", "3\r\nwho\r\n"},
+    {"content-length: 3\r\ntransfer-encoding: gzip\r\n", "who"},
+    {"transfer-encoding: gzip\r\n", "who"},
+    {"transfer-encoding:\r\n", "who"},
+    {"transfer-encoding: gzip\r\ntransfer-encoding: chunked\r\n", "3\r\nwho\r\n"},
 };
 
 }  // namespace
