Folded header lines of a response continue the value before them

Cause: the parser returns a folded line as a header without a name, and the client took it as one. A length of "3" folded onto "0" counted as 3, so a body that was cut short there looked whole; a length that stands on a folded line was not read.

Change: parse_head() joins such a line to the value before it with a space, as HTTP asks of those that pass a message on.

Result: the folded length "3 0", directly and through a relay, and a whole response whose length is folded: red before, green now.

--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -34,6 +34,21 @@
   return lowered;
 }
 
+/// Adds a header, or continues the value of the last one: the parser returns a folded line as a
+/// header without a name.
+void append_line(const PhrHeader& line, std::vector<Header>& headers) {
+  const std::string_view value(line.value, line.value_len);
+  if (line.name_len != 0 || headers.empty()) {
+    headers.push_back({lower_case({line.name, line.name_len}), std::string(value)});
+    return;
+  }
+  std::string& folded = headers.back().value;
+  const std::size_t begin = value.find_first_not_of(" \t");
+  if (begin != std::string_view::npos) {
+    folded.append(folded.empty() ? "" : " ").append(value.substr(begin));
+  }
+}
+
 }  // namespace
 
 ParseOutcome parse_head(std::string_view bytes, ParsedHead& parsed) {
@@ -55,9 +70,7 @@
   parsed.head.headers.clear();
   parsed.head.headers.reserve(count);
   for (std::size_t i = 0; i != count; ++i) {
-    const PhrHeader& header = headers.at(i);
-    parsed.head.headers.push_back(
-        {lower_case({header.name, header.name_len}), std::string(header.value, header.value_len)});
+    append_line(headers.at(i), parsed.head.headers);
   }
   return ParseOutcome::kComplete;
 }
--- a/src/http/tests/head_cut_short_test.cc
+++ b/src/http/tests/head_cut_short_test.cc
@@ -109,6 +109,8 @@
 constexpr FramingRow kUnusableFramings[] = {
     {"content-length:\r\n", "who"},
     {"content-length: \r\n", "who"},
+    {"content-length:\r\n 5\r\n", "who"},
+    {"content-length: 3\r\n 0\r\n", "who"},
     {"content-length: -3\r\n", "who"},
     {"content-length: +3\r\n", "who"},
     {"content-length: 0x3\r\n", "who"},
@@ -127,6 +129,7 @@
     {"transfer-encoding: gzip\r\n", "who"},
     {"transfer-encoding:\r\n", "who"},
     {"transfer-encoding: gzip\r\ntransfer-encoding: chunked\r\n", "3\r\nwho\r\n"},
+    {"transfer-encoding:\r\n chunked\r\n", "3\r\nwho\r\n"},
 };
 
 }  // namespace
@@ -186,3 +189,17 @@
   CHECK(response.complete);
   CHECK(response.body == "whole");
 }
+
+TEST_CASE("a folded header line continues the value before it") {
+  ClientFixture fixture;
+  const RecordedResponse response = fixture.play(
+      {"",
+       "HTTP/1.1 200 OK\r\nx-id: mine\r\nx-text: one\r\n \t two\r\n \r\ncontent-length:\r\n "
+       "5\r\n\r\nwhole",
+       CutEnd::kClose},
+      false);
+  CHECK(response.complete);
+  CHECK(response.body == "whole");
+  REQUIRE(response.headers.size() == 3);
+  CHECK(http::find_header(response.headers, "x-text") == "one two");
+}
--- a/src/http/tests/recorded_response.h
+++ b/src/http/tests/recorded_response.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "http/client.h"
 
@@ -12,7 +13,10 @@
 
 struct RecordedResponse final : ResponseObserver {
   explicit RecordedResponse(EventLoop& event_loop) : loop(event_loop) {}
-  void on_head(const ResponseHead& head) override { status = head.status; }
+  void on_head(const ResponseHead& head) override {
+    status = head.status;
+    headers = head.headers;
+  }
   void on_body(std::string_view bytes) override {
     body.append(bytes);
     if (after_body) {
@@ -31,6 +35,7 @@
 
   EventLoop& loop;
   int status = 0;
+  std::vector<Header> headers;
   std::string body;
   bool complete = false;
   bool sent = false;
