Tests of heads that are cut short or unusable, through a node to its callers

Callers of HTTP/1.1, HTTP/1.0, with and without Connection: keep-alive, and HTTP/2 ask for an ordinary answer and for a stream. The back end breaks off in each line of its head, behind each and in the blank line, by turns with a close and a reset, in four framings; or it states a framing that cannot be read and closes in order.

Result: no caller gets a success, or a stream that looks complete.

--- a/src/gateway_node/tests/broken_answer_test.cc
+++ b/src/gateway_node/tests/broken_answer_test.cc
@@ -5,8 +5,10 @@
 
 #include <algorithm>
 #include <cctype>
+#include <iterator>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "gateway_node/tests/http2_caller.h"
 #include "gateway_node/tests/raw_backend.h"
@@ -260,6 +262,59 @@
   }
 }
 
+/// Places inside a head: in each of its lines, behind each line, and in the blank line at its end.
+std::vector<std::size_t> cuts_of_head(std::string_view head) {
+  std::vector<std::size_t> cuts{1};
+  for (std::size_t end = head.find("\r\n"); end + 2 < head.size();
+       end = head.find("\r\n", end + 2)) {
+    cuts.insert(cuts.end(), {end - 1, end, end + 1, end + 2});
+  }
+  cuts.push_back(head.size() - 1);
+  return cuts;
+}
+
+template <class Caller>
+void check_cut_heads() {
+  for (const Framing& framing : kFramings) {
+    for (const std::string_view path : {"/short/1", "/stream/1"}) {
+      const bool streams = path == "/stream/1";
+      const std::string head =
+          framing.encode(streams ? "text/event-stream" : "text/plain", "", false);
+      const auto cuts = cuts_of_head(head);
+      for (std::size_t i = 0; i != cuts.size(); ++i) {
+        const Manner& manner = kManners[i % std::size(kManners)];
+        CAPTURE(std::string(framing.name));
+        CAPTURE(std::string(manner.name));
+        CAPTURE(head.substr(0, cuts[i]));
+        CHECK_FALSE(exchange<Caller>(path, head.substr(0, cuts[i]), manner).success);
+      }
+    }
+  }
+}
+
+/// Lines of heads that frame their body in a way that cannot be read.
+constexpr std::string_view kUnusableFramings[] = {
+    "content-length:\r\n",
+    "content-length: -3\r\n",
+    "content-length: 14\r\ncontent-length: 28\r\n",
+    "content-length: 14\r\n 0\r\n",
+    "transfer-encoding: gzip\r\n",
+};
+
+/// The body ends behind a whole event, so that the framing alone tells that more is missing.
+template <class Caller>
+void check_unusable_framings() {
+  for (const std::string_view framing : kUnusableFramings) {
+    CAPTURE(std::string(framing));
+    const Received ordinary = exchange<Caller>(
+        "/short/1", make_head("HTTP/1.1", "text/plain", framing) + kEvent, kManners[0]);
+    CHECK_FALSE(ordinary.success);
+    const Received stream = exchange<Caller>(
+        "/stream/1", make_head("HTTP/1.1", "text/event-stream", framing) + kEvent, kManners[0]);
+    CHECK_FALSE((stream.success && stream.complete));
+  }
+}
+
 template <class Caller>
 void check_whole_streams() {
   for (const Framing& framing : kFramings) {
@@ -306,6 +361,26 @@
   check_cut_streams<FrameCaller>();
 }
 
+TEST_CASE("HTTP/1.1: an answer cut off inside its head is never a success") {
+  check_cut_heads<Http11Caller>();
+}
+
+TEST_CASE("HTTP/1.0: an answer cut off inside its head is never a success") {
+  check_cut_heads<Http10Caller>();
+  check_cut_heads<Http10KeepAliveCaller>();
+}
+
+TEST_CASE("HTTP/2: an answer cut off inside its head is never a success") {
+  check_cut_heads<FrameCaller>();
+}
+
+TEST_CASE("an answer whose head states no usable framing never looks complete") {
+  check_unusable_framings<Http11Caller>();
+  check_unusable_framings<Http10Caller>();
+  check_unusable_framings<Http10KeepAliveCaller>();
+  check_unusable_framings<FrameCaller>();
+}
+
 TEST_CASE("a stream aborted while its caller does not read never looks complete") {
   check_aborted_while_blocked<Http11Caller>([](auto& /*caller*/) {});
   check_aborted_while_blocked<Http10Caller>([](auto& /*caller*/) {});
