--- a/src/http/client_exchange.cc
+++ b/src/http/client_exchange.cc
@@ -5,6 +5,7 @@
 #include <cctype>
 #include <charconv>
 #include <chrono>
+#include <optional>
 #include <utility>
 
 #include "http/connection_relay.h"
@@ -64,6 +65,41 @@
   return std::max<Duration>(seconds(value) - kKeepAliveMargin, Duration::zero());
 }
 
+std::optional<std::size_t> parse_length(std::string_view text) {
+  std::size_t length = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), length);
+  const bool read = error == std::errc() && end == text.data() + text.size();
+  return read ? std::optional(length) : std::nullopt;
+}
+
+/// Returns the length of the body that the head states. Empty if it states none, if it states
+/// several, or if one cannot be read.
+std::optional<std::size_t> stated_length(const std::vector<Header>& headers) {
+  std::optional<std::size_t> stated;
+  for (const Header& header : headers) {
+    if (header.name != "content-length") {
+      continue;
+    }
+    const auto length = parse_length(header.value);
+    if (!length || (stated && *stated != *length)) {
+      return std::nullopt;
+    }
+    stated = length;
+  }
+  return stated;
+}
+
+bool has_header(const std::vector<Header>& headers, std::string_view name) {
+  return std::any_of(headers.begin(), headers.end(),
+                     [&](const Header& header) { return header.name == name; });
+}
+
+bool is_chunked(const std::vector<Header>& headers) {
+  return std::any_of(headers.begin(), headers.end(), [](const Header& header) {
+    return header.name == "transfer-encoding" && contains_ignore_case(header.value, "chunked");
+  });
+}
+
 bool has_no_body(std::uint16_t status, const std::string& method) {
   return status == 204 || status == 304 || method == "HEAD";
 }
@@ -278,6 +314,7 @@
     }
     input_.erase(0, parsed_.length);
     head_received_ = parsed_.head.status >= 200;
+    interim_received_ = !head_received_;
     if (!head_received_ && ++interim_heads_ > kMaxInterimHeads) {
       fail_with(HttpErrc::kReset, "too many interim responses");
       return false;
@@ -307,6 +344,11 @@
   return !value.empty() && value != request_.echo->value;
 }
 
+/// Whether part of a head, or an interim head, has arrived that does not belong to another request.
+bool ClientExchange::has_begun_head() const {
+  return !head_received_ && (interim_received_ || !input_.empty());
+}
+
 /// Called when the current response is complete; `trailing` holds the bytes after it.
 void ClientExchange::on_response_end(std::string trailing) {
   if (!skipping_) {
@@ -316,6 +358,7 @@
   skipped_response_ = true;
   skipping_ = false;
   head_received_ = false;
+  interim_received_ = false;
   chunks_ = ChunkDecoder();
   body_end_ = BodyEnd::kClose;
   input_ = std::move(trailing);
@@ -326,18 +369,19 @@
 
 void ClientExchange::determine_framing() {
   const std::vector<Header>& headers = parsed_.head.headers;
-  const std::string_view length = find_header(headers, "content-length");
+  const bool encoded = has_header(headers, "transfer-encoding");
+  const auto length = stated_length(headers);
   if (has_no_body(parsed_.head.status, request_.method)) {
     body_end_ = BodyEnd::kNone;
-  } else if (contains_ignore_case(find_header(headers, "transfer-encoding"), "chunked")) {
+  } else if (is_chunked(headers)) {
     body_end_ = BodyEnd::kChunked;
-  } else if (!length.empty()) {
-    const auto [end, error] =
-        std::from_chars(length.data(), length.data() + length.size(), body_left_);
-    const bool read = error == std::errc() && end == length.data() + length.size();
-    body_end_ = read ? BodyEnd::kLength : BodyEnd::kClose;
+  } else if (length && !encoded) {
+    body_end_ = BodyEnd::kLength;
+    body_left_ = *length;
   }
-  parsed_.head.ends_with_connection = body_end_ == BodyEnd::kClose && length.empty();
+  // A close proves nothing if the head states a framing that the client cannot read.
+  parsed_.head.ends_with_connection =
+      body_end_ == BodyEnd::kClose && !encoded && !has_header(headers, "content-length");
   const bool closes = contains_ignore_case(find_header(headers, "connection"), "close") ||
                       parsed_.minor_version == 0 || body_end_ == BodyEnd::kClose;
   idle_lifetime_ = closes || request_.fresh_connection
@@ -391,8 +435,12 @@
     return;
   }
   if (!head_received_ || skipping_) {
-    fail_with(reused_ ? HttpErrc::kStaleConnection : HttpErrc::kReset,
-              "connection closed before a response");
+    if (has_begun_head()) {
+      fail_with(HttpErrc::kReset, "connection closed inside the response head");
+    } else {
+      fail_with(reused_ ? HttpErrc::kStaleConnection : HttpErrc::kReset,
+                "connection closed before a response");
+    }
     return;
   }
   const bool whole = parsed_.head.ends_with_connection && status == IoStatus::kClosed &&
