Reject addresses with a NUL byte in the host

Cause: the host of a server's address was handed to inet_pton() as a C string, which reads it up to a NUL byte, so an entry with "10.1.2.3\u0000x:80" got into the list under a text that is no address.

--- a/src/base/socket_address.cc
+++ b/src/base/socket_address.cc
@@ -53,6 +53,10 @@
     return std::nullopt;
   }
   const std::string host = text.substr(0, colon);
+  if (host.find('\0') != std::string::npos) {
+    // The system's functions would read the text up to there only.
+    return std::nullopt;
+  }
   if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
     return make_ipv6(host.substr(1, host.size() - 2), port);
   }
--- a/src/base/tests/socket_address_test.cc
+++ b/src/base/tests/socket_address_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <string>
+
 namespace ochrespring {
 
 TEST_CASE("endpoints round-trip through socket addresses") {
@@ -20,4 +22,11 @@
   }
 }
 
+TEST_CASE("an address with a NUL byte is rejected instead of being read up to there") {
+  const std::string ipv4 = std::string("127.0.0.1") + '\0' + "x:80";
+  const std::string ipv6 = std::string("[::1") + '\0' + "x]:80";
+  CHECK_FALSE(parse_endpoint(Endpoint(ipv4)).has_value());
+  CHECK_FALSE(parse_endpoint(Endpoint(ipv6)).has_value());
+}
+
 }  // namespace ochrespring
