Reject a node's entry whose address is not an address

Cause: entries of nodes are binary, so an address can hold any bytes. The page that lists the nodes for callers renders it as JSON, which throws for text that is not UTF-8: each node that was asked ended, and again after a restart.

An entry whose address is not printable text is rejected and counted.

--- a/src/base/socket_address.cc
+++ b/src/base/socket_address.cc
@@ -63,6 +63,11 @@
   return make_ipv4(host, port);
 }
 
+bool is_remote_endpoint(const Endpoint& endpoint) {
+  const auto address = parse_endpoint(endpoint);
+  return address && !format_endpoint(address->get()).value().ends_with(":0");
+}
+
 Endpoint format_endpoint(const sockaddr* address) {
   std::array<char, INET6_ADDRSTRLEN> host{};
   if (address->sa_family == AF_INET) {
--- a/src/base/socket_address.h
+++ b/src/base/socket_address.h
@@ -23,6 +23,9 @@
 /// Parses `127.0.0.1:8080` or `[::1]:8080`; empty if the text is neither.
 std::optional<SocketAddress> parse_endpoint(const Endpoint& endpoint);
 
+/// Returns whether the text is an IP address and a port other than 0, which one can connect to.
+bool is_remote_endpoint(const Endpoint& endpoint);
+
 /// Formats a socket address; empty for families other than IPv4 and IPv6.
 Endpoint format_endpoint(const sockaddr* address);
 
--- a/src/discovery/entry_reader.cc
+++ b/src/discovery/entry_reader.cc
@@ -1,11 +1,22 @@
 #include "discovery/entry_reader.h"
 
+#include <algorithm>
+#include <string>
 #include <utility>
 
 #include "wire/codec.h"
 
 namespace ochrespring::discovery {
 
+namespace {
+
+bool is_printable(const std::string& text) {
+  return !text.empty() &&
+         std::all_of(text.begin(), text.end(), [](char byte) { return byte > ' ' && byte < 0x7f; });
+}
+
+}  // namespace
+
 std::optional<gateway::Backend> EntryReader::read_backend(const shared_store::Change& entry) {
   const std::string name = entry.key.substr(codec_.layout().backend_prefix.size());
   auto backend = codec_.read_backend(name, *entry.value);
@@ -27,6 +38,10 @@
     reject(entry.key, "the record's node id does not match the key");
     return std::nullopt;
   }
+  if (!is_printable(node.value().address.value())) {
+    reject(entry.key, "the record's address is not a text");
+    return std::nullopt;
+  }
   return std::move(node.value());
 }
 
--- a/src/discovery/tests/discovery_test.cc
+++ b/src/discovery/tests/discovery_test.cc
@@ -201,6 +201,24 @@
   CHECK(fixture.watcher.rejected_values() == 2);
 }
 
+TEST_CASE("a node's entry with an odd address is rejected, and callers are not sent there") {
+  WatcherFixture fixture;
+  fixture.watcher.start();
+  std::vector<Change> entries;
+  for (const char* address : {"", "\xff\xfe:80", "2.2.2.2:80\r\nx: y", "2.2.2.2 :80", "\x01"}) {
+    const std::string name = "odd-" + std::to_string(entries.size());
+    const NodeRecord odd{NodeId(name), Endpoint(address), ZoneName("b"), Endpoint("127.0.0.1:9")};
+    entries.push_back(make_change("nodes/" + name, wire::encode(odd), 9));
+  }
+  const NodeRecord good{NodeId("good"), Endpoint("2.2.2.2:2"), ZoneName("b"),
+                        Endpoint("127.0.0.1:9")};
+  entries.push_back(make_change("nodes/good", wire::encode(good), 9));
+  fixture.list(10, std::move(entries));
+  CHECK(fixture.nodes.count() == 2);
+  CHECK(fixture.nodes.others().contains(good.node));
+  CHECK(fixture.watcher.rejected_values() == 5);
+}
+
 TEST_CASE(
     "the conservative node count is an upper bound while registrations are added and removed") {
   simulation::VirtualTime time;
