--- a/src/discovery/fleet_watcher.h
+++ b/src/discovery/fleet_watcher.h
@@ -150,7 +150,9 @@
   /// Returns the configuration document as stored; empty if there is none yet.
   const std::string& configuration_in_force() const { return writer_.configuration_in_force(); }
   const FleetWatcherStatistics& statistics() const { return statistics_; }
-  std::uint64_t rejected_values() const { return writer_.rejected_values(); }
+  std::uint64_t rejected_values() const {
+    return writer_.rejected_values() + deps_.store.rejected_items();
+  }
 
  private:
   /// The result of a poll.
--- a/src/shared_store/store.h
+++ b/src/shared_store/store.h
@@ -107,6 +107,8 @@
   virtual bool names_era() const { return false; }
   /// Returns the newest known era of the store; nullopt if nothing is known about the store yet.
   virtual std::optional<StoreEra> era() const { return StoreEra(); }
+  /// Returns the number of items that were left out of answers because they could not be read.
+  virtual std::uint64_t rejected_items() const { return 0; }
 };
 
 }  // namespace ochrespring::shared_store
