--- a/src/base/socket_address.cc
+++ b/src/base/socket_address.cc
@@ -53,12 +53,21 @@
     return std::nullopt;
   }
   const std::string host = text.substr(0, colon);
+  if (host.find('\0') != std::string::npos) {
+    // The system's functions would read the text up to there only.
+    return std::nullopt;
+  }
   if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
     return make_ipv6(host.substr(1, host.size() - 2), port);
   }
   return make_ipv4(host, port);
 }
 
+bool is_remote_endpoint(const Endpoint& endpoint) {
+  const auto address = parse_endpoint(endpoint);
+  return address && !format_endpoint(address->get()).value().ends_with(":0");
+}
+
 Endpoint format_endpoint(const sockaddr* address) {
   std::array<char, INET6_ADDRSTRLEN> host{};
   if (address->sa_family == AF_INET) {
