Random tests of requests with open attempts, pending claims and prefill calls

Each step checks the order of events, the route's attempts, the charges and the use of cache handles; the end checks that loads, prefill tokens and charges are settled.

--- a/src/gateway/tests/open_attempts_test.cc
+++ b/src/gateway/tests/open_attempts_test.cc
@@ -1,11 +1,15 @@
 // Tests of what several open attempts of one request must not do: run a request twice, exceed the
 // limits of its route, or hide a back end that does not answer.
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "tests/fake_gate.h"
@@ -44,13 +48,21 @@
     configuration.routes.push_back(make_route("/thrice/", RequestKind::kStreaming, "llm", 3, true));
     configuration.routes.push_back(
         make_route("/once-or-refused/", RequestKind::kStreaming, "llm", 3, false));
+    configuration.routes.push_back(
+        make_route("/idempotent-thrice/", RequestKind::kIdempotent, "relay", 3, false));
+    Route long_once = make_route("/long-once/", RequestKind::kStreaming, "llm", 3, false);
+    long_once.timeout = 20s;
+    configuration.routes.push_back(std::move(long_once));
+    Route long_route = make_route("/long/", RequestKind::kStreaming, "llm", 3, true);
+    long_route.timeout = 20s;
+    configuration.routes.push_back(std::move(long_route));
     configuration.services[1].engine->backs_up_streams = replicated;
     configuration.services[1].engine->tokens_per_event = 75;
     fleet.apply(std::move(configuration));
     for (const char* id : {"e1", "e2", "e3", "e4"}) {
       add_backend(id, "llm", EngineRole::kDecode);
     }
-    for (const char* id : {"b1", "b2"}) {
+    for (const char* id : {"b1", "b2", "b3"}) {
       add_backend(id, "relay");
     }
     Environment made = environment_with(nullptr, &gate);
@@ -198,7 +210,11 @@
 TEST_CASE("a silent attempt is counted once") {
   ReviewFixture f;
   f.ask("/idempotent/x");
-  f.fleet.remove(BackendId(f.backend_of(0).value() == "b1" ? "b2" : "b1"));
+  for (const char* id : {"b1", "b2", "b3"}) {
+    if (f.backend_of(0) != BackendId(id)) {
+      f.fleet.remove(BackendId(id));
+    }
+  }
   f.advance(kAnswerTimeout * 4);
   CHECK(f.sends() == 1);
   CHECK(f.statistics.attempts_stalled == 1);
@@ -288,3 +304,210 @@
   }
   CHECK(f.runs() == 2);
 }
+
+TEST_CASE("a signed error is delivered at once when the only other back end left is silent") {
+  ReviewFixture f;
+  const auto caller = f.ask("/idempotent-thrice/x");
+  f.advance(kAnswerTimeout);
+  REQUIRE(f.sends() == 2);
+  f.attempt(1).answer(500, {f.signature()}, "failed");
+  REQUIRE(f.sends() == 3);
+  f.refuse(2);
+  CHECK(caller->head.status == 500);
+}
+
+namespace {
+
+/// What one back end has done.
+struct BackendState {
+  bool head = false;
+  bool not_sent = false;
+  bool refused = false;
+  bool inside_event = false;
+  std::uint64_t last_event = 0;
+};
+
+/// Drives one request with whatever its back ends and the gate may do.
+struct RandomRequest {
+  RandomRequest(const std::string& path, bool replicated, bool with_prefill) : f(replicated) {
+    std::vector<http::Header> prompt = kLongPrompt;
+    prompt.back().value = "18000,6000";
+    caller = f.ask(path, prompt);
+    send_part(f.attempt(0), states[0], false);
+    send_part(f.attempt(0), states[0], false);
+    if (with_prefill) {
+      f.add_backend("p1", "llm", EngineRole::kPrefill);
+    }
+  }
+
+  void step(std::uint8_t selector, std::uint8_t action) {
+    const std::size_t index = selector % f.sends();
+    FakeExchange& exchange = f.attempt(index);
+    if (action < 4) {
+      f.advance(std::chrono::milliseconds(selector % 2 == 0 ? 450 : 900));
+    } else if (action == 4) {
+      f.gate.claims_pending = !f.gate.claims_pending;
+    } else if (action < 7 && !f.gate.claims.empty()) {
+      f.gate.settle(action == 5);
+      f.gate.full.clear();
+    } else if (action == 15) {
+      const BackendId engine = f.backend_of(index);
+      f.fleet.remove(engine);
+      f.gateway_under_test->on_backend_unregistered(engine);
+    } else if (exchange.open && !exchange.header(f.names.phase).empty()) {
+      answer_prefill(exchange, action);
+    } else if (exchange.open) {
+      answer_run(exchange, states[index], action);
+    }
+  }
+
+  void answer_prefill(FakeExchange& exchange, std::uint8_t action) {
+    if (action == 7) {
+      exchange.answer(503, {{f.names.not_run, "1"}}, "");
+    } else if (action == 9) {
+      exchange.fail(HttpErrc::kReset, true);
+    } else if (action > 9) {
+      exchange.answer(200, {}, "handle=h" + std::to_string(f.sends()));
+    }
+  }
+
+  void answer_run(FakeExchange& exchange, BackendState& state, std::uint8_t action) {
+    if (action == 7 && !state.head) {
+      state.refused = true;
+      exchange.answer(503, {{f.names.not_run, "1"}}, "");
+    } else if (action == 8 && !state.head) {
+      state.not_sent = true;
+      exchange.fail(HttpErrc::kConnect, false);
+    } else if (action == 9) {
+      exchange.fail(HttpErrc::kReset, true);
+    } else if (action > 9) {
+      send_part(exchange, state, action < 12);
+    }
+  }
+
+  void send_part(FakeExchange& exchange, BackendState& state, bool half) {
+    if (!std::exchange(state.head, true)) {
+      const std::string after = exchange.header("last-event-id");
+      state.last_event = after.empty() ? 0 : std::stoull(after);
+      exchange.observer->on_head({200, {f.signature()}});
+      return;
+    }
+    const std::string whole = event(state.last_event + 1);
+    const std::string part = state.inside_event
+                                 ? whole.substr(whole.size() / 2)
+                                 : whole.substr(0, half ? whole.size() / 2 : whole.size());
+    state.inside_event = !state.inside_event && half;
+    state.last_event += state.inside_event ? 0 : 1;
+    exchange.observer->on_body(part);
+  }
+
+  std::size_t arrived() {
+    std::size_t count = 0;
+    for (std::size_t i = 0; i != f.sends(); ++i) {
+      count += f.attempt(i).header(f.names.phase).empty() && !states[i].not_sent ? 1 : 0;
+    }
+    return count;
+  }
+  /// Back ends that may have run the request, without those that resume another one's run.
+  std::size_t may_have_run() {
+    std::size_t count = 0;
+    for (std::size_t i = 0; i != f.sends(); ++i) {
+      const bool resumes = f.attempt(i).header(f.names.cache_source).ends_with("/r1");
+      count += !resumes && !states[i].not_sent && !states[i].refused ? 1 : 0;
+    }
+    return count;
+  }
+  /// Whether the answer of an open attempt is read.
+  bool reads() {
+    return std::any_of(f.transport.started.begin(), f.transport.started.end(),
+                       [](const auto& exchange) { return exchange->open && exchange->reading; });
+  }
+  std::size_t open() {
+    return static_cast<std::size_t>(
+        std::count_if(f.transport.started.begin(), f.transport.started.end(),
+                      [](const auto& exchange) { return exchange->open; }));
+  }
+  std::size_t most_uses_of_a_handle() {
+    std::map<std::string, std::size_t> uses;
+    for (std::size_t i = 0; i != f.sends(); ++i) {
+      const std::string handle = f.attempt(i).header(f.names.cache_source);
+      uses[handle] += !handle.empty() && !states[i].not_sent ? 1 : 0;
+    }
+    std::size_t most = 0;
+    for (const auto& [handle, count] : uses) {
+      most = std::max(most, count);
+    }
+    return most;
+  }
+  bool events_in_order() const {
+    if (caller->head.status != 200) {
+      return true;
+    }
+    std::string expected;
+    for (std::uint64_t id = 1; expected.size() < caller->body.size(); ++id) {
+      expected += event(id);
+    }
+    return expected == caller->body;
+  }
+
+  ReviewFixture f;
+  std::shared_ptr<FakeCaller> caller;
+  std::map<std::size_t, BackendState> states;
+};
+
+void check_random_requests(const std::string& path, bool replicated, bool with_prefill) {
+  CHECK(rc::check([=] {
+    RandomRequest r(path, replicated, with_prefill);
+    // Without the fixed size, small sequences would consist of the first few actions.
+    const auto number = [](std::uint8_t end) {
+      return rc::gen::resize(rc::kNominalSize, rc::gen::inRange<std::uint8_t>(0, end));
+    };
+    const auto steps = *rc::gen::container<std::vector<std::pair<std::uint8_t, std::uint8_t>>>(
+        rc::gen::pair(number(60), number(replicated ? 16 : 15)));
+    for (const auto& [selector, action] : steps) {
+      if (r.caller->ended()) {
+        break;
+      }
+      r.step(selector, action);
+      RC_ASSERT(r.events_in_order());
+      RC_ASSERT(replicated || r.arrived() <= 3U);
+      RC_ASSERT(r.arrived() <= r.f.statistics.retries + 1);
+      RC_ASSERT(path == "/long/x" || r.may_have_run() <= 1U);
+      RC_ASSERT(r.most_uses_of_a_handle() <= 1U);
+      RC_ASSERT(r.caller->ended() || r.reads() || !r.f.gate.claims.empty());
+    }
+    r.f.advance(21s);
+    while (!r.f.gate.claims.empty()) {
+      r.f.gate.settle(true);
+    }
+    RC_ASSERT(r.open() == 0U);
+    RC_ASSERT(r.f.gateway_under_test->running() == 0U);
+    for (const auto& [id, load] : r.f.loads.all()) {
+      RC_ASSERT(load.in_flight() == 0U);
+      RC_ASSERT(load.pending_prefill_tokens() == 0U);
+    }
+    r.f.advance(11s);
+    r.f.unanswered.drop_expired(r.f.time.now());
+    r.f.advance(11s);
+    RC_ASSERT(r.f.budget.use(ServiceName("llm"), 1, r.f.time.now()).charged == 0U);
+  }));
+}
+
+}  // namespace
+
+TEST_CASE("whatever back ends and the gate do, limits of a request hold and nothing leaks") {
+  check_random_requests("/long/x", false, false);
+}
+
+TEST_CASE("whatever back ends, prefill engines and the gate do, limits of a request hold") {
+  check_random_requests("/long/x", false, true);
+}
+
+TEST_CASE(
+    "whatever engines that back each other up do, a stream that must not run twice does not") {
+  check_random_requests("/long-once/x", true, false);
+}
+
+TEST_CASE("whatever engines that back each other up do, a retryable stream keeps its limits") {
+  check_random_requests("/long/x", true, false);
+}
