Shorter limits of a configuration end no upload under way

What callers saw: an upload that began before a configuration lowered the idle timeout or the largest body was closed without an answer, or rejected with 413. Cause: both limits are fields of h2o that it reads while a request is being read, and a configuration wrote them at once. The idle timeout also limits the time for reading a request. Change: a decrease waits for the former idle timeout, by which each request that was being read has been read or has timed out. An increase holds at once.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -121,9 +121,22 @@
   h2o_socket_t* listener = nullptr;
   Endpoint bound;
   Timer accept_pause;
+  /// Limits on what callers send. They may be below those in force for a while.
+  struct Limits {
+    std::uint64_t body_bytes = 0;
+    std::uint64_t idle_milliseconds = 0;
+
+    bool operator==(const Limits&) const = default;
+  };
+  Limits limits;
+  Timer decrease_timer;
 
   State(EventLoop& event_loop, ServerSettings server_settings)
-      : loop(event_loop), settings(std::move(server_settings)), accept_pause(event_loop) {
+      : loop(event_loop),
+        settings(std::move(server_settings)),
+        accept_pause(event_loop),
+        limits{settings.largest_body_bytes, to_milliseconds(settings.idle_timeout)},
+        decrease_timer(event_loop) {
     h2o_config_init(&config);
     config.server_name = to_iovec("ochrespring");
     config.max_request_entity_size = settings.largest_body_bytes;
@@ -149,6 +162,23 @@
   State(const State&) = delete;
   State& operator=(const State&) = delete;
 
+  /// A request that is being read began under the former limits. So a decrease waits until it has
+  /// been read or has timed out.
+  void set_limits(const Limits& wanted) {
+    if (wanted == limits) {
+      return;
+    }
+    limits = wanted;
+    std::uint64_t& idle_milliseconds = context.http1.req_timeout.timeout;
+    idle_milliseconds = std::max(idle_milliseconds, limits.idle_milliseconds);
+    config.max_request_entity_size =
+        std::max<std::size_t>(config.max_request_entity_size, limits.body_bytes);
+    decrease_timer.arm(std::chrono::milliseconds(idle_milliseconds), [this] {
+      context.http1.req_timeout.timeout = limits.idle_milliseconds;
+      config.max_request_entity_size = limits.body_bytes;
+    });
+  }
+
   static int on_request(h2o_handler_t* handler, h2o_req_t* request) {
     reinterpret_cast<HandlerSlot*>(handler)->owner->dispatch(request);
     return 0;
@@ -272,11 +302,11 @@
 }
 
 void Server::set_largest_body(std::uint64_t bytes) {
-  state_->config.max_request_entity_size = bytes;
+  state_->set_limits({bytes, state_->limits.idle_milliseconds});
 }
 
 void Server::set_idle_timeout(Duration timeout) {
-  state_->context.http1.req_timeout.timeout = to_milliseconds(timeout);
+  state_->set_limits({state_->limits.body_bytes, to_milliseconds(timeout)});
 }
 
 void Server::stop_accepting() {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -78,9 +78,11 @@
   /// From now on every response announces that its connection closes. New connections are still
   /// accepted.
   void announce_close();
-  /// Sets the maximum size of a request body for later requests.
+  /// Sets the maximum size of a request body. A smaller one holds once the requests that are being
+  /// read have been read or have timed out.
   void set_largest_body(std::uint64_t bytes);
-  /// Sets the idle timeout of HTTP/1.1 connections.
+  /// Sets the idle timeout of HTTP/1.1 connections. A shorter one holds once the former one has
+  /// passed, since it limits the time for reading a request as well.
   void set_idle_timeout(Duration timeout);
   /// Closes the listener and announces the close of all connections; requests in progress continue.
   /// Connections that the kernel has already accepted for this server are accepted first, because
--- a/src/http/tests/server_client_test.cc
+++ b/src/http/tests/server_client_test.cc
@@ -1,5 +1,7 @@
 // Tests the server and the client against each other on real sockets.
+#include <arpa/inet.h>
 #include <doctest/doctest.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -68,6 +70,16 @@
   }
 };
 
+/// Address of a server that listens on loopback.
+sockaddr_in loopback_address(const Endpoint& endpoint) {
+  const std::string& text = endpoint.value();
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(static_cast<std::uint16_t>(std::stoi(text.substr(text.rfind(':') + 1))));
+  return address;
+}
+
 }  // namespace
 
 TEST_CASE("an endpoint is an IP address and a port") {
@@ -287,3 +299,81 @@
   REQUIRE_FALSE(listening);
   CHECK(listening.error().code == http::HttpErrc::kAddressInUse);
 }
+
+TEST_CASE("shorter limits end no answer under way") {
+  Fixture fixture;
+  std::shared_ptr<http::ResponseWriter> writer;
+  fixture.server.route("/", [&](auto, auto response) {
+    writer = response;
+    writer->send_head({200, {}});
+    writer->send_body("one");
+  });
+  REQUIRE(fixture.server.listen());
+  Recorder recorder(fixture.loop);
+  const auto exchange = fixture.client->start(fixture.request("/"), recorder);
+  fixture.loop.schedule_after(20ms, [&] {
+    fixture.server.set_idle_timeout(2ms);
+    fixture.server.set_largest_body(1);
+  });
+  fixture.loop.schedule_after(100ms, [&] { writer->finish(); });
+  fixture.loop.run();
+  CHECK(recorder.complete);
+}
+
+// The second half of the body follows 80 ms after the first one.
+TEST_CASE("shorter limits end no upload under way") {
+  for (const bool chunked : {false, true}) {
+    for (const bool idle_timeout : {false, true}) {
+      CAPTURE(chunked);
+      CAPTURE(idle_timeout);
+      Fixture fixture;
+      fixture.server.route("/", [](auto, auto response) { response->respond(200, {}, ""); });
+      REQUIRE(fixture.server.listen());
+      const std::string first = chunked ? "transfer-encoding: chunked\r\n\r\n5\r\n01234\r\n"
+                                        : "content-length: 10\r\n\r\n01234";
+      const std::string rest = chunked ? "5\r\n56789\r\n0\r\n\r\n" : "56789";
+      const std::string head = "POST / HTTP/1.1\r\nhost: h\r\n" + first;
+      const sockaddr_in target = loopback_address(fixture.server.bound());
+      const int caller = ::socket(AF_INET, SOCK_STREAM, 0);
+      REQUIRE(::connect(caller, reinterpret_cast<const sockaddr*>(&target), sizeof(target)) == 0);
+      REQUIRE(::send(caller, head.data(), head.size(), MSG_NOSIGNAL) > 0);
+      fixture.loop.schedule_after(20ms, [&] {
+        if (idle_timeout) {
+          fixture.server.set_idle_timeout(2ms);
+        } else {
+          fixture.server.set_largest_body(1);
+        }
+      });
+      fixture.loop.schedule_after(100ms,
+                                  [&] { ::send(caller, rest.data(), rest.size(), MSG_NOSIGNAL); });
+      fixture.loop.schedule_after(200ms, [&] { fixture.loop.stop(); });
+      fixture.loop.run();
+      std::string answer(1024, ' ');
+      const ssize_t count = ::recv(caller, answer.data(), answer.size(), MSG_DONTWAIT);
+      answer.resize(count > 0 ? static_cast<std::size_t>(count) : 0);
+      CHECK(answer.substr(0, 12) == "HTTP/1.1 200");
+      ::close(caller);
+    }
+  }
+}
+
+TEST_CASE("a smaller limit on bodies holds once earlier uploads have ended") {
+  Fixture fixture;
+  http::ServerSettings settings = Fixture::settings();
+  settings.idle_timeout = 40ms;
+  http::Server server(fixture.loop, settings);
+  server.route("/", [](auto, auto response) { response->respond(200, {}, ""); });
+  REQUIRE(server.listen());
+  server.set_largest_body(1);
+  http::ClientRequest request = fixture.request("/", "0123456789");
+  request.endpoint = server.bound();
+  std::uint16_t status = 0;
+  fixture.loop.schedule_after(100ms, [&] {
+    fixture.client->fetch(request, [&](const auto& result) {
+      status = result ? result.value().head.status : 0;
+      fixture.loop.stop();
+    });
+  });
+  fixture.loop.run();
+  CHECK(status == 413);
+}
