--- a/src/gateway/tests/open_attempts_test.cc
+++ b/src/gateway/tests/open_attempts_test.cc
@@ -196,6 +196,17 @@
   CHECK(f.statistics.attempts_stalled == 1);
 }
 
+TEST_CASE("a back end whose answer arrives slowly does not count as silent") {
+  ReviewFixture f;
+  f.ask("/idempotent/x");
+  f.attempt(0).observer->on_head({200, {f.signature()}});
+  for (int i = 0; i != 5; ++i) {
+    f.advance(kAnswerTimeout / 3);
+    f.attempt(0).observer->on_body("x");
+  }
+  CHECK(f.sends() == 1);
+}
+
 TEST_CASE("a back end that stays silent counts as failed also if no other one took over") {
   ReviewFixture f;
   f.ask("/idempotent/x");
