Keep following the store after a peer's update with an odd age

Cause: the age of a peer's update or view was subtracted from the time unchecked. With a negative one the view counted as current in the future, and the next poll was due only then.

Change: ages count from zero to an hour.

Result: "a peer's update from the future does not keep a node from following the store" failed before with no poll in 10 s; passes, discovery_test 89 of 89.

--- a/src/discovery/fleet_watcher.cc
+++ b/src/discovery/fleet_watcher.cc
@@ -11,6 +11,9 @@
 /// Matches every key of the store, so that one call returns configuration, back ends and nodes.
 const std::string kEverything;
 
+/// What is older is not current at all.
+constexpr Duration kMaxPeerAge = std::chrono::hours(1);
+
 /// A listing is split into ranges of about this many back ends; a small one stays a single range.
 constexpr std::size_t kBackendsPerRange = 1'000;
 /// Limits the connections of a reader to the store. With 20,000 back ends, a range has 13
@@ -21,6 +24,12 @@
 /// listing or terminated.
 constexpr std::uint32_t kMaxFollowerPollsBeforeListing = 4;
 
+/// The time at which something was current that had `age` at `now`. A peer's age may be any number:
+/// with a negative one, the next poll would be due in the far future.
+MonotonicTime time_of(MonotonicTime now, Duration age) {
+  return now - std::clamp(age, Duration::zero(), kMaxPeerAge);
+}
+
 }  // namespace
 
 FleetWatcher::FleetWatcher(Dependencies deps, FleetWatcherSettings settings,
@@ -421,7 +430,7 @@
     case UpdateOutcome::kApplied:
       ++statistics_.updates_taken;
       if (update.is_last()) {
-        note_current(deps_.clock.now() - update.age);
+        note_current(time_of(deps_.clock.now(), update.age));
       } else {
         // More changes follow, so the view is not known to be current yet.
         notify_covered();
@@ -528,10 +537,10 @@
     first_page_.reset();
     lister_.stop();
     timer_.disarm();
-    finish_poll(PollResult::kCurrent, requested_at - age, "view received from a peer");
+    finish_poll(PollResult::kCurrent, time_of(requested_at, age), "view received from a peer");
     return true;
   }
-  note_current(requested_at - age);
+  note_current(time_of(requested_at, age));
   return true;
 }
 
--- a/src/discovery/tests/discovery_test.cc
+++ b/src/discovery/tests/discovery_test.cc
@@ -219,6 +219,23 @@
   CHECK(fixture.watcher.rejected_values() == 5);
 }
 
+TEST_CASE("a peer's update from the future does not keep a node from following the store") {
+  for (const Duration age : {Duration(-1h), Duration::min(), Duration::max()}) {
+    WatcherFixture fixture;
+    fixture.watcher.start();
+    fixture.list(10, {make_change("config", "3", 4)});
+    ViewUpdate update;
+    update.after = StoreRevision(10);
+    update.through = StoreRevision(10);
+    update.age = age;
+    update.fingerprint = 0;
+    fixture.advance(1s);
+    fixture.watcher.receive_update(update, nullptr);
+    fixture.advance(10s);
+    CHECK(fixture.store.changes_calls.size() == 1);
+  }
+}
+
 TEST_CASE(
     "the conservative node count is an upper bound while registrations are added and removed") {
   simulation::VirtualTime time;
