--- a/src/discovery/tests/restarted_backend_test.cc
+++ b/src/discovery/tests/restarted_backend_test.cc
@@ -56,6 +56,25 @@
 
 }  // namespace
 
+TEST_CASE(
+    "a foreign entry that looks like an incarnation neither replaces nor removes the server") {
+  for (const std::string foreign : {"i-0001@5", "i-0001@", "i-0001@5@"}) {
+    for (const std::string value : {"ready", "ready@5", "draining@5", "broken"}) {
+      Node node;
+      node.list(3, {entry("i-0001", "ready@5", 1)});
+      const BackendId server("i-0001@5");
+      node.change(entry(foreign, value, 4));
+      CHECK(node.fleet.find(server) != nullptr);
+      CHECK_FALSE(node.fleet.is_leaving(*node.fleet.find(server)));
+      node.list(5, {entry("i-0001", "ready@5", 1), entry(foreign, value, 4)});
+      node.change(entry(foreign, std::nullopt, 6));
+      CHECK(node.known() == Ids{"i-0001@5"});
+      node.change(entry("i-0001", "ready@9", 7));
+      CHECK(node.known() == Ids{"i-0001@9"});
+    }
+  }
+}
+
 TEST_CASE("a restarted back end replaces its previous incarnation, whatever its start time") {
   Node node;
   node.list(3, {entry("a", "draining@500", 1), entry("ab", "ready@7", 2)});
--- a/src/gateway_node/tests/view_exchange_test.cc
+++ b/src/gateway_node/tests/view_exchange_test.cc
@@ -8,6 +8,9 @@
 #include <utility>
 #include <variant>
 
+#include "wire/codec.h"
+#include "wire/compression.h"
+
 using namespace ochrespring;
 using namespace ochrespring::gateway_node;
 
@@ -148,3 +151,29 @@
   fixture.loop.run();
   CHECK(answered);
 }
+
+TEST_CASE("a view that was cut short or altered is not taken, and the fetch ends") {
+  ViewExchangeFixture fixture;
+  const std::string whole = wire::encode(discovery::ViewTransfer(make_view()));
+  const std::string packed = wire::compress(whole);
+  const std::string bodies[] = {"",
+                                packed.substr(0, packed.size() / 2),
+                                packed.substr(0, packed.size() - 1),
+                                wire::compress(whole.substr(0, whole.size() / 2)),
+                                wire::compress(whole.substr(0, whole.size() - 1)),
+                                wire::compress(whole + "x"),
+                                wire::compress(std::string(100'000, '\xff')),
+                                std::string(100'000, '[')};
+  for (const std::string& body : bodies) {
+    http::ServerSettings settings;
+    settings.listen = Endpoint("127.0.0.1:0");
+    http::Server peer(fixture.loop, settings);
+    peer.route("/", [&](const http::Request&, const auto& response) {
+      response->respond(200, {{"view-kept-us", "18446744073709551615"}}, body);
+    });
+    REQUIRE(peer.listen());
+    ViewExchange asker(fixture, {.listen = {}, .seeds = {peer.bound()}},
+                       [](auto) { return std::nullopt; });
+    CHECK_FALSE(fetch_once(fixture.loop, asker));
+  }
+}
--- a/src/http/tests/server_client_test.cc
+++ b/src/http/tests/server_client_test.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -105,6 +106,27 @@
 }
 
 // A caller's deadline counts from when its request arrived. A busy process reads requests late.
+TEST_CASE("a request to an odd address of a server's entry fails without ending the process") {
+  Fixture fixture;
+  for (const std::string& odd :
+       {std::string(), std::string("127.0.0.1:0"), std::string("127.0.0.1:65536"),
+        std::string("127.0.0.1:-1"), std::string("127.0.0.1:1000000000000"),
+        std::string("127.0.0.1\0:80", 13), std::string("\xff\xfe:80"),
+        std::string(1'000'000, '[') + ":80"}) {
+    http::ClientRequest request = fixture.request("/");
+    request.endpoint = Endpoint(odd);
+    std::optional<bool> succeeded;
+    fixture.client->fetch(std::move(request), [&](const auto& result) {
+      succeeded = result.has_value();
+      fixture.loop.stop();
+    });
+    if (!succeeded) {
+      fixture.loop.run();
+    }
+    CHECK(succeeded == false);
+  }
+}
+
 TEST_CASE("a request tells how long its bytes waited to be read") {
   constexpr Duration kBusy = 60ms;
   constexpr Duration kClockResolution = 20ms;
