A request that the report of its own attempt quarantines ends once

Cause: the quarantine may decide within the report of a failed attempt, and ends the request that reports. Since attempts stay open, the session went on with an attempt that had ended: its exchange is gone. The loop over open attempts went on likewise. At the deadline a second answer was written, which is older. Change: a session stops what it does if the report has ended it.

--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -578,6 +578,9 @@
     reports_.note_failure(
         service_, current(),
         timed_out ? AttemptFailureKind::kUnresponsive : AttemptFailureKind::kClosed);
+    if (ended_) {
+      return;
+    }
   }
   if (timed_out && !link_cut) {
     environment_.loads.note_unresponsive(current().backend, environment_.clock.now());
@@ -723,14 +726,15 @@
   }
 }
 
-void RequestSession::note_stalled() {
+bool RequestSession::note_stalled() {
   if (!attempts_.stall_current()) {
-    return;
+    return true;
   }
   ++attempts_stalled_;
   ++environment_.statistics.attempts_stalled;
-  reports_.note_failure(service_, current(), AttemptFailureKind::kUnresponsive);
   note_probable_run(current());
+  reports_.note_failure(service_, current(), AttemptFailureKind::kUnresponsive);
+  return !ended_;
 }
 
 bool RequestSession::continue_with_other() {
@@ -751,9 +755,15 @@
   attempts_.end_others();
 }
 
-void RequestSession::report_open_attempts(AttemptFailureKind kind) {
-  attempts_.for_each(
-      [&](const Attempt& attempt) { reports_.note_failure(service_, attempt, kind); });
+bool RequestSession::report_open_attempts(AttemptFailureKind kind) {
+  std::vector<const Attempt*> open;
+  attempts_.for_each([&](const Attempt& attempt) { open.push_back(&attempt); });
+  for (const Attempt* attempt : open) {
+    if (!ended_) {
+      reports_.note_failure(service_, *attempt, kind);
+    }
+  }
+  return !ended_;
 }
 
 /// Without another send, an open attempt is the only one that can still bring the answer.
@@ -815,9 +825,10 @@
     return;
   }
   if (Attempt* other = attempts_.other_expected_to_answer()) {
-    note_stalled();
-    select(*other);
-    watch_progress();
+    if (note_stalled()) {
+      select(*other);
+      watch_progress();
+    }
     return;
   }
   if (retry_limit_.is_last_attempt(attempts_.current())) {
@@ -832,7 +843,9 @@
   if (answer_.has_begun()) {
     ++environment_.statistics.started_streams_retried;
   }
-  note_stalled();
+  if (!note_stalled()) {
+    return;
+  }
   attempts_.keep_current_open();
   dispatch_->begin();
 }
@@ -847,8 +860,10 @@
   note("backup engine sends nothing", "");
   retry_limit_.note_send(current());
   reports_.note_failure(service_, current(), AttemptFailureKind::kUnresponsive);
-  end_attempt(AttemptOutcome::kFailed);
-  retry_or_fail(FailureReason::kBroken);
+  if (!ended_) {
+    end_attempt(AttemptOutcome::kFailed);
+    retry_or_fail(FailureReason::kBroken);
+  }
 }
 
 bool RequestSession::has_runner_terminated() const {
@@ -871,9 +886,10 @@
   // The engine may be running after all. Its events are not read while the backup engine decides,
   // so the run never goes on at both.
   current().exchange->set_reading(false);
-  note_stalled();
-  attempts_.keep_current_open();
-  resume_at_backup();
+  if (note_stalled()) {
+    attempts_.keep_current_open();
+    resume_at_backup();
+  }
   return true;
 }
 
@@ -911,8 +927,9 @@
 /// Ends the request by a decision of this node, even if a back end is working on it.
 void RequestSession::abandon(FailureReason reason) {
   const std::shared_ptr<RequestSession> keep = shared_from_this();
-  report_open_attempts(AttemptFailureKind::kAbandoned);
-  fail(reason);
+  if (report_open_attempts(AttemptFailureKind::kAbandoned)) {
+    fail(reason);
+  }
 }
 
 void RequestSession::fail(FailureReason reason) {
@@ -956,7 +973,9 @@
     return;
   }
   const std::shared_ptr<RequestSession> keep = shared_from_this();
-  report_open_attempts(AttemptFailureKind::kAbandoned);
+  if (!report_open_attempts(AttemptFailureKind::kAbandoned)) {
+    return;
+  }
   ++environment_.statistics.caller_gone;
   attempts_.for_each([this](const Attempt& attempt) { note_probable_run(attempt); });
   end_attempt(AttemptOutcome::kAbandoned);
@@ -968,8 +987,10 @@
   if (attempts_.is_current_open() && !current().prefill_ended) {
     reports_.note_failure(service_, current(), AttemptFailureKind::kUnresponsive);
   }
-  note("deadline exceeded", "");
-  fail(FailureReason::kTimeout);
+  if (!ended_) {
+    note("deadline exceeded", "");
+    fail(FailureReason::kTimeout);
+  }
 }
 
 void RequestSession::finish(std::string_view outcome) {
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "base/timer.h"
 #include "gateway/attempt.h"
@@ -141,13 +142,15 @@
 
   /// Makes an open attempt the current one.
   void select(Attempt& attempt);
-  /// Records that the back end of the current attempt is silent.
-  void note_stalled();
+  /// Records that the back end of the current attempt is silent. Returns false if the report of the
+  /// attempt has quarantined the request, which ends it.
+  bool note_stalled();
   /// After an attempt has ended: whether another one, or a send that is being prepared, may bring
   /// the answer without a further send.
   bool continue_with_other();
   void end_other_attempts();
-  void report_open_attempts(AttemptFailureKind kind);
+  /// Returns false as note_stalled().
+  bool report_open_attempts(AttemptFailureKind kind);
 
   void watch_progress();
   void on_progress_timeout();
--- a/src/gateway/tests/open_attempts_test.cc
+++ b/src/gateway/tests/open_attempts_test.cc
@@ -6,8 +6,10 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -522,3 +524,76 @@
 TEST_CASE("whatever engines that back each other up do, a retryable stream keeps its limits") {
   check_random_requests("/long/x", true, false);
 }
+
+namespace {
+
+/// Quarantines a request when one of its attempts is reported.
+class QuarantiningGuard final : public RequestGuard {
+ public:
+  bool is_active() const override { return true; }
+  SendVerdict check(const RequestIdentity& /*request*/) override { return SendVerdict::kAllowed; }
+  Duration retry_after(const RequestIdentity& /*request*/) const override { return 1s; }
+  void claim_trial(const RequestIdentity& /*request*/,
+                   std::function<void(bool)> /*done*/) override {}
+  std::set<BackendId> terminated_backends() const override { return {}; }
+  void note_failure(const FailedAttempt& attempt) override {
+    if (Gateway* reported_to = std::exchange(gateway, nullptr)) {
+      reported_to->on_quarantined(attempt.request.fingerprint);
+    }
+  }
+  void note_answer(const AnsweredAttempt& /*attempt*/) override {}
+  void note_answered_parts(const std::vector<RequestFingerprint>& /*parts*/) override {}
+
+  Gateway* gateway = nullptr;  ///< Null: does not quarantine.
+};
+
+}  // namespace
+
+TEST_CASE("a request that the report of its own attempt quarantines ends once") {
+  ReviewFixture f;
+  QuarantiningGuard guard;
+  Gateway gateway(f.environment_with(&guard, nullptr), [](auto done) { done(true); });
+  auto caller = std::make_shared<FakeCaller>();
+  gateway.handle(
+      {"POST", "/idempotent-thrice/x", "", {{"host", "h"}, {"x-request-id", "r1"}}, "body"},
+      caller);
+  REQUIRE(f.sends() == 1);
+  SUBCASE("reset") {
+    guard.gateway = &gateway;
+    f.attempt(0).fail(HttpErrc::kReset, true);
+  }
+  SUBCASE("silent") {
+    guard.gateway = &gateway;
+    f.advance(kAnswerTimeout);
+  }
+  SUBCASE("silent beside another one") {
+    f.advance(kAnswerTimeout);
+    REQUIRE(f.sends() == 2);
+    guard.gateway = &gateway;
+    f.advance(kAnswerTimeout);
+  }
+  SUBCASE("two open at the deadline") {
+    f.advance(kAnswerTimeout);
+    f.advance(kAnswerTimeout);
+    REQUIRE(f.sends() == 3);
+    guard.gateway = &gateway;
+    f.advance(2s);
+  }
+  SUBCASE("two open when the caller leaves") {
+    f.advance(kAnswerTimeout);
+    REQUIRE(f.sends() == 2);
+    guard.gateway = &gateway;
+    caller->disconnect();
+  }
+  SUBCASE("two open when the node stops") {
+    f.advance(kAnswerTimeout);
+    REQUIRE(f.sends() == 2);
+    guard.gateway = &gateway;
+    gateway.finish_all();
+  }
+  CHECK((caller->ended() || caller->disconnected));
+  CHECK(gateway.running() == 0);
+  for (const auto& sent : f.transport.started) {
+    CHECK_FALSE(sent->open);
+  }
+}
