--- a/src/gateway/tests/open_attempts_test.cc
+++ b/src/gateway/tests/open_attempts_test.cc
@@ -15,25 +15,22 @@
 #include <vector>
 
 #include "tests/fake_gate.h"
+#include "tests/stalled_requests.h"
 
 using namespace ochrespring;
 using namespace ochrespring::gateway;
 using namespace std::chrono_literals;
+using gateway::testing::event;
 using gateway::testing::FakeCaller;
 using gateway::testing::FakeExchange;
 using gateway::testing::FakeGate;
 using gateway::testing::GatewayFixture;
+using gateway::testing::kAnswerTimeout;
+using gateway::testing::kStreamTimeout;
 using http::HttpErrc;
 
 namespace {
 
-constexpr Duration kStreamTimeout = 900ms;
-constexpr Duration kAnswerTimeout = 300ms;
-
-std::string event(std::uint64_t id) {
-  return "id: " + std::to_string(id) + "\ndata: d" + std::to_string(id) + "\n\n";
-}
-
 const std::vector<http::Header> kLongPrompt = {
     {"x-ochrespring-prompt-parts", "aa:9000,bb:9000"},
     {"x-ochrespring-token-counts", "18000,50"},
@@ -41,11 +38,11 @@
 
 /// Back ends `b1`, `b2`, and engines `e1` to `e4`. `/once-or-refused/` is a stream that must not
 /// run twice, but may be sent to three engines.
-struct ReviewFixture : GatewayFixture {
+struct OpenAttemptsFixture : GatewayFixture {
   FakeGate gate;
   std::unique_ptr<Gateway> gateway_under_test;
 
-  explicit ReviewFixture(bool replicated = false) {
+  explicit OpenAttemptsFixture(bool replicated = false) {
     Configuration configuration = make_configuration(2);
     configuration.routes.push_back(make_route("/thrice/", RequestKind::kStreaming, "llm", 3, true));
     configuration.routes.push_back(
@@ -79,6 +76,14 @@
     REQUIRE_FALSE(transport.started.empty());
     return caller;
   }
+  /// Starts a stream of which event 1 has arrived.
+  std::shared_ptr<FakeCaller> begin_stream(const std::string& path,
+                                           std::vector<http::Header> headers = {}) {
+    auto caller = ask(path, std::move(headers));
+    attempt(0).observer->on_head({200, {signature()}});
+    attempt(0).observer->on_body(event(1));
+    return caller;
+  }
   /// Starts a replicated stream of which event 1 has arrived and whose engine is silent and no
   /// longer registered, and lets the backup engine be asked to resume it.
   std::shared_ptr<FakeCaller> resume_silent(const std::string& path) {
@@ -111,7 +116,7 @@
 }  // namespace
 
 TEST_CASE("a stream that must not run twice is not run elsewhere while its silent engine runs it") {
-  ReviewFixture f(true);
+  OpenAttemptsFixture f(true);
   const auto caller = f.resume_silent("/once-or-refused/x");
   f.refuse(1);
   CHECK(f.sends() == 2);
@@ -121,14 +126,14 @@
 }
 
 TEST_CASE("a stream whose backup engine never answers is read on") {
-  ReviewFixture f(true);
+  OpenAttemptsFixture f(true);
   f.resume_silent("/stream/x");
   f.advance(kStreamTimeout);
   CHECK(f.attempt(0).reading);
 }
 
 TEST_CASE("a retryable stream that its backup engine refused is read on while it is retried") {
-  ReviewFixture f(true);
+  OpenAttemptsFixture f(true);
   f.resume_silent("/thrice/x");
   f.refuse(1);
   CHECK(f.attempt(0).open);
@@ -137,7 +142,7 @@
 
 // A silent attempt that sends part of an event while the next send is being prefilled.
 TEST_CASE("a prefill call beside an open attempt leads to one send") {
-  ReviewFixture f;
+  OpenAttemptsFixture f;
   const char* path = "/resumable/x";
   std::size_t allowed = 2;
   SUBCASE("two attempts") {}
@@ -164,10 +169,8 @@
 }
 
 TEST_CASE("a cache handle is used by one of several open attempts") {
-  ReviewFixture f;
-  f.ask("/thrice/x", kLongPrompt);
-  f.attempt(0).observer->on_head({200, {f.signature()}});
-  f.attempt(0).observer->on_body(event(1));
+  OpenAttemptsFixture f;
+  f.begin_stream("/thrice/x", kLongPrompt);
   f.add_backend("p1", "llm", EngineRole::kPrefill);
   f.advance(kStreamTimeout / 2 + kStreamTimeout / 2);
   REQUIRE(f.last().header(f.names.phase) == "prefill");
@@ -185,10 +188,8 @@
 }
 
 TEST_CASE("a back end that was just heard does not count as silent") {
-  ReviewFixture f;
-  f.ask("/thrice/x");
-  f.attempt(0).observer->on_head({200, {f.signature()}});
-  f.attempt(0).observer->on_body(event(1));
+  OpenAttemptsFixture f;
+  f.begin_stream("/thrice/x");
   f.advance(kStreamTimeout);
   REQUIRE(f.sends() == 2);
   f.advance(kStreamTimeout - 10ms);
@@ -199,7 +200,7 @@
 }
 
 TEST_CASE("a back end whose answer arrives slowly does not count as silent") {
-  ReviewFixture f;
+  OpenAttemptsFixture f;
   f.ask("/idempotent/x");
   f.attempt(0).observer->on_head({200, {f.signature()}});
   for (int i = 0; i != 5; ++i) {
@@ -210,7 +211,7 @@
 }
 
 TEST_CASE("a back end that stays silent counts as failed also if no other one took over") {
-  ReviewFixture f;
+  OpenAttemptsFixture f;
   f.ask("/idempotent/x");
   const BackendId silent = f.backend_of(0);
   f.advance(kAnswerTimeout);
@@ -221,7 +222,7 @@
 }
 
 TEST_CASE("a silent attempt is counted once") {
-  ReviewFixture f;
+  OpenAttemptsFixture f;
   f.ask("/idempotent/x");
   for (const char* id : {"b1", "b2", "b3"}) {
     if (f.backend_of(0) != BackendId(id)) {
@@ -234,10 +235,8 @@
 }
 
 TEST_CASE("an event without data ends no other attempt") {
-  ReviewFixture f;
-  f.ask("/resumable/x");
-  f.attempt(0).observer->on_head({200, {f.signature()}});
-  f.attempt(0).observer->on_body(event(1));
+  OpenAttemptsFixture f;
+  f.begin_stream("/resumable/x");
   f.advance(kStreamTimeout);
   REQUIRE(f.sends() == 2);
   f.attempt(1).observer->on_head({200, {f.signature()}});
@@ -246,10 +245,8 @@
 }
 
 TEST_CASE("an attempt that was never sent does not use up the attempts of the route") {
-  ReviewFixture f;
-  f.ask("/resumable/x");
-  f.attempt(0).observer->on_head({200, {f.signature()}});
-  f.attempt(0).observer->on_body(event(1));
+  OpenAttemptsFixture f;
+  f.begin_stream("/resumable/x");
   f.advance(kStreamTimeout);
   REQUIRE(f.sends() == 2);
   f.attempt(1).request_sent = false;
@@ -260,10 +257,8 @@
 }
 
 TEST_CASE("a denied retry budget is asked again") {
-  ReviewFixture f;
-  f.ask("/resumable/x");
-  f.attempt(0).observer->on_head({200, {f.signature()}});
-  f.attempt(0).observer->on_body(event(1));
+  OpenAttemptsFixture f;
+  f.begin_stream("/resumable/x");
   f.budget.set({0, 0, 10s});
   f.advance(kStreamTimeout / 2 + kStreamTimeout / 2);
   REQUIRE(f.sends() == 1);
@@ -273,7 +268,7 @@
 }
 
 TEST_CASE("a caller that leaves ends all open attempts") {
-  ReviewFixture f;
+  OpenAttemptsFixture f;
   const auto caller = f.ask("/idempotent/x");
   f.advance(kAnswerTimeout);
   REQUIRE(f.sends() == 2);
@@ -284,7 +279,7 @@
 }
 
 TEST_CASE("the retry budget is charged once for each send beyond the first") {
-  ReviewFixture f;
+  OpenAttemptsFixture f;
   const auto caller = f.ask("/thrice/x");
   f.attempt(0).observer->on_head({200, {f.signature()}});
   for (std::uint64_t id = 1; id != 3; ++id) {
@@ -297,10 +292,8 @@
 }
 
 TEST_CASE("a session with a pending claim and a prefill call sends once") {
-  ReviewFixture f;
-  f.ask("/thrice/x", kLongPrompt);
-  f.attempt(0).observer->on_head({200, {f.signature()}});
-  f.attempt(0).observer->on_body(event(1));
+  OpenAttemptsFixture f;
+  f.begin_stream("/thrice/x", kLongPrompt);
   f.add_backend("p1", "llm", EngineRole::kPrefill);
   f.advance(kStreamTimeout);
   REQUIRE(f.last().header(f.names.phase) == "prefill");
@@ -319,7 +312,7 @@
 }
 
 TEST_CASE("a signed error is delivered at once when the only other back end left is silent") {
-  ReviewFixture f;
+  OpenAttemptsFixture f;
   const auto caller = f.ask("/idempotent-thrice/x");
   f.advance(kAnswerTimeout);
   REQUIRE(f.sends() == 2);
@@ -463,7 +456,7 @@
     return expected == caller->body;
   }
 
-  ReviewFixture f;
+  OpenAttemptsFixture f;
   std::shared_ptr<FakeCaller> caller;
   std::map<std::size_t, BackendState> states;
 };
@@ -550,7 +543,7 @@
 }  // namespace
 
 TEST_CASE("a request that the report of its own attempt quarantines ends once") {
-  ReviewFixture f;
+  OpenAttemptsFixture f;
   QuarantiningGuard guard;
   Gateway gateway(f.environment_with(&guard, nullptr), [](auto done) { done(true); });
   auto caller = std::make_shared<FakeCaller>();
--- a/src/gateway/tests/stalled_attempt_test.cc
+++ b/src/gateway/tests/stalled_attempt_test.cc
@@ -12,34 +12,24 @@
 #include <vector>
 
 #include "tests/fake_gate.h"
+#include "tests/stalled_requests.h"
 
 using namespace ochrespring;
 using namespace ochrespring::gateway;
 using namespace std::chrono_literals;
+using gateway::testing::event;
+using gateway::testing::events;
 using gateway::testing::FakeCaller;
 using gateway::testing::FakeExchange;
 using gateway::testing::FakeGate;
 using gateway::testing::GatewayFixture;
+using gateway::testing::kAnswerTimeout;
+using gateway::testing::kFirstEventTimeout;
+using gateway::testing::kStreamTimeout;
 using http::HttpErrc;
 
 namespace {
 
-constexpr Duration kStreamTimeout = 900ms;       ///< Between events of `/resumable/`.
-constexpr Duration kFirstEventTimeout = 1000ms;  ///< Before the first one.
-constexpr Duration kAnswerTimeout = 300ms;       ///< Of `/idempotent/`.
-
-std::string event(std::uint64_t id) {
-  return "id: " + std::to_string(id) + "\ndata: d" + std::to_string(id) + "\n\n";
-}
-
-std::string events(std::uint64_t first, std::uint64_t last) {
-  std::string all;
-  for (std::uint64_t id = first; id <= last; ++id) {
-    all += event(id);
-  }
-  return all;
-}
-
 /// Allows every request until the test refuses them.
 class StubGuard final : public RequestGuard {
  public:
@@ -56,8 +46,8 @@
   bool refuses = false;
 };
 
-/// Rejects every request that joins it, once enabled.
-class RejectingQueue final : public RequestQueue {
+/// Disabled until the test lets it reject or hold the requests that join it.
+class ScriptedQueue final : public RequestQueue {
  public:
   bool enabled() const override { return rejects || holds; }
   bool has_waiting(const ServiceName& /*service*/) const override { return true; }
@@ -82,7 +72,7 @@
 struct StallFixture : GatewayFixture {
   StubGuard guard;
   FakeGate gate;
-  RejectingQueue queue;
+  ScriptedQueue queue;
   std::unique_ptr<Gateway> gateway_under_test;
 
   StallFixture() {
