--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -782,7 +782,7 @@
 }
 
 /// Starts the timer that detects a back end that sends nothing: for retryable requests, and for
-/// replicated streams whose engine has terminated.
+/// replicated streams whose engine has terminated or whose backup engine was asked to resume.
 void RequestSession::watch_progress() {
   if (!route_.repeatable() && !has_runner_terminated() && !is_resume_unanswered()) {
     return;
@@ -871,9 +871,9 @@
          backup_.has_runner_terminated(current().backend, environment_.clock.now());
 }
 
-/// An engine that is no longer registered and sends nothing is treated as terminated, even if its
-/// connection is still open. If the backup engine cannot be used, the session keeps waiting,
-/// because the shared store may lose the registration of an engine that is still running.
+/// An engine that is no longer registered and sends nothing has probably terminated, even if its
+/// connection is still open. But the shared store may lose the registration of an engine that is
+/// still running, so its attempt stays open until the backup engine resumes the run.
 bool RequestSession::resume_if_runner_terminated() {
   if (!has_runner_terminated()) {
     return false;
@@ -883,8 +883,7 @@
     return false;
   }
   note("engine is unregistered and sends nothing; treated as terminated", "");
-  // The engine may be running after all. Its events are not read while the backup engine decides,
-  // so the run never goes on at both.
+  // Events are not read while the backup engine decides, so the run never goes on at both.
   current().exchange->set_reading(false);
   if (note_stalled()) {
     attempts_.keep_current_open();
