One question for whether a request awaits another attempt, one step for what follows if not

The condition stood in continue_with_other() and again in handle_complete_answer(), and three places continued or retried by the same three lines. No behaviour changes.

--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -428,9 +428,7 @@
   const AttemptOutcome refused =
       current().resumed_run ? AttemptOutcome::kAbandoned : AttemptOutcome::kRefused;
   end_attempt(current().statement.misdirected ? AttemptOutcome::kReplaced : refused);
-  if (!continue_with_other()) {
-    retry_or_fail(FailureReason::kRefused);
-  }
+  continue_or_retry(FailureReason::kRefused);
 }
 
 void RequestSession::handle_complete_answer() {
@@ -442,9 +440,7 @@
   if (!statement.is_signed) {
     note("answer without signature", std::to_string(head.status));
     end_attempt(AttemptOutcome::kFailed);
-    if (!continue_with_other()) {
-      retry_or_fail(FailureReason::kBroken);
-    }
+    continue_or_retry(FailureReason::kBroken);
     return;
   }
   reports_.note_answer(current());
@@ -453,9 +449,7 @@
     return;
   }
   if (!is_success(head.status) && !answer_.has_begun() && route_.repeatable()) {
-    const bool expects_other =
-        dispatch_->is_pending() || attempts_.other_expected_to_answer() != nullptr;
-    if (expects_other || acquire_retry()) {
+    if (expects_other() || acquire_retry()) {
       note("back end answered with an error", std::to_string(head.status));
       answer_.keep_error(head, std::move(current().body));
       end_attempt(AttemptOutcome::kFailed);
@@ -475,9 +469,7 @@
   } else if (answer_.has_begun()) {
     // The caller already has the head of a stream, but this answer is not one.
     end_attempt(AttemptOutcome::kFailed);
-    if (!continue_with_other()) {
-      retry_or_fail(FailureReason::kBroken);
-    }
+    continue_or_retry(FailureReason::kBroken);
     return;
   } else {
     answer_.send(*current().head, current().body);
@@ -737,19 +729,27 @@
   return !ended_;
 }
 
+bool RequestSession::expects_other() const {
+  return dispatch_->is_pending() || attempts_.other_expected_to_answer() != nullptr;
+}
+
 bool RequestSession::continue_with_other() {
-  if (dispatch_->is_pending()) {
-    return true;
-  }
-  Attempt* other = attempts_.other_expected_to_answer();
-  if (other == nullptr) {
+  if (!expects_other()) {
     return false;
   }
-  select(*other);
-  watch_progress();
+  if (!dispatch_->is_pending()) {
+    select(*attempts_.other_expected_to_answer());
+    watch_progress();
+  }
   return true;
 }
 
+void RequestSession::continue_or_retry(FailureReason reason) {
+  if (!continue_with_other()) {
+    retry_or_fail(reason);
+  }
+}
+
 void RequestSession::end_other_attempts() {
   dispatch_->withdraw();
   attempts_.end_others();
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -145,9 +145,13 @@
   /// Records that the back end of the current attempt is silent. Returns false if the report of the
   /// attempt has quarantined the request, which ends it.
   bool note_stalled();
-  /// After an attempt has ended: whether another one, or a send that is being prepared, may bring
-  /// the answer without a further send.
+  /// Whether another attempt, or a send that is being prepared, may bring the answer without a
+  /// further send.
+  bool expects_other() const;
+  /// Called when an attempt has ended. Awaits what expects_other() refers to; returns false if
+  /// there is nothing.
   bool continue_with_other();
+  void continue_or_retry(FailureReason reason);
   void end_other_attempts();
   /// Returns false as note_stalled().
   bool report_open_attempts(AttemptFailureKind kind);
