Share the bodies of requests instead of copying them for each attempt

Callers saw a node run out of memory at some legal bodies: one of 4 MiB took 14.5 MB for as long as it waited, ran or its answer was unread. Cause: a copy in h2o's buffer, one in the request and one for each attempt at a back end. Tests that changed text in place make a new one.

--- a/src/bench/overhead_rig.cc
+++ b/src/bench/overhead_rig.cc
@@ -102,7 +102,7 @@
                           std::shared_ptr<http::ResponseWriter> response) {
   const std::string id(http::find_header(request.headers, kRequestIdHeader));
   const http::Header echo{std::string(kRequestIdHeader), id};
-  if (request.body.find(kStreamMember) == std::string::npos) {
+  if (request.body.view().find(kStreamMember) == std::string_view::npos) {
     response->respond(200, {echo, {"content-type", "application/json"}},
                       R"({"id":")" + id + R"(","choices":[{"index":0,"text":" token"}]})");
     return;
--- a/src/gateway/tests/request_fingerprint_test.cc
+++ b/src/gateway/tests/request_fingerprint_test.cc
@@ -40,7 +40,7 @@
   other.query.clear();
   seen.insert(fingerprint_of(other, "t"));
   other = make_request();
-  other.body.push_back('\0');
+  other.body = std::string(other.body.view()) + '\0';
   seen.insert(fingerprint_of(other, "t"));
   other = make_request();
   std::swap(other.path, other.query);
--- a/src/gateway_node/tests/crash_fleet.h
+++ b/src/gateway_node/tests/crash_fleet.h
@@ -563,8 +563,8 @@
         return;
       }
       const bool settled = time.now() - nodes[node]->last_fault_end > kSettlingTime;
-      sends.push_back(
-          {time.now(), exchange->request.body, crashing_part_of(*exchange), settled, state.down});
+      sends.push_back({time.now(), std::string(exchange->request.body.view()),
+                       crashing_part_of(*exchange), settled, state.down});
       arrivals.push_back({.at = time.now(),
                           .node = node,
                           .server = server.backend.address,
@@ -730,11 +730,11 @@
       return;
     }
     const std::string part = crashing_part_of(*exchange);
-    if (!part.empty() || crashing_bodies.contains(exchange->request.body)) {
-      time.schedule_after(random_duration(20ms, 100ms), [this, &server, exchange, part] {
+    const std::string body(exchange->request.body.view());
+    if (!part.empty() || crashing_bodies.contains(body)) {
+      time.schedule_after(random_duration(20ms, 100ms), [this, &server, exchange, part, body] {
         if (is_active(server, exchange)) {
-          (part.empty() ? crashes[exchange->request.body] : part_crashes[part])
-              .push_back(time.now());
+          (part.empty() ? crashes[body] : part_crashes[part]).push_back(time.now());
           crash(server);
         }
       });
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -12,6 +12,7 @@
 #include "base/ids.h"
 #include "base/result.h"
 #include "base/time.h"
+#include "http/body.h"
 #include "http/errc.h"
 #include "http/event_loop.h"
 #include "http/message.h"
@@ -31,7 +32,7 @@
   std::string method = "GET";
   std::string path = "/";  ///< Includes the query, if any.
   std::vector<Header> headers;
-  std::string body;
+  Body body;
   Duration timeout{std::chrono::seconds(5)};  ///< Limit for the whole exchange.
   /// Limit for opening a connection; `timeout` also applies.
   Duration connect_timeout{std::chrono::seconds(5)};
--- a/src/http/client_exchange.cc
+++ b/src/http/client_exchange.cc
@@ -252,8 +252,7 @@
   while (!all_written()) {
     const std::string_view head = std::string_view(head_).substr(std::min(written_, head_.size()));
     const std::size_t body_at = written_ - std::min(written_, head_.size());
-    const IoResult result =
-        connection_->write(head, std::string_view(request_.body).substr(body_at));
+    const IoResult result = connection_->write(head, request_.body.view().substr(body_at));
     if (result.status == IoStatus::kAgain) {
       connection_->await_writable();
       return;
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -9,6 +9,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "http/body.h"
 
 namespace ochrespring::http {
 
@@ -29,7 +30,7 @@
   std::string path;   ///< Without the query.
   std::string query;  ///< Without the question mark.
   std::vector<Header> headers;
-  std::string body;
+  Body body;
   /// How long its last bytes had waited in the kernel when it was read: a lower bound, zero if it
   /// is unknown.
   Duration read_delay{};
--- a/src/proxy/request_parser.cc
+++ b/src/proxy/request_parser.cc
@@ -205,7 +205,7 @@
   if (request.method != "POST") {
     return fail(ProxyErrc::kUnknownPath, "completions are asked for with POST");
   }
-  const json body = json::parse(request.body, nullptr, false);
+  const json body = json::parse(request.body.view(), nullptr, false);
   if (!body.is_object()) {
     return fail(ProxyErrc::kMalformedBody, "the body is not a JSON object");
   }
--- a/src/standin/completion_request.cc
+++ b/src/standin/completion_request.cc
@@ -81,7 +81,7 @@
   CompletionRequest completion;
   completion.chat = request.path == kChatPath;
   read_headers(request, completion);
-  const Json body = Json::parse(request.body, nullptr, false);
+  const Json body = Json::parse(request.body.view(), nullptr, false);
   if (!body.is_object()) {
     return fail(CompletionErrc::kNotJson, "the body is not a JSON object");
   }
--- a/src/standin/json_answer.cc
+++ b/src/standin/json_answer.cc
@@ -29,7 +29,7 @@
 
 std::optional<nlohmann::json> read_json(const http::Request& request,
                                         const WriterPointer& response) {
-  auto parsed = nlohmann::json::parse(request.body, nullptr, false);
+  auto parsed = nlohmann::json::parse(request.body.view(), nullptr, false);
   if (parsed.is_discarded()) {
     answer_error(response, kBadRequest, "malformed", "the body is not JSON");
     return std::nullopt;
