Bound the memory and the connections that clients can make a node hold, in sum

What callers saw: a crowd of clients that stop short of the end of their requests, or send many large ones, ended a node; a crowd of silent connections kept all others out; a body announced over the limit was reset and its sender never read the 413. Cause: h2o holds a whole body before a handler sees it, each bounded by itself and none in sum, over connections, streams, protocols and listeners; accepting went on until no descriptor was left; closing with unread input resets. Change: CallerGuard, shared by all servers of a node. It stands between h2o's event loop and h2o's protocols and counts after each read what a connection or stream holds, the accepted requests, and answers that are not read. At the limit (caller-memory-bytes, 40 MiB) whoever holds most for longest gives way: 503 with Retry-After, a stream refused, or a reset of a connection that does not read. Accepted requests are never ended; large ones may take half of the limit, all of them three quarters, others are rejected before they are copied. Pages of h2o's copy are returned. At the limit of connections (caller-connections, three eighths of the descriptors) those that linger, then unused, idle, incomplete and unread ones are closed. Connections that are rejected linger for up to 2 s and 16 MiB. The servers of pages take bodies of 4 KiB, since none is needed. One commit, since bodies, heads, streams, answers and connections are counted by the same hooks.

--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -22,10 +22,12 @@
 /// rarely while a request is in transit.
 constexpr Duration kIdleMargin = std::chrono::seconds(2);
 
-http::ServerSettings server_at(const Endpoint& endpoint) {
-  http::ServerSettings settings;
-  settings.listen = endpoint;
-  return settings;
+/// Maximum size of the bodies of requests for pages, which need none.
+constexpr std::uint64_t kMaxPageRequestBody = 4U << 10U;
+
+http::ServerSettings page_server_at(const Endpoint& endpoint, http::CallerGuard& guard) {
+  return {
+      .listen = endpoint, .tls = {}, .largest_body_bytes = kMaxPageRequestBody, .guard = &guard};
 }
 
 /// A seed performs a full listing of the store immediately when it starts, because nodes without a
@@ -49,6 +51,7 @@
       settings_(std::move(settings)),
       platform_(std::move(platform)),
       client_(client),
+      caller_guard_(loop, settings_.callers),
       profiles_(fleet_, logger),
       placement_(fleet_, loads_, random, settings_.zone, &profiles_),
       retry_budget_(settings_.retry_budget, clock.now()),
@@ -68,7 +71,8 @@
       view_exchange_({loop, client, clock, random},
                      {.listen = settings_.view_listen,
                       .seeds = settings_.seeds,
-                      .link_mbps = settings_.link_mbps},
+                      .link_mbps = settings_.link_mbps,
+                      .guard = &caller_guard_},
                      [this](auto after) { return watcher_.make_transfer(after); }),
       peer_exchange_(
           {clock, loop, random, fleet_, loads_, nodes_, watcher_},
@@ -167,9 +171,9 @@
                 &stream_records_,
                 settings_.replicate_resumable_streams != 0},
                [this](auto done) { watcher_.refresh_configuration(std::move(done)); }),
-      caller_server_(loop, server_at(settings_.listen)),
-      ready_server_(loop, server_at(settings_.ready_listen)),
-      directory_server_(loop, server_at(settings_.directory_listen)),
+      caller_server_(loop, {.listen = settings_.listen, .tls = {}, .guard = &caller_guard_}),
+      ready_server_(loop, page_server_at(settings_.ready_listen, caller_guard_)),
+      directory_server_(loop, page_server_at(settings_.directory_listen, caller_guard_)),
       stop_sequence_(
           loop,
           {[this] { leave(); }, [this] { caller_server_.stop_accepting(); }, [this] { finish(); },
@@ -177,6 +181,7 @@
            [this] { gateway_.set_shutdown_time(shutdown_time_); }, [this] { end_requests(); }}) {}
 
 Result<void, http::HttpError> GatewayNode::start() {
+  caller_guard_.on_limit([this](http::CallerLimit limit) { log_caller_limit(limit); });
   caller_server_.route(
       "/", [this](http::Request request, std::shared_ptr<http::ResponseWriter> response) {
         gateway_.handle(std::move(request), std::move(response));
@@ -189,7 +194,8 @@
   BOOST_OUTCOME_TRY(directory_server_.listen());
   if (!settings_.metrics_listen.empty()) {
     metrics_.add([this](metrics::SampleSink& sink) { add_metrics(sink); });
-    metrics_server_ = std::make_unique<http::Server>(loop_, server_at(settings_.metrics_listen));
+    metrics_server_ = std::make_unique<http::Server>(
+        loop_, page_server_at(settings_.metrics_listen, caller_guard_));
     metrics_server_->route("/metrics", [this](const http::Request&, const auto& response) {
       response->respond(200, {{"content-type", std::string(metrics::kContentType)}},
                         metrics_.render());
@@ -439,7 +445,21 @@
   caller_server_.set_idle_timeout(limits.idle_timeout + kIdleMargin);
 }
 
+void GatewayNode::log_caller_limit(http::CallerLimit limit) {
+  const http::CallerGuardStatistics& counts = caller_guard_.statistics();
+  logger_.write({logging::Level::kWarning,
+                 kComponent,
+                 "limit of callers reached",
+                 {{"limit", std::string(http::describe(limit))},
+                  {"memory_bytes", static_cast<std::uint64_t>(caller_guard_.account().total())},
+                  {"connections", static_cast<std::uint64_t>(caller_guard_.connections())},
+                  {"requests_rejected", counts.requests_rejected},
+                  {"requests_evicted", counts.requests_evicted},
+                  {"connections_closed", counts.connections_closed}}});
+}
+
 void GatewayNode::add_metrics(metrics::SampleSink& sink) const {
+  add_caller_guard_metrics(caller_guard_, sink);
   add_gateway_metrics(statistics_, sink);
   add_watcher_metrics(watcher_, sink);
   peer_exchange_.add_metrics(sink);
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -22,6 +22,7 @@
 #include "gateway_node/settings.h"
 #include "gateway_node/stop_sequence.h"
 #include "gateway_node/view_exchange.h"
+#include "http/caller_guard.h"
 #include "http/client.h"
 #include "http/event_loop.h"
 #include "http/server.h"
@@ -73,6 +74,7 @@
   void fetch_from_engine(const gateway::BackendId& engine, http::ClientRequest request,
                          std::function<void(std::string body)> done);
   void apply_limits();
+  void log_caller_limit(http::CallerLimit limit);
   std::vector<logging::Field> request_count_fields() const;
   void leave();
   void end_requests();
@@ -84,6 +86,7 @@
   Settings settings_;
   PlatformInterfaces platform_;
   http::Client& client_;
+  http::CallerGuard caller_guard_;
   gateway::FleetState fleet_;
   gateway::LoadTable loads_;
   engine_profiles::EngineProfileTable profiles_;
--- a/src/gateway_node/node_metrics.cc
+++ b/src/gateway_node/node_metrics.cc
@@ -125,6 +125,20 @@
     {"relayed_bytes", "Bytes passed on for other nodes", &RelayStatistics::bytes},
 };
 
+using http::CallerGuardStatistics;
+constexpr metrics::CounterRow<CallerGuardStatistics> kCallerGuardCounters[] = {
+    {"caller_requests_rejected", "Complete requests rejected at the limit of callers' memory",
+     &CallerGuardStatistics::requests_rejected},
+    {"caller_requests_evicted", "Incomplete requests ended at the limit of callers' memory",
+     &CallerGuardStatistics::requests_evicted},
+    {"caller_answers_abandoned", "Connections reset because their answers were not read",
+     &CallerGuardStatistics::answers_abandoned},
+    {"caller_connections_closed", "Connections closed to make room for others",
+     &CallerGuardStatistics::connections_closed},
+    {"caller_connections_refused", "New connections closed because all others were busy",
+     &CallerGuardStatistics::connections_refused},
+};
+
 /// Names and HELP texts of the samples of a histogram.
 struct HistogramRow {
   metrics::MetricName bucket;
@@ -159,6 +173,18 @@
   add_histogram(kReadDelay, statistics.read_delay, sink);
 }
 
+void add_caller_guard_metrics(const http::CallerGuard& guard, metrics::SampleSink& sink) {
+  metrics::add_counters(kCallerGuardCounters, guard.statistics(), sink);
+  sink.gauge({"caller_memory_bytes", "Bytes held for callers"},
+             static_cast<double>(guard.account().total()));
+  sink.gauge({"caller_memory_limit_bytes", "Limit of the bytes held for callers"},
+             static_cast<double>(guard.account().limit()));
+  sink.gauge({"caller_connections", "Connections from callers"},
+             static_cast<double>(guard.connections()));
+  sink.gauge({"caller_connections_limit", "Limit of the connections from callers"},
+             static_cast<double>(guard.max_connections()));
+}
+
 void add_link_metrics(const links::LinkMonitor& links, const links::RelayingStatistics& transport,
                       const http::RelayStatistics& relay, metrics::SampleSink& sink) {
   metrics::add_counters(kLinkCounters, links.statistics(), sink);
--- a/src/gateway_node/settings.cc
+++ b/src/gateway_node/settings.cc
@@ -37,6 +37,11 @@
 constexpr const char* kQueueRequestsRule = "a whole number from 0 to 20000; 0 disables the queue";
 constexpr NumberRange kQueueBytesRange{1'024, 1'073'741'824};
 constexpr const char* kQueueBytesRule = "whole bytes from 1024 to 1073741824";
+constexpr NumberRange kCallerMemoryRange{1'048'576, 1'073'741'824'000};
+constexpr const char* kCallerMemoryRule = "whole bytes from 1048576 to 1073741824000";
+constexpr NumberRange kCallerConnectionsRange{0, 1'000'000};
+constexpr const char* kCallerConnectionsRule =
+    "a whole number from 0 to 1000000; 0: three eighths of the process's descriptors, at most 1500";
 constexpr const char* kSecondsRule = "seconds from 0.1 to 3600";
 
 struct Specification {
@@ -88,6 +93,15 @@
   };
 }
 
+auto caller_limit_parser(std::size_t http::CallerLimits::*member, NumberRange range) {
+  return [=](const std::string& text, Settings& settings) {
+    std::uint64_t number = 0;
+    const bool allowed = settings::read_number(text, range, number);
+    settings.callers.*member = number;
+    return allowed;
+  };
+}
+
 /// Parses a number and stores it as an integer; a fraction is discarded.
 template <class Member>
 auto integer_parser(Member Settings::*member, double min, double max) {
@@ -179,6 +193,14 @@
       {"queue-most-bytes", "Maximum total size of the bodies of waiting requests per service",
        kQueueBytesRule, "16777216", false,
        queue_limit_parser(&admission_queue::QueueLimits::bytes, kQueueBytesRange)},
+      {"caller-memory-bytes",
+       "Maximum size of what this node holds for clients: requests that are being read, accepted "
+       "requests, unread answers",
+       kCallerMemoryRule, "41943040", false,
+       caller_limit_parser(&http::CallerLimits::memory_bytes, kCallerMemoryRange)},
+      {"caller-connections", "Maximum number of connections from clients, over all listeners",
+       kCallerConnectionsRule, "0", false,
+       caller_limit_parser(&http::CallerLimits::connections, kCallerConnectionsRange)},
       {"replicate-resumable-streams",
        "1: streams that may be resumed are also replicated to a second engine as they grow",
        kZeroOrOneRule, "0", false, integer_parser(&Settings::replicate_resumable_streams, 0, 1)},
--- a/src/gateway_node/settings.h
+++ b/src/gateway_node/settings.h
@@ -10,6 +10,7 @@
 #include "base/time.h"
 #include "fleet_control/server_plan.h"
 #include "gateway/retry_budget.h"
+#include "http/caller_guard.h"
 #include "logging/logger.h"
 #include "settings/node_settings.h"
 
@@ -29,6 +30,8 @@
   gateway::RetryBudgetSettings retry_budget;
   /// Limits per service for requests that wait at this node for full back ends.
   admission_queue::QueueLimits queue;
+  /// Limits on what clients can make this node hold, over all listeners.
+  http::CallerLimits callers;
   /// Time that a planned stop may take. Remaining requests are ended 0.5 s earlier, or 0.5 s after
   /// the stop signal if the grace period is shorter than 1 s.
   Duration stop_grace{std::chrono::seconds(8)};
--- a/src/gateway_node/view_exchange.cc
+++ b/src/gateway_node/view_exchange.cc
@@ -36,11 +36,8 @@
 /// Number of nodes named in a refusal.
 constexpr std::size_t kMaxNodesNamed = 4;
 
-http::ServerSettings server_at(const Endpoint& endpoint) {
-  http::ServerSettings settings;
-  settings.listen = endpoint;
-  return settings;
-}
+/// Requests for views have no body.
+constexpr std::uint64_t kMaxBodyBytes = 4U << 10U;
 
 /// Returns the revision after which changes are requested; nothing for the complete view.
 std::optional<shared_store::StoreRevision> read_after(const http::Request& request) {
@@ -75,7 +72,10 @@
     : deps_(deps),
       options_(std::move(options)),
       own_view_(std::move(own_view)),
-      server_(deps.loop, server_at(options_.listen)),
+      server_(deps.loop, {.listen = options_.listen,
+                          .tls = {},
+                          .largest_body_bytes = kMaxBodyBytes,
+                          .guard = options_.guard}),
       budget_(options_.link_mbps) {}
 
 Result<void, http::HttpError> ViewExchange::listen() {
--- a/src/gateway_node/view_exchange.h
+++ b/src/gateway_node/view_exchange.h
@@ -41,6 +41,7 @@
     Endpoint listen;              ///< Empty if no views are served.
     std::vector<Endpoint> seeds;  ///< Nodes to ask; may include this one and unreachable ones.
     std::uint32_t link_mbps = 0;  ///< Speed of this machine's network link; 0 if unknown.
+    http::CallerGuard* guard = nullptr;  ///< See http::ServerSettings.
   };
 
   /// `own_view` returns the changes after a revision, or the complete view, for the requests of
--- a/src/http/response_stream.cc
+++ b/src/http/response_stream.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <utility>
 
+#include "http/guarded_connection.h"
 #include "http/tcp_state.h"
 
 namespace ochrespring::http {
@@ -62,8 +63,12 @@
   finish();
 }
 
-ResponseStream::ResponseStream(EventLoop& loop, h2o_req_t* request)
-    : loop_(loop), request_(request), pipelined_check_(loop) {
+ResponseStream::ResponseStream(EventLoop& loop, std::shared_ptr<MemoryAccount> account,
+                               h2o_req_t* request)
+    : loop_(loop),
+      charge_(std::move(account), MemoryAccount::Kind::kAnswers, 0),
+      request_(request),
+      pipelined_check_(loop) {
   generator_.super.proceed = on_proceed;
   generator_.super.stop = nullptr;
   generator_.owner = this;
@@ -71,8 +76,11 @@
 
 ResponseStream::~ResponseStream() = default;
 
-void ResponseStream::attach() {
+void ResponseStream::attach(std::size_t released) {
   self_ = shared_from_this();
+  if (GuardedConnection* guarded = connection()) {
+    guarded->note_handled(*this, request_->entity.len, released);
+  }
   auto* slot = static_cast<RequestSlot*>(
       h2o_mem_alloc_shared(&request_->pool, sizeof(RequestSlot), on_disposed));
   slot->stream = this;
@@ -85,6 +93,9 @@
 
 void ResponseStream::on_request_disposed() {
   stop_watching();
+  if (GuardedConnection* guarded = connection()) {
+    guarded->note_ended(*this);
+  }
   const bool whole = final_sent_ && end_ == End::kFinished && !writing_;
   if (whole) {
     prepare_orderly_close();
@@ -93,6 +104,7 @@
   const std::shared_ptr<ResponseStream> keep = std::move(self_);
   in_flight_.clear();
   queued_.clear();
+  note_buffered();
   if (!whole && end_ == End::kNone) {
     on_caller_disconnected();
   }
@@ -157,7 +169,11 @@
   if (closed() || end_ != End::kNone || bytes.empty()) {
     return;
   }
+  if (buffered_bytes() == 0) {
+    taken_at_ = system_clock().now();
+  }
   queued_.append(bytes);
+  note_buffered();
   schedule_pump();
 }
 
@@ -180,6 +196,7 @@
   end_ = End::kAborted;
   if (writing_) {
     queued_.clear();
+    note_buffered();
     reset_blocked_connection();
   }
   schedule_pump();
@@ -236,12 +253,17 @@
   }
   h2o_iovec_t bytes = to_iovec(in_flight_);
   h2o_send(request_, &bytes, in_flight_.empty() ? 0 : 1, state);
+  if (GuardedConnection* guarded = connection()) {
+    guarded->capture();
+  }
 }
 
 void ResponseStream::on_proceed(h2o_generator_t* generator, h2o_req_t* /*request*/) {
   ResponseStream& stream = *reinterpret_cast<Generator*>(generator)->owner;
   stream.writing_ = false;
   stream.in_flight_.clear();
+  stream.taken_at_ = system_clock().now();
+  stream.note_buffered();
   if (!stream.queued_.empty() || stream.end_ != End::kNone) {
     stream.schedule_pump();
     return;
@@ -253,6 +275,35 @@
   }
 }
 
+/// Returns the connection while the request exists.
+GuardedConnection* ResponseStream::connection() const {
+  h2o_socket_t* socket =
+      request_ == nullptr ? nullptr : request_->conn->callbacks->get_socket(request_->conn);
+  return socket == nullptr ? nullptr : &GuardedConnection::of(socket);
+}
+
+void ResponseStream::note_buffered() {
+  charge_.resize(abandoned_ ? 0 : buffered_bytes());
+}
+
+Occupancy ResponseStream::unread() const {
+  const Duration stall = system_clock().now() - taken_at_;
+  return {buffered_bytes(), stall, stall};
+}
+
+bool ResponseStream::is_stalled() const {
+  const Occupancy left = unread();
+  return !abandoned_ && left.bytes != 0 && left.stall >= kMaxReadingStall;
+}
+
+void ResponseStream::abandon() {
+  abandoned_ = true;
+  note_buffered();
+  if (GuardedConnection* guarded = connection()) {
+    guarded->reset();
+  }
+}
+
 /// Returns the connection's socket for an HTTP/1 request, else null.
 h2o_socket_t* ResponseStream::http1_socket() const {
   if (request_ == nullptr || request_->version >= kHttp2Version) {
@@ -270,14 +321,15 @@
     return;
   }
   watching_ = true;
-  socket->on_close.data = this;
+  GuardedConnection::of(socket).watcher = this;
   h2o_socket_dont_read(socket, 1);
   h2o_socket_read_start(socket, on_readable);
 }
 
 void ResponseStream::on_readable(h2o_socket_t* socket, const char* /*error*/) {
-  auto* stream = static_cast<ResponseStream*>(socket->on_close.data);
-  stream->check_for_disconnect();
+  if (ResponseStream* stream = GuardedConnection::of(socket).watcher) {
+    stream->check_for_disconnect();
+  }
 }
 
 void ResponseStream::check_for_disconnect() {
@@ -310,7 +362,7 @@
   if (socket == nullptr) {
     return;
   }
-  socket->on_close.data = nullptr;
+  GuardedConnection::of(socket).watcher = nullptr;
   h2o_socket_read_stop(socket);
   h2o_socket_dont_read(socket, 0);
 }
--- a/src/http/response_stream.h
+++ b/src/http/response_stream.h
@@ -6,7 +6,9 @@
 #include <string>
 
 #include "http/event_loop.h"
+#include "http/eviction_order.h"
 #include "http/h2o_api.h"
+#include "http/memory_account.h"
 #include "http/server.h"
 
 namespace ochrespring::http {
@@ -15,6 +17,8 @@
 /// the response is incomplete.
 void shut_down_connection(const h2o_req_t& request);
 
+class GuardedConnection;
+
 /// Buffers the response for h2o's generator interface, which accepts one write at a time. Writes
 /// made in one loop iteration are merged. May outlive the h2o request, whose disposal it detects
 /// through the request's memory pool: this is the only notification that h2o gives in all cases
@@ -22,11 +26,21 @@
 class ResponseStream final : public ResponseWriter,
                              public std::enable_shared_from_this<ResponseStream> {
  public:
-  ResponseStream(EventLoop& loop, h2o_req_t* request);
+  ResponseStream(EventLoop& loop, std::shared_ptr<MemoryAccount> account, h2o_req_t* request);
   ~ResponseStream() override;
 
-  /// Binds the stream to the lifetime of the request. Called once, after construction.
-  void attach();
+  /// Binds the stream to the lifetime of the request, whose body was copied unless it was rejected.
+  /// Called once, after construction. `released` bytes of h2o's copy of the body are no longer
+  /// backed by memory.
+  void attach(std::size_t released);
+
+  /// What the peer has not taken of the answer.
+  Occupancy unread() const;
+  /// Whether the peer has not taken any of it for kMaxReadingStall.
+  bool is_stalled() const;
+  /// Resets the connection of a peer that does not read its answer. What it holds counts as
+  /// released at once; h2o gives it back in the next iteration of the loop.
+  void abandon();
 
   void send_head(const ResponseHead& head) override;
   void send_body(std::string_view bytes) override;
@@ -54,6 +68,8 @@
   static void on_disposed(void* slot);
   static void on_readable(h2o_socket_t* socket, const char* error);
 
+  GuardedConnection* connection() const;
+  void note_buffered();
   void schedule_pump();
   void pump();
   void send(h2o_send_state_t state);
@@ -69,7 +85,10 @@
   void reset_blocked_connection();
 
   EventLoop& loop_;
+  MemoryCharge charge_;  ///< For what is buffered.
   h2o_req_t* request_;
+  MonotonicTime taken_at_{};  ///< When the peer last took bytes of the answer, or the first ones
+                              ///< were buffered.
   Generator generator_{};
   Timer pipelined_check_;
   std::shared_ptr<ResponseStream> self_;  ///< Keeps the stream alive while the request exists.
@@ -83,6 +102,7 @@
   bool final_sent_ = false;
   bool pump_scheduled_ = false;
   bool caller_disconnected_ = false;
+  bool abandoned_ = false;
   bool watching_ = false;
 };
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -1,5 +1,6 @@
 #include "http/server.h"
 
+#include <sys/mman.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -11,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "http/caller_guard_state.h"
 #include "http/h2o_api.h"
 #include "http/response_stream.h"
 #include "http/socket_address.h"
@@ -26,6 +28,10 @@
 /// How long accepting is suspended when the process has no file descriptors left.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
 constexpr std::size_t kHttp2RequestsPerConnection = 256;
+/// Charged for a request besides its bytes.
+constexpr std::size_t kHandledRequestBytes = 8U << 10U;
+/// h2o's copies of smaller bodies are kept.
+constexpr std::size_t kMinReleasedBytes = 64U << 10U;
 /// Loop iterations for closing connections when the server is destroyed.
 constexpr int kClosingIterations = 16;
 
@@ -58,7 +64,29 @@
   return "HTTP/" + std::to_string(digits >> 8U) + "." + std::to_string(digits & 0xffU);
 }
 
-Request copy_request(const h2o_req_t& source) {
+/// Bytes that a request holds once it is copied, with what its handler keeps for it.
+std::size_t held_by(const h2o_req_t& source) {
+  std::size_t bytes = kHandledRequestBytes + source.input.path.len + source.entity.len;
+  for (std::size_t i = 0; i != source.headers.size; ++i) {
+    bytes += source.headers.entries[i].name->len + source.headers.entries[i].value.len;
+  }
+  return bytes;
+}
+
+/// Returns the whole pages of a body that was copied to the system; h2o keeps its buffer until the
+/// response has been sent, but does not read it. Returns the number of bytes released.
+std::size_t release_pages(const h2o_iovec_t& body) {
+  static const auto page = static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+  const std::size_t before = (page - reinterpret_cast<std::uintptr_t>(body.base) % page) % page;
+  if (body.len < kMinReleasedBytes || body.len < before + page) {
+    return 0;
+  }
+  const std::size_t bytes = (body.len - before) / page * page;
+  return ::madvise(body.base + before, bytes, MADV_DONTNEED) == 0 ? bytes : 0;
+}
+
+Request copy_request(const h2o_req_t& source, const std::shared_ptr<MemoryAccount>& account,
+                     std::size_t charged) {
   Request request;
   request.method = to_view(source.input.method);
   const std::string_view path = to_view(source.input.path);
@@ -69,7 +97,9 @@
   }
   request.headers = copy_headers(source);
   request.protocol = describe_protocol(source.version);
-  request.body = to_view(source.entity);
+  request.body =
+      Body(std::string(to_view(source.entity)),
+           std::make_unique<MemoryCharge>(account, MemoryAccount::Kind::kAccepted, charged));
   if (h2o_socket_t* socket = source.conn->callbacks->get_socket(source.conn)) {
     request.read_delay = time_since_last_input(h2o_socket_get_fd(socket));
   }
@@ -113,6 +143,8 @@
 
   EventLoop& loop;
   ServerSettings settings;
+  std::unique_ptr<CallerGuard> own_guard;
+  CallerGuard::State& guard;
   std::vector<Route> routes;
   h2o_globalconf_t config{};
   h2o_context_t context{};
@@ -134,6 +166,9 @@
   State(EventLoop& event_loop, ServerSettings server_settings)
       : loop(event_loop),
         settings(std::move(server_settings)),
+        own_guard(settings.guard == nullptr ? std::make_unique<CallerGuard>(loop, CallerLimits())
+                                            : nullptr),
+        guard((own_guard ? own_guard.get() : settings.guard)->state()),
         accept_pause(event_loop),
         limits{settings.largest_body_bytes, to_milliseconds(settings.idle_timeout)},
         decrease_timer(event_loop) {
@@ -185,9 +220,15 @@
   }
 
   void dispatch(h2o_req_t* h2o_request) {
-    auto response = std::make_shared<ResponseStream>(loop, h2o_request);
-    response->attach();
-    Request request = copy_request(*h2o_request);
+    auto response = std::make_shared<ResponseStream>(loop, guard.account, h2o_request);
+    const std::size_t bytes = held_by(*h2o_request);
+    if (!guard.admits(bytes)) {
+      response->attach(0);
+      response->respond(503, {{"retry-after", std::to_string(guard.retry_after())}}, "");
+      return;
+    }
+    Request request = copy_request(*h2o_request, guard.account, bytes);
+    response->attach(release_pages(h2o_request->entity));
     const auto route = std::find_if(routes.begin(), routes.end(), [&](const Route& candidate) {
       return request.path.starts_with(candidate.prefix);
     });
@@ -215,7 +256,13 @@
         }
         return accepted;
       }
+      if (!guard.make_room()) {
+        h2o_socket_close(connection);
+        continue;
+      }
+      GuardedConnection& guarded = guard.adopt(connection);
       h2o_accept(&accept, connection);
+      guarded.capture();
     }
     return kAcceptsPerIteration;
   }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -10,6 +10,7 @@
 
 #include "base/ids.h"
 #include "base/result.h"
+#include "http/caller_guard.h"
 #include "http/errc.h"
 #include "http/event_loop.h"
 #include "http/message.h"
@@ -30,6 +31,9 @@
   bool reuse_port = false;  ///< Several loops may listen on the same address.
   /// Idle timeout of callers' connections; longer than the keep-alive time of clients.
   Duration idle_timeout{std::chrono::seconds(60)};
+  /// Limits shared with the other servers of the loop, which outlive this one; null: default limits
+  /// of its own.
+  CallerGuard* guard = nullptr;
 };
 
 /// Writes the response to one request. Shared between the handler and the server; used on the loop
