--- a/src/http/socket_address.cc
+++ b/src/http/socket_address.cc
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr int kListenBacklog = 4096;
+/// Of connections from clients. The kernel adds as much again for its own use.
+constexpr int kReceiveBufferBytes = 32 << 10;
+constexpr int kSendBufferBytes = 64 << 10;
 
 std::string describe_errno(const std::string& action) {
   return action + ": " + std::generic_category().message(errno);
@@ -38,6 +41,11 @@
   if (reuse_port) {
     ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on));
   }
+  // Accepted connections inherit the sizes. The kernel would otherwise hold megabytes for each of
+  // them.
+  ::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes,
+               sizeof(kReceiveBufferBytes));
+  ::setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &kSendBufferBytes, sizeof(kSendBufferBytes));
   const bool listening = ::bind(descriptor, address.get(), address.length) == 0 &&
                          ::listen(descriptor, kListenBacklog) == 0;
   if (!listening) {
