Refuse connections to the relay of a node beyond its limit when they are accepted

The limit was checked only once a connection had named its server, so connections without a word could take all descriptors for half a second each. Found by reading.

--- a/src/http/connection_relay.cc
+++ b/src/http/connection_relay.cc
@@ -1,6 +1,7 @@
 #include "http/connection_relay.h"
 
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <array>
 #include <cerrno>
@@ -369,6 +370,12 @@
   const int descriptor = h2o_socket_get_fd(listener);
   for (int accepted = 0;
        (accepted = ::accept4(descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;) {
+    if (connections.size() > options.max_connections) {
+      // The peers of the open ones have half a second to name a server.
+      ++statistics.refused;
+      ::close(accepted);
+      continue;
+    }
     const auto relayed = std::make_shared<Relayed>(*this, accepted);
     connections.insert(relayed);
     relayed->start();
