--- a/Makefile
+++ b/Makefile
@@ -56,5 +56,5 @@
 .PHONY: soak
 soak: build
 	python3 platform/soak/soak.py --program $(BUILD)/bin/ochrespring-gateway --seconds $(SOAK_SECONDS) $(if $(SEED),--seed $(SEED)) \
-	  $(if $(RELAYS),--relays) $(if $(FAILING_SERVERS),--failing-servers --nodes 6 --servers 16) $(if $(UNNAMED_ERA),--unnamed-era) $(if $(PARTITIONS),--partitions --nodes 6 --servers 16) $(if $(UPDATES),--updates --nodes 6 --servers 16) $(if $(KILLED_NODES),--killed-nodes --nodes 6 --servers 16) $(if $(CRASHING_PARTS),--crashing-parts --nodes 6 --servers 16) $(if $(SILENT_SERVERS),--silent-servers --nodes 6 --servers 16) $(if $(OUT_OF_STEP),--out-of-step --nodes 6 --servers 16) \
+	  $(if $(RELAYS),--relays) $(if $(FAILING_SERVERS),--failing-servers --nodes 6 --servers 16) $(if $(UNNAMED_ERA),--unnamed-era) $(if $(PARTITIONS),--partitions --nodes 6 --servers 16) $(if $(UPDATES),--updates --nodes 6 --servers 16) $(if $(KILLED_NODES),--killed-nodes --nodes 6 --servers 16) $(if $(CRASHING_PARTS),--crashing-parts --nodes 6 --servers 16) $(if $(SILENT_SERVERS),--silent-servers --nodes 6 --servers 16) $(if $(OUT_OF_STEP),--out-of-step --nodes 6 --servers 16) $(if $(UNRULY_CALLERS),--unruly-callers --nodes 6 --servers 16) \
 	  $(if $(UPGRADE_FROM),--upgrade-from $$(./scripts/build_gateway_of.sh $(UPGRADE_FROM)))
