Keep no more than 512 parts of a prompt of each request

A head of 400 KB may name 100,000 parts, each of which takes some 60 bytes in memory and a look at every engine. The parts behind the limit count with their tokens only; what is forwarded is unchanged. The test counts the parts that are kept.

--- a/src/gateway/prompt.cc
+++ b/src/gateway/prompt.cc
@@ -60,8 +60,11 @@
     if (id.empty()) {
       continue;
     }
-    prompt.parts.push_back({std::string(id), read_number(part), stable_hash(id)});
-    sum += prompt.parts.back().tokens;
+    const std::uint64_t tokens = read_number(part);
+    sum += tokens;
+    if (prompt.parts.size() < kMaxPromptParts) {
+      prompt.parts.push_back({std::string(id), tokens, stable_hash(id)});
+    }
   }
   prompt.tokens = read_number(take_until(counts, ','));
   prompt.output_tokens = read_number(counts);
--- a/src/gateway/prompt.h
+++ b/src/gateway/prompt.h
@@ -1,6 +1,7 @@
 // The parts of a prompt, as named by the caller.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -31,6 +32,10 @@
 /// The ids of the shared parts, separated by commas, for logs; cut to 400 bytes.
 std::string describe_shared_parts(const Prompt& prompt);
 
+/// Parts that are looked at; those behind them count with their tokens only. A part takes many
+/// times its bytes in the head.
+inline constexpr std::size_t kMaxPromptParts = 512;
+
 /// Parses `ID:TOKENS,...` and `PROMPT,OUTPUT`. A malformed number counts as 0; parts without an id
 /// are skipped.
 /// `estimate` is the estimated number of output tokens; may be empty.
--- a/src/gateway/tests/request_session_test.cc
+++ b/src/gateway/tests/request_session_test.cc
@@ -10,6 +10,16 @@
 using namespace std::chrono_literals;
 using ochrespring::gateway::testing::GatewayFixture;
 
+TEST_CASE("parts of a prompt beyond the limit are counted, not kept") {
+  std::string parts;
+  for (int i = 0; i != 100'000; ++i) {
+    parts += std::to_string(i) + ":1,";
+  }
+  const Prompt prompt = parse_prompt(parts, "");
+  CHECK(prompt.parts.size() == kMaxPromptParts);
+  CHECK(prompt.tokens == 100'000);
+}
+
 TEST_CASE("a complete signed answer is forwarded unchanged") {
   GatewayFixture fixture;
   fixture.add_backend("b1", "relay");
