Test of a blocked HTTP/1.0 stream: abort only after the first write

Trace: the loop was held up for more than 200 ms, read the request in the poll that precedes late timers, and ran the timer before the posted write; the abort then waited for the loop, which the timer blocks until the caller has seen the reset. The test's assumption was wrong, not the server: sockets show that nothing was ever written. The timer now starts behind the first write; what is checked is the same.

--- a/src/http/tests/broken_answer_test.cc
+++ b/src/http/tests/broken_answer_test.cc
@@ -7,6 +7,7 @@
 #include <array>
 #include <cctype>
 #include <cerrno>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -137,22 +138,25 @@
   http::EventLoop loop;
   http::Server server(loop, any_port());
   std::shared_ptr<http::ResponseWriter> stream;
+  std::function<void()> abort_and_read;
   server.route("/",
                [&](const http::Request&, const std::shared_ptr<http::ResponseWriter>& response) {
                  stream = response;
                  response->send_head({200, {{"content-type", "text/event-stream"}}});
                  response->send_body(std::string(kMoreThanBuffersTake, 'a'));
+                 // Runs behind the first write, however late the loop is.
+                 loop.post([&] { loop.schedule_after(200ms, abort_and_read); });
                });
   REQUIRE(server.listen());
   RawCaller caller(server.bound(), kHttp10Request);
-  loop.schedule_after(200ms, [&] {
+  abort_and_read = [&] {
     REQUIRE(stream);
     stream->abort();
     // The caller reads everything that the kernel delivers before the loop continues.
     std::thread reader([&] { caller.read_to_end(); });
     reader.join();
     loop.stop();
-  });
+  };
   loop.run();
   CHECK(caller.was_reset());
 }
