--- a/src/gateway_node/settings.cc
+++ b/src/gateway_node/settings.cc
@@ -84,20 +84,12 @@
   return end != text.c_str() && *end == '\0' && value >= min && value <= max;
 }
 
-auto queue_limit_parser(std::size_t admission_queue::QueueLimits::*member, NumberRange range) {
+template <class Limits>
+auto limit_parser(Limits Settings::*limits, std::size_t Limits::*member, NumberRange range) {
   return [=](const std::string& text, Settings& settings) {
     std::uint64_t number = 0;
     const bool allowed = settings::read_number(text, range, number);
-    settings.queue.*member = number;
-    return allowed;
-  };
-}
-
-auto caller_limit_parser(std::size_t http::CallerLimits::*member, NumberRange range) {
-  return [=](const std::string& text, Settings& settings) {
-    std::uint64_t number = 0;
-    const bool allowed = settings::read_number(text, range, number);
-    settings.callers.*member = number;
+    settings.*limits.*member = number;
     return allowed;
   };
 }
@@ -189,18 +181,19 @@
       {"queue-most-requests",
        "Maximum number of requests per service that wait at this node for full back ends",
        kQueueRequestsRule, "0", false,
-       queue_limit_parser(&admission_queue::QueueLimits::requests, kQueueRequestsRange)},
+       limit_parser(&Settings::queue, &admission_queue::QueueLimits::requests,
+                    kQueueRequestsRange)},
       {"queue-most-bytes", "Maximum total size of the bodies of waiting requests per service",
        kQueueBytesRule, "16777216", false,
-       queue_limit_parser(&admission_queue::QueueLimits::bytes, kQueueBytesRange)},
+       limit_parser(&Settings::queue, &admission_queue::QueueLimits::bytes, kQueueBytesRange)},
       {"caller-memory-bytes",
        "Maximum size of what this node holds for clients: requests that are being read, accepted "
        "requests, unread answers",
        kCallerMemoryRule, "41943040", false,
-       caller_limit_parser(&http::CallerLimits::memory_bytes, kCallerMemoryRange)},
+       limit_parser(&Settings::callers, &http::CallerLimits::memory_bytes, kCallerMemoryRange)},
       {"caller-connections", "Maximum number of connections from clients, over all listeners",
        kCallerConnectionsRule, "0", false,
-       caller_limit_parser(&http::CallerLimits::connections, kCallerConnectionsRange)},
+       limit_parser(&Settings::callers, &http::CallerLimits::connections, kCallerConnectionsRange)},
       {"replicate-resumable-streams",
        "1: streams that may be resumed are also replicated to a second engine as they grow",
        kZeroOrOneRule, "0", false, integer_parser(&Settings::replicate_resumable_streams, 0, 1)},
