--- a/review/7/case.py
+++ b/review/7/case.py
@@ -12,7 +12,7 @@
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "shared-2"))
-from deployment import TROUBLE, Deployment, Record, call, free_ports, read_message, run_case  # noqa: E402
+from deployment import TROUBLE, Deployment, Record, free_ports, read_message, run_case  # noqa: E402
 
 EVENTS = 30            # of each stream
 EVENT_GAP = 0.08       # seconds between events: a stream lasts 2.4 s
--- a/review/shared-2/deployment.py
+++ b/review/shared-2/deployment.py
@@ -5,7 +5,6 @@
 import json
 import os
 import pathlib
-import re
 import socket
 import subprocess
 import sys
@@ -60,11 +59,11 @@
     return lines[0], headers, body
 
 
-async def call(port, method, path, body=b"", headers="", timeout=3.0):
+async def call(port, method, path, body=b"", headers="", timeout=3.0, host="127.0.0.1"):
     """Makes one call on a new connection; returns the status line, the headers and the body."""
     reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", port), timeout)
     try:
-        writer.write(f"{method} {path} HTTP/1.1\r\nHost: 127.0.0.1\r\n{headers}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        writer.write(f"{method} {path} HTTP/1.1\r\nHost: {host}\r\n{headers}Content-Length: {len(body)}\r\n\r\n".encode() + body)
         return await asyncio.wait_for(read_message(reader), timeout)
     finally:
         writer.close()
