Resume a broken stream only once its run is shown to have ended

Cause: StreamBackup took each reset or cut of the connection for the end of the run, and silence of an unregistered engine for the end of its process. Most engines drop a run once its connection closes, but an answer may be lost while its run goes on, and engines may leave without notice.

Change: EngineRunInquiry asks the engine for its list of runs before the resume. The run has ended if the list lacks it and the run is older than the list may be, if the connection is refused or another process answers, or if the engine is unregistered and cannot be connected to. Everything else is asked again for up to 1.2 s; a run that is not shown to have ended is not continued. One call at a time answers for all runs of an engine. HttpErrc::kRefused tells a refused connection from one that is not established in time.

--- a/src/gateway/engine_calls.h
+++ b/src/gateway/engine_calls.h
@@ -23,6 +23,10 @@
   virtual http::ClientRequest list_cached_parts() const = 0;
   /// Parses the part ids from the response to list_cached_parts(); empty if it is malformed.
   virtual std::vector<std::string> parse_cached_parts(std::string_view body) const = 0;
+  /// Returns the call that lists the runs of an engine; the caller sets the address.
+  virtual http::ClientRequest list_runs() const = 0;
+  /// Parses the request ids from the response to list_runs(); none if it does not list the runs.
+  virtual std::optional<std::vector<std::string>> parse_runs(std::string_view body) const = 0;
 };
 
 }  // namespace ochrespring::gateway
--- a/src/gateway/environment.h
+++ b/src/gateway/environment.h
@@ -19,6 +19,7 @@
 #include "gateway/request_guard.h"
 #include "gateway/request_queue.h"
 #include "gateway/retry_budget.h"
+#include "gateway/run_inquiry.h"
 #include "gateway/send_gate.h"
 #include "gateway/share_picker.h"
 #include "gateway/statistics.h"
@@ -54,6 +55,7 @@
   EngineObserver* observer = nullptr;        ///< Null: engine speeds are not measured.
   const EngineProfiles* profiles = nullptr;  ///< Null: engine speeds are unknown.
   StreamRegistry* streams = nullptr;         ///< Null: no stream that a caller takes up is known.
+  RunInquiry* runs = nullptr;                ///< Null: no run is ever known to have ended.
   /// Whether retryable streams are replicated as well.
   bool replicate_retryable_streams = false;
   /// When the process stops, even if requests are still running; none if no stop is scheduled.
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -26,6 +26,9 @@
 constexpr std::size_t kMaxPrefillAnswer = 64U << 10U;
 /// Maximum size of one event of a stream.
 constexpr std::size_t kMaxEvent = 1U << 20U;
+/// How long a stream whose connection broke may wait until its run is shown to have ended. Callers
+/// give up a stream that pauses for two seconds.
+constexpr Duration kMaxRunCheck = milliseconds(1200);
 
 std::int64_t to_milliseconds(Duration span) {
   return std::chrono::duration_cast<milliseconds>(span).count();
@@ -514,7 +517,7 @@
   if (event.id) {
     last_event_ = event.id;
   }
-  backup_.note_event(event);
+  backup_.note_event(event, environment_.clock.now());
   timing_.note_event(environment_.clock.now());
   current().observation->note_event(environment_.clock.now());
   forward_bytes(event.bytes);
@@ -606,8 +609,7 @@
 /// Describes the current attempt, which must still be in progress.
 FailedRun RequestSession::failed_run(http::HttpErrc error) const {
   return {.error = error,
-          .runner_terminated =
-              backup_.has_runner_terminated(current().backend, environment_.clock.now()),
+          .runner_missing = backup_.is_runner_missing(current().backend, environment_.clock.now()),
           .retry_allowed = route_.repeatable() && !retry_limit_.is_last_attempt(nullptr),
           .has_time = time_left() >= kMinAttemptTime};
 }
@@ -616,16 +618,47 @@
 /// this, since it is the same run. If the stream cannot be resumed there, it is retried if the
 /// route allows a retry.
 void RequestSession::resume_or_retry(const FailedRun& run) {
-  const BackupObstacle obstacle = backup_.obstacle(run, environment_.clock.now());
+  const MonotonicTime now = environment_.clock.now();
+  const BackupObstacle obstacle = backup_.obstacle(run, now);
   if (obstacle != BackupObstacle::kNone) {
-    if (current().cache_backup) {
-      ++environment_.statistics.streams_not_resumed;
-      note("stream not resumed at its backup engine", describe(obstacle));
-    }
-    retry_or_fail(FailureReason::kBroken);
-    return;
+    retry_instead_of_resume(describe(obstacle));
+  } else if (backup_.is_runner_replaced(now)) {
+    resume_at_backup();
+  } else {
+    check_broken_run(run);
+  }
+}
+
+/// The engine may work on the run although its connection broke, and a run must not go on at two
+/// engines. A stream that may be retried does not wait long for the verdict.
+void RequestSession::check_broken_run(const FailedRun& run) {
+  note("asking whether the run has ended", "");
+  const Duration patience = run.retry_allowed ? Duration::zero() : kMaxRunCheck;
+  run_end_check_.begin(
+      environment_.runs, backup_.run_query(patience), [this, run](RunVerdict verdict) {
+        const std::shared_ptr<RequestSession> keep = shared_from_this();
+        if (ended_) {
+          return;
+        }
+        FailedRun ended = run;
+        ended.has_time = time_left() >= kMinAttemptTime;
+        const BackupObstacle obstacle = backup_.obstacle(ended, environment_.clock.now());
+        if (verdict != RunVerdict::kEnded) {
+          retry_instead_of_resume("engine is not known to have stopped");
+        } else if (obstacle != BackupObstacle::kNone) {
+          retry_instead_of_resume(describe(obstacle));
+        } else {
+          resume_at_backup();
+        }
+      });
+}
+
+void RequestSession::retry_instead_of_resume(std::string_view obstacle) {
+  if (current().cache_backup) {
+    ++environment_.statistics.streams_not_resumed;
+    note("stream not resumed at its backup engine", obstacle);
   }
-  resume_at_backup();
+  retry_or_fail(FailureReason::kBroken);
 }
 
 void RequestSession::resume_at_backup() {
@@ -781,9 +814,9 @@
 }
 
 /// Starts the timer that detects a back end that sends nothing: for retryable requests, and for
-/// replicated streams whose engine has terminated or whose backup engine was asked to resume.
+/// replicated streams whose engine is missing or whose backup engine was asked to resume.
 void RequestSession::watch_progress() {
-  if (!route_.repeatable() && !has_runner_terminated() && !is_resume_unanswered()) {
+  if (!route_.repeatable() && !is_runner_missing() && !is_resume_unanswered()) {
     return;
   }
   progress_timer_.arm(progress_timeout(route_, answer_.has_begun(), time_left()),
@@ -813,9 +846,13 @@
     give_up_resume();
     return;
   }
-  if (resume_if_runner_terminated()) {
-    return;
+  if (!check_missing_runner()) {
+    try_elsewhere();
   }
+}
+
+/// Sends the request to another back end as well, if it may be retried.
+void RequestSession::try_elsewhere() {
   if (!route_.repeatable()) {
     watch_progress();
     return;
@@ -865,30 +902,63 @@
   }
 }
 
-bool RequestSession::has_runner_terminated() const {
+bool RequestSession::is_runner_missing() const {
   return attempts_.is_current_open() && current().prefill_ended &&
-         backup_.has_runner_terminated(current().backend, environment_.clock.now());
+         backup_.is_runner_missing(current().backend, environment_.clock.now());
 }
 
-/// An engine that is no longer registered and sends nothing has probably terminated, even if its
-/// connection is still open. But the shared store may lose the registration of an engine that is
-/// still running, so its attempt stays open until the backup engine resumes the run.
-bool RequestSession::resume_if_runner_terminated() {
-  if (!has_runner_terminated()) {
+/// An engine that is no longer registered and sends nothing may have terminated, even if its
+/// connection is still open. But an engine may leave without notice and serve on, and the shared
+/// store may lose the registration of one that stays.
+bool RequestSession::check_missing_runner() {
+  if (!is_runner_missing()) {
     return false;
   }
+  const MonotonicTime now = environment_.clock.now();
   const FailedRun run = failed_run(http::HttpErrc::kTimeout);
-  if (backup_.obstacle(run, environment_.clock.now()) != BackupObstacle::kNone) {
+  if (backup_.obstacle(run, now) != BackupObstacle::kNone) {
     return false;
   }
-  note("engine is unregistered and sends nothing; treated as terminated", "");
-  // Events are not read while the backup engine decides, so the run never goes on at both.
+  if (backup_.is_runner_replaced(now)) {
+    resume_silent_run();
+    return true;
+  }
+  note("engine is unregistered and sends nothing; asking whether the run has ended", "");
+  run_end_check_.begin(environment_.runs, backup_.run_query(Duration::zero()),
+                       [this, last_heard = current().last_heard](RunVerdict verdict) {
+                         const std::shared_ptr<RequestSession> keep = shared_from_this();
+                         on_missing_runner_checked(verdict, last_heard);
+                       });
+  return true;
+}
+
+/// A verdict on an attempt that has ended, or has been heard since, no longer matters.
+void RequestSession::on_missing_runner_checked(RunVerdict verdict, MonotonicTime last_heard) {
+  if (ended_ || !attempts_.is_current_open()) {
+    return;
+  }
+  if (current().last_heard != last_heard) {
+    watch_progress();
+    return;
+  }
+  const FailedRun run = failed_run(http::HttpErrc::kTimeout);
+  const bool resumable = backup_.obstacle(run, environment_.clock.now()) == BackupObstacle::kNone;
+  if (verdict == RunVerdict::kEnded && resumable) {
+    resume_silent_run();
+  } else {
+    try_elsewhere();
+  }
+}
+
+/// The attempt stays open until the backup engine resumes the run. Events are not read while that
+/// engine decides, so the caller never gets events of both.
+void RequestSession::resume_silent_run() {
+  note("engine has terminated", "");
   current().exchange->set_reading(false);
   if (note_stalled()) {
     attempts_.keep_current_open();
     resume_at_backup();
   }
-  return true;
 }
 
 void RequestSession::on_backend_unregistered(const BackendId& backend) {
@@ -998,6 +1068,7 @@
   }
   end_other_attempts();
   dispatch_->cancel();
+  run_end_check_.cancel();
   deadline_timer_.disarm();
   progress_timer_.disarm();
   cache_.release();
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -25,6 +25,7 @@
 #include "gateway/request_log.h"
 #include "gateway/retry_limit.h"
 #include "gateway/route_table.h"
+#include "gateway/run_end_check.h"
 #include "gateway/stream_backup.h"
 #include "gateway/stream_continuation.h"
 #include "gateway/stream_timing.h"
@@ -131,11 +132,17 @@
   void on_send_withdrawn();
   void fail_attempt(const http::HttpError& error);
   FailedRun failed_run(http::HttpErrc error) const;
-  /// Whether the stream is replicated and its engine is known to have terminated.
-  bool has_runner_terminated() const;
-  /// Resumes the stream if its engine has terminated and sends nothing. Returns whether it did.
-  bool resume_if_runner_terminated();
+  /// Whether the stream is replicated and its engine is unregistered or was replaced.
+  bool is_runner_missing() const;
+  /// Finds out whether a missing engine still works on the stream. Returns false if there is
+  /// nothing to find out.
+  bool check_missing_runner();
+  void on_missing_runner_checked(RunVerdict verdict, MonotonicTime last_heard);
+  /// Resumes a stream whose run has ended although its attempt is still open.
+  void resume_silent_run();
   void resume_or_retry(const FailedRun& run);
+  void check_broken_run(const FailedRun& run);
+  void retry_instead_of_resume(std::string_view obstacle);
   void resume_at_backup();
   void retry_or_fail(FailureReason reason);
   void end_attempt(AttemptOutcome verdict);
@@ -159,6 +166,7 @@
   void watch_progress();
   void on_progress_timeout();
   void on_no_progress();
+  void try_elsewhere();
   /// Whether a backup engine has not said yet whether it resumes the run of a silent engine.
   bool is_resume_unanswered() const;
   void give_up_resume();
@@ -209,6 +217,7 @@
   AttemptStarter starter_;
   std::set<BackendId> tried_;
   RetryLimit retry_limit_;
+  RunEndCheck run_end_check_;
   OpenAttempts attempts_;
   GuardReports reports_;
   std::shared_ptr<RequestDispatch> dispatch_;
--- a/src/gateway/stream_backup.cc
+++ b/src/gateway/stream_backup.cc
@@ -143,8 +143,10 @@
   return chosen->address;
 }
 
-void StreamBackup::note_event(const StreamEvent& event) {
-  run_.event_with_id_forwarded = run_.event_with_id_forwarded || event.id.has_value();
+void StreamBackup::note_event(const StreamEvent& event, MonotonicTime now) {
+  if (event.id && !run_.first_event_with_id) {
+    run_.first_event_with_id = now;
+  }
   saw_event_without_id_ = saw_event_without_id_ || (!event.id && event.has_data());
 }
 
@@ -153,7 +155,7 @@
   return load != nullptr && load->replaced(now);
 }
 
-bool StreamBackup::has_runner_terminated(const BackendId& runner, MonotonicTime now) const {
+bool StreamBackup::is_runner_missing(const BackendId& runner, MonotonicTime now) const {
   return is_replicated() && !used_ && runner == run_.runner &&
          (fleet_.find(runner) == nullptr || is_replaced(runner, now));
 }
@@ -165,19 +167,18 @@
   if (used_) {
     return BackupObstacle::kAlreadyUsed;
   }
-  if (!is_connection_break(run.error) && !run.runner_terminated) {
+  if (!is_connection_break(run.error) && !run.runner_missing) {
     return BackupObstacle::kRunnerMayBeRunning;
   }
   // A kept-alive connection that was already closed says nothing about its engine, which usually
   // never received the request. There is no copy then, and asking for it would cost one unit of the
   // retry budget.
-  if (run.error == http::HttpErrc::kStaleConnection && run.retry_allowed &&
-      !run.runner_terminated) {
+  if (run.error == http::HttpErrc::kStaleConnection && run.retry_allowed && !run.runner_missing) {
     return BackupObstacle::kRetryPreferred;
   }
   // An engine that accepts the request without having a copy would run it a second time. An engine
   // that crashed during prefill was observed to have made no copy.
-  if (!run_.event_with_id_forwarded) {
+  if (!run_.first_event_with_id) {
     return BackupObstacle::kNoEventReceived;
   }
   if (saw_event_without_id_) {
@@ -186,6 +187,16 @@
   return run.has_time ? engine_obstacle(now) : BackupObstacle::kNoTime;
 }
 
+RunQuery StreamBackup::run_query(Duration patience) const {
+  return {.engine = run_.runner,
+          .address = run_.runner_address,
+          .id = request_id_,
+          .first_event = *run_.first_event_with_id,
+          .engine_registered = fleet_.find(run_.runner) != nullptr,
+          .patience = patience,
+          .asker = {}};
+}
+
 BackupObstacle StreamBackup::engine_obstacle(MonotonicTime now) const {
   const Backend* backup = engine();
   if (backup == nullptr || is_replaced(run_.engine, now) || software_of(*backup) != run_.software) {
--- a/src/gateway/stream_backup.h
+++ b/src/gateway/stream_backup.h
@@ -15,6 +15,7 @@
 #include "gateway/fleet_state.h"
 #include "gateway/load_table.h"
 #include "gateway/prompt.h"
+#include "gateway/run_inquiry.h"
 #include "gateway/send_gate.h"
 #include "gateway/software_id.h"
 #include "gateway/types.h"
@@ -70,7 +71,7 @@
   kNone,  ///< It may be resumed.
   kNoBackup,
   kAlreadyUsed,         ///< A resume was already attempted.
-  kRunnerMayBeRunning,  ///< The runner is unresponsive, but not known to have terminated.
+  kRunnerMayBeRunning,  ///< The runner is unresponsive, but still registered.
   kRetryPreferred,      ///< The runner most likely never received it, and the route allows a retry.
   kNoEventReceived,     ///< No event with an id: the run may not have started or been copied.
   kUnknownPosition,     ///< An event without an id was forwarded, so the position is unknown.
@@ -86,13 +87,13 @@
 /// How the run of a stream at its first engine failed.
 struct FailedRun {
   http::HttpErrc error = http::HttpErrc::kReset;
-  bool runner_terminated = false;  ///< The engine is known to have terminated.
-  bool retry_allowed = false;      ///< The route allows another retry.
+  bool runner_missing = false;  ///< The engine is unregistered or was replaced.
+  bool retry_allowed = false;   ///< The route allows another retry.
   bool has_time = true;
 };
 
-/// Whether `error` means that the connection was closed or reset, so that the engine no longer
-/// works on the request. A timeout does not show that.
+/// Whether `error` means that the connection was closed or reset. Most engines drop a run once its
+/// connection has closed, but not all, so it does not show that the run has ended.
 bool is_connection_break(http::HttpErrc error);
 
 /// A run and the engine that holds its copy.
@@ -102,7 +103,7 @@
   SoftwareId software;  ///< Of the runner and the backup engine.
   BackendId engine;     ///< Empty if the run is not replicated.
   std::optional<http::ResponseHead> head;
-  bool event_with_id_forwarded = false;
+  std::optional<MonotonicTime> first_event_with_id;  ///< When it was forwarded.
 };
 
 /// The backup of one request. Decides from this node's state and sends nothing. Used on one event
@@ -118,7 +119,7 @@
   /// A stream is resumed at a backup only once, so it gets no second one after that.
   std::optional<Endpoint> begin_run(const Backend& runner, const std::set<BackendId>& tried,
                                     MonotonicTime now);
-  void note_event(const StreamEvent& event);
+  void note_event(const StreamEvent& event, MonotonicTime now);
   /// Stores the head with which the runner started the stream.
   void note_head(const http::ResponseHead& head) { run_.head = head; }
   /// The run that the functions of this class refer to, to be restored if the session returns to
@@ -129,9 +130,15 @@
   /// not answered.
   const std::optional<http::ResponseHead>& head() const { return run_.head; }
 
-  /// Whether the run at `runner` has a copy and that engine is known to have terminated.
-  bool has_runner_terminated(const BackendId& runner, MonotonicTime now) const;
+  /// Whether the run at `runner` has a copy and that engine is unregistered or was replaced. An
+  /// unregistered engine may still work on its runs.
+  bool is_runner_missing(const BackendId& runner, MonotonicTime now) const;
+  /// Whether another process answers at the runner's address, so that the run has ended.
+  bool is_runner_replaced(MonotonicTime now) const { return is_replaced(run_.runner, now); }
+  /// What prevents that the stream is resumed once its run is known to have ended.
   BackupObstacle obstacle(const FailedRun& run, MonotonicTime now) const;
+  /// Identifies the run at its engine. Must not be called before obstacle() was kNone.
+  RunQuery run_query(Duration patience) const;
   /// The engine that holds the copy; null if there is none or it is not registered.
   const Backend* engine() const;
   /// Identifies the replicated run to its backup engine.
--- a/src/gateway/tests/gateway_fixture.h
+++ b/src/gateway/tests/gateway_fixture.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <sstream>
 #include <string>
 #include <utility>
 #include <vector>
@@ -137,6 +138,23 @@
   std::vector<std::string> parse_cached_parts(std::string_view body) const override {
     return body.empty() ? std::vector<std::string>() : std::vector{std::string(body)};
   }
+  http::ClientRequest list_runs() const override {
+    http::ClientRequest request;
+    request.path = "/runs";
+    return request;
+  }
+  /// `runs=ID,ID,...`
+  std::optional<std::vector<std::string>> parse_runs(std::string_view body) const override {
+    if (!body.starts_with("runs=")) {
+      return std::nullopt;
+    }
+    std::vector<std::string> ids;
+    std::istringstream text{std::string(body.substr(5))};
+    for (std::string id; std::getline(text, id, ',');) {
+      ids.push_back(id);
+    }
+    return ids;
+  }
 };
 
 /// Knows the streams that were recorded at it, and records them at once.
@@ -177,6 +195,32 @@
   std::vector<StreamQuery> queries;
 };
 
+/// Answers at once that a run has ended, or when the test says so.
+class FakeRunInquiry final : public RunInquiry {
+ public:
+  void ask(RunQuery query, Callback done) override {
+    queries.push_back(query);
+    if (answers_at_once) {
+      done(verdict);
+    } else {
+      pending.push_back({std::move(query), std::move(done)});
+    }
+  }
+  /// Answers the oldest pending query, unless its asker has expired.
+  void settle(RunVerdict found) {
+    auto [query, done] = std::move(pending.front());
+    pending.pop_front();
+    if (!query.asker.expired()) {
+      done(found);
+    }
+  }
+
+  RunVerdict verdict = RunVerdict::kEnded;
+  bool answers_at_once = true;
+  std::vector<RunQuery> queries;
+  std::deque<std::pair<RunQuery, Callback>> pending;
+};
+
 /// Records the "request ended" lines.
 class EndLogger final : public logging::Logger {
  public:
@@ -227,6 +271,7 @@
   GatewayStatistics statistics;
   EndLogger logger;
   FakeStreamRegistry streams;
+  FakeRunInquiry run_inquiry;
   bool refresh_succeeds = true;
   Gateway gateway{environment(), [this](auto done) { done(refresh_succeeds); }};
 
@@ -236,6 +281,7 @@
         time,       time,   transport, fleet,   loads,      placement, budget,
         unanswered, shares, names,     engines, statistics, logger,    [] { return 1U; }};
     made.streams = &streams;
+    made.runs = &run_inquiry;
     return made;
   }
   Environment environment_with(RequestGuard* guard, SendGate* gate) {
--- a/src/gateway/tests/stream_backup_test.cc
+++ b/src/gateway/tests/stream_backup_test.cc
@@ -152,7 +152,7 @@
   StreamBackup backup = begun();
   using http::HttpErrc;
   CHECK(backup.obstacle({.error = HttpErrc::kReset}, now) == BackupObstacle::kNoEventReceived);
-  backup.note_event({"id: 1\n\n", 1});
+  backup.note_event({"id: 1\n\n", 1}, now);
   CHECK(backup.obstacle({.error = HttpErrc::kReset}, now) == BackupObstacle::kNone);
   CHECK(backup.obstacle({.error = HttpErrc::kTruncated}, now) == BackupObstacle::kNone);
   CHECK(backup.obstacle({.error = HttpErrc::kStaleConnection}, now) == BackupObstacle::kNone);
@@ -161,12 +161,12 @@
   for (const HttpErrc error : {HttpErrc::kTimeout, HttpErrc::kCancelled, HttpErrc::kTooLarge}) {
     CHECK(backup.obstacle({.error = error}, now) == BackupObstacle::kRunnerMayBeRunning);
   }
-  CHECK(backup.obstacle({.error = HttpErrc::kTimeout, .runner_terminated = true}, now) ==
+  CHECK(backup.obstacle({.error = HttpErrc::kTimeout, .runner_missing = true}, now) ==
         BackupObstacle::kNone);
   CHECK(backup.obstacle({.has_time = false}, now) == BackupObstacle::kNoTime);
-  backup.note_event({": still here\n\n", std::nullopt});
+  backup.note_event({": still here\n\n", std::nullopt}, now);
   CHECK(backup.obstacle({}, now) == BackupObstacle::kNone);
-  backup.note_event({"event: x\ndata: y\n\n", std::nullopt});
+  backup.note_event({"event: x\ndata: y\n\n", std::nullopt}, now);
   CHECK(backup.obstacle({}, now) == BackupObstacle::kUnknownPosition);
 }
 
@@ -177,7 +177,7 @@
   add("copy", "a");
   StreamBackup backup = begun();
   CHECK(backup.run_reference().runner == Endpoint("run:1"));
-  backup.note_event({"id: 1\n\n", 1});
+  backup.note_event({"id: 1\n\n", 1}, now);
   loads.find_or_create(BackendId("copy")).end(AttemptOutcome::kReplaced, now);
   CHECK(backup.obstacle({}, now) == BackupObstacle::kNotRegistered);
   backup.mark_used();
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -148,6 +148,9 @@
                            std::function<void(std::string)> done) {
                       fetch_from_engine(engine, std::move(request), std::move(done));
                     }),
+      run_inquiry_({clock, loop, platform_.engines, platform_.names, logger},
+                   [this](const gateway::BackendId& engine, http::ClientRequest request,
+                          auto done) { call_engine(engine, std::move(request), std::move(done)); }),
       gateway_({clock,
                 loop,
                 links_.transport(),
@@ -169,6 +172,7 @@
                 &profiles_,
                 &profiles_,
                 &stream_records_,
+                &run_inquiry_,
                 settings_.replicate_resumable_streams != 0},
                [this](auto done) { watcher_.refresh_configuration(std::move(done)); }),
       caller_server_(loop, {.listen = settings_.listen, .tls = {}, .guard = &caller_guard_}),
@@ -414,26 +418,36 @@
   logger_.write({logging::Level::kInfo, kComponent, "settings reloaded", {}});
 }
 
-/// Calls `done` with the body of a successful answer, and not at all after any other result. The
-/// rate limit, back-off and leaving announcement in the answer's headers are applied as for any
+/// Calls `done` with the result, or with kWithdrawn if the engine has asked this node to back off.
+/// The rate limit, back-off and leaving announcement in the answer's headers are applied as for any
 /// other answer, unless another back end answers at the address.
-void GatewayNode::fetch_from_engine(const gateway::BackendId& engine, http::ClientRequest request,
-                                    std::function<void(std::string body)> done) {
+void GatewayNode::call_engine(const gateway::BackendId& engine, http::ClientRequest request,
+                              EngineCallback done) {
   const MonotonicTime now = clock_.now();
   if (!admission_.may_send(engine, now)) {
+    loop_.post([done = std::move(done)] {
+      done(outcome::failure(
+          http::FetchFailure{{http::HttpErrc::kWithdrawn, "the engine takes no calls now"}}));
+    });
     return;
   }
   client_.fetch(std::move(request), [this, engine, now, done = std::move(done)](auto result) {
-    if (!result) {
-      return;
-    }
-    http::Response& response = result.value();
-    const auto statement = gateway::parse_statement(response.head, platform_.names);
-    if (!statement.misdirected) {
-      admission_.note_answer({.backend = engine, .sent = now, .statement = statement});
+    if (result) {
+      const auto statement = gateway::parse_statement(result.value().head, platform_.names);
+      if (!statement.misdirected) {
+        admission_.note_answer({.backend = engine, .sent = now, .statement = statement});
+      }
     }
-    if (response.head.status == 200) {
-      done(std::move(response.body));
+    done(std::move(result));
+  });
+}
+
+/// Calls `done` with the body of a successful answer, and not at all after any other result.
+void GatewayNode::fetch_from_engine(const gateway::BackendId& engine, http::ClientRequest request,
+                                    std::function<void(std::string body)> done) {
+  call_engine(engine, std::move(request), [done = std::move(done)](auto result) {
+    if (result && result.value().head.status == 200) {
+      done(std::move(result.value().body));
     }
   });
 }
@@ -473,6 +487,7 @@
   stream_records_.add_metrics(sink);
   history_keeper_.add_metrics(sink);
   links_.add_metrics(sink);
+  run_inquiry_.add_metrics(sink);
   sink.counter({"backend_connections", "Connections opened to back ends"},
                static_cast<double>(client_.statistics().connections_opened));
   sink.gauge({"requests_running", "Requests in progress"}, static_cast<double>(gateway_.running()));
--- a/src/gateway_node/gateway_node.h
+++ b/src/gateway_node/gateway_node.h
@@ -31,6 +31,7 @@
 #include "peer_load/datagram_socket.h"
 #include "quarantine/quarantine.h"
 #include "rate_limit/rate_limiter.h"
+#include "run_inquiry/engine_run_inquiry.h"
 #include "stream_records/history_keeper.h"
 #include "stream_records/stream_records.h"
 
@@ -71,6 +72,9 @@
   /// knows the fleet. Called again until the survey has begun.
   void request_initial_state();
   void add_metrics(metrics::SampleSink& sink) const;
+  using EngineCallback = std::function<void(Result<http::Response, http::FetchFailure>)>;
+  void call_engine(const gateway::BackendId& engine, http::ClientRequest request,
+                   EngineCallback done);
   void fetch_from_engine(const gateway::BackendId& engine, http::ClientRequest request,
                          std::function<void(std::string body)> done);
   void apply_limits();
@@ -113,6 +117,7 @@
   engine_profiles::ProfileExchange profile_exchange_;
   gateway::CacheSurvey cache_survey_;
   bool requested_initial_state_ = false;
+  run_inquiry::EngineRunInquiry run_inquiry_;
   gateway::Gateway gateway_;
   http::Server caller_server_;
   http::Server ready_server_;
--- a/src/gateway_node/tests/stopping_node.h
+++ b/src/gateway_node/tests/stopping_node.h
@@ -42,7 +42,7 @@
 
 /// Routes `/short/` (timeout 2 s), `/long/` (timeout 20 s) and `/stream/` (event streams, timeout
 /// 20 s) of host `h` to a service with one back end.
-class RoutesCodec final : public discovery::FleetCodec {
+class RoutesCodec : public discovery::FleetCodec {
  public:
   const discovery::StoreLayout& layout() const override { return layout_; }
   Result<gateway::Configuration, discovery::CodecError> read_configuration(
@@ -65,7 +65,7 @@
     return backend;
   }
 
- private:
+ protected:
   static gateway::Route make_route(const std::string& prefix, Duration timeout) {
     gateway::Route route;
     route.name = gateway::RouteName(prefix);
@@ -76,11 +76,12 @@
     return route;
   }
 
+ private:
   discovery::StoreLayout layout_{"config", "backends/", "nodes/"};
 };
 
 /// Answers each call in the next iteration of the event loop, or never if `silent`.
-class FakeStore final : public shared_store::SharedStore {
+class FakeStore : public shared_store::SharedStore {
  public:
   FakeStore(http::EventLoop& loop, std::string backend)
       : loop_(loop), backend_(std::move(backend)) {}
@@ -126,10 +127,14 @@
 
   bool silent = false;
 
- private:
-  std::vector<shared_store::Change> items() const {
+ protected:
+  /// What is listed. The first item is the configuration.
+  virtual std::vector<shared_store::Change> items() const {
     return {{"config", "1", revision_}, {"backends/b", backend_, revision_}};
   }
+  shared_store::StoreRevision revision() const { return revision_; }
+
+ private:
   template <class T>
   void answer(shared_store::StoreCallback<T> done, T value) {
     if (!silent) {
@@ -143,7 +148,7 @@
 };
 
 /// Stub: these tests use no engines.
-class StubEngineCalls final : public gateway::EngineCalls {
+class StubEngineCalls : public gateway::EngineCalls {
  public:
   std::optional<std::string> parse_cache_handle(std::string_view /*body*/) const override {
     return std::nullopt;
@@ -153,6 +158,10 @@
   std::vector<std::string> parse_cached_parts(std::string_view /*body*/) const override {
     return {};
   }
+  http::ClientRequest list_runs() const override { return {}; }
+  std::optional<std::vector<std::string>> parse_runs(std::string_view /*body*/) const override {
+    return std::nullopt;
+  }
 };
 
 /// Holds requests until the test answers them.
--- a/src/http/client_exchange.cc
+++ b/src/http/client_exchange.cc
@@ -186,7 +186,8 @@
 void ClientExchange::on_connected(bool success) {
   if (!success) {
     const Endpoint& peer = request_.relay ? request_.relay->address : request_.endpoint;
-    fail_with(request_.relay ? HttpErrc::kRelayFailed : HttpErrc::kConnect,
+    const HttpErrc direct = connection_->was_refused() ? HttpErrc::kRefused : HttpErrc::kConnect;
+    fail_with(request_.relay ? HttpErrc::kRelayFailed : direct,
               "connect to " + peer.value() + " failed");
     return;
   }
--- a/src/http/errc.cc
+++ b/src/http/errc.cc
@@ -12,6 +12,8 @@
       return "tls-invalid";
     case HttpErrc::kConnect:
       return "connect";
+    case HttpErrc::kRefused:
+      return "refused";
     case HttpErrc::kRelayFailed:
       return "relay-failed";
     case HttpErrc::kRelayRefused:
--- a/src/http/errc.h
+++ b/src/http/errc.h
@@ -12,6 +12,7 @@
   kAddressInUse,
   kTlsInvalid,    ///< The certificate, key or authority is unusable.
   kConnect,       ///< No connection; no byte of the request was sent.
+  kRefused,       ///< As kConnect: no process accepts connections at the address.
   kRelayFailed,   ///< The relay is unreachable; no byte of the request was sent.
   kRelayRefused,  ///< The relay did not try to connect; no byte of the request was sent.
   kNoPath,        ///< No connection, neither direct nor relayed; no byte of the request was sent.
--- a/src/http/tcp_connection.cc
+++ b/src/http/tcp_connection.cc
@@ -57,7 +57,8 @@
   if (::connect(descriptor, address.get(), address.length) != 0 && errno != EINPROGRESS) {
     const int error = errno;
     ::close(descriptor);
-    return fail(HttpErrc::kConnect, std::generic_category().message(error));
+    return fail(error == ECONNREFUSED ? HttpErrc::kRefused : HttpErrc::kConnect,
+                std::generic_category().message(error));
   }
   h2o_socket_t* socket =
       h2o_evloop_socket_create(loop.native(), descriptor, H2O_SOCKET_FLAG_DONT_READ);
@@ -170,6 +171,7 @@
   socklen_t length = sizeof(error);
   const int outcome =
       ::getsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_ERROR, &error, &length);
+  connection->refused_ = outcome == 0 && error == ECONNREFUSED;
   connection->listener_->on_connected(outcome == 0 && error == 0);
 }
 
--- a/src/http/tcp_connection.h
+++ b/src/http/tcp_connection.h
@@ -62,6 +62,8 @@
   TcpConnection& operator=(const TcpConnection&) = delete;
 
   void set_listener(Listener* listener) { listener_ = listener; }
+  /// Whether the connection failed because no process accepts connections at the address.
+  bool was_refused() const { return refused_; }
   /// Returns kClosed only if the peer has ended its direction in order. An error that an earlier
   /// read() or write() has returned is returned again once all bytes received before it are read.
   IoResult read(char* buffer, std::size_t size);
@@ -97,6 +99,7 @@
   /// after that the end of the input looks like an orderly close.
   std::optional<IoStatus> error_;
   Listener* listener_ = nullptr;
+  bool refused_ = false;
 };
 
 }  // namespace ochrespring::http
--- a/src/http/tests/client_failure_test.cc
+++ b/src/http/tests/client_failure_test.cc
@@ -91,7 +91,7 @@
   ::close(listener);
   const Outcome outcome = fetch(loop, client, get(endpoint));
   REQUIRE(outcome.failure);
-  CHECK(outcome.failure->error.code == http::HttpErrc::kConnect);
+  CHECK(outcome.failure->error.code == http::HttpErrc::kRefused);
   CHECK_FALSE(outcome.failure->sent);
 }
 
--- a/src/proxy/http_backend_client.cc
+++ b/src/proxy/http_backend_client.cc
@@ -16,6 +16,7 @@
 AttemptFailure failure_of(http::HttpErrc code) {
   switch (code) {
     case http::HttpErrc::kConnect:
+    case http::HttpErrc::kRefused:
     case http::HttpErrc::kAddressInvalid:
     case http::HttpErrc::kAddressInUse:
     case http::HttpErrc::kTlsInvalid:
