Bound what is read of an answer, and what is held of all answers in sum

What callers saw: requests to a faulty server were answered at their deadline only, while the node read chunk extensions, trailers or answers to other requests without end (89 to 904 MB in 4 s), and others got 503 from a node whose core was busy with it.

Cause: limits counted what each part of the parser keeps of one answer. What a part drops was counted nowhere, and neither was the sum over hundreds of answers.

Change: ClientExchange counts the bytes that it reads and does not pass on, whichever part takes them, and the heads before that of the response. HeldAnswers bounds what is held of all incomplete answers; beyond it, a signed success is forwarded as it arrives, any other answer fails. A stream that tells its caller nothing new is broken off after 8 MiB. The kernel's receive buffer of connections to back ends is bounded. EventSplitter no longer moves its input for each event.

--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -11,6 +11,7 @@
 #include "gateway/backend_request.h"
 #include "gateway/backend_statement.h"
 #include "gateway/event_splitter.h"
+#include "gateway/held_answers.h"
 #include "gateway/request_retries.h"
 #include "gateway/software_id.h"
 #include "gateway/stream_backup.h"
@@ -51,7 +52,9 @@
   MonotonicTime last_heard{};         ///< Last bytes of the answer; before the head, as `started`.
   bool ends_with_connection = false;  ///< Only the close of the connection ends the answer.
   BackendStatement statement;         ///< Read from the head; empty before the head has arrived.
-  std::string body;            ///< Body of an answer that is sent to the caller when complete.
+  std::string body;                 ///< Body of an answer that is sent to the caller when complete.
+  std::unique_ptr<HeldBytes> held;  ///< For `body` and an incomplete event.
+  std::size_t empty_event_bytes = 0;  ///< Of events that tell the caller nothing new.
   bool forwards_body = false;  ///< The body is too large to be held and is forwarded as it arrives.
   EventSplitter events;
   std::unique_ptr<StreamObservation> observation;  ///< Set once the first event has arrived.
--- a/src/gateway/attempt_starter.cc
+++ b/src/gateway/attempt_starter.cc
@@ -16,6 +16,7 @@
   attempt.started = now;
   attempt.last_heard = now;
   attempt.is_prefill_call = kind == SendKind::kPrefill;
+  attempt.held = std::make_unique<HeldBytes>(environment_.held_answers);
   assign_caches(attempt, choice, kind, input);
   attempt.tokens_ahead = environment_.loads.own(id).pending_prefill_tokens +
                          environment_.loads.others(id, now).pending_prefill_tokens;
--- a/src/gateway/caller_answer.cc
+++ b/src/gateway/caller_answer.cc
@@ -23,7 +23,9 @@
   writer_->respond(answer.status, std::move(answer.headers), answer.body);
 }
 
-void CallerAnswer::keep_error(http::ResponseHead head, std::string body) {
+void CallerAnswer::keep_error(http::ResponseHead head, std::string body,
+                              std::unique_ptr<HeldBytes> held) {
+  kept_bytes_ = std::move(held);
   kept_error_ = http::Response{std::move(head), std::move(body)};
 }
 
--- a/src/gateway/caller_answer.h
+++ b/src/gateway/caller_answer.h
@@ -10,6 +10,7 @@
 
 #include "base/time.h"
 #include "gateway/failure_answer.h"
+#include "gateway/held_answers.h"
 #include "gateway/statistics.h"
 #include "http/message.h"
 #include "http/server.h"
@@ -45,7 +46,7 @@
   void send(FailureAnswer answer);
 
   /// Keeps an error answer of a back end, for a caller that gets no better one from later attempts.
-  void keep_error(http::ResponseHead head, std::string body);
+  void keep_error(http::ResponseHead head, std::string body, std::unique_ptr<HeldBytes> held);
   bool has_kept_error() const { return kept_error_.has_value(); }
   /// Returns false if there is none.
   bool send_kept_error();
@@ -59,6 +60,7 @@
   MonotonicTime arrived_;
   bool begun_ = false;
   std::optional<http::Response> kept_error_;
+  std::unique_ptr<HeldBytes> kept_bytes_;
 };
 
 }  // namespace ochrespring::gateway
--- a/src/gateway/environment.h
+++ b/src/gateway/environment.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 
 #include "base/random.h"
@@ -14,6 +15,7 @@
 #include "gateway/engine_profiles.h"
 #include "gateway/fleet_state.h"
 #include "gateway/header_names.h"
+#include "gateway/held_answers.h"
 #include "gateway/load_table.h"
 #include "gateway/placement.h"
 #include "gateway/request_guard.h"
@@ -58,6 +60,7 @@
   RunInquiry* runs = nullptr;                ///< Null: no run is ever known to have ended.
   /// Whether retryable streams are replicated as well.
   bool replicate_retryable_streams = false;
+  std::shared_ptr<HeldAnswers> held_answers = std::make_shared<HeldAnswers>();
   /// When the process stops, even if requests are still running; none if no stop is scheduled.
   std::optional<MonotonicTime> shutdown_time{};
 };
--- a/src/gateway/event_splitter.cc
+++ b/src/gateway/event_splitter.cc
@@ -2,14 +2,15 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace ochrespring::gateway {
 
 namespace {
 
-/// Returns the position after the first blank line in `text`, or npos. Lines end with LF or CR LF.
-std::size_t find_event_end(std::string_view text) {
-  std::size_t line = 0;
+/// Returns the position after the first blank line in `text` from `line` on, or npos. Moves `line`
+/// behind the complete lines. Lines end with LF or CR LF.
+std::size_t find_event_end(std::string_view text, std::size_t& line) {
   while (true) {
     const std::size_t newline = text.find('\n', line);
     if (newline == std::string_view::npos) {
@@ -44,15 +45,21 @@
 
 }  // namespace
 
+void EventSplitter::append(std::string_view bytes) {
+  pending_.erase(0, begin_);
+  scanned_ -= std::exchange(begin_, 0);
+  pending_.append(bytes);
+}
+
 std::optional<StreamEvent> EventSplitter::next() {
-  const std::size_t end = find_event_end(pending_);
+  const std::size_t end = find_event_end(pending_, scanned_);
   if (end == std::string::npos) {
     return std::nullopt;
   }
   StreamEvent event;
-  event.bytes = pending_.substr(0, end);
+  event.bytes = pending_.substr(begin_, end - begin_);
   event.id = read_id(event.bytes);
-  pending_.erase(0, end);
+  begin_ = scanned_ = end;
   return event;
 }
 
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -2,6 +2,7 @@
 // of an event when a stream fails.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -24,14 +25,16 @@
 /// Buffers the bytes of one attempt's stream until an event is complete.
 class EventSplitter {
  public:
-  void append(std::string_view bytes) { pending_.append(bytes); }
+  void append(std::string_view bytes);
   /// Returns the next complete event, or none.
   std::optional<StreamEvent> next();
   /// Bytes of an incomplete event.
-  const std::string& rest() const { return pending_; }
+  std::string_view rest() const { return std::string_view(pending_).substr(begin_); }
 
  private:
   std::string pending_;
+  std::size_t begin_ = 0;    ///< Of the first event that has not been returned.
+  std::size_t scanned_ = 0;  ///< Begin of the first line that has not been found complete.
 };
 
 }  // namespace ochrespring::gateway
--- a/src/gateway/open_attempts.cc
+++ b/src/gateway/open_attempts.cc
@@ -104,6 +104,7 @@
   }
   deps_.retry_limit.end_send(attempt, verdict);
   attempt.exchange.reset();
+  attempt.held.reset();
   attempt.backend = BackendId();
 }
 
--- a/src/gateway/request_session.cc
+++ b/src/gateway/request_session.cc
@@ -26,6 +26,8 @@
 constexpr std::size_t kMaxPrefillAnswer = 64U << 10U;
 /// Maximum size of one event of a stream.
 constexpr std::size_t kMaxEvent = 1U << 20U;
+/// Maximum size of a stream's comments and of events that the caller already has.
+constexpr std::size_t kMaxEmptyEventBytes = 8U << 20U;
 /// How long a stream whose connection broke may wait until its run is shown to have ended. Callers
 /// give up a stream that pauses for two seconds.
 constexpr Duration kMaxRunCheck = milliseconds(1200);
@@ -300,16 +302,31 @@
   }
   if (!current().forwards_events) {
     current().body.append(bytes);
-    if (current().body.size() > (current().is_prefill_call ? kMaxPrefillAnswer : kMaxHeldBody)) {
+    const std::size_t most = current().is_prefill_call ? kMaxPrefillAnswer : kMaxHeldBody;
+    if (current().body.size() > most || !may_hold(current().body.size())) {
       handle_large_body();
     }
     return;
   }
   current().events.append(bytes);
   forward_events();
-  if (attempts_.is_current_open() && current().events.rest().size() > kMaxEvent) {
-    fail_attempt({http::HttpErrc::kTruncated, "event larger than 1 MiB"});
+  if (!attempts_.is_current_open()) {
+    return;
+  }
+  const std::size_t rest = current().events.rest().size();
+  if (rest > kMaxEvent || !may_hold(rest)) {
+    fail_attempt({http::HttpErrc::kTruncated, "event too large to be held"});
+  }
+}
+
+/// Whether this many bytes of the current attempt's answer may be held.
+bool RequestSession::may_hold(std::size_t bytes) {
+  current().held->resize(bytes);
+  if (!current().held->must_release()) {
+    return true;
   }
+  ++environment_.statistics.answers_released_early;
+  return false;
 }
 
 void RequestSession::handle_large_body() {
@@ -322,9 +339,10 @@
     current().forwards_body = true;
     end_other_attempts();
     answer_.begin_stream(*current().head);
+    current().held->resize(0);
     forward_bytes(std::exchange(current().body, {}));
   } else {
-    fail_attempt({http::HttpErrc::kTruncated, "answer larger than 1 MiB that is no success"});
+    fail_attempt({http::HttpErrc::kTruncated, "answer too large to be held that is no success"});
   }
 }
 
@@ -453,7 +471,7 @@
   if (!is_success(head.status) && !answer_.has_begun() && route_.repeatable()) {
     if (expects_other() || acquire_retry()) {
       note("back end answered with an error", std::to_string(head.status));
-      answer_.keep_error(head, std::move(current().body));
+      answer_.keep_error(head, std::move(current().body), std::move(current().held));
       end_attempt(AttemptOutcome::kFailed);
       if (!continue_with_other()) {
         dispatch_->begin();
@@ -496,7 +514,15 @@
       observe_prefill();
       observe_stream();
     }
-    forwarded = forward_event(*event) || forwarded;
+    const bool is_new = forward_event(*event);
+    forwarded = is_new || forwarded;
+    if (!is_new || event->is_comment()) {
+      current().empty_event_bytes += event->bytes.size();
+    }
+    if (current().empty_event_bytes > kMaxEmptyEventBytes) {
+      fail_attempt({http::HttpErrc::kTruncated, "too many events that tell nothing new"});
+      return;
+    }
   }
   if (forwarded) {
     watch_progress();
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -174,6 +174,7 @@
   void handle_refusal();
   void handle_complete_answer();
   void relay_complete_answer();
+  bool may_hold(std::size_t bytes);
   void handle_large_body();
   /// Sends part of the answer to the caller; stops reading from the back end while the caller lags.
   void forward_bytes(std::string_view bytes);
--- a/src/gateway/statistics.h
+++ b/src/gateway/statistics.h
@@ -47,6 +47,8 @@
   /// Requests that ended before their deadline without a complete answer after an attempt stalled.
   std::uint64_t ended_after_stall = 0;
   std::uint64_t caller_gone = 0;
+  /// Answers that were not held until they were whole, because too much was held of others.
+  std::uint64_t answers_released_early = 0;
   std::uint64_t no_route = 0;  ///< Refused: no such route, or this node has no configuration.
   std::uint64_t unknown_key = 0;
   std::uint64_t attempts = 0;
--- a/src/gateway_node/tests/endless_answer_test.cc
+++ b/src/gateway_node/tests/endless_answer_test.cc
@@ -17,7 +17,7 @@
 namespace {
 
 /// More than the node and the kernel's buffers take.
-constexpr std::size_t kEndless = 48U << 20U;
+constexpr std::size_t kEndless = 16U << 20U;
 
 std::string signature() {
   return std::string(gateway::HeaderNames().signature) + ": sig\r\n";
@@ -56,6 +56,8 @@
 
 TEST_CASE("a back end's connection is closed where it sends bytes without end") {
   const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string other = gateway::HeaderNames().request_id + ": other\r\n";
+  const std::string chunked = head + signature() + "transfer-encoding: chunked\r\n\r\n";
   const EndlessAnswer answers[] = {
       {"head", "/short/1", head, filler("x-filler: ", "\r\n")},
       {"interim responses", "/short/1", "", "HTTP/1.1 102 Processing\r\n\r\n"},
@@ -65,8 +67,17 @@
       {"chunks without signature", "/short/1", head + "transfer-encoding: chunked\r\n\r\n",
        "1f40\r\n" + filler("", "\r\n")},
       {"event", "/stream/1", head + signature() + "\r\n", filler("data: ", "\n")},
-      {"answer to another request", "/short/1",
-       head + gateway::HeaderNames().request_id + ": other\r\n\r\n", filler("", "")},
+      {"answer to another request", "/short/1", head + other + "\r\n", filler("", "")},
+      {"answers to other requests", "/short/1", "", head + other + "content-length: 0\r\n\r\n"},
+      {"long answers to other requests", "/short/1", "",
+       head + other + "content-length: 8000\r\n\r\n" + filler("", "")},
+      {"chunk extension", "/short/1", chunked + "5;x=", filler("", "")},
+      {"chunk extension behind a chunk", "/short/1", chunked + "2\r\nok\r\n5;x=", filler("", "")},
+      {"chunk extensions", "/short/1", chunked, "1;" + filler("", "") + "\r\nx\r\n"},
+      {"trailer", "/short/1", chunked + "2\r\nok\r\n0\r\nx: ", filler("", "")},
+      {"trailers", "/short/1", chunked + "2\r\nok\r\n0\r\n", filler("x: ", "\r\n")},
+      {"digits of a chunk size", "/short/1", chunked, std::string(8000, '0')},
+      {"chunk extension of a stream", "/stream/1", chunked + "5;x=", filler("", "")},
   };
   for (const EndlessAnswer& answer : answers) {
     CAPTURE(std::string(answer.name));
--- a/src/http/client_exchange.cc
+++ b/src/http/client_exchange.cc
@@ -24,10 +24,13 @@
 constexpr Duration kKeepAliveMargin = milliseconds(700);
 constexpr std::size_t kReadBytes = 32U << 10U;
 constexpr std::size_t kMaxHeadBytes = 64U << 10U;
-/// Maximum number of interim (1xx) heads before the response.
-constexpr std::uint32_t kMaxInterimHeads = 64;
-/// Maximum size of responses to other requests that are read over.
-constexpr std::size_t kMaxSkippedBytes = 8U << 20U;
+/// Maximum number of heads before that of the response: interim (1xx) ones, and those of responses
+/// to other requests.
+constexpr std::uint32_t kMaxSurplusHeads = 64;
+/// Maximum number of bytes that are read and not passed on, whatever they are: heads, responses to
+/// other requests, framing, trailers. Each byte that is passed on may have a chunk of its own.
+constexpr std::size_t kMaxOverheadBytes = 8U << 20U;
+constexpr std::size_t kMaxFramingPerByte = 16;
 
 std::string make_head(const ClientRequest& request) {
   std::string head;
@@ -286,8 +289,33 @@
     on_peer_closed(result.status);
     return;
   }
+  received_ += result.bytes;
   input_.append(buffer.data(), result.bytes);
   process_input();
+  check_overhead();
+}
+
+/// Fails the exchange if the peer sends more than carries the response.
+void ClientExchange::check_overhead() {
+  if (observer_ == nullptr || !connection_) {
+    return;
+  }
+  const std::size_t overhead = received_ - delivered_ - input_.size();
+  if (overhead > kMaxOverheadBytes &&
+      overhead - kMaxOverheadBytes > kMaxFramingPerByte * delivered_) {
+    const bool in_response = head_received_ && !skipping_;
+    fail_with(in_response ? HttpErrc::kTruncated : HttpErrc::kReset,
+              "too many bytes that are not part of the response");
+  }
+}
+
+/// Returns false if the exchange has failed because there are too many.
+bool ClientExchange::count_surplus_head() {
+  if (++surplus_heads_ <= kMaxSurplusHeads) {
+    return true;
+  }
+  fail_with(HttpErrc::kReset, "too many heads before that of the response");
+  return false;
 }
 
 void ClientExchange::process_input() {
@@ -315,13 +343,15 @@
     input_.erase(0, parsed_.length);
     head_received_ = parsed_.head.status >= 200;
     interim_received_ = !head_received_;
-    if (!head_received_ && ++interim_heads_ > kMaxInterimHeads) {
-      fail_with(HttpErrc::kReset, "too many interim responses");
+    if (!head_received_ && !count_surplus_head()) {
       return false;
     }
   }
   determine_framing();
   skipping_ = is_response_to_other_request();
+  if (skipping_ && !count_surplus_head()) {
+    return false;
+  }
   if (!skipping_) {
     observer_->on_head(parsed_.head);
     if (observer_ == nullptr) {
@@ -419,12 +449,8 @@
 }
 
 void ClientExchange::deliver(std::string_view bytes) {
-  skipped_bytes_ += skipping_ ? bytes.size() : 0;
-  if (skipped_bytes_ > kMaxSkippedBytes) {
-    fail_with(HttpErrc::kReset, "response to another request does not end");
-    return;
-  }
   if (!bytes.empty() && observer_ != nullptr && !skipping_) {
+    delivered_ += bytes.size();
     observer_->on_body(bytes);
   }
 }
--- a/src/http/client_exchange.h
+++ b/src/http/client_exchange.h
@@ -46,6 +46,8 @@
   void process_chunks();
   bool is_response_to_other_request() const;
   bool has_begun_head() const;
+  bool count_surplus_head();
+  void check_overhead();
   void deliver(std::string_view bytes);
   void on_response_end(std::string trailing);
   void on_peer_closed(IoStatus status);
@@ -74,8 +76,9 @@
   std::size_t written_ = 0;
   Duration idle_lifetime_{};  ///< How long the connection may stay idle in the pool; zero: do not
                               ///< keep it.
-  std::uint32_t interim_heads_ = 0;
-  std::size_t skipped_bytes_ = 0;  ///< Of responses that belong to other requests.
+  std::uint32_t surplus_heads_ = 0;  ///< Interim ones, and those of responses to other requests.
+  std::size_t received_ = 0;         ///< Bytes read from the connection.
+  std::size_t delivered_ = 0;        ///< Body bytes passed to the observer.
   bool head_received_ = false;
   bool interim_received_ = false;  ///< Before the head of the current response.
   bool skipping_ = false;          ///< The current response belongs to another request.
--- a/src/http/tcp_connection.cc
+++ b/src/http/tcp_connection.cc
@@ -20,6 +20,9 @@
 
 constexpr int kKeepAliveProbeSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
+/// What the kernel may hold of a peer's data that is not read yet. Without it, the buffer grows to
+/// several megabytes.
+constexpr int kReceiveBufferBytes = 128 << 10;
 
 void set_option(int descriptor, int option, int value) {
   ::setsockopt(descriptor, IPPROTO_TCP, option, &value, sizeof(value));
@@ -54,6 +57,8 @@
     return fail(HttpErrc::kConnect, "open a socket: " + std::generic_category().message(errno));
   }
   set_options(descriptor, max_unacknowledged);
+  ::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes,
+               sizeof(kReceiveBufferBytes));
   if (::connect(descriptor, address.get(), address.length) != 0 && errno != EINPROGRESS) {
     const int error = errno;
     ::close(descriptor);
