--- a/src/gateway_node/tests/stopping_node.h
+++ b/src/gateway_node/tests/stopping_node.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -167,7 +168,11 @@
 /// Holds requests until the test answers them.
 struct HoldingBackend {
   explicit HoldingBackend(http::EventLoop& loop) : server(loop, loopback_settings()) {
-    server.route("/", [this](auto, auto response) { held.push_back(std::move(response)); });
+    server.route("/", [this](const http::Request& request, auto response) {
+      const gateway::HeaderNames names;
+      ids.emplace(http::find_header(request.headers, names.request_id));
+      held.push_back(std::move(response));
+    });
     REQUIRE(server.listen());
   }
   static http::ServerSettings loopback_settings() {
@@ -193,6 +198,7 @@
 
   http::Server server;
   std::vector<std::shared_ptr<http::ResponseWriter>> held;
+  std::set<std::string> ids;  ///< Of all requests that have arrived.
 };
 
 inline void set_reset_on_close(int descriptor) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -22,6 +22,9 @@
 /// A node that passes the bytes of a connection on to the endpoint, see ConnectionRelay.
 struct RelayHop {
   Endpoint address;  ///< Of the node's ConnectionRelay.
+  /// Whether an idle connection through the relay at this address may be used; any may if it is
+  /// null.
+  std::function<bool(const Endpoint& relay)> accepts{};
 };
 
 struct ClientRequest {
--- a/src/http/client_exchange.cc
+++ b/src/http/client_exchange.cc
@@ -128,7 +128,7 @@
                     : "connection not established before the timeout");
   });
   if (!request_.fresh_connection) {
-    connection_ = pool_.take(request_.endpoint.value(), request_.relay.has_value());
+    take_pooled_connection();
   }
   if (connection_) {
     reused_ = true;
@@ -150,6 +150,19 @@
   });
 }
 
+void ClientExchange::take_pooled_connection() {
+  if (!request_.relay) {
+    connection_ = pool_.take(request_.endpoint.value());
+    return;
+  }
+  ConnectionPool::Kept kept =
+      pool_.take_relayed(request_.endpoint.value(), request_.relay->accepts);
+  connection_ = std::move(kept.connection);
+  if (connection_) {
+    request_.relay->address = kept.relay;
+  }
+}
+
 Result<void, HttpError> ClientExchange::open_connection() {
   BOOST_OUTCOME_TRY(
       address, http::parse_endpoint(request_.relay ? request_.relay->address : request_.endpoint));
@@ -495,8 +508,9 @@
       idle_lifetime_ == Duration::zero()) {
     return;
   }
-  pool_.put(request_.endpoint.value(), request_.relay.has_value(), std::move(connection),
-            idle_lifetime_, request_.max_idle_connections);
+  const Endpoint relay = request_.relay ? request_.relay->address : Endpoint();
+  pool_.put(request_.endpoint.value(), {std::move(connection), relay}, idle_lifetime_,
+            request_.max_idle_connections);
 }
 
 void ClientExchange::fail_with(HttpErrc code, std::string message) {
--- a/src/http/client_exchange.h
+++ b/src/http/client_exchange.h
@@ -33,6 +33,7 @@
   /// How the end of the response body is determined.
   enum class BodyEnd : std::uint8_t { kNone, kLength, kChunked, kClose };
 
+  void take_pooled_connection();
   Result<void, HttpError> open_connection();
   void request_relaying();
   void read_relay_status();
--- a/src/http/connection_pool.cc
+++ b/src/http/connection_pool.cc
@@ -5,40 +5,49 @@
 
 namespace ochrespring::http {
 
-ConnectionPool::Idle::Idle(ConnectionPool& pool, std::string endpoint, bool relayed,
-                           std::unique_ptr<TcpConnection> connection, Duration keep)
-    : pool_(pool),
-      endpoint_(std::move(endpoint)),
-      relayed_(relayed),
-      connection_(std::move(connection)),
-      expiry_(pool.loop_) {
-  connection_->set_listener(this);
-  connection_->set_reading(true);
+ConnectionPool::Idle::Idle(ConnectionPool& pool, std::string endpoint, Kept kept, Duration keep)
+    : pool_(pool), endpoint_(std::move(endpoint)), kept_(std::move(kept)), expiry_(pool.loop_) {
+  kept_.connection->set_listener(this);
+  kept_.connection->set_reading(true);
   expiry_.arm(keep, [this] { pool_.drop(endpoint_, this); });
 }
 
-std::unique_ptr<TcpConnection> ConnectionPool::Idle::release() {
+ConnectionPool::Kept ConnectionPool::Idle::release() {
   expiry_.disarm();
-  connection_->set_listener(nullptr);
-  return std::move(connection_);
+  kept_.connection->set_listener(nullptr);
+  return std::move(kept_);
 }
 
-std::unique_ptr<TcpConnection> ConnectionPool::take(const std::string& endpoint, bool relayed) {
+std::unique_ptr<TcpConnection> ConnectionPool::take(const std::string& endpoint) {
+  return take(endpoint, false).connection;
+}
+
+ConnectionPool::Kept ConnectionPool::take_relayed(const std::string& endpoint,
+                                                  const AcceptRelay& accepts) {
+  const auto found = idle_.find(endpoint);
+  if (found != idle_.end() && accepts) {
+    std::erase_if(found->second,
+                  [&](const auto& idle) { return idle->relayed() && !accepts(idle->relay()); });
+  }
+  return take(endpoint, true);
+}
+
+ConnectionPool::Kept ConnectionPool::take(const std::string& endpoint, bool relayed) {
   const auto found = idle_.find(endpoint);
   if (found == idle_.end()) {
-    return nullptr;
+    return {};
   }
   auto& kept = found->second;
   const auto matches = [&](const auto& idle) { return idle->relayed() == relayed; };
   while (true) {
     const auto newest = std::find_if(kept.rbegin(), kept.rend(), matches);
     if (newest == kept.rend()) {
-      return nullptr;
+      return {};
     }
-    std::unique_ptr<TcpConnection> connection = (*newest)->release();
+    Kept released = (*newest)->release();
     kept.erase(std::next(newest).base());
-    if (!connection->has_pending_input()) {
-      return connection;
+    if (!released.connection->has_pending_input()) {
+      return released;
     }
   }
 }
@@ -50,12 +59,11 @@
                      [&](const auto& idle) { return idle->relayed() == relayed; });
 }
 
-void ConnectionPool::put(const std::string& endpoint, bool relayed,
-                         std::unique_ptr<TcpConnection> connection, Duration keep,
+void ConnectionPool::put(const std::string& endpoint, Kept kept, Duration keep,
                          std::size_t max_idle) {
-  auto& kept = idle_[endpoint];
-  if (kept.size() < max_idle) {
-    kept.push_back(std::make_unique<Idle>(*this, endpoint, relayed, std::move(connection), keep));
+  auto& idle = idle_[endpoint];
+  if (idle.size() < max_idle) {
+    idle.push_back(std::make_unique<Idle>(*this, endpoint, std::move(kept), keep));
   }
 }
 
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -1,6 +1,7 @@
 // Idle outgoing connections of one loop, by endpoint. Private to src/http.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -17,11 +18,20 @@
  public:
   explicit ConnectionPool(EventLoop& loop) : loop_(loop) {}
 
-  /// Returns the most recently used direct or relayed connection, or null.
-  std::unique_ptr<TcpConnection> take(const std::string& endpoint, bool relayed);
+  /// A connection, and the relay that it goes through; empty if it is direct.
+  struct Kept {
+    std::unique_ptr<TcpConnection> connection;
+    Endpoint relay;
+  };
+  using AcceptRelay = std::function<bool(const Endpoint& relay)>;
+
+  /// Returns the most recently used direct connection, or null.
+  std::unique_ptr<TcpConnection> take(const std::string& endpoint);
+  /// Returns the most recently used relayed connection, or null. Closes those through relays that
+  /// `accepts` rejects; a null function accepts all.
+  Kept take_relayed(const std::string& endpoint, const AcceptRelay& accepts);
   /// Keeps a connection for `keep`, or closes it if `max_idle` connections are already kept.
-  void put(const std::string& endpoint, bool relayed, std::unique_ptr<TcpConnection> connection,
-           Duration keep, std::size_t max_idle);
+  void put(const std::string& endpoint, Kept kept, Duration keep, std::size_t max_idle);
   bool has(const std::string& endpoint, bool relayed) const;
   void close_all(const std::string& endpoint) { idle_.erase(endpoint); }
   /// Closes the direct connections, or the relayed ones.
@@ -31,22 +41,22 @@
   /// An idle connection. Any event on it removes it from the pool.
   class Idle final : public TcpConnection::Listener {
    public:
-    Idle(ConnectionPool& pool, std::string endpoint, bool relayed,
-         std::unique_ptr<TcpConnection> connection, Duration keep);
+    Idle(ConnectionPool& pool, std::string endpoint, Kept kept, Duration keep);
     void on_connected(bool /*success*/) override {}
     void on_writable() override {}
     void on_readable() override { pool_.drop(endpoint_, this); }
-    std::unique_ptr<TcpConnection> release();
-    bool relayed() const { return relayed_; }
+    Kept release();
+    bool relayed() const { return !kept_.relay.empty(); }
+    const Endpoint& relay() const { return kept_.relay; }
 
    private:
     ConnectionPool& pool_;
     std::string endpoint_;
-    bool relayed_;
-    std::unique_ptr<TcpConnection> connection_;
+    Kept kept_;
     Timer expiry_;
   };
 
+  Kept take(const std::string& endpoint, bool relayed);
   void drop(const std::string& endpoint, const Idle* idle);
 
   EventLoop& loop_;
--- a/src/http/tests/connection_relay_test.cc
+++ b/src/http/tests/connection_relay_test.cc
@@ -126,6 +126,30 @@
   CHECK(f.relay->open_connections() == 1);
 }
 
+TEST_CASE("an idle connection is used only through a relay that the request accepts") {
+  Fixture f;
+  f.server.serve(kWholeResponse, End::kOpen);
+  f.run(f.server.endpoint());
+  REQUIRE(f.client.has_idle_connection(f.server.endpoint(), true));
+  const Endpoint former = f.relay->bound();
+  http::ClientRequest request;
+  request.endpoint = f.server.endpoint();
+  bool accepted = true;
+  SUBCASE("accepted") {}
+  SUBCASE("not accepted") {
+    accepted = false;
+  }
+  std::vector<Endpoint> asked;
+  request.relay = http::RelayHop{Endpoint("127.0.0.1:1"), [&](const Endpoint& relay) {
+                                   asked.push_back(relay);
+                                   return accepted;
+                                 }};
+  const auto exchange = f.client.start(std::move(request), f.outcome);
+  CHECK(asked == std::vector{former});
+  CHECK(f.client.statistics().connections_reused == (accepted ? 1 : 0));
+  CHECK_FALSE(f.client.has_idle_connection(f.server.endpoint(), true));
+}
+
 TEST_CASE("an orderly close ends a relayed response without a length") {
   Fixture f;
   f.server.serve(kResponseEndedByClose, End::kClose);
--- a/src/links/relay_chooser.cc
+++ b/src/links/relay_chooser.cc
@@ -72,6 +72,12 @@
   return (found->second.relayed ? 0 : 4) + other_zone;
 }
 
+bool RelayChooser::is_relay(const Endpoint& address) const {
+  const auto& others = nodes_.others();
+  return std::any_of(others.begin(), others.end(),
+                     [&](const auto& entry) { return entry.second.peer_address == address; });
+}
+
 bool RelayChooser::is_node(const Endpoint& address) const {
   const auto matches = [&](const discovery::NodeRecord& record) {
     return host_of(record.peer_address) == host_of(address);
--- a/src/links/relay_chooser.h
+++ b/src/links/relay_chooser.h
@@ -34,6 +34,8 @@
   void note_unreachable(const Endpoint& node) { failed_at_[{node, Endpoint()}] = clock_.now(); }
   /// Whether this node knows other nodes, whether or not they relay.
   bool has_peers() const { return !nodes_.others().empty(); }
+  /// Whether a node that is running and not leaving relays at this address.
+  bool is_relay(const Endpoint& address) const;
   /// Whether connections from this address may come from a node of the fleet. Its port is ignored.
   bool is_node(const Endpoint& address) const;
 
--- a/src/links/relaying_transport.cc
+++ b/src/links/relaying_transport.cc
@@ -117,7 +117,9 @@
       request.connect_timeout = std::min(request.connect_timeout, opening_deadline_ - now);
     }
     if (!relay_.empty()) {
-      request.relay = http::RelayHop{relay_};
+      // A node that leaves ends its connections with its grace period.
+      request.relay = http::RelayHop{
+          relay_, [&relays = deps_.relays](const Endpoint& node) { return relays.is_relay(node); }};
     }
     exchange_ = deps_.connections.start(std::move(request), *this);
   }
--- a/src/links/tests/relaying_transport_test.cc
+++ b/src/links/tests/relaying_transport_test.cc
@@ -154,6 +154,21 @@
   CHECK(f.sent);
 }
 
+// Guards against a request that is sent through a node that leaves, and is cut off with its
+// process.
+TEST_CASE("an idle connection through a node that leaves is not used again") {
+  Fixture f;
+  f.start();
+  f.last().fail(http::HttpErrc::kConnect, false);
+  const Endpoint relay = f.last().relay();
+  REQUIRE(f.last().request.relay->accepts);
+  CHECK(f.last().request.relay->accepts(relay));
+  const std::string name = relay.value().substr(0, relay.value().find(':'));
+  f.nodes.note_leaving(NodeId(name), {});
+  CHECK_FALSE(f.last().request.relay->accepts(relay));
+  CHECK_FALSE(f.last().request.relay->accepts(Endpoint("unknown:7380")));
+}
+
 TEST_CASE("a withdrawn request takes no other way") {
   Fixture f;
   f.start();
