Take no answer without an id for that to the next request of a reused connection

Cause: ClientExchange compared the request id of an answer only if the answer had one.

Change: on a reused connection an answer without the id belongs to another request. It is read over, and the connection is not used again. The first answer on a new connection may lack the id.

--- a/src/http/client.h
+++ b/src/http/client.h
@@ -41,8 +41,9 @@
   Duration connect_timeout{std::chrono::seconds(5)};
   std::size_t max_idle_connections = 64;  ///< Idle connections kept to this endpoint.
   bool fresh_connection = false;          ///< Do not reuse a pooled connection.
-  /// Response header that must have this value if it is present. A response with another value
-  /// belongs to another request: it is skipped, and the connection is not reused.
+  /// Response header that must have this value. It may be missing only on a new connection, or if
+  /// the value is empty. Any other response belongs to another request: it is skipped, and the
+  /// connection is not reused.
   std::optional<Header> echo;
   /// Treat an orderly close as the end of a response without a length.
   bool close_ends_answer = false;
--- a/src/http/client_exchange.cc
+++ b/src/http/client_exchange.cc
@@ -379,12 +379,14 @@
   return true;
 }
 
+/// A reused connection may still bring more for an earlier request, which need not say so. On a new
+/// one nothing else can have been asked for.
 bool ClientExchange::is_response_to_other_request() const {
   if (!request_.echo) {
     return false;
   }
   const std::string_view value = find_header(parsed_.head.headers, request_.echo->name);
-  return !value.empty() && value != request_.echo->value;
+  return value.empty() ? reused_ && !request_.echo->value.empty() : value != request_.echo->value;
 }
 
 /// Whether part of a head, or an interim head, has arrived that does not belong to another request.
--- a/src/http/tests/client_failure_test.cc
+++ b/src/http/tests/client_failure_test.cc
@@ -242,6 +242,28 @@
   CHECK(client.statistics().connections_opened == 2);
 }
 
+// Guards against the refusal, or the answer, of an earlier request that is taken for the answer to
+// one that its server is running.
+TEST_CASE("on a reused connection, a response that names no request belongs to another one") {
+  http::EventLoop loop;
+  http::Client client(loop);
+  const std::string own = "HTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 2\r\n\r\nok";
+  const std::string refusal = "HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n";
+  const std::string success = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nstray";
+  for (const std::string& unnamed : {refusal, success, refusal + success}) {
+    ScriptedPeer peer({{own, unnamed + own}});
+    auto request = get(peer.endpoint());
+    request.echo = http::Header{"x-id", "mine"};
+    CHECK(fetch(loop, client, request).body == "ok");
+    CHECK(fetch(loop, client, request).body == "ok");
+    CHECK_FALSE(client.has_idle_connection(peer.endpoint()));
+  }
+  ScriptedPeer fresh({{success}});
+  auto request = get(fresh.endpoint());
+  request.echo = http::Header{"x-id", "mine"};
+  CHECK(fetch(loop, client, request).body == "stray");
+}
+
 TEST_CASE("an orderly close ends a response without a length only with close_ends_answer") {
   http::EventLoop loop;
   http::Client client(loop);
