Ask engines that have announced to leave about their runs, too

A stream at a leaving engine that ends before the stream does was not resumed at its backup engine: the inquiry was withheld because the engine takes no more requests, so its run was never shown to have ended.

Cause: call_engine() used the check for new requests. Only a backoff speaks against a question.

Evidence: the new case of broken_run fails with the former check and passes with this one.

--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -424,7 +424,7 @@
 void GatewayNode::call_engine(const gateway::BackendId& engine, http::ClientRequest request,
                               EngineCallback done) {
   const MonotonicTime now = clock_.now();
-  if (!admission_.may_send(engine, now)) {
+  if (admission_.is_backing_off(engine, now)) {
     loop_.post([done = std::move(done)] {
       done(outcome::failure(
           http::FetchFailure{{http::HttpErrc::kWithdrawn, "the engine takes no calls now"}}));
@@ -442,9 +442,13 @@
   });
 }
 
-/// Calls `done` with the body of a successful answer, and not at all after any other result.
+/// Calls `done` with the body of a successful answer, and not at all after any other result or if
+/// the engine takes no more requests.
 void GatewayNode::fetch_from_engine(const gateway::BackendId& engine, http::ClientRequest request,
                                     std::function<void(std::string body)> done) {
+  if (!admission_.may_send(engine, clock_.now())) {
+    return;
+  }
   call_engine(engine, std::move(request), [done = std::move(done)](auto result) {
     if (result && result.value().head.status == 200) {
       done(std::move(result.value().body));
--- a/src/gateway_node/tests/broken_run_test.cc
+++ b/src/gateway_node/tests/broken_run_test.cc
@@ -96,12 +96,14 @@
     });
     REQUIRE(server->listen());
   }
-  void send_head() const {
+  void send_head(bool leaving = false) const {
     const gateway::HeaderNames names;
-    runs.back()->send_head({200,
-                            {{"content-type", "text/event-stream"},
-                             {names.request_id, "r1"},
-                             {names.signature, "sig"}}});
+    std::vector<http::Header> headers{
+        {"content-type", "text/event-stream"}, {names.request_id, "r1"}, {names.signature, "sig"}};
+    if (leaving) {
+      headers.push_back({names.leaving, "1"});
+    }
+    runs.back()->send_head({200, headers});
   }
 
   std::unique_ptr<http::Server> server;
@@ -114,7 +116,9 @@
 
 /// A node with two engines, and a stream at one of them of which the caller has one event.
 struct EnginesFixture {
-  EnginesFixture() : store(loop, one.server->bound().value(), two.server->bound().value()) {
+  /// With `leaving`, the engine that runs the stream announces that it leaves.
+  explicit EnginesFixture(bool leaving = false)
+      : store(loop, one.server->bound().value(), two.server->bound().value()) {
     REQUIRE(node.start());
     // A node that starts has no retry budget yet.
     advance(12s);
@@ -126,7 +130,7 @@
     backup = one.runs.empty() ? &one : &two;
     REQUIRE(http::find_header(runner->requests.back().headers, names.cache_backup) ==
             backup->server->bound().value());
-    runner->send_head();
+    runner->send_head(leaving);
     runner->runs.back()->send_body("id: 1\ndata: a\n\n");
     REQUIRE(run_until([&] { return caller->receive().find("id: 1") != std::string::npos; }));
     // The run is now older than what an engine may not list yet.
@@ -281,6 +285,17 @@
   }
 }
 
+// Guards against an engine that is not asked because it takes no more requests.
+TEST_CASE("a stream goes on elsewhere when its engine ends after it has announced to leave") {
+  EnginesFixture f(true);
+  f.runner->runs.back()->abort();
+  f.runner->server->stop_accepting();
+  CHECK(f.run_until([&] {
+    f.advance(10ms);
+    return !f.backup->runs.empty();
+  }));
+}
+
 // Guards against a copy that its engine no longer has: nothing may run the stream again.
 TEST_CASE("a stream ends if its run has ended whole and the copy is gone") {
   EnginesFixture f;
