Ask about a run through another node while the own link to its engine is cut

Cause: the question went directly, whatever way the requests take. The node was partitioned and reached the engine through another node; its own connection was refused by the partition, which counted as the end of the engine's process. A refusal was also remembered for 10 s, beyond the end of a partition.

Change: RelayingTransport::fetch() goes through another node while the link is cut, and reports no refusal of a cut link. A terminated engine is remembered for 100 ms, for the streams that break together.

Evidence: the new cases of run_inquiry and relaying_transport_test; the first fails with the former memory. links, run_inquiry and broken_run test programs pass.

--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -431,7 +431,7 @@
     });
     return;
   }
-  client_.fetch(std::move(request), [this, engine, now, done = std::move(done)](auto result) {
+  links_.fetch(std::move(request), [this, engine, now, done = std::move(done)](auto result) {
     if (result) {
       const auto statement = gateway::parse_statement(result.value().head, platform_.names);
       if (!statement.misdirected) {
--- a/src/gateway_node/node_links.h
+++ b/src/gateway_node/node_links.h
@@ -43,6 +43,11 @@
 
   Result<void, http::HttpError> listen() { return relay_.listen(); }
   gateway::BackendTransport& transport() { return transport_; }
+  /// Fetches a complete response, see RelayingTransport::fetch().
+  void fetch(http::ClientRequest request,
+             std::function<void(Result<http::Response, http::FetchFailure>)> done) {
+    transport_.fetch(std::move(request), std::move(done));
+  }
   /// Tells whether a back end accepts connections, see RelayingTransport::probe().
   void probe(const Endpoint& backend, std::function<void(http::ProbeResult)> done) {
     transport_.probe(backend, std::move(done));
--- a/src/links/relaying_transport.cc
+++ b/src/links/relaying_transport.cc
@@ -218,12 +218,24 @@
 }
 
 void RelayingTransport::send_and_forget(http::ClientRequest request) {
-  if (deps_.links.is_cut(request.endpoint)) {
+  fetch(std::move(request), [](const auto&) {});
+}
+
+void RelayingTransport::fetch(
+    http::ClientRequest request,
+    std::function<void(Result<http::Response, http::FetchFailure>)> done) {
+  const bool cut = deps_.links.is_cut(request.endpoint);
+  if (cut) {
     if (const auto relay = deps_.relays.choose(request.endpoint)) {
       request.relay = http::RelayHop{*relay};
     }
   }
-  deps_.connections.fetch(std::move(request), [](const auto&) {});
+  deps_.connections.fetch(std::move(request), [cut, done = std::move(done)](auto result) {
+    if (cut && !result && result.error().error.code == http::HttpErrc::kRefused) {
+      result.error().error.code = http::HttpErrc::kNoPath;
+    }
+    done(std::move(result));
+  });
 }
 
 void RelayingTransport::probe(const Endpoint& backend,
--- a/src/links/relaying_transport.h
+++ b/src/links/relaying_transport.h
@@ -84,6 +84,10 @@
     return deps_.connections.has_idle(endpoint, deps_.links.is_cut(endpoint));
   }
   void send_and_forget(http::ClientRequest request) override;
+  /// Fetches a complete response, through another node while this node's link is cut. kRefused is
+  /// reported only of a link that is not known to be cut.
+  void fetch(http::ClientRequest request,
+             std::function<void(Result<http::Response, http::FetchFailure>)> done);
   /// Tells whether the back end accepts connections, from this node or, while its link is cut, from
   /// another one. kNoAnswer if no node could tell.
   void probe(const Endpoint& backend, std::function<void(http::ProbeResult)> done);
--- a/src/links/tests/relaying_transport_test.cc
+++ b/src/links/tests/relaying_transport_test.cc
@@ -169,6 +169,40 @@
   CHECK_FALSE(f.last().request.relay->accepts(Endpoint("unknown:7380")));
 }
 
+// Guards against a sound back end that counts as terminated because this node's own link refuses
+// connections.
+TEST_CASE("over a cut link a fetch goes through another node, and a refusal proves nothing") {
+  const auto fetch = [](Fixture& f) {
+    auto code = std::make_shared<std::optional<http::HttpErrc>>();
+    http::ClientRequest request;
+    request.endpoint = Fixture::address(0);
+    f.transport.fetch(std::move(request), [code](const auto& result) {
+      REQUIRE_FALSE(result);
+      *code = result.error().error.code;
+    });
+    return code;
+  };
+  const auto refuse = [](Fixture& f) {
+    f.connections.fetch_done(
+        outcome::failure(http::FetchFailure{{http::HttpErrc::kRefused, "refused"}, false}));
+  };
+  Fixture sound;
+  const auto refused = fetch(sound);
+  CHECK_FALSE(sound.connections.fetched->relay);
+  refuse(sound);
+  CHECK(*refused == http::HttpErrc::kRefused);
+  Fixture cut;
+  cut.partition();
+  fetch(cut);
+  CHECK(cut.connections.fetched->relay);
+  Fixture alone(0);
+  alone.partition();
+  const auto unproven = fetch(alone);
+  CHECK_FALSE(alone.connections.fetched->relay);
+  refuse(alone);
+  CHECK(*unproven == http::HttpErrc::kNoPath);
+}
+
 TEST_CASE("a withdrawn request takes no other way") {
   Fixture f;
   f.start();
--- a/src/run_inquiry/engine_run_inquiry.cc
+++ b/src/run_inquiry/engine_run_inquiry.cc
@@ -28,8 +28,9 @@
 /// An engine's list shows how it stood up to this long before. A run that began later may be
 /// missing from the list although it goes on.
 constexpr Duration kMaxListAge = milliseconds(1000);
-/// How long an engine is remembered as terminated. Its id is not used again.
-constexpr Duration kTerminatedMemory = std::chrono::seconds(10);
+/// How long an engine is remembered as terminated: for the streams that break together. Not longer,
+/// because a partition may refuse connections as well.
+constexpr Duration kTerminatedMemory = milliseconds(100);
 constexpr std::uint16_t kOk = 200;
 constexpr std::uint16_t kTooManyRequests = 429;
 constexpr std::uint16_t kServerError = 500;
--- a/src/run_inquiry/tests/engine_run_inquiry_test.cc
+++ b/src/run_inquiry/tests/engine_run_inquiry_test.cc
@@ -185,6 +185,19 @@
   CHECK(inquiry.statistics().calls == 1);
 }
 
+// Guards against a run that is continued elsewhere because connections to its engine were refused
+// during a partition that is over.
+TEST_CASE_FIXTURE(InquiryFixture, "a refused connection is not remembered for long") {
+  ask("r1");
+  fail(HttpErrc::kRefused);
+  CHECK(verdicts == std::vector{RunVerdict::kEnded});
+  advance(200ms);
+  ask("r2");
+  REQUIRE(calls.size() == 1);
+  answer(200, "runs=r2");
+  CHECK(verdicts == std::vector{RunVerdict::kEnded});
+}
+
 TEST_CASE_FIXTURE(InquiryFixture, "one list answers for each run of an engine by itself") {
   ask("r1");
   ask("r2");
