--- a/src/discovery/fleet_watcher.cc
+++ b/src/discovery/fleet_watcher.cc
@@ -32,6 +32,12 @@
   return now - std::clamp(age, Duration::zero(), kMaxPeerAge);
 }
 
+/// Whether changes that could not be read will not be readable later either.
+bool requires_listing(shared_store::StoreErrc code) {
+  return code == shared_store::StoreErrc::kHistoryUnavailable ||
+         code == shared_store::StoreErrc::kTooLarge;
+}
+
 }  // namespace
 
 FleetWatcher::FleetWatcher(Dependencies deps, FleetWatcherSettings settings,
@@ -234,11 +240,10 @@
   deps_.store.changes(kEverything, after, Duration::zero(), [this, known, after](auto result) {
     if (result) {
       handle_changes(known, after, result.value());
-    } else if (result.error().code == shared_store::StoreErrc::kTooLarge) {
-      handle_unavailable_history();
-    } else if (result.error().code != shared_store::StoreErrc::kHistoryUnavailable) {
+    } else if (!requires_listing(result.error().code)) {
       finish_poll(PollResult::kStoreUnreachable, poll_started_at_, result.error().message);
-    } else if (known && !may_be_another_era()) {
+    } else if (result.error().code == shared_store::StoreErrc::kHistoryUnavailable && known &&
+               !may_be_another_era()) {
       // Nothing has changed for longer than history is kept, or history was dropped early.
       forget_position();
       request_changes(std::nullopt);
@@ -277,19 +282,14 @@
 /// earlier changes differ.
 void FleetWatcher::verify_history(shared_store::StoreRevision begin) {
   deps_.store.changes(kEverything, begin, Duration::zero(), [this, begin](auto result) {
-    if (result && result.value().may_continue) {
-      list_all();
-    } else if (result) {
-      if (history_.contradicts(begin, result.value().changes)) {
-        begin_era();
-      } else {
-        apply_verified_changes(begin, result.value());
-      }
-    } else if (result.error().code == shared_store::StoreErrc::kHistoryUnavailable ||
-               result.error().code == shared_store::StoreErrc::kTooLarge) {
+    if (result ? result.value().may_continue : requires_listing(result.error().code)) {
       list_all();
-    } else {
+    } else if (!result) {
       finish_poll(PollResult::kStoreUnreachable, poll_started_at_, result.error().message);
+    } else if (history_.contradicts(begin, result.value().changes)) {
+      begin_era();
+    } else {
+      apply_verified_changes(begin, result.value());
     }
   });
 }
@@ -326,8 +326,7 @@
   deps_.store.changes(kEverything, after, Duration::zero(), [this, after](auto result) {
     if (result) {
       take_changes(after, result.value());
-    } else if (result.error().code == shared_store::StoreErrc::kHistoryUnavailable ||
-               result.error().code == shared_store::StoreErrc::kTooLarge) {
+    } else if (requires_listing(result.error().code)) {
       handle_unavailable_history();
     } else {
       finish_poll(PollResult::kStoreUnreachable, poll_started_at_, result.error().message);
--- a/src/gateway_node/gateway_node.cc
+++ b/src/gateway_node/gateway_node.cc
@@ -150,7 +150,9 @@
                     }),
       run_inquiry_({clock, loop, platform_.engines, platform_.names, logger},
                    [this](const gateway::BackendId& engine, http::ClientRequest request,
-                          auto done) { call_engine(engine, std::move(request), std::move(done)); }),
+                          EngineCallback done) {
+                     call_engine(engine, std::move(request), std::move(done));
+                   }),
       gateway_({clock,
                 loop,
                 links_.transport(),
