--- a/src/gateway/run_end_check.h
+++ b/src/gateway/run_end_check.h
@@ -17,7 +17,6 @@
   void begin(RunInquiry* inquiry, RunQuery query, std::function<void(RunVerdict)> done);
   /// Drops the open query.
   void cancel() { asker_.reset(); }
-  bool is_pending() const { return asker_ != nullptr; }
 
  private:
   std::shared_ptr<const int> asker_;  ///< Identifies the open query; null if there is none.
